--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/__init__.py
@@ -0,0 +1,3 @@
+"""Who decides for a shard, and for how long."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/tenure.py
@@ -0,0 +1,43 @@
+"""What the rest of the core sees of ownership."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from ..ids import Incarnation, ShardId, VmId
+
+
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """One node's unbroken ownership of a shard.
+
+    Attributes:
+        shard: What is owned.
+        owner: VM that owns it.
+        incarnation: Incarnation of the owner's process.
+        term: Number that grows with each tenure of the shard.
+        started_at_s: Owner's monotonic clock when the tenure began.
+        expires_at_s: Owner's monotonic clock until which it may act.
+    """
+
+    shard: ShardId
+    owner: VmId
+    incarnation: Incarnation
+    term: int
+    started_at_s: float
+    expires_at_s: float
+
+
+class OwnershipView(Protocol):
+    """Read access to ownership for deciders and for nodes that ask them."""
+
+    def tenure_of(self, shard: ShardId, now_s: float) -> Tenure | None:
+        """Returns this node's tenure if it may act as owner right now."""
+
+    def owner_of(self, shard: ShardId) -> VmId | None:
+        """Returns the VM to ask about the shard, a hint that may be stale."""
+
+
+__all__ = ('OwnershipView', 'Tenure')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/placement/__init__.py
@@ -0,0 +1,3 @@
+"""Which upstreams a request runs on."""
+
+from __future__ import annotations
--- a/packages/catkinreach-core/src/catkinreach_core/settings/__init__.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/__init__.py
@@ -1,3 +1,9 @@
 """Settings: what they hold, how they are read and how they are checked."""
 
 from __future__ import annotations
+
+from .faults import SettingsError, SettingsFault
+from .load_fleet import load_fleet
+from .load_node import load_node
+
+__all__ = ('SettingsError', 'SettingsFault', 'load_fleet', 'load_node')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/faults.py
@@ -0,0 +1,135 @@
+"""Faults of a settings text, gathered so that all are told at once."""
+
+from __future__ import annotations
+
+from typing import Final, NoReturn
+
+from msgspec import Struct
+
+from ..errors import CatkinreachError, ErrorKind
+
+MAX_FOUND_CHARS: Final = 60
+"""Longest piece of a settings text that a fault repeats, in characters."""
+
+
+class SettingsFault(Struct, frozen=True, kw_only=True):
+    """One fault of a settings text.
+
+    Attributes:
+        source: Name of the text, for instance its file name.
+        section: Section header without brackets; empty outside of sections.
+        option: Option name; empty if the whole section is at fault.
+        line: Line number, counted from 1.
+        found: What the text holds.
+        expected: What the text should hold.
+        sentence: Advice for the operator; may be empty.
+    """
+
+    source: str
+    line: int
+    expected: str
+    found: str
+    section: str = ''
+    option: str = ''
+    sentence: str = ''
+
+    def __str__(self) -> str:
+        """Returns the fault as one line."""
+        words = [f'{self.source}:{self.line}']
+        if self.section:
+            words.append(f'[{self.section}]')
+        if self.option:
+            words.append(self.option)
+        line = ' '.join(words)
+        line = f'{line}: expected {self.expected}, found {self.found}'
+        return f'{line}. {self.sentence}' if self.sentence else line
+
+
+class SettingsError(CatkinreachError):
+    """A settings text was refused.
+
+    Attributes:
+        faults: Every fault, ordered by line.
+    """
+
+    def __init__(self, faults: tuple[SettingsFault, ...]) -> None:
+        """Sets up the error from all faults of the text."""
+        self.faults = faults
+        super().__init__(
+            ErrorKind.SETTINGS_INVALID,
+            '\n'.join(str(fault) for fault in faults),
+        )
+
+    def __str__(self) -> str:
+        """Returns one line for each fault."""
+        return self.detail
+
+
+class FaultList:
+    """Collects the faults of one text while it is read."""
+
+    def __init__(self, *, source: str) -> None:
+        """Sets up an empty list for the named text."""
+        self._source = source
+        self._faults: list[SettingsFault] = []
+
+    def __len__(self) -> int:
+        """Returns the number of faults so far."""
+        return len(self._faults)
+
+    def add(
+        self,
+        *,
+        line: int,
+        expected: str,
+        found: str,
+        section: str = '',
+        option: str = '',
+        sentence: str = '',
+    ) -> None:
+        """Adds one fault."""
+        self._faults.append(
+            SettingsFault(
+                source=self._source,
+                line=line,
+                expected=expected,
+                found=found,
+                section=shorten(section),
+                option=shorten(option),
+                sentence=sentence,
+            ),
+        )
+
+    def raise_all(self) -> NoReturn:
+        """Raises the error that carries all faults, ordered by line."""
+        raise SettingsError(
+            tuple(sorted(self._faults, key=lambda fault: fault.line)),
+        )
+
+    def raise_if_any(self) -> None:
+        """Raises the error if there is at least one fault."""
+        if self._faults:
+            self.raise_all()
+
+
+def shorten(text: str) -> str:
+    """Returns the text on one line and at most 60 characters long."""
+    line = ' '.join(text.split())
+    if len(line) <= MAX_FOUND_CHARS:
+        return line
+    return f'{line[:MAX_FOUND_CHARS]}...'
+
+
+def quote(text: str) -> str:
+    """Returns a short form of the text for use after ``found``."""
+    return f"'{shorten(text)}'" if text.strip() else 'nothing'
+
+
+__all__ = (
+    'MAX_FOUND_CHARS',
+    'FaultList',
+    'SettingsError',
+    'SettingsFault',
+    'quote',
+    'shorten',
+)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/fleet_checks.py
@@ -0,0 +1,234 @@
+"""Checks of the fleet's text that look at more than one option."""
+
+from __future__ import annotations
+
+from graphlib import CycleError, TopologicalSorter
+from typing import TYPE_CHECKING, Final
+
+from ..ids import PoolId
+from .faults import FaultList, quote
+from .fleet import FleetSettings, PoolRole, Route, Service, ServiceKind
+from .schema import nearest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .ini import IniDocument
+
+MAX_CYCLES: Final = 20
+"""Dependency cycles after which no more are looked for."""
+
+_ROLES: Final = {
+    'prefill_pool': PoolRole.PREFILL,
+    'decode_pool': PoolRole.DECODE,
+    'pool': PoolRole.PLAIN,
+}
+_NEEDED: Final = {
+    ServiceKind.MODEL: ('prefill_pool', 'decode_pool'),
+    ServiceKind.PLAIN: ('pool',),
+}
+
+
+def check_fleet(
+    document: IniDocument, settings: FleetSettings, faults: FaultList
+) -> None:
+    """Adds a fault for each contradiction between options."""
+    check = _FleetCheck(document, settings, faults)
+    check.upstreams()
+    check.services()
+    check.cycles()
+    check.routes()
+    check.keys()
+
+
+class _FleetCheck:
+    """One pass over a document and the records that could be read."""
+
+    def __init__(
+        self,
+        document: IniDocument,
+        settings: FleetSettings,
+        faults: FaultList,
+    ) -> None:
+        self._settings = settings
+        self._faults = faults
+        self._sections = {
+            (section.kind, section.name): section
+            for section in reversed(document.sections)
+        }
+
+    def upstreams(self) -> None:
+        """Checks references and addresses of upstreams."""
+        owners: dict[tuple[str, int], str] = {}
+        for name, upstream in self._settings.upstreams.items():
+            where = ('upstream', name)
+            self._refer(where, 'pool', 'pool', upstream.pool_id)
+            self._refer(
+                where, 'failure_domain', 'failure-domain', upstream.domain_id
+            )
+            address = (upstream.host, upstream.port)
+            first = owners.setdefault(address, name)
+            if first != name:
+                self._add(
+                    where,
+                    'address',
+                    'an address of its own',
+                    f'the address of upstream {first}',
+                )
+
+    def services(self) -> None:
+        """Checks pools and dependencies of services."""
+        for name, service in self._settings.services.items():
+            self._check_pools(service)
+            for dependency in service.depends_on:
+                self._refer(
+                    ('service', name), 'depends_on', 'service', dependency
+                )
+
+    def cycles(self) -> None:
+        """Checks that no service depends on itself through others."""
+        graph = {
+            str(name): [str(other) for other in service.depends_on]
+            for name, service in self._settings.services.items()
+        }
+        for cycle in _find_cycles(graph):
+            self._add(
+                ('service', cycle[0]),
+                'depends_on',
+                'no cycle',
+                f'the cycle {" -> ".join(cycle)}',
+            )
+
+    def routes(self) -> None:
+        """Checks services, paths and repeatability of routes."""
+        owners: dict[tuple[str, str], str] = {}
+        for name, route in self._settings.routes.items():
+            where = ('route', name)
+            self._refer(where, 'service', 'service', route.service_id)
+            self._check_repeatable(route)
+            for method in route.methods:
+                first = owners.setdefault((method, route.path), name)
+                if first != name:
+                    self._add(
+                        where,
+                        'path',
+                        'a path and method of its own',
+                        f'{method} {route.path} of route {first}',
+                    )
+
+    def keys(self) -> None:
+        """Checks that a key belongs to one workspace only."""
+        owners: dict[str, str] = {}
+        for name, workspace in self._settings.workspaces.items():
+            for digest in workspace.key_digests:
+                first = owners.setdefault(digest, name)
+                if first != name:
+                    self._add(
+                        ('workspace', name),
+                        'key_digests',
+                        'keys of this workspace only',
+                        f'a key of workspace {first}',
+                    )
+
+    def _check_pools(self, service: Service) -> None:
+        needed = _NEEDED[service.kind]
+        where = ('service', str(service.service_id))
+        for option, role in _ROLES.items():
+            pool_id = getattr(service, option)
+            if option not in needed:
+                if pool_id is not None:
+                    self._add(
+                        where,
+                        option,
+                        f'no {option} on a {service.kind.value} service',
+                        quote(pool_id),
+                    )
+            elif pool_id is None:
+                self._add(
+                    where,
+                    option,
+                    f'a pool with role {role.value}',
+                    'no such option',
+                )
+            else:
+                self._check_role(where, option, pool_id)
+
+    def _check_role(
+        self, where: tuple[str, str], option: str, pool_id: str
+    ) -> None:
+        self._refer(where, option, 'pool', pool_id)
+        role = _ROLES[option]
+        pool = self._settings.pools.get(PoolId(pool_id))
+        if pool is not None and pool.role is not role:
+            self._add(
+                where,
+                option,
+                f'a pool with role {role.value}',
+                f'pool {pool_id} with role {pool.role.value}',
+            )
+
+    def _check_repeatable(self, route: Route) -> None:
+        service = self._settings.services.get(route.service_id)
+        is_model = service and service.kind is ServiceKind.MODEL
+        if is_model and not route.is_repeatable:
+            self._add(
+                ('route', str(route.route_id)),
+                'repeatable',
+                'yes on a route to a model service',
+                quote('no'),
+            )
+
+    def _refer(
+        self, where: tuple[str, str], option: str, kind: str, name: str
+    ) -> None:
+        """Adds a fault if the named section isn't in the text."""
+        if (kind, name) in self._sections:
+            return
+        known = (
+            other for other_kind, other in self._sections if other_kind == kind
+        )
+        self._add(
+            where,
+            option,
+            f'the name of a [{kind}] section',
+            quote(name),
+            nearest(name, known, self._faults),
+        )
+
+    def _add(
+        self,
+        where: tuple[str, str],
+        option: str,
+        expected: str,
+        found: str,
+        sentence: str = '',
+    ) -> None:
+        section = self._sections[where]
+        self._faults.add(
+            line=section.line_of(option),
+            section=section.title,
+            option=option,
+            expected=expected,
+            found=found,
+            sentence=sentence,
+        )
+
+
+def _find_cycles(graph: dict[str, list[str]]) -> Iterator[list[str]]:
+    """Yields cycles, each from a service along what it depends on.
+
+    After each cycle the edge that closes it is dropped, so that the search
+    ends and finds the cycles which remain.
+    """
+    for _ in range(MAX_CYCLES):
+        try:
+            TopologicalSorter(graph).prepare()
+        except CycleError as error:
+            cycle = list(reversed(error.args[1]))
+            graph[cycle[0]].remove(cycle[1])
+            yield cycle
+        else:
+            return
+
+
+__all__ = ('check_fleet',)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/fleet_schema.py
@@ -0,0 +1,214 @@
+"""Table of the sections and options of the fleet's text."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from msgspec import Struct
+
+from ..ids import (
+    FailureDomainId,
+    PoolId,
+    RouteId,
+    ServiceId,
+    UpstreamId,
+    WorkspaceId,
+)
+from .fleet import (
+    Access,
+    DomainState,
+    FailureDomain,
+    Pool,
+    PoolRole,
+    QueueBounds,
+    Route,
+    Service,
+    ServiceKind,
+    Targets,
+    Upstream,
+    Workspace,
+)
+from .schema import OptionSpec, SectionSpec
+from .values import (
+    ADDRESS,
+    DIGESTS,
+    DURATION,
+    FLAG,
+    METHODS,
+    NAME,
+    NAMES,
+    NUMBER,
+    PATH,
+    TEXT,
+    choice,
+    whole,
+)
+
+if TYPE_CHECKING:
+    from .node import Address
+
+MAX_NODES: Final = 4096
+"""Largest fleet that the settings allow."""
+
+MAX_PLACES: Final = 10_000
+"""Most requests that one upstream may be said to run at once."""
+
+
+class FleetBounds(Struct, frozen=True, kw_only=True):
+    """Options of the section ``[fleet]``."""
+
+    max_nodes: int = 9
+    resend_window_s: float = 600.0
+
+
+def _domain(name: str, **fields: Any) -> FailureDomain:
+    return FailureDomain(domain_id=FailureDomainId(name), **fields)
+
+
+def _pool(name: str, **fields: Any) -> Pool:
+    return Pool(pool_id=PoolId(name), **fields)
+
+
+def _upstream(name: str, *, address: Address, **fields: Any) -> Upstream:
+    return Upstream(
+        upstream_id=UpstreamId(name),
+        host=address.host,
+        port=address.port,
+        **fields,
+    )
+
+
+def _service(name: str, **fields: Any) -> Service:
+    return Service(service_id=ServiceId(name), **fields)
+
+
+def _route(name: str, **fields: Any) -> Route:
+    return Route(route_id=RouteId(name), **fields)
+
+
+def _workspace(name: str, **fields: Any) -> Workspace:
+    return Workspace(workspace_id=WorkspaceId(name), **fields)
+
+
+FLEET: Final = SectionSpec(
+    kind='fleet',
+    build=FleetBounds,
+    is_named=False,
+    options=(
+        OptionSpec(
+            name='max_nodes', parser=whole(at_least=1, at_most=MAX_NODES)
+        ),
+        OptionSpec(name='resend_window_s', parser=DURATION),
+    ),
+)
+TARGETS: Final = SectionSpec(
+    kind='targets',
+    build=Targets,
+    is_named=False,
+    options=(
+        OptionSpec(name='first_token_s', parser=DURATION),
+        OptionSpec(name='between_tokens_s', parser=DURATION),
+    ),
+)
+QUEUE: Final = SectionSpec(
+    kind='queue',
+    build=QueueBounds,
+    is_named=False,
+    options=(
+        OptionSpec(name='max_requests', parser=whole(at_least=1)),
+        OptionSpec(name='max_tokens', parser=whole(at_least=1)),
+        OptionSpec(name='max_age_s', parser=DURATION),
+    ),
+)
+FAILURE_DOMAIN: Final = SectionSpec(
+    kind='failure-domain',
+    build=_domain,
+    options=(OptionSpec(name='state', parser=choice(DomainState)),),
+)
+POOL: Final = SectionSpec(
+    kind='pool',
+    build=_pool,
+    options=(
+        OptionSpec(name='role', parser=choice(PoolRole), is_required=True),
+        OptionSpec(name='model', parser=TEXT),
+        OptionSpec(name='version', parser=TEXT),
+    ),
+)
+UPSTREAM: Final = SectionSpec(
+    kind='upstream',
+    build=_upstream,
+    options=(
+        OptionSpec(name='pool', field='pool_id', parser=NAME, is_required=True),
+        OptionSpec(name='address', parser=ADDRESS, is_required=True),
+        OptionSpec(
+            name='failure_domain',
+            field='domain_id',
+            parser=NAME,
+            is_required=True,
+        ),
+        OptionSpec(name='places', parser=whole(at_least=1, at_most=MAX_PLACES)),
+        OptionSpec(name='kv_pieces', parser=whole(at_least=1)),
+        OptionSpec(name='fencing', field='is_fencing', parser=FLAG),
+    ),
+)
+SERVICE: Final = SectionSpec(
+    kind='service',
+    build=_service,
+    options=(
+        OptionSpec(name='kind', parser=choice(ServiceKind), is_required=True),
+        OptionSpec(name='prefill_pool', parser=NAME),
+        OptionSpec(name='decode_pool', parser=NAME),
+        OptionSpec(name='pool', parser=NAME),
+        OptionSpec(name='depends_on', parser=NAMES),
+    ),
+)
+ROUTE: Final = SectionSpec(
+    kind='route',
+    build=_route,
+    options=(
+        OptionSpec(
+            name='service', field='service_id', parser=NAME, is_required=True
+        ),
+        OptionSpec(name='path', parser=PATH, is_required=True),
+        OptionSpec(name='methods', parser=METHODS),
+        OptionSpec(name='access', parser=choice(Access)),
+        OptionSpec(name='repeatable', field='is_repeatable', parser=FLAG),
+    ),
+)
+WORKSPACE: Final = SectionSpec(
+    kind='workspace',
+    build=_workspace,
+    options=(
+        OptionSpec(name='requests_per_s', parser=NUMBER, is_required=True),
+        OptionSpec(name='request_burst', parser=NUMBER, is_required=True),
+        OptionSpec(name='tokens_per_s', parser=NUMBER, is_required=True),
+        OptionSpec(name='token_burst', parser=NUMBER, is_required=True),
+        OptionSpec(name='weight', parser=NUMBER),
+        OptionSpec(name='key_digests', parser=DIGESTS),
+    ),
+)
+SECTIONS: Final[tuple[SectionSpec[Any], ...]] = (
+    FLEET,
+    TARGETS,
+    QUEUE,
+    FAILURE_DOMAIN,
+    POOL,
+    UPSTREAM,
+    SERVICE,
+    ROUTE,
+    WORKSPACE,
+)
+
+__all__ = (
+    'FAILURE_DOMAIN',
+    'FLEET',
+    'POOL',
+    'QUEUE',
+    'ROUTE',
+    'SECTIONS',
+    'SERVICE',
+    'TARGETS',
+    'UPSTREAM',
+    'WORKSPACE',
+    'FleetBounds',
+)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/ini.py
@@ -0,0 +1,198 @@
+"""Reads INI text into sections and options that know their lines.
+
+Each section is parsed on its own by ``iniconfig``. A parse error becomes a
+fault, its line is left out and the section is parsed again, so that one
+syntax error doesn't hide the next.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from iniconfig import COMMENTCHARS, IniConfig, ParseError
+from msgspec import Struct
+
+from .faults import FaultList, quote
+
+MAX_TEXT_BYTES: Final = 1_000_000
+"""Largest settings text, in bytes of UTF-8."""
+
+MAX_SYNTAX_FAULTS: Final = 25
+"""Syntax faults of a section after which it is given up."""
+
+_BYTE_ORDER_MARK: Final = '\ufeff'
+
+
+class IniOption(Struct, frozen=True, kw_only=True):
+    """One option as written."""
+
+    name: str
+    text: str
+    line: int
+
+
+class IniSection(Struct, frozen=True, kw_only=True):
+    """One section as written; the header is ``[kind name]``."""
+
+    kind: str
+    name: str
+    line: int
+    options: dict[str, IniOption]
+
+    @property
+    def title(self) -> str:
+        """Header without brackets."""
+        return f'{self.kind} {self.name}'.strip()
+
+    def line_of(self, option: str) -> int:
+        """Returns the option's line, or the header's if it isn't there."""
+        known = self.options.get(option)
+        return known.line if known else self.line
+
+
+class IniDocument(Struct, frozen=True, kw_only=True):
+    """All sections of a text in order, also those with a duplicate title."""
+
+    sections: tuple[IniSection, ...]
+
+    def of_kind(self, kind: str) -> tuple[IniSection, ...]:
+        """Returns the sections of one kind in the order of the text."""
+        return tuple(
+            section for section in self.sections if section.kind == kind
+        )
+
+
+class _Chunk(Struct):
+    """Lines of one section; ``first_line`` is counted from 1."""
+
+    first_line: int
+    lines: list[str]
+
+
+def read_document(text: str, *, faults: FaultList) -> IniDocument:
+    """Reads INI text; syntax errors and duplicates go to ``faults``."""
+    size = len(text.encode('utf-8', 'replace'))
+    if size > MAX_TEXT_BYTES:
+        faults.add(
+            line=1,
+            expected=f'at most {MAX_TEXT_BYTES} bytes',
+            found=f'{size} bytes',
+        )
+        return IniDocument(sections=())
+    sections: list[IniSection] = []
+    known: dict[str, IniSection] = {}
+    for chunk in _split(text.removeprefix(_BYTE_ORDER_MARK)):
+        section = _read_chunk(chunk, faults)
+        if section is None:
+            continue
+        sections.append(section)
+        first = known.setdefault(section.title, section)
+        if first is not section:
+            faults.add(
+                line=section.line,
+                section=section.title,
+                expected='each section once',
+                found=f'a duplicate of line {first.line}',
+            )
+    return IniDocument(sections=tuple(sections))
+
+
+def _split(text: str) -> list[_Chunk]:
+    """Splits the text before each header line."""
+    chunks = [_Chunk(first_line=1, lines=[])]
+    for number, line in enumerate(text.splitlines(), start=1):
+        if line.startswith('['):
+            chunks.append(_Chunk(first_line=number, lines=[]))
+        chunks[-1].lines.append(line)
+    return chunks
+
+
+def _read_chunk(chunk: _Chunk, faults: FaultList) -> IniSection | None:
+    """Reads one section; ``None`` if it has no header that can be used."""
+    if not chunk.lines:
+        return None
+    header = _read_header(chunk.lines[0])
+    if header == '':
+        faults.add(
+            line=chunk.first_line,
+            expected='a header such as [pool NAME]',
+            found=quote(chunk.lines[0]),
+        )
+        return None
+    config = _parse(chunk, header or '', faults)
+    if header is None or config is None:
+        return None
+    return _to_section(chunk, header, config)
+
+
+def _read_header(line: str) -> str | None:
+    """Returns the header's title, '' if malformed, ``None`` if none."""
+    if not line.startswith('['):
+        return None
+    for mark in COMMENTCHARS:
+        line = line.split(mark, maxsplit=1)[0].rstrip()
+    return ' '.join(line[1:-1].split()) if line.endswith(']') else ''
+
+
+def _parse(chunk: _Chunk, title: str, faults: FaultList) -> IniConfig | None:
+    """Parses the lines, leaving out each line that has a syntax error."""
+    lines = list(chunk.lines)
+    for _ in range(MAX_SYNTAX_FAULTS):
+        try:
+            return IniConfig.parse('', '\n'.join(lines))
+        except ParseError as error:
+            faults.add(
+                line=chunk.first_line + error.lineno,
+                section=title,
+                expected='a line such as OPTION = VALUE, each option once',
+                found=_describe(lines[error.lineno]),
+                sentence=f'{_first_clause(error)}.',
+            )
+            lines[error.lineno] = ''
+    faults.add(
+        line=chunk.first_line,
+        section=title,
+        expected=f'fewer than {MAX_SYNTAX_FAULTS} syntax errors',
+        found='more; the section is left out',
+    )
+    return None
+
+
+def _describe(line: str) -> str:
+    """Describes a line without its value, which may be a secret."""
+    option, equals, _ = line.partition('=')
+    if equals:
+        return f'the option {quote(option)}'
+    return 'a line without ='
+
+
+def _first_clause(error: ParseError) -> str:
+    """Returns the parser's own words without the line that it repeats."""
+    return error.msg.partition(':')[0].partition(' name ')[0].capitalize()
+
+
+def _to_section(chunk: _Chunk, title: str, config: IniConfig) -> IniSection:
+    """Turns a parsed chunk into a section."""
+    kind, _, name = title.partition(' ')
+    written = next(iter(config))
+    options = {
+        option: IniOption(
+            name=option,
+            text=text,
+            line=chunk.first_line + (written.lineof(option) or 1) - 1,
+        )
+        for option, text in written.items()
+    }
+    return IniSection(
+        kind=kind, name=name, line=chunk.first_line, options=options
+    )
+
+
+__all__ = (
+    'MAX_SYNTAX_FAULTS',
+    'MAX_TEXT_BYTES',
+    'IniDocument',
+    'IniOption',
+    'IniSection',
+    'read_document',
+)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/load_node.py
@@ -0,0 +1,187 @@
+"""Loads the start-up settings of one process."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from msgspec import Struct
+
+from ..ids import FailureDomainId, VmId
+from .faults import FaultList
+from .ini import IniDocument, IniSection, read_document
+from .node import Address, LogSettings, NodeSettings, TlsFiles, TraceSettings
+from .schema import OptionSpec, SectionSpec, check_kinds, read_records
+from .values import ADDRESS, DIGEST, FLAG, NAME, TEXT, word
+
+
+class _Node(Struct, frozen=True, kw_only=True):
+    """Options of the section ``[node]``."""
+
+    vm_id: VmId
+    domain_id: FailureDomainId
+    caller_address: Address
+    operator_address: Address
+    peer_address: Address
+    config_service: Address
+    operator_key_digest: str
+
+
+class _Tls(Struct, frozen=True, kw_only=True):
+    """Options of the section ``[tls]``."""
+
+    caller_certificate: str = ''
+    caller_key: str = ''
+    operator_certificate: str = ''
+    operator_key: str = ''
+    peer_certificate: str = ''
+    peer_key: str = ''
+    peer_authority: str = ''
+
+
+_LISTENERS: Final = ('caller_address', 'operator_address', 'peer_address')
+_LEVELS: Final = ('trace', 'debug', 'info', 'success', 'warning', 'error')
+_NODE: Final = SectionSpec(
+    kind='node',
+    build=_Node,
+    is_named=False,
+    options=(
+        OptionSpec(name='id', field='vm_id', parser=NAME, is_required=True),
+        OptionSpec(
+            name='failure_domain',
+            field='domain_id',
+            parser=NAME,
+            is_required=True,
+        ),
+        *(
+            OptionSpec(name=name, parser=ADDRESS, is_required=True)
+            for name in (*_LISTENERS, 'config_service')
+        ),
+        OptionSpec(name='operator_key_digest', parser=DIGEST, is_required=True),
+    ),
+)
+_LOGS: Final = SectionSpec(
+    kind='logs',
+    build=LogSettings,
+    is_named=False,
+    options=(
+        OptionSpec(name='level', parser=word(*_LEVELS)),
+        OptionSpec(name='json', field='is_json', parser=FLAG),
+    ),
+)
+_TRACES: Final = SectionSpec(
+    kind='traces',
+    build=TraceSettings,
+    is_named=False,
+    options=(
+        OptionSpec(name='file', parser=TEXT),
+        OptionSpec(name='collector', parser=TEXT),
+    ),
+)
+_TLS: Final = SectionSpec(
+    kind='tls',
+    build=_Tls,
+    is_named=False,
+    options=tuple(
+        OptionSpec(name=name, parser=TEXT) for name in _Tls.__struct_fields__
+    ),
+)
+_SECTIONS: Final[tuple[SectionSpec[Any], ...]] = (_NODE, _LOGS, _TRACES, _TLS)
+
+
+def load_node(text: str, *, source: str) -> NodeSettings:
+    """Reads and checks the start-up settings of one process.
+
+    Args:
+        text: INI text of at most one megabyte.
+        source: Name of the text for faults.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsError: The text has faults; the error carries all of them.
+    """
+    faults = FaultList(source=source)
+    document = read_document(text, faults=faults)
+    check_kinds(document, _SECTIONS, faults)
+    node = read_records(document, _NODE, faults).get('')
+    logs = read_records(document, _LOGS, faults).get('', LogSettings())
+    traces = read_records(document, _TRACES, faults).get('', TraceSettings())
+    tls = read_records(document, _TLS, faults).get('', _Tls())
+    _check_node(document, node, faults)
+    _check_tls(document, tls, faults)
+    if node is None or len(faults):
+        faults.raise_all()
+    return NodeSettings(
+        vm_id=node.vm_id,
+        domain_id=node.domain_id,
+        caller_address=node.caller_address,
+        operator_address=node.operator_address,
+        peer_address=node.peer_address,
+        config_service=node.config_service,
+        operator_key_digest=node.operator_key_digest,
+        logs=logs,
+        traces=traces,
+        caller_tls=TlsFiles(
+            certificate=tls.caller_certificate, key=tls.caller_key
+        ),
+        operator_tls=TlsFiles(
+            certificate=tls.operator_certificate, key=tls.operator_key
+        ),
+        peer_tls=TlsFiles(
+            certificate=tls.peer_certificate,
+            key=tls.peer_key,
+            authority=tls.peer_authority,
+        ),
+    )
+
+
+def _check_node(
+    document: IniDocument, node: _Node | None, faults: FaultList
+) -> None:
+    """Checks that the section is there and its listeners differ."""
+    sections = document.of_kind('node')
+    if not sections:
+        faults.add(
+            line=1, section='node', expected='a [node] section', found='none'
+        )
+    if node is None:
+        return
+    owners: dict[Address, str] = {}
+    for option in _LISTENERS:
+        first = owners.setdefault(getattr(node, option), option)
+        if first != option:
+            _add(sections[0], option, 'another address', first, faults)
+
+
+def _check_tls(document: IniDocument, tls: _Tls, faults: FaultList) -> None:
+    """Checks that a certificate and its key are given together."""
+    for section in document.of_kind('tls')[:1]:
+        for side in ('caller', 'operator', 'peer'):
+            option = f'{side}_certificate'
+            other = f'{side}_key'
+            if bool(getattr(tls, option)) != bool(getattr(tls, other)):
+                expected = f'{option} and {other} together'
+                _add(section, option, expected, 'only one of them', faults)
+        if tls.peer_authority and not tls.peer_certificate:
+            expected = 'peer_authority only with peer_certificate'
+            _add(section, 'peer_authority', expected, 'it alone', faults)
+
+
+def _add(
+    section: IniSection,
+    option: str,
+    expected: str,
+    found: str,
+    faults: FaultList,
+) -> None:
+    faults.add(
+        line=section.line_of(option),
+        section=section.title,
+        option=option,
+        expected=expected,
+        found=found,
+    )
+
+
+__all__ = ('load_node',)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/schema.py
@@ -0,0 +1,202 @@
+"""Tables of sections and options, and the reader that follows them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from difflib import get_close_matches
+from typing import TYPE_CHECKING, Any, Final, Generic, TypeVar
+
+from msgspec import Struct
+
+from .faults import FaultList, quote
+from .values import NAME, NAME_EXPECTED, Parser
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .ini import IniDocument, IniOption, IniSection
+
+MAX_ADVISED_FAULTS: Final = 100
+"""Faults of a text after which no nearest name is looked up."""
+
+MAX_WORD_CHARS: Final = 64
+"""Longest part of a word that is compared with known names."""
+
+RecordT = TypeVar('RecordT')
+
+
+class OptionSpec(Struct, frozen=True, kw_only=True):
+    """One option of a section.
+
+    Attributes:
+        name: Name in the text.
+        parser: How the value is read.
+        field: Field of the record; the option's name if empty.
+        is_required: Whether the text must hold it; else the record's default
+            stands.
+    """
+
+    name: str
+    parser: Parser
+    field: str = ''
+    is_required: bool = False
+
+
+class SectionSpec(Struct, Generic[RecordT], frozen=True, kw_only=True):
+    """One kind of section.
+
+    Attributes:
+        kind: First word of the header.
+        build: Takes the name, if any, and the fields; returns the record.
+        options: Every option that the section may hold.
+        is_named: Whether a name follows the kind.
+    """
+
+    kind: str
+    build: Callable[..., RecordT]
+    options: tuple[OptionSpec, ...]
+    is_named: bool = True
+
+
+def check_kinds(
+    document: IniDocument,
+    specs: tuple[SectionSpec[Any], ...],
+    faults: FaultList,
+) -> None:
+    """Adds a fault for each section of an unknown kind."""
+    kinds = tuple(spec.kind for spec in specs)
+    for section in document.sections:
+        if section.kind not in kinds:
+            faults.add(
+                line=section.line,
+                section=section.title,
+                expected=f'a section of a known kind ({", ".join(kinds)})',
+                found=quote(section.kind),
+                sentence=nearest(section.kind, kinds, faults),
+            )
+
+
+def read_records(
+    document: IniDocument, spec: SectionSpec[RecordT], faults: FaultList
+) -> dict[str, RecordT]:
+    """Reads all sections of one kind; those with faults are left out."""
+    records: dict[str, RecordT] = {}
+    for section in document.of_kind(spec.kind):
+        record = read_section(section, spec, faults)
+        if record is not None:
+            records.setdefault(section.name, record)
+    return records
+
+
+def read_section(
+    section: IniSection, spec: SectionSpec[RecordT], faults: FaultList
+) -> RecordT | None:
+    """Reads one section; ``None`` if it has faults, which are added."""
+    faults_before = len(faults)
+    _check_name(section, spec, faults)
+    _check_options(section, spec, faults)
+    fields = _read_fields(section, spec, faults)
+    if len(faults) > faults_before:
+        return None
+    if spec.is_named:
+        return spec.build(section.name, **fields)
+    return spec.build(**fields)
+
+
+def nearest(word: str, known: Iterable[str], faults: FaultList) -> str:
+    """Returns advice that names the nearest known word, or nothing."""
+    if len(faults) >= MAX_ADVISED_FAULTS:
+        return ''
+    matches = get_close_matches(
+        word[:MAX_WORD_CHARS], list(known), n=1, cutoff=0.4
+    )
+    return f'Did you mean {matches[0]}?' if matches else ''
+
+
+def _check_name(
+    section: IniSection, spec: SectionSpec[Any], faults: FaultList
+) -> None:
+    if not spec.is_named:
+        if section.name:
+            faults.add(
+                line=section.line,
+                section=section.title,
+                expected=f'[{spec.kind}] without a name',
+                found=quote(section.name),
+            )
+        return
+    try:
+        NAME.parse(section.name)
+    except ValueError:
+        faults.add(
+            line=section.line,
+            section=section.title,
+            expected=f'{NAME_EXPECTED} after {spec.kind}',
+            found=quote(section.name),
+        )
+
+
+def _check_options(
+    section: IniSection, spec: SectionSpec[Any], faults: FaultList
+) -> None:
+    known = tuple(option.name for option in spec.options)
+    for option in section.options.values():
+        if option.name not in known:
+            faults.add(
+                line=option.line,
+                section=section.title,
+                option=option.name,
+                expected='a known option',
+                found=quote(option.name),
+                sentence=nearest(option.name, known, faults),
+            )
+
+
+def _read_fields(
+    section: IniSection, spec: SectionSpec[Any], faults: FaultList
+) -> dict[str, Any]:
+    fields: dict[str, Any] = {}
+    for option_spec in spec.options:
+        written = section.options.get(option_spec.name)
+        if written is not None:
+            field = option_spec.field or option_spec.name
+            fields[field] = _read_option(section, option_spec, written, faults)
+        elif option_spec.is_required:
+            faults.add(
+                line=section.line,
+                section=section.title,
+                option=option_spec.name,
+                expected=option_spec.parser.expected,
+                found='no such option',
+            )
+    return fields
+
+
+def _read_option(
+    section: IniSection,
+    spec: OptionSpec,
+    written: IniOption,
+    faults: FaultList,
+) -> Any:
+    parser = spec.parser
+    try:
+        return parser.parse(written.text)
+    except ValueError:
+        faults.add(
+            line=written.line,
+            section=section.title,
+            option=written.name,
+            expected=parser.expected,
+            found='another text' if parser.is_secret else quote(written.text),
+        )
+    return None
+
+
+__all__ = (
+    'OptionSpec',
+    'SectionSpec',
+    'check_kinds',
+    'nearest',
+    'read_records',
+    'read_section',
+)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/tokens.py
@@ -0,0 +1,38 @@
+"""Turning a caller's text into token ids for the engines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+VOCABULARY_SIZE = 50_000
+
+
+class Tokenizer(Protocol):
+    """Turns text into token ids."""
+
+    def encode(self, text: str) -> tuple[int, ...]:
+        """Returns the token ids of a text."""
+
+
+class WordTokenizer:
+    """Maps each word to a stable id; equal prefixes give equal ids."""
+
+    def encode(self, text: str) -> tuple[int, ...]:
+        """Returns one id for each white-space separated word."""
+        return tuple(
+            xxhash.xxh3_64_intdigest(word.encode()) % VOCABULARY_SIZE
+            for word in text.split()
+        )
+
+
+def prompt_digest(prompt: Sequence[int]) -> str:
+    """Returns a digest that is equal for equal prompts only."""
+    return xxhash.xxh3_128_hexdigest(','.join(map(str, prompt)).encode())
+
+
+__all__ = ('Tokenizer', 'WordTokenizer', 'prompt_digest')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/config/__init__.py
@@ -0,0 +1,3 @@
+"""What the platform publishes, followed by one task for each text."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/config/state.py
@@ -0,0 +1,101 @@
+"""The accepted settings and VM list of this process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.fleet_list import VmList
+from catkinreach_core.ids import Revision
+from catkinreach_core.keys import KeyRing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinreach_core.settings.fleet import FleetSettings
+
+
+class FleetState:
+    """Holds the newest accepted revisions; revisions only grow."""
+
+    def __init__(self) -> None:
+        """Starts without settings and with an empty list."""
+        self._settings: FleetSettings | None = None
+        self._text = ''
+        self._keys = KeyRing({})
+        self._vms = VmList()
+        self._listeners: list[Callable[[], None]] = []
+        self._accepted = asyncio.Event()
+
+    @property
+    def settings(self) -> FleetSettings:
+        """Returns the accepted settings.
+
+        Raises:
+            CatkinreachError: ``CONFIG_MISSING`` if there are none yet.
+        """
+        if self._settings is None:
+            raise CatkinreachError(ErrorKind.CONFIG_MISSING)
+        return self._settings
+
+    @property
+    def has_settings(self) -> bool:
+        """Tells whether any settings have been accepted."""
+        return self._settings is not None
+
+    @property
+    def text(self) -> str:
+        """Returns the text of the accepted settings."""
+        return self._text
+
+    @property
+    def revision(self) -> Revision:
+        """Returns the accepted revision, 0 if there is none."""
+        if self._settings is None:
+            return Revision(0)
+        return self._settings.revision
+
+    @property
+    def keys(self) -> KeyRing:
+        """Returns the keys in force."""
+        return self._keys
+
+    @property
+    def vms(self) -> VmList:
+        """Returns the newest VM list."""
+        return self._vms
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Calls the listener after each accepted settings or list."""
+        self._listeners.append(listener)
+
+    def accept_settings(self, settings: FleetSettings, text: str) -> bool:
+        """Takes newer settings; returns False for an old revision."""
+        if settings.revision <= self.revision:
+            return False
+        self._settings = settings
+        self._text = text
+        self._keys = KeyRing.from_settings(settings)
+        self._accepted.set()
+        self._notify()
+        return True
+
+    def accept_vms(self, vms: VmList) -> bool:
+        """Takes a newer list; returns False for an old revision."""
+        if vms.revision <= self._vms.revision:
+            return False
+        self._vms = vms
+        self._notify()
+        return True
+
+    async def wait_settings(self) -> None:
+        """Waits until any settings have been accepted."""
+        await self._accepted.wait()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+__all__ = ('FleetState',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -0,0 +1,260 @@
+"""HTTP client with a pool of kept-alive connections for each address."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict, deque
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import h11
+import msgspec
+
+from .messages import JSON_TYPE, Headers, HttpRequest
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from catkinreach_core.settings.node import Address
+
+READ_SIZE_BYTES = 65_536
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 32
+
+
+class ConnectError(Exception):
+    """The connection could not be opened: nothing was sent."""
+
+
+class ExchangeError(Exception):
+    """The exchange broke after a byte may have left."""
+
+
+class ClientConnection:
+    """One connection to an upstream; owns its socket."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Wraps an open connection."""
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(our_role=h11.CLIENT)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tells whether another request may be sent."""
+        return (
+            self._protocol.our_state is h11.IDLE
+            and not self._writer.is_closing()
+            and not self._reader.at_eof()
+        )
+
+    @classmethod
+    async def open(cls, address: Address) -> ClientConnection:
+        """Opens a connection.
+
+        Raises:
+            ConnectError: if the address does not accept in time.
+        """
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    address.host, address.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectError(f'no connection to {address}') from error
+        return cls(reader, writer)
+
+    async def send(self, request: HttpRequest, host: str) -> None:
+        """Sends a whole request."""
+        headers = [
+            ('host', host),
+            ('content-length', str(len(request.body))),
+            *request.headers,
+        ]
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        chunks = [self._protocol.send(head)]
+        if request.body:
+            chunks.append(self._protocol.send(h11.Data(data=request.body)))
+        chunks.append(self._protocol.send(h11.EndOfMessage()))
+        self._writer.write(b''.join(chunk for chunk in chunks if chunk))
+        await self._writer.drain()
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """Returns the next event of the response."""
+        while True:
+            event = self._protocol.next_event()
+            if not isinstance(event, type) or event is h11.PAUSED:
+                return event
+            self._protocol.receive_data(
+                await self._reader.read(READ_SIZE_BYTES)
+            )
+
+    def finish(self) -> None:
+        """Prepares the connection for another request, if it may have one."""
+        if self._protocol.states == {
+            h11.CLIENT: h11.DONE,
+            h11.SERVER: h11.DONE,
+        }:
+            self._protocol.start_next_cycle()
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._writer.close()
+
+
+class ClientResponse:
+    """Head of a response and its body as it arrives."""
+
+    def __init__(
+        self, connection: ClientConnection, head: h11.Response
+    ) -> None:
+        """Keeps the head; the body is read on demand."""
+        self._connection = connection
+        self.status: int = head.status_code
+        self.headers: Headers = [
+            (name.decode('latin-1').lower(), text.decode('latin-1'))
+            for name, text in head.headers
+        ]
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header of a lower-case name, if present."""
+        return next(
+            (text for known, text in self.headers if known == name), None
+        )
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        Raises:
+            ExchangeError: if the connection breaks before the end.
+        """
+        while True:
+            try:
+                event = await self._connection.next_event()
+            except (OSError, h11.RemoteProtocolError) as error:
+                raise ExchangeError('response broke off') from error
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ExchangeError('response broke off')
+
+    async def read(self) -> bytes:
+        """Returns the whole body."""
+        return b''.join([chunk async for chunk in self.chunks()])
+
+
+class HttpClient:
+    """Sends requests; keeps idle connections for the next ones."""
+
+    def __init__(self) -> None:
+        """Starts without connections."""
+        self._idle: defaultdict[Address, deque[ClientConnection]] = defaultdict(
+            deque
+        )
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        address: Address,
+        request: HttpRequest,
+        *,
+        is_fresh: bool = False,
+    ) -> AsyncIterator[ClientResponse]:
+        """Sends a request and yields the response.
+
+        Args:
+            address: Where to send it.
+            request: The whole request.
+            is_fresh: Opens a new connection, so that an upstream's closing
+                of an idle one can't be mistaken for a lost request.
+
+        Raises:
+            ConnectError: nothing was sent.
+            ExchangeError: a byte may have left.
+        """
+        connection = await self._connect(address, is_fresh=is_fresh)
+        is_complete = False
+        try:
+            try:
+                await connection.send(request, str(address))
+                head = await connection.next_event()
+            except (OSError, h11.ProtocolError) as error:
+                raise ExchangeError(f'no answer from {address}') from error
+            if not isinstance(head, h11.Response):
+                raise ExchangeError(f'no answer from {address}')
+            yield ClientResponse(connection, head)
+            is_complete = True
+        finally:
+            self._release(address, connection, is_complete=is_complete)
+
+    async def call_json(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        document: object = None,
+        *,
+        headers: Headers | None = None,
+    ) -> tuple[int, bytes]:
+        """Sends a JSON document; returns the status and the raw body."""
+        body = b'' if document is None else msgspec.json.encode(document)
+        request = HttpRequest(
+            method=method,
+            target=target,
+            headers=[('content-type', JSON_TYPE), *(headers or [])],
+            body=body,
+        )
+        async with self.exchange(address, request) as response:
+            return response.status, await response.read()
+
+    def close(self) -> None:
+        """Closes every idle connection."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        self._idle.clear()
+
+    async def _connect(
+        self, address: Address, *, is_fresh: bool
+    ) -> ClientConnection:
+        idle = self._idle[address]
+        while idle and not is_fresh:
+            connection = idle.pop()
+            if connection.is_reusable:
+                return connection
+            connection.close()
+        return await ClientConnection.open(address)
+
+    def _release(
+        self,
+        address: Address,
+        connection: ClientConnection,
+        *,
+        is_complete: bool,
+    ) -> None:
+        if is_complete:
+            connection.finish()
+        else:
+            connection.close()
+        idle = self._idle[address]
+        if connection.is_reusable and len(idle) < MAX_IDLE_CONNECTIONS:
+            idle.append(connection)
+        else:
+            connection.close()
+
+
+__all__ = (
+    'ClientConnection',
+    'ClientResponse',
+    'ConnectError',
+    'ExchangeError',
+    'HttpClient',
+)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/http/messages.py
@@ -0,0 +1,81 @@
+"""Requests and responses as the rest of the node sees them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeAlias
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+Headers: TypeAlias = list[tuple[str, str]]
+
+JSON_TYPE = 'application/json'
+PROBLEM_TYPE = 'application/problem+json'
+EVENT_STREAM_TYPE = 'text/event-stream'
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A complete request.
+
+    Attributes:
+        method: Method in capitals.
+        target: Path with its query.
+        headers: Names in lower case, in order of arrival.
+        body: The whole body.
+    """
+
+    method: str
+    target: str
+    headers: Headers = field(default_factory=list)
+    body: bytes = b''
+
+    @property
+    def path(self) -> str:
+        """Returns the target without its query."""
+        return self.target.partition('?')[0]
+
+    def header(self, name: str) -> str | None:
+        """Returns the first header of a lower-case name, if present."""
+        return next(
+            (text for known, text in self.headers if known == name), None
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A response; a streamed one has ``stream`` in place of ``body``."""
+
+    status: int
+    headers: Headers = field(default_factory=list)
+    body: bytes = b''
+    stream: AsyncGenerator[bytes, None] | None = None
+
+    @classmethod
+    def from_json(
+        cls,
+        status: int,
+        document: object,
+        *,
+        content_type: str = JSON_TYPE,
+        headers: Headers | None = None,
+    ) -> HttpResponse:
+        """Returns a response whose body is a JSON document."""
+        return cls(
+            status=status,
+            headers=[('content-type', content_type), *(headers or [])],
+            body=msgspec.json.encode(document),
+        )
+
+
+__all__ = (
+    'EVENT_STREAM_TYPE',
+    'JSON_TYPE',
+    'PROBLEM_TYPE',
+    'Headers',
+    'HttpRequest',
+    'HttpResponse',
+)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/http/problem.py
@@ -0,0 +1,42 @@
+"""Errors of the closed list as ``application/problem+json`` (RFC 9457)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from catkinreach_core.errors import ANSWERS
+
+from .messages import PROBLEM_TYPE, HttpResponse
+
+if TYPE_CHECKING:
+    from catkinreach_core.errors import CatkinreachError
+
+
+def problem_document(error: CatkinreachError) -> dict[str, str | int]:
+    """Returns the members of the problem document of an error."""
+    answer = ANSWERS[error.kind]
+    return {
+        'type': 'about:blank',
+        'title': answer.title,
+        'status': answer.status,
+        'detail': error.detail,
+        'code': error.kind.value,
+        'outcome': error.outcome.value,
+    }
+
+
+def problem_response(error: CatkinreachError) -> HttpResponse:
+    """Returns the answer that the table gives for an error."""
+    answer = ANSWERS[error.kind]
+    headers = []
+    if answer.retry_after_s is not None:
+        headers.append(('retry-after', str(answer.retry_after_s)))
+    return HttpResponse.from_json(
+        answer.status,
+        problem_document(error),
+        content_type=PROBLEM_TYPE,
+        headers=headers,
+    )
+
+
+__all__ = ('problem_document', 'problem_response')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -0,0 +1,332 @@
+"""HTTP server: a task for each connection, a callable for each request."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing, suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+import h11
+from loguru import logger
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+
+from .client import READ_SIZE_BYTES
+from .messages import EVENT_STREAM_TYPE, HttpRequest, HttpResponse
+from .problem import problem_response
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Awaitable, Callable
+
+    from catkinreach_core.settings.node import Address
+
+RequestFilter: TypeAlias = 'Callable[[HttpRequest], Awaitable[HttpResponse]]'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerBounds:
+    """Bounds of one listening address.
+
+    Attributes:
+        head_timeout_s: Time for the head of a request to arrive.
+        body_timeout_s: Time for the body to arrive.
+        idle_timeout_s: Time that a kept-alive connection may be idle.
+        max_body_bytes: Largest body.
+        max_head_bytes: Largest head.
+        max_connections: Most connections at once.
+    """
+
+    head_timeout_s: float = 10.0
+    body_timeout_s: float = 30.0
+    idle_timeout_s: float = 75.0
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_head_bytes: int = 32 * 1024
+    max_connections: int = 2000
+
+
+class Activity:
+    """Counts the requests that are being answered, streams included."""
+
+    def __init__(self) -> None:
+        """Starts idle."""
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def running(self) -> int:
+        """Returns the number of requests that are being answered."""
+        return self._running
+
+    def begin(self) -> None:
+        """Counts a request that has arrived."""
+        self._running += 1
+        self._idle.clear()
+
+    def end(self) -> None:
+        """Counts a request that is over."""
+        self._running -= 1
+        if not self._running:
+            self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Waits until no request is being answered."""
+        await self._idle.wait()
+
+
+class ServerConnection:
+    """One caller's connection; owns its socket."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        serve: RequestFilter,
+        bounds: ServerBounds,
+        activity: Activity,
+    ) -> None:
+        """Wraps an accepted connection."""
+        self._activity = activity
+        self._reader = reader
+        self._writer = writer
+        self._serve = serve
+        self._bounds = bounds
+        self._protocol = h11.Connection(
+            our_role=h11.SERVER,
+            max_incomplete_event_size=bounds.max_head_bytes,
+        )
+
+    async def run(self) -> None:
+        """Serves requests until the connection ends."""
+        timeout_s = self._bounds.head_timeout_s
+        while await self._serve_one(timeout_s):
+            if self._protocol.our_state is not h11.DONE:
+                return
+            if self._protocol.their_state is not h11.DONE:
+                return
+            self._protocol.start_next_cycle()
+            timeout_s = self._bounds.idle_timeout_s
+
+    async def _serve_one(self, timeout_s: float) -> bool:
+        try:
+            request = await self._read_request(timeout_s)
+        except CatkinreachError as error:
+            await self._refuse(error)
+            return False
+        except h11.RemoteProtocolError as error:
+            await self._refuse(
+                CatkinreachError(ErrorKind.BAD_REQUEST, str(error))
+            )
+            return False
+        if request is None:
+            return False
+        self._activity.begin()
+        try:
+            return await self._answer(request)
+        finally:
+            self._activity.end()
+
+    async def _read_request(self, timeout_s: float) -> HttpRequest | None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                head = await self._next_event()
+        except TimeoutError as error:
+            if self._protocol.trailing_data[0]:
+                raise CatkinreachError(ErrorKind.TOO_SLOW) from error
+            return None
+        if not isinstance(head, h11.Request):
+            return None
+        try:
+            async with asyncio.timeout(self._bounds.body_timeout_s):
+                body = await self._read_body()
+        except TimeoutError as error:
+            raise CatkinreachError(ErrorKind.TOO_SLOW) from error
+        return HttpRequest(
+            method=head.method.decode('ascii'),
+            target=head.target.decode('latin-1'),
+            headers=[
+                (name.decode('latin-1'), text.decode('latin-1'))
+                for name, text in head.headers
+            ],
+            body=body,
+        )
+
+    async def _read_body(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            if not isinstance(event, h11.Data):
+                raise CatkinreachError(ErrorKind.BAD_REQUEST)
+            size += len(event.data)
+            if size > self._bounds.max_body_bytes:
+                raise CatkinreachError(ErrorKind.TOO_LARGE)
+            parts.append(bytes(event.data))
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            event = self._protocol.next_event()
+            if not isinstance(event, type) or event is h11.PAUSED:
+                return event
+            if self._protocol.they_are_waiting_for_100_continue:
+                await self._send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            self._protocol.receive_data(
+                await self._reader.read(READ_SIZE_BYTES)
+            )
+
+    async def _answer(self, request: HttpRequest) -> bool:
+        answering = asyncio.ensure_future(self._serve_and_send(request))
+        watching = asyncio.ensure_future(self._watch_disconnect())
+        try:
+            await asyncio.wait(
+                {answering, watching}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not answering.done() and watching.result():
+                answering.cancel()
+            with suppress(asyncio.CancelledError):
+                return await answering
+            return False
+        finally:
+            answering.cancel()
+            watching.cancel()
+            with suppress(asyncio.CancelledError):
+                await watching
+
+    async def _watch_disconnect(self) -> bool:
+        """Returns True once the caller is gone, False if it sends more."""
+        chunk = await self._reader.read(READ_SIZE_BYTES)
+        if chunk:
+            self._protocol.receive_data(chunk)
+        return not chunk
+
+    async def _serve_and_send(self, request: HttpRequest) -> bool:
+        try:
+            response = await self._serve(request)
+        except CatkinreachError as error:
+            response = problem_response(error)
+        if response.stream is None:
+            await self._send_whole(response)
+        else:
+            await self._send_stream(response)
+        return True
+
+    async def _send_whole(self, response: HttpResponse) -> None:
+        head = h11.Response(
+            status_code=response.status,
+            headers=[
+                *response.headers,
+                ('content-length', str(len(response.body))),
+            ],
+        )
+        await self._send(head, h11.Data(data=response.body), h11.EndOfMessage())
+
+    async def _send_stream(self, response: HttpResponse) -> None:
+        assert response.stream is not None  # noqa: S101 - narrows the type
+        headers = [
+            ('content-type', EVENT_STREAM_TYPE),
+            ('cache-control', 'no-store'),
+            *response.headers,
+        ]
+        await self._send(
+            h11.Response(status_code=response.status, headers=headers)
+        )
+        async with aclosing(response.stream) as chunks:
+            async for chunk in chunks:
+                await self._send(h11.Data(data=chunk))
+        await self._send(h11.EndOfMessage())
+
+    async def _refuse(self, error: CatkinreachError) -> None:
+        if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        response = problem_response(error)
+        response.headers.append(('connection', 'close'))
+        with suppress(OSError, h11.LocalProtocolError):
+            await self._send_whole(response)
+
+    async def _send(self, *events: h11.Event) -> None:
+        chunks = [self._protocol.send(event) for event in events]
+        self._writer.write(b''.join(chunk for chunk in chunks if chunk))
+        await self._writer.drain()
+
+
+class HttpServer:
+    """A listening address; owns its sockets."""
+
+    def __init__(
+        self,
+        serve: RequestFilter,
+        *,
+        name: str,
+        bounds: ServerBounds | None = None,
+    ) -> None:
+        """Sets up the server; ``name`` is the prefix of its logs."""
+        self._serve = serve
+        self._name = name
+        self._bounds = bounds or ServerBounds()
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.StreamWriter] = set()
+        self._activity = Activity()
+
+    @property
+    def activity(self) -> Activity:
+        """Returns the count of running requests."""
+        return self._activity
+
+    @property
+    def connection_count(self) -> int:
+        """Returns the number of open connections."""
+        return len(self._connections)
+
+    async def start(
+        self, address: Address, tls: ssl.SSLContext | None = None
+    ) -> None:
+        """Starts to listen."""
+        self._server = await asyncio.start_server(
+            self._accept, address.host, address.port, ssl=tls, backlog=1024
+        )
+        logger.info('{}: listens on {}.', self._name, address)
+
+    async def stop_accepting(self) -> None:
+        """Closes the listening socket and keeps the connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close(self) -> None:
+        """Closes the listening socket and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._connections):
+            writer.close()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = ServerConnection(
+            reader,
+            writer,
+            self._serve_bounded,
+            self._bounds,
+            self._activity,
+        )
+        self._connections.add(writer)
+        try:
+            await connection.run()
+        except (OSError, h11.ProtocolError):
+            logger.debug('{}: a caller broke off.', self._name)
+        finally:
+            self._connections.discard(writer)
+            writer.close()
+
+    async def _serve_bounded(self, request: HttpRequest) -> HttpResponse:
+        if len(self._connections) > self._bounds.max_connections:
+            raise CatkinreachError(ErrorKind.CONNECTIONS_FULL)
+        return await self._serve(request)
+
+
+__all__ = ('Activity', 'HttpServer', 'RequestFilter', 'ServerBounds')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/operator/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' address: liveness, readiness, status and drain."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between the nodes over kept TCP streams."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/peers/transport.py
@@ -0,0 +1,307 @@
+"""Peer transport: one-way messages and calls to other nodes by VM id.
+
+Each pair of nodes has one connection in either direction; a node writes
+only on the connections that it opened, and replies go back on the
+connection that brought the call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from loguru import logger
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.messages.codec import (
+    Frame,
+    FrameDecoder,
+    encode_frame,
+)
+from catkinreach_core.messages.hello import Hello, Refusal
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Awaitable, Callable
+
+    from catkinreach_core.ids import Incarnation, VmId
+    from catkinreach_core.messages.base import PeerMessage
+    from catkinreach_core.settings.node import Address
+
+READ_SIZE_BYTES = 65_536
+CONNECT_TIMEOUT_S = 0.5
+RECONNECT_PAUSE_S = 0.2
+MAX_OUTBOX_FRAMES = 2000
+
+ReplyT = TypeVar('ReplyT', bound='PeerMessage')
+
+
+class PeerUnreachableError(Exception):
+    """A call got no reply: whether the peer acted on it is not known."""
+
+
+class PeerOutbox:
+    """The connection that this node opens to one peer; owns its socket."""
+
+    def __init__(
+        self,
+        address: Address,
+        hello: Hello,
+        on_reply: Callable[[Frame], None],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Sets up an unconnected outbox."""
+        self._address = address
+        self._hello = hello
+        self._on_reply = on_reply
+        self._tls = tls
+        self._frames: asyncio.Queue[Frame] = asyncio.Queue(MAX_OUTBOX_FRAMES)
+        self._task = asyncio.create_task(self._run())
+        self.sent_bytes = 0
+        self.sent_frames = 0
+
+    def put(self, frame: Frame) -> bool:
+        """Queues a frame; returns False if the outbox is full."""
+        try:
+            self._frames.put_nowait(frame)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Ends the task and the connection."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            frame = await self._frames.get()
+            try:
+                await self._connect_and_send(frame)
+            except (OSError, TimeoutError, CatkinreachError):
+                await asyncio.sleep(RECONNECT_PAUSE_S)
+
+    async def _connect_and_send(self, frame: Frame) -> None:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                self._address.host, self._address.port, ssl=self._tls
+            )
+        reading = asyncio.create_task(self._read_replies(reader))
+        reading.add_done_callback(lambda _: writer.close())
+        try:
+            self._write(writer, Frame(self._hello))
+            while not reading.done():
+                self._write(writer, frame)
+                await writer.drain()
+                frame = await self._next_frame(reading)
+        finally:
+            reading.cancel()
+            writer.close()
+
+    async def _next_frame(self, reading: asyncio.Task[None]) -> Frame:
+        getting = asyncio.ensure_future(self._frames.get())
+        try:
+            await asyncio.wait(
+                {getting, reading}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if getting.done():
+                return getting.result()
+            raise ConnectionResetError('peer closed the connection')
+        finally:
+            getting.cancel()
+
+    def _write(self, writer: asyncio.StreamWriter, frame: Frame) -> None:
+        packed = encode_frame(frame)
+        self.sent_bytes += len(packed)
+        self.sent_frames += 1
+        writer.write(packed)
+
+    async def _read_replies(self, reader: asyncio.StreamReader) -> None:
+        decoder = FrameDecoder()
+        while chunk := await reader.read(READ_SIZE_BYTES):
+            for frame in decoder.feed(chunk):
+                self._on_reply(frame)
+
+
+class PeerTransport:
+    """Sends to and receives from the other nodes."""
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        incarnation: Incarnation,
+        address_of: Callable[[VmId], Address | None],
+        *,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Sets up the transport; ``address_of`` reads the VM list."""
+        self._hello = Hello(vm_id=vm_id, incarnation=incarnation)
+        self._address_of = address_of
+        self._tls = tls
+        self._outboxes: dict[tuple[VmId, str], PeerOutbox] = {}
+        self._calls: dict[int, asyncio.Future[PeerMessage]] = {}
+        self._numbers = itertools.count(1)
+        self._receivers: dict[type[PeerMessage], Any] = {}
+        self._responders: dict[type[PeerMessage], Any] = {}
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def sent_bytes(self) -> int:
+        """Returns the bytes sent to peers so far."""
+        return sum(outbox.sent_bytes for outbox in self._outboxes.values())
+
+    @property
+    def sent_frames(self) -> int:
+        """Returns the frames sent to peers so far."""
+        return sum(outbox.sent_frames for outbox in self._outboxes.values())
+
+    def on_message(
+        self,
+        message_type: type[ReplyT],
+        receive: Callable[[VmId, ReplyT], None],
+    ) -> None:
+        """Receives one-way messages of a type with the sender's VM id."""
+        self._receivers[message_type] = receive
+
+    def on_call(
+        self,
+        message_type: type[ReplyT],
+        respond: Callable[[VmId, ReplyT], Awaitable[PeerMessage]],
+    ) -> None:
+        """Answers calls of a type; a raised error goes back as a refusal."""
+        self._responders[message_type] = respond
+
+    def send(self, vm_id: VmId, message: PeerMessage) -> None:
+        """Sends a one-way message, which may be lost."""
+        outbox = self._outbox(vm_id)
+        if outbox is not None:
+            outbox.put(Frame(message))
+
+    async def call(
+        self,
+        vm_id: VmId,
+        message: PeerMessage,
+        reply_type: type[ReplyT],
+        *,
+        timeout_s: float,
+    ) -> ReplyT:
+        """Sends a call and returns its reply.
+
+        Raises:
+            PeerUnreachableError: no reply came in time.
+            CatkinreachError: the peer refused.
+        """
+        outbox = self._outbox(vm_id)
+        number = next(self._numbers)
+        future: asyncio.Future[PeerMessage] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._calls[number] = future
+        try:
+            if outbox is None or not outbox.put(Frame(message, number)):
+                raise PeerUnreachableError(vm_id)
+            async with asyncio.timeout(timeout_s):
+                reply = await future
+        except TimeoutError as error:
+            raise PeerUnreachableError(vm_id) from error
+        finally:
+            del self._calls[number]
+        return _checked_reply(reply, reply_type)
+
+    async def start(
+        self, address: Address, tls: ssl.SSLContext | None = None
+    ) -> None:
+        """Starts to listen for peers."""
+        self._server = await asyncio.start_server(
+            self._accept, address.host, address.port, ssl=tls
+        )
+
+    def close(self) -> None:
+        """Closes every connection."""
+        if self._server is not None:
+            self._server.close()
+        for outbox in self._outboxes.values():
+            outbox.close()
+        for writer in tuple(self._writers):
+            writer.close()
+
+    def _outbox(self, vm_id: VmId) -> PeerOutbox | None:
+        address = self._address_of(vm_id)
+        if address is None:
+            return None
+        slot = (vm_id, str(address))
+        if slot not in self._outboxes:
+            self._outboxes[slot] = PeerOutbox(
+                address, self._hello, self._on_reply, self._tls
+            )
+        return self._outboxes[slot]
+
+    def _on_reply(self, frame: Frame) -> None:
+        future = self._calls.get(-frame.call)
+        if future is not None and not future.done():
+            future.set_result(frame.message)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self._receive(reader, writer)
+        except CatkinreachError as error:
+            logger.warning('peers: connection refused: {}.', error.detail)
+        except OSError:
+            logger.debug('peers: connection lost.')
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _receive(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        decoder = FrameDecoder()
+        sender: VmId | None = None
+        while chunk := await reader.read(READ_SIZE_BYTES):
+            for frame in decoder.feed(chunk):
+                if isinstance(frame.message, Hello):
+                    sender = frame.message.vm_id
+                elif sender is None:
+                    raise CatkinreachError(ErrorKind.PEER_PROTOCOL, 'no hello')
+                else:
+                    self._dispatch(sender, frame, writer)
+
+    def _dispatch(
+        self, sender: VmId, frame: Frame, writer: asyncio.StreamWriter
+    ) -> None:
+        message_type = type(frame.message)
+        if frame.call:
+            task = asyncio.create_task(self._respond(sender, frame, writer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        elif message_type in self._receivers:
+            self._receivers[message_type](sender, frame.message)
+
+    async def _respond(
+        self, sender: VmId, frame: Frame, writer: asyncio.StreamWriter
+    ) -> None:
+        respond = self._responders.get(type(frame.message))
+        try:
+            if respond is None:
+                raise CatkinreachError(ErrorKind.PEER_PROTOCOL, 'not served')
+            reply = await respond(sender, frame.message)
+        except CatkinreachError as error:
+            reply = Refusal(kind=error.kind.value, detail=error.detail)
+        if not writer.is_closing():
+            writer.write(encode_frame(Frame(reply, -frame.call)))
+
+
+def _checked_reply(reply: PeerMessage, reply_type: type[ReplyT]) -> ReplyT:
+    if isinstance(reply, Refusal):
+        raise CatkinreachError(ErrorKind(reply.kind), reply.detail)
+    if not isinstance(reply, reply_type):
+        raise CatkinreachError(ErrorKind.PEER_PROTOCOL, 'unexpected reply')
+    return reply
+
+
+__all__ = ('PeerTransport', 'PeerUnreachableError')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/session/accept.py
@@ -0,0 +1,73 @@
+"""First stage: from a complete HTTP request to the stage of its service."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.routing import find_route
+from catkinreach_core.settings.fleet import ServiceKind
+
+from ..http.problem import problem_response
+from .authenticate import authenticate
+from .context import SessionContext, new_request_id
+
+if TYPE_CHECKING:
+    from ..config.state import FleetState
+    from ..http.messages import HttpRequest, HttpResponse
+    from .model import ModelStage
+    from .plain import PlainStage
+
+REQUEST_ID_HEADER = 'x-request-id'
+
+
+class AcceptStage:
+    """Turns callers' requests into sessions and answers them."""
+
+    def __init__(
+        self, state: FleetState, model: ModelStage, plain: PlainStage
+    ) -> None:
+        """Keeps the accepted settings and the stages that follow."""
+        self._state = state
+        self._model = model
+        self._plain = plain
+        self.is_draining = False
+
+    async def serve(self, request: HttpRequest) -> HttpResponse:
+        """Answers one request of a caller."""
+        try:
+            return await self._serve_session(self._open(request))
+        except CatkinreachError as error:
+            return problem_response(error)
+        except Exception:  # noqa: BLE001 - the last line before the caller
+            logger.opt(exception=True).error('accept: a stage failed.')
+            return problem_response(CatkinreachError(ErrorKind.INTERNAL))
+
+    def _open(self, request: HttpRequest) -> SessionContext:
+        if self.is_draining:
+            raise CatkinreachError(ErrorKind.DRAINING)
+        settings = self._state.settings
+        route = find_route(settings, request.method, request.target)
+        return SessionContext(
+            request=request,
+            request_id=new_request_id(),
+            accepted_at_s=time.monotonic(),
+            settings=settings,
+            route=route,
+            service=settings.services[route.service_id],
+            workspace_id=authenticate(request, route, self._state.keys),
+        )
+
+    async def _serve_session(self, session: SessionContext) -> HttpResponse:
+        if session.service.kind is ServiceKind.MODEL:
+            response = await self._model.serve(session)
+        else:
+            response = await self._plain.serve(session)
+        response.headers.append((REQUEST_ID_HEADER, session.request_id))
+        return response
+
+
+__all__ = ('AcceptStage',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/session/completion.py
@@ -0,0 +1,158 @@
+"""A caller's completion request and the chunks of its answer."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+
+if TYPE_CHECKING:
+    from catkinreach_core.ids import RequestId
+    from catkinreach_core.tokens import Tokenizer
+
+DEFAULT_MAX_TOKENS = 256
+LARGEST_MAX_TOKENS = 8192
+_DONE = b'data: [DONE]\n\n'
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """Body of a chat or text completion; unknown members are ignored."""
+
+    model: str = ''
+    messages: tuple[ChatMessage, ...] = ()
+    prompt: str | tuple[int, ...] = ''
+    max_tokens: int = DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Completion:
+    """A checked completion request."""
+
+    prompt: tuple[int, ...]
+    max_tokens: int
+    model: str
+    is_streamed: bool
+    is_chat: bool
+
+
+def parse_completion(body: bytes, tokenizer: Tokenizer) -> Completion:
+    """Checks the body of a completion request.
+
+    Raises:
+        CatkinreachError: ``BAD_REQUEST`` with what was expected.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=CompletionBody)
+    except msgspec.MsgspecError as error:
+        raise CatkinreachError(ErrorKind.BAD_REQUEST, str(error)) from error
+    if not 1 <= parsed.max_tokens <= LARGEST_MAX_TOKENS:
+        raise CatkinreachError(
+            ErrorKind.BAD_REQUEST,
+            f'max_tokens must lie between 1 and {LARGEST_MAX_TOKENS}',
+        )
+    prompt = _prompt_of(parsed, tokenizer)
+    if not prompt:
+        raise CatkinreachError(ErrorKind.BAD_REQUEST, 'the prompt is empty')
+    return Completion(
+        prompt=prompt,
+        max_tokens=parsed.max_tokens,
+        model=parsed.model,
+        is_streamed=parsed.stream,
+        is_chat=bool(parsed.messages),
+    )
+
+
+def _prompt_of(parsed: CompletionBody, tokenizer: Tokenizer) -> tuple[int, ...]:
+    if parsed.messages:
+        return tokenizer.encode(
+            '\n'.join(
+                f'{message.role}: {message.content}'
+                for message in parsed.messages
+            )
+        )
+    if isinstance(parsed.prompt, str):
+        return tokenizer.encode(parsed.prompt)
+    return parsed.prompt
+
+
+class AnswerFormat:
+    """Writes tokens in the shape that the caller asked for."""
+
+    def __init__(self, request_id: RequestId, completion: Completion) -> None:
+        """Prepares the parts that all chunks share."""
+        self._request_id = request_id
+        self._completion = completion
+        self._created = int(time.time())
+        head = {
+            'id': f'cmpl-{request_id}',
+            'object': self._object_name(is_chunk=True),
+            'created': self._created,
+            'model': completion.model,
+        }
+        self._head = msgspec.json.encode(head)[:-1]
+
+    def chunk(self, token: str) -> bytes:
+        """Returns the event that carries one token."""
+        text = msgspec.json.encode(token)
+        if self._completion.is_chat:
+            return (
+                b'data: %b,"choices":[{"index":0,"delta":{"content":%b}}]}\n\n'
+                % (self._head, text)
+            )
+        return b'data: %b,"choices":[{"index":0,"text":%b}]}\n\n' % (
+            self._head,
+            text,
+        )
+
+    def end(self, finish: str) -> bytes:
+        """Returns the events that close a whole answer."""
+        reason = msgspec.json.encode(finish)
+        return (
+            b'data: %b,"choices":[{"index":0,"delta":{},'
+            b'"finish_reason":%b}]}\n\n' % (self._head, reason)
+        ) + _DONE
+
+    def failure(self, document: dict[str, str | int]) -> bytes:
+        """Returns the event that says an answer broke off."""
+        return b'event: error\ndata: %b\n\n' % msgspec.json.encode(document)
+
+    def whole(self, tokens: list[str], finish: str) -> dict[str, object]:
+        """Returns the document of an answer that is not streamed."""
+        text = ''.join(tokens)
+        choice: dict[str, object] = {'index': 0, 'finish_reason': finish}
+        if self._completion.is_chat:
+            choice['message'] = {'role': 'assistant', 'content': text}
+        else:
+            choice['text'] = text
+        return {
+            'id': f'cmpl-{self._request_id}',
+            'object': self._object_name(is_chunk=False),
+            'created': self._created,
+            'model': self._completion.model,
+            'choices': [choice],
+            'usage': {
+                'prompt_tokens': len(self._completion.prompt),
+                'completion_tokens': len(tokens),
+                'total_tokens': len(self._completion.prompt) + len(tokens),
+            },
+        }
+
+    def _object_name(self, *, is_chunk: bool) -> str:
+        if not self._completion.is_chat:
+            return 'text_completion'
+        return 'chat.completion.chunk' if is_chunk else 'chat.completion'
+
+
+__all__ = ('AnswerFormat', 'Completion', 'parse_completion')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -0,0 +1,261 @@
+"""Calls to an engine: prefill, import, decode and cancel."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from catkinreach_core.ids import Incarnation, VmId
+from catkinreach_core.settings.node import Address
+
+from ..http.client import ConnectError, ExchangeError
+from ..http.messages import JSON_TYPE, HttpRequest
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from catkinreach_core.ids import RequestId
+    from catkinreach_core.settings.fleet import Upstream
+
+    from ..http.client import ClientResponse, HttpClient
+
+PREFILL_TIMEOUT_S = 30.0
+IMPORT_TIMEOUT_S = 5.0
+CANCEL_TIMEOUT_S = 2.0
+_HTTP_OK = 200
+_EVENT_END = b'\n\n'
+_DATA_PREFIX = b'data: '
+
+
+class EngineError(Exception):
+    """An engine refused or broke off a call.
+
+    Attributes:
+        status: HTTP status; 0 if the connection broke.
+        reason: The engine's reason or the break's.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        """Keeps the status and the reason."""
+        self.status = status
+        self.reason = reason
+        super().__init__(f'engine call failed: {status} {reason}')
+
+
+class Holder(msgspec.Struct, frozen=True):
+    """Who holds memory on an engine."""
+
+    vm: VmId
+    incarnation: Incarnation
+
+
+class PrefillAnswer(msgspec.Struct, frozen=True):
+    """What a prefill left on its engine."""
+
+    export_id: str
+    prompt_tokens: int
+    cached_tokens: int
+    kv_pieces: int
+    expires_in_s: float
+
+
+class ImportAnswer(msgspec.Struct, frozen=True):
+    """What a transfer left on the decode engine."""
+
+    import_id: str
+    kv_pieces: int
+
+
+class DecodeEvent(msgspec.Struct, frozen=True):
+    """A token, or the end of the answer."""
+
+    index: int = -1
+    token: str = ''
+    done: bool = False
+    finish: str = ''
+    completion_tokens: int = 0
+
+
+_event_decoder = msgspec.json.Decoder(DecodeEvent)
+
+
+def upstream_address(upstream: Upstream) -> Address:
+    """Returns where an upstream listens."""
+    return Address(upstream.host, upstream.port)
+
+
+class EngineClient:
+    """Speaks to engines in the name of one node's incarnation."""
+
+    def __init__(self, client: HttpClient, holder: Holder) -> None:
+        """Uses the client's connections."""
+        self._client = client
+        self._holder = holder
+
+    async def prefill(
+        self,
+        upstream: Upstream,
+        request_id: RequestId,
+        model: str,
+        prompt: tuple[int, ...],
+        *,
+        priority: int = 0,
+        trace: str = '',
+    ) -> PrefillAnswer:
+        """Runs a prefill and leaves its KV cache as an export."""
+        body = await self._call(
+            upstream,
+            '/v1/prefill',
+            {
+                'request_id': request_id,
+                'holder': self._holder,
+                'model': model,
+                'prompt': prompt,
+                'priority': priority,
+            },
+            timeout_s=PREFILL_TIMEOUT_S,
+            trace=trace,
+        )
+        return msgspec.json.decode(body, type=PrefillAnswer)
+
+    async def import_kv(
+        self,
+        upstream: Upstream,
+        request_id: RequestId,
+        source: Upstream,
+        export_id: str,
+        *,
+        trace: str = '',
+    ) -> ImportAnswer:
+        """Transfers an export to the decode engine."""
+        body = await self._call(
+            upstream,
+            '/v1/import',
+            {
+                'request_id': request_id,
+                'holder': self._holder,
+                'source': str(upstream_address(source)),
+                'export_id': export_id,
+            },
+            timeout_s=IMPORT_TIMEOUT_S,
+            trace=trace,
+        )
+        return msgspec.json.decode(body, type=ImportAnswer)
+
+    @asynccontextmanager
+    async def decode(
+        self,
+        upstream: Upstream,
+        request_id: RequestId,
+        model: str,
+        import_id: str,
+        *,
+        max_tokens: int,
+        skip: int = 0,
+        priority: int = 0,
+        trace: str = '',
+    ) -> AsyncIterator[AsyncIterator[list[DecodeEvent]]]:
+        """Starts a decode and yields its events in batches as they arrive."""
+        request = _json_request(
+            '/v1/decode',
+            {
+                'request_id': request_id,
+                'holder': self._holder,
+                'model': model,
+                'import_id': import_id,
+                'max_tokens': max_tokens,
+                'skip': skip,
+                'priority': priority,
+            },
+            trace,
+        )
+        try:
+            async with self._client.exchange(
+                upstream_address(upstream), request
+            ) as response:
+                if response.status != _HTTP_OK:
+                    raise EngineError(
+                        response.status, _reason(await response.read())
+                    )
+                yield _decode_events(response)
+        except (ConnectError, ExchangeError) as error:
+            raise EngineError(0, str(error)) from error
+
+    async def cancel(self, upstream: Upstream, request_id: RequestId) -> None:
+        """Frees what an engine holds for a request."""
+        await self._call(
+            upstream,
+            '/v1/cancel',
+            {'request_id': request_id},
+            timeout_s=CANCEL_TIMEOUT_S,
+        )
+
+    async def _call(
+        self,
+        upstream: Upstream,
+        target: str,
+        document: object,
+        *,
+        timeout_s: float,
+        trace: str = '',
+    ) -> bytes:
+        request = _json_request(target, document, trace)
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._client.exchange(
+                    upstream_address(upstream), request
+                ) as response,
+            ):
+                body = await response.read()
+        except TimeoutError as error:
+            raise EngineError(0, f'no answer in {timeout_s} s') from error
+        except (ConnectError, ExchangeError) as error:
+            raise EngineError(0, str(error)) from error
+        if response.status != _HTTP_OK:
+            raise EngineError(response.status, _reason(body))
+        return body
+
+
+def _json_request(target: str, document: object, trace: str) -> HttpRequest:
+    headers = [('content-type', JSON_TYPE)]
+    if trace:
+        headers.append(('traceparent', trace))
+    return HttpRequest(
+        method='POST',
+        target=target,
+        headers=headers,
+        body=msgspec.json.encode(document),
+    )
+
+
+def _reason(body: bytes) -> str:
+    return body[:200].decode('utf-8', 'replace')
+
+
+async def _decode_events(
+    response: ClientResponse,
+) -> AsyncIterator[list[DecodeEvent]]:
+    pending = b''
+    async for chunk in response.chunks():
+        pending += chunk
+        *complete, pending = pending.split(_EVENT_END)
+        if complete:
+            yield [
+                _event_decoder.decode(event[len(_DATA_PREFIX) :])
+                for event in complete
+            ]
+
+
+__all__ = (
+    'DecodeEvent',
+    'EngineClient',
+    'EngineError',
+    'Holder',
+    'ImportAnswer',
+    'PrefillAnswer',
+    'upstream_address',
+)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -0,0 +1,144 @@
+"""Stage: a request to a plain service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind, Outcome
+
+from ..http.client import ConnectError, ExchangeError
+from ..http.messages import HttpRequest, HttpResponse
+from .engine_client import upstream_address
+
+if TYPE_CHECKING:
+    from catkinreach_core.settings.fleet import Upstream
+
+    from ..http.client import HttpClient
+    from ..http.messages import Headers
+    from .context import SessionContext
+    from .seams import Limiter
+
+WORKSPACE_HEADER = 'x-workspace'
+_HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+_NEVER_FORWARDED = _HOP_BY_HOP | {'authorization', 'cookie', WORKSPACE_HEADER}
+
+
+def forwarded_headers(session: SessionContext) -> Headers:
+    """Returns the caller's headers less its key, plus its workspace."""
+    headers = [
+        (name, text)
+        for name, text in session.request.headers
+        if name not in _NEVER_FORWARDED
+    ]
+    if session.workspace_id is not None:
+        headers.append((WORKSPACE_HEADER, session.workspace_id))
+    return headers
+
+
+class PlainForwarder:
+    """Sends a request on to one upstream of a plain service."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Uses the client's connections."""
+        self._client = client
+        self._count = 0
+
+    def choose(self, session: SessionContext) -> Upstream:
+        """Returns the next upstream that takes work.
+
+        Raises:
+            CatkinreachError: ``NO_UPSTREAM``.
+        """
+        settings = session.settings
+        candidates = [
+            upstream
+            for upstream in settings.upstreams_of(session.service.pool)
+            if settings.is_in_service(upstream)
+        ]
+        if not candidates:
+            raise CatkinreachError(ErrorKind.NO_UPSTREAM)
+        self._count += 1
+        return candidates[self._count % len(candidates)]
+
+    async def forward(
+        self, session: SessionContext, upstream: Upstream, *, is_fresh: bool
+    ) -> HttpResponse:
+        """Sends the request once and returns the whole answer.
+
+        Raises:
+            CatkinreachError: ``NO_UPSTREAM`` if nothing was sent,
+                ``UPSTREAM_FAILED`` if a byte may have left.
+        """
+        request = HttpRequest(
+            method=session.request.method,
+            target=session.request.target,
+            headers=forwarded_headers(session),
+            body=session.request.body,
+        )
+        try:
+            async with self._client.exchange(
+                upstream_address(upstream), request, is_fresh=is_fresh
+            ) as response:
+                return HttpResponse(
+                    status=response.status,
+                    headers=[
+                        (name, text)
+                        for name, text in response.headers
+                        if name not in _HOP_BY_HOP
+                    ],
+                    body=await response.read(),
+                )
+        except ConnectError as error:
+            raise CatkinreachError(ErrorKind.NO_UPSTREAM) from error
+        except ExchangeError as error:
+            raise CatkinreachError(
+                ErrorKind.UPSTREAM_FAILED, outcome=Outcome.UNKNOWN
+            ) from error
+
+
+class PlainStage:
+    """Serves requests to plain services."""
+
+    def __init__(self, forwarder: PlainForwarder, limiter: Limiter) -> None:
+        """Keeps the forwarder and the limits."""
+        self._forwarder = forwarder
+        self._limiter = limiter
+
+    async def serve(self, session: SessionContext) -> HttpResponse:
+        """Answers a request; a repeatable one is tried on two upstreams."""
+        grant = await self._limiter.admit(session, 0)
+        try:
+            return await self._serve_admitted(session)
+        finally:
+            grant.settle(0)
+
+    async def _serve_admitted(self, session: SessionContext) -> HttpResponse:
+        is_repeatable = session.route.is_repeatable
+        try:
+            return await self._forwarder.forward(
+                session,
+                self._forwarder.choose(session),
+                is_fresh=not is_repeatable,
+            )
+        except CatkinreachError as error:
+            if not is_repeatable and error.outcome is not Outcome.NOT_RUN:
+                raise
+        return await self._forwarder.forward(
+            session, self._forwarder.choose(session), is_fresh=True
+        )
+
+
+__all__ = ('PlainForwarder', 'PlainStage', 'forwarded_headers')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Logs, metrics and traces."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-standins/tests/test_engine_memory.py
@@ -0,0 +1,52 @@
+"""Tests of the KV memory of an engine."""
+
+from __future__ import annotations
+
+import pytest
+
+from catkinreach_core.ids import Incarnation, RequestId, VmId
+from catkinreach_standins.engine_memory import (
+    EngineMemory,
+    Holder,
+    Holding,
+    HoldingKind,
+    OutOfMemoryError,
+    pieces_for,
+)
+
+
+def _holding(key: str, request: str, pieces: int) -> Holding:
+    return Holding(
+        key=key,
+        request_id=RequestId(request),
+        holder=Holder(VmId('vm-1'), Incarnation('one')),
+        kind=HoldingKind.IMPORT,
+        kv_pieces=pieces,
+        since_s=0,
+    )
+
+
+@pytest.mark.parametrize(
+    ('tokens', 'pieces'),
+    [(0, 1), (1, 1), (2048, 1), (2049, 2)],
+)
+def test_pieces_round_up(tokens: int, pieces: int) -> None:
+    assert pieces_for(tokens) == pieces
+
+
+def test_add_refuses_beyond_the_total() -> None:
+    memory = EngineMemory(3)
+    memory.add(_holding('first', 'request', 2))
+    with pytest.raises(OutOfMemoryError):
+        memory.add(_holding('second', 'request', 2))
+    assert memory.free_pieces == 1
+
+
+def test_release_request_frees_only_its_holdings() -> None:
+    memory = EngineMemory(9)
+    memory.add(_holding('first', 'mine', 2))
+    memory.add(_holding('second', 'mine', 2))
+    memory.add(_holding('third', 'other', 2))
+    assert len(memory.release_request(RequestId('mine'))) == 2
+    assert [held.key for held in memory.holdings] == ['third']
+    assert memory.free_pieces == 7
