Split the node into parts behind seams

Cause: limits, ownership, orders and the scheduler are to be built side by side; one class that named them all would be everybody's file. Ruled out: a plug-in registry (nothing outside the tree adds parts).

--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/parts.py
@@ -0,0 +1,61 @@
+"""What the parts of a node share, and what each part offers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from catkinreach_core.ids import Incarnation
+    from catkinreach_core.ownership.tenure import OwnershipView
+    from catkinreach_core.settings.node import NodeSettings
+
+    from .config.state import FleetState
+    from .http.client import HttpClient
+    from .operator.api import OperatorApi
+    from .peers.transport import PeerTransport
+
+
+@dataclass(frozen=True, slots=True)
+class NodeContext:
+    """What every part may use.
+
+    Attributes:
+        settings: Start-up settings of the process.
+        incarnation: Id of this process's life.
+        state: Accepted settings and VM list.
+        client: Connections to upstreams and the platform.
+        transport: Messages to the other nodes.
+        ownership: Who decides for a shard.
+        api: Operators' actions; a part adds its own.
+    """
+
+    settings: NodeSettings
+    incarnation: Incarnation
+    state: FleetState
+    client: HttpClient
+    transport: PeerTransport
+    ownership: OwnershipView
+    api: OperatorApi
+
+
+class NodePart(Protocol):
+    """A task with its state; parts talk by messages and typed calls."""
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+
+    async def hand_over(self) -> None:
+        """Gives what the part owns to other nodes before the node leaves."""
+
+    def status(self) -> Mapping[str, object]:
+        """Returns what operators see of the part, ready for JSON."""
+
+
+__all__ = ('NodeContext', 'NodePart')
