Time and trace every hop of a request

Cause: a request's way through limit, queue, prefill, transfer and decode could not be seen. Ruled out: a span library's automatic instrumentation (it would put request contents and key headers within reach of the exporter). Change: one recorder opens a span and a histogram entry for each hop; traceparent goes on to upstreams; OTLP JSON lines or a collector by settings; /metrics on the operator address. Before: no metrics. Conclusion: later parts record their hops with one line.

--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -76,6 +76,10 @@
             'peer_frames_sent': context.transport.sent_frames,
         }
 
+    def exposition(self) -> str:
+        """Returns the node's metrics as text."""
+        return self._context.hops.metrics.exposition()
+
     def drain(self) -> None:
         """Begins a graceful shutdown; requests in flight are finished."""
         if not self._wiring.accept.is_draining:
@@ -127,6 +131,7 @@
         self._operators.close()
         self._context.transport.close()
         self._context.client.close()
+        self._wiring.tracing.close()
 
 
 __all__ = ('NodeApp',)
--- a/packages/catkinreach-node/src/catkinreach_node/operator/lifecycle.py
+++ b/packages/catkinreach-node/src/catkinreach_node/operator/lifecycle.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from ..http.messages import HttpRequest, HttpResponse
+from ..telemetry.metrics import METRICS_TYPE
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -27,6 +28,9 @@
     def summary(self) -> Mapping[str, object]:
         """Returns the node's own lines of the status document."""
 
+    def exposition(self) -> str:
+        """Returns the node's metrics as text."""
+
     def drain(self) -> None:
         """Begins a graceful shutdown."""
 
@@ -46,6 +50,7 @@
         api.add('GET', '/live', self._show_live, is_keyed=False)
         api.add('GET', '/ready', self._show_ready, is_keyed=False)
         api.add('GET', '/status', self._show_status)
+        api.add('GET', '/metrics', self._show_metrics)
         api.add('POST', '/drain', self._start_drain)
 
     def _show_live(self, _: HttpRequest) -> HttpResponse:
@@ -62,6 +67,13 @@
         document.update({part.name: part.status() for part in self._parts})
         return HttpResponse.from_json(_HTTP_OK, document)
 
+    def _show_metrics(self, _: HttpRequest) -> HttpResponse:
+        return HttpResponse(
+            status=_HTTP_OK,
+            headers=[('content-type', METRICS_TYPE)],
+            body=self._lifecycle.exposition().encode(),
+        )
+
     def _start_drain(self, _: HttpRequest) -> HttpResponse:
         self._lifecycle.drain()
         return HttpResponse.from_json(_HTTP_ACCEPTED, {'draining': True})
--- a/packages/catkinreach-node/src/catkinreach_node/parts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/parts.py
@@ -16,6 +16,7 @@
     from .http.client import HttpClient
     from .operator.api import OperatorApi
     from .peers.transport import PeerTransport
+    from .telemetry.hop import HopRecorder
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +31,7 @@
         transport: Messages to the other nodes.
         ownership: Who decides for a shard.
         api: Operators' actions; a part adds its own.
+        hops: Spans and latencies of the requests' hops.
     """
 
     settings: NodeSettings
@@ -39,6 +41,7 @@
     transport: PeerTransport
     ownership: OwnershipView
     api: OperatorApi
+    hops: HopRecorder
 
 
 class NodePart(Protocol):
--- a/packages/catkinreach-node/src/catkinreach_node/session/accept.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/accept.py
@@ -12,41 +12,56 @@
 from catkinreach_core.settings.fleet import ServiceKind
 
 from ..http.problem import problem_response
+from ..telemetry.hop import TRACE_HEADER
 from .authenticate import authenticate
 from .context import SessionContext, new_request_id
 
 if TYPE_CHECKING:
     from ..config.state import FleetState
     from ..http.messages import HttpRequest, HttpResponse
+    from ..telemetry.hop import HopRecorder, TraceScope
     from .model import ModelStage
     from .plain import PlainStage
 
 REQUEST_ID_HEADER = 'x-request-id'
+ANSWER_OK = 'ok'
 
 
 class AcceptStage:
     """Turns callers' requests into sessions and answers them."""
 
     def __init__(
-        self, state: FleetState, model: ModelStage, plain: PlainStage
+        self,
+        state: FleetState,
+        model: ModelStage,
+        plain: PlainStage,
+        hops: HopRecorder,
     ) -> None:
         """Keeps the accepted settings and the stages that follow."""
         self._state = state
         self._model = model
         self._plain = plain
+        self._hops = hops
         self.is_draining = False
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
         """Answers one request of a caller."""
+        metrics = self._hops.metrics
         try:
-            return await self._serve_session(self._open(request))
+            with self._hops.root(request.header(TRACE_HEADER)) as scope:
+                response = await self._serve_session(self._open(request, scope))
         except CatkinreachError as error:
-            return problem_response(error)
+            response = problem_response(error)
+            metrics.count_answer(response.status, error.kind.value)
         except Exception:  # noqa: BLE001 - the last line before the caller
-            logger.opt(exception=True).error('accept: a stage failed.')
-            return problem_response(CatkinreachError(ErrorKind.INTERNAL))
+            logger.exception('accept: a stage failed.')
+            response = problem_response(CatkinreachError(ErrorKind.INTERNAL))
+            metrics.count_answer(response.status, ErrorKind.INTERNAL.value)
+        else:
+            metrics.count_answer(response.status, ANSWER_OK)
+        return response
 
-    def _open(self, request: HttpRequest) -> SessionContext:
+    def _open(self, request: HttpRequest, scope: TraceScope) -> SessionContext:
         if self.is_draining:
             raise CatkinreachError(ErrorKind.DRAINING)
         settings = self._state.settings
@@ -59,6 +74,7 @@
             route=route,
             service=settings.services[route.service_id],
             workspace_id=authenticate(request, route, self._state.keys),
+            trace=scope,
         )
 
     async def _serve_session(self, session: SessionContext) -> HttpResponse:
@@ -67,6 +83,8 @@
         else:
             response = await self._plain.serve(session)
         response.headers.append((REQUEST_ID_HEADER, session.request_id))
+        if session.trace.traceparent:
+            response.headers.append((TRACE_HEADER, session.trace.traceparent))
         return response
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/context.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/context.py
@@ -13,6 +13,7 @@
     from catkinreach_core.settings.fleet import FleetSettings, Route, Service
 
     from ..http.messages import HttpRequest
+    from ..telemetry.hop import TraceScope
 
 
 @dataclass(slots=True)
@@ -27,6 +28,7 @@
         route: Route it takes.
         service: Service behind the route.
         workspace_id: Workspace it runs for; ``None`` on open routes.
+        trace: Span that the hops of the request are children of.
     """
 
     request: HttpRequest
@@ -36,6 +38,7 @@
     route: Route
     service: Service
     workspace_id: WorkspaceId | None
+    trace: TraceScope
 
 
 def new_request_id() -> RequestId:
--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -11,6 +13,7 @@
 
 from ..http.messages import EVENT_STREAM_TYPE, HttpResponse
 from ..http.problem import problem_document
+from ..telemetry.hop import Hop
 from .completion import AnswerFormat, parse_completion
 from .engine_client import EngineError
 
@@ -19,6 +22,7 @@
 
     from catkinreach_core.settings.fleet import Upstream
 
+    from ..telemetry.hop import HopRecorder, TraceScope
     from .completion import Completion
     from .context import SessionContext
     from .engine_client import DecodeEvent, EngineClient
@@ -63,9 +67,14 @@
     """Runs completions on the engines."""
 
     def __init__(
-        self, scheduler: Scheduler, limiter: Limiter, engines: EngineClient
+        self,
+        scheduler: Scheduler,
+        limiter: Limiter,
+        engines: EngineClient,
+        hops: HopRecorder,
     ) -> None:
         """Keeps the parts that decide and the client of the engines."""
+        self._hops = hops
         self._scheduler = scheduler
         self._limiter = limiter
         self._engines = engines
@@ -74,11 +83,17 @@
     async def serve(self, session: SessionContext) -> HttpResponse:
         """Answers a completion request."""
         completion = parse_completion(session.request.body, self._tokenizer)
-        grant = await self._limiter.admit(
-            session, len(completion.prompt) + completion.max_tokens
-        )
+        with self._hops.hop(Hop.LIMIT, session.trace):
+            grant = await self._limiter.admit(
+                session, len(completion.prompt) + completion.max_tokens
+            )
         run = ModelRun(
-            session, completion, grant, self._scheduler, self._engines
+            session,
+            completion,
+            grant,
+            self._scheduler,
+            self._engines,
+            self._hops,
         )
         if completion.is_streamed:
             return await _streamed(run)
@@ -95,8 +110,11 @@
         grant: LimitGrant,
         scheduler: Scheduler,
         engines: EngineClient,
+        hops: HopRecorder,
     ) -> None:
         """Starts without a token."""
+        self._hops = hops
+        self._last_batch_s = session.accepted_at_s
         self._session = session
         self._completion = completion
         self._grant = grant
@@ -132,9 +150,13 @@
             prompt_tokens=len(self._completion.prompt),
             max_tokens=self._completion.max_tokens,
         )
-        async with self._scheduler.reserve(
-            self._session, work, is_resume=is_resume
-        ) as reservation:
+        async with AsyncExitStack() as stack:
+            with self._hops.hop(Hop.QUEUE, self._session.trace):
+                reservation = await stack.enter_async_context(
+                    self._scheduler.reserve(
+                        self._session, work, is_resume=is_resume
+                    )
+                )
             try:
                 async for batch in self._run_on(reservation):
                     yield batch
@@ -148,6 +170,14 @@
         prefill = upstreams[reservation.placement.prefill]
         decode = upstreams[reservation.placement.decode]
         import_id = await self._prepare(prefill, decode)
+        with self._hops.hop(Hop.DECODE, self._session.trace) as scope:
+            scope.note('upstream', decode.upstream_id)
+            async for batch in self._decode(decode, import_id, scope):
+                yield batch
+
+    async def _decode(
+        self, decode: Upstream, import_id: str, scope: TraceScope
+    ) -> AsyncGenerator[list[str], None]:
         async with self._engines.decode(
             decode,
             self._session.request_id,
@@ -155,22 +185,49 @@
             import_id,
             max_tokens=self._completion.max_tokens,
             skip=len(self.progress.tokens),
+            trace=scope.traceparent,
         ) as batches:
             async for events in batches:
-                taken = [self.progress.take(event) for event in events]
-                yield [token for token in taken if token is not None]
+                batch = [
+                    token
+                    for token in map(self.progress.take, events)
+                    if token is not None
+                ]
+                self._record_tokens(len(batch))
+                yield batch
+
+    def _record_tokens(self, count: int) -> None:
+        if not count:
+            return
+        now_s = time.monotonic()
+        waited_s = now_s - self._last_batch_s
+        self._last_batch_s = now_s
+        metrics = self._hops.metrics
+        if count == len(self.progress.tokens):
+            metrics.first_token.record(waited_s)
+        else:
+            metrics.between_tokens.record(waited_s / count)
 
     async def _prepare(self, prefill: Upstream, decode: Upstream) -> str:
         request_id = self._session.request_id
-        prefilled = await self._engines.prefill(
-            prefill,
-            request_id,
-            self._completion.model,
-            self._completion.prompt,
-        )
-        imported = await self._engines.import_kv(
-            decode, request_id, prefill, prefilled.export_id
-        )
+        with self._hops.hop(Hop.PREFILL, self._session.trace) as scope:
+            scope.note('upstream', prefill.upstream_id)
+            prefilled = await self._engines.prefill(
+                prefill,
+                request_id,
+                self._completion.model,
+                self._completion.prompt,
+                trace=scope.traceparent,
+            )
+        with self._hops.hop(Hop.TRANSFER, self._session.trace) as scope:
+            scope.note('upstream', decode.upstream_id)
+            imported = await self._engines.import_kv(
+                decode,
+                request_id,
+                prefill,
+                prefilled.export_id,
+                trace=scope.traceparent,
+            )
         return imported.import_id
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -8,6 +8,7 @@
 
 from ..http.client import ConnectError, ExchangeError
 from ..http.messages import HttpRequest, HttpResponse
+from ..telemetry.hop import TRACE_HEADER, Hop
 from .engine_client import upstream_address
 
 if TYPE_CHECKING:
@@ -15,6 +16,7 @@
 
     from ..http.client import HttpClient
     from ..http.messages import Headers
+    from ..telemetry.hop import HopRecorder, TraceScope
     from .context import SessionContext
     from .seams import Limiter
 
@@ -33,10 +35,15 @@
         'upgrade',
     }
 )
-_NEVER_FORWARDED = _HOP_BY_HOP | {'authorization', 'cookie', WORKSPACE_HEADER}
+_NEVER_FORWARDED = _HOP_BY_HOP | {
+    'authorization',
+    'cookie',
+    TRACE_HEADER,
+    WORKSPACE_HEADER,
+}
 
 
-def forwarded_headers(session: SessionContext) -> Headers:
+def forwarded_headers(session: SessionContext, scope: TraceScope) -> Headers:
     """Returns the caller's headers less its key, plus its workspace."""
     headers = [
         (name, text)
@@ -45,15 +52,18 @@
     ]
     if session.workspace_id is not None:
         headers.append((WORKSPACE_HEADER, session.workspace_id))
+    if scope.traceparent:
+        headers.append((TRACE_HEADER, scope.traceparent))
     return headers
 
 
 class PlainForwarder:
     """Sends a request on to one upstream of a plain service."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: HttpClient, hops: HopRecorder) -> None:
         """Uses the client's connections."""
         self._client = client
+        self._hops = hops
         self._count = 0
 
     def choose(self, session: SessionContext) -> Upstream:
@@ -82,12 +92,22 @@
             CatkinreachError: ``NO_UPSTREAM`` if nothing was sent,
                 ``UPSTREAM_FAILED`` if a byte may have left.
         """
-        request = HttpRequest(
-            method=session.request.method,
-            target=session.request.target,
-            headers=forwarded_headers(session),
-            body=session.request.body,
-        )
+        with self._hops.hop(Hop.PLAIN, session.trace) as scope:
+            scope.note('upstream', upstream.upstream_id)
+            return await self._exchange(
+                HttpRequest(
+                    method=session.request.method,
+                    target=session.request.target,
+                    headers=forwarded_headers(session, scope),
+                    body=session.request.body,
+                ),
+                upstream,
+                is_fresh=is_fresh,
+            )
+
+    async def _exchange(
+        self, request: HttpRequest, upstream: Upstream, *, is_fresh: bool
+    ) -> HttpResponse:
         try:
             async with self._client.exchange(
                 upstream_address(upstream), request, is_fresh=is_fresh
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
@@ -0,0 +1,130 @@
+"""Counters and latency histograms of one node.
+
+The text form is the Prometheus exposition format, version 0.0.4.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING, Final
+
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from .hop import Hop
+
+SHORTEST_US: Final = 1
+LONGEST_US: Final = 3_600_000_000
+SIGNIFICANT_DIGITS: Final = 2
+QUANTILES: Final = (0.5, 0.95, 0.99, 1.0)
+MICROSECONDS_PER_S: Final = 1_000_000
+METRICS_TYPE: Final = 'text/plain; version=0.0.4'
+
+
+class LatencyHistogram:
+    """Latencies of one kind, from 1 microsecond to 1 hour."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._histogram = HdrHistogram(
+            SHORTEST_US, LONGEST_US, SIGNIFICANT_DIGITS
+        )
+        self._sum_s = 0.0
+
+    @property
+    def count(self) -> int:
+        """Returns the number of recorded latencies."""
+        return int(self._histogram.get_total_count())
+
+    @property
+    def sum_s(self) -> float:
+        """Returns the sum of the recorded latencies in seconds."""
+        return self._sum_s
+
+    def record(self, latency_s: float) -> None:
+        """Records one latency; one out of range counts as the bound."""
+        self._sum_s += latency_s
+        latency_us = int(latency_s * MICROSECONDS_PER_S)
+        self._histogram.record_value(
+            min(max(latency_us, SHORTEST_US), LONGEST_US)
+        )
+
+    def quantile_s(self, quantile: float) -> float:
+        """Returns a quantile in seconds, 0 while nothing is recorded."""
+        latency_us = self._histogram.get_value_at_percentile(quantile * 100)
+        return float(latency_us) / MICROSECONDS_PER_S
+
+
+class Metrics:
+    """Everything that one node counts."""
+
+    def __init__(self) -> None:
+        """Starts at zero."""
+        self._hops: defaultdict[Hop, LatencyHistogram] = defaultdict(
+            LatencyHistogram
+        )
+        self._first_token = LatencyHistogram()
+        self._between_tokens = LatencyHistogram()
+        self._answers: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    @property
+    def first_token(self) -> LatencyHistogram:
+        """Returns the times from acceptance to the first token."""
+        return self._first_token
+
+    @property
+    def between_tokens(self) -> LatencyHistogram:
+        """Returns the times between tokens."""
+        return self._between_tokens
+
+    def hop(self, hop: Hop) -> LatencyHistogram:
+        """Returns the latencies of one hop."""
+        return self._hops[hop]
+
+    def count_answer(self, status: int, code: str) -> None:
+        """Counts an answer by HTTP status and error code, ``ok`` if none."""
+        self._answers[str(status), code] += 1
+
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Adds a gauge that is read when the metrics are asked for."""
+        self._gauges[name] = read
+
+    def exposition(self) -> str:
+        """Returns all metrics as text."""
+        return '\n'.join((*self._lines(), ''))
+
+    def _lines(self) -> Iterator[str]:
+        for hop, histogram in sorted(
+            self._hops.items(), key=lambda pair: pair[0].value
+        ):
+            yield from _summary(
+                'catkinreach_hop_seconds', histogram, f'hop="{hop.value}"'
+            )
+        yield from _summary(
+            'catkinreach_first_token_seconds', self._first_token
+        )
+        yield from _summary(
+            'catkinreach_between_tokens_seconds', self._between_tokens
+        )
+        for (status, code), count in sorted(self._answers.items()):
+            labels = f'status="{status}",code="{code}"'
+            yield f'catkinreach_answers_total{{{labels}}} {count}'
+        for name, read in sorted(self._gauges.items()):
+            yield f'catkinreach_{name} {read():g}'
+
+
+def _summary(
+    name: str, histogram: LatencyHistogram, labels: str = ''
+) -> Iterator[str]:
+    for quantile in QUANTILES:
+        parts = ','.join(filter(None, (labels, f'quantile="{quantile}"')))
+        yield f'{name}{{{parts}}} {histogram.quantile_s(quantile):g}'
+    suffix = f'{{{labels}}}' if labels else ''
+    yield f'{name}_sum{suffix} {histogram.sum_s:g}'
+    yield f'{name}_count{suffix} {histogram.count}'
+
+
+__all__ = ('METRICS_TYPE', 'LatencyHistogram', 'Metrics')
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -18,6 +18,9 @@
 from .session.model import ModelStage
 from .session.plain import PlainForwarder, PlainStage
 from .session.seams import LocalScheduler, UnlimitedLimiter
+from .telemetry.hop import HopRecorder
+from .telemetry.metrics import Metrics
+from .telemetry.traces import Tracing
 
 if TYPE_CHECKING:
     from catkinreach_core.ids import Incarnation, VmId
@@ -33,16 +36,24 @@
     context: NodeContext
     parts: tuple[NodePart, ...]
     accept: AcceptStage
+    tracing: Tracing
 
 
 def wire_node(settings: NodeSettings, incarnation: Incarnation) -> NodeWiring:
     """Builds a node from its start-up settings; nothing listens yet."""
-    context = _build_context(settings, incarnation)
-    return NodeWiring(context=context, parts=(), accept=_build_stages(context))
+    tracing = Tracing.from_settings(settings.traces, settings.vm_id)
+    hops = HopRecorder(Metrics(), tracing.tracer)
+    context = _build_context(settings, incarnation, hops)
+    return NodeWiring(
+        context=context,
+        parts=(),
+        accept=_build_stages(context),
+        tracing=tracing,
+    )
 
 
 def _build_context(
-    settings: NodeSettings, incarnation: Incarnation
+    settings: NodeSettings, incarnation: Incarnation, hops: HopRecorder
 ) -> NodeContext:
     state = FleetState()
 
@@ -63,6 +74,7 @@
             settings.vm_id, incarnation, lambda: state.vms
         ),
         api=OperatorApi(settings.operator_key_digest),
+        hops=hops,
     )
 
 
@@ -74,8 +86,11 @@
     )
     return AcceptStage(
         context.state,
-        ModelStage(LocalScheduler.round_robin(), limiter, engines),
-        PlainStage(PlainForwarder(context.client), limiter),
+        ModelStage(
+            LocalScheduler.round_robin(), limiter, engines, context.hops
+        ),
+        PlainStage(PlainForwarder(context.client, context.hops), limiter),
+        context.hops,
     )
 
 
