Put TLS on callers', operators' and peers' addresses

Cause: any process that reached a peer address could claim to be any VM, and keys crossed the network in the clear. Ruled out: a pre-shared key between peers (no expiry, no identity); a new context for each reload (asyncio keeps the context it listens with). Change: contexts loaded and reloaded in place from PEM files; a peer's certificate must name its VM both when connecting and when accepting; faults name the file and end the start with exit code 2. Before: plain TCP only. After: tests show an expired file, a foreign key, a foreign authority and another VM's certificate refused, and a renewed certificate served without a restart while a broken one is passed over.

--- a/packages/catkinreach-core/src/catkinreach_core/settings/load_node.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/load_node.py
@@ -163,9 +163,9 @@
             if bool(getattr(tls, option)) != bool(getattr(tls, other)):
                 expected = f'{option} and {other} together'
                 _add(section, option, expected, 'only one of them', faults)
-        if tls.peer_authority and not tls.peer_certificate:
-            expected = 'peer_authority only with peer_certificate'
-            _add(section, 'peer_authority', expected, 'it alone', faults)
+        if bool(tls.peer_authority) != bool(tls.peer_certificate):
+            expected = 'peer_authority and peer_certificate together'
+            _add(section, 'peer_authority', expected, 'one of them', faults)
 
 
 def _add(
--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -96,6 +96,7 @@
             asyncio.create_task(part.run(), name=part.name)
             for part in self._wiring.parts
         ]
+        tasks.append(asyncio.create_task(self._wiring.tls.run()))
         await self._listen()
         try:
             await self._stopping.wait()
@@ -108,9 +109,12 @@
 
     async def _listen(self) -> None:
         settings = self._context.settings
-        await self._context.transport.start(settings.peer_address)
-        await self._operators.start(settings.operator_address)
-        await self._callers.start(settings.caller_address)
+        tls = self._wiring.tls
+        await self._context.transport.start(
+            settings.peer_address, tls.peer_server
+        )
+        await self._operators.start(settings.operator_address, tls.operators)
+        await self._callers.start(settings.caller_address, tls.callers)
 
     async def _leave(self) -> None:
         await self._callers.stop_accepting()
--- a/packages/catkinreach-node/src/catkinreach_node/peers/transport.py
+++ b/packages/catkinreach-node/src/catkinreach_node/peers/transport.py
@@ -50,8 +50,10 @@
         hello: Hello,
         on_reply: Callable[[Frame], None],
         tls: ssl.SSLContext | None = None,
+        vm_id: VmId | None = None,
     ) -> None:
         """Sets up an unconnected outbox."""
+        self._vm_id = vm_id
         self._address = address
         self._hello = hello
         self._on_reply = on_reply
@@ -84,7 +86,10 @@
     async def _connect_and_send(self, frame: Frame) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
-                self._address.host, self._address.port, ssl=self._tls
+                self._address.host,
+                self._address.port,
+                ssl=self._tls,
+                server_hostname=self._vm_id if self._tls else None,
             )
         reading = asyncio.create_task(self._read_replies(reader))
         reading.add_done_callback(lambda _: writer.close())
@@ -234,7 +239,7 @@
         slot = (vm_id, str(address))
         if slot not in self._outboxes:
             self._outboxes[slot] = PeerOutbox(
-                address, self._hello, self._on_reply, self._tls
+                address, self._hello, self._on_reply, self._tls, vm_id
             )
         return self._outboxes[slot]
 
@@ -266,6 +271,7 @@
             for frame in decoder.feed(chunk):
                 if isinstance(frame.message, Hello):
                     sender = frame.message.vm_id
+                    check_peer_identity(sender, writer)
                 elif sender is None:
                     raise CatkinreachError(ErrorKind.PEER_PROTOCOL, 'no hello')
                 else:
@@ -296,6 +302,22 @@
             writer.write(encode_frame(Frame(reply, -frame.call)))
 
 
+def check_peer_identity(vm_id: VmId, writer: asyncio.StreamWriter) -> None:
+    """Checks that the certificate of a TLS peer names the VM.
+
+    Raises:
+        CatkinreachError: ``PEER_PROTOCOL`` if it names another one.
+    """
+    certificate = writer.get_extra_info('peercert')
+    if certificate is None:
+        return
+    names = [name for _, name in certificate.get('subjectAltName', ())]
+    if vm_id not in names:
+        raise CatkinreachError(
+            ErrorKind.PEER_PROTOCOL, f'the certificate is not that of {vm_id}'
+        )
+
+
 def _checked_reply(reply: PeerMessage, reply_type: type[ReplyT]) -> ReplyT:
     if isinstance(reply, Refusal):
         raise CatkinreachError(ErrorKind(reply.kind), reply.detail)
--- a/packages/catkinreach-node/src/catkinreach_node/run.py
+++ b/packages/catkinreach-node/src/catkinreach_node/run.py
@@ -47,11 +47,11 @@
     del arguments
     try:
         settings = load_settings(Path(_SETTINGS.value))
+        set_up_logs(settings.logs)
+        asyncio.run(run_node(settings))
     except (OSError, CatkinreachError) as error:
         sys.stderr.write(f'catkinreachd: {error}\n')
         return EXIT_SETTINGS
-    set_up_logs(settings.logs)
-    asyncio.run(run_node(settings))
     return EXIT_OK
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -21,6 +21,7 @@
 from .telemetry.hop import HopRecorder
 from .telemetry.metrics import Metrics
 from .telemetry.traces import Tracing
+from .tls.node_tls import NodeTls
 
 if TYPE_CHECKING:
     from catkinreach_core.ids import Incarnation, VmId
@@ -37,23 +38,29 @@
     parts: tuple[NodePart, ...]
     accept: AcceptStage
     tracing: Tracing
+    tls: NodeTls
 
 
 def wire_node(settings: NodeSettings, incarnation: Incarnation) -> NodeWiring:
     """Builds a node from its start-up settings; nothing listens yet."""
+    tls = NodeTls.from_settings(settings)
     tracing = Tracing.from_settings(settings.traces, settings.vm_id)
     hops = HopRecorder(Metrics(), tracing.tracer)
-    context = _build_context(settings, incarnation, hops)
+    context = _build_context(settings, incarnation, hops, tls)
     return NodeWiring(
         context=context,
         parts=(),
         accept=_build_stages(context),
         tracing=tracing,
+        tls=tls,
     )
 
 
 def _build_context(
-    settings: NodeSettings, incarnation: Incarnation, hops: HopRecorder
+    settings: NodeSettings,
+    incarnation: Incarnation,
+    hops: HopRecorder,
+    tls: NodeTls,
 ) -> NodeContext:
     state = FleetState()
 
@@ -69,7 +76,9 @@
         incarnation=incarnation,
         state=state,
         client=HttpClient(),
-        transport=PeerTransport(settings.vm_id, incarnation, peer_address),
+        transport=PeerTransport(
+            settings.vm_id, incarnation, peer_address, tls=tls.peer_client
+        ),
         ownership=StaticOwnership(
             settings.vm_id, incarnation, lambda: state.vms
         ),
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/certificates.py
@@ -0,0 +1,108 @@
+"""A certificate authority for tests; its keys protect nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
+from typing import TYPE_CHECKING
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+VALID_FOR = timedelta(days=1)
+
+
+@dataclass(frozen=True, slots=True)
+class CertificateFiles:
+    """PEM files of one certificate and its key."""
+
+    certificate: Path
+    key: Path
+
+
+class TestAuthority:
+    """Issues certificates into a directory."""
+
+    __test__ = False
+
+    def __init__(self, directory: Path, name: str = 'authority') -> None:
+        """Makes the authority's own key and certificate."""
+        self._directory = directory
+        self._name = _name(name)
+        self._key = ec.generate_private_key(ec.SECP256R1())
+        builder = _builder(self._name, self._name, self._key, VALID_FOR)
+        certificate = builder.add_extension(
+            x509.BasicConstraints(ca=True, path_length=None), critical=True
+        ).sign(self._key, hashes.SHA256())
+        self._path = directory / f'{name}.pem'
+        self._path.write_bytes(_pem(certificate))
+
+    @property
+    def path(self) -> Path:
+        """Returns the PEM file of the authority's certificate."""
+        return self._path
+
+    def issue(
+        self,
+        name: str,
+        *,
+        valid_for: timedelta = VALID_FOR,
+        file_stem: str = '',
+    ) -> CertificateFiles:
+        """Issues a certificate for a DNS name."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        certificate = (
+            _builder(_name(name), self._name, key, valid_for)
+            .add_extension(
+                x509.SubjectAlternativeName([x509.DNSName(name)]),
+                critical=False,
+            )
+            .sign(self._key, hashes.SHA256())
+        )
+        stem = file_stem or name
+        files = CertificateFiles(
+            certificate=self._directory / f'{stem}.pem',
+            key=self._directory / f'{stem}.key',
+        )
+        files.certificate.write_bytes(_pem(certificate))
+        files.key.write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return files
+
+
+def _name(text: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
+
+
+def _builder(
+    subject: x509.Name,
+    issuer: x509.Name,
+    key: ec.EllipticCurvePrivateKey,
+    valid_for: timedelta,
+) -> x509.CertificateBuilder:
+    now = datetime.now(tz=UTC)
+    return x509.CertificateBuilder(
+        issuer_name=issuer,
+        subject_name=subject,
+        public_key=key.public_key(),
+        serial_number=x509.random_serial_number(),
+        not_valid_before=now - timedelta(days=2),
+        not_valid_after=now + valid_for,
+    )
+
+
+def _pem(certificate: x509.Certificate) -> bytes:
+    return certificate.public_bytes(serialization.Encoding.PEM)
+
+
+__all__ = ('CertificateFiles', 'TestAuthority')
