Put a fault proxy on every link of a bench deployment

Cause: no test could cut, stall or lose bytes between two processes, so nothing said about partitions could be shown. Change: one asyncio process carries a link for each listening port; the first frame of a peer connection names its source, so that a pair can be cut. The bench plans the links and offers faults by name; the deployment module is split by job. Bytes within one connection can't be reordered on TCP, and a connection that lost bytes is reset at the heal. The balancer checks health, because a proxy accepts connections for a node that is dead. Before: the balancer sent callers to the dead node behind its proxy (seen as RemoteDisconnected in the test of a replaced VM). Conclusion: scenarios can name two parties and a fault.

--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/commands.py
@@ -0,0 +1,66 @@
+"""Command lines of the stand-ins of a deployment."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from catkinreach_core.settings.fleet import PoolRole
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from catkinreach_core.settings.fleet import Pool, Upstream
+
+    from .plan import BenchOptions
+
+STANDINS = 'catkinreach_standins'
+
+
+def upstream_module(pool: Pool) -> str:
+    """Returns the module that stands in for the upstreams of a pool."""
+    kind = 'plain' if pool.role is PoolRole.PLAIN else 'engine'
+    return f'{STANDINS}.{kind}'
+
+
+def upstream_flags(
+    upstream: Upstream,
+    pool: Pool,
+    options: BenchOptions,
+    capture: Path,
+) -> list[str]:
+    """Returns the flags of an upstream's stand-in."""
+    flags = [f'--name={upstream.upstream_id}', f'--port={upstream.port}']
+    if options.has_capture:
+        flags.append(f'--capture={capture}')
+    if pool.role is PoolRole.PLAIN:
+        return flags
+    return [
+        *flags,
+        f'--role={pool.role.value}',
+        f'--model={pool.model}',
+        f'--places={upstream.places}',
+        f'--kv_pieces={upstream.kv_pieces}',
+        f'--seed={options.seed}',
+        f'--{"" if upstream.is_fencing else "no"}fencing',
+        *options.engine_flags,
+    ]
+
+
+def balancer_flags(
+    port: int, backends: Sequence[str], health: Sequence[str]
+) -> list[str]:
+    """Returns the flags of the balancer; no addresses, no health checks."""
+    return [
+        f'--port={port}',
+        f'--backends={",".join(backends)}',
+        f'--health={",".join(health)}',
+    ]
+
+
+__all__ = (
+    'STANDINS',
+    'balancer_flags',
+    'upstream_flags',
+    'upstream_module',
+)
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/links.py
@@ -0,0 +1,125 @@
+"""The fault proxy of a deployment: names of links and control calls."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ..faultproxy.faults import (
+    ANY_SOURCE,
+    ActKind,
+    ActOrder,
+    FaultOrder,
+    LinkFaults,
+    LinkPlan,
+)
+from .calls import http_call
+from .ports import LOOPBACK, free_ports
+
+if TYPE_CHECKING:
+    from .plan import NodePlan
+
+PLATFORM = 'platform'
+CALLERS = 'callers'
+
+
+def caller_link(vm_id: str) -> str:
+    """Returns the name of the link from the callers to a node."""
+    return f'{CALLERS}>{vm_id}'
+
+
+def peer_link(vm_id: str) -> str:
+    """Returns the name of the link from the other nodes to a node."""
+    return f'peers>{vm_id}'
+
+
+def platform_link(vm_id: str) -> str:
+    """Returns the name of a node's link to the configuration service."""
+    return f'{vm_id}>{PLATFORM}'
+
+
+def upstream_link(upstream_id: str) -> str:
+    """Returns the name of the link from all nodes to an upstream."""
+    return f'nodes>{upstream_id}'
+
+
+class ProxyLinks:
+    """Plans the links of the proxy and orders faults from it."""
+
+    def __init__(self) -> None:
+        """Starts without links."""
+        self.control_port = free_ports(1)[0]
+        self._plans: dict[str, LinkPlan] = {}
+
+    @property
+    def plans(self) -> list[LinkPlan]:
+        """Returns the planned links."""
+        return list(self._plans.values())
+
+    def port_of(self, name: str) -> int:
+        """Returns where a link listens."""
+        return self._plans[name].port
+
+    def plan(self, name: str, port: int, *, is_peer: bool = False) -> LinkPlan:
+        """Plans a link to a port on loopback."""
+        plan = LinkPlan(
+            name=name,
+            port=free_ports(1)[0],
+            target=f'{LOOPBACK}:{port}',
+            is_peer=is_peer,
+        )
+        self._plans[name] = plan
+        return plan
+
+    def plan_node(self, node: NodePlan, config_port: int) -> list[LinkPlan]:
+        """Plans the three links of a node."""
+        return [
+            self.plan(caller_link(node.vm_id), node.caller_port),
+            self.plan(peer_link(node.vm_id), node.peer_port, is_peer=True),
+            self.plan(platform_link(node.vm_id), config_port),
+        ]
+
+    def add(self, plan: LinkPlan) -> None:
+        """Adds a planned link to the running proxy."""
+        self._call('PUT', '/standin/links', plan)
+
+    def set_faults(
+        self, link: str, faults: LinkFaults, source: str = ANY_SOURCE
+    ) -> None:
+        """Replaces the faults of a link, or of one source on it."""
+        order = FaultOrder(link=link, source=source, faults=faults)
+        self._call('PUT', '/standin/faults', order)
+
+    def act(self, link: str, act: ActKind, source: str = ANY_SOURCE) -> None:
+        """Does a fault once to the open connections of a link."""
+        order = ActOrder(link=link, source=source, act=act)
+        self._call('POST', '/standin/act', order)
+
+    def heal(self) -> None:
+        """Ends every lasting fault."""
+        self._call('POST', '/standin/heal', None)
+
+    def record(self) -> dict[str, Any]:
+        """Returns what passed each link."""
+        _, body = http_call(self.control_port, 'GET', '/standin/record')
+        document: dict[str, Any] = json.loads(body)
+        return document
+
+    def _call(self, method: str, path: str, document: object) -> None:
+        body = msgspec.json.encode(document)
+        status, answer = http_call(self.control_port, method, path, body)
+        if status != 200:  # noqa: PLR2004 - HTTP's own number
+            raise RuntimeError(f'fault proxy: {status} {answer!r}')
+
+
+__all__ = (
+    'CALLERS',
+    'PLATFORM',
+    'ProxyLinks',
+    'caller_link',
+    'peer_link',
+    'platform_link',
+    'upstream_link',
+)
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/faultproxy/__main__.py
@@ -0,0 +1,36 @@
+"""Runs the fault proxy.
+
+``python -m catkinreach_standins.faultproxy --port=9300 --links=links.json``,
+where the file holds a JSON list of `LinkPlan`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import msgspec
+from absl import flags
+
+from ..command_line import new_flag_values
+from ..process import serve_forever
+from .faults import LinkPlan
+from .service import FaultProxy
+
+
+def main(argv: list[str]) -> None:
+    """Run the proxy until it is ended."""
+    values = new_flag_values()
+    flags.DEFINE_integer('port', 0, 'control port', flag_values=values)
+    flags.DEFINE_string('links', '', 'path of links', flag_values=values)
+    flags.DEFINE_integer('seed', 1, 'seed of the jitter', flag_values=values)
+    values(argv)
+    listed = Path(values.links).read_bytes() if values.links else b'[]'
+    plans = msgspec.json.decode(listed, type=tuple[LinkPlan, ...])
+    proxy = FaultProxy(plans, seed=values.seed)
+    asyncio.run(serve_forever(proxy, name='faultproxy', port=values.port))
+
+
+if __name__ == '__main__':
+    main(sys.argv)
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/faultproxy/pump.py
@@ -0,0 +1,110 @@
+"""One direction of one connection: a reader, a bounded queue, a writer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from .faults import DirectionFaults
+
+CHUNK_BYTES = 16_384
+MAX_QUEUED_CHUNKS = 256
+FAULT_POLL_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class _Chunk:
+    """Bytes with the loop time from which they may be written."""
+
+    content: bytes
+    ready_at_s: float
+
+
+class Pump:
+    """Copies bytes one way under the faults in force."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        faults: Callable[[], DirectionFaults],
+        on_bytes: Callable[[int], None],
+        on_vanished: Callable[[int], None],
+        rng: random.Random,
+    ) -> None:
+        """Wraps one direction; ``faults`` tells those in force now."""
+        self._reader = reader
+        self._writer = writer
+        self._faults = faults
+        self._on_bytes = on_bytes
+        self._on_vanished = on_vanished
+        self._rng = rng
+        self._queue: asyncio.Queue[_Chunk] = asyncio.Queue(MAX_QUEUED_CHUNKS)
+        self.has_lost_bytes = False
+
+    async def run(self) -> None:
+        """Copies until the reading side ends, then ends the writing side."""
+        reading = asyncio.create_task(self._read())
+        try:
+            await self._write()
+        finally:
+            reading.cancel()
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await reading
+
+    def half_close(self) -> None:
+        """Ends the writing side; the other direction goes on."""
+        with contextlib.suppress(OSError, RuntimeError):
+            self._writer.write_eof()
+
+    async def _read(self) -> None:
+        chunk = b'-'
+        while chunk:
+            try:
+                chunk = await self._reader.read(CHUNK_BYTES)
+            except OSError:
+                chunk = b''
+            await self._queue.put(_Chunk(chunk, self._ready_at_s()))
+
+    def _ready_at_s(self) -> float:
+        faults = self._faults()
+        jitter_s = self._rng.uniform(0, faults.jitter_s)
+        return asyncio.get_running_loop().time() + faults.delay_s + jitter_s
+
+    async def _write(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            chunk = await self._queue.get()
+            await asyncio.sleep(max(0.0, chunk.ready_at_s - loop.time()))
+            await self._wait_flowing()
+            if not chunk.content:
+                self.half_close()
+                return
+            await self._pass_on(chunk.content)
+
+    async def _wait_flowing(self) -> None:
+        while self._faults().stall:  # noqa: ASYNC110 - faults are only read
+            await asyncio.sleep(FAULT_POLL_S)
+
+    async def _pass_on(self, content: bytes) -> None:
+        faults = self._faults()
+        if faults.vanish:
+            self.has_lost_bytes = True
+            self._on_vanished(len(content))
+            return
+        self._on_bytes(len(content))
+        if not self._writer.is_closing():
+            self._writer.write(content)
+            await self._writer.drain()
+        if faults.bytes_per_s:
+            await asyncio.sleep(len(content) / faults.bytes_per_s)
+
+
+__all__ = ('Pump',)
--- a/packages/catkinreach-standins/src/catkinreach_standins/plain.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/plain.py
@@ -9,6 +9,7 @@
 import hashlib
 import os
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -38,6 +39,15 @@
     exit_before_answer: bool | None = None
 
 
+class Execution(msgspec.Struct, frozen=True):
+    """One execution, at a monotonic time in seconds."""
+
+    path: str
+    workspace: str
+    key: str
+    at_s: float
+
+
 class PlainService:
     """Executes any call and counts it by workspace, key and path."""
 
@@ -56,6 +66,7 @@
         self._by_key: Counter[tuple[str, str]] = Counter()
         self._by_path: Counter[str] = Counter()
         self._header_names: set[str] = set()
+        self._log: list[Execution] = []
         self._server = HttpServer(self._route, on_bytes=open_capture(capture))
 
     @property
@@ -94,6 +105,9 @@
         self._by_path[request.path] += 1
         self._by_key[workspace, key] += 1
         execution = self._by_key[workspace, key]
+        self._log.append(
+            Execution(request.path, workspace, key, time.monotonic())
+        )
         if self._exit_before_answer:
             os._exit(CRASH_EXIT_CODE)
         if self._deaths_left:
@@ -117,6 +131,7 @@
                 for (workspace, key), count in self._by_key.items()
             ],
             'paths': dict(self._by_path),
+            'log': self._log,
             'header_names': sorted(self._header_names),
         }
 
--- /dev/null
+++ b/packages/catkinreach-standins/tests/test_bench_faults.py
@@ -0,0 +1,95 @@
+"""Faults by name reach the processes of a deployment."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import pytest
+
+from catkinreach_standins.answer import expected_answer
+from catkinreach_standins.bench.deployment import (
+    BenchOptions,
+    Deployment,
+    http_call,
+)
+from catkinreach_standins.bench.edits import (
+    add_section,
+    remove_section,
+    set_option,
+)
+from catkinreach_standins.bench.faults import FaultVerbs
+from catkinreach_standins.bench.links import platform_link, upstream_link
+from catkinreach_standins.bench.processes import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+EXAMPLES = Path(__file__).resolve().parents[3] / 'examples'
+PROMPT = list(range(300))
+LIMIT_S = 10.0
+
+
+@pytest.fixture(scope='module')
+def deployment() -> Iterator[Deployment]:
+    fleet = (EXAMPLES / 'ninepatch' / 'fleet.ini').read_text()
+    options = BenchOptions(
+        fleet=fleet, node_count=2, has_proxy=True, has_capture=True
+    )
+    with Deployment(options) as running:
+        yield running
+
+
+def _complete(deployment: Deployment) -> str:
+    _, body = http_call(
+        deployment.balancer_port,
+        'POST',
+        '/v1/completions',
+        json.dumps({'prompt': PROMPT, 'max_tokens': 3}).encode(),
+        {'authorization': 'Bearer demo-key-sunday-bee'},
+    )
+    text: str = json.loads(body)['choices'][0]['text']
+    return text
+
+
+def test_requests_pass_the_proxy(deployment: Deployment) -> None:
+    assert deployment.links is not None
+    assert _complete(deployment) == expected_answer(PROMPT, 3)
+    record = deployment.links.record()
+    assert record[upstream_link('pattern-prefill-1')]['bytes_up']
+    assert record[platform_link('vm-1')]['bytes_down']
+    assert deployment.capture_path('pattern-prefill-1').stat().st_size
+
+
+def test_cut_platform_keeps_a_revision_away(deployment: Deployment) -> None:
+    verbs = FaultVerbs(deployment)
+    verbs.cut('vm-1', 'platform')
+    verbs.cut('vm-1', 'vm-2')
+    deployment.publish_config(deployment.fleet_text)
+    assert wait_until(lambda: _revision(deployment, 1) == 2, limit_s=LIMIT_S)
+    assert _revision(deployment, 0) == 1
+    verbs.heal()
+    assert wait_until(lambda: _revision(deployment, 0) == 2, limit_s=LIMIT_S)
+
+
+def test_replaced_vm_takes_work(deployment: Deployment) -> None:
+    new = FaultVerbs(deployment).replace_vm('vm-2')
+    assert [entry['id'] for entry in deployment.vm_entries()] == ['vm-1', new]
+    assert _complete(deployment) == expected_answer(PROMPT, 3)
+
+
+def _revision(deployment: Deployment, node: int) -> int:
+    _, status = deployment.operator_call(
+        deployment.nodes[node], 'GET', '/status'
+    )
+    revision: int = status['config_revision']
+    return revision
+
+
+def test_edits_of_the_text() -> None:
+    text = '[a x]\none = 1\n[b y]\ntwo = 2\n'
+    assert set_option(text, 'a x', 'one', '5').startswith('[a x]\none = 5\n')
+    assert 'three = 3' in set_option(text, 'b y', 'three', '3')
+    assert remove_section(text, 'a x') == '[b y]\ntwo = 2\n'
+    assert add_section(text, 'c z', {'k': 'v'}).endswith('[c z]\nk = v\n')
--- /dev/null
+++ b/packages/catkinreach-standins/tests/test_faultproxy.py
@@ -0,0 +1,246 @@
+"""The fault proxy brings each of its faults about."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import asynccontextmanager, suppress
+from typing import TYPE_CHECKING
+
+import pytest
+
+from catkinreach_core.ids import Incarnation, VmId
+from catkinreach_core.messages.codec import Frame, encode_frame
+from catkinreach_core.messages.hello import Hello
+from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+from catkinreach_standins.faultproxy.faults import (
+    ActKind,
+    ActOrder,
+    DirectionFaults,
+    FaultOrder,
+    LinkFaults,
+    LinkPlan,
+)
+from catkinreach_standins.faultproxy.service import FaultProxy
+from catkinreach_standins.http_client import call
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+REPLY_S = 5.0
+SILENCE_S = 0.2
+
+
+class Bed:
+    """An echo server behind one link of a proxy."""
+
+    def __init__(self, link_port: int, control_port: int) -> None:
+        """Keeps the addresses of the proxy."""
+        self.link_port = link_port
+        self.control = f'{LOOPBACK}:{control_port}'
+        self.received = b''
+
+    async def echo(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends back what comes, and a mark at the end."""
+        with suppress(OSError):
+            while chunk := await reader.read(65536):
+                self.received += chunk
+                writer.write(chunk)
+            writer.write(b'end')
+        writer.close()
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a connection through the link."""
+        return await asyncio.open_connection(LOOPBACK, self.link_port)
+
+    async def set_faults(self, faults: LinkFaults, source: str = '') -> None:
+        """Sets the lasting faults of a source."""
+        order = FaultOrder(link='link', source=source, faults=faults)
+        answer = await call(
+            self.control, 'PUT', '/standin/faults', payload=order
+        )
+        assert answer.status == 200
+
+    async def act(self, act: ActKind) -> None:
+        """Does a fault once."""
+        order = ActOrder(link='link', act=act)
+        await call(self.control, 'POST', '/standin/act', payload=order)
+
+    async def heal(self) -> None:
+        """Ends the lasting faults."""
+        await call(self.control, 'POST', '/standin/heal')
+
+    async def record(self) -> dict[str, int]:
+        """Returns the link's record."""
+        answer = await call(self.control, 'GET', '/standin/record')
+        record: dict[str, int] = answer.json()['link']
+        return record
+
+
+@asynccontextmanager
+async def a_bed(*, is_peer: bool = False) -> AsyncIterator[Bed]:
+    link_port, control_port, target_port = free_ports(3)
+    bed = Bed(link_port, control_port)
+    target = await asyncio.start_server(bed.echo, LOOPBACK, target_port)
+    plan = LinkPlan(
+        name='link',
+        port=link_port,
+        target=f'{LOOPBACK}:{target_port}',
+        is_peer=is_peer,
+    )
+    proxy = FaultProxy([plan], seed=1)
+    await proxy.start(LOOPBACK, control_port)
+    try:
+        yield bed
+    finally:
+        await proxy.close()
+        target.close()
+
+
+async def _read(reader: asyncio.StreamReader, size: int) -> bytes:
+    return await asyncio.wait_for(reader.readexactly(size), REPLY_S)
+
+
+async def _is_silent(reader: asyncio.StreamReader) -> bool:
+    try:
+        await asyncio.wait_for(reader.read(1), SILENCE_S)
+    except TimeoutError:
+        return True
+    return False
+
+
+async def _is_broken(reader: asyncio.StreamReader) -> bool:
+    try:
+        return not await asyncio.wait_for(reader.read(1), REPLY_S)
+    except ConnectionError:
+        return True
+
+
+def test_bytes_pass_without_faults() -> None:
+    async def scenario() -> None:
+        async with a_bed() as bed:
+            reader, writer = await bed.connect()
+            writer.write(b'hello')
+            assert await _read(reader, 5) == b'hello'
+            assert (await bed.record())['bytes_up'] == 5
+
+    asyncio.run(scenario())
+
+
+def test_cut_breaks_and_refuses_until_healed() -> None:
+    async def scenario() -> None:
+        async with a_bed() as bed:
+            reader, writer = await bed.connect()
+            writer.write(b'a')
+            await _read(reader, 1)
+            await bed.set_faults(LinkFaults(cut=True))
+            assert await _is_broken(reader)
+            later, _ = await bed.connect()
+            assert await _is_broken(later)
+            await bed.heal()
+            reader, writer = await bed.connect()
+            writer.write(b'b')
+            assert await _read(reader, 1) == b'b'
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('direction', ['up', 'down'])
+def test_one_way_loss_keeps_the_connection(direction: str) -> None:
+    async def scenario() -> None:
+        async with a_bed() as bed:
+            reader, writer = await bed.connect()
+            lossy = DirectionFaults(vanish=True)
+            await bed.set_faults(
+                LinkFaults(up=lossy)
+                if direction == 'up'
+                else LinkFaults(down=lossy)
+            )
+            writer.write(b'lost')
+            assert await _is_silent(reader)
+            assert bed.received == (b'' if direction == 'up' else b'lost')
+            await bed.heal()
+            assert await _is_broken(reader)
+
+    asyncio.run(scenario())
+
+
+def test_delay_and_throttle_take_their_time() -> None:
+    async def scenario() -> None:
+        async with a_bed() as bed:
+            reader, writer = await bed.connect()
+            slow = DirectionFaults(delay_s=0.2, jitter_s=0.05, bytes_per_s=100)
+            await bed.set_faults(LinkFaults(up=slow))
+            start_s = time.monotonic()
+            writer.write(b'x' * 10)
+            await _read(reader, 10)
+            assert time.monotonic() - start_s >= 0.2
+            writer.write(b'y')
+            await _read(reader, 1)
+            assert time.monotonic() - start_s >= 0.3
+
+    asyncio.run(scenario())
+
+
+def test_stalled_bytes_arrive_after_the_heal() -> None:
+    async def scenario() -> None:
+        async with a_bed() as bed:
+            reader, writer = await bed.connect()
+            stalled = LinkFaults(down=DirectionFaults(stall=True))
+            await bed.set_faults(stalled)
+            writer.write(b'held')
+            assert await _is_silent(reader)
+            await bed.heal()
+            assert await _read(reader, 4) == b'held'
+
+    asyncio.run(scenario())
+
+
+def test_half_close_ends_one_direction() -> None:
+    async def scenario() -> None:
+        async with a_bed() as bed:
+            reader, writer = await bed.connect()
+            writer.write(b'a')
+            await _read(reader, 1)
+            await bed.act(ActKind.HALF_CLOSE_UP)
+            assert await _read(reader, 3) == b'end'
+
+    asyncio.run(scenario())
+
+
+def test_reset_breaks_open_connections_only() -> None:
+    async def scenario() -> None:
+        async with a_bed() as bed:
+            reader, writer = await bed.connect()
+            writer.write(b'a')
+            await _read(reader, 1)
+            await bed.act(ActKind.RESET)
+            assert await _is_broken(reader)
+            reader, writer = await bed.connect()
+            writer.write(b'b')
+            assert await _read(reader, 1) == b'b'
+
+    asyncio.run(scenario())
+
+
+def test_pair_of_peers_is_told_by_the_first_frame() -> None:
+    def hello(vm: str) -> bytes:
+        message = Hello(vm_id=VmId(vm), incarnation=Incarnation('i'))
+        return encode_frame(Frame(message))
+
+    async def scenario() -> None:
+        async with a_bed(is_peer=True) as bed:
+            await bed.set_faults(LinkFaults(cut=True), source='vm-2')
+            reader, writer = await bed.connect()
+            writer.write(hello('vm-1'))
+            assert await _read(reader, len(hello('vm-1'))) == hello('vm-1')
+            other, other_writer = await bed.connect()
+            other_writer.write(hello('vm-2')[:3])
+            other_writer.write(hello('vm-2')[3:])
+            assert await _is_broken(other)
+
+    asyncio.run(scenario())
