Bound what malformed, slow and greedy callers cost

Cause: a caller that stopped reading held its places for ever, idle floods were refused only once they sent a request, and a head with both framings was taken by the parser's preference. Ruled out: leaving it to the balancer (peers and operators do not pass it). Before: a test with a caller that does not read never saw its connection closed; five idle connections did not keep a sixth out. Conclusion: points of the HTTP edge and peer codec are covered; the settings loader has its own fuzz.

--- /dev/null
+++ b/packages/catkinreach-core/tests/messages/test_codec.py
@@ -0,0 +1,101 @@
+"""The peer codec takes its own frames and refuses everything else."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.ids import Incarnation, VmId
+from catkinreach_core.messages.codec import (
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameDecoder,
+    encode_frame,
+)
+from catkinreach_core.messages.hello import Hello
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+HELLO = Frame(Hello(vm_id=VmId('vm-1'), incarnation=Incarnation('a')), 7)
+
+
+@contextmanager
+def _refusal_allowed() -> Iterator[None]:
+    """Lets only refusals of the peer protocol pass."""
+    try:
+        yield
+    except CatkinreachError as refusal:
+        if refusal.kind is not ErrorKind.PEER_PROTOCOL:
+            raise
+
+
+def test_frames_survive_any_cut() -> None:
+    stream = encode_frame(HELLO) * 3
+    decoder = FrameDecoder()
+    frames = [
+        frame
+        for start in range(len(stream))
+        for frame in decoder.feed(stream[start : start + 1])
+    ]
+    assert frames == [HELLO] * 3
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [
+        42,
+        ['hello', 0],
+        ['nobody', 0, {}],
+        [['hello'], 0, {}],
+        ['hello', 'zero', {}],
+        ['hello', 0, {'vm_id': 1, 'incarnation': 'a'}],
+        ['hello', 0, {}],
+        ['hello', 0, 'fields'],
+    ],
+)
+def test_malformed_frames_are_refused(packed: object) -> None:
+    with pytest.raises(CatkinreachError) as refusal:
+        list(FrameDecoder().feed(msgpack.packb(packed)))
+    assert refusal.value.kind is ErrorKind.PEER_PROTOCOL
+
+
+def test_frame_over_the_bound_is_refused() -> None:
+    huge = msgpack.packb(['hello', 0, {'vm_id': 'x' * (MAX_FRAME_BYTES + 1)}])
+    with pytest.raises(CatkinreachError):
+        list(FrameDecoder().feed(huge))
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(chunks=st.lists(st.binary(max_size=40), max_size=8))
+def test_any_bytes_give_frames_or_a_refusal(chunks: list[bytes]) -> None:
+    decoder = FrameDecoder()
+    with _refusal_allowed():
+        for chunk in chunks:
+            list(decoder.feed(chunk))
+
+
+_PLAIN = st.recursive(
+    st.none() | st.booleans() | st.integers(-9, 9) | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(fields=_PLAIN, call=st.integers(-5, 5))
+def test_any_fields_give_a_frame_or_a_refusal(
+    fields: object, call: int
+) -> None:
+    packed = msgpack.packb(['hello', call, fields])
+    with _refusal_allowed():
+        assert len(list(FrameDecoder().feed(packed))) == 1
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -35,6 +35,7 @@
         idle_timeout_s: Time that a kept-alive connection may be idle.
         max_body_bytes: Largest body.
         max_head_bytes: Largest head.
+        write_timeout_s: Time that a caller may take to read what was sent.
         max_connections: Most connections at once.
     """
 
@@ -43,6 +44,7 @@
     idle_timeout_s: float = 75.0
     max_body_bytes: int = 4 * 1024 * 1024
     max_head_bytes: int = 32 * 1024
+    write_timeout_s: float = 30.0
     max_connections: int = 2000
 
 
@@ -138,6 +140,7 @@
             return None
         if not isinstance(head, h11.Request):
             return None
+        _check_framing(head)
         try:
             async with asyncio.timeout(self._bounds.body_timeout_s):
                 body = await self._read_body()
@@ -252,7 +255,15 @@
     async def _send(self, *events: h11.Event) -> None:
         chunks = [self._protocol.send(event) for event in events]
         self._writer.write(b''.join(chunk for chunk in chunks if chunk))
-        await self._writer.drain()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        try:
+            async with asyncio.timeout(self._bounds.write_timeout_s):
+                await self._writer.drain()
+        except TimeoutError as error:
+            self._writer.transport.abort()
+            raise ConnectionAbortedError('the caller does not read') from error
 
 
 class HttpServer:
@@ -307,10 +318,13 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if len(self._connections) >= self._bounds.max_connections:
+            self._turn_away(writer)
+            return
         connection = ServerConnection(
             reader,
             writer,
-            self._serve_bounded,
+            self._serve,
             self._bounds,
             self._activity,
         )
@@ -323,10 +337,37 @@
             self._connections.discard(writer)
             writer.close()
 
-    async def _serve_bounded(self, request: HttpRequest) -> HttpResponse:
-        if len(self._connections) > self._bounds.max_connections:
-            raise CatkinreachError(ErrorKind.CONNECTIONS_FULL)
-        return await self._serve(request)
+    def _turn_away(self, writer: asyncio.StreamWriter) -> None:
+        logger.warning('{}: too many connections.', self._name)
+        response = problem_response(
+            CatkinreachError(ErrorKind.CONNECTIONS_FULL)
+        )
+        protocol = h11.Connection(our_role=h11.SERVER)
+        events = (
+            h11.Response(
+                status_code=response.status,
+                headers=[
+                    *response.headers,
+                    ('content-length', str(len(response.body))),
+                    ('connection', 'close'),
+                ],
+            ),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        )
+        chunks = [protocol.send(event) for event in events]
+        writer.write(b''.join(chunk for chunk in chunks if chunk))
+        writer.close()
+
+
+def _check_framing(head: h11.Request) -> None:
+    """Refuses a head that two parsers could frame in different ways."""
+    names = [name for name, _ in head.headers]
+    if b'transfer-encoding' in names and b'content-length' in names:
+        raise CatkinreachError(
+            ErrorKind.BAD_REQUEST,
+            'transfer-encoding and content-length exclude each other',
+        )
 
 
 __all__ = ('Activity', 'HttpServer', 'RequestFilter', 'ServerBounds')
