--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := core node ctl standins
 SEED ?= 1
 
-.PHONY: test format lint names types unit features fix demo
+.PHONY: test format lint names types unit features fix demo errors-page
 
 test: $(STAMP)
 	$(BIN)/python tools/check.py --seed=$(SEED)
@@ -39,5 +39,8 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
+errors-page: $(STAMP)
+	$(BIN)/python tools/write_errors_page.py
+
 demo: $(STAMP)
 	$(BIN)/python -m catkinreach_standins.demo
--- /dev/null
+++ b/packages/catkinreach-core/tests/test_errors_page.py
@@ -0,0 +1,13 @@
+"""The committed page of errors agrees with the table."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from catkinreach_core.errors_page import errors_page
+
+PAGE = Path(__file__).resolve().parents[3] / 'docs' / 'errors.md'
+
+
+def test_committed_page_is_current() -> None:
+    assert PAGE.read_text(encoding='utf-8') == errors_page()
