--- a/packages/catkinreach-core/src/catkinreach_core/errors_page.py
+++ b/packages/catkinreach-core/src/catkinreach_core/errors_page.py
@@ -14,7 +14,7 @@
 | outcome | meaning |
 |---|---|
 | `not-run` | nothing of the request ran; it may be sent again |
-| `unknown` | it may have run; send it again only under the same Idempotency-Key |
+| `unknown` | it may have run; repeat it only under the same Idempotency-Key |
 | `run` | it ran |
 
 The outcome below is the usual one; an answer may say another where more is
