--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Which entry VMs are alive."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/membership/timing.py
@@ -0,0 +1,40 @@
+"""Durations of failure detection, in seconds."""
+
+from __future__ import annotations
+
+from typing import Final
+
+PERIOD_S: Final = 0.3
+"""Time between two probes of a node."""
+
+DIRECT_LIMIT_S: Final = 0.4
+"""Wait for a member's own answer before others are asked to probe it."""
+
+INDIRECT_LIMIT_S: Final = 0.4
+"""Wait for the others' word before the member is suspected."""
+
+SUSPICION_S: Final = 1.0
+"""Time that a suspected member has to refute before it counts as dead."""
+
+MAX_OWN_GAP_S: Final = 1.0
+"""Time between ticks after which a node blames itself for silence."""
+
+INDIRECT_PROBES: Final = 3
+"""Members that are asked to probe a silent one."""
+
+MAX_NEWS: Final = 6
+"""Updates that one heartbeat carries."""
+
+NEWS_ROUNDS_FACTOR: Final = 3
+"""Times that an update is sent, as a multiple of log2 of the fleet."""
+
+__all__ = (
+    'DIRECT_LIMIT_S',
+    'INDIRECT_LIMIT_S',
+    'INDIRECT_PROBES',
+    'MAX_NEWS',
+    'MAX_OWN_GAP_S',
+    'NEWS_ROUNDS_FACTOR',
+    'PERIOD_S',
+    'SUSPICION_S',
+)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/holder.py
@@ -0,0 +1,276 @@
+"""A candidate's and holder's side of the leases.
+
+A lease of this kind follows Gray and Cheriton, "Leases: an efficient
+fault-tolerant mechanism for distributed file cache consistency", SOSP 1989.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from ..messages.leases import LeaseRelease, LeaseRequest
+from .events import LeaseEvent, LeaseEventKind
+from .lease import Lease
+from .timing import ACQUIRE_LIMIT_S, RENEW_S, SILENCE_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from ..ids import Incarnation, ShardId, VmId
+    from ..messages.leases import LeaseReply
+    from .history import ListHistory
+
+RETRY_S: Final = 0.2
+"""Time between requests of one acquisition."""
+
+BACKOFF_S: Final = 0.4
+"""Pause after an acquisition that was given up."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message to one voter."""
+
+    target: VmId
+    message: LeaseRequest | LeaseRelease
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """A request that may still be answered."""
+
+    target: VmId
+    at_s: float
+    terms: Mapping[ShardId, int]
+
+
+class LeaseHolder:
+    """Gathers and renews leases for the shards this node is to own."""
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        incarnation: Incarnation,
+        history: ListHistory,
+        record: Callable[[LeaseEvent], None],
+    ) -> None:
+        """Starts without leases; ``record`` takes what happens to them."""
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._history = history
+        self._record = record
+        self._leases: dict[ShardId, Lease] = {}
+        self._sent: dict[int, _Sent] = {}
+        self._number = 0
+        self._retry_at_s: dict[ShardId, float] = {}
+        self._seen_terms: dict[ShardId, int] = {}
+        self._wall_ms = 0
+
+    def lease(self, shard: ShardId) -> Lease | None:
+        """Returns the lease of a shard, held or asked for."""
+        return self._leases.get(shard)
+
+    @property
+    def all_shards(self) -> tuple[ShardId, ...]:
+        """Returns the shards with a lease, held or asked for."""
+        return tuple(self._leases)
+
+    @property
+    def held(self) -> tuple[ShardId, ...]:
+        """Returns the shards with a tenure."""
+        return tuple(
+            shard
+            for shard, lease in self._leases.items()
+            if lease.tenure is not None
+        )
+
+    def tick(
+        self, wanted: Iterable[ShardId], now_s: float, wall_ms: int
+    ) -> list[Outgoing]:
+        """Drops what expired, begins what is wanted, asks what is due."""
+        self._wall_ms = max(wall_ms, self._wall_ms)
+        outgoing = self._expire(now_s)
+        for shard in wanted:
+            if (
+                shard not in self._leases
+                and self._retry_at_s.get(shard, 0.0) <= now_s
+            ):
+                self._begin(shard, now_s)
+        return outgoing + self._ask(now_s)
+
+    def receive(self, voter: VmId, reply: LeaseReply, now_s: float) -> None:
+        """Counts a voter's answer; one to a forgotten request is dropped."""
+        sent = self._sent.pop(reply.number, None)
+        if sent is None or sent.target != voter or not reply.is_voting:
+            return
+        for shard, term in sent.terms.items():
+            lease = self._leases.get(shard)
+            if lease is None or lease.term != term:
+                continue
+            if shard in reply.refused:
+                lease.drop_grant(voter)
+                self._see(shard, reply.refused[shard])
+                continue
+            previous = reply.previous.get(shard, 0)
+            self._see(shard, previous)
+            lease.add_grant(voter, sent.at_s, previous)
+            self._update(lease, now_s)
+
+    def release(
+        self, shards: Iterable[ShardId], now_s: float
+    ) -> list[Outgoing]:
+        """Gives leases up, so that others may acquire them at once."""
+        given_up = []
+        for shard in shards:
+            lease = self._leases.pop(shard, None)
+            if lease is None:
+                continue
+            self._retry_at_s[shard] = now_s + BACKOFF_S
+            if lease.tenure is not None:
+                self._note(
+                    LeaseEventKind.RELEASED,
+                    lease,
+                    now_s,
+                    min(now_s, lease.tenure.expires_at_s),
+                )
+            given_up.append(lease)
+        return self._release_messages(given_up)
+
+    def drop_all(self, now_s: float) -> None:
+        """Forgets every lease after a pause of the process."""
+        for lease in self._leases.values():
+            if lease.tenure is not None:
+                self._note(LeaseEventKind.LOST, lease, now_s, now_s)
+        self._leases.clear()
+        self._sent.clear()
+
+    def _expire(self, now_s: float) -> list[Outgoing]:
+        given_up = []
+        for shard, lease in tuple(self._leases.items()):
+            tenure = lease.tenure
+            if tenure is not None:
+                if tenure.expires_at_s <= now_s:
+                    del self._leases[shard]
+                    self._note(
+                        LeaseEventKind.LOST, lease, now_s, tenure.expires_at_s
+                    )
+            elif lease.asked_at_s + ACQUIRE_LIMIT_S <= now_s:
+                del self._leases[shard]
+                self._retry_at_s[shard] = now_s + BACKOFF_S
+                self._note(LeaseEventKind.ACQUIRE_FAILED, lease, now_s, 0.0)
+                given_up.append(lease)
+        for number in [
+            number
+            for number, sent in self._sent.items()
+            if sent.at_s + SILENCE_S <= now_s
+        ]:
+            del self._sent[number]
+        return self._release_messages(given_up)
+
+    def _begin(self, shard: ShardId, now_s: float) -> None:
+        term = max(self._seen_terms.get(shard, 0), self._wall_ms) + 1
+        self._see(shard, term)
+        self._leases[shard] = Lease(
+            shard=shard, term=term, asked_at_s=now_s, ask_again_at_s=now_s
+        )
+
+    def _ask(self, now_s: float) -> list[Outgoing]:
+        batches: dict[tuple[VmId, bool], dict[ShardId, int]] = {}
+        for shard, lease in self._leases.items():
+            if lease.ask_again_at_s > now_s:
+                continue
+            is_renewal = lease.tenure is not None
+            lease.ask_again_at_s = now_s + (RENEW_S if is_renewal else RETRY_S)
+            voters = {
+                one
+                for quorum in self._history.quorums(shard, now_s)
+                for one in quorum
+            }
+            for voter in voters:
+                batch = batches.setdefault((voter, is_renewal), {})
+                batch[shard] = lease.term
+        return [
+            self._request(voter, terms, now_s, is_renewal=is_renewal)
+            for (voter, is_renewal), terms in sorted(
+                batches.items(), key=lambda batch: batch[0]
+            )
+        ]
+
+    def _request(
+        self,
+        voter: VmId,
+        terms: dict[ShardId, int],
+        now_s: float,
+        *,
+        is_renewal: bool,
+    ) -> Outgoing:
+        self._number += 1
+        self._sent[self._number] = _Sent(voter, now_s, terms)
+        request = LeaseRequest(
+            number=self._number,
+            incarnation=self._incarnation,
+            lists=self._history.revisions,
+            terms=terms,
+            is_renewal=is_renewal,
+        )
+        return Outgoing(voter, request)
+
+    def _update(self, lease: Lease, now_s: float) -> None:
+        is_new = lease.tenure is None
+        owner = (self._vm_id, self._incarnation)
+        quorums = self._history.quorums(lease.shard, now_s)
+        if not lease.update(quorums, owner, now_s) or lease.tenure is None:
+            return
+        if is_new:
+            lease.ask_again_at_s = now_s + RENEW_S
+        self._note(
+            LeaseEventKind.ACQUIRED if is_new else LeaseEventKind.EXTENDED,
+            lease,
+            now_s,
+            lease.tenure.expires_at_s,
+        )
+
+    def _release_messages(self, leases: Iterable[Lease]) -> list[Outgoing]:
+        batches: dict[tuple[VmId, bool], dict[ShardId, int]] = {}
+        for lease in leases:
+            for voter in lease.granters:
+                slot = (voter, lease.tenure is None)
+                batches.setdefault(slot, {})[lease.shard] = lease.term
+        return [
+            Outgoing(
+                voter,
+                LeaseRelease(
+                    incarnation=self._incarnation,
+                    terms=terms,
+                    is_aborted=is_aborted,
+                ),
+            )
+            for (voter, is_aborted), terms in batches.items()
+        ]
+
+    def _see(self, shard: ShardId, term: int) -> None:
+        self._seen_terms[shard] = max(self._seen_terms.get(shard, 0), term)
+
+    def _note(
+        self,
+        kind: LeaseEventKind,
+        lease: Lease,
+        now_s: float,
+        until_s: float,
+    ) -> None:
+        self._record(
+            LeaseEvent(
+                kind=kind,
+                shard=lease.shard,
+                vm_id=self._vm_id,
+                incarnation=self._incarnation,
+                term=lease.term,
+                at_s=now_s,
+                wall_ms=self._wall_ms,
+                until_s=until_s,
+            )
+        )
+
+
+__all__ = ('LeaseHolder', 'Outgoing')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/lease.py
@@ -0,0 +1,128 @@
+"""One shard's lease as its holder or candidate sees it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .history import majority
+from .tenure import Tenure
+from .timing import HOLD_S
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..ids import Incarnation, ShardId, VmId
+
+
+@dataclass(slots=True)
+class Lease:
+    """Grants gathered for a shard under one term.
+
+    Attributes:
+        shard: What is asked for.
+        term: Term asked for.
+        asked_at_s: When the acquisition began.
+        ask_again_at_s: When the next request is due.
+    """
+
+    shard: ShardId
+    term: int
+    asked_at_s: float
+    ask_again_at_s: float
+    tenure: Tenure | None = None
+    _valid_until_s: dict[VmId, float] = field(default_factory=dict)
+    _previous: dict[VmId, int] = field(default_factory=dict)
+
+    @property
+    def granters(self) -> tuple[VmId, ...]:
+        """Returns the voters that granted under this term."""
+        return tuple(self._valid_until_s)
+
+    def add_grant(self, voter: VmId, sent_at_s: float, previous: int) -> None:
+        """Counts a grant from before its request was sent."""
+        valid_until_s = sent_at_s + HOLD_S
+        known_s = self._valid_until_s.get(voter, valid_until_s)
+        self._valid_until_s[voter] = max(known_s, valid_until_s)
+        if previous:
+            self._previous[voter] = previous
+
+    def drop_grant(self, voter: VmId) -> None:
+        """Forgets a grant that the voter no longer keeps."""
+        self._valid_until_s.pop(voter, None)
+
+    def valid_until_s(self, quorums: Sequence[Sequence[VmId]]) -> float:
+        """Returns until when a majority of every quorum has granted.
+
+        Returns:
+            The holder's monotonic clock, 0 if some majority lacks.
+        """
+        return min(
+            (self._quorum_until_s(voters) for voters in quorums), default=0.0
+        )
+
+    def update(
+        self,
+        quorums: Sequence[Sequence[VmId]],
+        owner: tuple[VmId, Incarnation],
+        now_s: float,
+    ) -> bool:
+        """Begins or extends the tenure; returns True if it changed."""
+        until_s = self.valid_until_s(quorums)
+        tenure = self.tenure
+        if tenure is None:
+            if until_s <= now_s:
+                return False
+            self.tenure = self._new_tenure(quorums, owner, now_s, until_s)
+            return True
+        if until_s <= tenure.expires_at_s or tenure.expires_at_s <= now_s:
+            return False
+        self.tenure = Tenure(
+            shard=tenure.shard,
+            owner=tenure.owner,
+            incarnation=tenure.incarnation,
+            term=tenure.term,
+            started_at_s=tenure.started_at_s,
+            expires_at_s=until_s,
+            predecessor_term=tenure.predecessor_term,
+        )
+        return True
+
+    def _new_tenure(
+        self,
+        quorums: Sequence[Sequence[VmId]],
+        owner: tuple[VmId, Incarnation],
+        now_s: float,
+        until_s: float,
+    ) -> Tenure:
+        vm_id, incarnation = owner
+        return Tenure(
+            shard=self.shard,
+            owner=vm_id,
+            incarnation=incarnation,
+            term=self.term,
+            started_at_s=now_s,
+            expires_at_s=until_s,
+            predecessor_term=self._predecessor_term(quorums),
+        )
+
+    def _predecessor_term(self, quorums: Sequence[Sequence[VmId]]) -> int:
+        """Returns the last term before, if a majority remembers one.
+
+        Every earlier tenure had a majority, so a majority with a memory
+        contains a voter that remembers the last one.
+        """
+        for voters in quorums:
+            count = sum(one in self._previous for one in voters)
+            if count < majority(len(voters)):
+                return 0
+        return max(self._previous.values(), default=0)
+
+    def _quorum_until_s(self, voters: Sequence[VmId]) -> float:
+        ends_s = sorted(
+            (self._valid_until_s.get(one, 0.0) for one in voters), reverse=True
+        )
+        return ends_s[majority(len(ends_s)) - 1] if ends_s else 0.0
+
+
+__all__ = ('Lease',)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/leases.py
@@ -0,0 +1,267 @@
+"""Ownership by leases: a node's voter, holder and view in one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final, Protocol
+
+from ..messages.leases import LeaseReply, LeaseRequest
+from .events import LeaseEvent, LeaseEventKind
+from .history import ListHistory, majority
+from .holder import LeaseHolder, Outgoing
+from .tenure import OwnershipView, Tenure
+from .timing import MAX_GAP_S, SILENCE_S
+from .voter import LeaseVoter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ..ids import Incarnation, Revision, ShardId, VmId
+    from ..messages.leases import LeaseRelease
+
+_ENDINGS: Final = frozenset((LeaseEventKind.LOST, LeaseEventKind.RELEASED))
+
+
+class Liveness(Protocol):
+    """What ownership needs of membership."""
+
+    def is_voting(self, vm_id: VmId) -> bool:
+        """Tells whether a VM is alive and votes."""
+
+    def is_candidate(self, vm_id: VmId) -> bool:
+        """Tells whether a VM is alive, votes and is not leaving."""
+
+
+@dataclass(frozen=True, slots=True)
+class TenureListener:
+    """Callbacks for the tenures of shards with a prefix."""
+
+    shard_prefix: str
+    started: Callable[[Tenure], None]
+    ended: Callable[[Tenure], None]
+
+
+class LeaseOwnership(OwnershipView):
+    """Decides which shards this node asks for, keeps and gives up."""
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        incarnation: Incarnation,
+        liveness: Liveness,
+        *,
+        started_at_s: float,
+    ) -> None:
+        """Starts as a node that neither votes nor owns."""
+        self._vm_id = vm_id
+        self._liveness = liveness
+        self._started_at_s = started_at_s
+        self._tick_at_s = started_at_s
+        self._shards: tuple[ShardId, ...] = ()
+        self._heard: set[VmId] = set()
+        self._recorders: list[Callable[[LeaseEvent], None]] = []
+        self._listeners: list[TenureListener] = []
+        self._tenures: dict[ShardId, Tenure] = {}
+        self._is_leaving = False
+        self._has_left = False
+        self.history = ListHistory(vm_id)
+        self._voter = LeaseVoter(self.history)
+        self._holder = LeaseHolder(
+            vm_id, incarnation, self.history, self._on_event
+        )
+
+    @property
+    def is_voting(self) -> bool:
+        """Tells whether the node votes and may own."""
+        return self._voter.is_voting
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tells whether the node asks for no more shards."""
+        return self._is_leaving
+
+    @property
+    def held(self) -> tuple[ShardId, ...]:
+        """Returns the shards that this node holds."""
+        return self._holder.held
+
+    def set_shards(self, shards: Iterable[ShardId]) -> None:
+        """Sets the shards that somebody is to own."""
+        self._shards = tuple(shards)
+
+    def on_event(self, record: Callable[[LeaseEvent], None]) -> None:
+        """Adds a receiver of what happens to leases."""
+        self._recorders.append(record)
+
+    def on_tenure(
+        self,
+        shard_prefix: str,
+        started: Callable[[Tenure], None],
+        ended: Callable[[Tenure], None],
+    ) -> None:
+        """Calls back when a tenure begins and when it has ended.
+
+        ``ended`` may come late, after a pause of the process: whoever acts
+        as owner asks ``tenure_of`` right before.
+        """
+        self._listeners.append(TenureListener(shard_prefix, started, ended))
+
+    def tenure_of(self, shard: ShardId, now_s: float) -> Tenure | None:
+        """Returns this node's tenure if it may act as owner right now."""
+        if now_s - self._tick_at_s > MAX_GAP_S:
+            return None
+        lease = self._holder.lease(shard)
+        tenure = lease.tenure if lease else None
+        if tenure is None or tenure.expires_at_s <= now_s:
+            return None
+        return tenure
+
+    def owner_of(self, shard: ShardId) -> VmId | None:
+        """Returns the holder of this voter's grant, or the likely owner."""
+        holder = self._voter.holder_of(shard, self._tick_at_s)
+        return holder or self.candidate_of(shard)
+
+    def candidate_of(self, shard: ShardId) -> VmId | None:
+        """Returns the best-ranked voter that is alive and not leaving."""
+        voters = self.history.voters(self.history.newest, shard)
+        return next((one for one in voters if self._is_candidate(one)), None)
+
+    def tick(self, now_s: float, wall_ms: int) -> list[Outgoing]:
+        """Advances time; returns the messages to send."""
+        self._tick_at_s = now_s
+        self.history.retire(now_s)
+        self._start_voting(now_s)
+        if not self.is_voting:
+            return []
+        outgoing = self._holder.release(self._misplaced(), now_s)
+        outgoing += self._holder.tick(self._wanted(now_s), now_s, wall_ms)
+        return self._deliver_own(outgoing, now_s)
+
+    def hear(
+        self, peer: VmId, revisions: tuple[Revision, ...], now_s: float
+    ) -> None:
+        """Notes which lists a peer knows."""
+        if self.history.hear(peer, revisions, now_s):
+            self._heard.add(peer)
+
+    def forget_peer(self, peer: VmId) -> None:
+        """Drops what a peer said; its process started anew."""
+        self.history.forget_peer(peer)
+
+    def answer(
+        self, asker: VmId, request: LeaseRequest, now_s: float
+    ) -> LeaseReply:
+        """Answers another node's request."""
+        self.hear(asker, request.lists, now_s)
+        return self._voter.answer(asker, request, now_s)
+
+    def receive(self, voter: VmId, reply: LeaseReply, now_s: float) -> None:
+        """Takes a voter's answer."""
+        self.hear(voter, reply.lists, now_s)
+        self._holder.receive(voter, reply, now_s)
+
+    def take_back(
+        self, holder: VmId, release: LeaseRelease, now_s: float
+    ) -> None:
+        """Takes back grants that their holder released."""
+        self._voter.release(holder, release, now_s)
+
+    def suspend(self, now_s: float) -> None:
+        """Drops every lease, because the monotonic clock stood still."""
+        self._holder.drop_all(now_s)
+
+    def begin_leaving(self) -> None:
+        """Asks for no more shards; those held are kept for now."""
+        self._is_leaving = True
+
+    def release_all(self, now_s: float) -> list[Outgoing]:
+        """Gives up every shard for good."""
+        self._is_leaving = True
+        self._has_left = True
+        outgoing = self._holder.release(self._holder.all_shards, now_s)
+        return self._deliver_own(outgoing, now_s)
+
+    def _is_candidate(self, vm_id: VmId) -> bool:
+        if vm_id == self._vm_id:
+            return self.is_voting and not self._is_leaving
+        return self._liveness.is_candidate(vm_id)
+
+    def _start_voting(self, now_s: float) -> None:
+        waited_s = now_s - self._started_at_s
+        if (
+            not self.is_voting
+            and waited_s >= SILENCE_S
+            and self.history.is_heard_by_majority(self._heard)
+        ):
+            self._voter.is_voting = True
+
+    def _wanted(self, now_s: float) -> list[ShardId]:
+        if self._is_leaving:
+            return []
+        newest = self.history.newest
+        return [
+            shard
+            for shard in self._shards
+            if self._holder.lease(shard) is None
+            and self._voter.holder_of(shard, now_s) in {None, self._vm_id}
+            and self.candidate_of(shard) == self._vm_id
+            and self._can_win(self.history.voters(newest, shard))
+        ]
+
+    def _can_win(self, voters: tuple[VmId, ...]) -> bool:
+        """Tells whether a majority of the voters is alive and votes."""
+        voting = sum(self._is_voting(one) for one in voters)
+        return voting >= majority(len(voters))
+
+    def _is_voting(self, vm_id: VmId) -> bool:
+        return vm_id == self._vm_id or self._liveness.is_voting(vm_id)
+
+    def _misplaced(self) -> list[ShardId]:
+        """Returns shards that the newest list takes from this node."""
+        newest = self.history.newest
+        return [
+            shard
+            for shard in self._holder.all_shards
+            if shard not in self._shards
+            or self._vm_id not in self.history.voters(newest, shard)
+        ]
+
+    def _deliver_own(
+        self, outgoing: list[Outgoing], now_s: float
+    ) -> list[Outgoing]:
+        """Hands this node's own voter its share at once."""
+        for one in outgoing:
+            if one.target != self._vm_id:
+                continue
+            if isinstance(one.message, LeaseRequest):
+                reply = self._voter.answer(self._vm_id, one.message, now_s)
+                self._holder.receive(self._vm_id, reply, now_s)
+            else:
+                self._voter.release(self._vm_id, one.message, now_s)
+        return [one for one in outgoing if one.target != self._vm_id]
+
+    def _on_event(self, event: LeaseEvent) -> None:
+        for record in self._recorders:
+            record(event)
+        if event.kind is LeaseEventKind.ACQUIRED:
+            lease = self._holder.lease(event.shard)
+            if lease is not None and lease.tenure is not None:
+                self._tenures[event.shard] = lease.tenure
+                self._notify_started(lease.tenure)
+        elif event.kind in _ENDINGS:
+            tenure = self._tenures.pop(event.shard, None)
+            if tenure is not None:
+                self._notify_ended(tenure)
+
+    def _notify_started(self, tenure: Tenure) -> None:
+        for listener in self._listeners:
+            if tenure.shard.startswith(listener.shard_prefix):
+                listener.started(tenure)
+
+    def _notify_ended(self, tenure: Tenure) -> None:
+        for listener in self._listeners:
+            if tenure.shard.startswith(listener.shard_prefix):
+                listener.ended(tenure)
+
+
+__all__ = ('LeaseOwnership', 'Liveness', 'TenureListener')
--- a/packages/catkinreach-core/src/catkinreach_core/ownership/tenure.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/tenure.py
@@ -20,6 +20,9 @@
         term: Number that grows with each tenure of the shard.
         started_at_s: Owner's monotonic clock when the tenure began.
         expires_at_s: Owner's monotonic clock until which it may act.
+        predecessor_term: Term of the tenure right before this one, 0 if it
+            is not known. State handed over by an earlier owner is complete
+            only if it was handed over under this term.
     """
 
     shard: ShardId
@@ -28,6 +31,7 @@
     term: int
     started_at_s: float
     expires_at_s: float
+    predecessor_term: int = 0
 
 
 class OwnershipView(Protocol):
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/voter.py
@@ -0,0 +1,120 @@
+"""A voter's side of the leases: grants kept in memory, one a shard."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..messages.leases import LeaseReply
+from .timing import LEASE_S
+
+if TYPE_CHECKING:
+    from ..ids import Incarnation, ShardId, VmId
+    from ..messages.leases import LeaseRelease, LeaseRequest
+    from .history import ListHistory
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A vote for one holder until it expires by the voter's clock."""
+
+    vm_id: VmId
+    incarnation: Incarnation
+    term: int
+    expires_at_s: float
+    previous_term: int
+
+
+class LeaseVoter:
+    """Grants and renews leases; never two holders of a shard at once."""
+
+    def __init__(self, history: ListHistory) -> None:
+        """Starts without memory of any grant."""
+        self._history = history
+        self._grants: dict[ShardId, Grant] = {}
+        self.is_voting = False
+
+    def answer(
+        self, asker: VmId, request: LeaseRequest, now_s: float
+    ) -> LeaseReply:
+        """Decides on a request of a candidate or holder."""
+        lists = self._history.revisions
+        if not self.is_voting or not self._history.is_aligned(request.lists):
+            return LeaseReply(
+                number=request.number, lists=lists, is_voting=False
+            )
+        refused: dict[ShardId, int] = {}
+        previous: dict[ShardId, int] = {}
+        for shard, term in request.terms.items():
+            known = self._grants.get(shard)
+            wanted = Grant(
+                asker,
+                request.incarnation,
+                term,
+                now_s + LEASE_S,
+                known.term if known else 0,
+            )
+            if known and not _may_replace(known, wanted, now_s):
+                refused[shard] = known.term
+            elif known and known.term == term:
+                self._renew(shard, known, now_s)
+                previous[shard] = known.previous_term
+            else:
+                self._grants[shard] = wanted
+                previous[shard] = wanted.previous_term
+        return LeaseReply(
+            number=request.number,
+            lists=lists,
+            refused=refused,
+            previous={
+                shard: term
+                for shard, term in previous.items()
+                if term and not request.is_renewal
+            },
+        )
+
+    def release(
+        self, holder: VmId, release: LeaseRelease, now_s: float
+    ) -> None:
+        """Takes grants back from their holder."""
+        for shard, term in release.terms.items():
+            grant = self._grants.get(shard)
+            if grant is None or grant.vm_id != holder:
+                continue
+            if (grant.incarnation, grant.term) != (release.incarnation, term):
+                continue
+            kept = grant.previous_term if release.is_aborted else term
+            self._grants[shard] = Grant(
+                holder, release.incarnation, kept, now_s, grant.previous_term
+            )
+
+    def holder_of(self, shard: ShardId, now_s: float) -> VmId | None:
+        """Returns the VM that holds this voter's grant."""
+        grant = self._grants.get(shard)
+        if grant is None or grant.expires_at_s <= now_s:
+            return None
+        return grant.vm_id
+
+    def _renew(self, shard: ShardId, known: Grant, now_s: float) -> None:
+        self._grants[shard] = Grant(
+            known.vm_id,
+            known.incarnation,
+            known.term,
+            max(known.expires_at_s, now_s + LEASE_S),
+            known.previous_term,
+        )
+
+
+def _may_replace(known: Grant, wanted: Grant, now_s: float) -> bool:
+    is_same = (known.vm_id, known.incarnation) == (
+        wanted.vm_id,
+        wanted.incarnation,
+    )
+    if known.term == wanted.term:
+        return is_same
+    if known.term > wanted.term:
+        return False
+    return is_same or known.expires_at_s <= now_s
+
+
+__all__ = ('Grant', 'LeaseVoter')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/relay/__init__.py
@@ -0,0 +1,3 @@
+"""How the published configuration reaches every node."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/relay/read_policy.py
@@ -0,0 +1,135 @@
+"""Which node reads the configuration service, and when.
+
+One node reads for the fleet and the others learn from it. The others read
+by themselves only once they hear of no recent read, each a little later than
+the one before it: suppression by staggered timers as in Floyd, Jacobson,
+Liu, McCanne and Zhang, "A reliable multicast framework for light-weight
+sessions and application level framing", IEEE/ACM ToN 5(6), 1997.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from ..ids import ShardId
+from ..rendezvous import rank_vms
+
+if TYPE_CHECKING:
+    from ..ids import VmId
+
+CONFIG_PERIOD_S: Final = 1.4
+"""Time between two reads of the text by the reader."""
+
+VMS_PERIOD_S: Final = 5.0
+"""Time between two reads of the VM list by the reader."""
+
+BACKUP_AGE_S: Final = 4.0
+"""Age of the fleet's last read at which the first other node reads."""
+
+BACKUP_STEP_S: Final = 0.5
+"""How much later each further node reads."""
+
+MAX_BACKUP_RANK: Final = 8
+RETRY_S: Final = 5.0
+"""Time between reads of a node that can't reach the service."""
+
+_READER_SHARD: Final = ShardId('reader')
+
+
+class ReadPolicy:
+    """Decides when this node reads."""
+
+    def __init__(self, vm_id: VmId) -> None:
+        """Starts as a node that has never read."""
+        self._vm_id = vm_id
+        self._others: dict[VmId, bool] = {}
+        self._has_read = False
+        self._failed_at_s: float | None = None
+        self._fleet_read_at_s: float | None = None
+        self._vms_read_at_s: float | None = None
+        self._config_read_at_s: float | None = None
+        self._asked_at_s: float | None = None
+
+    @property
+    def is_reader(self) -> bool:
+        """Tells whether this node's last read was answered."""
+        return self._has_read and self._failed_at_s is None
+
+    @property
+    def has_tried(self) -> bool:
+        """Tells whether the node has read or failed to."""
+        return self._has_read or self._failed_at_s is not None
+
+    def age_s(self, now_s: float) -> float | None:
+        """Returns the age of the newest read of any node, if one is known."""
+        if self._fleet_read_at_s is None:
+            return None
+        return max(0.0, now_s - self._fleet_read_at_s)
+
+    def note_peer(
+        self,
+        vm_id: VmId,
+        age_s: float | None,
+        now_s: float,
+        *,
+        is_reader: bool,
+    ) -> None:
+        """Takes what a peer's heartbeat says of reads."""
+        self._others[vm_id] = is_reader
+        if age_s is not None:
+            self._note_read(now_s - age_s)
+
+    def note_config_read(self, now_s: float) -> None:
+        """Takes a successful read of the text."""
+        self._has_read = True
+        self._failed_at_s = None
+        self._config_read_at_s = now_s
+        self._note_read(now_s)
+
+    def note_vms_read(self, now_s: float) -> None:
+        """Takes a successful read of the VM list."""
+        self._vms_read_at_s = now_s
+
+    def note_failure(self, now_s: float) -> None:
+        """Takes a read that got no answer."""
+        self._failed_at_s = now_s
+
+    def is_config_due(self, alive: tuple[VmId, ...], now_s: float) -> bool:
+        """Tells whether to read the text now."""
+        if self._failed_at_s is not None:
+            return now_s >= self._failed_at_s + RETRY_S
+        age_s = self.age_s(now_s)
+        if not self._has_read or age_s is None:
+            return True
+        rank = self._rank(alive)
+        if rank == 0:
+            return _is_past(self._config_read_at_s, CONFIG_PERIOD_S, now_s)
+        wait_s = BACKUP_AGE_S + BACKUP_STEP_S * min(rank, MAX_BACKUP_RANK)
+        return age_s >= wait_s
+
+    def is_vms_due(self, alive: tuple[VmId, ...], now_s: float) -> bool:
+        """Tells whether to read the VM list now."""
+        if self._failed_at_s is not None:
+            return False
+        if self._vms_read_at_s is None:
+            return True
+        return self._rank(alive) == 0 and _is_past(
+            self._vms_read_at_s, VMS_PERIOD_S, now_s
+        )
+
+    def _rank(self, alive: tuple[VmId, ...]) -> int:
+        """Returns how many readers come before this node."""
+        readers = [one for one in alive if self._others.get(one, True)]
+        ranked = rank_vms(_READER_SHARD, (*readers, self._vm_id))
+        return ranked.index(self._vm_id)
+
+    def _note_read(self, at_s: float) -> None:
+        known_s = self._fleet_read_at_s
+        self._fleet_read_at_s = at_s if known_s is None else max(known_s, at_s)
+
+
+def _is_past(since_s: float | None, period_s: float, now_s: float) -> bool:
+    return since_s is None or now_s >= since_s + period_s
+
+
+__all__ = ('ReadPolicy',)
--- a/packages/catkinreach-core/src/catkinreach_core/settings/load_node.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/load_node.py
@@ -24,6 +24,7 @@
     peer_address: Address
     config_service: Address
     operator_key_digest: str
+    event_log: str = ''
 
 
 class _Tls(Struct, frozen=True, kw_only=True):
@@ -57,6 +58,7 @@
             for name in (*_LISTENERS, 'config_service')
         ),
         OptionSpec(name='operator_key_digest', parser=DIGEST, is_required=True),
+        OptionSpec(name='event_log', parser=TEXT),
     ),
 )
 _LOGS: Final = SectionSpec(
@@ -120,6 +122,7 @@
         peer_address=node.peer_address,
         config_service=node.config_service,
         operator_key_digest=node.operator_key_digest,
+        event_log=node.event_log,
         logs=logs,
         traces=traces,
         caller_tls=TlsFiles(
--- a/packages/catkinreach-core/src/catkinreach_core/settings/node.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/node.py
@@ -50,6 +50,7 @@
     peer_address: Address
     config_service: Address
     operator_key_digest: str
+    event_log: str = ''
     logs: LogSettings = LogSettings()
     traces: TraceSettings = TraceSettings()
     caller_tls: TlsFiles = TlsFiles()
--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -10,7 +10,6 @@
 
 from catkinreach_core.ids import Incarnation
 
-from .config.follow import Follower, Resource
 from .http.server import HttpServer
 from .operator.lifecycle import LifecycleActions
 from .wiring import wire_node
@@ -33,15 +32,6 @@
         """Takes the parts; nothing listens yet."""
         self._wiring = wiring
         self._context = wiring.context
-        self._followers = [
-            Follower(
-                resource,
-                self._context.settings.config_service,
-                self._context.client,
-                self._context.state,
-            )
-            for resource in Resource
-        ]
         self._callers = HttpServer(wiring.accept.serve, name='callers')
         self._operators = HttpServer(self._context.api.serve, name='operator')
         LifecycleActions(self, wiring.parts).add_to(self._context.api)
@@ -51,8 +41,7 @@
     def is_ready(self) -> bool:
         """Tells whether the node takes requests."""
         return (
-            self._context.state.has_settings
-            and not self._wiring.accept.is_draining
+            self._wiring.relay.is_synced and not self._wiring.accept.is_draining
         )
 
     @classmethod
@@ -90,9 +79,6 @@
     async def run(self) -> None:
         """Runs until drained."""
         tasks = [
-            asyncio.create_task(follower.run()) for follower in self._followers
-        ]
-        tasks += [
             asyncio.create_task(part.run(), name=part.name)
             for part in self._wiring.parts
         ]
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/config/accept.py
@@ -0,0 +1,65 @@
+"""Puts published texts in force, newest first and whole or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from catkinreach_core.errors import CatkinreachError
+from catkinreach_core.settings import load_fleet
+
+if TYPE_CHECKING:
+    from catkinreach_core.messages.relay import PublishedText
+
+    from .state import FleetState
+
+MAX_INLINE_CHARACTERS = 20_000
+"""Longest text that is checked on the event loop; others go to a thread."""
+
+
+class TextAcceptor:
+    """Checks texts one at a time and puts newer ones in force."""
+
+    def __init__(self, state: FleetState) -> None:
+        """Puts texts in force in ``state``."""
+        self._state = state
+        self._lock = asyncio.Lock()
+
+    async def accept(self, published: PublishedText) -> bool:
+        """Takes a published text; returns True if it is now in force."""
+        async with self._lock:
+            if not self._state.hold(published):
+                return False
+            return await self._load(published)
+
+    async def _load(self, published: PublishedText) -> bool:
+        text = published.text
+        try:
+            if len(text) <= MAX_INLINE_CHARACTERS:
+                settings = load_fleet(
+                    text, revision=published.revision, source='fleet'
+                )
+            else:
+                settings = await asyncio.to_thread(
+                    load_fleet,
+                    text,
+                    revision=published.revision,
+                    source='fleet',
+                )
+        except CatkinreachError as error:
+            self._state.refuse(published.revision, error.detail)
+            logger.error(
+                'config: revision {} refused: {}',
+                published.revision,
+                error.detail,
+            )
+            return False
+        is_new = self._state.accept_settings(settings, text)
+        if is_new:
+            logger.info('config: revision {} in force.', published.revision)
+        return is_new
+
+
+__all__ = ('TextAcceptor',)
--- a/packages/catkinreach-node/src/catkinreach_node/config/state.py
+++ b/packages/catkinreach-node/src/catkinreach_node/config/state.py
@@ -9,6 +9,7 @@
 from catkinreach_core.fleet_list import VmList
 from catkinreach_core.ids import Revision
 from catkinreach_core.keys import KeyRing
+from catkinreach_core.messages.relay import PublishedText
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +24,8 @@
         """Starts without settings and with an empty list."""
         self._settings: FleetSettings | None = None
         self._text = ''
+        self._held = PublishedText(Revision(0), '')
+        self._refusal: str | None = None
         self._keys = KeyRing({})
         self._vms = VmList()
         self._listeners: list[Callable[[], None]] = []
@@ -56,6 +59,25 @@
             return Revision(0)
         return self._settings.revision
 
+    @property
+    def held_revision(self) -> Revision:
+        """Returns the newest revision held, in force or refused."""
+        return self._held.revision
+
+    @property
+    def refusal(self) -> str | None:
+        """Returns why the newest text is not in force, if it is not."""
+        return self._refusal
+
+    @property
+    def texts(self) -> tuple[PublishedText, ...]:
+        """Returns the text in force and a newer one that was refused."""
+        in_force = PublishedText(self.revision, self._text)
+        held = (in_force,) if self.has_settings else ()
+        if self._held.revision > in_force.revision:
+            return (*held, self._held)
+        return held
+
     @property
     def keys(self) -> KeyRing:
         """Returns the keys in force."""
@@ -70,12 +92,28 @@
         """Calls the listener after each accepted settings or list."""
         self._listeners.append(listener)
 
+    def hold(self, published: PublishedText) -> bool:
+        """Keeps a newer text before it is checked; returns False for old."""
+        if published.revision <= self._held.revision:
+            return False
+        self._held = published
+        return True
+
+    def refuse(self, revision: Revision, reason: str) -> None:
+        """Notes why a text is not put in force."""
+        if revision == self._held.revision:
+            self._refusal = f'revision {revision}: {reason}'
+            self._notify()
+
     def accept_settings(self, settings: FleetSettings, text: str) -> bool:
         """Takes newer settings; returns False for an old revision."""
         if settings.revision <= self.revision:
             return False
         self._settings = settings
         self._text = text
+        self.hold(PublishedText(settings.revision, text))
+        if settings.revision == self._held.revision:
+            self._refusal = None
         self._keys = KeyRing.from_settings(settings)
         self._accepted.set()
         self._notify()
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""What the nodes know of each other, and who owns what."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/core.py
@@ -0,0 +1,133 @@
+"""The node's cores of membership, ownership and relay, joined."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from catkinreach_core.ids import Revision
+from catkinreach_core.membership.detector import FailureDetector
+from catkinreach_core.messages.membership import (
+    Digest,
+    MemberStatus,
+    MemberUpdate,
+)
+from catkinreach_core.ownership.leases import LeaseOwnership
+from catkinreach_core.ownership.shards import shards_of
+from catkinreach_core.relay.read_policy import ReadPolicy
+
+if TYPE_CHECKING:
+    from catkinreach_core.ids import Incarnation, VmId
+
+    from ..config.state import FleetState
+
+_MS_PER_S = 1000
+
+
+class FleetCore:
+    """Turns heartbeats into knowledge, and knowledge into heartbeats."""
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        incarnation: Incarnation,
+        state: FleetState,
+        *,
+        now_s: float,
+        wall_s: float,
+    ) -> None:
+        """Sets up the cores of a process that has just started."""
+        own = MemberUpdate(
+            vm_id,
+            incarnation,
+            int(wall_s * _MS_PER_S),
+            0,
+            MemberStatus.ALIVE,
+            is_voting=False,
+            is_leaving=False,
+        )
+        self._state = state
+        self.vm_id = vm_id
+        self.incarnation = incarnation
+        self._rng = random.Random(incarnation)
+        self.detector = FailureDetector(own, self._rng, self._on_restart)
+        self.ownership = LeaseOwnership(
+            vm_id, incarnation, self.detector, started_at_s=now_s
+        )
+        self.reads = ReadPolicy(vm_id)
+        self._configs: dict[VmId, Revision] = {}
+
+    @property
+    def config_holders(self) -> tuple[VmId, ...]:
+        """Returns the peers that hold a newer text than this node."""
+        held = self._state.held_revision
+        return tuple(
+            vm_id
+            for vm_id, revision in self._configs.items()
+            if revision > held
+        )
+
+    @property
+    def is_connected(self) -> bool:
+        """Tells whether a majority of the listed VMs is reachable."""
+        listed = len(self._state.vms.vms)
+        return not listed or 2 * (len(self.detector.alive) + 1) > listed
+
+    def follow_state(self, now_s: float) -> None:
+        """Takes the newest list and settings into the cores."""
+        vms = self._state.vms
+        self.ownership.history.learn(vms, now_s)
+        self.detector.set_listed(vms.ids)
+        if self._state.has_settings:
+            self.ownership.set_shards(shards_of(self._state.settings))
+
+    def digest(self, now_s: float) -> Digest:
+        """Returns what the next heartbeat says."""
+        self.detector.set_own(
+            is_voting=self.ownership.is_voting,
+            is_leaving=self.ownership.is_leaving,
+        )
+        age_s = self.reads.age_s(now_s)
+        return Digest(
+            member=self.detector.own,
+            lists=self.ownership.history.revisions,
+            config=self._state.held_revision,
+            read_age_ms=-1 if age_s is None else int(age_s * _MS_PER_S),
+            is_reader=self.reads.is_reader,
+        )
+
+    def absorb(self, sender: VmId, digest: Digest, now_s: float) -> None:
+        """Takes what a peer's heartbeat says."""
+        self.ownership.hear(sender, digest.lists, now_s)
+        self.note_config(sender, digest.config)
+        age_ms = digest.read_age_ms
+        self.reads.note_peer(
+            sender,
+            None if age_ms < 0 else age_ms / _MS_PER_S,
+            now_s,
+            is_reader=digest.is_reader,
+        )
+
+    def note_config(self, peer: VmId, revision: Revision) -> None:
+        """Notes which text a peer holds."""
+        self._configs[peer] = revision
+
+    def config_of(self, peer: VmId) -> Revision:
+        """Returns the newest text that a peer holds, as far as known."""
+        return self._configs.get(peer, Revision(0))
+
+    def forget_config(self, peer: VmId) -> None:
+        """Drops what a peer holds until it says so again."""
+        self._configs.pop(peer, None)
+
+    def sample_alive(self, count: int) -> list[VmId]:
+        """Returns some of the peers that are alive, at random."""
+        alive = self.detector.alive
+        return self._rng.sample(alive, min(count, len(alive)))
+
+    def _on_restart(self, vm_id: VmId) -> None:
+        self.ownership.forget_peer(vm_id)
+        self._configs.pop(vm_id, None)
+
+
+__all__ = ('FleetCore',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/heartbeats.py
@@ -0,0 +1,175 @@
+"""Task that probes the other nodes and answers their probes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.membership.timing import (
+    DIRECT_LIMIT_S,
+    INDIRECT_LIMIT_S,
+)
+from catkinreach_core.messages.membership import (
+    Ack,
+    Ping,
+    PingRequest,
+    PingVouch,
+)
+
+from ..peers.transport import PeerUnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine, Mapping
+
+    from catkinreach_core.ids import VmId
+    from catkinreach_core.messages.membership import Digest, MemberUpdate
+
+    from ..peers.transport import PeerTransport
+    from .core import FleetCore
+
+TICK_S = 0.1
+FAREWELL_PEERS = 16
+"""Members told at once that this node leaves."""
+
+_PROBE_LIMIT_S = DIRECT_LIMIT_S + INDIRECT_LIMIT_S
+
+
+class HeartbeatPart:
+    """Carries the messages of the failure detector."""
+
+    def __init__(self, core: FleetCore, transport: PeerTransport) -> None:
+        """Answers probes from now on; ``run`` sends them."""
+        self._core = core
+        self._transport = transport
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._listeners: list[Callable[[VmId, Digest], None]] = []
+        self._statuses: dict[VmId, str] = {}
+        transport.on_call(Ping, self._answer)
+        transport.on_call(PingRequest, self._probe_for)
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+        return 'membership'
+
+    def on_heartbeat(self, listener: Callable[[VmId, Digest], None]) -> None:
+        """Calls the listener with each peer's digest, once it is absorbed."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        try:
+            while True:
+                self._tick(time.monotonic())
+                await asyncio.sleep(TICK_S)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    async def hand_over(self) -> None:
+        """Tells the others that this node asks for no more shards."""
+        self._core.ownership.begin_leaving()
+        peers = self._core.detector.alive[:FAREWELL_PEERS]
+        await asyncio.gather(*(self._probe(0, one) for one in peers))
+
+    def status(self) -> Mapping[str, object]:
+        """Returns the members as this node sees them."""
+        return {
+            'members': self._core.detector.statuses,
+            'connected': self._core.is_connected,
+        }
+
+    def _tick(self, now_s: float) -> None:
+        plan = self._core.detector.tick(now_s)
+        for number, target in plan.pings:
+            self._start(self._probe(number, target))
+        for number, target, helpers in plan.indirect:
+            for helper in helpers:
+                self._start(self._ask(number, target, helper))
+        self._log_changes()
+
+    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self, number: int, target: VmId) -> None:
+        now_s = time.monotonic()
+        ping = Ping(
+            number=number,
+            digest=self._core.digest(now_s),
+            news=self._core.detector.news_for(target),
+        )
+        try:
+            ack = await self._transport.call(
+                target, ping, Ack, timeout_s=_PROBE_LIMIT_S
+            )
+        except (PeerUnreachableError, CatkinreachError):
+            return
+        now_s = time.monotonic()
+        self._core.detector.receive_ack(number, ack.digest.member, now_s)
+        self._absorb(target, ack.digest, ack.news, now_s)
+
+    async def _answer(self, sender: VmId, ping: Ping) -> Ack:
+        now_s = time.monotonic()
+        detector = self._core.detector
+        news = detector.news_for(sender)
+        detector.receive_heartbeat(ping.digest.member, now_s)
+        self._absorb(sender, ping.digest, ping.news, now_s)
+        return Ack(
+            number=ping.number, digest=self._core.digest(now_s), news=news
+        )
+
+    async def _ask(self, number: int, target: VmId, helper: VmId) -> None:
+        request = PingRequest(number=number, target=target)
+        try:
+            vouch = await self._transport.call(
+                helper, request, PingVouch, timeout_s=INDIRECT_LIMIT_S
+            )
+        except (PeerUnreachableError, CatkinreachError):
+            return
+        self._core.detector.receive_vouch(vouch, time.monotonic())
+
+    async def _probe_for(self, _: VmId, request: PingRequest) -> PingVouch:
+        ping = Ping(
+            number=request.number, digest=self._core.digest(time.monotonic())
+        )
+        try:
+            ack = await self._transport.call(
+                request.target, ping, Ack, timeout_s=INDIRECT_LIMIT_S
+            )
+        except PeerUnreachableError as error:
+            raise CatkinreachError(
+                ErrorKind.PEER_PROTOCOL, 'the target did not answer'
+            ) from error
+        return PingVouch(
+            number=request.number,
+            target=request.target,
+            incarnation=ack.digest.member.incarnation,
+        )
+
+    def _absorb(
+        self,
+        sender: VmId,
+        digest: Digest,
+        news: tuple[MemberUpdate, ...],
+        now_s: float,
+    ) -> None:
+        self._core.detector.receive_news(news, now_s)
+        self._core.absorb(sender, digest, now_s)
+        for listener in self._listeners:
+            listener(sender, digest)
+
+    def _log_changes(self) -> None:
+        statuses = self._core.detector.statuses
+        for vm_id, status in statuses.items():
+            if self._statuses.get(vm_id, 'unheard') != status:
+                logger.info('membership: {} is {}.', vm_id, status)
+        self._statuses = statuses
+
+
+__all__ = ('HeartbeatPart',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/lists.py
@@ -0,0 +1,73 @@
+"""Spreads the VM lists between the nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from catkinreach_core.errors import CatkinreachError
+from catkinreach_core.messages.leases import ListPull, ListPush
+
+from ..peers.transport import PeerUnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinreach_core.ids import Revision, VmId
+
+    from ..config.state import FleetState
+    from ..peers.transport import PeerTransport
+    from .core import FleetCore
+
+PULL_LIMIT_S = 0.5
+
+
+class ListExchange:
+    """Fetches the lists that a peer knows and this node does not."""
+
+    def __init__(
+        self, core: FleetCore, state: FleetState, transport: PeerTransport
+    ) -> None:
+        """Answers pulls from now on."""
+        self._core = core
+        self._state = state
+        self._transport = transport
+        self._pulls: dict[VmId, asyncio.Task[None]] = {}
+        self._listeners: list[Callable[[], None]] = []
+        transport.on_call(ListPull, self._serve)
+
+    def notice(self, peer: VmId, revisions: tuple[Revision, ...]) -> None:
+        """Pulls what is unknown of a peer's revisions."""
+        unknown = self._core.ownership.history.unknown(revisions)
+        if not unknown or peer in self._pulls:
+            return
+        task = asyncio.create_task(self._pull(peer, unknown))
+        self._pulls[peer] = task
+        task.add_done_callback(lambda _: self._pulls.pop(peer))
+
+    def close(self) -> None:
+        """Ends the pulls under way."""
+        for task in tuple(self._pulls.values()):
+            task.cancel()
+
+    async def _pull(self, peer: VmId, unknown: tuple[Revision, ...]) -> None:
+        pull = ListPull(revisions=unknown)
+        try:
+            push = await self._transport.call(
+                peer, pull, ListPush, timeout_s=PULL_LIMIT_S
+            )
+        except (PeerUnreachableError, CatkinreachError):
+            return
+        now_s = time.monotonic()
+        for vm_list in push.lists:
+            self._core.ownership.history.learn(vm_list, now_s)
+            self._state.accept_vms(vm_list)
+
+    async def _serve(self, _: VmId, pull: ListPull) -> ListPush:
+        return ListPush(
+            lists=self._core.ownership.history.lists(pull.revisions)
+        )
+
+
+__all__ = ('ListExchange',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/ownership.py
@@ -0,0 +1,166 @@
+"""Task that keeps the node's leases."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from catkinreach_core.errors import CatkinreachError
+from catkinreach_core.messages.leases import (
+    LeaseRelease,
+    LeaseReply,
+    LeaseRequest,
+)
+from catkinreach_core.ownership.events import LeaseEvent, LeaseEventKind
+from catkinreach_core.ownership.tenure import OwnershipView, Tenure
+
+from ..peers.transport import PeerUnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from catkinreach_core.ids import ShardId, VmId
+    from catkinreach_core.ownership.holder import Outgoing
+
+    from ..peers.transport import PeerTransport
+    from .core import FleetCore
+    from .lists import ListExchange
+
+TICK_S = 0.1
+REQUEST_LIMIT_S = 1.0
+MAX_SUSPENSION_S = 0.5
+"""Advance of the wall clock over the monotonic one after which the machine
+counts as suspended: the monotonic clock may have stood still."""
+
+_MS_PER_S = 1000
+_QUIET_KINDS = frozenset((LeaseEventKind.EXTENDED,))
+
+
+class OwnershipPart(OwnershipView):
+    """Carries the messages of the leases and answers who owns what."""
+
+    def __init__(
+        self, core: FleetCore, transport: PeerTransport, lists: ListExchange
+    ) -> None:
+        """Answers other nodes' requests from now on; ``run`` sends ours."""
+        self._core = core
+        self._leases = core.ownership
+        self._transport = transport
+        self._lists = lists
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._offset_s = time.time() - time.monotonic()
+        self._counts = dict.fromkeys(LeaseEventKind, 0)
+        self._leases.on_event(self._note)
+        transport.on_call(LeaseRequest, self._answer)
+        transport.on_message(LeaseRelease, self._take_back)
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+        return 'ownership'
+
+    def tenure_of(self, shard: ShardId, now_s: float) -> Tenure | None:
+        """Returns this node's tenure if it may act as owner right now."""
+        if self._suspension_s() > MAX_SUSPENSION_S:
+            return None
+        return self._leases.tenure_of(shard, now_s)
+
+    def owner_of(self, shard: ShardId) -> VmId | None:
+        """Returns the VM to ask about the shard, a hint that may be stale."""
+        return self._leases.owner_of(shard)
+
+    def successor_of(self, shard: ShardId) -> VmId | None:
+        """Returns the VM that is to own the shard once this one leaves."""
+        return self._leases.candidate_of(shard)
+
+    def on_tenure(
+        self,
+        shard_prefix: str,
+        started: Callable[[Tenure], None],
+        ended: Callable[[Tenure], None],
+    ) -> None:
+        """Calls back when a tenure of a shard begins and when it has ended."""
+        self._leases.on_tenure(shard_prefix, started, ended)
+
+    async def run(self) -> None:
+        """Keeps leases until cancelled."""
+        try:
+            while True:
+                self._tick()
+                await asyncio.sleep(TICK_S)
+        finally:
+            self._lists.close()
+            for task in self._tasks:
+                task.cancel()
+
+    async def hand_over(self) -> None:
+        """Releases every lease, so that successors acquire them at once."""
+        self._send(self._leases.release_all(time.monotonic()))
+        await asyncio.sleep(TICK_S)
+
+    def status(self) -> Mapping[str, object]:
+        """Returns what this node owns."""
+        return {
+            'voting': self._leases.is_voting,
+            'leaving': self._leases.is_leaving,
+            'lists': self._leases.history.revisions,
+            'owned': sorted(self._leases.held),
+            'events': {
+                kind.value: count for kind, count in self._counts.items()
+            },
+        }
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        suspension_s = self._suspension_s()
+        if suspension_s > MAX_SUSPENSION_S:
+            logger.warning('ownership: suspended for {:.1f} s.', suspension_s)
+            self._leases.suspend(now_s)
+        if abs(suspension_s) > MAX_SUSPENSION_S:
+            self._offset_s = time.time() - now_s
+        self._send(self._leases.tick(now_s, int(time.time() * _MS_PER_S)))
+
+    def _suspension_s(self) -> float:
+        return time.time() - time.monotonic() - self._offset_s
+
+    def _send(self, outgoing: list[Outgoing]) -> None:
+        for one in outgoing:
+            if isinstance(one.message, LeaseRelease):
+                self._transport.send(one.target, one.message)
+                continue
+            task = asyncio.create_task(self._ask(one.target, one.message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, voter: VmId, request: LeaseRequest) -> None:
+        try:
+            reply = await self._transport.call(
+                voter, request, LeaseReply, timeout_s=REQUEST_LIMIT_S
+            )
+        except (PeerUnreachableError, CatkinreachError):
+            return
+        self._leases.receive(voter, reply, time.monotonic())
+        self._lists.notice(voter, reply.lists)
+
+    async def _answer(self, asker: VmId, request: LeaseRequest) -> LeaseReply:
+        self._lists.notice(asker, request.lists)
+        return self._leases.answer(asker, request, time.monotonic())
+
+    def _take_back(self, holder: VmId, release: LeaseRelease) -> None:
+        self._leases.take_back(holder, release, time.monotonic())
+
+    def _note(self, event: LeaseEvent) -> None:
+        self._counts[event.kind] += 1
+        if event.kind not in _QUIET_KINDS:
+            logger.debug(
+                'ownership: {} {} in term {}.',
+                event.shard,
+                event.kind.value,
+                event.term,
+            )
+
+
+__all__ = ('OwnershipPart',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/wire.py
@@ -0,0 +1,85 @@
+"""Builds the parts that the nodes hold together with."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from .core import FleetCore
+from .event_log import EventLog
+from .heartbeats import HeartbeatPart
+from .lists import ListExchange
+from .ownership import OwnershipPart
+from .relay import RelayPart
+
+if TYPE_CHECKING:
+    from catkinreach_core.ids import Incarnation
+    from catkinreach_core.settings.node import NodeSettings
+
+    from ..config.state import FleetState
+    from ..http.client import HttpClient
+    from ..parts import NodePart
+    from ..peers.transport import PeerTransport
+
+
+@dataclass(frozen=True, slots=True)
+class FleetParts:
+    """Membership, relay and ownership of one node."""
+
+    core: FleetCore
+    heartbeats: HeartbeatPart
+    relay: RelayPart
+    ownership: OwnershipPart
+
+    @property
+    def first(self) -> tuple[NodePart, ...]:
+        """Returns the parts that hand over before all others."""
+        return (self.heartbeats, self.relay)
+
+    @property
+    def last(self) -> tuple[NodePart, ...]:
+        """Returns the parts that hand over after all others."""
+        return (self.ownership,)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: NodeSettings,
+        incarnation: Incarnation,
+        state: FleetState,
+        transport: PeerTransport,
+        client: HttpClient,
+    ) -> FleetParts:
+        """Builds the parts of a process that has just started."""
+        core = FleetCore(
+            settings.vm_id,
+            incarnation,
+            state,
+            now_s=time.monotonic(),
+            wall_s=time.time(),
+        )
+        if settings.event_log:
+            log = EventLog(Path(settings.event_log))
+            core.ownership.on_event(log.write)
+        lists = ListExchange(core, state, transport)
+        heartbeats = HeartbeatPart(core, transport)
+        relay = RelayPart(
+            core,
+            state,
+            transport,
+            client,
+            lists,
+            service=settings.config_service,
+        )
+        heartbeats.on_heartbeat(relay.receive_heartbeat)
+        return cls(
+            core=core,
+            heartbeats=heartbeats,
+            relay=relay,
+            ownership=OwnershipPart(core, transport, lists),
+        )
+
+
+__all__ = ('FleetParts',)
--- a/packages/catkinreach-node/src/catkinreach_node/parts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/parts.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
-    from catkinreach_core.ids import Incarnation
-    from catkinreach_core.ownership.tenure import OwnershipView
+    from catkinreach_core.ids import Incarnation, ShardId, VmId
+    from catkinreach_core.ownership.tenure import OwnershipView, Tenure
     from catkinreach_core.settings.node import NodeSettings
 
     from .config.state import FleetState
@@ -19,6 +19,25 @@
     from .telemetry.hop import HopRecorder
 
 
+class TenureFeed(Protocol):
+    """Tells parts of the beginning and end of this node's tenures."""
+
+    def on_tenure(
+        self,
+        shard_prefix: str,
+        started: Callable[[Tenure], None],
+        ended: Callable[[Tenure], None],
+    ) -> None:
+        """Calls back when a tenure begins and when it has ended.
+
+        ``ended`` may come late, after a pause of the process: whoever acts
+        as owner asks ``tenure_of`` right before.
+        """
+
+    def successor_of(self, shard: ShardId) -> VmId | None:
+        """Returns the VM that is to own the shard once this one leaves."""
+
+
 @dataclass(frozen=True, slots=True)
 class NodeContext:
     """What every part may use.
@@ -30,6 +49,7 @@
         client: Connections to upstreams and the platform.
         transport: Messages to the other nodes.
         ownership: Who decides for a shard.
+        tenures: Tells when this node's tenures begin and end.
         api: Operators' actions; a part adds its own.
         hops: Spans and latencies of the requests' hops.
     """
@@ -40,6 +60,7 @@
     client: HttpClient
     transport: PeerTransport
     ownership: OwnershipView
+    tenures: TenureFeed
     api: OperatorApi
     hops: HopRecorder
 
@@ -61,4 +82,4 @@
         """Returns what operators see of the part, ready for JSON."""
 
 
-__all__ = ('NodeContext', 'NodePart')
+__all__ = ('NodeContext', 'NodePart', 'TenureFeed')
--- a/packages/catkinreach-node/src/catkinreach_node/peers/transport.py
+++ b/packages/catkinreach-node/src/catkinreach_node/peers/transport.py
@@ -49,6 +49,7 @@
         address: Address,
         hello: Hello,
         on_reply: Callable[[Frame], None],
+        is_wanted: Callable[[Frame], bool],
         tls: ssl.SSLContext | None = None,
         vm_id: VmId | None = None,
     ) -> None:
@@ -57,6 +58,7 @@
         self._address = address
         self._hello = hello
         self._on_reply = on_reply
+        self._is_wanted = is_wanted
         self._tls = tls
         self._frames: asyncio.Queue[Frame] = asyncio.Queue(MAX_OUTBOX_FRAMES)
         self._task = asyncio.create_task(self._run())
@@ -78,6 +80,8 @@
     async def _run(self) -> None:
         while True:
             frame = await self._frames.get()
+            if not self._is_wanted(frame):
+                continue
             try:
                 await self._connect_and_send(frame)
             except (OSError, TimeoutError, CatkinreachError):
@@ -96,7 +100,8 @@
         try:
             self._write(writer, Frame(self._hello))
             while not reading.done():
-                self._write(writer, frame)
+                if self._is_wanted(frame):
+                    self._write(writer, frame)
                 await writer.drain()
                 frame = await self._next_frame(reading)
         finally:
@@ -151,16 +156,22 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._replied_bytes = 0
+        self._replied_frames = 0
 
     @property
     def sent_bytes(self) -> int:
         """Returns the bytes sent to peers so far."""
-        return sum(outbox.sent_bytes for outbox in self._outboxes.values())
+        return self._replied_bytes + sum(
+            outbox.sent_bytes for outbox in self._outboxes.values()
+        )
 
     @property
     def sent_frames(self) -> int:
         """Returns the frames sent to peers so far."""
-        return sum(outbox.sent_frames for outbox in self._outboxes.values())
+        return self._replied_frames + sum(
+            outbox.sent_frames for outbox in self._outboxes.values()
+        )
 
     def on_message(
         self,
@@ -239,10 +250,19 @@
         slot = (vm_id, str(address))
         if slot not in self._outboxes:
             self._outboxes[slot] = PeerOutbox(
-                address, self._hello, self._on_reply, self._tls, vm_id
+                address,
+                self._hello,
+                self._on_reply,
+                self._is_wanted,
+                self._tls,
+                vm_id,
             )
         return self._outboxes[slot]
 
+    def _is_wanted(self, frame: Frame) -> bool:
+        """Tells whether somebody still waits for the answer to a call."""
+        return not frame.call or frame.call in self._calls
+
     def _on_reply(self, frame: Frame) -> None:
         future = self._calls.get(-frame.call)
         if future is not None and not future.done():
@@ -299,7 +319,10 @@
         except CatkinreachError as error:
             reply = Refusal(kind=error.kind.value, detail=error.detail)
         if not writer.is_closing():
-            writer.write(encode_frame(Frame(reply, -frame.call)))
+            packed = encode_frame(Frame(reply, -frame.call))
+            self._replied_bytes += len(packed)
+            self._replied_frames += 1
+            writer.write(packed)
 
 
 def check_peer_identity(vm_id: VmId, writer: asyncio.StreamWriter) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from catkinreach_core.ownership.static import StaticOwnership
 from catkinreach_core.settings.node import Address
 
 from .config.state import FleetState
+from .fleet.wire import FleetParts
 from .http.client import HttpClient
 from .operator.api import OperatorApi
 from .parts import NodeContext
@@ -27,6 +27,7 @@
     from catkinreach_core.ids import Incarnation, VmId
     from catkinreach_core.settings.node import NodeSettings
 
+    from .fleet.relay import RelayPart
     from .parts import NodePart
 
 
@@ -36,6 +37,7 @@
 
     context: NodeContext
     parts: tuple[NodePart, ...]
+    relay: RelayPart
     accept: AcceptStage
     tracing: Tracing
     tls: NodeTls
@@ -46,10 +48,11 @@
     tls = NodeTls.from_settings(settings)
     tracing = Tracing.from_settings(settings.traces, settings.vm_id)
     hops = HopRecorder(Metrics(), tracing.tracer)
-    context = _build_context(settings, incarnation, hops, tls)
+    context, fleet = _build_context(settings, incarnation, hops, tls)
     return NodeWiring(
         context=context,
-        parts=(),
+        parts=(*fleet.first, *fleet.last),
+        relay=fleet.relay,
         accept=_build_stages(context),
         tracing=tracing,
         tls=tls,
@@ -61,7 +64,7 @@
     incarnation: Incarnation,
     hops: HopRecorder,
     tls: NodeTls,
-) -> NodeContext:
+) -> tuple[NodeContext, FleetParts]:
     state = FleetState()
 
     def peer_address(vm_id: VmId) -> Address | None:
@@ -71,20 +74,25 @@
         host, _, port = entry.peer_address.rpartition(':')
         return Address(host, int(port))
 
-    return NodeContext(
+    transport = PeerTransport(
+        settings.vm_id, incarnation, peer_address, tls=tls.peer_client
+    )
+    client = HttpClient()
+    fleet = FleetParts.from_settings(
+        settings, incarnation, state, transport, client
+    )
+    context = NodeContext(
         settings=settings,
         incarnation=incarnation,
         state=state,
-        client=HttpClient(),
-        transport=PeerTransport(
-            settings.vm_id, incarnation, peer_address, tls=tls.peer_client
-        ),
-        ownership=StaticOwnership(
-            settings.vm_id, incarnation, lambda: state.vms
-        ),
+        client=client,
+        transport=transport,
+        ownership=fleet.ownership,
+        tenures=fleet.ownership,
         api=OperatorApi(settings.operator_key_digest),
         hops=hops,
     )
+    return context, fleet
 
 
 def _build_stages(context: NodeContext) -> AcceptStage:
