Send open-loop load by seed and judge every answer

Closed-loop callers wait for slow answers and so hide them. Arrivals are now drawn before the run, each workspace from a stream of its own, and latency counts from the intended time of sending (coordinated omission). Ruled out: hdrhistogram's corrected recording, which guesses the omitted samples that an open loop really sends.

An exact account of each workspace's buckets tells wrongful refusals from rightful ones; it draws for admitted requests only, so one wrongful refusal does not excuse the next.

--- /dev/null
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/load/__init__.py
@@ -0,0 +1,3 @@
+"""Open-loop load: arrivals by seed, callers, checks of answers, results."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/load/result.py
@@ -0,0 +1,195 @@
+"""Results of a run as typed JSON."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+US_PER_S = 1_000_000
+
+
+class Percentiles(msgspec.Struct, frozen=True):
+    """Percentiles of a latency in seconds."""
+
+    count: int = 0
+    p50_s: float = 0.0
+    p95_s: float = 0.0
+    p99_s: float = 0.0
+    max_s: float = 0.0
+
+    @classmethod
+    def from_seconds(cls, times_s: Iterable[float]) -> Percentiles:
+        """Returns the percentiles of recorded times."""
+        histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+        for time_s in times_s:
+            rounded_us = max(LOWEST_US, round(time_s * US_PER_S))
+            histogram.record_value(min(HIGHEST_US, rounded_us))
+        if not histogram.total_count:
+            return cls()
+        return cls(
+            count=histogram.total_count,
+            p50_s=histogram.get_value_at_percentile(50) / US_PER_S,
+            p95_s=histogram.get_value_at_percentile(95) / US_PER_S,
+            p99_s=histogram.get_value_at_percentile(99) / US_PER_S,
+            max_s=histogram.get_max_value() / US_PER_S,
+        )
+
+
+class Counts(msgspec.Struct, frozen=True, kw_only=True):
+    """How requests ended.
+
+    Attributes:
+        offered: Requests sent.
+        answered: Answered once and in full.
+        refused: Refused as not run.
+        broken: Neither.
+        good: Answered within both latency targets.
+        refusals: Refused ones by code.
+        breaks: Broken ones by reason.
+    """
+
+    offered: int = 0
+    answered: int = 0
+    refused: int = 0
+    broken: int = 0
+    good: int = 0
+    refusals: dict[str, int] = {}
+    breaks: dict[str, int] = {}
+
+    @property
+    def good_share(self) -> float:
+        """Returns the good part of the requests offered."""
+        return self.good / self.offered if self.offered else 0.0
+
+
+class WorkspaceResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What one workspace got.
+
+    Attributes:
+        model: Requests to engines.
+        plain: Requests to plain services.
+        wrongful_refusals: Refused by rate though inside rate and burst.
+    """
+
+    model: Counts
+    plain: Counts
+    wrongful_refusals: int
+
+
+class SecondResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Model requests whose intended sending fell into one second."""
+
+    at_s: int
+    offered: int
+    good: int
+    answered: int
+
+
+class PrefillUse(msgspec.Struct, frozen=True, kw_only=True):
+    """What the engines did for the answers, from their own records.
+
+    Attributes:
+        prefills: Prefills that ran to their end.
+        completed: Decodes that ran to their end.
+        expired: Exports that nobody imported.
+        prefill_tokens: Prompt tokens that were computed.
+        cached_tokens: Prompt tokens that the prefix cache had.
+    """
+
+    prefills: int = 0
+    completed: int = 0
+    expired: int = 0
+    prefill_tokens: int = 0
+    cached_tokens: int = 0
+
+    @property
+    def wasted_share(self) -> float:
+        """Returns the part of prefills that no completed decode used."""
+        if not self.prefills:
+            return 0.0
+        return max(0, self.prefills - self.completed) / self.prefills
+
+    def since(self, earlier: PrefillUse) -> PrefillUse:
+        """Returns what was added since an earlier reading."""
+        return PrefillUse(
+            **{
+                name: getattr(self, name) - getattr(earlier, name)
+                for name in self.__struct_fields__
+            }
+        )
+
+
+class LoadResult(msgspec.Struct, frozen=True, kw_only=True):
+    """One run and what anyone needs to repeat it.
+
+    Attributes:
+        commit: Commit of the tree; ``+`` behind it if files differ.
+        command: Command line that was run.
+        workload: Name of the workload.
+        seed: Seed of the arrivals.
+        rate_per_s: Requests of all classes a second.
+        duration_s: Time over which they arrived.
+        model: Requests to engines, all workspaces.
+        plain: Requests to plain services, all workspaces.
+        first_token: From the intended sending to the first token.
+        between_tokens: Between tokens of answered requests.
+        plain_latency: From the intended sending to the answer's end.
+        send_lag: From the intended to the true sending.
+        workspaces: What each workspace got.
+        seconds: Model requests by second.
+        prefill: What the engines did.
+    """
+
+    commit: str
+    command: str
+    workload: str
+    seed: int
+    rate_per_s: float
+    duration_s: float
+    model: Counts
+    plain: Counts
+    first_token: Percentiles
+    between_tokens: Percentiles
+    plain_latency: Percentiles
+    send_lag: Percentiles
+    workspaces: dict[str, WorkspaceResult]
+    seconds: tuple[SecondResult, ...]
+    prefill: PrefillUse = PrefillUse()
+
+    @property
+    def is_clean(self) -> bool:
+        """Tells whether every accepted request was answered in full."""
+        return not self.model.broken and not self.plain.broken
+
+    @property
+    def wrongful_refusals(self) -> int:
+        """Returns the wrongful refusals of all workspaces."""
+        return sum(one.wrongful_refusals for one in self.workspaces.values())
+
+    @property
+    def worst_share(self) -> float:
+        """Returns the good share of the worst-served workspace."""
+        shares = [
+            one.model.good_share
+            for one in self.workspaces.values()
+            if one.model.offered
+        ]
+        return min(shares, default=0.0)
+
+
+__all__ = (
+    'Counts',
+    'LoadResult',
+    'Percentiles',
+    'PrefillUse',
+    'SecondResult',
+    'WorkspaceResult',
+)
--- /dev/null
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/load/runner.py
@@ -0,0 +1,45 @@
+"""Sends a plan open-loop: arrivals never wait for answers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from .caller import Caller
+    from .observation import Observation
+    from .plan import PlannedRequest
+
+
+class Progress(Protocol):
+    """Is told of each request that has ended."""
+
+    def update(self, count: float | None = 1, /) -> bool | None:
+        """Counts ended requests."""
+
+
+async def run_plan(
+    plan: Sequence[PlannedRequest], caller: Caller, progress: Progress
+) -> list[Observation]:
+    """Sends every request at its time and waits for all answers."""
+    start_s = time.monotonic()
+
+    def clock() -> float:
+        return time.monotonic() - start_s
+
+    async def send(planned: PlannedRequest) -> Observation:
+        observation = await caller.send(planned, clock)
+        progress.update()
+        return observation
+
+    tasks = []
+    for planned in plan:
+        await asyncio.sleep(max(0.0, planned.at_s - clock()))
+        tasks.append(asyncio.create_task(send(planned)))
+    return await asyncio.gather(*tasks)
+
+
+__all__ = ('Progress', 'run_plan')
--- /dev/null
+++ b/packages/catkinreach-ctl/tests/load/test_account.py
@@ -0,0 +1,73 @@
+"""The exact account tells rightful refusals from wrongful ones."""
+
+from __future__ import annotations
+
+from catkinreach_core.ids import WorkspaceId
+from catkinreach_core.settings.fleet import Workspace
+from catkinreach_ctl.load.account import wrongful_refusals
+from catkinreach_ctl.load.observation import Observation, Verdict
+from catkinreach_ctl.load.plan import PlannedRequest
+from catkinreach_ctl.load.workload import RequestClass, RequestKind
+
+WORKSPACE = Workspace(
+    workspace_id=WorkspaceId('one'),
+    requests_per_s=1,
+    request_burst=2,
+    tokens_per_s=100,
+    token_burst=1000,
+)
+CLASS = RequestClass(name='c', kind=RequestKind.MODEL, share=1, path='/')
+
+
+def _observe(
+    at_s: float, verdict: Verdict, code: str = '', tokens: int = 100
+) -> Observation:
+    planned = PlannedRequest(
+        at_s=at_s,
+        workspace_id=WORKSPACE.workspace_id,
+        request_class=CLASS,
+        body=b'',
+        prompt=(1,) * (tokens // 2),
+        output_tokens=tokens // 2,
+        salt=0,
+    )
+    return Observation(
+        planned=planned,
+        sent_at_s=at_s,
+        ended_at_s=at_s + 0.01,
+        verdict=verdict,
+        code=code,
+        token_count=tokens // 2,
+    )
+
+
+def test_refusal_inside_the_burst_is_wrongful() -> None:
+    seen = [
+        _observe(0, Verdict.ANSWERED),
+        _observe(0.1, Verdict.REFUSED, 'rate-limited'),
+    ]
+    assert wrongful_refusals(WORKSPACE, seen) == 1
+
+
+def test_refusal_beyond_the_burst_is_rightful() -> None:
+    seen = [
+        _observe(0, Verdict.ANSWERED),
+        _observe(0.1, Verdict.ANSWERED),
+        _observe(0.2, Verdict.REFUSED, 'rate-limited'),
+        _observe(1.5, Verdict.REFUSED, 'rate-limited'),
+    ]
+    assert wrongful_refusals(WORKSPACE, seen) == 1
+
+
+def test_tokens_count_too() -> None:
+    seen = [
+        _observe(0, Verdict.ANSWERED, tokens=1000),
+        _observe(0.5, Verdict.REFUSED, 'rate-limited', tokens=200),
+        _observe(5, Verdict.REFUSED, 'rate-limited', tokens=200),
+    ]
+    assert wrongful_refusals(WORKSPACE, seen) == 1
+
+
+def test_other_refusals_are_not_the_limiters() -> None:
+    seen = [_observe(0, Verdict.REFUSED, 'queue-full')]
+    assert wrongful_refusals(WORKSPACE, seen) == 0
