Compare policies on the same seeds from the command line

catkinreach gets check, status, queue, explain, load and experiment as subcommands of absl's own argparse flags. An experiment loads its bench of real processes by name, so the product does not depend on the stand-ins.

--- /dev/null
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Subcommands of ``catkinreach``, one module each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/experiment/series.py
@@ -0,0 +1,126 @@
+"""Runs every variant on every seed, one bench after the other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+from tqdm import tqdm
+
+from ..load.provenance import Provenance
+from .bench import BenchSpec
+from .capacity import capacity_per_s
+from .result import ExperimentResult, RunResult
+from .run import plan_scenario, run_scenario
+from .scenario import Scenario
+from .variant import Variant
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from ..load.runner import Progress
+    from ..load.workload import Workload
+    from .bench import Bench, BenchModule
+
+
+class ExperimentOptions(Struct, frozen=True, kw_only=True):
+    """What an experiment runs.
+
+    Attributes:
+        scenario: Load and actions.
+        variants: The first one is the baseline.
+        seeds: Each variant runs on each of them.
+        fleet_text: The fleet's text before the variants' changes.
+        node_count: Entry VMs.
+        engine_flags: Extra flags of every engine.
+        duration_s: Measured time of a run.
+        warmup_s: Time of load before it.
+    """
+
+    scenario: Scenario
+    variants: tuple[Variant, ...]
+    seeds: tuple[int, ...]
+    fleet_text: str
+    node_count: int = 3
+    engine_flags: tuple[str, ...] = ()
+    duration_s: float = 20.0
+    warmup_s: float = 5.0
+
+
+def run_experiment(
+    options: ExperimentOptions, workload: Workload, module: BenchModule
+) -> ExperimentResult:
+    """Runs all variants in turn, seed by seed."""
+    provenance = Provenance.of_process()
+    capacity = 0.0
+    runs = []
+    for seed, variant in _schedule(options):
+        with module.open_bench(_spec(options, variant, seed)) as bench:
+            capacity = capacity_per_s(workload, bench.settings, bench.rates)
+            runs.append(
+                _run_one(options, workload, bench, variant, seed, provenance)
+            )
+    return ExperimentResult(
+        commit=provenance.commit,
+        command=provenance.command,
+        scenario=options.scenario.name,
+        workload=workload.name,
+        capacity_per_s=capacity,
+        load=options.scenario.load,
+        baseline=options.variants[0].name,
+        runs=tuple(runs),
+    )
+
+
+def _schedule(options: ExperimentOptions) -> Iterator[tuple[int, Variant]]:
+    """Yields the runs; every other seed takes the variants in reverse."""
+    for position, seed in enumerate(options.seeds):
+        direction = -1 if position % 2 else 1
+        for variant in options.variants[::direction]:
+            yield seed, variant
+
+
+def _spec(options: ExperimentOptions, variant: Variant, seed: int) -> BenchSpec:
+    return BenchSpec(
+        fleet_text=variant.apply(options.fleet_text),
+        node_count=options.node_count,
+        engine_flags=options.engine_flags,
+        seed=seed,
+    )
+
+
+def _run_one(
+    options: ExperimentOptions,
+    workload: Workload,
+    bench: Bench,
+    variant: Variant,
+    seed: int,
+    provenance: Provenance,
+) -> RunResult:
+    plan = plan_scenario(
+        options.scenario,
+        workload,
+        bench,
+        seed=seed,
+        duration_s=options.duration_s,
+        warmup_s=options.warmup_s,
+    )
+    load = run_scenario(
+        options.scenario,
+        workload,
+        bench,
+        plan,
+        provenance=provenance,
+        new_progress=_progress_of(f'{variant.name} seed {seed}'),
+    )
+    return RunResult(variant=variant.name, seed=seed, load=load)
+
+
+def _progress_of(name: str) -> Callable[[int], Progress]:
+    def new_progress(total: int) -> Progress:
+        return tqdm(total=total, desc=name, unit='req', mininterval=0.5)
+
+    return new_progress
+
+
+__all__ = ('ExperimentOptions', 'run_experiment')
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/run.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/run.py
@@ -2,50 +2,52 @@
 
 from __future__ import annotations
 
-import sys
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from absl import app
 
-from catkinreach_core.errors import CatkinreachError
-from catkinreach_core.ids import Revision
-from catkinreach_core.settings import load_fleet
+from .commands import check, experiment, explain, load, queue, status
+from .commands.parsing import HelpFormatter, Parser
 
 if TYPE_CHECKING:
+    from argparse import Namespace
     from collections.abc import Sequence
 
-EXIT_OK = 0
-EXIT_USAGE = 1
-EXIT_SETTINGS = 2
-_CHECK_ARGUMENTS = 3
+_EPILOG = """\
+exit codes: 0 done; 1 usage; 2 faulty settings; 3 node unreachable;
+4 refused by the node; 5 an accepted request was not answered in full"""
 
+_COMMANDS = (check, status, queue, explain, load, experiment)
 
-def check_fleet(path: Path) -> int:
-    """Prints every fault of a fleet's text; returns the exit code."""
-    try:
-        load_fleet(
-            path.read_text(encoding='utf-8'),
-            revision=Revision(1),
-            source=str(path),
-        )
-    except (OSError, CatkinreachError) as error:
-        sys.stderr.write(f'{error}\n')
-        return EXIT_SETTINGS
-    sys.stdout.write(f'{path}: no faults\n')
-    return EXIT_OK
 
+def parse_arguments(argv: Sequence[str]) -> Namespace:
+    """Returns the options of the chosen subcommand."""
+    parser = Parser(  # type: ignore[no-untyped-call]
+        prog='catkinreach',
+        description='Checks, status, load and experiments of catkinreach.',
+        epilog=_EPILOG,
+        formatter_class=HelpFormatter,
+    )
+    subparsers = parser.add_subparsers(
+        required=True, metavar='COMMAND', parser_class=Parser
+    )
+    for command in _COMMANDS:
+        command.add_parser(subparsers)
+    options: Namespace = parser.parse_args(argv[1:])
+    return options
 
-def _run(arguments: Sequence[str]) -> int:
-    if len(arguments) != _CHECK_ARGUMENTS or arguments[1] != 'check':
-        sys.stderr.write('usage: catkinreach check FILE\n')
-        return EXIT_USAGE
-    return check_fleet(Path(arguments[2]))
+
+def _run(options: Namespace) -> int:
+    exit_code: int = options.run(options)
+    return exit_code
 
 
 def main() -> None:
     """Runs the binary."""
-    app.run(_run)
+    app.run(_run, flags_parser=parse_arguments)
+
 
+__all__ = ('main', 'parse_arguments')
 
-__all__ = ('check_fleet', 'main')
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/load_bench.py
@@ -0,0 +1,175 @@
+"""The bench that ``catkinreach experiment`` loads by name."""
+
+from __future__ import annotations
+
+import hashlib
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from catkinreach_core.settings.fleet import PoolRole
+from catkinreach_core.settings.node import Address
+from catkinreach_ctl.experiment.bench import EngineRates
+from catkinreach_ctl.experiment.variant import SettingChange
+from catkinreach_ctl.load.result import PrefillUse
+from catkinreach_ctl.load.workload import RequestKind
+
+from ..answer import expected_answer
+from ..engine_options import EngineOptions
+from .deployment import BenchOptions, Deployment
+from .ports import LOOPBACK
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from catkinreach_core.ids import UpstreamId, WorkspaceId
+    from catkinreach_core.settings.fleet import FleetSettings, Upstream
+    from catkinreach_ctl.experiment.bench import BenchSpec
+    from catkinreach_ctl.load.plan import PlannedRequest
+
+
+class PlainAnswer(msgspec.Struct, frozen=True):
+    """What the plain stand-in says of a call."""
+
+    path: str
+    execution: int
+    workspace: str
+    body_sha256: str
+
+
+class StandinCheck:
+    """Compares answers with the stand-ins' known ones."""
+
+    def completion_fault(self, planned: PlannedRequest, text: str) -> str:
+        """Returns a fault unless the text is the expected one."""
+        expected = expected_answer(planned.prompt, planned.output_tokens)
+        return '' if text == expected else 'wrong-text'
+
+    def plain_fault(self, planned: PlannedRequest, body: bytes) -> str:
+        """Returns a fault unless the call ran once, whole, for its caller."""
+        answer = msgspec.json.decode(body, type=PlainAnswer)
+        if answer.workspace != planned.workspace_id:
+            return 'wrong-workspace'
+        if answer.body_sha256 != hashlib.sha256(planned.body).hexdigest():
+            return 'wrong-body'
+        is_order = planned.request_class.kind is RequestKind.ORDER
+        if is_order and answer.execution != 1:
+            return 'ran-twice'
+        return ''
+
+
+class StandinBench:
+    """A deployment of stand-ins and nodes, seen by an experiment."""
+
+    def __init__(self, deployment: Deployment, rates: EngineRates) -> None:
+        """Takes a deployment that runs."""
+        self._deployment = deployment
+        self._rates = rates
+        self._check = StandinCheck()
+        self._fleet_text = deployment.fleet_text
+        self._lost_use = PrefillUse()
+
+    @property
+    def address(self) -> Address:
+        """Returns where callers connect."""
+        return Address(LOOPBACK, self._deployment.balancer_port)
+
+    @property
+    def settings(self) -> FleetSettings:
+        """Returns the settings that were published first."""
+        return self._deployment.settings
+
+    @property
+    def rates(self) -> EngineRates:
+        """Returns the rates of the engines."""
+        return self._rates
+
+    @property
+    def check(self) -> StandinCheck:
+        """Returns the judge of answers."""
+        return self._check
+
+    def key_of(self, workspace_id: WorkspaceId) -> str:
+        """Returns the demonstration key of a workspace."""
+        return f'demo-key-{workspace_id}'
+
+    def prefill_use(self) -> PrefillUse:
+        """Returns what the engines have done, killed ones included."""
+        uses = [
+            self._use_of(engine)
+            for engine in self._engines()
+            if self._deployment.processes[engine.upstream_id].is_running
+        ]
+        return _sum_uses([self._lost_use, *uses])
+
+    def publish_setting(self, section: str, option: str, text: str) -> None:
+        """Publishes the fleet's text with one option changed."""
+        change = SettingChange(section, option, text)
+        self._fleet_text = change.apply(self._fleet_text)
+        self._deployment.publish_config(self._fleet_text)
+
+    def kill_upstream(self, upstream_id: UpstreamId) -> None:
+        """Ends an upstream's process without notice."""
+        engine = self.settings.upstreams[upstream_id]
+        self._lost_use = _sum_uses([self._lost_use, self._use_of(engine)])
+        self._deployment.processes[upstream_id].kill()
+
+    def start_upstream(self, upstream_id: UpstreamId) -> None:
+        """Starts an upstream that was killed."""
+        self._deployment.start_upstream(self.settings.upstreams[upstream_id])
+
+    def _engines(self) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self.settings.upstreams.values()
+            if self.settings.pools[upstream.pool_id].role is not PoolRole.PLAIN
+        ]
+
+    def _use_of(self, engine: Upstream) -> PrefillUse:
+        record = self._deployment.standin_call(
+            engine.port, 'GET', '/standin/record'
+        )
+        return PrefillUse(
+            prefills=record['prefills'],
+            completed=record['completed_decodes'],
+            expired=record['wasted_exports'],
+            prefill_tokens=record['prefill_tokens'],
+            cached_tokens=record['cached_tokens'],
+        )
+
+
+@contextmanager
+def open_bench(spec: BenchSpec) -> Iterator[StandinBench]:
+    """Runs a deployment of the spec inside the ``with`` block."""
+    options = BenchOptions(
+        fleet=spec.fleet_text,
+        node_count=spec.node_count,
+        engine_flags=spec.engine_flags,
+        seed=spec.seed,
+    )
+    with Deployment(options) as deployment:
+        yield StandinBench(deployment, _rates(spec.engine_flags))
+
+
+def _rates(engine_flags: tuple[str, ...]) -> EngineRates:
+    engine = EngineOptions.from_argv(['engine', *engine_flags])
+    scale = engine.time_scale
+    return EngineRates(
+        prefill_base_s=engine.prefill_base_s * scale,
+        prefill_tokens_per_s=engine.prefill_tokens_per_s / scale,
+        step_base_s=engine.step_base_s * scale,
+        step_per_request_s=engine.step_per_request_s * scale,
+    )
+
+
+def _sum_uses(uses: list[PrefillUse]) -> PrefillUse:
+    return PrefillUse(
+        **{
+            name: sum(getattr(use, name) for use in uses)
+            for name in PrefillUse.__struct_fields__
+        }
+    )
+
+
+__all__ = ('StandinBench', 'StandinCheck', 'open_bench')
