--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/__init__.py
@@ -0,0 +1,3 @@
+"""Queue, placement and memory of one cell of engines, as pure decisions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/engine_view.py
@@ -0,0 +1,214 @@
+"""What the cell's owner knows of one engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .prefix_map import PrefixMap
+
+if TYPE_CHECKING:
+    from ..ids import RequestId, UpstreamId
+    from ..settings.fleet import Upstream
+    from .ramp import SlowStart
+
+PREFILL_BASE_S = 0.02
+PREFILL_TOKENS_PER_S = 8000.0
+TRANSFER_BASE_S = 0.005
+TRANSFER_PIECES_PER_S = 200.0
+PACE_GAIN = 0.2
+MIN_PACE = 0.05
+MAX_PACE = 20.0
+
+
+class Health(Enum):
+    """Whether an engine answers."""
+
+    UP = 'up'
+    DOWN = 'down'
+
+
+@dataclass(slots=True)
+class Occupancy:
+    """What one reservation holds on one engine."""
+
+    kv_pieces: int
+    work_s: float
+    is_alone: bool = False
+    is_working: bool = True
+
+
+class EngineView:
+    """Reservations, pace, ramp and cache of one engine.
+
+    ``work_s`` of an occupancy is prefill time on a prefill engine and link
+    time on a decode engine; it counts until the work is reported as done.
+    """
+
+    def __init__(self, upstream: Upstream, ramp: SlowStart) -> None:
+        """Starts idle, cold and in service."""
+        self.upstream = upstream
+        self.ramp = ramp
+        self.prefixes = PrefixMap()
+        self.health = Health.UP
+        self.is_in_service = True
+        self.boot = ''
+        self.pace = 1.0
+        self.foreign_places = 0
+        self.foreign_pieces = 0
+        self._held: dict[RequestId, Occupancy] = {}
+        self._work_s = 0.0
+        self._pieces = 0
+        self._alone = 0
+        self._working = 0
+        self._work_since_s = 0.0
+        self._token_s = 0.0
+
+    @property
+    def work_since_s(self) -> float:
+        """Returns when the work that is next to end began."""
+        return self._work_since_s
+
+    @property
+    def upstream_id(self) -> UpstreamId:
+        """Returns the engine's name."""
+        return self.upstream.upstream_id
+
+    @property
+    def held(self) -> dict[RequestId, Occupancy]:
+        """Returns what is reserved, by request."""
+        return self._held
+
+    @property
+    def places(self) -> int:
+        """Returns the requests that it may run at once now."""
+        return self.ramp.limit(self.upstream.places)
+
+    @property
+    def used_places(self) -> int:
+        """Returns the places that are reserved or used by others."""
+        return len(self._held) + self.foreign_places
+
+    @property
+    def free_pieces(self) -> int:
+        """Returns the KV pieces that nothing is reserved for."""
+        return self.upstream.kv_pieces - self._pieces - self.foreign_pieces
+
+    @property
+    def working(self) -> int:
+        """Returns the reservations whose work is not done yet."""
+        return self._working
+
+    @property
+    def load(self) -> float:
+        """Returns the used share of the places."""
+        return self.used_places / max(1, self.places)
+
+    @property
+    def has_suspect(self) -> bool:
+        """Tells whether a suspect has not got past its first token here."""
+        return self._alone > 0
+
+    @property
+    def is_usable(self) -> bool:
+        """Tells whether it answers and its failure domain takes work."""
+        return self.is_in_service and self.health is Health.UP
+
+    @property
+    def has_place(self) -> bool:
+        """Tells whether it is usable and a place is free."""
+        return self.is_usable and self.used_places < self.places
+
+    def wait_s(self, now_s: float) -> float:
+        """Returns the time until the reserved work is done."""
+        elapsed_s = now_s - self._work_since_s if self._working else 0.0
+        head_s = self._work_s / self._working if self._working else 0.0
+        return max(0.0, self._work_s - min(elapsed_s, head_s))
+
+    def prefill_s(self, uncached_tokens: int) -> float:
+        """Returns the expected time of a prefill."""
+        return self.pace * (
+            PREFILL_BASE_S + uncached_tokens / PREFILL_TOKENS_PER_S
+        )
+
+    def transfer_s(self, kv_pieces: int) -> float:
+        """Returns the expected time of a transfer to this engine."""
+        return self.pace * (TRANSFER_BASE_S + kv_pieces / TRANSFER_PIECES_PER_S)
+
+    def hold(
+        self, request_id: RequestId, occupancy: Occupancy, now_s: float
+    ) -> None:
+        """Takes a place for a request that holds none here."""
+        self._held[request_id] = occupancy
+        self._pieces += occupancy.kv_pieces
+        self._alone += occupancy.is_alone
+        if occupancy.is_working:
+            if not self._working:
+                self._work_since_s = now_s
+            self._working += 1
+            self._work_s += occupancy.work_s
+
+    def finish_work(self, request_id: RequestId, now_s: float) -> None:
+        """Ends the work of a reservation that keeps its place."""
+        occupancy = self._held.get(request_id)
+        if occupancy is None or not occupancy.is_working:
+            return
+        occupancy.is_working = False
+        self._working -= 1
+        self._work_s -= occupancy.work_s
+        self._work_since_s = now_s
+        if not self._working:
+            self._work_s = 0.0
+
+    def open_to_others(self, request_id: RequestId) -> None:
+        """Ends the exclusive use by a reservation."""
+        occupancy = self._held.get(request_id)
+        if occupancy is not None and occupancy.is_alone:
+            occupancy.is_alone = False
+            self._alone -= 1
+
+    def free(self, request_id: RequestId, now_s: float) -> None:
+        """Gives back what a request holds, if anything."""
+        self.finish_work(request_id, now_s)
+        self.open_to_others(request_id)
+        occupancy = self._held.pop(request_id, None)
+        if occupancy is not None:
+            self._pieces -= occupancy.kv_pieces
+
+    def observe_pace(self, expected_s: float, measured_s: float) -> bool:
+        """Takes a measured time; True if the engine has turned slow."""
+        if expected_s <= 0:
+            return False
+        ratio = measured_s / expected_s
+        has_turned = self.ramp.observe(ratio)
+        pace = self.pace * (1 + PACE_GAIN * (min(ratio, 4.0) - 1))
+        self.pace = min(MAX_PACE, max(MIN_PACE, pace))
+        return has_turned
+
+    def observe_token_s(self, token_s: float) -> bool:
+        """Takes a mean time between tokens; True on sudden slowness."""
+        if token_s <= 0:
+            return False
+        usual_s = self._token_s or token_s
+        self._token_s = usual_s + PACE_GAIN * (token_s - usual_s)
+        return self.ramp.observe(token_s / usual_s)
+
+    def is_alone(self, request_id: RequestId) -> bool:
+        """Tells whether a request is a suspect before its first token."""
+        occupancy = self._held.get(request_id)
+        return occupancy is not None and occupancy.is_alone
+
+    def see_boot(self, boot: str) -> bool:
+        """Takes the engine's boot id; True if it has restarted."""
+        if not boot or boot == self.boot:
+            return False
+        is_restart = bool(self.boot)
+        self.boot = boot
+        if is_restart:
+            self.ramp.set_back()
+            self.prefixes.clear()
+        return is_restart
+
+
+__all__ = ('EngineView', 'Health', 'Occupancy')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/explain.py
@@ -0,0 +1,42 @@
+"""Recent decisions of a cell, kept so that operators can ask why."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..ids import RequestId
+
+KEPT_DECISIONS = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionRecord:
+    """One decision; ``at_s`` is the owner's monotonic clock."""
+
+    request_id: RequestId
+    attempt: int
+    at_s: float
+    verdict: str
+    why: str
+
+
+class DecisionRing:
+    """The last decisions, oldest first."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._records: deque[DecisionRecord] = deque(maxlen=KEPT_DECISIONS)
+
+    def add(self, record: DecisionRecord) -> None:
+        """Keeps a decision and drops the oldest one if need be."""
+        self._records.append(record)
+
+    def of_request(self, request_id: str) -> list[DecisionRecord]:
+        """Returns the decisions about one request."""
+        return [one for one in self._records if one.request_id == request_id]
+
+
+__all__ = ('DecisionRecord', 'DecisionRing')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/holdings.py
@@ -0,0 +1,97 @@
+"""Which holdings on the engines belong to requests that are gone.
+
+A holding is freed only if its holder says that the request is over, or if
+the holder's process is known to be dead. Silence alone frees nothing until
+the longest time that a request may run has passed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..ids import Incarnation, RequestId, UpstreamId, VmId
+
+MAX_REQUEST_S = 600.0
+"""Longest life of a request; an older holding of a silent VM is an orphan."""
+
+UNLISTED_S = 30.0
+"""Silence after which a VM that is no longer listed counts as dead."""
+
+EXPORT_KIND = 'export'
+
+
+@dataclass(frozen=True, slots=True)
+class HolderId:
+    """One life of an entry VM's process."""
+
+    vm: VmId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """One holding as an engine reports it."""
+
+    upstream_id: UpstreamId
+    request_id: RequestId
+    holder: HolderId
+    kind: str
+    kv_pieces: int
+    age_s: float
+
+
+class HolderState(Enum):
+    """What is known of a holder."""
+
+    ANSWERED = 'answered'
+    DEAD = 'dead'
+    SILENT = 'silent'
+
+
+@dataclass(frozen=True, slots=True)
+class HolderReport:
+    """What a holder said of its requests on one engine.
+
+    Attributes:
+        state: Whether it answered.
+        live: Its requests that still use the engine.
+        is_listed: Whether the published list names the VM.
+        silent_s: Time since it was last heard of.
+    """
+
+    state: HolderState
+    live: frozenset[RequestId] = frozenset()
+    is_listed: bool = True
+    silent_s: float = 0.0
+
+
+def orphans(holdings: Iterable[Held], report: HolderReport) -> tuple[Held, ...]:
+    """Returns the holdings of one holder that must be freed."""
+    return tuple(held for held in holdings if _is_orphan(held, report))
+
+
+def _is_orphan(held: Held, report: HolderReport) -> bool:
+    if report.state is HolderState.DEAD:
+        return True
+    if report.state is HolderState.ANSWERED:
+        return held.request_id not in report.live
+    if held.age_s > MAX_REQUEST_S:
+        return True
+    return not report.is_listed and report.silent_s > UNLISTED_S
+
+
+__all__ = (
+    'EXPORT_KIND',
+    'MAX_REQUEST_S',
+    'UNLISTED_S',
+    'Held',
+    'HolderId',
+    'HolderReport',
+    'HolderState',
+    'orphans',
+)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/placer.py
@@ -0,0 +1,180 @@
+"""Choice of the engines for one request.
+
+The prefill engine is the one expected to finish first, which weighs cached
+prefixes against queued work; the decode engine is the least loaded one that
+has a place, the KV pieces and link time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from ..ids import UpstreamId
+    from .ask import Ask
+    from .engine_view import EngineView
+
+MAX_PREFILL_WAIT_S = 0.12
+"""Prefill work that may wait at an engine, in seconds."""
+
+MAX_LINK_WAIT_S = 0.3
+"""Transfers that may wait for a link; well below an export's lifetime."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Constraint:
+    """What a suspect, or a copy of an unproven prompt, is bound to.
+
+    Attributes:
+        is_alone_prefill: Needs a prefill engine that runs nothing else.
+        is_alone_decode: Needs a decode engine without another suspect.
+        prefill: The only prefill engine allowed, if set.
+        decode: The only decode engine allowed, if set.
+    """
+
+    is_alone_prefill: bool = False
+    is_alone_decode: bool = False
+    prefill: UpstreamId | None = None
+    decode: UpstreamId | None = None
+
+
+UNBOUND = Constraint()
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Engines for a request and the work that it brings to each."""
+
+    prefill: EngineView
+    decode: EngineView
+    prefill_s: float
+    transfer_s: float
+
+
+class Placer:
+    """Chooses among the engines of one cell."""
+
+    def __init__(
+        self,
+        prefill: Sequence[EngineView],
+        decode: Sequence[EngineView],
+        *,
+        reserves_decode: bool = True,
+    ) -> None:
+        """Keeps the pools; without reservation decode bounds are ignored."""
+        self.prefill = prefill
+        self.decode = decode
+        self.views = {one.upstream_id: one for one in (*prefill, *decode)}
+        self._reserves_decode = reserves_decode
+
+    @property
+    def reserves_decode(self) -> bool:
+        """Tells whether a decode place is reserved before the prefill."""
+        return self._reserves_decode
+
+    @property
+    def has_engines(self) -> bool:
+        """Tells whether both pools have an engine that could run work."""
+        return any(one.is_usable for one in self.prefill) and any(
+            one.is_usable for one in self.decode
+        )
+
+    def has_room(self, now_s: float) -> bool:
+        """Tells whether any request could be placed."""
+        return any(
+            one.has_place and one.wait_s(now_s) <= MAX_PREFILL_WAIT_S
+            for one in self.prefill
+        ) and any(map(self._may_decode, self.decode))
+
+    def choose(
+        self, ask: Ask, bound: Constraint, now_s: float
+    ) -> Choice | None:
+        """Returns engines for a request, or ``None`` if it has to wait."""
+        decode = self._choose_decode(ask, bound, now_s)
+        if decode is None:
+            return None
+        best: Choice | None = None
+        best_s = 0.0
+        for view in self._prefill_candidates(ask, bound, now_s):
+            cached = view.prefixes.cached_tokens(ask.blocks)
+            work_s = view.prefill_s(ask.prompt_tokens - cached)
+            total_s = view.wait_s(now_s) + work_s
+            if best is None or total_s < best_s:
+                transfer_s = decode.transfer_s(ask.prompt_pieces)
+                best = Choice(view, decode, work_s, transfer_s)
+                best_s = total_s
+        return best
+
+    def unloaded_s(self, ask: Ask) -> float:
+        """Returns the time to the first token on idle engines."""
+        prefill_s = min(
+            (
+                view.prefill_s(
+                    ask.prompt_tokens - view.prefixes.cached_tokens(ask.blocks)
+                )
+                for view in self.prefill
+                if view.is_usable
+            ),
+            default=0.0,
+        )
+        transfer_s = min(
+            (
+                view.transfer_s(ask.prompt_pieces)
+                for view in self.decode
+                if view.is_usable
+            ),
+            default=0.0,
+        )
+        return prefill_s + transfer_s
+
+    def _prefill_candidates(
+        self, ask: Ask, bound: Constraint, now_s: float
+    ) -> Iterable[EngineView]:
+        for view in self.prefill:
+            if not _is_allowed(view, ask, bound.prefill):
+                continue
+            if not view.has_place or view.has_suspect:
+                continue
+            if bound.is_alone_prefill and view.held:
+                continue
+            if view.wait_s(now_s) <= MAX_PREFILL_WAIT_S:
+                yield view
+
+    def _choose_decode(
+        self, ask: Ask, bound: Constraint, now_s: float
+    ) -> EngineView | None:
+        candidates = [
+            view
+            for view in self.decode
+            if _is_allowed(view, ask, bound.decode)
+            and self._has_room_for(view, ask, now_s)
+            and not (bound.is_alone_decode and view.has_suspect)
+        ]
+        if not candidates:
+            return None
+        return min(candidates, key=lambda view: (view.load, view.wait_s(now_s)))
+
+    def _may_decode(self, view: EngineView) -> bool:
+        return view.is_usable and (view.has_place or not self._reserves_decode)
+
+    def _has_room_for(self, view: EngineView, ask: Ask, now_s: float) -> bool:
+        if not self._may_decode(view):
+            return False
+        if not self._reserves_decode:
+            return True
+        return (
+            ask.kv_pieces <= view.free_pieces
+            and view.wait_s(now_s) <= MAX_LINK_WAIT_S
+        )
+
+
+def _is_allowed(view: EngineView, ask: Ask, only: UpstreamId | None) -> bool:
+    if only is not None:
+        return view.upstream_id == only
+    return view.upstream_id not in ask.excluded
+
+
+__all__ = ('UNBOUND', 'Choice', 'Constraint', 'Placer')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/prefix_map.py
@@ -0,0 +1,65 @@
+"""What an engine's prefix cache probably holds.
+
+Cache events come late and with gaps, so the map also takes what the cell
+itself placed, and is corrected by the cached tokens that prefills report.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from .blocks import BLOCK_TOKENS
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MAX_BLOCKS = 4000
+
+
+class PrefixMap:
+    """Block keys of one engine, least recently used first."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+
+    def cached_tokens(self, blocks: Sequence[int]) -> int:
+        """Returns the leading tokens that the engine probably holds."""
+        count = 0
+        for block in blocks:
+            if block not in self._blocks:
+                break
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def store(self, blocks: Sequence[int]) -> None:
+        """Takes blocks that the engine has or will have shortly."""
+        for block in reversed(blocks):
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > MAX_BLOCKS:
+            self._blocks.popitem(last=False)
+
+    def evict(self, block: int) -> None:
+        """Forgets one block."""
+        self._blocks.pop(block, None)
+
+    def correct(self, blocks: Sequence[int], expected: int, seen: int) -> bool:
+        """Compares the expected with the reported cached tokens.
+
+        A prefill stores what it ran, so its blocks stay known. Returns True
+        if less than half of what was expected was there: the cache was lost.
+        """
+        if not blocks or seen * 2 >= expected:
+            return False
+        self._blocks.clear()
+        self.store(blocks)
+        return True
+
+    def clear(self) -> None:
+        """Forgets everything."""
+        self._blocks.clear()
+
+
+__all__ = ('MAX_BLOCKS', 'PrefixMap')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/queue.py
@@ -0,0 +1,229 @@
+"""Weighted fair queue between workspaces, by token cost.
+
+Start-time fair queueing: P. Goyal, H. M. Vin and H. Cheng, "Start-time Fair
+Queueing", SIGCOMM 1996. A full queue sheds from the workspace that holds the
+most of it per weight (longest-queue drop: B. Suter et al., INFOCOM 1998).
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..ids import RequestId, WorkspaceId
+    from ..settings.fleet import QueueBounds
+    from .ask import Ask
+
+HEADS_SEEN = 16
+"""Workspaces that one placement looks at."""
+
+OUTPUT_TOKEN_COST = 10
+"""Engine time of an output token, in prompt tokens."""
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request in the queue; times are the owner's monotonic clock."""
+
+    ask: Ask
+    arrived_at_s: float
+    deadline_s: float
+    is_gone: bool = False
+
+    @property
+    def cost(self) -> float:
+        """Returns the cost that fairness counts, in prompt tokens."""
+        return self.ask.prompt_tokens + OUTPUT_TOKEN_COST * self.ask.max_tokens
+
+    @property
+    def tokens(self) -> int:
+        """Returns the tokens that the queue's bound counts."""
+        return self.ask.prompt_tokens + self.ask.max_tokens
+
+
+@dataclass(slots=True)
+class _Flow:
+    weight: float = 1.0
+    finish_tag: float = 0.0
+    tokens: int = 0
+    is_scheduled: bool = False
+    waiting: deque[Waiting] = field(default_factory=deque)
+
+
+class FairQueue:
+    """Requests of one cell; resumed requests pass before all others."""
+
+    def __init__(self, bounds: QueueBounds) -> None:
+        """Starts empty."""
+        self.bounds = bounds
+        self._flows: dict[WorkspaceId | None, _Flow] = {}
+        self._heads: list[tuple[float, int, WorkspaceId | None]] = []
+        self._resumed: deque[Waiting] = deque()
+        self._by_request: dict[RequestId, Waiting] = {}
+        self._order = itertools.count()
+        self._virtual_time = 0.0
+        self._tokens = 0
+
+    def __len__(self) -> int:
+        """Returns the number of waiting requests."""
+        return len(self._by_request)
+
+    @property
+    def tokens(self) -> int:
+        """Returns the tokens of all waiting requests."""
+        return self._tokens
+
+    @property
+    def waiting(self) -> Iterator[Waiting]:
+        """Yields every waiting request, resumed ones first."""
+        yield from self._resumed
+        for flow in self._flows.values():
+            yield from flow.waiting
+
+    def find(self, request_id: RequestId) -> Waiting | None:
+        """Returns the waiting request of an id."""
+        return self._by_request.get(request_id)
+
+    def push(self, item: Waiting, weight: float) -> Waiting | None:
+        """Adds a request; returns the one that had to make room, if any.
+
+        The returned request may be ``item`` itself.
+        """
+        if item.ask.is_resume:
+            self._resumed.append(item)
+            self._count_in(item)
+            return None
+        flow = self._flows.setdefault(item.ask.workspace_id, _Flow())
+        flow.weight = weight
+        shed: Waiting | None = None
+        if self._is_full_with(item):
+            shed = self._shed_for(item, flow)
+            if shed is item:
+                self._forget_idle(item.ask.workspace_id, flow)
+                return item
+        flow.waiting.append(item)
+        flow.tokens += item.tokens
+        self._count_in(item)
+        self._schedule(item.ask.workspace_id, flow)
+        return shed
+
+    def heads(self) -> Iterator[Waiting]:
+        """Yields the next request of each workspace in fair order."""
+        yield from tuple(self._resumed)
+        for _, _, workspace_id in heapq.nsmallest(HEADS_SEEN, self._heads):
+            flow = self._flows.get(workspace_id)
+            if flow is not None and flow.waiting:
+                yield flow.waiting[0]
+
+    def take(self, item: Waiting) -> None:
+        """Removes a request that has its turn and charges its workspace."""
+        self._count_out(item)
+        if item.ask.is_resume:
+            self._resumed.remove(item)
+            return
+        flow = self._flows[item.ask.workspace_id]
+        start = max(self._virtual_time, flow.finish_tag)
+        self._virtual_time = max(
+            self._virtual_time, self._heads[0][0] if self._heads else start
+        )
+        flow.finish_tag = start + item.cost / flow.weight
+        self._drop(flow, item)
+        self._unschedule(item.ask.workspace_id, flow)
+        self._schedule(item.ask.workspace_id, flow)
+
+    def remove(self, item: Waiting) -> None:
+        """Removes a request without charging its workspace."""
+        if item.is_gone:
+            return
+        self._count_out(item)
+        if item.ask.is_resume:
+            self._resumed.remove(item)
+            return
+        flow = self._flows[item.ask.workspace_id]
+        self._drop(flow, item)
+        if not flow.waiting:
+            self._unschedule(item.ask.workspace_id, flow)
+
+    def refund(self, workspace_id: WorkspaceId | None, cost: float) -> None:
+        """Gives back cost that was charged and not used."""
+        flow = self._flows.get(workspace_id)
+        if flow is not None:
+            flow.finish_tag -= cost / flow.weight
+
+    def depth(self) -> dict[WorkspaceId | None, tuple[int, int, float]]:
+        """Returns requests, tokens and oldest arrival of each workspace."""
+        return {
+            workspace_id: (
+                len(flow.waiting),
+                flow.tokens,
+                flow.waiting[0].arrived_at_s,
+            )
+            for workspace_id, flow in self._flows.items()
+            if flow.waiting
+        }
+
+    def _is_full_with(self, item: Waiting) -> bool:
+        return (
+            len(self) + 1 > self.bounds.max_requests
+            or self._tokens + item.tokens > self.bounds.max_tokens
+        )
+
+    def _shed_for(self, item: Waiting, flow: _Flow) -> Waiting:
+        largest = max(
+            self._flows.values(), key=lambda one: one.tokens / one.weight
+        )
+        arriving = (flow.tokens + item.tokens) / flow.weight
+        if arriving >= largest.tokens / largest.weight:
+            return item
+        newest = largest.waiting[-1]
+        is_enough = (
+            self._tokens - newest.tokens + item.tokens <= self.bounds.max_tokens
+        )
+        if not is_enough:
+            return item
+        self.remove(newest)
+        return newest
+
+    def _count_in(self, item: Waiting) -> None:
+        self._by_request[item.ask.request_id] = item
+        self._tokens += item.tokens
+
+    def _count_out(self, item: Waiting) -> None:
+        item.is_gone = True
+        self._by_request.pop(item.ask.request_id, None)
+        self._tokens -= item.tokens
+
+    def _drop(self, flow: _Flow, item: Waiting) -> None:
+        flow.waiting.remove(item)
+        flow.tokens -= item.tokens
+
+    def _schedule(self, workspace_id: WorkspaceId | None, flow: _Flow) -> None:
+        if flow.is_scheduled or not flow.waiting:
+            self._forget_idle(workspace_id, flow)
+            return
+        start = max(self._virtual_time, flow.finish_tag)
+        heapq.heappush(self._heads, (start, next(self._order), workspace_id))
+        flow.is_scheduled = True
+
+    def _unschedule(
+        self, workspace_id: WorkspaceId | None, flow: _Flow
+    ) -> None:
+        self._heads = [head for head in self._heads if head[2] != workspace_id]
+        heapq.heapify(self._heads)
+        flow.is_scheduled = False
+
+    def _forget_idle(
+        self, workspace_id: WorkspaceId | None, flow: _Flow
+    ) -> None:
+        if flow.waiting or flow.finish_tag > self._virtual_time:
+            return
+        self._flows.pop(workspace_id, None)
+
+
+__all__ = ('OUTPUT_TOKEN_COST', 'FairQueue', 'Waiting')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/ramp.py
@@ -0,0 +1,70 @@
+"""Slow start of an upstream: its bound follows the work it completed.
+
+The shape is the slow start of TCP (RFC 5681) with a floor: the bound stays
+at ``cold_places`` for the first ``warmup_requests`` completions and doubles
+with each further round of completions.
+"""
+
+from __future__ import annotations
+
+COLD_PLACES = 2
+WARMUP_REQUESTS = 8
+SLOW_RATIO = 3.0
+SLOW_SAMPLES = 3
+
+
+class SlowStart:
+    """How many requests one upstream may run at once."""
+
+    def __init__(
+        self,
+        *,
+        cold_places: int = COLD_PLACES,
+        warmup_requests: int = WARMUP_REQUESTS,
+    ) -> None:
+        """Starts cold."""
+        self.cold_places = cold_places
+        self._warmup_requests = warmup_requests
+        self._completed = 0
+        self._slow_samples = 0
+
+    @property
+    def completed(self) -> int:
+        """Returns the completions since the last set-back."""
+        return self._completed
+
+    def completed_up_to(self, places: int) -> int:
+        """Returns the completions that matter to reach ``places``."""
+        return min(self._completed, self._warmup_requests + places)
+
+    def limit(self, places: int) -> int:
+        """Returns the bound on concurrent requests, at most ``places``."""
+        extra = max(0, self._completed - self._warmup_requests)
+        return min(places, self.cold_places + extra)
+
+    def complete(self) -> None:
+        """Counts one completed request."""
+        self._completed += 1
+
+    def learn(self, completed: int) -> None:
+        """Takes completions that were counted elsewhere."""
+        self._completed = max(self._completed, completed)
+
+    def set_back(self) -> None:
+        """Starts over."""
+        self._completed = 0
+        self._slow_samples = 0
+
+    def observe(self, ratio: float) -> bool:
+        """Takes measured over expected time; True if it set the ramp back."""
+        if ratio < SLOW_RATIO:
+            self._slow_samples = 0
+            return False
+        self._slow_samples += 1
+        if self._slow_samples < SLOW_SAMPLES:
+            return False
+        self.set_back()
+        return True
+
+
+__all__ = ('COLD_PLACES', 'WARMUP_REQUESTS', 'SlowStart')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/reservations.py
@@ -0,0 +1,82 @@
+"""What the cell has handed out and not got back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .ask import Stage
+
+if TYPE_CHECKING:
+    from ..ids import RequestId, UpstreamId, VmId
+    from .ask import Granted
+    from .engine_view import EngineView
+
+
+class FailureKind(Enum):
+    """How an attempt ended early.
+
+    ``BROKE`` is a connection that broke after the call had left,
+    ``UNREACHABLE`` one that could not be opened, ``REFUSED`` an answer that
+    refused the call, ``STALLED`` a call or stream that stopped in time.
+    """
+
+    BROKE = 'broke'
+    UNREACHABLE = 'unreachable'
+    REFUSED = 'refused'
+    STALLED = 'stalled'
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Which upstream failed an attempt, and how."""
+
+    upstream_id: UpstreamId
+    kind: FailureKind
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ending:
+    """How an attempt ended.
+
+    Attributes:
+        is_complete: Whether the engine ended the answer.
+        tokens: Tokens that this attempt brought.
+        token_s: Mean time between them, 0 if unknown.
+        failure: What failed, if anything did.
+    """
+
+    is_complete: bool
+    tokens: int = 0
+    token_s: float = 0.0
+    failure: Failure | None = None
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Places of one request; times are the owner's monotonic clock."""
+
+    granted: Granted
+    at_s: float
+    confirmed_at_s: float
+    stage: Stage = Stage.PREFILL
+
+    @property
+    def request_id(self) -> RequestId:
+        """Returns the request."""
+        return self.granted.ask.request_id
+
+    @property
+    def vm_id(self) -> VmId:
+        """Returns the entry VM that runs it."""
+        return self.granted.ask.vm_id
+
+    def is_on(self, view: EngineView) -> bool:
+        """Tells whether the request runs on an engine at this stage."""
+        if self.stage is Stage.PREFILL:
+            return self.granted.prefill == view.upstream_id
+        return self.granted.decode == view.upstream_id
+
+
+__all__ = ('Ending', 'Failure', 'FailureKind', 'Reservation')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/retry_budget.py
@@ -0,0 +1,41 @@
+"""How much extra load retries may bring.
+
+A token bucket fed by first attempts: B. Beyer et al., "Site Reliability
+Engineering", O'Reilly 2016, chapter 21, retries at most 10% of the requests.
+"""
+
+from __future__ import annotations
+
+RETRY_SHARE = 0.1
+RETRY_RESERVE = 20.0
+
+
+class RetryBudget:
+    """Tokens that retries spend and first attempts earn."""
+
+    def __init__(
+        self, *, share: float = RETRY_SHARE, reserve: float = RETRY_RESERVE
+    ) -> None:
+        """Starts with the reserve, which bounds what can be saved up."""
+        self._share = share
+        self._reserve = reserve
+        self._tokens = reserve
+
+    @property
+    def tokens(self) -> float:
+        """Returns the retries that may be made at once."""
+        return self._tokens
+
+    def earn(self) -> None:
+        """Counts a first attempt."""
+        self._tokens = min(self._reserve, self._tokens + self._share)
+
+    def spend(self) -> bool:
+        """Takes a retry; returns False if there is no budget for it."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+__all__ = ('RETRY_RESERVE', 'RETRY_SHARE', 'RetryBudget')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/suspects.py
@@ -0,0 +1,121 @@
+"""Requests that crash the engines that run them.
+
+Each crash makes suspects of the prompts that ran on the engine. A suspect
+runs alone from then on, so that its next crash has one cause only; a prompt
+that was among the suspects of ``k`` crashes, alone in the last, is refused.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..ids import UpstreamId
+
+CRASHES_TO_REFUSE = 2
+QUARANTINE_S = 600.0
+SUSPICION_S = 120.0
+MAX_PROVEN = 20_000
+MAX_SUSPECTS = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """One crash of an engine: the life of the engine that it ended."""
+
+    upstream_id: UpstreamId
+    boot: str
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """What is held against one prompt."""
+
+    since_s: float
+    crashes: set[Crash] = field(default_factory=set)
+
+
+class SuspectList:
+    """Suspected, quarantined and proven prompts of one cell."""
+
+    def __init__(self) -> None:
+        """Starts with nothing known."""
+        self._suspects: OrderedDict[str, Suspicion] = OrderedDict()
+        self._quarantined: dict[str, float] = {}
+        self._proven: OrderedDict[str, None] = OrderedDict()
+
+    @property
+    def suspect_count(self) -> int:
+        """Returns the number of prompts that run alone."""
+        return len(self._suspects)
+
+    def quarantined(self, now_s: float) -> dict[str, float]:
+        """Returns the refused prompts with the seconds they have left."""
+        self._expire(now_s)
+        return {
+            digest: until_s - now_s
+            for digest, until_s in self._quarantined.items()
+        }
+
+    def is_quarantined(self, digest: str, now_s: float) -> bool:
+        """Tells whether a prompt is refused."""
+        until_s = self._quarantined.get(digest)
+        return until_s is not None and until_s > now_s
+
+    def is_suspect(self, digest: str, now_s: float) -> bool:
+        """Tells whether a prompt must run alone."""
+        suspicion = self._suspects.get(digest)
+        return suspicion is not None and now_s - suspicion.since_s < SUSPICION_S
+
+    def is_proven(self, digest: str) -> bool:
+        """Tells whether a prompt has run to its end before."""
+        return digest in self._proven
+
+    def crash(
+        self, digest: str, crash: Crash, *, was_alone: bool, now_s: float
+    ) -> bool:
+        """Takes a prompt that ran on a crashed engine; True if refused now."""
+        suspicion = self._suspects.setdefault(digest, Suspicion(now_s))
+        suspicion.since_s = now_s
+        suspicion.crashes.add(crash)
+        self._proven.pop(digest, None)
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        if not was_alone or len(suspicion.crashes) < CRASHES_TO_REFUSE:
+            return False
+        self.quarantine(digest, QUARANTINE_S, now_s)
+        return True
+
+    def quarantine(self, digest: str, left_s: float, now_s: float) -> None:
+        """Refuses a prompt for some seconds."""
+        until_s = now_s + min(left_s, QUARANTINE_S)
+        self._quarantined[digest] = max(
+            until_s, self._quarantined.get(digest, 0.0)
+        )
+        self._suspects.pop(digest, None)
+
+    def clear(self, digest: str) -> None:
+        """Clears a prompt that ran to its end."""
+        self._suspects.pop(digest, None)
+        self._proven[digest] = None
+        self._proven.move_to_end(digest)
+        while len(self._proven) > MAX_PROVEN:
+            self._proven.popitem(last=False)
+
+    def suspicions(self) -> Iterator[tuple[str, Crash]]:
+        """Yields every suspected prompt with each of its crashes."""
+        for digest, suspicion in self._suspects.items():
+            for crash in suspicion.crashes:
+                yield digest, crash
+
+    def _expire(self, now_s: float) -> None:
+        for digest, until_s in tuple(self._quarantined.items()):
+            if until_s <= now_s:
+                del self._quarantined[digest]
+
+
+__all__ = ('CRASHES_TO_REFUSE', 'QUARANTINE_S', 'Crash', 'SuspectList')
--- a/packages/catkinreach-core/src/catkinreach_core/ids.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ids.py
@@ -19,6 +19,14 @@
 ShardId = NewType('ShardId', str)
 """Unit of ownership, for instance ``limit/17`` or ``cell/pattern-llm``."""
 
+
+def attempt_id(request_id: RequestId, attempt: int) -> RequestId:
+    """Returns the id under which the engines know an attempt."""
+    if not attempt:
+        return request_id
+    return RequestId(f'{request_id}.{attempt}')
+
+
 __all__ = (
     'FailureDomainId',
     'Incarnation',
@@ -31,4 +39,5 @@
     'UpstreamId',
     'VmId',
     'WorkspaceId',
+    'attempt_id',
 )
--- a/packages/catkinreach-core/src/catkinreach_core/placement/policy.py
+++ b/packages/catkinreach-core/src/catkinreach_core/placement/policy.py
@@ -23,14 +23,20 @@
         workspace_id: Workspace it runs for; ``None`` on open routes.
         prompt_tokens: Length of the prompt.
         max_tokens: Upper bound of the answer's length.
-        blocks: Digests of the prompt's prefix blocks.
+        blocks: Keys of the prompt's prefix blocks.
+        digest: Digest of the whole prompt.
+        attempt: Number of the attempt, from 0.
+        excluded: Upstreams that failed the attempt before.
     """
 
     request_id: RequestId
     workspace_id: WorkspaceId | None
     prompt_tokens: int
     max_tokens: int
-    blocks: tuple[str, ...] = ()
+    blocks: tuple[int, ...] = ()
+    digest: str = ''
+    attempt: int = 0
+    excluded: tuple[UpstreamId, ...] = ()
 
     @property
     def kv_pieces(self) -> int:
--- a/packages/catkinreach-core/src/catkinreach_core/settings/fleet.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/fleet.py
@@ -53,8 +53,22 @@
     between_tokens_s: float = 0.055
 
 
+class QueuePolicy(Enum):
+    """Who queues and places model requests.
+
+    All but ``CELL`` are baselines for measurements.
+    """
+
+    CELL = 'cell'
+    ROUND_ROBIN = 'round-robin'
+    LEAST_LOAD = 'least-load'
+    NO_RESERVATION = 'no-reservation'
+
+
 class QueueBounds(Struct, frozen=True, kw_only=True):
-    """Bounds of one cell's queue over all workspaces."""
+    """Bounds of one cell's queue over all workspaces, and its policy."""
+
+    policy: QueuePolicy = QueuePolicy.CELL
 
     max_requests: int = 400
     max_tokens: int = 400_000
@@ -69,12 +83,23 @@
 
 
 class Pool(Struct, frozen=True, kw_only=True):
-    """A group of upstreams with one role."""
+    """A group of upstreams with one role.
+
+    Attributes:
+        pool_id: Name in the fleet's text.
+        role: What its upstreams do.
+        model: Model that its engines should hold.
+        version: Version of the model.
+        cold_places: Requests that a fresh upstream runs at once.
+        warmup_requests: Completed requests until it may run more.
+    """
 
     pool_id: PoolId
     role: PoolRole
     model: str = ''
     version: str = ''
+    cold_places: int = 2
+    warmup_requests: int = 8
 
 
 class Upstream(Struct, frozen=True, kw_only=True):
@@ -182,6 +207,7 @@
     'Pool',
     'PoolRole',
     'QueueBounds',
+    'QueuePolicy',
     'Route',
     'Service',
     'ServiceKind',
--- a/packages/catkinreach-core/src/catkinreach_core/settings/fleet_schema.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/fleet_schema.py
@@ -21,6 +21,7 @@
     Pool,
     PoolRole,
     QueueBounds,
+    QueuePolicy,
     Route,
     Service,
     ServiceKind,
@@ -115,6 +116,7 @@
     build=QueueBounds,
     is_named=False,
     options=(
+        OptionSpec(name='policy', parser=choice(QueuePolicy)),
         OptionSpec(name='max_requests', parser=whole(at_least=1)),
         OptionSpec(name='max_tokens', parser=whole(at_least=1)),
         OptionSpec(name='max_age_s', parser=DURATION),
@@ -132,6 +134,10 @@
         OptionSpec(name='role', parser=choice(PoolRole), is_required=True),
         OptionSpec(name='model', parser=TEXT),
         OptionSpec(name='version', parser=TEXT),
+        OptionSpec(
+            name='cold_places', parser=whole(at_least=1, at_most=MAX_PLACES)
+        ),
+        OptionSpec(name='warmup_requests', parser=whole(at_least=1)),
     ),
 )
 UPSTREAM: Final = SectionSpec(
--- /dev/null
+++ b/packages/catkinreach-core/tests/cell/test_cell.py
@@ -0,0 +1,203 @@
+"""Decisions of a cell under events in any order."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinreach_core.cell.ask import Granted, Refused, Stage
+from catkinreach_core.cell.reservations import Ending
+from catkinreach_core.errors import ErrorKind
+from catkinreach_core.ids import UpstreamId
+from catkinreach_core.settings.fleet import QueueBounds
+from catkinreach_standins.fakes.cells import make_ask, make_cell, make_engine
+
+if TYPE_CHECKING:
+    from catkinreach_core.cell.cell import Cell
+
+DONE = Ending(is_complete=True, tokens=50)
+
+
+def test_places_are_reserved_before_the_prefill() -> None:
+    one = make_cell(
+        [make_engine('p1', places=20)], [make_engine('d1', places=2)]
+    )
+    for number in range(5):
+        one.submit(make_ask(number), 0.0)
+        for decision in one.pump(0.0):
+            one.prefilled(decision.ask.request_id, 0, 0, 0.0)
+    assert len(one.reserved) == 2
+    assert len(one.queue) == 3
+
+
+def test_place_goes_to_the_next_once_it_is_free() -> None:
+    one = make_cell([make_engine('p1')], [make_engine('d1', places=1)])
+    one.submit(make_ask(1), 0.0)
+    one.submit(make_ask(2), 0.0)
+    assert [decision.ask.request_id for decision in one.pump(0.0)] == ['r1']
+    one.prefilled(make_ask(1).request_id, 0, 0, 0.1)
+    one.end(make_ask(1).request_id, 0, DONE, 0.2)
+    assert [decision.ask.request_id for decision in one.pump(0.2)] == ['r2']
+
+
+def test_hopeless_request_is_refused_before_its_prefill() -> None:
+    one = make_cell([make_engine('p1')], [make_engine('d1', places=1)])
+    one.submit(make_ask(1), 0.0)
+    one.pump(0.0)
+    one.submit(make_ask(2), 0.0)
+    assert not one.pump(0.5)
+    refused = one.pump(0.79)
+    assert isinstance(refused[0], Refused)
+    assert refused[0].kind is ErrorKind.DEADLINE_UNREACHABLE
+
+
+def test_long_prompt_has_time_in_proportion() -> None:
+    one = make_cell()
+    one.submit(make_ask(1, prompt_tokens=20_000), 0.0)
+    assert isinstance(one.pump(0.0)[0], Granted)
+
+
+def test_resumed_request_is_not_refused_for_its_age() -> None:
+    one = make_cell([make_engine('p1')], [make_engine('d1', places=1)])
+    one.submit(make_ask(1, is_resume=True, age_s=60.0), 100.0)
+    assert isinstance(one.pump(100.0)[0], Granted)
+
+
+def test_full_queue_refuses() -> None:
+    one = make_cell(
+        [make_engine('p1')],
+        [make_engine('d1', places=1)],
+        bounds=QueueBounds(max_requests=1),
+    )
+    for number in range(3):
+        one.submit(make_ask(number), 0.0)
+        one.pump(0.0) if not number else None
+    kinds = [getattr(decision, 'kind', None) for decision in one.pump(0.0)]
+    assert kinds == [ErrorKind.QUEUE_FULL]
+
+
+def test_prefix_draws_to_the_engine_that_holds_it() -> None:
+    one = make_cell()
+    blocks = tuple(range(8))
+    one.placer.prefill[1].prefixes.store(blocks)
+    one.submit(make_ask(1, prompt_tokens=2048, blocks=blocks), 0.0)
+    granted = one.pump(0.0)[0]
+    assert isinstance(granted, Granted)
+    assert granted.prefill == 'p2'
+
+
+def test_load_outweighs_a_short_prefix() -> None:
+    one = make_cell()
+    one.placer.prefill[1].prefixes.store((0,))
+    for number in range(2):
+        one.submit(make_ask(number, prompt_tokens=900, blocks=(0,)), 0.0)
+    used = {getattr(item, 'prefill', '') for item in one.pump(0.0)}
+    assert used == {'p1', 'p2'}
+
+
+def test_engine_out_of_service_gets_nothing() -> None:
+    one = make_cell()
+    one.placer.decode[0].is_in_service = False
+    for number in range(3):
+        one.submit(make_ask(number), 0.0)
+    decisions = one.pump(0.0)
+    assert all(isinstance(item, Granted) for item in decisions)
+    assert {getattr(item, 'decode', '') for item in decisions} == {'d2'}
+
+
+def test_outage_of_a_dependency_refuses_and_names_it() -> None:
+    one = make_cell()
+    one.outage = 'bee-app'
+    one.submit(make_ask(1), 0.0)
+    refused = one.pump(0.0)[0]
+    assert isinstance(refused, Refused)
+    assert refused.kind is ErrorKind.DEPENDENCY_OUT
+    assert 'bee-app' in refused.detail
+
+
+def test_new_owner_counts_what_nodes_hold() -> None:
+    one = make_cell([make_engine('p1')], [make_engine('d1', places=1)])
+    one.restore(
+        Granted(make_ask(1), UpstreamId('p1'), UpstreamId('d1')),
+        Stage.DECODE,
+        0.0,
+    )
+    one.submit(make_ask(2), 0.0)
+    assert not one.pump(0.0)
+    one.end(make_ask(1).request_id, 0, DONE, 0.1)
+    assert len(one.pump(0.1)) == 1
+
+
+def test_reservation_that_its_node_lost_is_freed() -> None:
+    one = make_cell([make_engine('p1')], [make_engine('d1', places=1)])
+    one.submit(make_ask(1), 0.0)
+    one.pump(0.0)
+    one.confirm(make_ask(1).vm_id, frozenset(), 1.0)
+    assert one.reserved
+    one.confirm(make_ask(1).vm_id, frozenset(), 3.0)
+    assert not one.reserved
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ['submit', 'submit', 'prefilled', 'started', 'end', 'withdraw']
+        ),
+        st.integers(0, 12),
+        st.integers(0, 3),
+    ),
+    max_size=80,
+)
+
+
+@settings(max_examples=80, deadline=None, derandomize=True)
+@given(_STEPS)
+def test_never_more_places_than_there_are(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    one = make_cell(
+        [make_engine('p1', places=2), make_engine('p2', places=2)],
+        [make_engine('d1', places=2, kv_pieces=3), make_engine('d2', places=3)],
+    )
+    now_s = 0.0
+    answered: Counter[str] = Counter()
+    for step, number, tenths in steps:
+        now_s += tenths / 10
+        request_id = make_ask(number).request_id
+        if step == 'submit':
+            one.submit(make_ask(number, prompt_tokens=1500), now_s)
+        elif step == 'prefilled':
+            one.prefilled(request_id, 0, 0, now_s)
+        elif step == 'started':
+            one.started(request_id, 0, now_s)
+        elif step == 'end':
+            one.end(request_id, 0, DONE, now_s)
+        else:
+            one.withdraw(request_id, now_s)
+        answered.update(type(item).__name__ for item in one.pump(now_s))
+        _check_accounts(one)
+    for request_id in tuple(one.reserved):
+        one.withdraw(request_id, now_s)
+    assert all(view.used_places == 0 for view in one.views)
+    assert all(
+        view.free_pieces == view.upstream.kv_pieces for view in one.views
+    )
+    assert all(view.wait_s(now_s) == 0 for view in one.views)
+
+
+def _check_accounts(one: Cell) -> None:
+    for view in one.placer.decode:
+        holders = [
+            known
+            for known in one.reserved.values()
+            if known.granted.decode == view.upstream_id
+        ]
+        assert view.used_places == len(holders) <= view.upstream.places
+        assert view.free_pieces >= 0
+    for view in one.placer.prefill:
+        assert view.used_places <= view.upstream.places
+    waiting = {item.ask.request_id for item in one.queue.waiting}
+    assert not waiting & set(one.reserved)
--- /dev/null
+++ b/packages/catkinreach-core/tests/cell/test_crashes.py
@@ -0,0 +1,124 @@
+"""Requests that crash engines, and innocents beside them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from catkinreach_core.cell.ask import Granted, Refused
+from catkinreach_core.cell.engine_view import Health
+from catkinreach_core.cell.reservations import Ending, Failure, FailureKind
+from catkinreach_core.errors import ErrorKind
+from catkinreach_core.ids import UpstreamId
+from catkinreach_standins.fakes.cells import make_ask, make_cell, make_engine
+
+if TYPE_CHECKING:
+    from catkinreach_core.cell.cell import Cell
+
+
+def _broke(upstream: str) -> Ending:
+    return Ending(
+        is_complete=False,
+        failure=Failure(UpstreamId(upstream), FailureKind.BROKE),
+    )
+
+
+def _restart(one: Cell, upstream: str, boot: str, now_s: float) -> None:
+    view = one.view(UpstreamId(upstream))
+    assert view is not None
+    one.silent(view, now_s, is_refused=True)
+    one.answered(view, boot, now_s + 0.1)
+    view.ramp.learn(1000)
+
+
+def _crash_together(one: Cell) -> None:
+    """Runs r1 (which crashes engines) and r2 on one prefill engine."""
+    one.submit(make_ask(1), 0.0)
+    one.submit(make_ask(2), 0.0)
+    for decision in one.pump(0.0):
+        assert isinstance(decision, Granted)
+        assert decision.prefill == 'p1'
+    one.end(make_ask(1).request_id, 0, _broke('p1'), 0.1)
+    one.end(make_ask(2).request_id, 0, _broke('p1'), 0.1)
+
+
+def test_second_crash_alone_refuses_the_prompt() -> None:
+    one = make_cell([make_engine('p1', places=8)])
+    _crash_together(one)
+    one.submit(make_ask(1, attempt=1, is_resume=True), 0.1)
+    assert not one.pump(0.1)
+    _restart(one, 'p1', 'boot-2', 0.2)
+    granted = one.pump(0.4)[0]
+    assert isinstance(granted, Granted)
+    assert granted.is_alone
+    one.end(make_ask(1).request_id, 1, _broke('p1'), 0.5)
+    _restart(one, 'p1', 'boot-3', 0.6)
+    one.submit(make_ask(7, digest='d1'), 0.8)
+    refused = one.pump(0.8)[0]
+    assert isinstance(refused, Refused)
+    assert refused.kind is ErrorKind.REQUEST_QUARANTINED
+
+
+def test_innocent_runs_alone_and_is_cleared() -> None:
+    one = make_cell([make_engine('p1', places=8)])
+    _crash_together(one)
+    _restart(one, 'p1', 'boot-2', 0.2)
+    one.submit(make_ask(2, attempt=1, is_resume=True), 0.4)
+    one.submit(make_ask(3), 0.4)
+    granted = one.pump(0.4)
+    assert [item.ask.request_id for item in granted] == ['r2']
+    one.prefilled(make_ask(2).request_id, 1, 0, 0.5)
+    one.started(make_ask(2).request_id, 1, 0.6)
+    assert not one.crashes.suspects.is_suspect('d2', 0.6)
+    assert one.crashes.suspects.is_suspect('d1', 0.6)
+
+
+def test_break_without_restart_accuses_nobody() -> None:
+    one = make_cell([make_engine('p1', places=8)])
+    _crash_together(one)
+    view = one.view(UpstreamId('p1'))
+    assert view is not None
+    assert view.health is Health.DOWN
+    one.answered(view, 'p1-boot-1', 0.2)
+    assert not one.crashes.suspects.suspect_count
+
+
+def test_loss_of_a_failure_domain_accuses_only_the_first() -> None:
+    one = make_cell(
+        [make_engine('p1', places=8), make_engine('p2', places=8)],
+        [make_engine('d1'), make_engine('d2')],
+    )
+    for number in (1, 2):
+        one.submit(make_ask(number), 0.0)
+    for item in one.pump(0.0):
+        assert isinstance(item, Granted)
+        one.end(item.ask.request_id, 0, _broke(item.prefill), 0.1)
+    for view in one.placer.prefill:
+        one.silent(view, 0.2, is_refused=True)
+    assert one.crashes.suspects.suspect_count == 1
+
+
+def test_copies_of_an_unproven_prompt_stay_on_one_upstream() -> None:
+    one = make_cell()
+    for number in range(4):
+        one.submit(make_ask(number, digest='same'), 0.0)
+    decisions = one.pump(0.0)
+    assert len({getattr(item, 'prefill', '') for item in decisions}) == 1
+    assert len({getattr(item, 'decode', '') for item in decisions}) == 1
+
+
+def test_unresolved_crashes_do_not_hold_up_the_queue() -> None:
+    one = make_cell(
+        [make_engine('p1', places=20), make_engine('p2', places=20)]
+    )
+    for number in range(12):
+        one.submit(make_ask(number, prompt_tokens=10), 0.0)
+    for decision in one.pump(0.0):
+        assert isinstance(decision, Granted)
+        request_id = decision.ask.request_id
+        one.end(request_id, 0, _broke(decision.prefill), 0.1)
+        number = int(request_id[1:])
+        one.submit(make_ask(number, attempt=1, is_resume=True), 0.1)
+    for view in one.placer.prefill:
+        view.health = Health.UP
+    one.submit(make_ask(99), 0.1)
+    assert 'r99' in {item.ask.request_id for item in one.pump(0.1)}
--- /dev/null
+++ b/packages/catkinreach-core/tests/cell/test_queue.py
@@ -0,0 +1,114 @@
+"""Fairness and bounds of the queue."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinreach_core.cell.queue import FairQueue, Waiting
+from catkinreach_core.ids import WorkspaceId
+from catkinreach_core.settings.fleet import QueueBounds
+from catkinreach_standins.fakes.cells import make_ask
+
+
+def _waiting(number: int, workspace: str, **members: Any) -> Waiting:
+    item = make_ask(number, workspace=workspace, **members)
+    return Waiting(item, arrived_at_s=number, deadline_s=number + 1)
+
+
+def _drain(queue: FairQueue, count: int) -> list[Waiting]:
+    taken = []
+    for _ in range(count):
+        item = next(queue.heads())
+        queue.take(item)
+        taken.append(item)
+    return taken
+
+
+def test_busy_workspace_does_not_delay_the_others() -> None:
+    queue = FairQueue(QueueBounds())
+    for number in range(50):
+        queue.push(_waiting(number, 'busy'), 1.0)
+    queue.push(_waiting(50, 'calm'), 1.0)
+    first = _drain(queue, 2)
+    assert 'calm' in {item.ask.workspace_id for item in first}
+
+
+def test_shares_follow_the_weights() -> None:
+    queue = FairQueue(QueueBounds())
+    for number in range(90):
+        workspace = 'heavy' if number % 2 else 'light'
+        queue.push(_waiting(number, workspace), 2.0 if number % 2 else 1.0)
+    counts = Counter(item.ask.workspace_id for item in _drain(queue, 30))
+    assert 19 <= counts[WorkspaceId('heavy')] <= 21
+
+
+def test_resumed_requests_go_first() -> None:
+    queue = FairQueue(QueueBounds())
+    queue.push(_waiting(1, 'w'), 1.0)
+    queue.push(_waiting(2, 'w', is_resume=True), 1.0)
+    assert next(queue.heads()).ask.is_resume
+
+
+def test_full_queue_sheds_from_the_longest_share() -> None:
+    queue = FairQueue(QueueBounds(max_requests=4))
+    for number in range(4):
+        assert queue.push(_waiting(number, 'busy'), 1.0) is None
+    shed = queue.push(_waiting(9, 'calm'), 1.0)
+    assert shed is not None
+    assert shed.ask.request_id == 'r3'
+    again = _waiting(10, 'busy')
+    assert queue.push(again, 1.0) is again
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['push', 'take', 'remove']),
+            st.sampled_from(['a', 'b', 'c']),
+            st.integers(1, 3000),
+        ),
+        max_size=60,
+    )
+)
+def test_counts_match_what_waits(steps: list[tuple[str, str, int]]) -> None:
+    bounds = QueueBounds(max_requests=10, max_tokens=9000)
+    queue = FairQueue(bounds)
+    for number, (step, workspace, tokens) in enumerate(steps):
+        if step == 'push':
+            queue.push(_waiting(number, workspace, prompt_tokens=tokens), 1.0)
+        elif step == 'take' and len(queue):
+            queue.take(next(queue.heads()))
+        elif len(queue):
+            queue.remove(next(queue.waiting))
+        waiting = list(queue.waiting)
+        assert len(waiting) == len(queue) <= bounds.max_requests
+        assert sum(item.tokens for item in waiting) == queue.tokens
+        assert queue.tokens <= bounds.max_tokens
+        assert bool(waiting) == any(True for _ in queue.heads())
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(st.lists(st.integers(1, 4000), min_size=2, max_size=60))
+def test_backlogged_workspaces_get_equal_cost(sizes: list[int]) -> None:
+    queue = FairQueue(QueueBounds(max_tokens=10**9))
+    for number, size in enumerate(sizes):
+        for offset, workspace in enumerate('ab'):
+            queue.push(
+                _waiting(2 * number + offset, workspace, prompt_tokens=size),
+                1.0,
+            )
+    served: Counter[str] = Counter()
+    largest = max(item.cost for item in queue.waiting)
+    while True:
+        waiting = {item.ask.workspace_id for item in queue.waiting}
+        if len(waiting) < 2:
+            break
+        item = next(queue.heads())
+        queue.take(item)
+        served[str(item.ask.workspace_id)] += int(item.cost)
+        assert abs(served['a'] - served['b']) <= 2 * largest
--- /dev/null
+++ b/packages/catkinreach-core/tests/cell/test_small_parts.py
@@ -0,0 +1,106 @@
+"""Ramp, retry budget, prefix blocks and the sweep's verdicts."""
+
+from __future__ import annotations
+
+import pytest
+
+from catkinreach_core.cell.blocks import block_key, prefix_blocks
+from catkinreach_core.cell.holdings import (
+    MAX_REQUEST_S,
+    Held,
+    HolderId,
+    HolderReport,
+    HolderState,
+    orphans,
+)
+from catkinreach_core.cell.prefix_map import PrefixMap
+from catkinreach_core.cell.ramp import SlowStart
+from catkinreach_core.cell.retry_budget import RetryBudget
+from catkinreach_core.ids import Incarnation, RequestId, UpstreamId, VmId
+from catkinreach_standins.answer import block_digests
+from catkinreach_standins.fakes.cells import make_engine
+
+
+def test_blocks_match_the_engines() -> None:
+    prompt = [number * 7 % 5000 for number in range(1000)]
+    keys = tuple(block_key(digest) for digest in block_digests(prompt))
+    assert prefix_blocks(prompt) == keys
+    assert len(keys) == 3
+
+
+def test_ramp_stays_low_until_work_is_done() -> None:
+    ramp = SlowStart(cold_places=2, warmup_requests=3)
+    limits = []
+    for _ in range(6):
+        limits.append(ramp.limit(20))
+        ramp.complete()
+    assert limits == [2, 2, 2, 2, 3, 4]
+
+
+def test_sudden_slowness_sets_the_ramp_back() -> None:
+    view = make_engine('d1', places=20)
+    assert view.places == 20
+    for _ in range(3):
+        view.observe_pace(0.1, 0.5)
+    assert view.places == 2
+
+
+def test_new_boot_sets_the_ramp_back_and_forgets_the_cache() -> None:
+    view = make_engine('p1')
+    view.prefixes.store((1, 2))
+    assert view.see_boot('other')
+    assert view.places == 2
+    assert not view.prefixes.cached_tokens((1, 2))
+
+
+def test_lost_cache_is_noticed() -> None:
+    prefixes = PrefixMap()
+    prefixes.store((1, 2, 3, 4))
+    prefixes.store((9,))
+    assert prefixes.correct((1, 2, 3, 4), expected=1024, seen=0)
+    assert prefixes.cached_tokens((1, 2)) == 512
+    assert not prefixes.cached_tokens((9,))
+
+
+def test_budget_bounds_retries_to_a_share() -> None:
+    budget = RetryBudget(share=0.1, reserve=5)
+    spent = 0
+    for _ in range(1000):
+        budget.earn()
+        spent += budget.spend()
+    assert spent <= 5 + 100
+
+
+def _held(age_s: float = 1.0) -> Held:
+    holder = HolderId(VmId('vm-1'), Incarnation('i1'))
+    return Held(UpstreamId('d1'), RequestId('r1'), holder, 'decode', 1, age_s)
+
+
+@pytest.mark.parametrize(
+    ('report', 'age_s', 'is_freed'),
+    [
+        (HolderReport(HolderState.ANSWERED), 1, True),
+        (
+            HolderReport(HolderState.ANSWERED, frozenset({RequestId('r1')})),
+            1,
+            False,
+        ),
+        (HolderReport(HolderState.DEAD), 1, True),
+        (HolderReport(HolderState.SILENT, silent_s=99), 99, False),
+        (
+            HolderReport(HolderState.SILENT, is_listed=False, silent_s=99),
+            99,
+            True,
+        ),
+        (
+            HolderReport(HolderState.SILENT, is_listed=False, silent_s=5),
+            99,
+            False,
+        ),
+        (HolderReport(HolderState.SILENT), MAX_REQUEST_S + 1, True),
+    ],
+)
+def test_only_what_is_surely_gone_is_freed(
+    report: HolderReport, age_s: float, *, is_freed: bool
+) -> None:
+    assert bool(orphans([_held(age_s)], report)) is is_freed
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/baseline.py
@@ -0,0 +1,143 @@
+"""Baselines for measurements: each node places from its own view."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager, suppress
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from catkinreach_core.cell.ask import Ask, Granted
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.placement.least_load import LeastLoadPolicy, LoadReport
+from catkinreach_core.placement.round_robin import RoundRobinPolicy
+from catkinreach_core.settings.fleet import QueuePolicy, ServiceKind
+
+from ..http.client import ConnectError, ExchangeError
+from ..parts import NodePart
+from ..session.engine_client import upstream_address
+from ..session.seams import LocalReservation, Reservation, Scheduler
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping
+
+    from catkinreach_core.ids import PoolId
+    from catkinreach_core.placement.policy import WorkItem
+    from catkinreach_core.settings.fleet import FleetSettings, Upstream
+
+    from ..parts import NodeContext
+    from ..session.context import SessionContext
+    from .claims import Claims
+
+LOAD_POLL_S = 0.5
+LOAD_TIMEOUT_S = 0.4
+
+
+class BaselineScheduler(NodePart, Scheduler):
+    """Places without a queue and without asking anyone."""
+
+    def __init__(self, context: NodeContext, claims: Claims) -> None:
+        """Starts without load reports."""
+        self._context = context
+        self._claims = claims
+        self._least_load = LeastLoadPolicy()
+        self._round_robin = RoundRobinPolicy()
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+        return 'baseline'
+
+    async def run(self) -> None:
+        """Polls the load while the policy needs it."""
+        while True:
+            with suppress(CatkinreachError):
+                settings = self._context.state.settings
+                if settings.queue.policy is QueuePolicy.LEAST_LOAD:
+                    await asyncio.gather(
+                        *(self._poll(one) for one in _engines(settings))
+                    )
+            await asyncio.sleep(LOAD_POLL_S)
+
+    async def hand_over(self) -> None:
+        """Has nothing to hand over."""
+
+    def status(self) -> Mapping[str, object]:
+        """Returns the load reports that are known."""
+        return {'load_reports': self._least_load.report_count}
+
+    @asynccontextmanager
+    async def reserve(
+        self,
+        session: SessionContext,
+        work: WorkItem,
+        *,
+        is_resume: bool = False,  # noqa: ARG002 - part of the protocol
+    ) -> AsyncIterator[Reservation]:
+        """Places at once.
+
+        Raises:
+            CatkinreachError: ``NO_UPSTREAM``.
+        """
+        settings = session.settings
+        is_least = settings.queue.policy is QueuePolicy.LEAST_LOAD
+        policy = self._least_load if is_least else self._round_robin
+        placement = policy.place(
+            work,
+            _candidates(settings, session.service.prefill_pool),
+            _candidates(settings, session.service.decode_pool),
+        )
+        if placement is None:
+            raise CatkinreachError(ErrorKind.NO_UPSTREAM)
+        ask = Ask(
+            request_id=work.request_id,
+            attempt=work.attempt,
+            vm_id=self._context.settings.vm_id,
+            workspace_id=work.workspace_id,
+            prompt_tokens=work.prompt_tokens,
+            max_tokens=work.max_tokens,
+        )
+        key = self._claims.add(
+            Granted(ask, placement.prefill, placement.decode)
+        )
+        try:
+            yield LocalReservation(placement, key)
+        finally:
+            self._claims.remove(key)
+
+    async def _poll(self, upstream: Upstream) -> None:
+        try:
+            async with asyncio.timeout(LOAD_TIMEOUT_S):
+                _, body = await self._context.client.call_json(
+                    upstream_address(upstream), 'GET', '/v1/load'
+                )
+            report = msgspec.json.decode(body, type=LoadReport)
+        except (ConnectError, ExchangeError, TimeoutError):
+            return
+        except msgspec.MsgspecError:
+            return
+        self._least_load.take_report(upstream.upstream_id, report)
+
+
+def _candidates(
+    settings: FleetSettings, pool_id: PoolId | None
+) -> list[Upstream]:
+    return [
+        upstream
+        for upstream in settings.upstreams_of(pool_id)
+        if settings.is_in_service(upstream)
+    ]
+
+
+def _engines(settings: FleetSettings) -> list[Upstream]:
+    pools = {
+        pool_id
+        for service in settings.services.values()
+        if service.kind is ServiceKind.MODEL
+        for pool_id in (service.prefill_pool, service.decode_pool)
+    }
+    return [one for one in settings.upstreams.values() if one.pool_id in pools]
+
+
+__all__ = ('BaselineScheduler',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
@@ -0,0 +1,217 @@
+"""One cell that this node owns, with the requests that await its decision."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+from catkinreach_core.cell.ask import Granted
+from catkinreach_core.cell.suspects import Crash
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.messages.cell import (
+    QuarantinedPrompt,
+    Renewed,
+    SuspectedPrompt,
+    WarmEngine,
+)
+
+from .convert import to_granted
+
+if TYPE_CHECKING:
+    from catkinreach_core.cell.ask import Ask
+    from catkinreach_core.cell.roster import CellRoster
+    from catkinreach_core.ids import RequestId, VmId
+    from catkinreach_core.messages.cell import Renew
+    from catkinreach_core.ownership.tenure import Tenure
+
+QUEUED_PUMP_S = 0.02
+"""Longest time between two looks at a queue that is not empty."""
+
+REBUILD_S = 1.0
+"""Time for the entry nodes to tell a new owner what they hold."""
+
+
+class OwnedCell:
+    """Feeds events to a cell and hands its decisions to those who wait."""
+
+    def __init__(self, roster: CellRoster, tenure: Tenure) -> None:
+        """Starts a tenure; nothing is placed until it is rebuilt."""
+        self.roster = roster
+        self.cell = roster.cell
+        self.tenure = tenure
+        self.cell.opens_at_s = time.monotonic() + REBUILD_S
+        self._waiters: dict[RequestId, asyncio.Future[Granted]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._told: dict[VmId, object] = {}
+        self._rebuilt_from: set[VmId] = set()
+        self.placed = 0
+        self.refused = 0
+        self.busy_s = 0.0
+
+    async def place(self, ask: Ask) -> Granted:
+        """Returns the places of a request once it has its turn.
+
+        Raises:
+            CatkinreachError: a refusal before anything ran.
+        """
+        self._answer(
+            ask.request_id, CatkinreachError(ErrorKind.NO_OWNER, 'asked again')
+        )
+        waiter: asyncio.Future[Granted] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters[ask.request_id] = waiter
+        self.cell.submit(ask, time.monotonic())
+        self.pump()
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self.cell.withdraw(ask.request_id, time.monotonic())
+            raise
+        finally:
+            if self._waiters.get(ask.request_id) is waiter:
+                del self._waiters[ask.request_id]
+
+    def pump(self) -> None:
+        """Makes every decision that is due and sets the next alarm."""
+        started_s = time.perf_counter()
+        for decision in self.cell.pump(time.monotonic()):
+            if isinstance(decision, Granted):
+                self.placed += 1
+                self._answer(decision.ask.request_id, decision)
+            else:
+                self.refused += 1
+                self._answer(
+                    decision.ask.request_id,
+                    CatkinreachError(decision.kind, decision.detail),
+                )
+        self.busy_s += time.perf_counter() - started_s
+        self._set_timer()
+
+    def withdraw(self, request_id: RequestId) -> None:
+        """Forgets a request whose caller is gone."""
+        self.cell.withdraw(request_id, time.monotonic())
+        self._answer(request_id, CatkinreachError(ErrorKind.NO_OWNER))
+        self.pump()
+
+    def renew(self, sender: VmId, message: Renew) -> Renewed:
+        """Takes what an entry node holds."""
+        now_s = time.monotonic()
+        cell = self.cell
+        for one in message.told:
+            granted, stage = to_granted(one)
+            cell.restore(granted, stage, now_s)
+        cell.confirm(sender, frozenset(message.live), now_s)
+        self._learn(message, now_s)
+        unknown = tuple(
+            request_id
+            for request_id in message.live
+            if request_id not in cell.reserved
+        )
+        if not unknown:
+            self._rebuilt_from.add(sender)
+        self.pump()
+        return self._renewed(sender, unknown, now_s)
+
+    def open_if_rebuilt(self, vms: set[VmId]) -> None:
+        """Begins to place once every entry node has told what it holds."""
+        if vms <= self._rebuilt_from:
+            self.cell.opens_at_s = 0.0
+            self.pump()
+
+    def close(self) -> None:
+        """Sends everyone who waits to the next owner."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for request_id in tuple(self._waiters):
+            self._answer(request_id, CatkinreachError(ErrorKind.NO_OWNER))
+
+    def _learn(self, message: Renew, now_s: float) -> None:
+        suspects = self.cell.crashes.suspects
+        for prompt in message.quarantined:
+            suspects.quarantine(prompt.digest, prompt.left_s, now_s)
+        for one in message.suspected:
+            suspects.crash(
+                one.digest,
+                Crash(one.upstream_id, one.boot),
+                was_alone=False,
+                now_s=now_s,
+            )
+        for engine in message.warm:
+            view = self.cell.view(engine.upstream_id)
+            if view is not None and view.boot in {'', engine.boot}:
+                view.boot = engine.boot
+                view.ramp.learn(engine.completed)
+
+    def _renewed(
+        self, sender: VmId, unknown: tuple[RequestId, ...], now_s: float
+    ) -> Renewed:
+        news = self._news(now_s)
+        told = (
+            news.warm,
+            tuple(one.digest for one in news.quarantined),
+            news.suspected,
+        )
+        is_news = self._told.get(sender) != told
+        self._told[sender] = told
+        if not is_news:
+            return Renewed(term=self.tenure.term, unknown=unknown)
+        return msgspec.structs.replace(news, unknown=unknown)
+
+    def _news(self, now_s: float) -> Renewed:
+        suspects = self.cell.crashes.suspects
+        return Renewed(
+            term=self.tenure.term,
+            is_news=True,
+            warm=tuple(
+                WarmEngine(
+                    upstream_id=view.upstream_id,
+                    boot=view.boot,
+                    completed=view.ramp.completed_up_to(view.upstream.places),
+                )
+                for view in self.cell.views
+                if view.boot and view.ramp.completed
+            ),
+            quarantined=tuple(
+                QuarantinedPrompt(digest=digest, left_s=left_s)
+                for digest, left_s in suspects.quarantined(now_s).items()
+            ),
+            suspected=tuple(
+                SuspectedPrompt(
+                    digest=digest,
+                    upstream_id=crash.upstream_id,
+                    boot=crash.boot,
+                )
+                for digest, crash in suspects.suspicions()
+            ),
+        )
+
+    def _answer(
+        self, request_id: RequestId, answer: Granted | CatkinreachError
+    ) -> None:
+        waiter = self._waiters.get(request_id)
+        if waiter is None or waiter.done():
+            if isinstance(answer, Granted):
+                logger.debug('cell: nobody waits for {}.', request_id)
+            return
+        if isinstance(answer, Granted):
+            waiter.set_result(answer)
+        else:
+            waiter.set_exception(answer)
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due_s = self.cell.next_due_s()
+        if due_s is None:
+            return
+        wait_s = min(QUEUED_PUMP_S, max(0.0, due_s - time.monotonic()))
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self.pump)
+
+
+__all__ = ('REBUILD_S', 'OwnedCell')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owner.py
@@ -0,0 +1,244 @@
+"""Part: the cells that this node owns."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from catkinreach_core.cell.roster import CellRoster
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.fleet_list import VmState
+from catkinreach_core.messages.cell import (
+    Ended,
+    Placed,
+    PlaceRequest,
+    Prefilled,
+    Renew,
+    Renewed,
+    Started,
+    Withdraw,
+)
+from catkinreach_core.ownership.shards import cell_shard
+from catkinreach_core.settings.fleet import QueuePolicy, ServiceKind
+
+from ..parts import NodePart
+from .convert import to_ask, to_ending
+from .owned import OwnedCell
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from catkinreach_core.cell.ask import Ask, Granted
+    from catkinreach_core.ids import ShardId, VmId
+    from catkinreach_core.settings.fleet import FleetSettings, Service
+
+    from ..parts import NodeContext
+
+TICK_S = 0.25
+
+
+class CellOwner(NodePart):
+    """Decides for the cells whose shard this node owns."""
+
+    def __init__(self, context: NodeContext) -> None:
+        """Answers the entry nodes' calls."""
+        self._context = context
+        self._owned: dict[ShardId, OwnedCell] = {}
+        self._is_leaving = False
+        transport = context.transport
+        transport.on_call(PlaceRequest, self._on_place)
+        transport.on_call(Renew, self._on_renew)
+        transport.on_message(Withdraw, self._on_withdraw)
+        transport.on_message(Prefilled, self._on_prefilled)
+        transport.on_message(Started, self._on_started)
+        transport.on_message(Ended, self._on_ended)
+        context.state.on_change(self._follow_settings)
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+        return 'cells'
+
+    @property
+    def owned(self) -> tuple[OwnedCell, ...]:
+        """Returns the cells that this node decides for now."""
+        return tuple(self._owned.values())
+
+    async def run(self) -> None:
+        """Takes and gives up cells as the ownership of their shards moves."""
+        while True:
+            with suppress(CatkinreachError):
+                self._follow_ownership(self._context.state.settings)
+            await asyncio.sleep(TICK_S)
+
+    async def hand_over(self) -> None:
+        """Sends everyone who waits to the next owner."""
+        self._is_leaving = True
+        for shard in tuple(self._owned):
+            self._give_up(shard)
+
+    async def place(self, shard: ShardId, ask: Ask) -> Granted:
+        """Queues a request of this or another node.
+
+        Raises:
+            CatkinreachError: ``NO_OWNER`` or a refusal of the request.
+        """
+        return await self._require(shard).place(ask)
+
+    def renew(self, sender: VmId, message: Renew) -> Renewed:
+        """Takes what an entry node holds.
+
+        Raises:
+            CatkinreachError: ``NO_OWNER``.
+        """
+        return self._require(message.shard).renew(sender, message)
+
+    def take(self, message: Prefilled | Started | Ended | Withdraw) -> None:
+        """Takes a report on a reservation."""
+        owned = self._owned.get(message.shard)
+        if owned is None:
+            return
+        cell = owned.cell
+        now_s = time.monotonic()
+        if isinstance(message, Withdraw):
+            owned.withdraw(message.request_id)
+            return
+        request_id, attempt = message.request_id, message.attempt
+        if isinstance(message, Prefilled):
+            cell.prefilled(request_id, attempt, message.cached_tokens, now_s)
+        elif isinstance(message, Started):
+            cell.started(request_id, attempt, now_s)
+        else:
+            cell.end(request_id, attempt, to_ending(message), now_s)
+        owned.pump()
+
+    def status(self) -> Mapping[str, object]:
+        """Returns the owned cells with their queues and engines."""
+        return {
+            shard: _cell_status(owned) for shard, owned in self._owned.items()
+        }
+
+    async def _on_place(self, sender: VmId, message: PlaceRequest) -> Placed:
+        del sender
+        granted = await self.place(message.shard, to_ask(message.ask))
+        return Placed(
+            prefill=granted.prefill,
+            decode=granted.decode,
+            is_alone=granted.is_alone,
+        )
+
+    async def _on_renew(self, sender: VmId, message: Renew) -> Renewed:
+        return self.renew(sender, message)
+
+    def _on_withdraw(self, sender: VmId, message: Withdraw) -> None:
+        del sender
+        self.take(message)
+
+    def _on_prefilled(self, sender: VmId, message: Prefilled) -> None:
+        del sender
+        self.take(message)
+
+    def _on_started(self, sender: VmId, message: Started) -> None:
+        del sender
+        self.take(message)
+
+    def _on_ended(self, sender: VmId, message: Ended) -> None:
+        del sender
+        self.take(message)
+
+    def _require(self, shard: ShardId) -> OwnedCell:
+        with suppress(CatkinreachError):
+            self._follow_one(self._context.state.settings, shard)
+        owned = self._owned.get(shard)
+        if owned is None:
+            raise CatkinreachError(ErrorKind.NO_OWNER)
+        return owned
+
+    def _follow_ownership(self, settings: FleetSettings) -> None:
+        services = _model_services(settings)
+        for shard in {*services, *self._owned}:
+            self._follow_one(settings, shard)
+        live = {
+            entry.id
+            for entry in self._context.state.vms.vms
+            if entry.state is VmState.LIVE
+        }
+        for owned in self._owned.values():
+            owned.cell.drop_silent(time.monotonic())
+            owned.open_if_rebuilt(live)
+            owned.pump()
+
+    def _follow_one(self, settings: FleetSettings, shard: ShardId) -> None:
+        service = _model_services(settings).get(shard)
+        tenure = self._context.ownership.tenure_of(shard, time.monotonic())
+        owned = self._owned.get(shard)
+        if tenure is None or service is None or self._is_leaving:
+            self._give_up(shard)
+            return
+        if owned is not None and owned.tenure.term == tenure.term:
+            return
+        self._give_up(shard)
+        policy = settings.queue.policy
+        roster = CellRoster(
+            settings,
+            service,
+            reserves_decode=policy is not QueuePolicy.NO_RESERVATION,
+        )
+        self._owned[shard] = OwnedCell(roster, tenure)
+        logger.info('cell: owns {} in term {}.', shard, tenure.term)
+
+    def _give_up(self, shard: ShardId) -> None:
+        owned = self._owned.pop(shard, None)
+        if owned is not None:
+            owned.close()
+            logger.info('cell: gave up {}.', shard)
+
+    def _follow_settings(self) -> None:
+        for owned in self._owned.values():
+            owned.roster.apply(self._context.state.settings)
+            owned.pump()
+
+
+def _model_services(settings: FleetSettings) -> dict[ShardId, Service]:
+    return {
+        cell_shard(service.service_id): service
+        for service in settings.services.values()
+        if service.kind is ServiceKind.MODEL
+    }
+
+
+def _cell_status(owned: OwnedCell) -> dict[str, object]:
+    cell = owned.cell
+    now_s = time.monotonic()
+    return {
+        'term': owned.tenure.term,
+        'waiting': len(cell.queue),
+        'waiting_tokens': cell.queue.tokens,
+        'reserved': len(cell.reserved),
+        'placed': owned.placed,
+        'refused': owned.refused,
+        'busy_s': owned.busy_s,
+        'outage': cell.outage,
+        'quarantined': sorted(cell.crashes.suspects.quarantined(now_s)),
+        'suspects': cell.crashes.suspects.suspect_count,
+        'engines': {
+            view.upstream_id: {
+                'health': view.health.value,
+                'in_service': view.is_in_service,
+                'used_places': view.used_places,
+                'places': view.places,
+                'foreign_places': view.foreign_places,
+                'free_pieces': view.free_pieces,
+                'completed': view.ramp.completed,
+                'pace': view.pace,
+            }
+            for view in cell.views
+        },
+    }
+
+
+__all__ = ('CellOwner',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/poller.py
@@ -0,0 +1,210 @@
+"""Part: polls of the engines of owned cells."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+from catkinreach_core.cell.blocks import block_key
+from catkinreach_core.cell.engine_view import Health
+
+from ..http.client import ClientConnection, ConnectError, ExchangeError
+from ..http.messages import HttpRequest
+from ..parts import NodePart
+from ..session.engine_client import upstream_address
+from .sweeper import HoldingsPage
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine, Mapping
+
+    from catkinreach_core.cell.cell import Cell
+    from catkinreach_core.cell.engine_view import EngineView
+    from catkinreach_core.ids import UpstreamId
+    from catkinreach_core.settings.fleet import Upstream
+
+    from ..parts import NodeContext
+    from .owned import OwnedCell
+    from .owner import CellOwner
+    from .sweeper import Sweeper
+
+TICK_S = 0.1
+STATE_POLL_S = 0.2
+POLL_S = 1.0
+POLL_TIMEOUT_S = 0.8
+BOOT_HEADER = 'x-engine-boot'
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """One event of an engine's prefix cache."""
+
+    seq: int
+    kind: str
+    block: str
+
+
+class CacheEventsPage(msgspec.Struct, frozen=True):
+    """Answer of an engine to a read of its cache events."""
+
+    events: tuple[CacheEvent, ...]
+
+
+@dataclass(slots=True)
+class _PollState:
+    due_s: float = 0.0
+    last_seq: int = 0
+    boot: str = ''
+    is_running: bool = False
+
+
+class EnginePoller(NodePart):
+    """Reads boot, holdings and cache events of each engine in turn."""
+
+    def __init__(
+        self, context: NodeContext, owner: CellOwner, sweeper: Sweeper
+    ) -> None:
+        """Feeds the owner's cells and the sweeper."""
+        self._context = context
+        self._owner = owner
+        self._sweeper = sweeper
+        self._states: dict[UpstreamId, _PollState] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._polls = 0
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+        return 'engine_polls'
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        probed_s = 0.0
+        while True:
+            now_s = time.monotonic()
+            for owned in self._owner.owned:
+                for view in owned.cell.views:
+                    self._poll_if_due(owned, view, now_s)
+            if now_s - probed_s >= POLL_S:
+                probed_s = now_s
+                for owned in self._owner.owned:
+                    self._spawn(self._probe_dependencies(owned))
+            await asyncio.sleep(TICK_S)
+
+    async def hand_over(self) -> None:
+        """Has nothing to hand over."""
+
+    def status(self) -> Mapping[str, object]:
+        """Returns the polls so far."""
+        return {'polls': self._polls, 'freed': self._sweeper.freed}
+
+    def _poll_if_due(
+        self, owned: OwnedCell, view: EngineView, now_s: float
+    ) -> None:
+        state = self._states.setdefault(view.upstream_id, _PollState())
+        is_urgent = (
+            view.health is Health.DOWN
+            or view.upstream_id in owned.cell.crashes.unresolved
+        )
+        due_s = min(state.due_s, now_s) if is_urgent else state.due_s
+        if state.is_running or now_s < due_s:
+            return
+        state.is_running = True
+        state.due_s = now_s + (STATE_POLL_S if is_urgent else POLL_S)
+        self._spawn(self._poll(owned, view, state))
+
+    async def _poll(
+        self, owned: OwnedCell, view: EngineView, state: _PollState
+    ) -> None:
+        self._polls += 1
+        try:
+            async with asyncio.timeout(POLL_TIMEOUT_S):
+                boot, body = await self._get(view.upstream, '/v1/holdings')
+                await self._read_cache_events(view, state, boot)
+        except (ConnectError, ExchangeError, TimeoutError) as error:
+            is_refused = isinstance(error, ConnectError) and isinstance(
+                error.__cause__, ConnectionRefusedError
+            )
+            self._take_silence(owned, view, is_refused=is_refused)
+        else:
+            owned.cell.answered(view, boot, time.monotonic())
+            with suppress(msgspec.MsgspecError):
+                page = msgspec.json.decode(body, type=HoldingsPage)
+                await self._sweeper.sweep(owned.cell, view, page)
+        finally:
+            state.is_running = False
+        owned.pump()
+
+    def _take_silence(
+        self, owned: OwnedCell, view: EngineView, *, is_refused: bool
+    ) -> None:
+        if view.health is Health.UP:
+            logger.warning('cell: {} does not answer.', view.upstream_id)
+        owned.cell.silent(view, time.monotonic(), is_refused=is_refused)
+
+    async def _read_cache_events(
+        self, view: EngineView, state: _PollState, boot: str
+    ) -> None:
+        if boot != state.boot:
+            state.boot, state.last_seq = boot, 0
+        _, body = await self._get(
+            view.upstream, f'/v1/cache-events?after={state.last_seq}'
+        )
+        with suppress(msgspec.MsgspecError):
+            page = msgspec.json.decode(body, type=CacheEventsPage)
+            for event in page.events:
+                state.last_seq = max(state.last_seq, event.seq)
+                _apply(view, event)
+
+    async def _get(self, upstream: Upstream, target: str) -> tuple[str, bytes]:
+        request = HttpRequest(method='GET', target=target)
+        async with self._context.client.exchange(
+            upstream_address(upstream), request
+        ) as response:
+            return response.header(BOOT_HEADER) or '', await response.read()
+
+    async def _probe_dependencies(self, owned: OwnedCell) -> None:
+        """Finds the first dependency that has no upstream left."""
+        outage = ''
+        for name, upstreams in owned.roster.dependencies().items():
+            answers = await asyncio.gather(*map(_accepts, upstreams))
+            if not any(answers):
+                outage = name
+        _set_outage(owned.cell, outage)
+        owned.pump()
+
+    def _spawn(self, job: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _set_outage(cell: Cell, outage: str) -> None:
+    if cell.outage != outage:
+        logger.warning('cell: dependency out: {}.', outage or 'none')
+        cell.outage = outage
+
+
+async def _accepts(upstream: Upstream) -> bool:
+    """Tells whether an upstream accepts a connection."""
+    try:
+        connection = await ClientConnection.open(upstream_address(upstream))
+    except ConnectError:
+        return False
+    connection.close()
+    return True
+
+
+def _apply(view: EngineView, event: CacheEvent) -> None:
+    block = block_key(event.block)
+    if event.kind == 'stored':
+        view.prefixes.store((block,))
+    else:
+        view.prefixes.evict(block)
+
+
+__all__ = ('CacheEvent', 'EnginePoller')
--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from catkinreach_core.cell.reservations import FailureKind
 from catkinreach_core.ids import Incarnation, VmId
 from catkinreach_core.settings.node import Address
 
@@ -22,8 +23,10 @@
 
     from ..http.client import ClientResponse, HttpClient
 
-PREFILL_TIMEOUT_S = 30.0
-IMPORT_TIMEOUT_S = 5.0
+PREFILL_BASE_TIMEOUT_S = 3.0
+PREFILL_TOKEN_TIMEOUT_S = 0.001
+IMPORT_BASE_TIMEOUT_S = 1.2
+IMPORT_PIECE_TIMEOUT_S = 0.05
 CANCEL_TIMEOUT_S = 2.0
 _HTTP_OK = 200
 _EVENT_END = b'\n\n'
@@ -36,12 +39,19 @@
     Attributes:
         status: HTTP status; 0 if the connection broke.
         reason: The engine's reason or the break's.
+        kind: How the call failed.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
-        """Keeps the status and the reason."""
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        kind: FailureKind = FailureKind.REFUSED,
+    ) -> None:
+        """Keeps the status, the reason and the kind."""
         self.status = status
         self.reason = reason
+        self.kind = kind
         super().__init__(f'engine call failed: {status} {reason}')
 
 
@@ -116,7 +126,8 @@
                 'prompt': prompt,
                 'priority': priority,
             },
-            timeout_s=PREFILL_TIMEOUT_S,
+            timeout_s=PREFILL_BASE_TIMEOUT_S
+            + PREFILL_TOKEN_TIMEOUT_S * len(prompt),
             trace=trace,
         )
         return msgspec.json.decode(body, type=PrefillAnswer)
@@ -128,6 +139,7 @@
         source: Upstream,
         export_id: str,
         *,
+        kv_pieces: int = 1,
         trace: str = '',
     ) -> ImportAnswer:
         """Transfers an export to the decode engine."""
@@ -140,7 +152,8 @@
                 'source': str(upstream_address(source)),
                 'export_id': export_id,
             },
-            timeout_s=IMPORT_TIMEOUT_S,
+            timeout_s=IMPORT_BASE_TIMEOUT_S
+            + IMPORT_PIECE_TIMEOUT_S * kv_pieces,
             trace=trace,
         )
         return msgspec.json.decode(body, type=ImportAnswer)
@@ -181,8 +194,10 @@
                         response.status, _reason(await response.read())
                     )
                 yield _decode_events(response)
-        except (ConnectError, ExchangeError) as error:
-            raise EngineError(0, str(error)) from error
+        except ConnectError as error:
+            raise _unreachable(error) from error
+        except ExchangeError as error:
+            raise _broke(error) from error
 
     async def cancel(self, upstream: Upstream, request_id: RequestId) -> None:
         """Frees what an engine holds for a request."""
@@ -212,9 +227,13 @@
             ):
                 body = await response.read()
         except TimeoutError as error:
-            raise EngineError(0, f'no answer in {timeout_s} s') from error
-        except (ConnectError, ExchangeError) as error:
-            raise EngineError(0, str(error)) from error
+            raise EngineError(
+                0, f'no answer in {timeout_s} s', FailureKind.STALLED
+            ) from error
+        except ConnectError as error:
+            raise _unreachable(error) from error
+        except ExchangeError as error:
+            raise _broke(error) from error
         if response.status != _HTTP_OK:
             raise EngineError(response.status, _reason(body))
         return body
@@ -232,6 +251,14 @@
     )
 
 
+def _unreachable(error: ConnectError) -> EngineError:
+    return EngineError(0, str(error), FailureKind.UNREACHABLE)
+
+
+def _broke(error: ExchangeError) -> EngineError:
+    return EngineError(0, str(error), FailureKind.BROKE)
+
+
 def _reason(body: bytes) -> str:
     return body[:200].decode('utf-8', 'replace')
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -2,65 +2,40 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
-from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
+from contextlib import AsyncExitStack, aclosing
 from typing import TYPE_CHECKING
 
-from catkinreach_core.errors import CatkinreachError, ErrorKind
+from loguru import logger
+
+from catkinreach_core.cell.blocks import prefix_blocks
+from catkinreach_core.cell.retry_budget import RetryBudget
+from catkinreach_core.errors import CatkinreachError, ErrorKind, Outcome
 from catkinreach_core.placement.policy import WorkItem
-from catkinreach_core.tokens import WordTokenizer
+from catkinreach_core.tokens import WordTokenizer, prompt_digest
 
 from ..http.messages import EVENT_STREAM_TYPE, HttpResponse
 from ..http.problem import problem_document
 from ..telemetry.hop import Hop
+from .attempt import Attempt, AttemptError
 from .completion import AnswerFormat, parse_completion
-from .engine_client import EngineError
+from .progress import AnswerProgress
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
-    from catkinreach_core.settings.fleet import Upstream
+    from catkinreach_core.ids import UpstreamId
 
-    from ..telemetry.hop import HopRecorder, TraceScope
+    from ..telemetry.hop import HopRecorder
     from .completion import Completion
     from .context import SessionContext
-    from .engine_client import DecodeEvent, EngineClient
+    from .engine_client import EngineClient
     from .seams import Limiter, LimitGrant, Reservation, Scheduler
 
-MAX_ATTEMPTS = 3
-
-
-@dataclass(slots=True)
-class AnswerProgress:
-    """How much of an answer the caller has."""
-
-    tokens: list[str] = field(default_factory=list)
-    finish: str = ''
-
-    @property
-    def is_complete(self) -> bool:
-        """Tells whether the engine has ended the answer."""
-        return bool(self.finish)
-
-    def take(self, event: DecodeEvent) -> str | None:
-        """Returns the event's token if it is the next one.
-
-        An index that was seen before is dropped, so that an answer which
-        comes late or twice adds nothing.
-
-        Raises:
-            EngineError: if a token is missing.
-        """
-        if event.done:
-            self.finish = event.finish
-            return None
-        if event.index < len(self.tokens):
-            return None
-        if event.index > len(self.tokens):
-            raise EngineError(0, f'token {len(self.tokens)} is missing')
-        self.tokens.append(event.token)
-        return event.token
+MAX_ATTEMPTS = 6
+BUDGET_WAIT_S = 5.0
+BUDGET_PAUSE_S = 0.05
 
 
 class ModelStage:
@@ -79,6 +54,7 @@
         self._limiter = limiter
         self._engines = engines
         self._tokenizer = WordTokenizer()
+        self._budget = RetryBudget()
 
     async def serve(self, session: SessionContext) -> HttpResponse:
         """Answers a completion request."""
@@ -94,6 +70,7 @@
             self._scheduler,
             self._engines,
             self._hops,
+            self._budget,
         )
         if completion.is_streamed:
             return await _streamed(run)
@@ -111,6 +88,7 @@
         scheduler: Scheduler,
         engines: EngineClient,
         hops: HopRecorder,
+        budget: RetryBudget,
     ) -> None:
         """Starts without a token."""
         self._hops = hops
@@ -120,6 +98,10 @@
         self._grant = grant
         self._scheduler = scheduler
         self._engines = engines
+        self._budget = budget
+        self._blocks = prefix_blocks(completion.prompt)
+        self._digest = prompt_digest(completion.prompt)
+        self._failed: tuple[UpstreamId, ...] = ()
         self.progress = AnswerProgress()
         self.answer_format = AnswerFormat(session.request_id, completion)
 
@@ -130,8 +112,12 @@
             CatkinreachError: if no attempt brought the whole answer.
         """
         try:
+            self._budget.earn()
             for attempt in range(MAX_ATTEMPTS):
-                async for batch in self._attempt(is_resume=attempt > 0):
+                if attempt:
+                    await self._wait_for_budget()
+                async for batch in self._attempt(attempt):
+                    self._record_tokens(len(batch))
                     yield batch
                 if self.progress.is_complete:
                     return
@@ -141,60 +127,72 @@
                 len(self._completion.prompt) + len(self.progress.tokens)
             )
 
-    async def _attempt(
-        self, *, is_resume: bool
-    ) -> AsyncGenerator[list[str], None]:
-        work = WorkItem(
-            request_id=self._session.request_id,
-            workspace_id=self._session.workspace_id,
-            prompt_tokens=len(self._completion.prompt),
-            max_tokens=self._completion.max_tokens,
-        )
+    async def _attempt(self, number: int) -> AsyncGenerator[list[str], None]:
         async with AsyncExitStack() as stack:
             with self._hops.hop(Hop.QUEUE, self._session.trace):
-                reservation = await stack.enter_async_context(
-                    self._scheduler.reserve(
-                        self._session, work, is_resume=is_resume
-                    )
-                )
+                reservation = await self._reserve(stack, number)
+            attempt = Attempt(
+                self._session,
+                self._completion,
+                reservation,
+                self.progress,
+                self._engines,
+                self._hops,
+            )
             try:
-                async for batch in self._run_on(reservation):
-                    yield batch
-            except EngineError:
-                return
-
-    async def _run_on(
-        self, reservation: Reservation
-    ) -> AsyncGenerator[list[str], None]:
-        upstreams = self._session.settings.upstreams
-        prefill = upstreams[reservation.placement.prefill]
-        decode = upstreams[reservation.placement.decode]
-        import_id = await self._prepare(prefill, decode)
-        with self._hops.hop(Hop.DECODE, self._session.trace) as scope:
-            scope.note('upstream', decode.upstream_id)
-            async for batch in self._decode(decode, import_id, scope):
-                yield batch
-
-    async def _decode(
-        self, decode: Upstream, import_id: str, scope: TraceScope
-    ) -> AsyncGenerator[list[str], None]:
-        async with self._engines.decode(
-            decode,
-            self._session.request_id,
-            self._completion.model,
-            import_id,
-            max_tokens=self._completion.max_tokens,
-            skip=len(self.progress.tokens),
-            trace=scope.traceparent,
-        ) as batches:
-            async for events in batches:
-                batch = [
-                    token
-                    for token in map(self.progress.take, events)
-                    if token is not None
-                ]
-                self._record_tokens(len(batch))
-                yield batch
+                async with aclosing(attempt.run()) as batches:
+                    async for batch in batches:
+                        yield batch
+            except AttemptError as error:
+                logger.info(
+                    'model: {} attempt {}: {}.',
+                    self._session.request_id,
+                    number,
+                    error,
+                )
+                self._failed = (error.failure.upstream_id,)
+
+    async def _reserve(self, stack: AsyncExitStack, number: int) -> Reservation:
+        """Waits for places; a refusal after an attempt is no ``not-run``."""
+        scheduled = self._scheduler.reserve(
+            self._session, self._work(number), is_resume=number > 0
+        )
+        try:
+            return await stack.enter_async_context(scheduled)
+        except CatkinreachError as error:
+            if not number:
+                raise
+            kind = error.kind
+            if kind is not ErrorKind.REQUEST_QUARANTINED:
+                kind = ErrorKind.UPSTREAM_FAILED
+            raise CatkinreachError(
+                kind, error.detail, outcome=Outcome.UNKNOWN
+            ) from error
+
+    def _work(self, number: int) -> WorkItem:
+        prompt = self._completion.prompt
+        return WorkItem(
+            request_id=self._session.request_id,
+            workspace_id=self._session.workspace_id,
+            prompt_tokens=len(prompt),
+            max_tokens=self._completion.max_tokens - len(self.progress.tokens),
+            blocks=self._blocks,
+            digest=self._digest,
+            attempt=number,
+            excluded=self._failed,
+        )
+
+    async def _wait_for_budget(self) -> None:
+        """Spreads retries out rather than giving an accepted request up.
+
+        Raises:
+            CatkinreachError: ``UPSTREAM_FAILED`` after a long wait.
+        """
+        end_s = time.monotonic() + BUDGET_WAIT_S
+        while not self._budget.spend():
+            if time.monotonic() > end_s:
+                raise CatkinreachError(ErrorKind.UPSTREAM_FAILED)
+            await asyncio.sleep(BUDGET_PAUSE_S)
 
     def _record_tokens(self, count: int) -> None:
         if not count:
@@ -208,28 +206,6 @@
         else:
             metrics.between_tokens.record(waited_s / count)
 
-    async def _prepare(self, prefill: Upstream, decode: Upstream) -> str:
-        request_id = self._session.request_id
-        with self._hops.hop(Hop.PREFILL, self._session.trace) as scope:
-            scope.note('upstream', prefill.upstream_id)
-            prefilled = await self._engines.prefill(
-                prefill,
-                request_id,
-                self._completion.model,
-                self._completion.prompt,
-                trace=scope.traceparent,
-            )
-        with self._hops.hop(Hop.TRANSFER, self._session.trace) as scope:
-            scope.note('upstream', decode.upstream_id)
-            imported = await self._engines.import_kv(
-                decode,
-                request_id,
-                prefill,
-                prefilled.export_id,
-                trace=scope.traceparent,
-            )
-        return imported.import_id
-
 
 async def _whole(run: ModelRun) -> HttpResponse:
     async for _ in run.tokens():
--- a/packages/catkinreach-node/src/catkinreach_node/session/seams.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/seams.py
@@ -2,21 +2,14 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Protocol
 
-from catkinreach_core.errors import CatkinreachError, ErrorKind
-from catkinreach_core.placement.round_robin import RoundRobinPolicy
-
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from contextlib import AbstractAsyncContextManager
 
-    from catkinreach_core.placement.policy import (
-        Placement,
-        PlacementPolicy,
-        WorkItem,
-    )
+    from catkinreach_core.cell.reservations import Ending
+    from catkinreach_core.ids import RequestId
+    from catkinreach_core.placement.policy import Placement, WorkItem
 
     from .context import SessionContext
 
@@ -28,6 +21,19 @@
     def placement(self) -> Placement:
         """Returns the upstreams that hold the places."""
 
+    @property
+    def engine_request_id(self) -> RequestId:
+        """Returns the id under which the engines know the attempt."""
+
+    def prefilled(self, cached_tokens: int) -> None:
+        """Reports the end of the prefill and the cached tokens it found."""
+
+    def started(self) -> None:
+        """Reports the first token."""
+
+    def end(self, ending: Ending) -> None:
+        """Reports how the attempt ended; only the first report counts."""
+
 
 class Scheduler(Protocol):
     """Queues a model request and reserves its places."""
@@ -67,58 +73,31 @@
 class LocalReservation:
     """A reservation that nothing stands behind."""
 
-    def __init__(self, placement: Placement) -> None:
+    def __init__(
+        self, placement: Placement, engine_request_id: RequestId
+    ) -> None:
         """Keeps the placement."""
         self._placement = placement
+        self._engine_request_id = engine_request_id
 
     @property
     def placement(self) -> Placement:
         """Returns the chosen upstreams."""
         return self._placement
 
+    @property
+    def engine_request_id(self) -> RequestId:
+        """Returns the id under which the engines know the attempt."""
+        return self._engine_request_id
 
-class LocalScheduler:
-    """Places without a queue, from this node's own view."""
-
-    def __init__(self, policy: PlacementPolicy) -> None:
-        """Uses the policy for every request."""
-        self._policy = policy
+    def prefilled(self, cached_tokens: int) -> None:
+        """Does nothing."""
 
-    @classmethod
-    def round_robin(cls) -> LocalScheduler:
-        """Returns the baseline scheduler."""
-        return cls(RoundRobinPolicy())
+    def started(self) -> None:
+        """Does nothing."""
 
-    @asynccontextmanager
-    async def reserve(
-        self,
-        session: SessionContext,
-        work: WorkItem,
-        *,
-        is_resume: bool = False,  # noqa: ARG002 - part of the protocol
-    ) -> AsyncIterator[Reservation]:
-        """Places at once or refuses."""
-        settings = session.settings
-        placement = self._policy.place(
-            work,
-            [
-                upstream
-                for upstream in settings.upstreams_of(
-                    session.service.prefill_pool
-                )
-                if settings.is_in_service(upstream)
-            ],
-            [
-                upstream
-                for upstream in settings.upstreams_of(
-                    session.service.decode_pool
-                )
-                if settings.is_in_service(upstream)
-            ],
-        )
-        if placement is None:
-            raise CatkinreachError(ErrorKind.NO_UPSTREAM)
-        yield LocalReservation(placement)
+    def end(self, ending: Ending) -> None:
+        """Does nothing."""
 
 
 class UnlimitedGrant:
@@ -143,7 +122,7 @@
 __all__ = (
     'LimitGrant',
     'Limiter',
-    'LocalScheduler',
+    'LocalReservation',
     'Reservation',
     'Scheduler',
     'UnlimitedLimiter',
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -7,6 +7,13 @@
 
 from catkinreach_core.settings.node import Address
 
+from .cell.baseline import BaselineScheduler
+from .cell.claims import Claims
+from .cell.operator import CellActions
+from .cell.owner import CellOwner
+from .cell.poller import EnginePoller
+from .cell.scheduler import CellScheduler
+from .cell.sweeper import Sweeper
 from .config.state import FleetState
 from .fleet.wire import FleetParts
 from .http.client import HttpClient
@@ -17,7 +24,7 @@
 from .session.engine_client import EngineClient, Holder
 from .session.model import ModelStage
 from .session.plain import PlainForwarder, PlainStage
-from .session.seams import LocalScheduler, UnlimitedLimiter
+from .session.seams import UnlimitedLimiter
 from .telemetry.hop import HopRecorder
 from .telemetry.metrics import Metrics
 from .telemetry.traces import Tracing
@@ -29,6 +36,7 @@
 
     from .fleet.relay import RelayPart
     from .parts import NodePart
+    from .session.seams import Scheduler
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,11 +57,15 @@
     tracing = Tracing.from_settings(settings.traces, settings.vm_id)
     hops = HopRecorder(Metrics(), tracing.tracer)
     context, fleet = _build_context(settings, incarnation, hops, tls)
+    engines = EngineClient(
+        context.client, Holder(vm=settings.vm_id, incarnation=incarnation)
+    )
+    cells = _build_cells(context, engines)
     return NodeWiring(
         context=context,
-        parts=(*fleet.first, *fleet.last),
+        parts=(*fleet.first, *cells.parts, *fleet.last),
         relay=fleet.relay,
-        accept=_build_stages(context),
+        accept=_build_stages(context, engines, cells.scheduler),
         tracing=tracing,
         tls=tls,
     )
@@ -95,17 +107,30 @@
     return context, fleet
 
 
-def _build_stages(context: NodeContext) -> AcceptStage:
+@dataclass(frozen=True, slots=True)
+class _CellParts:
+    parts: tuple[NodePart, ...]
+    scheduler: CellScheduler
+
+
+def _build_cells(context: NodeContext, engines: EngineClient) -> _CellParts:
+    claims = Claims(context.incarnation)
+    claims.serve(context.transport)
+    owner = CellOwner(context)
+    CellActions(owner).add_to(context.api)
+    poller = EnginePoller(context, owner, Sweeper(context, engines, claims))
+    baseline = BaselineScheduler(context, claims)
+    scheduler = CellScheduler(context, owner, claims, baseline)
+    return _CellParts((owner, poller, baseline, scheduler), scheduler)
+
+
+def _build_stages(
+    context: NodeContext, engines: EngineClient, scheduler: Scheduler
+) -> AcceptStage:
     limiter = UnlimitedLimiter()
-    engines = EngineClient(
-        context.client,
-        Holder(vm=context.settings.vm_id, incarnation=context.incarnation),
-    )
     return AcceptStage(
         context.state,
-        ModelStage(
-            LocalScheduler.round_robin(), limiter, engines, context.hops
-        ),
+        ModelStage(scheduler, limiter, engines, context.hops),
         PlainStage(PlainForwarder(context.client, context.hops), limiter),
         context.hops,
     )
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/cells.py
@@ -0,0 +1,83 @@
+"""Asks, engines and cells with defaults."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from catkinreach_core.cell.ask import Ask
+from catkinreach_core.cell.cell import Cell
+from catkinreach_core.cell.engine_view import EngineView
+from catkinreach_core.cell.placer import Placer
+from catkinreach_core.cell.ramp import SlowStart
+from catkinreach_core.ids import (
+    FailureDomainId,
+    PoolId,
+    RequestId,
+    UpstreamId,
+    VmId,
+    WorkspaceId,
+)
+from catkinreach_core.settings.fleet import QueueBounds, Upstream
+
+WARM_COMPLETIONS = 1000
+FIRST_TOKEN_S = 0.79
+
+
+def make_ask(number: int, *, workspace: str = 'w', **members: Any) -> Ask:
+    """Returns request ``r<number>`` with digest ``d<number>``."""
+    fields: dict[str, Any] = {
+        'request_id': RequestId(f'r{number}'),
+        'attempt': 0,
+        'vm_id': VmId('vm-1'),
+        'workspace_id': WorkspaceId(workspace),
+        'prompt_tokens': 400,
+        'max_tokens': 50,
+        'digest': f'd{number}',
+    }
+    return Ask(**{**fields, **members})
+
+
+def make_engine(
+    name: str,
+    *,
+    places: int = 4,
+    kv_pieces: int = 400,
+    completed: int = WARM_COMPLETIONS,
+    domain: str = 'a',
+) -> EngineView:
+    """Returns a warm engine with boot id ``<name>-boot-1``."""
+    upstream = Upstream(
+        upstream_id=UpstreamId(name),
+        pool_id=PoolId('pool'),
+        host='127.0.0.1',
+        port=1,
+        domain_id=FailureDomainId(domain),
+        places=places,
+        kv_pieces=kv_pieces,
+    )
+    ramp = SlowStart()
+    ramp.learn(completed)
+    view = EngineView(upstream, ramp)
+    view.see_boot(f'{name}-boot-1')
+    return view
+
+
+def make_cell(
+    prefill: list[EngineView] | None = None,
+    decode: list[EngineView] | None = None,
+    *,
+    bounds: QueueBounds | None = None,
+) -> Cell:
+    """Returns a cell, by default of two engines in each pool."""
+    return Cell(
+        Placer(
+            prefill or [make_engine('p1'), make_engine('p2', domain='b')],
+            decode or [make_engine('d1'), make_engine('d2', domain='b')],
+        ),
+        bounds or QueueBounds(),
+        first_token_s=FIRST_TOKEN_S,
+        weight_of=lambda _: 1.0,
+    )
+
+
+__all__ = ('make_ask', 'make_cell', 'make_engine')
