--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/certificates.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/certificates.py
@@ -49,22 +49,23 @@
 
     def issue(
         self,
-        name: str,
-        *,
+        *names: str,
         valid_for: timedelta = VALID_FOR,
         file_stem: str = '',
     ) -> CertificateFiles:
-        """Issues a certificate for a DNS name."""
+        """Issues a certificate for DNS names; the first names the files."""
         key = ec.generate_private_key(ec.SECP256R1())
         certificate = (
-            _builder(_name(name), self._name, key, valid_for)
+            _builder(_name(names[0]), self._name, key, valid_for)
             .add_extension(
-                x509.SubjectAlternativeName([x509.DNSName(name)]),
+                x509.SubjectAlternativeName(
+                    [x509.DNSName(name) for name in names]
+                ),
                 critical=False,
             )
             .sign(self._key, hashes.SHA256())
         )
-        stem = file_stem or name
+        stem = file_stem or names[0]
         files = CertificateFiles(
             certificate=self._directory / f'{stem}.pem',
             key=self._directory / f'{stem}.key',
