Draw saved experiments

catkinreach report prints the comparison and, with matplotlib (extra plots), draws goodput over time with the scenario's steps, goodput by workspace, wasted prefill and wrongful refusals.

--- a/packages/catkinreach-ctl/src/catkinreach_ctl/experiment/result.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/experiment/result.py
@@ -52,6 +52,13 @@
     wins: int
 
 
+class StepResult(msgspec.Struct, frozen=True):
+    """An action and when it was done, from the start of the measured time."""
+
+    name: str
+    at_s: float
+
+
 class ExperimentResult(msgspec.Struct, frozen=True, kw_only=True):
     """All runs of an experiment.
 
@@ -63,6 +70,7 @@
         capacity_per_s: Requests of all classes a second at capacity.
         load: Offered load as a part of capacity.
         baseline: Variant that ratios refer to.
+        steps: Actions of the scenario.
         runs: One for each variant and seed.
     """
 
@@ -73,6 +81,7 @@
     capacity_per_s: float
     load: float
     baseline: str
+    steps: tuple[StepResult, ...]
     runs: tuple[RunResult, ...]
 
     @property
@@ -137,5 +146,6 @@
     'ExperimentResult',
     'RunResult',
     'Spread',
+    'StepResult',
     'compare',
 )
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/experiment/series.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/experiment/series.py
@@ -10,7 +10,7 @@
 from ..load.provenance import Provenance
 from .bench import BenchSpec
 from .capacity import capacity_per_s
-from .result import ExperimentResult, RunResult
+from .result import ExperimentResult, RunResult, StepResult
 from .run import plan_scenario, run_scenario
 from .scenario import Scenario
 from .variant import Variant
@@ -68,6 +68,10 @@
         capacity_per_s=capacity,
         load=options.scenario.load,
         baseline=options.variants[0].name,
+        steps=tuple(
+            StepResult(step.kind.value, step.at_part * options.duration_s)
+            for step in options.scenario.steps
+        ),
         runs=tuple(runs),
     )
 
--- /dev/null
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/report/series.py
@@ -0,0 +1,100 @@
+"""Numbers behind the plots, free of any plotting library."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from statistics import mean
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ..experiment.result import ExperimentResult
+    from ..load.result import LoadResult, SecondResult, WorkspaceResult
+
+
+class Curve(Struct, frozen=True):
+    """Values over time, mean over the seeds."""
+
+    at_s: tuple[int, ...]
+    rates: tuple[float, ...]
+
+
+class Bar(Struct, frozen=True):
+    """A mean with its range over the seeds."""
+
+    label: str
+    mean: float
+    low: float
+    high: float
+
+    @classmethod
+    def from_values(cls, label: str, numbers: list[float]) -> Bar:
+        """Returns the bar of at least one number."""
+        return cls(label, mean(numbers), min(numbers), max(numbers))
+
+
+def goodput_curve(experiment: ExperimentResult, variant: str) -> Curve:
+    """Returns the good model requests a second over time."""
+    return _curve(experiment, variant, lambda second: second.good)
+
+
+def offered_curve(experiment: ExperimentResult, variant: str) -> Curve:
+    """Returns the model requests offered a second over time."""
+    return _curve(experiment, variant, lambda second: second.offered)
+
+
+def measure_bars(
+    experiment: ExperimentResult, read: Callable[[LoadResult], float]
+) -> list[Bar]:
+    """Returns one bar for each variant."""
+    return [
+        Bar.from_values(
+            variant,
+            [read(load) for load in experiment.runs_of(variant).values()],
+        )
+        for variant in experiment.variants
+    ]
+
+
+def workspace_bars(
+    experiment: ExperimentResult,
+    variant: str,
+    read: Callable[[WorkspaceResult], float],
+) -> list[Bar]:
+    """Returns one bar for each workspace of a variant."""
+    numbers: defaultdict[str, list[float]] = defaultdict(list)
+    for load in experiment.runs_of(variant).values():
+        for name, workspace in load.workspaces.items():
+            numbers[name].append(read(workspace))
+    return [Bar.from_values(name, seen) for name, seen in numbers.items()]
+
+
+def _curve(
+    experiment: ExperimentResult,
+    variant: str,
+    read: Callable[[SecondResult], int],
+) -> Curve:
+    loads = list(experiment.runs_of(variant).values())
+    sums: defaultdict[int, int] = defaultdict(int)
+    for second in _seconds(loads):
+        sums[second.at_s] += read(second)
+    times = tuple(range(max(sums, default=0) + 1))
+    return Curve(times, tuple(sums[at_s] / len(loads) for at_s in times))
+
+
+def _seconds(loads: Iterable[LoadResult]) -> Iterable[SecondResult]:
+    for load in loads:
+        yield from load.seconds
+
+
+__all__ = (
+    'Bar',
+    'Curve',
+    'goodput_curve',
+    'measure_bars',
+    'offered_curve',
+    'workspace_bars',
+)
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/run.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/run.py
@@ -6,7 +6,15 @@
 
 from absl import app
 
-from .commands import check, experiment, explain, load, queue, status
+from .commands import (
+    check,
+    experiment,
+    explain,
+    load,
+    queue,
+    report,
+    status,
+)
 from .commands.parsing import HelpFormatter, Parser
 
 if TYPE_CHECKING:
@@ -17,7 +25,7 @@
 exit codes: 0 done; 1 usage; 2 faulty settings; 3 node unreachable;
 4 refused by the node; 5 an accepted request was not answered in full"""
 
-_COMMANDS = (check, status, queue, explain, load, experiment)
+_COMMANDS = (check, status, queue, explain, load, experiment, report)
 
 
 def parse_arguments(argv: Sequence[str]) -> Namespace:
--- a/packages/catkinreach-ctl/tests/commands/test_run.py
+++ b/packages/catkinreach-ctl/tests/commands/test_run.py
@@ -27,7 +27,8 @@
 
 
 @pytest.mark.parametrize(
-    'command', ['check', 'status', 'queue', 'explain', 'load', 'experiment']
+    'command',
+    ['check', 'status', 'queue', 'explain', 'load', 'experiment', 'report'],
 )
 def test_help_of_each_command(command: str) -> None:
     done = _run(command, '--help')
