Measure what the path through a node costs

python -m catkinreach_standins.bench.path_cost sends the target node load (9 requests/s, 3,700 tokens/s) through one node and straight to the same stand-ins at the same time, then fills the node, and reads the processor time of the node from /proc. Full streams are counted, not decoded, so that the caller is not the slower side.

--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/path_calls.py
@@ -0,0 +1,189 @@
+"""The same request through a node and straight to the upstreams."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+
+from catkinreach_core.ids import RequestId
+from catkinreach_core.settings.fleet import PoolRole
+from catkinreach_node.http.messages import JSON_TYPE, HttpRequest
+from catkinreach_node.session.engine_client import upstream_address
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from catkinreach_core.settings.fleet import FleetSettings, Upstream
+    from catkinreach_core.settings.node import Address
+    from catkinreach_node.http.client import HttpClient
+    from catkinreach_node.session.engine_client import EngineClient
+
+MODEL = 'pattern-llm'
+READ_PATH = '/bee/status'
+_TOKEN_MARK = b'"text":'
+_HTTP_OK = 200
+
+
+@dataclass(slots=True)
+class PathTimes:
+    """What one way of calling took."""
+
+    requests: int = 0
+    tokens: int = 0
+    first_s: list[float] = field(default_factory=list)
+    gaps_s: list[float] = field(default_factory=list)
+    reads_s: list[float] = field(default_factory=list)
+
+    @property
+    def lists(self) -> tuple[list[float], list[float], list[float]]:
+        """Returns first token, between tokens and plain reads."""
+        return self.first_s, self.gaps_s, self.reads_s
+
+
+class TokenTimer:
+    """Times the tokens of one answer."""
+
+    def __init__(self, times: PathTimes) -> None:
+        """Starts at the sending."""
+        self._times = times
+        self._last_s = time.monotonic()
+        self._is_first = True
+
+    def take(self, count: int) -> None:
+        """Takes tokens that came in one read."""
+        if not count:
+            return
+        now_s = time.monotonic()
+        waited_s = now_s - self._last_s
+        self._last_s = now_s
+        times = self._times.first_s if self._is_first else self._times.gaps_s
+        times.append(waited_s)
+        self._is_first = False
+        self._times.tokens += count
+
+
+class ModelPath(Protocol):
+    """A way to have a prompt completed."""
+
+    async def complete(
+        self, prompt: tuple[int, ...], tokens: int, times: PathTimes
+    ) -> None:
+        """Streams one answer and times its tokens."""
+
+
+class NodePath:
+    """Calls through a node."""
+
+    def __init__(self, client: HttpClient, address: Address, key: str) -> None:
+        """Keeps where to send and the key."""
+        self._client = client
+        self._address = address
+        self._headers = [
+            ('authorization', f'Bearer {key}'),
+            ('content-type', JSON_TYPE),
+        ]
+
+    async def complete(
+        self, prompt: tuple[int, ...], tokens: int, times: PathTimes
+    ) -> None:
+        """Streams one answer and times its tokens."""
+        await self.count_tokens(prompt, tokens, times)
+
+    async def count_tokens(
+        self, prompt: tuple[int, ...], tokens: int, times: PathTimes
+    ) -> None:
+        """Streams one answer; tokens are counted, not decoded."""
+        document = {
+            'model': MODEL,
+            'prompt': prompt,
+            'max_tokens': tokens,
+            'stream': True,
+        }
+        request = HttpRequest(
+            method='POST',
+            target='/v1/completions',
+            headers=self._headers,
+            body=msgspec.json.encode(document),
+        )
+        timer = TokenTimer(times)
+        async with self._client.exchange(self._address, request) as response:
+            if response.status != _HTTP_OK:
+                raise RuntimeError(await response.read())
+            async for chunk in response.chunks():
+                timer.take(chunk.count(_TOKEN_MARK))
+        times.requests += 1
+
+    async def read(self, times: PathTimes) -> None:
+        """Reads from the plain service."""
+        await _timed_read(self._client, self._address, self._headers, times)
+
+
+class DirectPath:
+    """Calls straight to the upstreams, in the node's place."""
+
+    def __init__(
+        self, client: HttpClient, engines: EngineClient, settings: FleetSettings
+    ) -> None:
+        """Takes the upstreams in turn."""
+        self._client = client
+        self._engines = engines
+        self._prefill = _cycle(settings, PoolRole.PREFILL)
+        self._decode = _cycle(settings, PoolRole.DECODE)
+        self._plain = _cycle(settings, PoolRole.PLAIN)
+        self._numbers = itertools.count()
+
+    async def complete(
+        self, prompt: tuple[int, ...], tokens: int, times: PathTimes
+    ) -> None:
+        """Prefills, transfers and decodes, and times the tokens."""
+        request_id = RequestId(f'direct-{next(self._numbers)}')
+        prefill, decode = next(self._prefill), next(self._decode)
+        timer = TokenTimer(times)
+        exported = await self._engines.prefill(
+            prefill, request_id, MODEL, prompt
+        )
+        imported = await self._engines.import_kv(
+            decode, request_id, prefill, exported.export_id
+        )
+        async with self._engines.decode(
+            decode, request_id, MODEL, imported.import_id, max_tokens=tokens
+        ) as batches:
+            async for events in batches:
+                timer.take(sum(not event.done for event in events))
+        times.requests += 1
+
+    async def read(self, times: PathTimes) -> None:
+        """Reads from a plain upstream."""
+        address = upstream_address(next(self._plain))
+        await _timed_read(self._client, address, [], times)
+
+
+async def _timed_read(
+    client: HttpClient,
+    address: Address,
+    headers: list[tuple[str, str]],
+    times: PathTimes,
+) -> None:
+    request = HttpRequest(method='GET', target=READ_PATH, headers=headers)
+    started_s = time.monotonic()
+    async with client.exchange(address, request) as response:
+        await response.read()
+        if response.status != _HTTP_OK:
+            raise RuntimeError(f'read refused: {response.status}')
+    times.reads_s.append(time.monotonic() - started_s)
+    times.requests += 1
+
+
+def _cycle(settings: FleetSettings, role: PoolRole) -> Iterator[Upstream]:
+    return itertools.cycle(
+        upstream
+        for upstream in settings.upstreams.values()
+        if settings.pools[upstream.pool_id].role is role
+    )
+
+
+__all__ = ('DirectPath', 'ModelPath', 'NodePath', 'PathTimes')
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/path_cost.py
@@ -0,0 +1,376 @@
+"""Cost of the path through one node against direct calls, in one run.
+
+Run as ``python -m catkinreach_standins.bench.path_cost``. Processor time is
+that of the node's process alone, user and system, from ``/proc/PID/stat``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+from absl import flags
+
+from catkinreach_core.ids import Incarnation, VmId, WorkspaceId
+from catkinreach_core.settings.node import Address
+from catkinreach_ctl.experiment.tables import table
+from catkinreach_ctl.experiment.variant import SettingChange, apply_changes
+from catkinreach_ctl.load.provenance import Provenance
+from catkinreach_ctl.load.result import Percentiles
+from catkinreach_node.http.client import HttpClient
+from catkinreach_node.session.engine_client import EngineClient, Holder
+
+from ..command_line import new_flag_values
+from .deployment import BenchOptions, Deployment
+from .path_calls import DirectPath, NodePath, PathTimes
+from .ports import LOOPBACK
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .path_calls import ModelPath
+
+EXAMPLE = Path('examples/ninepatch/fleet.ini')
+WORKSPACE = WorkspaceId('sunday-bee')
+TARGET_REQUESTS_PER_S = 9.0
+TARGET_TOKENS_PER_S = 3700.0
+FULL_STREAMS = 48
+FULL_TOKENS = 400
+PLAIN_CALLERS = 16
+MILLISECONDS = 1000
+_NO_LIMITS = (
+    ('requests_per_s', '100000'),
+    ('request_burst', '100000'),
+    ('tokens_per_s', '100000000'),
+    ('token_burst', '100000000'),
+)
+_ENGINE_FLAGS = (
+    '--places=200',
+    '--prefill_base_s=0.002',
+    '--prefill_tokens_per_s=1000000',
+    '--step_base_s=0.004',
+    '--step_per_request_s=0.0001',
+    '--import_base_s=0.001',
+    '--link_pieces_per_s=100000',
+)
+_FULL_ENGINE_FLAGS = (
+    *_ENGINE_FLAGS,
+    '--step_base_s=0.0005',
+    '--step_per_request_s=0',
+)
+
+
+class PhaseCost(msgspec.Struct, frozen=True, kw_only=True):
+    """What one phase cost the node.
+
+    Attributes:
+        name: Name of the phase.
+        requests: Requests that passed the node.
+        tokens: Tokens that it streamed.
+        elapsed_s: Time of the phase.
+        cpu_s: Processor time of the node.
+    """
+
+    name: str
+    requests: int
+    tokens: int
+    elapsed_s: float
+    cpu_s: float
+
+    @property
+    def requests_per_core(self) -> float:
+        """Returns requests for each second of processor time."""
+        return self.requests / self.cpu_s if self.cpu_s else 0.0
+
+    @property
+    def tokens_per_core(self) -> float:
+        """Returns tokens for each second of processor time."""
+        return self.tokens / self.cpu_s if self.cpu_s else 0.0
+
+
+class AddedLatency(msgspec.Struct, frozen=True, kw_only=True):
+    """One latency through the node and direct."""
+
+    name: str
+    through_node: Percentiles
+    direct: Percentiles
+
+    @property
+    def added_p99_s(self) -> float:
+        """Returns what the node adds at the 99th percentile."""
+        return self.through_node.p99_s - self.direct.p99_s
+
+
+class PathCost(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of the whole benchmark."""
+
+    commit: str
+    command: str
+    seed: int
+    phases: tuple[PhaseCost, ...]
+    added: tuple[AddedLatency, ...]
+
+
+class NodeClock:
+    """Processor time of a process."""
+
+    def __init__(self, pid: int) -> None:
+        """Reads ``/proc/PID/stat`` on demand."""
+        self._path = Path(f'/proc/{pid}/stat')
+        self._ticks_per_s = os.sysconf('SC_CLK_TCK')
+
+    def cpu_s(self) -> float:
+        """Returns user and system time so far."""
+        fields = self._path.read_text().rpartition(')')[2].split()
+        user_ticks, system_ticks = int(fields[11]), int(fields[12])
+        return (user_ticks + system_ticks) / self._ticks_per_s
+
+
+class PathBench:
+    """A node with its engines and the calls that are timed."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        """Takes a deployment that runs."""
+        node = deployment.nodes[0]
+        self._clock = NodeClock(deployment.processes[node.vm_id].pid)
+        self._client = HttpClient()
+        self._rng = random.Random(seed)
+        self.node = NodePath(
+            self._client,
+            Address(LOOPBACK, node.caller_port),
+            f'demo-key-{WORKSPACE}',
+        )
+        holder = Holder(vm=VmId('direct'), incarnation=Incarnation('direct'))
+        self.direct = DirectPath(
+            self._client,
+            EngineClient(self._client, holder),
+            deployment.settings,
+        )
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._client.close()
+
+    async def measure(
+        self, name: str, times: PathTimes, work: Awaitable[None]
+    ) -> PhaseCost:
+        """Runs the work and reads what it cost the node."""
+        started_s, cpu_s = time.monotonic(), self._clock.cpu_s()
+        await work
+        return PhaseCost(
+            name=name,
+            requests=times.requests,
+            tokens=times.tokens,
+            elapsed_s=time.monotonic() - started_s,
+            cpu_s=self._clock.cpu_s() - cpu_s,
+        )
+
+    async def send_open(
+        self, path: ModelPath, times: PathTimes, duration_s: float
+    ) -> None:
+        """Sends model requests at the target rate, open-loop."""
+        rng = random.Random(self._rng.random())
+        tokens = round(TARGET_TOKENS_PER_S / TARGET_REQUESTS_PER_S)
+        start_s = time.monotonic()
+        at_s = rng.expovariate(TARGET_REQUESTS_PER_S)
+        async with asyncio.TaskGroup() as group:
+            while at_s < duration_s:
+                await asyncio.sleep(start_s + at_s - time.monotonic())
+                prompt = _draw_prompt(rng)
+                group.create_task(path.complete(prompt, tokens, times))
+                at_s += rng.expovariate(TARGET_REQUESTS_PER_S)
+
+    async def stream_full(self, times: PathTimes, duration_s: float) -> None:
+        """Keeps as many streams running as the engines have places."""
+        end_s = time.monotonic() + duration_s
+
+        async def stream() -> None:
+            while time.monotonic() < end_s:
+                prompt = _draw_prompt(self._rng)
+                await self.node.count_tokens(prompt, FULL_TOKENS, times)
+
+        await _together(stream, FULL_STREAMS)
+
+    async def read_full(self, times: PathTimes, duration_s: float) -> None:
+        """Keeps plain reads running, one after the other on each caller."""
+        end_s = time.monotonic() + duration_s
+
+        async def read() -> None:
+            while time.monotonic() < end_s:
+                await self.node.read(times)
+
+        await _together(read, PLAIN_CALLERS)
+
+
+async def _together(work: Callable[[], Awaitable[None]], count: int) -> None:
+    await asyncio.gather(*(work() for _ in range(count)))
+
+
+def _draw_prompt(rng: random.Random) -> tuple[int, ...]:
+    return tuple(rng.randrange(50_000) for _ in range(300))
+
+
+def _fleet_text() -> str:
+    changes = [
+        SettingChange(f'workspace {WORKSPACE}', option, text)
+        for option, text in _NO_LIMITS
+    ]
+    return apply_changes(EXAMPLE.read_text(encoding='utf-8'), changes)
+
+
+async def _measure_target(
+    bench: PathBench, duration_s: float
+) -> tuple[PhaseCost, list[AddedLatency]]:
+    """Sends the same rate through the node and to the engines at once."""
+    through, direct = PathTimes(), PathTimes()
+
+    async def send_both() -> None:
+        await asyncio.gather(
+            bench.send_open(bench.node, through, duration_s),
+            bench.send_open(bench.direct, direct, duration_s),
+            _read_both(bench, through, direct, duration_s),
+        )
+
+    phase = await bench.measure('target load', through, send_both())
+    names = ('first token', 'between tokens', 'plain read')
+    pairs = zip(names, through.lists, direct.lists, strict=True)
+    return phase, [
+        AddedLatency(
+            name=name,
+            through_node=Percentiles.from_seconds(through_s),
+            direct=Percentiles.from_seconds(direct_s),
+        )
+        for name, through_s, direct_s in pairs
+    ]
+
+
+async def _read_both(
+    bench: PathBench, through: PathTimes, direct: PathTimes, duration_s: float
+) -> None:
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        await bench.node.read(through)
+        await bench.direct.read(direct)
+        await asyncio.sleep(1 / (2 * TARGET_REQUESTS_PER_S))
+
+
+async def _run_target(
+    deployment: Deployment, seed: int, duration_s: float
+) -> tuple[PhaseCost, list[AddedLatency]]:
+    bench = PathBench(deployment, seed)
+    await bench.send_open(bench.node, PathTimes(), 2)
+    result = await _measure_target(bench, duration_s)
+    bench.close()
+    return result
+
+
+async def _run_full(
+    deployment: Deployment, seed: int, duration_s: float
+) -> list[PhaseCost]:
+    bench = PathBench(deployment, seed)
+    await bench.stream_full(PathTimes(), 1)
+    streamed, read = PathTimes(), PathTimes()
+    phases = [
+        await bench.measure(
+            'streams, full', streamed, bench.stream_full(streamed, duration_s)
+        ),
+        await bench.measure(
+            'plain reads, full', read, bench.read_full(read, duration_s)
+        ),
+    ]
+    bench.close()
+    return phases
+
+
+def measure_path(seed: int, duration_s: float) -> PathCost:
+    """Runs all phases on fresh processes."""
+    text = _fleet_text()
+    phases: list[PhaseCost] = []
+    with _open(text, seed, _ENGINE_FLAGS) as deployment:
+        phase, added = asyncio.run(_run_target(deployment, seed, duration_s))
+        phases.append(phase)
+    with _open(text, seed, _FULL_ENGINE_FLAGS) as deployment:
+        phases += asyncio.run(_run_full(deployment, seed, duration_s / 2))
+    provenance = Provenance.of_process()
+    return PathCost(
+        commit=provenance.commit,
+        command=provenance.command,
+        seed=seed,
+        phases=tuple(phases),
+        added=tuple(added),
+    )
+
+
+def _open(text: str, seed: int, engine_flags: tuple[str, ...]) -> Deployment:
+    return Deployment(
+        BenchOptions(
+            fleet=text,
+            node_count=1,
+            engine_flags=engine_flags,
+            seed=seed,
+            has_balancer=False,
+        )
+    )
+
+
+def cost_tables(cost: PathCost) -> str:
+    """Returns the result as text."""
+    phases = table(
+        ('phase', 'requests/s', 'tokens/s', 'cpu', 'req/s/core', 'tok/s/core'),
+        [
+            (
+                phase.name,
+                f'{phase.requests / phase.elapsed_s:.1f}',
+                f'{phase.tokens / phase.elapsed_s:.0f}',
+                f'{phase.cpu_s / phase.elapsed_s:.1%}',
+                f'{phase.requests_per_core:.0f}',
+                f'{phase.tokens_per_core:.0f}',
+            )
+            for phase in cost.phases
+        ],
+    )
+    added = table(
+        ('milliseconds', 'node p50', 'p99', 'direct p50', 'p99', 'added p99'),
+        [
+            (
+                one.name,
+                *(
+                    f'{seconds * MILLISECONDS:.2f}'
+                    for seconds in (
+                        one.through_node.p50_s,
+                        one.through_node.p99_s,
+                        one.direct.p50_s,
+                        one.direct.p99_s,
+                        one.added_p99_s,
+                    )
+                ),
+            )
+            for one in cost.added
+        ],
+    )
+    return f'commit {cost.commit}, seed {cost.seed}\n{phases}\n\n{added}'
+
+
+def main(argv: list[str]) -> None:
+    """Runs the benchmark and prints its tables."""
+    values = new_flag_values()
+    flags.DEFINE_integer('seed', 1, 'seed', flag_values=values)
+    flags.DEFINE_float('duration_s', 20, 'seconds', flag_values=values)
+    flags.DEFINE_string('output', '', 'JSON file', flag_values=values)
+    values(argv)
+    cost = measure_path(values.seed, values.duration_s)
+    if values.output:
+        Path(values.output).write_bytes(msgspec.json.encode(cost))
+    sys.stdout.write(f'{cost_tables(cost)}\n')
+
+
+if __name__ == '__main__':
+    main(sys.argv)
+
+__all__ = ('PathCost', 'measure_path')
