Set up no write timeout while the caller keeps up

Each chunk of a stream set up and cancelled a timer, though a drain waits only when the transport holds unsent bytes. The bound on a caller that does not read stays as it was; its tests pass unchanged.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -258,6 +258,10 @@
         await self._drain()
 
     async def _drain(self) -> None:
+        """Waits for a slow caller; without one nothing is set up."""
+        transport = self._writer.transport
+        if not transport.get_write_buffer_size() and not transport.is_closing():
+            return
         try:
             async with asyncio.timeout(self._bounds.write_timeout_s):
                 await self._writer.drain()
