--- a/packages/catkinreach-core/src/catkinreach_core/cell/cell.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/cell.py
@@ -290,11 +290,11 @@
         return True
 
     def _constraint(self, ask: Ask, now_s: float) -> Constraint | None:
-        if self.crashes.must_wait(ask.digest):
+        if self.crashes.must_wait(ask.digest, now_s):
             return None
         suspects = self.crashes.suspects
         twin = self._reserved.get(self._running.get(ask.digest, ask.request_id))
-        is_suspect = suspects.is_suspect(ask.digest, now_s)
+        is_suspect = self.crashes.is_suspect(ask.digest, now_s)
         if twin is not None and not suspects.is_proven(ask.digest):
             return Constraint(
                 is_alone_prefill=is_suspect,
@@ -313,7 +313,7 @@
             ask,
             choice.prefill.upstream_id,
             choice.decode.upstream_id,
-            self.crashes.suspects.is_suspect(ask.digest, now_s),
+            self.crashes.is_suspect(ask.digest, now_s),
         )
         work = Occupancy(
             ask.kv_pieces, choice.transfer_s, is_alone=granted.is_alone
--- a/packages/catkinreach-core/src/catkinreach_core/cell/crash_watch.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/crash_watch.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from .suspects import Crash, SuspectList
+from .suspects import CRASHES_TO_REFUSE, Crash, SuspectList
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -19,6 +19,9 @@
 RESOLVE_LIMIT_S = 2.0
 """Silence of an engine after which its prompts may run elsewhere."""
 
+FORGET_S = 30.0
+"""Silence of an engine after which a break at it is forgotten."""
+
 DOMAIN_LOSS_S = 2.0
 """Engines of a failure domain lost within it went with the domain."""
 
@@ -45,9 +48,22 @@
         """Returns the engines whose state has to be found out."""
         return tuple(self._breaks)
 
-    def must_wait(self, digest: str) -> bool:
-        """Tells whether a prompt ran on an engine that may have crashed."""
-        return any(digest in one.prompts for one in self._breaks.values())
+    def must_wait(self, digest: str, now_s: float) -> bool:
+        """Tells whether a prompt ran on an engine that may have crashed.
+
+        After a while it may run elsewhere, alone; if that engine goes silent
+        too, the prompt waits until one of them is found out about.
+        """
+        breaks = [one for one in self._breaks.values() if digest in one.prompts]
+        if len(breaks) >= CRASHES_TO_REFUSE:
+            return True
+        return any(now_s - one.at_s <= RESOLVE_LIMIT_S for one in breaks)
+
+    def is_suspect(self, digest: str, now_s: float) -> bool:
+        """Tells whether a prompt must run alone."""
+        return self.suspects.is_suspect(digest, now_s) or any(
+            digest in one.prompts for one in self._breaks.values()
+        )
 
     def broke(
         self,
@@ -85,9 +101,9 @@
             self._convict(known, now_s)
 
     def expire(self, now_s: float) -> None:
-        """Lets the prompts of engines go that stayed silent."""
+        """Forgets breaks of engines that stayed silent."""
         for upstream_id, known in tuple(self._breaks.items()):
-            if now_s - known.at_s > RESOLVE_LIMIT_S:
+            if now_s - known.at_s > FORGET_S:
                 del self._breaks[upstream_id]
 
     def _convict(self, known: _Break, now_s: float) -> None:
@@ -112,6 +128,8 @@
             and not one.prompts.keys() & known.prompts.keys()
         ]
         self._recent.append(known)
+        for one in others:
+            self.suspects.acquit(one.crash)
         return bool(others)
 
 
--- a/packages/catkinreach-core/src/catkinreach_core/cell/suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/suspects.py
@@ -98,6 +98,13 @@
         )
         self._suspects.pop(digest, None)
 
+    def acquit(self, crash: Crash) -> None:
+        """Drops a crash that turned out to have another cause."""
+        for digest, suspicion in tuple(self._suspects.items()):
+            suspicion.crashes.discard(crash)
+            if not suspicion.crashes:
+                del self._suspects[digest]
+
     def clear(self, digest: str) -> None:
         """Clears a prompt that ran to its end."""
         self._suspects.pop(digest, None)
