--- a/packages/catkinreach-core/src/catkinreach_core/cell/cell.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/cell.py
@@ -14,6 +14,7 @@
 from .crash_watch import CrashWatch
 from .engine_view import Health, Occupancy
 from .explain import DecisionRecord, DecisionRing
+from .forecast import Forecast
 from .placer import UNBOUND, Constraint, Placer
 from .queue import OUTPUT_TOKEN_COST, FairQueue, Waiting
 from .reservations import FailureKind, Reservation
@@ -30,8 +31,6 @@
     from .reservations import Ending, Failure
 
 HEADS_TRIED = 8
-SERVICE_MARGIN = 1.2
-SAFETY_S = 0.03
 PATIENCE_OVER_UNLOADED = 2.0
 UNCLAIMED_S = 2.0
 SILENT_S = 5.0
@@ -60,6 +59,7 @@
         self.queue = FairQueue(bounds)
         self.crashes = CrashWatch()
         self.decisions = DecisionRing()
+        self.forecast = Forecast()
         self.first_token_s = first_token_s
         self.outage = ''
         self.opens_at_s = 0.0
@@ -88,7 +88,7 @@
         """Queues a request; the decision comes out of ``pump``."""
         self.withdraw(ask.request_id, now_s)
         arrived_at_s = now_s - ask.age_s
-        unloaded_s = SERVICE_MARGIN * self.placer.unloaded_s(ask) + SAFETY_S
+        unloaded_s = self.placer.unloaded_s(ask) + self.forecast.margin_s
         patience_s = max(
             self.first_token_s, PATIENCE_OVER_UNLOADED * unloaded_s
         )
@@ -108,6 +108,7 @@
     def pump(self, now_s: float) -> list[Decision]:
         """Returns every decision that is due now."""
         self.crashes.expire(now_s)
+        self.queue.advance(now_s)
         self._refuse_late(now_s)
         while (granted := self._place_next(now_s)) is not None:
             self._due.append(granted)
@@ -158,6 +159,10 @@
         view = self.view(known.granted.decode)
         if view is None:
             return
+        if known.expected_s:
+            self.forecast.observe(
+                expected_s=known.expected_s, actual_s=now_s - known.at_s
+            )
         view.finish_work(request_id, now_s)
         view.open_to_others(request_id)
         self.crashes.suspects.clear(known.granted.ask.digest)
@@ -265,19 +270,33 @@
             return None
         tries = HEADS_TRIED
         for item in self.queue.heads():
-            if self._is_refused_early(item, now_s):
-                continue
-            bound = self._constraint(item.ask, now_s)
+            bound = self._bound_of(item, now_s)
             if bound is None:
                 continue
             choice = self.placer.choose(item.ask, bound, now_s)
-            if choice is not None:
+            if choice is None:
+                tries -= bound is UNBOUND
+            elif not self._is_hopeless(item, choice, now_s):
                 return self._grant(item, choice, now_s)
-            tries -= bound is UNBOUND
             if not tries:
                 break
         return None
 
+    def _bound_of(self, item: Waiting, now_s: float) -> Constraint | None:
+        """Returns what binds a request; ``None`` if it can't be placed."""
+        if self._is_refused_early(item, now_s):
+            return None
+        return self._constraint(item.ask, now_s)
+
+    def _is_hopeless(self, item: Waiting, choice: Choice, now_s: float) -> bool:
+        """Refuses a request whose first token would come too late."""
+        first_at_s = now_s + choice.first_token_s + self.forecast.margin_s
+        if item.ask.is_resume or first_at_s <= item.deadline_s:
+            return False
+        self.queue.remove(item)
+        self._refuse(item, ErrorKind.DEADLINE_UNREACHABLE, now_s)
+        return True
+
     def _is_refused_early(self, item: Waiting, now_s: float) -> bool:
         suspects = self.crashes.suspects
         kind = None
@@ -327,6 +346,7 @@
             now_s,
         )
         self._hold(granted, work, now_s, Stage.PREFILL)
+        self._reserved[ask.request_id].expected_s = choice.first_token_s
         self._note(
             ask,
             now_s,
--- a/packages/catkinreach-core/src/catkinreach_core/cell/placer.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/placer.py
@@ -46,12 +46,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Engines for a request and the work that it brings to each."""
+    """Engines for a request and the work that it brings to each.
+
+    Attributes:
+        prefill: Engine that prefills.
+        decode: Engine that decodes.
+        prefill_s: Expected time of the prefill alone.
+        transfer_s: Expected time of the transfer alone.
+        first_token_s: Expected time to the first token, waits included.
+    """
 
     prefill: EngineView
     decode: EngineView
     prefill_s: float
     transfer_s: float
+    first_token_s: float
 
 
 class Placer:
@@ -101,7 +110,8 @@
             total_s = view.wait_s(now_s) + work_s
             if best is None or total_s < best_s:
                 transfer_s = decode.transfer_s(ask.prompt_pieces)
-                best = Choice(view, decode, work_s, transfer_s)
+                first_s = max(total_s, decode.wait_s(now_s)) + transfer_s
+                best = Choice(view, decode, work_s, transfer_s, first_s)
                 best_s = total_s
         return best
 
--- a/packages/catkinreach-core/src/catkinreach_core/cell/queue.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/queue.py
@@ -1,8 +1,13 @@
 """Weighted fair queue between workspaces, by token cost.
 
 Start-time fair queueing: P. Goyal, H. M. Vin and H. Cheng, "Start-time Fair
-Queueing", SIGCOMM 1996. A full queue sheds from the workspace that holds the
-most of it per weight (longest-queue drop: B. Suter et al., INFOCOM 1998).
+Queueing", SIGCOMM 1996. A workspace that used less than its share for a while
+may make up for it by a burst: its start tag may lie as far back as the
+virtual time was ``CREDIT_S`` ago (compare K. J. Duda and D. R. Cheriton,
+"Borrowed-Virtual-Time Scheduling", SOSP 1999).
+
+A full queue sheds from the workspace that holds the most of it per weight
+(longest-queue drop: B. Suter et al., INFOCOM 1998).
 """
 
 from __future__ import annotations
@@ -23,6 +28,11 @@
 HEADS_SEEN = 16
 """Workspaces that one placement looks at."""
 
+CREDIT_S = 4.0
+"""Time over which a workspace may save up unused share."""
+
+CREDIT_STEP_S = 0.25
+
 OUTPUT_TOKEN_COST = 10
 """Engine time of an output token, in prompt tokens."""
 
@@ -68,6 +78,7 @@
         self._by_request: dict[RequestId, Waiting] = {}
         self._order = itertools.count()
         self._virtual_time = 0.0
+        self._earlier: deque[tuple[float, float]] = deque()
         self._tokens = 0
 
     def __len__(self) -> int:
@@ -86,6 +97,19 @@
         for flow in self._flows.values():
             yield from flow.waiting
 
+    @property
+    def _earliest_start(self) -> float:
+        """Returns the virtual time from which unused share still counts."""
+        return self._earlier[0][1] if self._earlier else self._virtual_time
+
+    def advance(self, now_s: float) -> None:
+        """Lets unused share that is too old lapse."""
+        samples = self._earlier
+        if not samples or now_s - samples[-1][0] >= CREDIT_STEP_S:
+            samples.append((now_s, self._virtual_time))
+        while len(samples) > 1 and now_s - samples[1][0] >= CREDIT_S:
+            samples.popleft()
+
     def find(self, request_id: RequestId) -> Waiting | None:
         """Returns the waiting request of an id."""
         return self._by_request.get(request_id)
@@ -128,7 +152,7 @@
             self._resumed.remove(item)
             return
         flow = self._flows[item.ask.workspace_id]
-        start = max(self._virtual_time, flow.finish_tag)
+        start = max(self._earliest_start, flow.finish_tag)
         self._virtual_time = max(
             self._virtual_time, self._heads[0][0] if self._heads else start
         )
@@ -207,7 +231,7 @@
         if flow.is_scheduled or not flow.waiting:
             self._forget_idle(workspace_id, flow)
             return
-        start = max(self._virtual_time, flow.finish_tag)
+        start = max(self._earliest_start, flow.finish_tag)
         heapq.heappush(self._heads, (start, next(self._order), workspace_id))
         flow.is_scheduled = True
 
@@ -221,7 +245,7 @@
     def _forget_idle(
         self, workspace_id: WorkspaceId | None, flow: _Flow
     ) -> None:
-        if flow.waiting or flow.finish_tag > self._virtual_time:
+        if flow.waiting or flow.finish_tag > self._earliest_start:
             return
         self._flows.pop(workspace_id, None)
 
--- a/packages/catkinreach-core/src/catkinreach_core/cell/reservations.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/reservations.py
@@ -61,6 +61,7 @@
     at_s: float
     confirmed_at_s: float
     stage: Stage = Stage.PREFILL
+    expected_s: float = 0.0
 
     @property
     def request_id(self) -> RequestId:
--- a/packages/catkinreach-core/tests/cell/test_queue.py
+++ b/packages/catkinreach-core/tests/cell/test_queue.py
@@ -46,6 +46,34 @@
     assert 19 <= counts[WorkspaceId('heavy')] <= 21
 
 
+def test_unused_share_makes_up_for_a_burst() -> None:
+    queue = FairQueue(QueueBounds())
+    queue.push(_waiting(0, 'calm'), 1.0)
+    queue.take(next(queue.heads()))
+    for number in range(1, 40):
+        queue.push(_waiting(number, 'busy'), 1.0)
+    for step in range(12):
+        queue.advance(step * 0.25)
+        queue.take(next(queue.heads()))
+    for number in range(40, 44):
+        queue.push(_waiting(number, 'calm'), 1.0)
+    first = _drain(queue, 4)
+    assert {item.ask.workspace_id for item in first} == {'calm'}
+
+
+def test_unused_share_lapses() -> None:
+    queue = FairQueue(QueueBounds())
+    for number in range(100):
+        queue.push(_waiting(number, 'busy'), 1.0)
+    for step in range(40):
+        queue.advance(step * 1.0)
+        queue.take(next(queue.heads()))
+    for number in range(100, 140):
+        queue.push(_waiting(number, 'calm'), 1.0)
+    counts = Counter(item.ask.workspace_id for item in _drain(queue, 20))
+    assert 10 <= counts[WorkspaceId('calm')] <= 13
+
+
 def test_resumed_requests_go_first() -> None:
     queue = FairQueue(QueueBounds())
     queue.push(_waiting(1, 'w'), 1.0)
