--- a/packages/catkinreach-core/tests/membership/test_detector_model.py
+++ b/packages/catkinreach-core/tests/membership/test_detector_model.py
@@ -37,6 +37,7 @@
     """Detectors whose messages arrive within the same step, or never."""
 
     def __init__(self, size: int, seed: int, loss: float = 0.0) -> None:
+        """Starts every process."""
         self.random = random.Random(seed)
         self.loss = loss
         self.now_s = 10.0
@@ -47,6 +48,7 @@
             self.start(vm_id)
 
     def start(self, vm_id: VmId) -> None:
+        """Starts a process, perhaps anew."""
         own = MemberUpdate(
             vm_id,
             Incarnation(f'{vm_id}/{self.now_s}'),
@@ -60,6 +62,7 @@
         self.nodes[vm_id].set_listed(self.ids)
 
     def run(self, duration_s: float) -> None:
+        """Lets time pass in small steps."""
         for _ in range(round(duration_s / STEP_S)):
             self.now_s += STEP_S
             for vm_id in tuple(self.nodes):
@@ -67,6 +70,7 @@
                     self.step(vm_id)
 
     def step(self, vm_id: VmId) -> None:
+        """Runs one process for a step."""
         node = self.nodes[vm_id]
         plan = node.tick(self.now_s)
         for number, target in plan.pings:
@@ -85,6 +89,7 @@
                     )
 
     def probe(self, prober: VmId, target: VmId, number: int) -> bool:
+        """Carries a probe and its answer; returns whether both arrived."""
         if not self.arrives(target):
             return False
         sender, receiver = self.nodes[prober], self.nodes[target]
@@ -98,16 +103,16 @@
         return True
 
     def arrives(self, target: VmId) -> bool:
+        """Draws whether a message reaches its target."""
         is_up = target in self.nodes and target not in self.paused
         return is_up and self.random.random() >= self.loss
 
     def believers(self, vm_id: VmId) -> list[VmId]:
+        """Returns the nodes that take a member for alive."""
         return [
             one
             for one, node in self.nodes.items()
-            if one != vm_id
-            and one not in self.paused
-            and node.is_alive(vm_id)
+            if one != vm_id and one not in self.paused and node.is_alive(vm_id)
         ]
 
 
--- a/packages/catkinreach-core/tests/ownership/test_lease_model.py
+++ b/packages/catkinreach-core/tests/ownership/test_lease_model.py
@@ -50,9 +50,11 @@
     candidates: set[VmId] = field(default_factory=set)
 
     def is_voting(self, vm_id: VmId) -> bool:
-        return True
+        """Believes that everybody votes."""
+        return bool(vm_id)
 
     def is_candidate(self, vm_id: VmId) -> bool:
+        """Tells whether a VM is believed fit."""
         return vm_id in self.candidates
 
 
@@ -81,6 +83,7 @@
 
     @initialize(seed=st.integers(0, 2**32), size=st.integers(3, 6))
     def start(self, seed: int, size: int) -> None:
+        """Starts a fleet in which everybody knows the first list."""
         self.random = random.Random(seed)
         self.now_s = 100.0
         self.vms: dict[VmId, Vm] = {}
@@ -98,6 +101,7 @@
         self.run(4.0)
 
     def create(self, vm_id: VmId | None = None) -> VmId:
+        """Starts a process on a new VM or anew on a known one."""
         if vm_id is None:
             self.count += 1
             vm_id = VmId(f'vm-{self.count}')
@@ -115,6 +119,7 @@
         return vm_id
 
     def publish(self, vm_ids: list[VmId]) -> None:
+        """Publishes the next list."""
         self.revision += 1
         self.list = VmList(
             revision=Revision(self.revision),
@@ -129,10 +134,12 @@
         )
 
     def local(self, vm: Vm) -> float:
+        """Returns a VM's monotonic clock."""
         return self.now_s * vm.rate
 
     @rule(duration_s=st.sampled_from([0.1, 0.3, 1.0, 3.5, 8.0]))
     def run(self, duration_s: float) -> None:
+        """Lets time pass in small steps."""
         end_s = self.now_s + duration_s
         while self.now_s < end_s:
             self.now_s += STEP_S
@@ -143,6 +150,7 @@
             self.has_one_owner()
 
     def step(self, vm: Vm) -> None:
+        """Runs one process for a step."""
         now_s = self.local(vm)
         for sender, message in vm.inbox:
             self.receive(vm, sender, message, now_s)
@@ -158,9 +166,8 @@
         )
         self.send(vm.vm_id, self.random.choice(tuple(self.vms)), heartbeat)
 
-    def receive(
-        self, vm: Vm, sender: VmId, message: Any, now_s: float
-    ) -> None:
+    def receive(self, vm: Vm, sender: VmId, message: Any, now_s: float) -> None:
+        """Hands a process one message."""
         ownership = vm.ownership
         if isinstance(message, LeaseRequest):
             reply = ownership.answer(sender, message, now_s)
@@ -178,6 +185,7 @@
             )
 
     def send(self, sender: VmId, target: VmId, message: Any) -> None:
+        """Sends a message, perhaps twice, late or never."""
         copies = 2 if self.random.random() < 0.05 else 1
         for _ in range(copies):
             if self.random.random() >= self.loss:
@@ -185,6 +193,7 @@
                 self.flying.append((at_s, sender, target, message))
 
     def deliver(self) -> None:
+        """Delivers what is due, in any order."""
         due = [one for one in self.flying if one[0] <= self.now_s]
         self.flying = [one for one in self.flying if one[0] > self.now_s]
         self.random.shuffle(due)
@@ -194,18 +203,19 @@
 
     @rule(loss=st.sampled_from([0.0, 0.0, 0.2, 0.6]))
     def lose(self, loss: float) -> None:
+        """Loses a share of all messages."""
         self.loss = loss
 
     @rule(delay_s=st.sampled_from([0.05, 0.05, 0.5, 4.0]))
     def slow_down(self, delay_s: float) -> None:
+        """Delays messages."""
         self.delay_s = delay_s
 
     @rule(side=st.integers(0, 2**9), is_one_way=st.booleans())
     def part(self, side: int, *, is_one_way: bool) -> None:
+        """Cuts the fleet in two, in one direction or both."""
         left = {
-            vm_id
-            for number, vm_id in enumerate(self.vms)
-            if side >> number & 1
+            vm_id for number, vm_id in enumerate(self.vms) if side >> number & 1
         }
         self.cut = {
             (sender, target)
@@ -217,6 +227,7 @@
 
     @rule()
     def heal(self) -> None:
+        """Ends every cut, loss and delay."""
         self.cut = set()
         self.unread = set()
         self.loss = 0.0
@@ -249,15 +260,18 @@
 
     @rule(number=st.integers(0, 8))
     def pause(self, number: int) -> None:
+        """Pauses a process or wakes it."""
         vm = tuple(self.vms.values())[number % len(self.vms)]
         vm.is_paused = not vm.is_paused
 
     @rule(number=st.integers(0, 8))
     def restart(self, number: int) -> None:
+        """Starts a process anew on its VM."""
         self.create(tuple(self.vms)[number % len(self.vms)])
 
     @rule(mask=st.integers(0, 2**9))
     def believe(self, mask: int) -> None:
+        """Gives every node other beliefs about the rest."""
         ids = tuple(self.vms)
         for vm in self.vms.values():
             chosen = self.random.getrandbits(9) & mask
@@ -277,12 +291,14 @@
 
     @rule()
     def replace_all(self) -> None:
+        """Every VM is terminated and replaced at once."""
         count = len(self.vms)
         self.vms.clear()
         self.publish([self.create() for _ in range(count)])
 
     @rule(count=st.integers(1, 2))
     def grow(self, count: int) -> None:
+        """New VMs join the list."""
         if len(self.vms) < 8:
             for _ in range(count):
                 self.create()
@@ -290,12 +306,14 @@
 
     @rule()
     def shrink(self) -> None:
+        """A VM is terminated and leaves the list."""
         if len(self.vms) > 3:
             del self.vms[self.random.choice(tuple(self.vms))]
             self.publish(list(self.vms))
 
     @invariant()
     def has_one_owner(self) -> None:
+        """No shard has two nodes that would act as owner."""
         for shard in SHARDS:
             owners = [
                 vm.vm_id
@@ -305,6 +323,7 @@
             assert len(owners) <= 1, (shard, owners)
 
     def describe(self, shard: ShardId) -> str:
+        """Tells why nobody owns a shard."""
         return '; '.join(
             f'{vm.vm_id} votes {vm.ownership.is_voting}, knows'
             f' {vm.ownership.history.revisions}, quorums'
@@ -314,6 +333,7 @@
         )
 
     def teardown(self) -> None:
+        """After all faults end somebody owns each shard."""
         if not hasattr(self, 'events'):
             return
         self.heal()
--- /dev/null
+++ b/packages/catkinreach-core/tests/ownership/test_list_changes.py
@@ -0,0 +1,167 @@
+"""Directed changes of the list in a cut; each breaks a weaker protocol."""
+
+from __future__ import annotations
+
+from catkinreach_core.fleet_list import VmEntry, VmList
+from catkinreach_core.ids import (
+    FailureDomainId,
+    Incarnation,
+    Revision,
+    ShardId,
+    VmId,
+)
+from catkinreach_core.messages.leases import LeaseRequest
+from catkinreach_core.ownership.leases import LeaseOwnership
+
+SHARD = ShardId('limit/1')
+STEP_S = 0.1
+
+
+class _Everybody:
+    """Believes in nobody else, so that every node tries to own."""
+
+    def is_voting(self, vm_id: VmId) -> bool:
+        return bool(vm_id)
+
+    def is_candidate(self, vm_id: VmId) -> bool:
+        return not vm_id
+
+
+class _Fleet:
+    """Nodes that reach only those of their own group."""
+
+    def __init__(self, size: int) -> None:
+        self.now_s = 0.0
+        self.nodes: dict[int, LeaseOwnership] = {}
+        for number in range(1, size + 1):
+            self.add(number)
+
+    def add(self, number: int) -> None:
+        self.nodes[number] = LeaseOwnership(
+            _vm(number),
+            Incarnation(f'life-{number}'),
+            _Everybody(),
+            started_at_s=self.now_s,
+        )
+        self.nodes[number].set_shards((SHARD,))
+
+    def learn(self, vm_list: VmList, *numbers: int) -> None:
+        for number in numbers:
+            self.nodes[number].history.learn(vm_list, self.now_s)
+
+    def run(
+        self, *groups: tuple[int, ...], for_s: float, has_gossip: bool = True
+    ) -> None:
+        for _ in range(round(for_s / STEP_S)):
+            self.now_s += STEP_S
+            for group in groups:
+                for number in group:
+                    self._step(number, group, has_gossip=has_gossip)
+            assert len(self.owners()) <= 1, self.owners()
+
+    def owners(self) -> list[int]:
+        return [
+            number
+            for number, node in self.nodes.items()
+            if node.tenure_of(SHARD, self.now_s)
+        ]
+
+    def _step(
+        self, number: int, group: tuple[int, ...], *, has_gossip: bool
+    ) -> None:
+        node = self.nodes[number]
+        for one in node.tick(self.now_s, int(self.now_s * 1000) + number):
+            target = int(one.target.removeprefix('vm-'))
+            if target not in group:
+                continue
+            peer = self.nodes[target]
+            if isinstance(one.message, LeaseRequest):
+                reply = peer.answer(_vm(number), one.message, self.now_s)
+                node.receive(_vm(target), reply, self.now_s)
+            else:
+                peer.take_back(_vm(number), one.message, self.now_s)
+        for other in group if has_gossip else ():
+            self._gossip(number, other)
+
+    def _gossip(self, number: int, other: int) -> None:
+        node, peer = self.nodes[number], self.nodes[other]
+        revisions = node.history.revisions
+        for vm_list in node.history.lists(revisions):
+            peer.history.learn(vm_list, self.now_s)
+        peer.meet(_vm(number), revisions, self.now_s, is_voting=node.is_voting)
+
+
+def _vm(number: int) -> VmId:
+    return VmId(f'vm-{number}')
+
+
+def _vm_list(revision: int, *numbers: int) -> VmList:
+    return VmList(
+        revision=Revision(revision),
+        vms=tuple(
+            VmEntry(
+                id=_vm(number),
+                peer_address='127.0.0.1:1',
+                failure_domain=FailureDomainId('a'),
+            )
+            for number in numbers
+        ),
+    )
+
+
+def _settled_fleet() -> tuple[_Fleet, int, int, int]:
+    """Returns a fleet of three, its owner and the other two."""
+    fleet = _Fleet(3)
+    fleet.learn(_vm_list(1, 1, 2, 3), 1, 2, 3)
+    fleet.run((1, 2, 3), for_s=6)
+    (owner,) = fleet.owners()
+    others = [number for number in (1, 2, 3) if number != owner]
+    return fleet, owner, others[0], others[1]
+
+
+def test_majority_of_a_grown_list_alone_does_not_own() -> None:
+    fleet, owner, near, far = _settled_fleet()
+    fleet.add(4)
+    fleet.add(5)
+    fleet.learn(_vm_list(2, 1, 2, 3, 4, 5), far, 4, 5)
+    fleet.run((owner, near), (far, 4, 5), for_s=12)
+    assert fleet.owners() == [owner]
+    fleet.run((1, 2, 3, 4, 5), for_s=10)
+    assert len(fleet.owners()) == 1
+
+
+def test_fresh_processes_alone_do_not_own() -> None:
+    fleet, owner, near, far = _settled_fleet()
+    for number in (4, 5, 6, 7):
+        fleet.add(number)
+    fleet.learn(_vm_list(3, 1, 2, 3, 4, 5, 6, 7), 4, 5, 6, 7)
+    fleet.run((owner, near, far), (4, 5, 6, 7), for_s=12)
+    assert fleet.owners() == [owner]
+
+
+def test_voter_of_a_newer_list_refuses_under_the_old_one() -> None:
+    fleet, owner, near, far = _settled_fleet()
+    fleet.add(4)
+    fleet.add(5)
+    fleet.learn(_vm_list(2, 1, 2, 3, 4, 5), near, far, 4, 5)
+    fleet.run((near, far, 4, 5), for_s=12)
+    fleet.run((owner, near), (far, 4, 5), for_s=12, has_gossip=False)
+    assert owner not in fleet.owners()
+
+
+def test_all_replaced_at_once_own_after_a_lease() -> None:
+    fleet, *_ = _settled_fleet()
+    fleet.nodes.clear()
+    for number in (4, 5, 6):
+        fleet.add(number)
+    fleet.learn(_vm_list(2, 4, 5, 6), 4, 5, 6)
+    fleet.run((4, 5, 6), for_s=6)
+    assert len(fleet.owners()) == 1
+
+
+def test_restarted_voter_does_not_vote_within_a_lease() -> None:
+    fleet, owner, near, far = _settled_fleet()
+    fleet.add(near)
+    fleet.learn(_vm_list(1, 1, 2, 3), near)
+    fleet.run((near, far), for_s=2.5)
+    assert fleet.owners() in ([owner], [])
--- a/packages/catkinreach-core/tests/relay/test_read_policy.py
+++ b/packages/catkinreach-core/tests/relay/test_read_policy.py
@@ -13,6 +13,7 @@
     """Policies that hear of each other's reads half a second late."""
 
     def __init__(self) -> None:
+        """Starts nine nodes."""
         self.policies = {vm_id: ReadPolicy(vm_id) for vm_id in IDS}
         self.unreachable: set[VmId] = set()
         self.down: set[VmId] = set()
@@ -21,6 +22,7 @@
         self.read_at_s: list[float] = []
 
     def run(self, duration_s: float) -> None:
+        """Lets time pass in small steps."""
         for step in range(round(duration_s / STEP_S)):
             self.now_s += STEP_S
             for vm_id in IDS:
@@ -30,6 +32,7 @@
                 self.gossip()
 
     def step(self, vm_id: VmId) -> None:
+        """Lets one node read if it is due."""
         policy = self.policies[vm_id]
         alive = tuple(
             one for one in IDS if one != vm_id and one not in self.down
@@ -46,6 +49,7 @@
             policy.note_vms_read(self.now_s)
 
     def gossip(self) -> None:
+        """Tells every node of the reads of all."""
         ages = {
             vm_id: policy.age_s(self.now_s)
             for vm_id, policy in self.policies.items()
