--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/ledger.py
@@ -0,0 +1,203 @@
+"""Reservations of a cell and what the entry nodes report of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .ask import Stage
+from .engine_view import Health, Occupancy
+from .forecast import Forecast
+from .queue import OUTPUT_TOKEN_COST
+from .reservations import FailureKind, Reservation
+from .suspects import Crash
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from ..ids import RequestId, UpstreamId, VmId
+    from .ask import Granted
+    from .crash_watch import CrashWatch
+    from .engine_view import EngineView
+    from .queue import FairQueue
+    from .reservations import Ending, Failure
+
+UNCLAIMED_S = 2.0
+SILENT_S = 5.0
+
+
+class Ledger:
+    """What is reserved where; each reservation is freed exactly once."""
+
+    def __init__(
+        self,
+        view_of: Callable[[UpstreamId], EngineView | None],
+        crashes: CrashWatch,
+        queue: FairQueue,
+    ) -> None:
+        """Keeps the accounts of the engines that ``view_of`` finds."""
+        self.forecast = Forecast()
+        self._view_of = view_of
+        self._crashes = crashes
+        self._queue = queue
+        self._reserved: dict[RequestId, Reservation] = {}
+        self._running: dict[str, RequestId] = {}
+
+    @property
+    def reserved(self) -> dict[RequestId, Reservation]:
+        """Returns the live reservations by request."""
+        return self._reserved
+
+    def twin_of(self, digest: str) -> Reservation | None:
+        """Returns a live reservation for the same prompt, if there is one."""
+        request_id = self._running.get(digest)
+        return None if request_id is None else self._reserved.get(request_id)
+
+    def hold(
+        self,
+        granted: Granted,
+        work: Occupancy,
+        now_s: float,
+        stage: Stage,
+        expected_s: float = 0.0,
+    ) -> None:
+        """Takes the decode place of a request."""
+        ask = granted.ask
+        view = self._view_of(granted.decode)
+        if view is not None:
+            view.hold(ask.request_id, work, now_s)
+        self._reserved[ask.request_id] = Reservation(
+            granted, now_s, now_s, stage, expected_s
+        )
+        if ask.digest:
+            self._running[ask.digest] = ask.request_id
+
+    def free(self, request_id: RequestId, now_s: float) -> None:
+        """Gives back all that a request holds."""
+        known = self._reserved.pop(request_id, None)
+        if known is None:
+            return
+        for upstream_id in (known.granted.prefill, known.granted.decode):
+            view = self._view_of(upstream_id)
+            if view is not None:
+                view.free(request_id, now_s)
+        digest = known.granted.ask.digest
+        if self._running.get(digest) == request_id:
+            del self._running[digest]
+
+    def prefilled(
+        self, request_id: RequestId, attempt: int, cached: int, now_s: float
+    ) -> None:
+        """Takes the end of a prefill with the cached tokens it found."""
+        known = self._find(request_id, attempt)
+        if known is None or known.stage is not Stage.PREFILL:
+            return
+        known.stage = Stage.DECODE
+        view = self._view_of(known.granted.prefill)
+        if view is None:
+            return
+        ask = known.granted.ask
+        expected = view.prefixes.cached_tokens(ask.blocks)
+        view.prefixes.correct(ask.blocks, expected, cached)
+        started_at_s = max(known.at_s, view.work_since_s)
+        view.observe_pace(
+            view.prefill_s(ask.prompt_tokens - cached), now_s - started_at_s
+        )
+        view.ramp.complete()
+        view.free(request_id, now_s)
+
+    def started(
+        self, request_id: RequestId, attempt: int, now_s: float
+    ) -> None:
+        """Takes the first token of an attempt."""
+        known = self._find(request_id, attempt)
+        if known is None:
+            return
+        view = self._view_of(known.granted.decode)
+        if view is None:
+            return
+        if known.expected_s:
+            self.forecast.observe(
+                expected_s=known.expected_s, actual_s=now_s - known.at_s
+            )
+        view.finish_work(request_id, now_s)
+        view.open_to_others(request_id)
+        self._crashes.suspects.clear(known.granted.ask.digest)
+
+    def end(
+        self, request_id: RequestId, attempt: int, ending: Ending, now_s: float
+    ) -> None:
+        """Takes the end of an attempt and frees its places."""
+        known = self._find(request_id, attempt)
+        if known is None:
+            return
+        if ending.failure is not None:
+            self._take_failure(known, ending.failure, now_s)
+        view = self._view_of(known.granted.decode)
+        if view is not None and ending.is_complete:
+            view.ramp.complete()
+            view.observe_token_s(ending.token_s)
+        self._settle(known, ending)
+        self.free(request_id, now_s)
+
+    def restore(self, granted: Granted, stage: Stage, now_s: float) -> None:
+        """Takes a reservation that an earlier owner handed out."""
+        if granted.ask.request_id in self._reserved:
+            return
+        work = Occupancy(granted.ask.kv_pieces, 0.0, is_working=False)
+        self.hold(granted, work, now_s, stage)
+
+    def confirm(
+        self, vm_id: VmId, live: Collection[RequestId], now_s: float
+    ) -> None:
+        """Takes what an entry VM holds and frees what it has lost."""
+        for known in tuple(self._reserved.values()):
+            if known.vm_id != vm_id:
+                continue
+            if known.request_id in live:
+                known.confirmed_at_s = now_s
+            elif now_s - known.at_s > UNCLAIMED_S:
+                self.free(known.request_id, now_s)
+
+    def drop_silent(self, now_s: float) -> None:
+        """Frees the reservations of VMs that have long been silent.
+
+        Holdings that the engines still report keep their places taken.
+        """
+        for known in tuple(self._reserved.values()):
+            if now_s - known.confirmed_at_s > SILENT_S:
+                self.free(known.request_id, now_s)
+
+    def _find(self, request_id: RequestId, attempt: int) -> Reservation | None:
+        known = self._reserved.get(request_id)
+        if known is None or known.granted.ask.attempt != attempt:
+            return None
+        return known
+
+    def _take_failure(
+        self, known: Reservation, failure: Failure, now_s: float
+    ) -> None:
+        view = self._view_of(failure.upstream_id)
+        if view is None:
+            return
+        if failure.kind in {FailureKind.BROKE, FailureKind.UNREACHABLE}:
+            view.health = Health.DOWN
+        if failure.kind is not FailureKind.BROKE or not known.is_on(view):
+            return
+        self._crashes.broke(
+            Crash(view.upstream_id, view.boot),
+            view.upstream.domain_id,
+            [
+                (one.granted.ask.digest, view.is_alone(one.request_id))
+                for one in self._reserved.values()
+                if one.is_on(view) and one.granted.ask.digest
+            ],
+            now_s,
+        )
+
+    def _settle(self, known: Reservation, ending: Ending) -> None:
+        ask = known.granted.ask
+        unused_tokens = max(0, ask.max_tokens - ending.tokens)
+        self._queue.refund(ask.workspace_id, OUTPUT_TOKEN_COST * unused_tokens)
+
+
+__all__ = ('Ledger',)
--- a/packages/catkinreach-core/tests/cell/test_cell.py
+++ b/packages/catkinreach-core/tests/cell/test_cell.py
@@ -28,7 +28,7 @@
     for number in range(5):
         one.submit(make_ask(number), 0.0)
         for decision in one.pump(0.0):
-            one.prefilled(decision.ask.request_id, 0, 0, 0.0)
+            one.ledger.prefilled(decision.ask.request_id, 0, 0, 0.0)
     assert len(one.reserved) == 2
     assert len(one.queue) == 3
 
@@ -38,8 +38,8 @@
     one.submit(make_ask(1), 0.0)
     one.submit(make_ask(2), 0.0)
     assert [decision.ask.request_id for decision in one.pump(0.0)] == ['r1']
-    one.prefilled(make_ask(1).request_id, 0, 0, 0.1)
-    one.end(make_ask(1).request_id, 0, DONE, 0.2)
+    one.ledger.prefilled(make_ask(1).request_id, 0, 0, 0.1)
+    one.ledger.end(make_ask(1).request_id, 0, DONE, 0.2)
     assert [decision.ask.request_id for decision in one.pump(0.2)] == ['r2']
 
 
@@ -120,14 +120,14 @@
 
 def test_new_owner_counts_what_nodes_hold() -> None:
     one = make_cell([make_engine('p1')], [make_engine('d1', places=1)])
-    one.restore(
+    one.ledger.restore(
         Granted(make_ask(1), UpstreamId('p1'), UpstreamId('d1')),
         Stage.DECODE,
         0.0,
     )
     one.submit(make_ask(2), 0.0)
     assert not one.pump(0.0)
-    one.end(make_ask(1).request_id, 0, DONE, 0.1)
+    one.ledger.end(make_ask(1).request_id, 0, DONE, 0.1)
     assert len(one.pump(0.1)) == 1
 
 
@@ -135,9 +135,9 @@
     one = make_cell([make_engine('p1')], [make_engine('d1', places=1)])
     one.submit(make_ask(1), 0.0)
     one.pump(0.0)
-    one.confirm(make_ask(1).vm_id, frozenset(), 1.0)
+    one.ledger.confirm(make_ask(1).vm_id, frozenset(), 1.0)
     assert one.reserved
-    one.confirm(make_ask(1).vm_id, frozenset(), 3.0)
+    one.ledger.confirm(make_ask(1).vm_id, frozenset(), 3.0)
     assert not one.reserved
 
 
@@ -170,11 +170,11 @@
         if step == 'submit':
             one.submit(make_ask(number, prompt_tokens=1500), now_s)
         elif step == 'prefilled':
-            one.prefilled(request_id, 0, 0, now_s)
+            one.ledger.prefilled(request_id, 0, 0, now_s)
         elif step == 'started':
-            one.started(request_id, 0, now_s)
+            one.ledger.started(request_id, 0, now_s)
         elif step == 'end':
-            one.end(request_id, 0, DONE, now_s)
+            one.ledger.end(request_id, 0, DONE, now_s)
         else:
             one.withdraw(request_id, now_s)
         answered.update(type(item).__name__ for item in one.pump(now_s))
--- a/packages/catkinreach-core/tests/cell/test_crashes.py
+++ b/packages/catkinreach-core/tests/cell/test_crashes.py
@@ -37,8 +37,8 @@
     for decision in one.pump(0.0):
         assert isinstance(decision, Granted)
         assert decision.prefill == 'p1'
-    one.end(make_ask(1).request_id, 0, _broke('p1'), 0.1)
-    one.end(make_ask(2).request_id, 0, _broke('p1'), 0.1)
+    one.ledger.end(make_ask(1).request_id, 0, _broke('p1'), 0.1)
+    one.ledger.end(make_ask(2).request_id, 0, _broke('p1'), 0.1)
 
 
 def test_second_crash_alone_refuses_the_prompt() -> None:
@@ -50,7 +50,7 @@
     granted = one.pump(0.4)[0]
     assert isinstance(granted, Granted)
     assert granted.is_alone
-    one.end(make_ask(1).request_id, 1, _broke('p1'), 0.5)
+    one.ledger.end(make_ask(1).request_id, 1, _broke('p1'), 0.5)
     _restart(one, 'p1', 'boot-3', 0.6)
     one.submit(make_ask(7, digest='d1'), 0.8)
     refused = one.pump(0.8)[0]
@@ -66,8 +66,8 @@
     one.submit(make_ask(3), 0.4)
     granted = one.pump(0.4)
     assert [item.ask.request_id for item in granted] == ['r2']
-    one.prefilled(make_ask(2).request_id, 1, 0, 0.5)
-    one.started(make_ask(2).request_id, 1, 0.6)
+    one.ledger.prefilled(make_ask(2).request_id, 1, 0, 0.5)
+    one.ledger.started(make_ask(2).request_id, 1, 0.6)
     assert not one.crashes.suspects.is_suspect('d2', 0.6)
     assert one.crashes.suspects.is_suspect('d1', 0.6)
 
@@ -91,7 +91,7 @@
         one.submit(make_ask(number), 0.0)
     for item in one.pump(0.0):
         assert isinstance(item, Granted)
-        one.end(item.ask.request_id, 0, _broke(item.prefill), 0.1)
+        one.ledger.end(item.ask.request_id, 0, _broke(item.prefill), 0.1)
     for view in one.placer.prefill:
         one.silent(view, 0.2, is_refused=True)
     assert not one.crashes.suspects.suspect_count
@@ -115,7 +115,7 @@
     for decision in one.pump(0.0):
         assert isinstance(decision, Granted)
         request_id = decision.ask.request_id
-        one.end(request_id, 0, _broke(decision.prefill), 0.1)
+        one.ledger.end(request_id, 0, _broke(decision.prefill), 0.1)
         number = int(request_id[1:])
         one.submit(make_ask(number, attempt=1, is_resume=True), 0.1)
     for view in one.placer.prefill:
@@ -132,13 +132,13 @@
     one.submit(make_ask(1), 0.0)
     first = one.pump(0.0)[0]
     assert isinstance(first, Granted)
-    one.end(first.ask.request_id, 0, _broke(first.prefill), 0.1)
+    one.ledger.end(first.ask.request_id, 0, _broke(first.prefill), 0.1)
     one.submit(make_ask(1, attempt=1, is_resume=True), 0.1)
     assert not one.pump(1.0)
     second = one.pump(2.5)[0]
     assert isinstance(second, Granted)
     assert second.is_alone
-    one.end(second.ask.request_id, 1, _broke(second.prefill), 2.6)
+    one.ledger.end(second.ask.request_id, 1, _broke(second.prefill), 2.6)
     one.submit(make_ask(1, attempt=2, is_resume=True), 2.6)
     assert not one.pump(9.0)
     for number, name in enumerate(('p1', 'p2')):
--- a/packages/catkinreach-node/src/catkinreach_node/cell/fallback.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/fallback.py
@@ -15,12 +15,10 @@
 from catkinreach_core.cell.roster import CellRoster
 from catkinreach_core.fleet_list import VmState
 from catkinreach_core.ids import ShardId
-from catkinreach_core.messages.cell import Ended, Prefilled, Started
 from catkinreach_core.ownership.shards import cell_shard
 from catkinreach_core.ownership.tenure import Tenure
 from catkinreach_core.rendezvous import rank_vms
 
-from .convert import to_ending
 from .owned import OwnedCell
 
 if TYPE_CHECKING:
@@ -28,7 +26,12 @@
 
     from catkinreach_core.cell.ask import Ask, Granted, Stage
     from catkinreach_core.ids import VmId
-    from catkinreach_core.messages.cell import WarmEngine
+    from catkinreach_core.messages.cell import (
+        Ended,
+        Prefilled,
+        Started,
+        WarmEngine,
+    )
     from catkinreach_core.settings.fleet import Service, Upstream
 
     from ..parts import NodeContext
@@ -80,23 +83,13 @@
         owned = self._prepare()
         now_s = time.monotonic()
         for granted, stage in held:
-            owned.cell.restore(granted, stage, now_s)
+            owned.cell.ledger.restore(granted, stage, now_s)
         return await owned.place(ask)
 
     def take(self, message: Prefilled | Started | Ended) -> None:
         """Takes a report on a reservation."""
-        if self._owned is None:
-            return
-        cell = self._owned.cell
-        now_s = time.monotonic()
-        request_id, attempt = message.request_id, message.attempt
-        if isinstance(message, Prefilled):
-            cell.prefilled(request_id, attempt, message.cached_tokens, now_s)
-        elif isinstance(message, Started):
-            cell.started(request_id, attempt, now_s)
-        else:
-            cell.end(request_id, attempt, to_ending(message), now_s)
-        self._owned.pump()
+        if self._owned is not None:
+            self._owned.take(message)
 
     def tick(self) -> None:
         """Tries engines again that failed a while ago."""
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
@@ -13,19 +13,21 @@
 from catkinreach_core.cell.suspects import Crash
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.messages.cell import (
+    Prefilled,
     QuarantinedPrompt,
     Renewed,
+    Started,
     SuspectedPrompt,
     WarmEngine,
 )
 
-from .convert import to_granted
+from .convert import to_ending, to_granted
 
 if TYPE_CHECKING:
     from catkinreach_core.cell.ask import Ask
     from catkinreach_core.cell.roster import CellRoster
     from catkinreach_core.ids import RequestId, VmId
-    from catkinreach_core.messages.cell import Renew
+    from catkinreach_core.messages.cell import Ended, Renew
     from catkinreach_core.ownership.tenure import Tenure
 
 QUEUED_PUMP_S = 0.02
@@ -98,14 +100,27 @@
         self._answer(request_id, CatkinreachError(ErrorKind.NO_OWNER))
         self.pump()
 
+    def take(self, message: Prefilled | Started | Ended) -> None:
+        """Takes an entry node's report on a reservation."""
+        ledger = self.cell.ledger
+        now_s = time.monotonic()
+        request_id, attempt = message.request_id, message.attempt
+        if isinstance(message, Prefilled):
+            ledger.prefilled(request_id, attempt, message.cached_tokens, now_s)
+        elif isinstance(message, Started):
+            ledger.started(request_id, attempt, now_s)
+        else:
+            ledger.end(request_id, attempt, to_ending(message), now_s)
+        self.pump()
+
     def renew(self, sender: VmId, message: Renew) -> Renewed:
         """Takes what an entry node holds."""
         now_s = time.monotonic()
         cell = self.cell
         for one in message.told:
             granted, stage = to_granted(one)
-            cell.restore(granted, stage, now_s)
-        cell.confirm(sender, frozenset(message.live), now_s)
+            cell.ledger.restore(granted, stage, now_s)
+        cell.ledger.confirm(sender, frozenset(message.live), now_s)
         self._learn(message, now_s)
         unknown = tuple(
             request_id
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owner.py
@@ -26,7 +26,7 @@
 from catkinreach_core.settings.fleet import QueuePolicy, ServiceKind
 
 from ..parts import NodePart
-from .convert import to_ask, to_ending
+from .convert import to_ask
 from .owned import OwnedCell
 
 if TYPE_CHECKING:
@@ -102,19 +102,10 @@
         owned = self._owned.get(message.shard)
         if owned is None:
             return
-        cell = owned.cell
-        now_s = time.monotonic()
         if isinstance(message, Withdraw):
             owned.withdraw(message.request_id)
-            return
-        request_id, attempt = message.request_id, message.attempt
-        if isinstance(message, Prefilled):
-            cell.prefilled(request_id, attempt, message.cached_tokens, now_s)
-        elif isinstance(message, Started):
-            cell.started(request_id, attempt, now_s)
         else:
-            cell.end(request_id, attempt, to_ending(message), now_s)
-        owned.pump()
+            owned.take(message)
 
     def status(self) -> Mapping[str, object]:
         """Returns the owned cells with their queues and engines."""
@@ -168,7 +159,7 @@
             if entry.state is VmState.LIVE
         }
         for owned in self._owned.values():
-            owned.cell.drop_silent(time.monotonic())
+            owned.cell.ledger.drop_silent(time.monotonic())
             owned.open_if_rebuilt(live)
             owned.pump()
 
