Warm the engines up before the path is measured

With slow start in force the node refused 82 of 84 requests of the target load: 9 answers of 411 tokens a second never complete while six places are open. Short requests now open the places first, and refusals are counted and shown.

--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/path_calls.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/path_calls.py
@@ -33,6 +33,7 @@
     """What one way of calling took."""
 
     requests: int = 0
+    refused: int = 0
     tokens: int = 0
     first_s: list[float] = field(default_factory=list)
     gaps_s: list[float] = field(default_factory=list)
@@ -112,7 +113,9 @@
         timer = TokenTimer(times)
         async with self._client.exchange(self._address, request) as response:
             if response.status != _HTTP_OK:
-                raise RuntimeError(await response.read())
+                await response.read()
+                times.refused += 1
+                return
             async for chunk in response.chunks():
                 timer.take(chunk.count(_TOKEN_MARK))
         times.requests += 1
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/path_cost.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/path_cost.py
@@ -44,6 +44,9 @@
 FULL_TOKENS = 400
 PLAIN_CALLERS = 16
 MILLISECONDS = 1000
+WARMUP_S = 6.0
+WARMUP_TOKENS = 10
+REFUSED_PAUSE_S = 0.05
 _NO_LIMITS = (
     ('requests_per_s', '100000'),
     ('request_burst', '100000'),
@@ -72,6 +75,7 @@
     Attributes:
         name: Name of the phase.
         requests: Requests that passed the node.
+        refused: Requests that the node refused.
         tokens: Tokens that it streamed.
         elapsed_s: Time of the phase.
         cpu_s: Processor time of the node.
@@ -79,6 +83,7 @@
 
     name: str
     requests: int
+    refused: int
     tokens: int
     elapsed_s: float
     cpu_s: float
@@ -166,6 +171,7 @@
         return PhaseCost(
             name=name,
             requests=times.requests,
+            refused=times.refused,
             tokens=times.tokens,
             elapsed_s=time.monotonic() - started_s,
             cpu_s=self._clock.cpu_s() - cpu_s,
@@ -186,14 +192,27 @@
                 group.create_task(path.complete(prompt, tokens, times))
                 at_s += rng.expovariate(TARGET_REQUESTS_PER_S)
 
-    async def stream_full(self, times: PathTimes, duration_s: float) -> None:
+    async def warm_up(self) -> None:
+        """Sends short requests until the engines' slow start is over."""
+        await self.stream_full(PathTimes(), WARMUP_S, tokens=WARMUP_TOKENS)
+
+    async def stream_full(
+        self,
+        times: PathTimes,
+        duration_s: float,
+        *,
+        tokens: int = FULL_TOKENS,
+    ) -> None:
         """Keeps as many streams running as the engines have places."""
         end_s = time.monotonic() + duration_s
 
         async def stream() -> None:
             while time.monotonic() < end_s:
+                refused = times.refused
                 prompt = _draw_prompt(self._rng)
-                await self.node.count_tokens(prompt, FULL_TOKENS, times)
+                await self.node.count_tokens(prompt, tokens, times)
+                if times.refused > refused:
+                    await asyncio.sleep(REFUSED_PAUSE_S)
 
         await _together(stream, FULL_STREAMS)
 
@@ -264,7 +283,7 @@
     deployment: Deployment, seed: int, duration_s: float
 ) -> tuple[PhaseCost, list[AddedLatency]]:
     bench = PathBench(deployment, seed)
-    await bench.send_open(bench.node, PathTimes(), 2)
+    await bench.warm_up()
     result = await _measure_target(bench, duration_s)
     bench.close()
     return result
@@ -274,7 +293,7 @@
     deployment: Deployment, seed: int, duration_s: float
 ) -> list[PhaseCost]:
     bench = PathBench(deployment, seed)
-    await bench.stream_full(PathTimes(), 1)
+    await bench.warm_up()
     streamed, read = PathTimes(), PathTimes()
     phases = [
         await bench.measure(
@@ -322,18 +341,16 @@
 def cost_tables(cost: PathCost) -> str:
     """Returns the result as text."""
     phases = table(
-        ('phase', 'requests/s', 'tokens/s', 'cpu', 'req/s/core', 'tok/s/core'),
-        [
-            (
-                phase.name,
-                f'{phase.requests / phase.elapsed_s:.1f}',
-                f'{phase.tokens / phase.elapsed_s:.0f}',
-                f'{phase.cpu_s / phase.elapsed_s:.1%}',
-                f'{phase.requests_per_core:.0f}',
-                f'{phase.tokens_per_core:.0f}',
-            )
-            for phase in cost.phases
-        ],
+        (
+            'phase',
+            'refused',
+            'requests/s',
+            'tokens/s',
+            'core',
+            'requests/s/core',
+            'tokens/s/core',
+        ),
+        [_phase_row(phase) for phase in cost.phases],
     )
     added = table(
         ('milliseconds', 'node p50', 'p99', 'direct p50', 'p99', 'added p99'),
@@ -357,6 +374,18 @@
     return f'commit {cost.commit}, seed {cost.seed}\n{phases}\n\n{added}'
 
 
+def _phase_row(phase: PhaseCost) -> tuple[str, ...]:
+    return (
+        phase.name,
+        str(phase.refused),
+        f'{phase.requests / phase.elapsed_s:.1f}',
+        f'{phase.tokens / phase.elapsed_s:.0f}',
+        f'{phase.cpu_s / phase.elapsed_s:.1%}',
+        f'{phase.requests_per_core:.0f}',
+        f'{phase.tokens_per_core:.0f}',
+    )
+
+
 def main(argv: list[str]) -> None:
     """Runs the benchmark and prints its tables."""
     values = new_flag_values()
