Close attempts at once when a caller leaves; check tenure before deciding

A generator that is left in the middle is closed by the collector; the cancel at the engines then came late. A paused owner whose alarm rings on waking could hand out places before it noticed the loss of its tenure. Test: memory of a disconnected caller is freed.

--- a/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
@@ -24,6 +24,8 @@
 from .convert import to_ending, to_granted
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinreach_core.cell.ask import Ask
     from catkinreach_core.cell.roster import CellRoster
     from catkinreach_core.ids import RequestId, VmId
@@ -40,8 +42,20 @@
 class OwnedCell:
     """Feeds events to a cell and hands its decisions to those who wait."""
 
-    def __init__(self, roster: CellRoster, tenure: Tenure) -> None:
-        """Starts a tenure; nothing is placed until it is rebuilt."""
+    def __init__(
+        self,
+        roster: CellRoster,
+        tenure: Tenure,
+        may_act: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Starts a tenure; nothing is placed until it is rebuilt.
+
+        Args:
+            roster: The cell.
+            tenure: This node's ownership of it.
+            may_act: Tells, right before a decision, whether it still holds.
+        """
+        self._may_act = may_act
         self.roster = roster
         self.cell = roster.cell
         self.tenure = tenure
@@ -79,7 +93,12 @@
                 del self._waiters[ask.request_id]
 
     def pump(self) -> None:
-        """Makes every decision that is due and sets the next alarm."""
+        """Makes every decision that is due and sets the next alarm.
+
+        A process that was paused may have lost its tenure and not know yet.
+        """
+        if not self._may_act():
+            return
         started_s = time.perf_counter()
         for decision in self.cell.pump(time.monotonic()):
             if isinstance(decision, Granted):
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owner.py
@@ -34,6 +34,7 @@
 
     from catkinreach_core.cell.ask import Ask, Granted
     from catkinreach_core.ids import ShardId, VmId
+    from catkinreach_core.ownership.tenure import Tenure
     from catkinreach_core.settings.fleet import FleetSettings, Service
 
     from ..parts import NodeContext
@@ -179,9 +180,16 @@
             service,
             reserves_decode=policy is not QueuePolicy.NO_RESERVATION,
         )
-        self._owned[shard] = OwnedCell(roster, tenure)
+        self._owned[shard] = OwnedCell(
+            roster, tenure, lambda: self._is_in_term(tenure)
+        )
         logger.info('cell: owns {} in term {}.', shard, tenure.term)
 
+    def _is_in_term(self, tenure: Tenure) -> bool:
+        now_s = time.monotonic()
+        current = self._context.ownership.tenure_of(tenure.shard, now_s)
+        return current is not None and current.term == tenure.term
+
     def _give_up(self, shard: ShardId) -> None:
         owned = self._owned.pop(shard, None)
         if owned is not None:
--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -81,8 +82,9 @@
         """
         failure: Failure | None = None
         try:
-            async for batch in self._steps():
-                yield batch
+            async with aclosing(self._steps()) as batches:
+                async for batch in batches:
+                    yield batch
             if not self._progress.is_complete:
                 raise EngineError(0, 'stream ended early', FailureKind.BROKE)
         except EngineError as error:
@@ -97,17 +99,20 @@
         import_id = await self._prepare()
         with self._hops.hop(Hop.DECODE, self._session.trace) as scope:
             scope.note('upstream', self._decode.upstream_id)
-            async with self._engines.decode(
-                self._decode,
-                self._reservation.engine_request_id,
-                self._completion.model,
-                import_id,
-                max_tokens=self._completion.max_tokens,
-                skip=self._had,
-                priority=self._priority,
-                trace=scope.traceparent,
-            ) as batches:
-                async for events in _watched(batches):
+            async with (
+                self._engines.decode(
+                    self._decode,
+                    self._reservation.engine_request_id,
+                    self._completion.model,
+                    import_id,
+                    max_tokens=self._completion.max_tokens,
+                    skip=self._had,
+                    priority=self._priority,
+                    trace=scope.traceparent,
+                ) as batches,
+                aclosing(_watched(batches)) as watched,
+            ):
+                async for events in watched:
                     yield self._take(events)
 
     async def _prepare(self) -> str:
--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -116,9 +116,10 @@
             for attempt in range(MAX_ATTEMPTS):
                 if attempt:
                     await self._wait_for_budget()
-                async for batch in self._attempt(attempt):
-                    self._record_tokens(len(batch))
-                    yield batch
+                async with aclosing(self._attempt(attempt)) as batches:
+                    async for batch in batches:
+                        self._record_tokens(len(batch))
+                        yield batch
                 if self.progress.is_complete:
                     return
             raise CatkinreachError(ErrorKind.UPSTREAM_FAILED)
@@ -208,8 +209,9 @@
 
 
 async def _whole(run: ModelRun) -> HttpResponse:
-    async for _ in run.tokens():
-        pass
+    async with aclosing(run.tokens()) as batches:
+        async for _ in batches:
+            pass
     return HttpResponse.from_json(
         200,
         run.answer_format.whole(run.progress.tokens, run.progress.finish),
--- a/packages/catkinreach-node/tests/cell/test_cell_failures.py
+++ b/packages/catkinreach-node/tests/cell/test_cell_failures.py
@@ -4,6 +4,7 @@
 
 import json
 import threading
+from http.client import HTTPConnection
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -170,6 +171,22 @@
     )
 
 
+def test_memory_of_a_disconnected_caller_is_freed(
+    deployment: Deployment,
+) -> None:
+    body = {'prompt': list(range(650)), 'max_tokens': 900, 'stream': True}
+    connection = HTTPConnection('127.0.0.1', deployment.balancer_port)
+    connection.request(
+        'POST', '/v1/completions', json.dumps(body).encode(), KEY
+    )
+    assert connection.getresponse().read(200)
+    assert not _is_nothing_held(deployment)
+    connection.close()
+    assert wait_until(
+        lambda: _is_nothing_held(deployment), limit_s=FREED_LIMIT_S
+    )
+
+
 def test_memory_of_a_killed_node_is_freed(deployment: Deployment) -> None:
     node = deployment.nodes[1]
     caller = Caller(node.caller_port, list(range(700)), 800)
