Send plain requests to the least busy upstream that accepts them

Each upstream had its turn whatever its state, so a dead one broke one in three first tries. One that refused or broke a connection is the last choice for 1 s and then starts slowly; a service whose dependency is out of service is refused with its name.

--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/placement/plain.py
@@ -0,0 +1,90 @@
+"""Choice of a plain service's upstream from one node's own view."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..cell.ramp import SlowStart
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..ids import UpstreamId
+    from ..settings.fleet import Upstream
+
+DOWN_S = 1.0
+"""Time for which an upstream that refused a connection is the last choice."""
+
+_WARM = 1_000_000
+
+
+def _known_ramp() -> SlowStart:
+    ramp = SlowStart(cold_places=1)
+    ramp.learn(_WARM)
+    return ramp
+
+
+@dataclass(slots=True)
+class _UpstreamState:
+    running: int = 0
+    down_until_s: float = 0.0
+    ramp: SlowStart = field(default_factory=_known_ramp)
+
+
+class PlainBalancer:
+    """Takes the least busy upstream that accepts connections.
+
+    One that has refused a connection starts slowly once it is back; what it
+    can't take goes to the others.
+    """
+
+    def __init__(self) -> None:
+        """Takes every upstream for warm until it fails."""
+        self._states: dict[UpstreamId, _UpstreamState] = {}
+        self._turn = itertools.count()
+
+    def choose(
+        self, candidates: Sequence[Upstream], now_s: float
+    ) -> Upstream | None:
+        """Returns an upstream, ``None`` without candidates."""
+        if not candidates:
+            return None
+        turn = next(self._turn) % len(candidates)
+        in_turn = (*candidates[turn:], *candidates[:turn])
+        return min(in_turn, key=lambda one: self._rank(one, now_s))
+
+    def begin(self, upstream_id: UpstreamId) -> None:
+        """Counts a request that is sent."""
+        self._state(upstream_id).running += 1
+
+    def end(self, upstream_id: UpstreamId, *, is_complete: bool) -> None:
+        """Counts a request that is over."""
+        state = self._state(upstream_id)
+        state.running -= 1
+        if is_complete:
+            state.ramp.complete()
+
+    def fail(self, upstream_id: UpstreamId, now_s: float) -> None:
+        """Takes a refused or broken connection."""
+        state = self._state(upstream_id)
+        state.down_until_s = now_s + DOWN_S
+        state.ramp.set_back()
+
+    def _state(self, upstream_id: UpstreamId) -> _UpstreamState:
+        return self._states.setdefault(upstream_id, _UpstreamState())
+
+    def _rank(
+        self, upstream: Upstream, now_s: float
+    ) -> tuple[bool, bool, float]:
+        state = self._state(upstream.upstream_id)
+        places = state.ramp.limit(upstream.places)
+        return (
+            now_s < state.down_until_s,
+            state.running >= places,
+            state.running / places,
+        )
+
+
+__all__ = ('DOWN_S', 'PlainBalancer')
--- /dev/null
+++ b/packages/catkinreach-core/tests/test_plain_balancer.py
@@ -0,0 +1,44 @@
+"""Choice among a plain service's upstreams."""
+
+from __future__ import annotations
+
+from catkinreach_core.placement.plain import PlainBalancer
+from catkinreach_standins.fakes.cells import make_engine
+
+UPSTREAMS = [make_engine(name, places=20).upstream for name in ('a', 'b', 'c')]
+FAILED = UPSTREAMS[0].upstream_id
+
+
+def _chosen(balancer: PlainBalancer, now_s: float, count: int) -> list[str]:
+    chosen: list[str] = []
+    for _ in range(count):
+        upstream = balancer.choose(UPSTREAMS, now_s)
+        assert upstream is not None
+        balancer.begin(upstream.upstream_id)
+        chosen.append(upstream.upstream_id)
+    return chosen
+
+
+def test_work_is_spread() -> None:
+    chosen = _chosen(PlainBalancer(), 0.0, 30)
+    assert {chosen.count(name) for name in 'abc'} == {10}
+
+
+def test_failed_upstream_is_the_last_choice() -> None:
+    balancer = PlainBalancer()
+    balancer.fail(FAILED, 0.0)
+    assert 'a' not in _chosen(balancer, 0.5, 20)
+
+
+def test_upstream_that_is_back_starts_slowly() -> None:
+    balancer = PlainBalancer()
+    balancer.fail(FAILED, 0.0)
+    assert _chosen(balancer, 2.0, 20).count('a') == 1
+    for _ in range(20):
+        balancer.end(FAILED, is_complete=True)
+        balancer.begin(FAILED)
+    assert _chosen(balancer, 2.0, 20).count('a') > 5
+
+
+def test_no_candidates() -> None:
+    assert PlainBalancer().choose([], 0.0) is None
--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind, Outcome
+from catkinreach_core.placement.plain import PlainBalancer
 
 from ..http.client import ConnectError, ExchangeError
 from ..http.messages import HttpRequest, HttpResponse
@@ -64,24 +66,26 @@
         """Uses the client's connections."""
         self._client = client
         self._hops = hops
-        self._count = 0
+        self._balancer = PlainBalancer()
 
     def choose(self, session: SessionContext) -> Upstream:
-        """Returns the next upstream that takes work.
+        """Returns the least busy upstream that takes work.
 
         Raises:
-            CatkinreachError: ``NO_UPSTREAM``.
+            CatkinreachError: ``NO_UPSTREAM``, or ``DEPENDENCY_OUT`` if all
+                upstreams of a service depended upon are out of service.
         """
         settings = session.settings
+        _check_dependencies(session)
         candidates = [
             upstream
             for upstream in settings.upstreams_of(session.service.pool)
             if settings.is_in_service(upstream)
         ]
-        if not candidates:
+        chosen = self._balancer.choose(candidates, time.monotonic())
+        if chosen is None:
             raise CatkinreachError(ErrorKind.NO_UPSTREAM)
-        self._count += 1
-        return candidates[self._count % len(candidates)]
+        return chosen
 
     async def forward(
         self, session: SessionContext, upstream: Upstream, *, is_fresh: bool
@@ -108,11 +112,14 @@
     async def _exchange(
         self, request: HttpRequest, upstream: Upstream, *, is_fresh: bool
     ) -> HttpResponse:
+        upstream_id = upstream.upstream_id
+        is_complete = False
+        self._balancer.begin(upstream_id)
         try:
             async with self._client.exchange(
                 upstream_address(upstream), request, is_fresh=is_fresh
             ) as response:
-                return HttpResponse(
+                answer = HttpResponse(
                     status=response.status,
                     headers=[
                         (name, text)
@@ -121,12 +128,32 @@
                     ],
                     body=await response.read(),
                 )
+                is_complete = True
+                return answer
         except ConnectError as error:
+            self._balancer.fail(upstream_id, time.monotonic())
             raise CatkinreachError(ErrorKind.NO_UPSTREAM) from error
         except ExchangeError as error:
+            self._balancer.fail(upstream_id, time.monotonic())
             raise CatkinreachError(
                 ErrorKind.UPSTREAM_FAILED, outcome=Outcome.UNKNOWN
             ) from error
+        finally:
+            self._balancer.end(upstream_id, is_complete=is_complete)
+
+
+def _check_dependencies(session: SessionContext) -> None:
+    settings = session.settings
+    for name in session.service.depends_on:
+        other = settings.services[name]
+        pools = {other.pool, other.prefill_pool, other.decode_pool} - {None}
+        for pool_id in pools:
+            upstreams = settings.upstreams_of(pool_id)
+            if not any(map(settings.is_in_service, upstreams)):
+                raise CatkinreachError(
+                    ErrorKind.DEPENDENCY_OUT,
+                    f'{name} has no upstream in service',
+                )
 
 
 class PlainStage:
