Let an experiment begin once the fleet owns its shards

A fresh fleet waits out one lease before any node owns a queue, so the first seconds of every run measured the fallback.

--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/load_bench.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/load_bench.py
@@ -19,6 +19,7 @@
 from ..engine_options import EngineOptions
 from .deployment import BenchOptions, Deployment
 from .ports import LOOPBACK
+from .processes import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -29,6 +30,9 @@
     from catkinreach_ctl.load.plan import PlannedRequest
 
 
+OWNER_LIMIT_S = 30.0
+
+
 class PlainAnswer(msgspec.Struct, frozen=True):
     """What the plain stand-in says of a call."""
 
@@ -149,9 +153,28 @@
         seed=spec.seed,
     )
     with Deployment(options) as deployment:
+        wait_owned(deployment)
         yield StandinBench(deployment, _rates(spec.engine_flags))
 
 
+def wait_owned(deployment: Deployment) -> None:
+    """Waits until the first leases of a fresh fleet are held.
+
+    Raises:
+        RuntimeError: if no node owns anything in time.
+    """
+    if not wait_until(lambda: _is_owned(deployment), limit_s=OWNER_LIMIT_S):
+        raise RuntimeError(f'no node owns a shard after {OWNER_LIMIT_S} s')
+
+
+def _is_owned(deployment: Deployment) -> bool:
+    for node in deployment.nodes:
+        _, status = deployment.operator_call(node, 'GET', '/status')
+        if status['ownership']['owned']:
+            return True
+    return False
+
+
 def _rates(engine_flags: tuple[str, ...]) -> EngineRates:
     engine = EngineOptions.from_argv(['engine', *engine_flags])
     scale = engine.time_scale
@@ -172,4 +195,4 @@
     )
 
 
-__all__ = ('StandinBench', 'StandinCheck', 'open_bench')
+__all__ = ('StandinBench', 'StandinCheck', 'open_bench', 'wait_owned')
