Show operators one page of a node

GET /page renders the documents of /status and /queue as HTML: queue by workspace, upstreams and their ramp, owned shards, and the revision in force and for how long. Every text is escaped, a policy forbids scripts and loads, and only bearers of the operator key get it. catkinreach page saves it as a file. Ruled out: basic authentication, which browsers would also send with cross-site requests to POST /drain.

The command line gets its page of exit codes; lists print on one line and an empty queue says that another node owns it.

--- a/packages/catkinreach-ctl/src/catkinreach_ctl/commands/node_document.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/commands/node_document.py
@@ -26,7 +26,7 @@
         sys.stdout.write(f'{body.decode()}\n')
     else:
         document = msgspec.json.decode(body)
-        sys.stdout.write('\n'.join(document_lines(document)) + '\n')
+        sys.stdout.write(f'{document_text(document)}\n')
     return ExitCode.OK
 
 
@@ -38,6 +38,13 @@
     return client.get(target)
 
 
+def document_text(document: Any) -> str:
+    """Returns a JSON document for people."""
+    if not document:
+        return 'This node owns nothing of the kind; ask the others.'
+    return '\n'.join(document_lines(document))
+
+
 def document_lines(document: Any, indent: str = '') -> Iterator[str]:
     """Yields a JSON document as indented lines."""
     if isinstance(document, dict):
@@ -51,21 +58,30 @@
 
 
 def _member_lines(name: str, member: Any, indent: str) -> Iterator[str]:
-    if isinstance(member, dict | list) and member:
+    if isinstance(member, dict | list) and not _is_flat(member):
         yield f'{indent}{name}'
         yield from document_lines(member, f'{indent}  ')
     else:
         yield f'{indent}{name}  {_scalar(member)}'
 
 
+def _is_flat(member: Any) -> bool:
+    """Tells whether a list or object fits on one line."""
+    if isinstance(member, dict):
+        return not member
+    return not any(isinstance(one, dict | list) for one in member)
+
+
 def _scalar(member: Any) -> str:
     if isinstance(member, bool):
         return 'yes' if member else 'no'
-    if member is None or member in ({}, []):
+    if member is None or member in ({}, [], ''):
         return '-'
+    if isinstance(member, list):
+        return ', '.join(map(_scalar, member))
     if isinstance(member, float):
         return f'{member:.3f}'
     return str(member)
 
 
-__all__ = ('document_lines', 'fetch', 'show_document')
+__all__ = ('document_lines', 'document_text', 'fetch', 'show_document')
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/operator_client.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/operator_client.py
@@ -53,7 +53,7 @@
     """What operators need of a problem document."""
 
     code: str = 'unknown'
-    detail: str = ''
+    detail: str = 'nothing is known of it here'
 
 
 def read_operator_key(path: str, environment: Mapping[str, str]) -> str:
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/run.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/run.py
@@ -11,6 +11,7 @@
     experiment,
     explain,
     load,
+    page,
     queue,
     report,
     status,
@@ -25,7 +26,16 @@
 exit codes: 0 done; 1 usage; 2 faulty settings; 3 node unreachable;
 4 refused by the node; 5 an accepted request was not answered in full"""
 
-_COMMANDS = (check, status, queue, explain, load, experiment, report)
+_COMMANDS = (
+    check,
+    status,
+    queue,
+    explain,
+    page,
+    load,
+    experiment,
+    report,
+)
 
 
 def parse_arguments(argv: Sequence[str]) -> Namespace:
--- /dev/null
+++ b/packages/catkinreach-ctl/tests/commands/test_node_document.py
@@ -0,0 +1,30 @@
+"""Documents of nodes read well without JSON."""
+
+from __future__ import annotations
+
+from catkinreach_ctl.commands.node_document import document_text
+
+DOCUMENT = {
+    'draining': False,
+    'refused': None,
+    'lists': [1, 2],
+    'cells': {'a': {'pace': 1.23456, 'engines': [{'name': 'x'}]}},
+}
+
+
+def test_document_is_indented() -> None:
+    assert document_text(DOCUMENT).splitlines() == [
+        'draining  no',
+        'refused  -',
+        'lists  1, 2',
+        'cells',
+        '  a',
+        '    pace  1.235',
+        '    engines',
+        '      -',
+        '        name  x',
+    ]
+
+
+def test_empty_document_says_why() -> None:
+    assert 'owns nothing' in document_text({})
--- a/packages/catkinreach-ctl/tests/commands/test_run.py
+++ b/packages/catkinreach-ctl/tests/commands/test_run.py
@@ -28,7 +28,16 @@
 
 @pytest.mark.parametrize(
     'command',
-    ['check', 'status', 'queue', 'explain', 'load', 'experiment', 'report'],
+    [
+        'check',
+        'status',
+        'queue',
+        'explain',
+        'page',
+        'load',
+        'experiment',
+        'report',
+    ],
 )
 def test_help_of_each_command(command: str) -> None:
     done = _run(command, '--help')
--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -12,6 +12,7 @@
 
 from .http.server import HttpServer
 from .operator.lifecycle import LifecycleActions
+from .operator.page_action import PageAction
 from .wiring import wire_node
 
 if TYPE_CHECKING:
@@ -34,7 +35,9 @@
         self._context = wiring.context
         self._callers = HttpServer(wiring.accept.serve, name='callers')
         self._operators = HttpServer(self._context.api.serve, name='operator')
-        LifecycleActions(self, wiring.parts).add_to(self._context.api)
+        api = self._context.api
+        LifecycleActions(self, wiring.parts).add_to(api)
+        PageAction(api, self._context.state).add_to(api)
         self._stopping = asyncio.Event()
 
     @property
--- a/packages/catkinreach-node/src/catkinreach_node/operator/api.py
+++ b/packages/catkinreach-node/src/catkinreach_node/operator/api.py
@@ -39,6 +39,14 @@
         table = self._keyed if is_keyed else self._open
         table[method, path] = action
 
+    def action(self, method: str, path: str) -> OperatorAction:
+        """Returns a keyed action, for pages that show its document.
+
+        Raises:
+            KeyError: if nothing was added there.
+        """
+        return self._keyed[method, path]
+
     async def serve(self, request: HttpRequest) -> HttpResponse:
         """Answers one request of an operator."""
         try:
