Take back places reserved ahead of known ends

The end of a decode is known to about a tenth of its duration, which is more than the 0.4 s that a request may wait for its place: batches grow while it runs. Conclusion: the place stays idle through the prefill.

--- a/packages/catkinreach-core/src/catkinreach_core/cell/cell.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/cell.py
@@ -27,7 +27,7 @@
     from .placer import Choice
     from .reservations import Reservation
 
-HEADS_TRIED = 4
+HEADS_TRIED = 8
 PATIENCE_OVER_UNLOADED = 2.0
 
 
--- a/packages/catkinreach-core/src/catkinreach_core/cell/engine_view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/engine_view.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import bisect
-import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -22,10 +20,6 @@
 PACE_GAIN = 0.2
 MIN_PACE = 0.05
 MAX_PACE = 20.0
-MAX_PLACES_AHEAD = 2
-"""Places of one engine that may be reserved before they are free."""
-
-DURATION_MARGIN = 1.1
 
 
 class Health(Enum):
@@ -43,7 +37,6 @@
     work_s: float
     is_alone: bool = False
     is_working: bool = True
-    ends_by_s: float | None = None
 
 
 class EngineView:
@@ -71,7 +64,6 @@
         self._working = 0
         self._work_since_s = 0.0
         self._token_s = 0.0
-        self._ends: list[float] = []
 
     @property
     def work_since_s(self) -> float:
@@ -108,19 +100,6 @@
         """Returns the reservations whose work is not done yet."""
         return self._working
 
-    def place_by_s(self, now_s: float) -> float:
-        """Returns when a place will be free; infinite if that is not known.
-
-        A few places may be reserved ahead of the ends of decodes whose
-        longest duration is known, for requests that are to prefill first.
-        """
-        over = len(self._held) + self.foreign_places - self.places
-        if over < 0:
-            return now_s
-        if over >= min(MAX_PLACES_AHEAD, len(self._ends)):
-            return math.inf
-        return self._ends[over]
-
     @property
     def load(self) -> float:
         """Returns the used share of the places."""
@@ -189,17 +168,6 @@
         if not self._working:
             self._work_s = 0.0
 
-    def expect_end(
-        self, request_id: RequestId, tokens: int, now_s: float
-    ) -> None:
-        """Takes that a decode has begun, which brings at most ``tokens``."""
-        occupancy = self._held.get(request_id)
-        if occupancy is None or not self._token_s or occupancy.ends_by_s:
-            return
-        duration_s = tokens * self._token_s * DURATION_MARGIN
-        occupancy.ends_by_s = now_s + duration_s
-        bisect.insort(self._ends, occupancy.ends_by_s)
-
     def open_to_others(self, request_id: RequestId) -> None:
         """Ends the exclusive use by a reservation."""
         occupancy = self._held.get(request_id)
@@ -212,11 +180,8 @@
         self.finish_work(request_id, now_s)
         self.open_to_others(request_id)
         occupancy = self._held.pop(request_id, None)
-        if occupancy is None:
-            return
-        self._pieces -= occupancy.kv_pieces
-        if occupancy.ends_by_s is not None:
-            self._ends.remove(occupancy.ends_by_s)
+        if occupancy is not None:
+            self._pieces -= occupancy.kv_pieces
 
     def observe_pace(self, expected_s: float, measured_s: float) -> bool:
         """Takes a measured time; True if the engine has turned slow."""
--- a/packages/catkinreach-core/src/catkinreach_core/cell/ledger.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/ledger.py
@@ -121,7 +121,6 @@
             )
         view.finish_work(request_id, now_s)
         view.open_to_others(request_id)
-        view.expect_end(request_id, known.granted.ask.max_tokens, now_s)
         self._crashes.suspects.clear(known.granted.ask.digest)
 
     def end(
--- a/packages/catkinreach-core/src/catkinreach_core/cell/placer.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/placer.py
@@ -20,9 +20,6 @@
 MAX_PREFILL_WAIT_S = 0.12
 """Prefill work that may wait at an engine, in seconds."""
 
-PLACE_AHEAD_S = 0.15
-"""Prefill time that a place may be reserved ahead for, at a first look."""
-
 MAX_LINK_WAIT_S = 0.3
 """Transfers that may wait for a link; well below an export's lifetime."""
 
@@ -96,28 +93,27 @@
 
     def has_room(self, now_s: float) -> bool:
         """Tells whether any request could be placed."""
-        return self._has_decode_room(now_s) and self._has_prefill_room(now_s)
+        return self._has_decode_room() and self._has_prefill_room(now_s)
 
     def choose(
         self, ask: Ask, bound: Constraint, now_s: float
     ) -> Choice | None:
         """Returns engines for a request, or ``None`` if it has to wait."""
-        best: EngineView | None = None
-        best_s = best_work_s = 0.0
+        decode = self._choose_decode(ask, bound, now_s)
+        if decode is None:
+            return None
+        best: Choice | None = None
+        best_s = 0.0
         for view in self._prefill_candidates(ask, bound, now_s):
             cached = view.prefixes.cached_tokens(ask.blocks)
             work_s = view.prefill_s(ask.prompt_tokens - cached)
             total_s = view.wait_s(now_s) + work_s
             if best is None or total_s < best_s:
-                best, best_s, best_work_s = view, total_s, work_s
-        if best is None:
-            return None
-        decode = self._choose_decode(ask, bound, now_s, now_s + best_s)
-        if decode is None:
-            return None
-        transfer_s = decode.transfer_s(ask.prompt_pieces)
-        first_token_s = max(best_s, decode.wait_s(now_s)) + transfer_s
-        return Choice(best, decode, best_work_s, transfer_s, first_token_s)
+                transfer_s = decode.transfer_s(ask.prompt_pieces)
+                first_s = max(total_s, decode.wait_s(now_s)) + transfer_s
+                best = Choice(view, decode, work_s, transfer_s, first_s)
+                best_s = total_s
+        return best
 
     def unloaded_s(self, ask: Ask) -> float:
         """Returns the time to the first token on idle engines."""
@@ -160,22 +156,19 @@
                 return True
         return False
 
-    def _has_decode_room(self, now_s: float) -> bool:
-        by_s = now_s + PLACE_AHEAD_S
+    def _has_decode_room(self) -> bool:
         for view in self.decode:
-            if not view.is_usable:
-                continue
-            if not self._reserves_decode or view.place_by_s(now_s) <= by_s:
+            if view.has_place or (not self._reserves_decode and view.is_usable):
                 return True
         return False
 
     def _choose_decode(
-        self, ask: Ask, bound: Constraint, now_s: float, ready_s: float
+        self, ask: Ask, bound: Constraint, now_s: float
     ) -> EngineView | None:
         best: EngineView | None = None
         best_load = 0.0
         for view in self.decode:
-            if not self._has_room_for(view, ask, now_s, ready_s):
+            if not self._has_room_for(view, ask, now_s):
                 continue
             if not _is_allowed(view, ask, bound.decode):
                 continue
@@ -186,13 +179,11 @@
                 best, best_load = view, load
         return best
 
-    def _has_room_for(
-        self, view: EngineView, ask: Ask, now_s: float, ready_s: float
-    ) -> bool:
-        if not view.is_usable or not self._reserves_decode:
+    def _has_room_for(self, view: EngineView, ask: Ask, now_s: float) -> bool:
+        if not self._reserves_decode:
             return view.is_usable
         return (
-            view.place_by_s(now_s) <= ready_s
+            view.has_place
             and ask.kv_pieces <= view.free_pieces
             and view.wait_s(now_s) <= MAX_LINK_WAIT_S
         )
--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from contextlib import AsyncExitStack, aclosing
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -24,7 +24,7 @@
 
     from catkinreach_core.settings.fleet import Upstream
 
-    from ..telemetry.hop import HopRecorder, TraceScope
+    from ..telemetry.hop import HopRecorder
     from .completion import Completion
     from .context import SessionContext
     from .engine_client import DecodeEvent, EngineClient
@@ -34,12 +34,9 @@
 TOKEN_STALL_S = 1.5
 """Silence of a decode after which the answer goes on elsewhere."""
 
-PLACE_WAIT_S = 0.4
-PLACE_PAUSE_S = 0.01
 CANCEL_TRIES = 3
 CANCEL_PAUSE_S = 0.3
 RESUME_PRIORITY = -1
-_NO_PLACE = 503
 
 
 class AttemptError(Exception):
@@ -102,37 +99,22 @@
         import_id = await self._prepare()
         with self._hops.hop(Hop.DECODE, self._session.trace) as scope:
             scope.note('upstream', self._decode.upstream_id)
-            async with AsyncExitStack() as stack:
-                batches = await self._begin_decode(stack, import_id, scope)
-                watched = await stack.enter_async_context(
-                    aclosing(_watched(batches))
-                )
+            async with (
+                self._engines.decode(
+                    self._decode,
+                    self._reservation.engine_request_id,
+                    self._completion.model,
+                    import_id,
+                    max_tokens=self._completion.max_tokens,
+                    skip=self._had,
+                    priority=self._priority,
+                    trace=scope.traceparent,
+                ) as batches,
+                aclosing(_watched(batches)) as watched,
+            ):
                 async for events in watched:
                     yield self._take(events)
 
-    async def _begin_decode(
-        self, stack: AsyncExitStack, import_id: str, scope: TraceScope
-    ) -> AsyncIterator[list[DecodeEvent]]:
-        """Starts the decode; waits a little for a place reserved ahead."""
-        end_s = time.monotonic() + PLACE_WAIT_S
-        while True:
-            decode = self._engines.decode(
-                self._decode,
-                self._reservation.engine_request_id,
-                self._completion.model,
-                import_id,
-                max_tokens=self._completion.max_tokens,
-                skip=self._had,
-                priority=self._priority,
-                trace=scope.traceparent,
-            )
-            try:
-                return await stack.enter_async_context(decode)
-            except EngineError as error:
-                if error.status != _NO_PLACE or time.monotonic() > end_s:
-                    raise
-            await asyncio.sleep(PLACE_PAUSE_S)
-
     async def _prepare(self) -> str:
         request_id = self._reservation.engine_request_id
         with self._hops.hop(Hop.PREFILL, self._session.trace) as scope:
