Order engines to the models and versions of the published text

Cause: pools named models and versions that nobody brought to the engines. Before: a pool's version had no effect. Conclusion: requests still go to an engine while it loads; noted as open.

--- a/packages/catkinreach-core/src/catkinreach_core/settings/fleet.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/fleet.py
@@ -176,6 +176,7 @@
     revision: Revision
     max_nodes: int = 9
     resend_window_s: float = 600.0
+    weight_loads_per_minute: float = 60.0
     targets: Targets = Targets()
     queue: QueueBounds = QueueBounds()
     failure_domains: dict[FailureDomainId, FailureDomain] = {}
--- a/packages/catkinreach-core/src/catkinreach_core/settings/fleet_schema.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/fleet_schema.py
@@ -60,6 +60,7 @@
 
     max_nodes: int = 9
     resend_window_s: float = 600.0
+    weight_loads_per_minute: float = 60.0
 
 
 def _domain(name: str, **fields: Any) -> FailureDomain:
@@ -100,6 +101,7 @@
             name='max_nodes', parser=whole(at_least=1, at_most=MAX_NODES)
         ),
         OptionSpec(name='resend_window_s', parser=DURATION),
+        OptionSpec(name='weight_loads_per_minute', parser=NUMBER),
     ),
 )
 TARGETS: Final = SectionSpec(
--- a/packages/catkinreach-core/src/catkinreach_core/settings/load_fleet.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/load_fleet.py
@@ -61,6 +61,7 @@
         revision=revision,
         max_nodes=bounds.max_nodes,
         resend_window_s=bounds.resend_window_s,
+        weight_loads_per_minute=bounds.weight_loads_per_minute,
         targets=_single(document, schema.TARGETS, Targets(), faults),
         queue=_single(document, schema.QUEUE, QueueBounds(), faults),
         failure_domains={
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/engine_orders/part.py
@@ -0,0 +1,191 @@
+"""Part: reads engines' states and sends the orders that they need."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+from catkinreach_core.engine_orders.pacer import LoadPacer
+from catkinreach_core.engine_orders.plan import EngineState, next_order
+from catkinreach_core.ownership.shards import cell_shard
+from catkinreach_core.settings.fleet import ServiceKind
+
+from ..http.client import ConnectError, ExchangeError
+from ..parts import NodePart
+from ..session.engine_client import upstream_address
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from catkinreach_core.engine_orders.plan import EngineOrder
+    from catkinreach_core.ids import ShardId
+    from catkinreach_core.ownership.tenure import Tenure
+    from catkinreach_core.settings.fleet import (
+        FleetSettings,
+        Service,
+        Upstream,
+    )
+
+    from ..parts import NodeContext
+
+RECONCILE_S = 1.0
+WAITING_ORDERS_S = 0.1
+CALL_TIMEOUT_S = 2.0
+_HTTP_OK = 200
+_HTTP_CONFLICT = 409
+
+
+class EngineOrdersPart(NodePart):
+    """Reconciles the engines of every cell that this node owns."""
+
+    def __init__(self, context: NodeContext) -> None:
+        """Starts without a cell."""
+        self._context = context
+        self._pacers: dict[ShardId, tuple[int, LoadPacer]] = {}
+        self._sent: Counter[str] = Counter()
+        self._waiting = 0
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+        return 'engine_orders'
+
+    async def run(self) -> None:
+        """Reconciles until cancelled."""
+        while True:
+            self._waiting = 0
+            if self._context.state.has_settings:
+                await self._reconcile(self._context.state.settings)
+            await asyncio.sleep(
+                WAITING_ORDERS_S if self._waiting else RECONCILE_S
+            )
+
+    async def hand_over(self) -> None:
+        """Has nothing to hand over: the next owner reads the engines."""
+
+    def status(self) -> Mapping[str, object]:
+        """Returns the orders sent so far by kind and answer."""
+        return dict(self._sent)
+
+    async def _reconcile(self, settings: FleetSettings) -> None:
+        models = [
+            service
+            for service in settings.services.values()
+            if service.kind is ServiceKind.MODEL
+        ]
+        for service in models:
+            shard = cell_shard(service.service_id)
+            tenure = self._tenure(shard)
+            if tenure is None:
+                self._pacers.pop(shard, None)
+                continue
+            pacer = self._pacer(tenure, settings, len(models))
+            await self._reconcile_cell(service, settings, shard, pacer)
+
+    def _tenure(self, shard: ShardId) -> Tenure | None:
+        return self._context.ownership.tenure_of(shard, time.monotonic())
+
+    def _pacer(
+        self, tenure: Tenure, settings: FleetSettings, cells: int
+    ) -> LoadPacer:
+        term, pacer = self._pacers.get(tenure.shard, (0, None))
+        if pacer is None or term != tenure.term:
+            pacer = LoadPacer(
+                settings.weight_loads_per_minute,
+                cells,
+                started_at_s=time.monotonic(),
+            )
+            self._pacers[tenure.shard] = (tenure.term, pacer)
+        return pacer
+
+    async def _reconcile_cell(
+        self,
+        service: Service,
+        settings: FleetSettings,
+        shard: ShardId,
+        pacer: LoadPacer,
+    ) -> None:
+        engines = (
+            *settings.upstreams_of(service.prefill_pool),
+            *settings.upstreams_of(service.decode_pool),
+        )
+        states = await asyncio.gather(*map(self._read_state, engines))
+        for engine, state in zip(engines, states, strict=True):
+            if state is None:
+                continue
+            order = next_order(
+                engine.upstream_id,
+                settings.pools[engine.pool_id],
+                state,
+                settings.revision,
+            )
+            if order is not None:
+                await self._send_paced(engine, order, shard, pacer)
+
+    async def _send_paced(
+        self,
+        engine: Upstream,
+        order: EngineOrder,
+        shard: ShardId,
+        pacer: LoadPacer,
+    ) -> None:
+        """Sends an order if this node may act as owner right now."""
+        if self._tenure(shard) is None:
+            return
+        if order.fence != self._context.state.revision:
+            return
+        if order.kind.reads_weights and not pacer.take(time.monotonic()):
+            self._waiting += 1
+            return
+        await self._send(engine, order)
+
+    async def _send(self, engine: Upstream, order: EngineOrder) -> None:
+        document = {
+            'kind': order.kind.value,
+            'target': order.target,
+            'version': order.version,
+            'fence': order.fence,
+        }
+        status, _ = await self._call(engine, 'POST', '/v1/orders', document)
+        self._sent[f'{order.kind.value} {status}'] += 1
+        logger.info(
+            'orders: {} {} {} to {}: {}.',
+            order.kind.value,
+            order.target,
+            order.version,
+            order.upstream_id,
+            'stale' if status == _HTTP_CONFLICT else status,
+        )
+
+    async def _read_state(self, engine: Upstream) -> EngineState | None:
+        status, body = await self._call(engine, 'GET', '/v1/state')
+        if status != _HTTP_OK:
+            return None
+        try:
+            return msgspec.json.decode(body, type=EngineState)
+        except msgspec.MsgspecError:
+            return None
+
+    async def _call(
+        self,
+        engine: Upstream,
+        method: str,
+        target: str,
+        document: object = None,
+    ) -> tuple[int, bytes]:
+        """Returns the status and the body; status 0 if there is no answer."""
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await self._context.client.call_json(
+                    upstream_address(engine), method, target, document
+                )
+        except (ConnectError, ExchangeError, TimeoutError):
+            return 0, b''
+
+
+__all__ = ('EngineOrdersPart',)
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -15,6 +15,7 @@
 from .cell.scheduler import CellScheduler
 from .cell.sweeper import Sweeper
 from .config.state import FleetState
+from .engine_orders.part import EngineOrdersPart
 from .fleet.wire import FleetParts
 from .http.client import HttpClient
 from .operator.api import OperatorApi
@@ -63,7 +64,12 @@
     cells = _build_cells(context, engines)
     return NodeWiring(
         context=context,
-        parts=(*fleet.first, *cells.parts, *fleet.last),
+        parts=(
+            *fleet.first,
+            *cells.parts,
+            EngineOrdersPart(context),
+            *fleet.last,
+        ),
         relay=fleet.relay,
         accept=_build_stages(context, engines, cells.scheduler),
         tracing=tracing,
--- a/packages/catkinreach-standins/src/catkinreach_standins/engine.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/engine.py
@@ -220,6 +220,7 @@
                 'boot': self._model.boot,
                 'role': self._model.role,
                 'models': self._model.models,
+                'versions': self._model.versions,
                 'fence': self._model.fence,
             }
         )
--- a/packages/catkinreach-standins/src/catkinreach_standins/engine_model.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/engine_model.py
@@ -103,6 +103,7 @@
         self.fence = 0
         self.role = EngineRole(options.role)
         self.models: list[str] = []
+        self.versions: dict[str, str] = {}
         self.cache = self._new_cache()
         self._restart()
 
@@ -271,6 +272,8 @@
         self.fence = max(self.fence, call.fence)
         if call.kind == 'load-model' and call.target not in self.models:
             self.models.append(call.target)
+        if call.kind in {'load-model', 'set-version'} and call.version:
+            self.versions[call.target] = str(call.version)
         if call.kind == 'set-role':
             self.role = EngineRole(call.target)
         self.record.orders.append(call)
@@ -328,6 +331,7 @@
         self.fence = 0
         self.role = EngineRole(self.options.role)
         self.models = [self.options.model]
+        self.versions = {}
         self.cache = self._new_cache()
         self._completed = 0
 
