--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Rate and burst of workspaces over all nodes together."""
+
+from __future__ import annotations
