Keep rate and burst of workspaces over all nodes with lent slices

Cause: until now every node admitted everything. Change: the owner of limit/N lends short-lived slices; level plus loans never exceeds the burst; a new owner starts empty and fills once every earlier slice has lapsed; a leaving owner hands its buckets over. Nodes wait for slices and refuse only what is over the rate or waited too long. A node is ready once every limit shard's owner has lent to it: a fresh deployment refused its first requests else.

--- a/packages/catkinreach-core/src/catkinreach_core/errors.py
+++ b/packages/catkinreach-core/src/catkinreach_core/errors.py
@@ -164,6 +164,7 @@
         kind: Entry of the closed list.
         detail: Sentence for the caller or operator; holds no secret.
         outcome: Statement about execution, by default the table's.
+        retry_after_s: Advice in seconds, by default the table's.
     """
 
     def __init__(
@@ -172,11 +173,15 @@
         detail: str = '',
         *,
         outcome: Outcome | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         """Sets up the error; an empty detail takes the table's title."""
         self.kind = kind
         self.detail = detail or ANSWERS[kind].title
         self.outcome = outcome or ANSWERS[kind].outcome
+        self.retry_after_s = retry_after_s
+        if retry_after_s is None:
+            self.retry_after_s = ANSWERS[kind].retry_after_s
         super().__init__(f'{kind.value}: {self.detail}')
 
 
--- a/packages/catkinreach-core/tests/limits/test_checker.py
+++ b/packages/catkinreach-core/tests/limits/test_checker.py
@@ -17,7 +17,9 @@
 )
 
 
-def _has_violation(admissions, rate, burst):
+def _has_violation(
+    admissions: list[Admission], rate: float, burst: float
+) -> bool:
     """Looks at every pair of ends."""
     times = sorted({one.at_s for one in admissions})
     return any(
@@ -29,12 +31,12 @@
     )
 
 
-def test_exact_use_of_rate_and_burst_passes():
-    used = [Admission(0, 10), *(Admission(n, 2) for n in range(1, 20))]
+def test_exact_use_of_rate_and_burst_passes() -> None:
+    used = [Admission(0, 10), *(Admission(at_s, 2) for at_s in range(1, 20))]
     assert not window_violations(used, rate=2, burst=10)
 
 
-def test_one_unit_too_many_is_found_with_its_window():
+def test_one_unit_too_many_is_found_with_its_window() -> None:
     used = [Admission(0, 1), Admission(50, 10), Admission(51, 3)]
     (found,) = window_violations(used, rate=2, burst=10)
     assert (found.start_s, found.end_s) == (50, 51)
@@ -42,6 +44,8 @@
 
 
 @given(ADMISSIONS, st.integers(0, 3), st.integers(1, 20))
-def test_agrees_with_all_pairs(admissions, rate, burst):
+def test_agrees_with_all_pairs(
+    admissions: list[Admission], rate: float, burst: float
+) -> None:
     found = window_violations(admissions, rate, burst)
     assert bool(found) == _has_violation(admissions, rate, burst)
--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -44,7 +44,9 @@
     def is_ready(self) -> bool:
         """Tells whether the node takes requests."""
         return (
-            self._wiring.relay.is_synced and not self._wiring.accept.is_draining
+            self._wiring.relay.is_synced
+            and self._wiring.limits.is_ready
+            and not self._wiring.accept.is_draining
         )
 
     @classmethod
--- a/packages/catkinreach-node/src/catkinreach_node/http/problem.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/problem.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from catkinreach_core.errors import ANSWERS
@@ -29,8 +30,9 @@
     """Returns the answer that the table gives for an error."""
     answer = ANSWERS[error.kind]
     headers = []
-    if answer.retry_after_s is not None:
-        headers.append(('retry-after', str(answer.retry_after_s)))
+    if error.retry_after_s is not None:
+        advice_s = max(1, math.ceil(error.retry_after_s))
+        headers.append(('retry-after', str(advice_s)))
     return HttpResponse.from_json(
         answer.status,
         problem_document(error),
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/__init__.py
@@ -0,0 +1,3 @@
+"""The node's part in the limits of workspaces."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/desk.py
@@ -0,0 +1,119 @@
+"""The owner's side: books of the limit shards that this node owns."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.limits.book import LimitBook
+from catkinreach_core.limits.terms import WorkspaceLimits
+from catkinreach_core.messages.limits import LimitHandover, LimitHandoverKept
+from catkinreach_core.ownership.shards import limit_shard
+
+if TYPE_CHECKING:
+    from catkinreach_core.ids import ShardId, VmId, WorkspaceId
+    from catkinreach_core.messages.limits import SliceAsk, SliceGrant
+    from catkinreach_core.ownership.tenure import Tenure
+
+    from ..parts import NodeContext
+
+
+class LimitDesk:
+    """Answers asks while this node's tenure of the shard lasts."""
+
+    def __init__(self, context: NodeContext) -> None:
+        """Starts without books."""
+        self._context = context
+        self._books: dict[ShardId, LimitBook] = {}
+        self._kept: dict[ShardId, LimitHandover] = {}
+        self._started_at_s = time.monotonic()
+        self._is_closed = False
+
+    @property
+    def book_count(self) -> int:
+        """Returns the shards that were asked for during their tenures."""
+        return len(self._books)
+
+    async def respond(self, sender: VmId, ask: SliceAsk) -> SliceGrant:
+        """Lends slices; nothing is awaited between the checks and the answer.
+
+        Raises:
+            CatkinreachError: ``NO_OWNER`` if this node may not decide.
+        """
+        shard = limit_shard(ask.workspace_id)
+        limits = self._limits(ask.workspace_id)
+        now_s = time.monotonic()
+        tenure = self._context.ownership.tenure_of(shard, now_s)
+        if tenure is None or limits is None or self._is_closed:
+            raise CatkinreachError(ErrorKind.NO_OWNER)
+        book = self._book(tenure, now_s)
+        grant = book.answer(sender, ask, limits, now_s)
+        if grant is None:
+            raise CatkinreachError(ErrorKind.NO_OWNER, 'The ask is outdated.')
+        return grant
+
+    async def keep(
+        self,
+        sender: VmId,  # noqa: ARG002 - part of the protocol
+        handover: LimitHandover,
+    ) -> LimitHandoverKept:
+        """Keeps a predecessor's book until this node's tenure begins."""
+        kept = self._kept.get(handover.shard)
+        if kept is None or kept.term < handover.term:
+            self._kept[handover.shard] = handover
+        return LimitHandoverKept()
+
+    def close(self, now_s: float) -> list[LimitHandover]:
+        """Stops lending; returns the books whose tenures still last."""
+        self._is_closed = True
+        for workspace_id in self._all_limits():
+            tenure = self._context.ownership.tenure_of(
+                limit_shard(workspace_id), now_s
+            )
+            if tenure is not None:
+                self._book(tenure, now_s)
+        return [
+            book.handover(now_s)
+            for shard, book in self._books.items()
+            if self._is_current(shard, book, now_s)
+        ]
+
+    def _is_current(
+        self, shard: ShardId, book: LimitBook, now_s: float
+    ) -> bool:
+        tenure = self._context.ownership.tenure_of(shard, now_s)
+        return tenure is not None and tenure.term == book.term
+
+    def _book(self, tenure: Tenure, now_s: float) -> LimitBook:
+        book = self._books.get(tenure.shard)
+        if book is None or book.term != tenure.term:
+            book = self._open(tenure, now_s)
+            self._books[tenure.shard] = book
+        return book
+
+    def _open(self, tenure: Tenure, now_s: float) -> LimitBook:
+        handover = self._kept.pop(tenure.shard, None)
+        if handover is not None and handover.term == tenure.predecessor_term:
+            limits = self._all_limits()
+            return LimitBook.from_handover(tenure, handover, limits, now_s)
+        return LimitBook.from_tenure(tenure, not_before_s=self._started_at_s)
+
+    def _limits(self, workspace_id: WorkspaceId) -> WorkspaceLimits | None:
+        workspaces = self._context.state.settings.workspaces
+        workspace = workspaces.get(workspace_id)
+        if workspace is None:
+            return None
+        return WorkspaceLimits.from_workspace(workspace)
+
+    def _all_limits(self) -> dict[WorkspaceId, WorkspaceLimits]:
+        if not self._context.state.has_settings:
+            return {}
+        workspaces = self._context.state.settings.workspaces
+        return {
+            workspace_id: WorkspaceLimits.from_workspace(workspace)
+            for workspace_id, workspace in workspaces.items()
+        }
+
+
+__all__ = ('LimitDesk',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/part.py
@@ -0,0 +1,244 @@
+"""Carries slices between this node's gates and the owners' books."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from typing import TYPE_CHECKING, Final
+
+from loguru import logger
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.limits.gate import Cost, WorkspaceGate
+from catkinreach_core.limits.terms import WorkspaceLimits
+from catkinreach_core.messages.limits import (
+    LimitHandover,
+    LimitHandoverKept,
+    SliceAsk,
+    SliceGrant,
+)
+from catkinreach_core.ownership.shards import limit_shard
+
+from ..peers.transport import PeerUnreachableError
+from ..session.seams import UnlimitedGrant
+from .desk import LimitDesk
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from catkinreach_core.ids import VmId, WorkspaceId
+
+    from ..parts import NodeContext
+    from ..session.context import SessionContext
+    from ..session.seams import LimitGrant
+    from .admissions import AdmissionSink
+
+TICK_S: Final = 0.05
+ASK_TIMEOUT_S: Final = 0.3
+HANDOVER_TIMEOUT_S: Final = 1.0
+
+
+class SliceGrantHandle:
+    """Admission of one request; settles its tokens once."""
+
+    def __init__(
+        self, gate: WorkspaceGate, number: int, reserved_tokens: int
+    ) -> None:
+        """Keeps what was reserved."""
+        self._gate = gate
+        self._number = number
+        self._reserved_tokens = reserved_tokens
+
+    def settle(self, used_tokens: int) -> None:
+        """Gives back the tokens that were not used."""
+        unused = self._reserved_tokens - used_tokens
+        self._gate.settle(self._number, unused, time.monotonic())
+
+
+class LimitPart:
+    """Limits of all workspaces as one node sees and keeps them."""
+
+    def __init__(self, context: NodeContext, sink: AdmissionSink) -> None:
+        """Registers the messages; ``run`` is the task."""
+        self._context = context
+        self._sink = sink
+        self._desk = LimitDesk(context)
+        self._gates: dict[WorkspaceId, WorkspaceGate] = {}
+        self._futures: dict[int, asyncio.Future[None]] = {}
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_ready = False
+        self._counts = {'admitted': 0, 'refused': 0, 'asks': 0}
+        context.transport.on_call(SliceAsk, self._desk.respond)
+        context.transport.on_call(LimitHandover, self._desk.keep)
+        context.state.on_change(self._take_settings)
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+        return 'limits'
+
+    @property
+    def is_ready(self) -> bool:
+        """Tells whether every limit shard's owner has lent something.
+
+        Once true it stays so: a lost owner is no reason to take nodes out.
+        """
+        return self._is_ready
+
+    async def admit(self, session: SessionContext, tokens: int) -> LimitGrant:
+        """Admits one request of up to that many tokens.
+
+        Raises:
+            CatkinreachError: ``RATE_LIMITED``, or ``NO_OWNER`` if no owner
+                could be asked in time.
+        """
+        workspace_id = session.workspace_id
+        if workspace_id is None:
+            return UnlimitedGrant()
+        gate = self._gate(workspace_id)
+        number = next(self._numbers)
+        cost = Cost(1.0, float(tokens))
+        if gate.try_admit(number, cost, time.monotonic()):
+            self._pump(gate)
+        else:
+            await self._wait(gate, number, cost)
+        self._counts['admitted'] += 1
+        self._sink.note(workspace_id, tokens)
+        return SliceGrantHandle(gate, number, tokens)
+
+    async def run(self) -> None:
+        """Renews and returns slices until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._probe_owners()
+            for gate in tuple(self._gates.values()):
+                self._pump(gate)
+
+    async def hand_over(self) -> None:
+        """Gives the books to the nodes that are to own the shards next."""
+        handovers = self._desk.close(time.monotonic())
+        async with asyncio.TaskGroup() as group:
+            for handover in handovers:
+                vm_id = self._context.tenures.successor_of(handover.shard)
+                if vm_id is not None:
+                    group.create_task(self._give(vm_id, handover))
+
+    def status(self) -> Mapping[str, object]:
+        """Returns slices at hand by workspace and the owned accounts."""
+        now_s = time.monotonic()
+        return {
+            **self._counts,
+            'owned_shards': self._desk.book_count,
+            'workspaces': {
+                workspace_id: {
+                    'waiting': gate.waiting_count,
+                    'requests_at_hand': round(gate.free(now_s)[0], 3),
+                    'tokens_at_hand': round(gate.free(now_s)[1], 3),
+                }
+                for workspace_id, gate in self._gates.items()
+            },
+        }
+
+    def _probe_owners(self) -> None:
+        """Asks each shard's owner once before the node is ready."""
+        if self._is_ready or not self._context.state.has_settings:
+            return
+        by_shard = {
+            limit_shard(workspace_id): workspace_id
+            for workspace_id in self._context.state.settings.workspaces
+        }
+        gates = [self._gate(one) for one in by_shard.values()]
+        for gate in gates:
+            gate.probe()
+        self._is_ready = all(gate.is_probed for gate in gates)
+
+    async def _wait(self, gate: WorkspaceGate, number: int, cost: Cost) -> None:
+        future = asyncio.get_running_loop().create_future()
+        self._futures[number] = future
+        try:
+            gate.wait(number, cost, time.monotonic())
+            self._pump(gate)
+            await future
+        except CatkinreachError:
+            self._counts['refused'] += 1
+            raise
+        except asyncio.CancelledError:
+            gate.give_up(number)
+            raise
+        finally:
+            del self._futures[number]
+
+    def _gate(self, workspace_id: WorkspaceId) -> WorkspaceGate:
+        gate = self._gates.get(workspace_id)
+        if gate is None:
+            workspaces = self._context.state.settings.workspaces
+            gate = WorkspaceGate(
+                workspace_id,
+                self._context.incarnation,
+                WorkspaceLimits.from_workspace(workspaces[workspace_id]),
+            )
+            self._gates[workspace_id] = gate
+        return gate
+
+    def _take_settings(self) -> None:
+        if not self._context.state.has_settings:
+            return
+        workspaces = self._context.state.settings.workspaces
+        for workspace_id, gate in tuple(self._gates.items()):
+            if workspace_id in workspaces:
+                gate.limits = WorkspaceLimits.from_workspace(
+                    workspaces[workspace_id]
+                )
+            elif not gate.waiting_count:
+                del self._gates[workspace_id]
+
+    def _pump(self, gate: WorkspaceGate) -> None:
+        for verdict in gate.step(time.monotonic()):
+            future = self._futures.get(verdict.number)
+            if future is None or future.done():
+                continue
+            if verdict.refusal is None:
+                future.set_result(None)
+            else:
+                future.set_exception(verdict.refusal)
+        ask = gate.next_ask(time.monotonic())
+        if ask is not None:
+            self._counts['asks'] += 1
+            task = asyncio.create_task(self._exchange(gate, ask))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _exchange(self, gate: WorkspaceGate, ask: SliceAsk) -> None:
+        try:
+            grant = await self._ask_owner(ask)
+        except (PeerUnreachableError, CatkinreachError):
+            gate.on_failure(ask.sequence, time.monotonic())
+        else:
+            gate.on_grant(grant, time.monotonic())
+        self._pump(gate)
+
+    async def _ask_owner(self, ask: SliceAsk) -> SliceGrant:
+        owner = self._context.ownership.owner_of(limit_shard(ask.workspace_id))
+        if owner is None:
+            raise CatkinreachError(ErrorKind.NO_OWNER)
+        if owner == self._context.settings.vm_id:
+            return await self._desk.respond(owner, ask)
+        return await self._context.transport.call(
+            owner, ask, SliceGrant, timeout_s=ASK_TIMEOUT_S
+        )
+
+    async def _give(self, vm_id: VmId, handover: LimitHandover) -> None:
+        try:
+            await self._context.transport.call(
+                vm_id,
+                handover,
+                LimitHandoverKept,
+                timeout_s=HANDOVER_TIMEOUT_S,
+            )
+        except (PeerUnreachableError, CatkinreachError):
+            logger.warning('limits: {} did not take {}.', vm_id, handover.shard)
+
+
+__all__ = ('LimitPart',)
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -18,6 +18,8 @@
 from .engine_orders.part import EngineOrdersPart
 from .fleet.wire import FleetParts
 from .http.client import HttpClient
+from .limits.admissions import admission_sink
+from .limits.part import LimitPart
 from .operator.api import OperatorApi
 from .parts import NodeContext
 from .peers.transport import PeerTransport
@@ -25,7 +27,6 @@
 from .session.engine_client import EngineClient, Holder
 from .session.model import ModelStage
 from .session.plain import PlainForwarder, PlainStage
-from .session.seams import UnlimitedLimiter
 from .telemetry.hop import HopRecorder
 from .telemetry.metrics import Metrics
 from .telemetry.traces import Tracing
@@ -37,7 +38,7 @@
 
     from .fleet.relay import RelayPart
     from .parts import NodePart
-    from .session.seams import Scheduler
+    from .session.seams import Limiter, Scheduler
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +48,7 @@
     context: NodeContext
     parts: tuple[NodePart, ...]
     relay: RelayPart
+    limits: LimitPart
     accept: AcceptStage
     tracing: Tracing
     tls: NodeTls
@@ -62,16 +64,19 @@
         context.client, Holder(vm=settings.vm_id, incarnation=incarnation)
     )
     cells = _build_cells(context, engines)
+    limits = LimitPart(context, admission_sink(settings.event_log))
     return NodeWiring(
         context=context,
         parts=(
             *fleet.first,
+            limits,
             *cells.parts,
             EngineOrdersPart(context),
             *fleet.last,
         ),
         relay=fleet.relay,
-        accept=_build_stages(context, engines, cells.scheduler),
+        limits=limits,
+        accept=_build_stages(context, engines, cells.scheduler, limits),
         tracing=tracing,
         tls=tls,
     )
@@ -131,9 +136,11 @@
 
 
 def _build_stages(
-    context: NodeContext, engines: EngineClient, scheduler: Scheduler
+    context: NodeContext,
+    engines: EngineClient,
+    scheduler: Scheduler,
+    limiter: Limiter,
 ) -> AcceptStage:
-    limiter = UnlimitedLimiter()
     return AcceptStage(
         context.state,
         ModelStage(scheduler, limiter, engines, context.hops),
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/limits_model.py
@@ -0,0 +1,330 @@
+"""The cores of the limits on a virtual clock, message by message.
+
+Each node has the gate that a real node has, the owner the real book; only
+the clock, the network and the tenures are simple fakes.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from catkinreach_core.ids import Incarnation, ShardId, VmId, WorkspaceId
+from catkinreach_core.limits.book import LimitBook
+from catkinreach_core.limits.checker import Admission
+from catkinreach_core.limits.gate import Cost, WorkspaceGate
+from catkinreach_core.ownership.tenure import Tenure
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from catkinreach_core.limits.terms import SlicePolicy, WorkspaceLimits
+    from catkinreach_core.messages.limits import SliceAsk, SliceGrant
+
+WORKSPACE = WorkspaceId('sunday-bee')
+SHARD = ShardId('limit/0')
+NETWORK_DELAY_S = 0.0005
+TICK_S = 0.05
+CALL_TIMEOUT_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reaches a node."""
+
+    at_s: float
+    node: int
+    cost: Cost
+    used_tokens: float
+    runs_s: float
+
+
+@dataclass(slots=True)
+class TrialLog:
+    """What a trial saw."""
+
+    requests: list[Admission] = field(default_factory=list)
+    tokens: list[Admission] = field(default_factory=list)
+    refused: list[Arrival] = field(default_factory=list)
+    waits: list[tuple[float, float]] = field(default_factory=list)
+    messages: int = 0
+
+    def admit(self, arrival: Arrival, now_s: float) -> None:
+        """Notes an admission with the units it reserved."""
+        self.requests.append(Admission(now_s, arrival.cost.requests))
+        self.tokens.append(Admission(now_s, arrival.cost.tokens))
+        self.waits.append((arrival.at_s, now_s - arrival.at_s))
+
+
+class Clock:
+    """Runs events in the order of their times."""
+
+    def __init__(self) -> None:
+        """Starts at zero."""
+        self.now_s = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def at(self, at_s: float, event: Callable[[], None]) -> None:
+        """Plans an event."""
+        heapq.heappush(self._events, (at_s, next(self._numbers), event))
+
+    def run(self, until_s: float) -> None:
+        """Runs events up to a moment."""
+        while self._events and self._events[0][0] <= until_s:
+            self.now_s, _, event = heapq.heappop(self._events)
+            event()
+
+
+class Admitter(Protocol):
+    """A way to keep the limits over all nodes."""
+
+    def arrive(self, arrival: Arrival) -> None:
+        """Takes a request."""
+
+    def lose(self, node: int, gap_s: float) -> None:
+        """Loses a node; an ownership is vacant for the gap."""
+
+
+class SliceFleet:
+    """Nodes that borrow slices from an owner."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: WorkspaceLimits,
+        policy: SlicePolicy,
+        *,
+        node_count: int,
+    ) -> None:
+        """Starts with node 0 as owner."""
+        self.log = TrialLog()
+        self._clock = clock
+        self._limits = limits
+        self._owner: int | None = 0
+        self._book = LimitBook.from_tenure(self._tenure(1), not_before_s=0)
+        self._arrivals: dict[int, Arrival] = {}
+        self._numbers = itertools.count(1)
+        self._gates = [
+            WorkspaceGate(
+                WORKSPACE, Incarnation(f'life-{node}'), limits, policy
+            )
+            for node in range(node_count)
+        ]
+        self._lost: set[int] = set()
+        clock.at(TICK_S, self._tick)
+
+    def arrive(self, arrival: Arrival) -> None:
+        """Takes a request at its node."""
+        gate = self._gates[arrival.node]
+        number = next(self._numbers)
+        self._arrivals[number] = arrival
+        if gate.try_admit(number, arrival.cost, self._clock.now_s):
+            self._admitted(arrival.node, number)
+        else:
+            gate.wait(number, arrival.cost, self._clock.now_s)
+        self._pump(arrival.node)
+
+    def lose(self, node: int, gap_s: float) -> None:
+        """Loses a node; another owns after the gap."""
+        self._lost.add(node)
+        if node != self._owner:
+            return
+        self._owner = None
+        term = self._book.term + 1
+
+        def take_over() -> None:
+            self._owner = next(
+                one for one in range(len(self._gates)) if one not in self._lost
+            )
+            self._book = LimitBook.from_tenure(
+                self._tenure(term), not_before_s=self._clock.now_s
+            )
+
+        self._clock.at(self._clock.now_s + gap_s, take_over)
+
+    def _tenure(self, term: int) -> Tenure:
+        return Tenure(
+            shard=SHARD,
+            owner=VmId('owner'),
+            incarnation=Incarnation('owner'),
+            term=term,
+            started_at_s=self._clock.now_s,
+            expires_at_s=float('inf'),
+        )
+
+    def _tick(self) -> None:
+        for node in range(len(self._gates)):
+            self._pump(node)
+        self._clock.at(self._clock.now_s + TICK_S, self._tick)
+
+    def _pump(self, node: int) -> None:
+        if node in self._lost:
+            return
+        now_s = self._clock.now_s
+        gate = self._gates[node]
+        for verdict in gate.step(now_s):
+            if verdict.refusal is None:
+                self._admitted(node, verdict.number)
+            else:
+                self.log.refused.append(self._arrivals.pop(verdict.number))
+        ask = gate.next_ask(now_s)
+        if ask is not None:
+            self._send(node, ask)
+
+    def _send(self, node: int, ask: SliceAsk) -> None:
+        now_s = self._clock.now_s
+        delay_s = 0.0 if node == self._owner else NETWORK_DELAY_S
+        self.log.messages += 1
+        self._clock.at(now_s + delay_s, lambda: self._answer(node, ask))
+        self._clock.at(
+            now_s + CALL_TIMEOUT_S,
+            lambda: self._gates[node].on_failure(
+                ask.sequence, self._clock.now_s
+            ),
+        )
+
+    def _answer(self, node: int, ask: SliceAsk) -> None:
+        if self._owner is None:
+            return
+        now_s = self._clock.now_s
+        grant = self._book.answer(VmId(f'vm-{node}'), ask, self._limits, now_s)
+        if grant is not None:
+            delay_s = 0.0 if node == self._owner else NETWORK_DELAY_S
+            self._clock.at(now_s + delay_s, lambda: self._take(node, grant))
+
+    def _take(self, node: int, grant: SliceGrant) -> None:
+        self._gates[node].on_grant(grant, self._clock.now_s)
+        self._pump(node)
+
+    def _admitted(self, node: int, number: int) -> None:
+        arrival = self._arrivals.pop(number)
+        self.log.admit(arrival, self._clock.now_s)
+        unused = arrival.cost.tokens - arrival.used_tokens
+        self._clock.at(
+            self._clock.now_s + arrival.runs_s,
+            lambda: self._gates[node].settle(number, unused, self._clock.now_s),
+        )
+
+
+class StaticFleet:
+    """Every node has a share that nobody else may use."""
+
+    def __init__(
+        self, clock: Clock, limits: WorkspaceLimits, *, node_count: int
+    ) -> None:
+        """Cuts rate and burst in as many shares as there may be nodes."""
+        self.log = TrialLog()
+        self._clock = clock
+        self._limits = limits
+        self._share = 1 / node_count
+        self._levels: dict[int, list[float]] = {}
+        self._filled_at_s: dict[int, float] = {}
+
+    def arrive(self, arrival: Arrival) -> None:
+        """Admits from the node's own share or refuses."""
+        now_s = self._clock.now_s
+        levels = self._fill(arrival.node, now_s)
+        costs = arrival.cost.units
+        if any(level < cost for level, cost in zip(levels, costs, strict=True)):
+            self.log.refused.append(arrival)
+            return
+        for kind, cost in enumerate(costs):
+            levels[kind] -= cost
+        self.log.admit(arrival, now_s)
+
+    def lose(self, node: int, gap_s: float) -> None:
+        """Changes nothing: a share is lost with its node."""
+
+    def _fill(self, node: int, now_s: float) -> list[float]:
+        levels = self._levels.setdefault(node, [0.0, 0.0])
+        age_s = now_s - self._filled_at_s.get(node, 0.0)
+        self._filled_at_s[node] = now_s
+        for kind, limit in enumerate(self._limits.units):
+            filled = levels[kind] + limit.rate * self._share * age_s
+            levels[kind] = min(limit.burst * self._share, filled)
+        return levels
+
+
+class IdealBucket:
+    """One bucket for all nodes that never fails."""
+
+    def __init__(self, limits: WorkspaceLimits) -> None:
+        """Starts full."""
+        self._limits = limits
+        self._levels = [limit.burst for limit in limits.units]
+        self._at_s = 0.0
+
+    def admits(self, arrival: Arrival) -> bool:
+        """Takes the cost of a request if it is there."""
+        age_s = arrival.at_s - self._at_s
+        self._at_s = arrival.at_s
+        for kind, limit in enumerate(self._limits.units):
+            filled = self._levels[kind] + limit.rate * age_s
+            self._levels[kind] = min(limit.burst, filled)
+        costs = arrival.cost.units
+        if any(
+            level < cost
+            for level, cost in zip(self._levels, costs, strict=True)
+        ):
+            return False
+        for kind, cost in enumerate(costs):
+            self._levels[kind] -= cost
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Poisson arrivals over nodes with unequal weights.
+
+    Attributes:
+        requests_per_s: Mean rate.
+        node_weights: Relative rates of the nodes; they rotate over time.
+        until_s: End of the traffic.
+        rotate_s: Time after which each weight moves to the next node.
+    """
+
+    requests_per_s: float
+    node_weights: tuple[float, ...]
+    until_s: float
+    rotate_s: float = 7.0
+
+    def draw(self, rng: random.Random) -> list[Arrival]:
+        """Returns the arrivals in order of time."""
+        arrivals = []
+        at_s = 0.0
+        nodes = range(len(self.node_weights))
+        while at_s < self.until_s:
+            at_s += rng.expovariate(self.requests_per_s)
+            turn = int(at_s / self.rotate_s)
+            (drawn,) = rng.choices(nodes, self.node_weights)
+            prompt = rng.lognormvariate(6.2, 0.7)
+            output = rng.uniform(20, 300)
+            cost = Cost(1.0, float(int(prompt) + 400))
+            arrivals.append(
+                Arrival(
+                    at_s=at_s,
+                    node=(drawn + turn) % len(nodes),
+                    cost=cost,
+                    used_tokens=float(int(prompt) + int(output)),
+                    runs_s=output * 0.02,
+                )
+            )
+        return arrivals
+
+
+__all__ = (
+    'SHARD',
+    'WORKSPACE',
+    'Admitter',
+    'Arrival',
+    'Clock',
+    'IdealBucket',
+    'SliceFleet',
+    'StaticFleet',
+    'Traffic',
+    'TrialLog',
+)
