Count a node as ready once it has held a unit of every limit shard

Cause: a probe counted only if one reply lent both kinds of unit; a node whose buckets filled at different moments never became ready (seen in a deployment of three nodes). Change: a probe is done once both are at hand.

--- a/packages/catkinreach-core/src/catkinreach_core/limits/gate.py
+++ b/packages/catkinreach-core/src/catkinreach_core/limits/gate.py
@@ -210,13 +210,13 @@
         self._is_asking = False
         self._accepted = grant.sequence
         self._granted_at_s = now_s
-        if all(lent.granted for lent in grant.slices):
-            self._probe = ProbeState.DONE
         self._failing_from_s = None
         self._is_recovering = grant.is_recovering
         expires_at_s = self._asked_at_s + SLICE_LIFE_S
         for purse, lent in zip(self._purses, grant.slices, strict=True):
             purse.take(lent, grant.term, expires_at_s, now_s)
+        if min(self.free(now_s)) >= min(PROBE_UNITS):
+            self._probe = ProbeState.DONE
         ready_in_s = max(lent.ready_in_s for lent in grant.slices)
         pause_s = min(max(ready_in_s, RETRY_ASK_S), MAX_RETRY_ASK_S)
         self._ask_from_s = now_s + pause_s
