Let a fleet of two elect owners after one VM was replaced

Cause: the limits need an owner, and test_replaced_vm_takes_work showed that the survivor of two never owned anything again: it did not count itself among the voters that know the newer list, so the old list stayed open for ever (acquire-failed 476 times in 15 s in its status). Ruled out: the fault proxy (both nodes saw each other alive). Change: a node notes its own lists at each tick. Readiness no longer waits for owners for more than 10 s.

--- a/packages/catkinreach-core/src/catkinreach_core/ownership/leases.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/leases.py
@@ -133,6 +133,7 @@
     def tick(self, now_s: float, wall_ms: int) -> list[Outgoing]:
         """Advances time; returns the messages to send."""
         self._tick_at_s = now_s
+        self.history.hear(self._vm_id, self.history.revisions, now_s)
         self.history.retire(now_s)
         self._start_voting(now_s)
         if not self.is_voting:
--- /dev/null
+++ b/packages/catkinreach-core/tests/ownership/test_two_node_history.py
@@ -0,0 +1,34 @@
+"""A fleet of two goes on once one of them has been replaced."""
+
+from __future__ import annotations
+
+from catkinreach_core.fleet_list import VmEntry, VmList
+from catkinreach_core.ids import FailureDomainId, Revision, ShardId, VmId
+from catkinreach_core.ownership.history import ListHistory
+from catkinreach_core.ownership.timing import SILENCE_S
+
+SHARD = ShardId('limit/0')
+
+
+def _list(revision: int, *ids: str) -> VmList:
+    return VmList(
+        revision=Revision(revision),
+        vms=tuple(
+            VmEntry(
+                id=VmId(one),
+                peer_address='127.0.0.1:1',
+                failure_domain=FailureDomainId('a'),
+            )
+            for one in ids
+        ),
+    )
+
+
+def test_survivor_counts_itself_among_those_that_left_a_list() -> None:
+    history = ListHistory()
+    history.learn(_list(1, 'vm-1', 'vm-2'), 0)
+    history.learn(_list(2, 'vm-1', 'vm-3'), 10)
+    history.hear(VmId('vm-1'), history.revisions, 10)
+    assert len(history.quorums(SHARD, 10 + SILENCE_S / 2)) == 2
+    (quorum,) = history.quorums(SHARD, 10 + SILENCE_S)
+    assert set(quorum) == {'vm-1', 'vm-3'}
--- a/packages/catkinreach-node/src/catkinreach_node/limits/part.py
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/part.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import time
 from typing import TYPE_CHECKING, Final
 
@@ -37,6 +38,8 @@
 TICK_S: Final = 0.05
 ASK_TIMEOUT_S: Final = 0.3
 HANDOVER_TIMEOUT_S: Final = 1.0
+READY_LIMIT_S: Final = 10.0
+"""Time after which a node takes requests although owners are missing."""
 
 
 class SliceGrantHandle:
@@ -69,6 +72,7 @@
         self._numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_ready = False
+        self._probing_from_s = math.inf
         self._counts = {'admitted': 0, 'refused': 0, 'asks': 0}
         context.transport.on_call(SliceAsk, self._desk.respond)
         context.transport.on_call(LimitHandover, self._desk.keep)
@@ -83,6 +87,7 @@
     def is_ready(self) -> bool:
         """Tells whether every limit shard's owner has lent something.
 
+        A node that has waited long for owners counts as ready too.
         Once true it stays so: a lost owner is no reason to take nodes out.
         """
         return self._is_ready
@@ -145,6 +150,7 @@
         """Asks each shard's owner once before the node is ready."""
         if self._is_ready or not self._context.state.has_settings:
             return
+        self._probing_from_s = min(self._probing_from_s, time.monotonic())
         by_shard = {
             limit_shard(workspace_id): workspace_id
             for workspace_id in self._context.state.settings.workspaces
@@ -152,7 +158,9 @@
         gates = [self._gate(one) for one in by_shard.values()]
         for gate in gates:
             gate.probe()
-        self._is_ready = all(gate.is_probed for gate in gates)
+        waited_s = time.monotonic() - self._probing_from_s
+        is_probed = all(gate.is_probed for gate in gates)
+        self._is_ready = is_probed or waited_s > READY_LIMIT_S
 
     async def _wait(self, gate: WorkspaceGate, number: int, cost: Cost) -> None:
         future = asyncio.get_running_loop().create_future()
