--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/path_cost.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/path_cost.py
@@ -46,6 +46,7 @@
 MILLISECONDS = 1000
 WARMUP_S = 6.0
 WARMUP_TOKENS = 10
+IDLE_S = 5.0
 REFUSED_PAUSE_S = 0.05
 _NO_LIMITS = (
     ('requests_per_s', '100000'),
@@ -281,12 +282,13 @@
 
 async def _run_target(
     deployment: Deployment, seed: int, duration_s: float
-) -> tuple[PhaseCost, list[AddedLatency]]:
+) -> tuple[list[PhaseCost], list[AddedLatency]]:
     bench = PathBench(deployment, seed)
     await bench.warm_up()
-    result = await _measure_target(bench, duration_s)
+    idle = await bench.measure('idle', PathTimes(), asyncio.sleep(IDLE_S))
+    phase, added = await _measure_target(bench, duration_s)
     bench.close()
-    return result
+    return [idle, phase], added
 
 
 async def _run_full(
@@ -310,10 +312,8 @@
 def measure_path(seed: int, duration_s: float) -> PathCost:
     """Runs all phases on fresh processes."""
     text = _fleet_text()
-    phases: list[PhaseCost] = []
     with _open(text, seed, _ENGINE_FLAGS) as deployment:
-        phase, added = asyncio.run(_run_target(deployment, seed, duration_s))
-        phases.append(phase)
+        phases, added = asyncio.run(_run_target(deployment, seed, duration_s))
     with _open(text, seed, _FULL_ENGINE_FLAGS) as deployment:
         phases += asyncio.run(_run_full(deployment, seed, duration_s / 2))
     provenance = Provenance.of_process()
