--- a/packages/catkinreach-node/src/catkinreach_node/http/client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -18,6 +18,7 @@
     from catkinreach_core.settings.node import Address
 
 READ_SIZE_BYTES = 65_536
+_CHUNK_END = b'\r\n'
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 32
 
@@ -104,6 +105,8 @@
             event = self._protocol.next_event()
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                if self._has_read_all(event):
+                    return b''.join(parts), False
             elif isinstance(event, h11.EndOfMessage):
                 return b''.join(parts), True
             elif event is not h11.NEED_DATA:
@@ -115,6 +118,11 @@
                     await self._reader.read(READ_SIZE_BYTES)
                 )
 
+    def _has_read_all(self, event: h11.Data) -> bool:
+        """Tells whether no byte is left but the line end of a chunk."""
+        received, _ = self._protocol.trailing_data
+        return bool(event.chunk_end) and len(received) <= len(_CHUNK_END)
+
     def finish(self) -> None:
         """Prepares the connection for another request, if it may have one."""
         if self._protocol.states == {
