Test the judge of answers with planted faults

A doubled token, a short answer, an order that ran twice, another workspace's answer and another body are each found; a short run over real processes is clean. The bench waits until the count of owned shards stands still, not only until the first has an owner.

--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/load_bench.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/load_bench.py
@@ -31,6 +31,7 @@
 
 
 OWNER_LIMIT_S = 30.0
+OWNER_SETTLE_S = 0.5
 
 
 class PlainAnswer(msgspec.Struct, frozen=True):
@@ -161,18 +162,24 @@
     """Waits until the first leases of a fresh fleet are held.
 
     Raises:
-        RuntimeError: if no node owns anything in time.
+        RuntimeError: if the shards do not find owners in time.
     """
-    if not wait_until(lambda: _is_owned(deployment), limit_s=OWNER_LIMIT_S):
-        raise RuntimeError(f'no node owns a shard after {OWNER_LIMIT_S} s')
+    counts = [0]
 
+    def is_settled() -> bool:
+        counts.append(_owned_count(deployment))
+        return 0 < counts[-1] == counts[-2]
 
-def _is_owned(deployment: Deployment) -> bool:
+    if not wait_until(is_settled, limit_s=OWNER_LIMIT_S, step_s=OWNER_SETTLE_S):
+        raise RuntimeError(f'shards without owners after {OWNER_LIMIT_S} s')
+
+
+def _owned_count(deployment: Deployment) -> int:
+    count = 0
     for node in deployment.nodes:
         _, status = deployment.operator_call(node, 'GET', '/status')
-        if status['ownership']['owned']:
-            return True
-    return False
+        count += len(status['ownership']['owned'])
+    return count
 
 
 def _rates(engine_flags: tuple[str, ...]) -> EngineRates:
--- /dev/null
+++ b/packages/catkinreach-standins/tests/bench/test_load_bench.py
@@ -0,0 +1,97 @@
+"""The load tool's judge finds planted faults, and a real run is clean."""
+
+from __future__ import annotations
+
+import hashlib
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from catkinreach_core.ids import WorkspaceId
+from catkinreach_ctl.experiment.bench import BenchSpec, load_bench_module
+from catkinreach_ctl.experiment.run import plan_scenario, run_scenario
+from catkinreach_ctl.experiment.scenario import Scenario
+from catkinreach_ctl.load.deployments import NINEPATCH
+from catkinreach_ctl.load.plan import (
+    PlannedRequest,
+    PlanOptions,
+    plan_requests,
+)
+from catkinreach_ctl.load.provenance import Provenance
+from catkinreach_ctl.load.workload import RequestKind
+from catkinreach_standins.answer import expected_answer
+from catkinreach_standins.bench.load_bench import StandinCheck
+
+FLEET = Path(__file__).resolve().parents[4] / 'examples/ninepatch/fleet.ini'
+OPTIONS = PlanOptions(rate_per_s=20, duration_s=5, seed=2)
+
+
+def _planned(kind: RequestKind) -> PlannedRequest:
+    plan = plan_requests(NINEPATCH, OPTIONS)
+    return next(one for one in plan if one.request_class.kind is kind)
+
+
+def _plain_answer(planned: PlannedRequest, **members: object) -> bytes:
+    document = {
+        'path': planned.request_class.path,
+        'execution': 1,
+        'workspace': planned.workspace_id,
+        'body_sha256': hashlib.sha256(planned.body).hexdigest(),
+        **members,
+    }
+    return msgspec.json.encode(document)
+
+
+def test_known_answer_is_whole() -> None:
+    planned = _planned(RequestKind.MODEL)
+    text = expected_answer(planned.prompt, planned.output_tokens)
+    check = StandinCheck()
+    assert not check.completion_fault(planned, text)
+    assert check.completion_fault(planned, text[:-1])
+    assert check.completion_fault(planned, text + text.split()[-1] + ' ')
+
+
+@pytest.mark.parametrize(
+    ('members', 'fault'),
+    [
+        ({}, ''),
+        ({'execution': 2}, 'ran-twice'),
+        ({'workspace': WorkspaceId('other')}, 'wrong-workspace'),
+        ({'body_sha256': ''}, 'wrong-body'),
+    ],
+)
+def test_planted_fault_of_an_order_is_found(
+    members: dict[str, object], fault: str
+) -> None:
+    planned = _planned(RequestKind.ORDER)
+    answer = _plain_answer(planned, **members)
+    assert StandinCheck().plain_fault(planned, answer) == fault
+
+
+def test_real_run_is_clean() -> None:
+    scenario = Scenario(name='light', summary='light load', load=0.15)
+    spec = BenchSpec(fleet_text=FLEET.read_text(encoding='utf-8'))
+    with load_bench_module().open_bench(spec) as bench:
+        options = plan_scenario(
+            scenario, NINEPATCH, bench, seed=1, duration_s=3, warmup_s=0
+        )
+        load = run_scenario(
+            scenario,
+            NINEPATCH,
+            bench,
+            options,
+            provenance=Provenance('commit', 'command'),
+            new_progress=lambda _: SilentProgress(),
+        )
+    assert load.is_clean
+    assert load.model.answered
+    assert load.plain.answered == load.plain.offered
+    assert load.prefill.completed >= load.model.answered
+
+
+class SilentProgress:
+    """Shows nothing."""
+
+    def update(self, count: float | None = 1, /) -> bool | None:
+        """Does nothing."""
