--- a/packages/catkinreach-node/src/catkinreach_node/fleet/relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/relay.py
@@ -18,6 +18,7 @@
     ConfigPush,
     PublishedText,
 )
+from catkinreach_core.relay.confirmation import is_trusted
 
 from ..config.accept import TextAcceptor
 from ..http.client import ConnectError, ExchangeError
@@ -112,6 +113,12 @@
         listed = {one for one in self._state.vms.ids if one != self._core.vm_id}
         return bool(listed) and listed <= set(self._core.detector.alive)
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Tells whether callers' keys may still be trusted."""
+        age_s = self._core.reads.age_s(time.monotonic())
+        return is_trusted(age_s, is_connected=self._core.is_connected)
+
     async def run(self) -> None:
         """Reads and pulls until cancelled."""
         try:
@@ -137,6 +144,7 @@
             'reads': self._reads,
             'failed_reads': self._failed_reads,
             'last_failure': self._last_failure,
+            'confirmed': self.is_confirmed,
             'confirmed_age_s': None if age_s is None else round(age_s, 3),
         }
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/accept.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/accept.py
@@ -9,7 +9,7 @@
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.routing import find_route
-from catkinreach_core.settings.fleet import ServiceKind
+from catkinreach_core.settings.fleet import Access, ServiceKind
 
 from ..http.problem import problem_response
 from ..telemetry.hop import TRACE_HEADER
@@ -17,6 +17,8 @@
 from .context import SessionContext, new_request_id
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..config.state import FleetState
     from ..http.messages import HttpRequest, HttpResponse
     from ..telemetry.hop import HopRecorder, TraceScope
@@ -36,12 +38,15 @@
         model: ModelStage,
         plain: PlainStage,
         hops: HopRecorder,
+        *,
+        is_confirmed: Callable[[], bool] = lambda: True,
     ) -> None:
         """Keeps the accepted settings and the stages that follow."""
         self._state = state
         self._model = model
         self._plain = plain
         self._hops = hops
+        self._is_confirmed = is_confirmed
         self.is_draining = False
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
@@ -66,6 +71,8 @@
             raise CatkinreachError(ErrorKind.DRAINING)
         settings = self._state.settings
         route = find_route(settings, request.method, request.target)
+        if route.access is Access.KEYED and not self._is_confirmed():
+            raise CatkinreachError(ErrorKind.CONFIG_STALE)
         return SessionContext(
             request=request,
             request_id=new_request_id(),
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -76,7 +76,9 @@
         ),
         relay=fleet.relay,
         limits=limits,
-        accept=_build_stages(context, engines, cells.scheduler, limits),
+        accept=_build_stages(
+            context, engines, cells.scheduler, limits, fleet.relay
+        ),
         tracing=tracing,
         tls=tls,
     )
@@ -140,12 +142,14 @@
     engines: EngineClient,
     scheduler: Scheduler,
     limiter: Limiter,
+    relay: RelayPart,
 ) -> AcceptStage:
     return AcceptStage(
         context.state,
         ModelStage(scheduler, limiter, engines, context.hops),
         PlainStage(PlainForwarder(context.client, context.hops), limiter),
         context.hops,
+        is_confirmed=lambda: relay.is_confirmed,
     )
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/deployment.py
@@ -20,6 +20,7 @@
     upstream_module,
 )
 from .control import DeploymentControl
+from .lease_logs import read_events
 from .links import (
     ProxyLinks,
     caller_link,
@@ -40,6 +41,7 @@
 from .processes import BenchProcess, wait_until
 
 if TYPE_CHECKING:
+    from catkinreach_core.ownership.events import LeaseEvent
     from catkinreach_core.settings.fleet import FleetSettings, Upstream
 
 START_LIMIT_S = 30.0
@@ -114,6 +116,14 @@
         """Returns what a process has logged."""
         return (self._path / f'{name}.log').read_text(errors='replace')
 
+    def event_log_path(self, node: NodePlan) -> Path:
+        """Returns the file of the events of a node's leases."""
+        return self._path / f'{node.vm_id}.events'
+
+    def lease_events(self) -> list[LeaseEvent]:
+        """Returns the events of all nodes' leases so far."""
+        return read_events(self._path.glob('*.events'))
+
     def capture_path(self, upstream_id: str) -> Path:
         """Returns the file of the bytes that an upstream received."""
         return self._path / f'{upstream_id}.capture'
@@ -138,6 +148,7 @@
             node,
             self.port_towards(platform_link(node.vm_id), self.config_port),
             self._options.node_sections,
+            self.event_log_path(node),
         )
         path.write_text(text, encoding='utf-8')
         self._spawn(node.vm_id, 'catkinreach_node.run', f'--settings={path}')
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/plan.py
@@ -11,6 +11,8 @@
 from .ports import LOOPBACK, free_ports
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from catkinreach_core.settings.fleet import FleetSettings
 
 OPERATOR_KEY = 'demo-operator-key'
@@ -99,6 +101,7 @@
     node: NodePlan,
     config_port: int,
     further: dict[str, dict[str, str]],
+    event_log: Path,
 ) -> str:
     """Returns the start-up settings of a node."""
     sections = {
@@ -110,6 +113,7 @@
             'peer_address': f'{LOOPBACK}:{node.peer_port}',
             'config_service': f'{LOOPBACK}:{config_port}',
             'operator_key_digest': f'sha256:{key_digest(OPERATOR_KEY)}',
+            'event_log': str(event_log),
         },
         **further,
     }
