Share shards evenly at a cold start and release them in any case

A new voter now leaves shards to better-ranked live VMs for 1.5 s. Each part has its own limit for the hand-over, so a slow one no longer keeps the leases from being released. A malformed or failing answer of the service counts as a failed read.

--- a/packages/catkinreach-core/src/catkinreach_core/membership/detector.py
+++ b/packages/catkinreach-core/src/catkinreach_core/membership/detector.py
@@ -124,12 +124,16 @@
         """Tells whether a member is alive and votes."""
         return self.is_alive(vm_id) and self._members[vm_id].update.is_voting
 
-    def is_candidate(self, vm_id: VmId) -> bool:
-        """Tells whether a member is alive, votes and is not leaving."""
-        if not self.is_voting(vm_id):
+    def is_staying(self, vm_id: VmId) -> bool:
+        """Tells whether a member is alive and not leaving."""
+        if not self.is_alive(vm_id):
             return False
         return not self._members[vm_id].update.is_leaving
 
+    def is_candidate(self, vm_id: VmId) -> bool:
+        """Tells whether a member is alive, votes and is not leaving."""
+        return self.is_voting(vm_id) and self.is_staying(vm_id)
+
     def set_listed(self, vm_ids: Iterable[VmId]) -> None:
         """Takes the VMs of the newest list."""
         self._listed = tuple(one for one in vm_ids if one != self._own.vm_id)
--- a/packages/catkinreach-core/src/catkinreach_core/ownership/leases.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/leases.py
@@ -22,6 +22,10 @@
 MAX_UNMET: Final = 1
 """Listed VMs that a fleet of new processes may start without."""
 
+COLD_START_S: Final = 1.5
+"""How long a new voter leaves shards to better-ranked VMs that do not vote
+yet, so that a fleet that starts as a whole shares its shards evenly."""
+
 _ENDINGS: Final = frozenset((LeaseEventKind.LOST, LeaseEventKind.RELEASED))
 
 
@@ -31,6 +35,9 @@
     def is_voting(self, vm_id: VmId) -> bool:
         """Tells whether a VM is alive and votes."""
 
+    def is_staying(self, vm_id: VmId) -> bool:
+        """Tells whether a VM is alive and not leaving."""
+
     def is_candidate(self, vm_id: VmId) -> bool:
         """Tells whether a VM is alive, votes and is not leaving."""
 
@@ -60,6 +67,7 @@
         self._liveness = liveness
         self._started_at_s = started_at_s
         self._tick_at_s = started_at_s
+        self._voting_since_s = started_at_s
         self._shards: tuple[ShardId, ...] = ()
         self._met: set[VmId] = set()
         self._has_met_voter = False
@@ -205,6 +213,8 @@
     def _is_candidate(self, vm_id: VmId) -> bool:
         if vm_id == self._vm_id:
             return self.is_voting and not self._is_leaving
+        if self._tick_at_s < self._voting_since_s + COLD_START_S:
+            return self._liveness.is_staying(vm_id)
         return self._liveness.is_candidate(vm_id)
 
     def _start_voting(self, now_s: float) -> None:
@@ -212,6 +222,7 @@
             return
         waited_s = now_s - self._started_at_s
         self._voter.is_voting = waited_s >= SILENCE_S and self._knows_lists()
+        self._voting_since_s = now_s
 
     def _knows_lists(self) -> bool:
         """Tells whether no list that still counts can be unknown here.
--- a/packages/catkinreach-core/tests/ownership/test_lease_model.py
+++ b/packages/catkinreach-core/tests/ownership/test_lease_model.py
@@ -53,6 +53,10 @@
         """Believes that everybody votes."""
         return bool(vm_id)
 
+    def is_staying(self, vm_id: VmId) -> bool:
+        """Tells whether a VM is believed fit."""
+        return vm_id in self.candidates
+
     def is_candidate(self, vm_id: VmId) -> bool:
         """Tells whether a VM is believed fit."""
         return vm_id in self.candidates
--- a/packages/catkinreach-core/tests/ownership/test_list_changes.py
+++ b/packages/catkinreach-core/tests/ownership/test_list_changes.py
@@ -23,6 +23,9 @@
     def is_voting(self, vm_id: VmId) -> bool:
         return bool(vm_id)
 
+    def is_staying(self, vm_id: VmId) -> bool:
+        return not vm_id
+
     def is_candidate(self, vm_id: VmId) -> bool:
         return not vm_id
 
@@ -165,3 +168,33 @@
     fleet.learn(_vm_list(1, 1, 2, 3), near)
     fleet.run((near, far), for_s=2.5)
     assert fleet.owners() in ([owner], [])
+
+
+def _term_of(fleet: _Fleet, number: int) -> tuple[int, int]:
+    tenure = fleet.nodes[number].tenure_of(SHARD, fleet.now_s)
+    assert tenure is not None
+    return tenure.term, tenure.predecessor_term
+
+
+def test_successor_of_a_leaver_knows_its_term() -> None:
+    fleet, owner, near, far = _settled_fleet()
+    term, _ = _term_of(fleet, owner)
+    leaver = fleet.nodes[owner]
+    for one in leaver.release_all(fleet.now_s):
+        voter = fleet.nodes[int(one.target.removeprefix('vm-'))]
+        assert not isinstance(one.message, LeaseRequest)
+        voter.take_back(_vm(owner), one.message, fleet.now_s)
+    fleet.run((owner, near, far), for_s=2)
+    (successor,) = fleet.owners()
+    assert successor != owner
+    assert _term_of(fleet, successor)[1] == term
+
+
+def test_no_predecessor_without_a_majority_that_remembers() -> None:
+    fleet, owner, near, far = _settled_fleet()
+    for number in (owner, near):
+        fleet.add(number)
+        fleet.learn(_vm_list(1, 1, 2, 3), number)
+    fleet.run((owner, near, far), for_s=8)
+    (successor,) = fleet.owners()
+    assert _term_of(fleet, successor)[1] == 0
--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -109,12 +109,12 @@
 
     async def _leave(self) -> None:
         await self._callers.stop_accepting()
-        try:
-            async with asyncio.timeout(HAND_OVER_LIMIT_S):
-                for part in self._wiring.parts:
+        for part in self._wiring.parts:
+            try:
+                async with asyncio.timeout(HAND_OVER_LIMIT_S):
                     await part.hand_over()
-        except TimeoutError:
-            logger.error('node: hand-over took too long.')
+            except TimeoutError:
+                logger.error('node: {} was not handed over.', part.name)
         try:
             async with asyncio.timeout(DRAIN_LIMIT_S):
                 await self._callers.activity.wait_idle()
--- a/packages/catkinreach-node/src/catkinreach_node/fleet/relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/relay.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 from loguru import logger
@@ -45,6 +45,10 @@
 
 ANNOUNCE_FANOUT = 8
 _HTTP_OK = 200
+_HTTP_UNCHANGED = 304
+
+
+ReadT = TypeVar('ReadT')
 
 
 class PublishedConfig(msgspec.Struct, frozen=True):
@@ -178,7 +182,9 @@
             return
         now_s = time.monotonic()
         if body:
-            published = msgspec.json.decode(body, type=PublishedConfig)
+            published = self._decode(body, PublishedConfig)
+            if published is None:
+                return
             if published.revision < self._state.held_revision:
                 self._fail('the service serves an old revision')
                 return
@@ -193,12 +199,21 @@
         if body is None:
             return
         if body:
-            published = msgspec.json.decode(body, type=PublishedVms)
+            published = self._decode(body, PublishedVms)
+            if published is None:
+                return
             vms = VmList(revision=published.revision, vms=published.vms)
             if self._state.accept_vms(vms):
                 logger.info('config: VM list {} in force.', vms.revision)
         self._core.reads.note_vms_read(time.monotonic())
 
+    def _decode(self, body: bytes, kind: type[ReadT]) -> ReadT | None:
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.MsgspecError as error:
+            self._fail(f'malformed answer: {error}')
+            return None
+
     async def _read(self, target: str) -> bytes | None:
         """Returns the body, empty if nothing changed, ``None`` on failure."""
         self._reads += 1
@@ -210,7 +225,12 @@
         except (ConnectError, ExchangeError, TimeoutError) as error:
             self._fail(str(error) or 'no answer in time')
             return None
-        return body if status == _HTTP_OK else b''
+        if status == _HTTP_UNCHANGED:
+            return b''
+        if status != _HTTP_OK:
+            self._fail(f'the service answered {status}')
+            return None
+        return body
 
     def _fail(self, reason: str) -> None:
         if self._core.reads.is_reader:
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/control_cost.py
@@ -0,0 +1,215 @@
+"""Measures what a node spends on control, by fleet size and settings.
+
+Run as ``python -m catkinreach_standins.bench.control_cost --sizes=3,6,9``.
+Every node is a real process without callers; upstreams are only listed.
+"""
+
+from __future__ import annotations
+
+import os
+import statistics
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from absl import flags
+
+from ..command_line import new_flag_values
+from .deployment import BenchOptions, Deployment
+from .processes import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+SETTLE_S = 10.0
+START_LIMIT_S = 120.0
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+_KIB = 1024
+_MIB = 1024 * 1024
+_BASE_IMPORTS = 'import catkinreach_node.app; import time; time.sleep(60)'
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What one node spent over a period.
+
+    Attributes:
+        bytes_s: Bytes sent to peers a second.
+        frames_s: Messages sent to peers a second.
+        cpu_percent: Processor time as a share of one core.
+        rss_mib: Resident memory at the end.
+    """
+
+    bytes_s: float
+    frames_s: float
+    cpu_percent: float
+    rss_mib: float
+
+
+class IdleDeployment(Deployment):
+    """A deployment whose upstreams are listed but do not run."""
+
+    def start(self) -> None:
+        """Starts the configuration service and the nodes."""
+        self._start_config_service()
+        for node in self.nodes:
+            self.start_node(node)
+        for node in self.nodes:
+            self.wait_ready(node)
+
+    def status(self, number: int) -> Mapping[str, Any]:
+        """Returns the status document of a node."""
+        _, document = self.operator_call(self.nodes[number], 'GET', '/status')
+        return dict(document)
+
+
+def fleet_text(workspaces: int, upstreams: int) -> str:
+    """Returns a text with that many workspaces and listed upstreams."""
+    lines = ['[failure-domain a]', '[failure-domain b]', '[failure-domain c]']
+    lines += ['[pool p]', 'role = prefill', 'model = m']
+    lines += ['[pool d]', 'role = decode', 'model = m']
+    for number in range(upstreams):
+        pool = 'p' if number % 3 == 0 else 'd'
+        lines += [
+            f'[upstream u{number}]',
+            f'pool = {pool}',
+            f'address = 127.77.{number // 200}.1:{20_000 + number % 200}',
+            f'failure_domain = {"abc"[number % 3]}',
+        ]
+    if upstreams:
+        lines += ['[service m]', 'kind = model']
+        lines += ['prefill_pool = p', 'decode_pool = d']
+    for number in range(workspaces):
+        lines += [
+            f'[workspace w{number}]',
+            'requests_per_s=9',
+            'request_burst=9',
+            'tokens_per_s=9',
+            'token_burst=9',
+        ]
+    return '\n'.join(lines) + '\n'
+
+
+def measure(size: int, text: str, period_s: float) -> list[Cost]:
+    """Runs an idle fleet and returns the cost of each node."""
+    options = BenchOptions(fleet=text, node_count=size, has_balancer=False)
+    fleet = IdleDeployment(options)
+    with fleet:
+        wait_until(
+            lambda: all(
+                fleet.status(number)['ownership']['voting']
+                for number in range(size)
+            ),
+            limit_s=START_LIMIT_S,
+        )
+        time.sleep(SETTLE_S)
+        before = [_sample(fleet, number) for number in range(size)]
+        time.sleep(period_s)
+        after = [_sample(fleet, number) for number in range(size)]
+    return [
+        _cost(early, late) for early, late in zip(before, after, strict=True)
+    ]
+
+
+def base_rss_mib() -> float:
+    """Returns the memory of an idle Python with the node's imports."""
+    with subprocess.Popen(  # noqa: S603 - our own modules
+        [sys.executable, '-c', _BASE_IMPORTS]
+    ) as process:
+        time.sleep(5.0)
+        rss = _rss_mib(process.pid)
+        process.kill()
+    return rss
+
+
+@dataclass(frozen=True, slots=True)
+class _Sample:
+    at_s: float
+    sent_bytes: int
+    sent_frames: int
+    cpu_s: float
+    rss_mib: float
+
+
+def _sample(fleet: IdleDeployment, number: int) -> _Sample:
+    pid = fleet.processes[fleet.nodes[number].vm_id].pid
+    document = fleet.status(number)
+    return _Sample(
+        at_s=time.monotonic(),
+        sent_bytes=document['peer_bytes_sent'],
+        sent_frames=document['peer_frames_sent'],
+        cpu_s=_cpu_s(pid),
+        rss_mib=_rss_mib(pid),
+    )
+
+
+def _cost(early: _Sample, late: _Sample) -> Cost:
+    period_s = late.at_s - early.at_s
+    return Cost(
+        bytes_s=(late.sent_bytes - early.sent_bytes) / period_s,
+        frames_s=(late.sent_frames - early.sent_frames) / period_s,
+        cpu_percent=100 * (late.cpu_s - early.cpu_s) / period_s,
+        rss_mib=late.rss_mib,
+    )
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    user, system = fields[11:13]
+    return (int(user) + int(system)) / _TICKS_PER_S
+
+
+def _rss_mib(pid: int) -> float:
+    pages = int(Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE') / _MIB
+
+
+def _row(label: str, costs: list[Cost]) -> str:
+    cells = []
+    for name in ('bytes_s', 'frames_s', 'cpu_percent', 'rss_mib'):
+        numbers = [getattr(cost, name) for cost in costs]
+        cells.append(f'{statistics.mean(numbers):.1f} ({max(numbers):.1f})')
+    return f'| {label} | {" | ".join(cells)} |'
+
+
+def main(argv: list[str]) -> None:
+    """Prints one row for each fleet size and size of the text."""
+    values = new_flag_values()
+    flags.DEFINE_list(
+        'sizes', ['3', '6', '9'], 'numbers of nodes', flag_values=values
+    )
+    flags.DEFINE_list(
+        'workspaces', ['5'], 'numbers of workspaces', flag_values=values
+    )
+    flags.DEFINE_list(
+        'upstreams', ['0'], 'numbers of upstreams', flag_values=values
+    )
+    flags.DEFINE_float(
+        'period_s', 20.0, 'length of a measurement', flag_values=values
+    )
+    values(argv)
+    sys.stdout.write(f'idle Python with the imports: {base_rss_mib():.1f}\n')
+    sys.stdout.write('mean (largest) over the nodes\n')
+    sys.stdout.write(
+        '| nodes, workspaces, upstreams, KiB of text '
+        '| bytes/s | messages/s | CPU % | RSS MiB |\n'
+    )
+    for size in map(int, values.sizes):
+        for workspaces in map(int, values.workspaces):
+            for upstreams in map(int, values.upstreams):
+                text = fleet_text(workspaces, upstreams)
+                label = (
+                    f'{size}, {workspaces}, {upstreams}, {len(text) // _KIB}'
+                )
+                costs = measure(size, text, values.period_s)
+                sys.stdout.write(_row(label, costs) + '\n')
+                sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main(sys.argv)
+
+__all__ = ('Cost', 'IdleDeployment', 'fleet_text', 'measure')
