Let a competitor come to grant the owner; close terms that were released

Event logs showed candidates that kept asking for shards that another node held, so that their own voters never granted the holder; when the list grew by one the holder lacked a majority. Ruled out: late renewals after the release (possible too, closed here), lists that were not aligned (the voters' lists agreed within 0.2 s).

Change: a refusal in favour of a holder ends the attempt at once and, the second time, pauses longer than a renewal period; a grant given back without a tenure restores the one it replaced, so its holder can renew it; a voter refuses a holder's late request under a term that it gave back.

--- a/packages/catkinreach-core/src/catkinreach_core/ownership/holder.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/holder.py
@@ -27,6 +27,11 @@
 BACKOFF_S: Final = 0.4
 """Pause after an acquisition that was given up."""
 
+CONTESTED_BACKOFF_S: Final = 1.2
+"""Pause after a second refusal in favour of another holder. It is longer than
+a renewal period, so that the holder's renewal reaches this node's own voter,
+which then keeps this node from trying again."""
+
 
 @dataclass(frozen=True, slots=True)
 class Outgoing:
@@ -65,6 +70,7 @@
         self._number = 0
         self._retry_at_s: dict[ShardId, float] = {}
         self._seen_terms: dict[ShardId, int] = {}
+        self._contested: set[ShardId] = set()
         self._wall_ms = 0
 
     def lease(self, shard: ShardId) -> Lease | None:
@@ -110,6 +116,7 @@
                 continue
             if shard in reply.refused:
                 lease.drop_grant(voter)
+                lease.is_contested |= reply.refused[shard] < term
                 self._see(shard, reply.refused[shard])
                 continue
             previous = reply.previous.get(shard, 0)
@@ -155,9 +162,12 @@
                     self._note(
                         LeaseEventKind.LOST, lease, now_s, tenure.expires_at_s
                     )
-            elif lease.asked_at_s + ACQUIRE_LIMIT_S <= now_s:
+            elif (
+                lease.is_contested
+                or lease.asked_at_s + ACQUIRE_LIMIT_S <= now_s
+            ):
                 del self._leases[shard]
-                self._retry_at_s[shard] = now_s + BACKOFF_S
+                self._back_off(lease, now_s)
                 self._note(LeaseEventKind.ACQUIRE_FAILED, lease, now_s, 0.0)
                 given_up.append(lease)
         for number in [
@@ -168,6 +178,16 @@
             del self._sent[number]
         return self._release_messages(given_up)
 
+    def _back_off(self, lease: Lease, now_s: float) -> None:
+        pause_s = BACKOFF_S
+        if not lease.is_contested:
+            self._contested.discard(lease.shard)
+        elif lease.shard in self._contested:
+            pause_s = CONTESTED_BACKOFF_S
+        else:
+            self._contested.add(lease.shard)
+        self._retry_at_s[lease.shard] = now_s + pause_s
+
     def _begin(self, shard: ShardId, now_s: float) -> None:
         term = max(self._seen_terms.get(shard, 0), self._wall_ms) + 1
         self._see(shard, term)
@@ -224,6 +244,7 @@
             return
         if is_new:
             lease.ask_again_at_s = now_s + RENEW_S
+            self._contested.discard(lease.shard)
         self._note(
             LeaseEventKind.ACQUIRED if is_new else LeaseEventKind.EXTENDED,
             lease,
--- a/packages/catkinreach-core/src/catkinreach_core/ownership/lease.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/lease.py
@@ -24,6 +24,8 @@
         term: Term asked for.
         asked_at_s: When the acquisition began.
         ask_again_at_s: When the next request is due.
+        tenure: Ownership under this lease, once a majority has granted.
+        is_contested: Whether a voter keeps its grant for another holder.
     """
 
     shard: ShardId
@@ -31,6 +33,7 @@
     asked_at_s: float
     ask_again_at_s: float
     tenure: Tenure | None = None
+    is_contested: bool = False
     _valid_until_s: dict[VmId, float] = field(default_factory=dict)
     _previous: dict[VmId, int] = field(default_factory=dict)
 
--- a/packages/catkinreach-core/src/catkinreach_core/ownership/voter.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/voter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ..messages.leases import LeaseReply
@@ -14,15 +14,37 @@
     from .history import ListHistory
 
 
+@dataclass(frozen=True, slots=True)
+class ClosedTerm:
+    """A term that its holder gave back; a late request under it is void."""
+
+    vm_id: VmId
+    incarnation: Incarnation
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """A vote for one holder until it expires by the voter's clock."""
+    """A vote for one holder until it expires by the voter's clock.
+
+    Attributes:
+        vm_id: VM of the holder.
+        incarnation: Incarnation of the holder.
+        term: Term that was granted.
+        expires_at_s: Voter's monotonic clock until which it binds.
+        previous_term: Term granted before, 0 if none is remembered.
+        closed: What was last given back, ``None`` if nothing was.
+        replaced: Expired grant that comes back, to be renewed by its holder,
+            if this one is given back without having led to a tenure.
+    """
 
     vm_id: VmId
     incarnation: Incarnation
     term: int
     expires_at_s: float
     previous_term: int
+    closed: ClosedTerm | None = None
+    replaced: Grant | None = None
 
 
 class LeaseVoter:
@@ -47,13 +69,7 @@
         previous: dict[ShardId, int] = {}
         for shard, term in request.terms.items():
             known = self._grants.get(shard)
-            wanted = Grant(
-                asker,
-                request.incarnation,
-                term,
-                now_s + LEASE_S,
-                known.term if known else 0,
-            )
+            wanted = _new_grant(asker, request.incarnation, term, known, now_s)
             if known and not _may_replace(known, wanted, now_s):
                 refused[shard] = known.term
             elif known and known.term == term:
@@ -83,9 +99,13 @@
                 continue
             if (grant.incarnation, grant.term) != (release.incarnation, term):
                 continue
-            kept = grant.previous_term if release.is_aborted else term
-            self._grants[shard] = Grant(
-                holder, release.incarnation, kept, now_s, grant.previous_term
+            closed = ClosedTerm(holder, release.incarnation, term)
+            if release.is_aborted and grant.replaced is not None:
+                grant = grant.replaced
+            elif release.is_aborted:
+                grant = replace(grant, term=0)
+            self._grants[shard] = replace(
+                grant, expires_at_s=now_s, closed=closed
             )
 
     def holder_of(self, shard: ShardId, now_s: float) -> VmId | None:
@@ -96,20 +116,36 @@
         return grant.vm_id
 
     def _renew(self, shard: ShardId, known: Grant, now_s: float) -> None:
-        self._grants[shard] = Grant(
-            known.vm_id,
-            known.incarnation,
-            known.term,
-            max(known.expires_at_s, now_s + LEASE_S),
-            known.previous_term,
+        self._grants[shard] = replace(
+            known, expires_at_s=max(known.expires_at_s, now_s + LEASE_S)
         )
 
 
+def _new_grant(
+    vm_id: VmId,
+    incarnation: Incarnation,
+    term: int,
+    known: Grant | None,
+    now_s: float,
+) -> Grant:
+    return Grant(
+        vm_id=vm_id,
+        incarnation=incarnation,
+        term=term,
+        expires_at_s=now_s + LEASE_S,
+        previous_term=known.term if known else 0,
+        closed=known.closed if known else None,
+        replaced=replace(known, replaced=None) if known else None,
+    )
+
+
 def _may_replace(known: Grant, wanted: Grant, now_s: float) -> bool:
     is_same = (known.vm_id, known.incarnation) == (
         wanted.vm_id,
         wanted.incarnation,
     )
+    if _is_closed(known.closed, wanted):
+        return False
     if known.term == wanted.term:
         return is_same
     if known.term > wanted.term:
@@ -117,4 +153,13 @@
     return is_same or known.expires_at_s <= now_s
 
 
-__all__ = ('Grant', 'LeaseVoter')
+def _is_closed(closed: ClosedTerm | None, wanted: Grant) -> bool:
+    return (
+        closed is not None
+        and (closed.vm_id, closed.incarnation)
+        == (wanted.vm_id, wanted.incarnation)
+        and wanted.term <= closed.term
+    )
+
+
+__all__ = ('ClosedTerm', 'Grant', 'LeaseVoter')
--- a/packages/catkinreach-core/tests/ownership/test_list_changes.py
+++ b/packages/catkinreach-core/tests/ownership/test_list_changes.py
@@ -198,3 +198,33 @@
     fleet.run((owner, near, far), for_s=8)
     (successor,) = fleet.owners()
     assert _term_of(fleet, successor)[1] == 0
+
+
+def test_request_that_arrives_after_the_release_grants_nothing() -> None:
+    fleet, owner, near, _ = _settled_fleet()
+    term, _ = _term_of(fleet, owner)
+    late = LeaseRequest(
+        number=99,
+        incarnation=Incarnation(f'life-{owner}'),
+        lists=(Revision(1),),
+        terms={SHARD: term},
+        is_renewal=True,
+    )
+    voter = fleet.nodes[near]
+    for one in fleet.nodes[owner].release_all(fleet.now_s):
+        assert not isinstance(one.message, LeaseRequest)
+        if one.target == _vm(near):
+            voter.take_back(_vm(owner), one.message, fleet.now_s)
+    reply = voter.answer(_vm(owner), late, fleet.now_s)
+    assert reply.refused == {SHARD: term}
+    assert voter.owner_of(SHARD) != _vm(owner)
+
+
+def test_a_competitor_comes_to_grant_the_owner() -> None:
+    """Else the owner would lack its vote when the list grows."""
+    fleet, owner, near, far = _settled_fleet()
+    voter = fleet.nodes[far]
+    fleet.run((owner, near), (far,), for_s=6)
+    fleet.run((owner, near, far), for_s=5)
+    assert fleet.owners() == [owner]
+    assert voter.owner_of(SHARD) == _vm(owner)
