Repeat the owner's news until an entry node has seen them

Quarantined prompts and warm engines were sent once for each change; a renewal whose reply was lost left the node without them until the next change. Nodes now name the version that they have. Tests: a lost reply, what a new owner asks for and learns, a leaving owner, one without tenure.

--- a/packages/catkinreach-core/src/catkinreach_core/messages/cell.py
+++ b/packages/catkinreach-core/src/catkinreach_core/messages/cell.py
@@ -126,11 +126,13 @@
     """Call: an entry node tells the owner what it holds.
 
     ``live`` names all reservations; ``told`` describes those that the owner
-    asked for in its last reply. The rest is what a new owner starts from.
+    asked for in its last reply; ``seen`` is the last version of the owner's
+    news in this term. The rest is what a new owner starts from.
     """
 
     shard: ShardId
     incarnation: Incarnation
+    seen: int = 0
     live: tuple[RequestId, ...] = ()
     told: tuple[LiveReservation, ...] = ()
     warm: tuple[WarmEngine, ...] = ()
@@ -142,12 +144,13 @@
 class Renewed(PeerMessage, frozen=True, kw_only=True):
     """Reply: what the owner wants described, and what all nodes keep.
 
-    The last three fields are sent, and hold, only where ``is_news`` is set.
+    The last three fields are sent, and hold, only where ``version`` differs
+    from what the node has seen.
     """
 
     term: int
+    version: int = 0
     unknown: tuple[RequestId, ...] = ()
-    is_news: bool = False
     warm: tuple[WarmEngine, ...] = ()
     quarantined: tuple[QuarantinedPrompt, ...] = ()
     suspected: tuple[SuspectedPrompt, ...] = ()
--- a/packages/catkinreach-node/src/catkinreach_node/cell/link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/link.py
@@ -80,6 +80,7 @@
         self._lost = asyncio.Event()
         self._known_owner: VmId | None = None
         self._term = -1
+        self._seen = 0
         self._must_tell_all = True
         self._warm: dict[UpstreamId, WarmEngine] = {}
         self._quarantined: dict[str, float] = {}
@@ -306,6 +307,7 @@
         return Renew(
             shard=self._shard,
             incarnation=self._context.incarnation,
+            seen=self._seen,
             live=tuple(self._live),
             told=told,
             warm=tuple(self._warm.values()),
@@ -321,6 +323,7 @@
         return Renew(
             shard=self._shard,
             incarnation=self._context.incarnation,
+            seen=self._seen,
             live=tuple(self._live),
             told=told,
         )
@@ -328,9 +331,14 @@
     def _take(self, reply: Renewed) -> None:
         now_s = time.monotonic()
         self._must_tell_all = reply.term != self._term
-        self._term = reply.term
-        if not reply.is_news:
+        if reply.term != self._term:
+            had_seen = self._seen
+            self._term, self._seen = reply.term, 0
+            if had_seen:
+                return
+        if reply.version == self._seen:
             return
+        self._seen = reply.version
         self._warm = {one.upstream_id: one for one in reply.warm}
         self._suspected = reply.suspected
         for prompt in reply.quarantined:
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
@@ -62,7 +62,8 @@
         self.cell.opens_at_s = time.monotonic() + REBUILD_S
         self._waiters: dict[RequestId, asyncio.Future[Granted]] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._told: dict[VmId, object] = {}
+        self._told: object = None
+        self._version = 0
         self._rebuilt_from: set[VmId] = set()
         self.placed = 0
         self.refused = 0
@@ -149,7 +150,7 @@
         if not unknown:
             self._rebuilt_from.add(sender)
         self.pump()
-        return self._renewed(sender, unknown, now_s)
+        return self._renewed(message.seen, unknown, now_s)
 
     def open_if_rebuilt(self, vms: set[VmId]) -> None:
         """Begins to place once every entry node has told what it holds."""
@@ -182,7 +183,7 @@
                 view.ramp.learn(engine.completed)
 
     def _renewed(
-        self, sender: VmId, unknown: tuple[RequestId, ...], now_s: float
+        self, seen: int, unknown: tuple[RequestId, ...], now_s: float
     ) -> Renewed:
         news = self._news(now_s)
         told = (
@@ -190,17 +191,21 @@
             tuple(one.digest for one in news.quarantined),
             news.suspected,
         )
-        is_news = self._told.get(sender) != told
-        self._told[sender] = told
-        if not is_news:
-            return Renewed(term=self.tenure.term, unknown=unknown)
-        return msgspec.structs.replace(news, unknown=unknown)
+        if told != self._told:
+            self._told = told
+            self._version += 1
+        if seen == self._version:
+            return Renewed(
+                term=self.tenure.term, version=self._version, unknown=unknown
+            )
+        return msgspec.structs.replace(
+            news, version=self._version, unknown=unknown
+        )
 
     def _news(self, now_s: float) -> Renewed:
         suspects = self.cell.crashes.suspects
         return Renewed(
             term=self.tenure.term,
-            is_news=True,
             warm=tuple(
                 WarmEngine(
                     upstream_id=view.upstream_id,
--- /dev/null
+++ b/packages/catkinreach-node/tests/cell/test_owned.py
@@ -0,0 +1,118 @@
+"""A cell's owner between the entry nodes' messages and its decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from pathlib import Path
+
+import pytest
+
+from catkinreach_core.cell.roster import CellRoster
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.ids import (
+    Incarnation,
+    Revision,
+    ServiceId,
+    UpstreamId,
+    VmId,
+)
+from catkinreach_core.messages.cell import (
+    LiveReservation,
+    QuarantinedPrompt,
+    Renew,
+    WarmEngine,
+)
+from catkinreach_core.ownership.shards import cell_shard
+from catkinreach_core.ownership.tenure import Tenure
+from catkinreach_core.settings import load_fleet
+from catkinreach_node.cell.convert import to_message
+from catkinreach_node.cell.owned import OwnedCell
+from catkinreach_standins.fakes.cells import make_ask
+
+EXAMPLES = Path(__file__).resolve().parents[4] / 'examples'
+SERVICE = ServiceId('pattern-llm')
+SHARD = cell_shard(SERVICE)
+PREFILL = UpstreamId('pattern-prefill-1')
+DECODE = UpstreamId('pattern-decode-1')
+VM = VmId('vm-1')
+
+
+def _owned(*, may_act: bool = True) -> OwnedCell:
+    text = (EXAMPLES / 'ninepatch' / 'fleet.ini').read_text()
+    settings = load_fleet(text, revision=Revision(1), source='fleet')
+    roster = CellRoster(settings, settings.services[SERVICE])
+    tenure = Tenure(SHARD, VM, Incarnation('i'), 1, 0.0, math.inf)
+    return OwnedCell(roster, tenure, lambda: may_act)
+
+
+def _renew(**members: object) -> Renew:
+    return Renew(shard=SHARD, incarnation=Incarnation('i'), **members)  # type: ignore[arg-type]
+
+
+def _live() -> LiveReservation:
+    return LiveReservation(
+        ask=to_message(make_ask(1)),
+        prefill=PREFILL,
+        decode=DECODE,
+        stage='decode',
+    )
+
+
+def test_new_owner_asks_for_what_it_does_not_know() -> None:
+    owned = _owned()
+    request_id = make_ask(1).request_id
+    first = owned.renew(VM, _renew(live=(request_id,)))
+    assert first.unknown == (request_id,)
+    second = owned.renew(VM, _renew(live=(request_id,), told=(_live(),)))
+    assert not second.unknown
+    view = owned.cell.view(DECODE)
+    assert view is not None
+    assert view.used_places == 1
+
+
+def test_news_are_repeated_until_they_are_seen() -> None:
+    owned = _owned()
+    prompt = QuarantinedPrompt(digest='bad', left_s=100.0)
+    lost = owned.renew(VM, _renew(quarantined=(prompt,)))
+    again = owned.renew(VM, _renew())
+    assert [one.digest for one in again.quarantined] == ['bad']
+    assert again.version == lost.version
+    assert not owned.renew(VM, _renew(seen=again.version)).quarantined
+
+
+def test_new_owner_learns_which_engines_are_warm() -> None:
+    owned = _owned()
+    warm = WarmEngine(upstream_id=DECODE, boot='b', completed=100)
+    owned.renew(VM, _renew(warm=(warm,)))
+    view = owned.cell.view(DECODE)
+    assert view is not None
+    assert view.places == 20
+    assert view.see_boot('another')
+    assert view.places == 2
+
+
+def test_owner_that_leaves_sends_the_queue_on() -> None:
+    async def run() -> ErrorKind:
+        owned = _owned()
+        waiting = asyncio.create_task(owned.place(make_ask(1)))
+        await asyncio.sleep(0)
+        owned.close()
+        with pytest.raises(CatkinreachError) as refusal:
+            await waiting
+        return refusal.value.kind
+
+    assert asyncio.run(run()) is ErrorKind.NO_OWNER
+
+
+def test_owner_without_tenure_decides_nothing() -> None:
+    async def run() -> None:
+        owned = _owned(may_act=False)
+        owned.cell.opens_at_s = 0.0
+        waiting = asyncio.create_task(owned.place(make_ask(1)))
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        assert not owned.cell.reserved
+        waiting.cancel()
+
+    asyncio.run(run())
