--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/control_cost.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/control_cost.py
@@ -76,7 +76,7 @@
         lines += [
             f'[upstream u{number}]',
             f'pool = {pool}',
-            f'address = 127.77.{number // 200}.1:{20_000 + number % 200}',
+            f'address = 127.77.0.1:{40_000 + number}',
             f'failure_domain = {"abc"[number % 3]}',
         ]
     if upstreams:
