Check records for every line that must always hold

Cause: scenarios that judge by status codes alone can't see a doubled token, a double run or an overspent window. Ruled out: assertions inside the stand-ins (they see one process each). Change: pure functions over records of callers, upstreams and nodes. The window check counts a call for a window only if it lies wholly inside, so it never blames what a caller can't see; for points in time it is exact. Before: none. After: pytest test_checks.py, 17 passed, among them a planted double run, doubled, lost and crossed tokens, a leaked holding, an overspent window, a revision that went back, new work in a closed domain, key bytes and a queue beyond each bound. Conclusion: scenarios and random runs share one judge.

--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/checks/holdings.py
@@ -0,0 +1,56 @@
+"""No engine memory stays held by requests that are gone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .records import Violation
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from .records import HoldingSample
+
+RULE = 'no-leaked-holding'
+GRACE_S = 5.0
+
+
+def check_holdings(
+    samples: Iterable[HoldingSample],
+    ended_s: Mapping[str, float],
+    *,
+    grace_s: float = GRACE_S,
+) -> list[Violation]:
+    """Returns holdings seen later than the grace after their request ended.
+
+    Args:
+        samples: Holdings seen on engines.
+        ended_s: End of each request that is gone, by request id.
+        grace_s: Seconds that a holding may outlive its request.
+    """
+    return [
+        Violation(
+            rule=RULE,
+            subject=f'{sample.upstream}/{sample.request_id}',
+            detail=f'held {sample.at_s - end_s:.1f} s after its request',
+            at_s=sample.at_s,
+        )
+        for sample in samples
+        if (end_s := ended_s.get(sample.request_id)) is not None
+        and sample.at_s > end_s + grace_s
+    ]
+
+
+def check_quiet(
+    samples: Iterable[HoldingSample],
+    last_end_s: float,
+    *,
+    grace_s: float = GRACE_S,
+) -> list[Violation]:
+    """Returns holdings seen later than the grace after the last request."""
+    listed = list(samples)
+    ends = {sample.request_id: last_end_s for sample in listed}
+    return check_holdings(listed, ends, grace_s=grace_s)
+
+
+__all__ = ('GRACE_S', 'check_holdings', 'check_quiet')
--- /dev/null
+++ b/packages/catkinreach-standins/tests/test_checks.py
@@ -0,0 +1,200 @@
+"""Each check passes a clean record and fails on a planted violation."""
+
+from __future__ import annotations
+
+import msgspec
+
+from catkinreach_standins.answer import expected_answer
+from catkinreach_standins.checks.answers import check_answers
+from catkinreach_standins.checks.fleet import (
+    check_keys,
+    check_no_new_work,
+    check_queue,
+    check_revisions,
+)
+from catkinreach_standins.checks.holdings import check_holdings, check_quiet
+from catkinreach_standins.checks.orders import check_orders
+from catkinreach_standins.checks.rates import (
+    AdmittedSpan,
+    admitted_requests,
+    check_rate,
+)
+from catkinreach_standins.checks.records import (
+    CallEnd,
+    CallKind,
+    CallRecord,
+    EngineStep,
+    Execution,
+    HoldingSample,
+    QueueSample,
+    RevisionSample,
+    Violation,
+)
+
+PROMPT = tuple(range(40))
+ANSWER = expected_answer(PROMPT, 8)
+MODEL = CallRecord(
+    kind=CallKind.MODEL,
+    workspace='a',
+    sent_s=1.0,
+    ended_s=2.0,
+    status=200,
+    prompt=PROMPT,
+    max_tokens=8,
+    text=ANSWER,
+    request_id='r1',
+)
+ORDER = CallRecord(
+    kind=CallKind.ORDER,
+    workspace='a',
+    sent_s=1.0,
+    ended_s=2.0,
+    status=200,
+    key='k',
+    served_workspace='a',
+    request_id='o1',
+)
+RUN = Execution(workspace='a', key='k', at_s=1.5)
+
+
+def _rules(violations: list[Violation]) -> set[str]:
+    return {violation.rule for violation in violations}
+
+
+def test_clean_answers_pass() -> None:
+    tokens = ANSWER.split(' ')
+    broken = msgspec.structs.replace(
+        MODEL,
+        end=CallEnd.BROKEN,
+        text=' '.join(tokens[:3]) + ' ',
+        request_id='r2',
+    )
+    assert not check_answers([MODEL, broken, ORDER])
+
+
+def test_doubled_lost_and_crossed_answers_are_found() -> None:
+    tokens = ANSWER.split(' ')
+    doubled = ' '.join([*tokens[:2], tokens[1], *tokens[2:]])
+    lost = ' '.join([*tokens[:2], *tokens[3:]])
+    other = expected_answer((1, 2, 3), 8)
+    for text in (doubled, lost, other, ANSWER[:20]):
+        planted = msgspec.structs.replace(MODEL, text=text)
+        assert _rules(check_answers([planted])) == {'whole-answer'}
+    crossed = msgspec.structs.replace(ORDER, served_workspace='b')
+    assert check_answers([crossed])
+
+
+def test_answer_given_twice_is_found() -> None:
+    assert check_answers([MODEL, MODEL])
+    assert check_answers([msgspec.structs.replace(MODEL, extra_bytes=3)])
+
+
+def test_broken_answer_with_a_wrong_token_is_found() -> None:
+    planted = msgspec.structs.replace(MODEL, end=CallEnd.BROKEN, text='wrong ')
+    assert check_answers([planted])
+
+
+def test_clean_orders_pass() -> None:
+    refused = msgspec.structs.replace(
+        ORDER, status=503, outcome='not-run', sent_s=0.1, ended_s=0.2
+    )
+    assert not check_orders([refused, ORDER], [RUN])
+
+
+def test_double_run_is_found() -> None:
+    assert _rules(check_orders([ORDER], [RUN, RUN])) == {'at-most-once'}
+
+
+def test_untrue_not_run_is_found() -> None:
+    refused = msgspec.structs.replace(ORDER, status=503, outcome='not-run')
+    assert _rules(check_orders([refused], [RUN])) == {'not-run-is-true'}
+
+
+def test_answer_without_a_run_is_found() -> None:
+    assert _rules(check_orders([ORDER], [])) == {'answer-is-true'}
+
+
+def test_leaked_holding_is_found() -> None:
+    held = HoldingSample(upstream='e', request_id='r1', at_s=6.9)
+    assert not check_holdings([held], {'r1': 2.0})
+    late = msgspec.structs.replace(held, at_s=7.1)
+    assert check_holdings([late], {'r1': 2.0})
+    assert check_quiet([late], 2.0)
+    assert not check_quiet([held], 2.0)
+
+
+def test_window_at_its_bound_passes_and_beyond_is_found() -> None:
+    burst = [AdmittedSpan(0.0, 0.0, 1.0)] * 5
+    later = [AdmittedSpan(at / 2, at / 2, 1.0) for at in range(1, 21)]
+    clean = check_rate([*burst, *later], workspace='a', rate=2, burst=5)
+    assert not clean
+    planted = AdmittedSpan(7.1, 7.1, 0.5)
+    assert check_rate([*burst, *later, planted], workspace='a', rate=2, burst=5)
+
+
+def test_burst_at_the_end_of_a_quiet_time_is_found() -> None:
+    spans = [AdmittedSpan(9.0, 9.0 + at / 100, 1.0) for at in range(7)]
+    assert check_rate(spans, workspace='a', rate=2, burst=5)
+
+
+def test_spans_count_only_where_they_lie_wholly_inside() -> None:
+    spans = [AdmittedSpan(0.0, 10.0, 1.0)] * 12
+    assert not check_rate(spans, workspace='a', rate=2, burst=5)
+    assert check_rate(spans, workspace='a', rate=0.5, burst=5)
+
+
+def test_only_admitted_calls_count() -> None:
+    refused = msgspec.structs.replace(ORDER, status=429, outcome='not-run')
+    assert len(admitted_requests([ORDER, refused], 'a')) == 1
+
+
+def test_revision_that_went_back_is_found() -> None:
+    samples = [
+        RevisionSample(
+            vm_id='vm-1', incarnation='i', revision=revision, at_s=at_s
+        )
+        for at_s, revision in enumerate((1, 2, 2, 5))
+    ]
+    assert not check_revisions(samples)
+    planted = RevisionSample(vm_id='vm-1', incarnation='i', revision=4, at_s=9)
+    assert check_revisions([*samples, planted])
+
+
+def test_new_work_in_a_closed_domain_is_found() -> None:
+    def step(at_s: float) -> EngineStep:
+        return EngineStep(
+            upstream='e', request_id='r', kind='prefill', at_s=at_s
+        )
+
+    def found(at_s: float) -> list[Violation]:
+        return check_no_new_work(
+            [step(at_s)], ['e'], out_since_s=10.0, back_at_s=20.0
+        )
+
+    assert not found(12.9)
+    assert found(13.1)
+    assert not found(20.1)
+
+
+def test_key_bytes_at_an_upstream_are_found() -> None:
+    clean = {'e': b'POST / x-workspace: a'}
+    assert not check_keys(clean, ['planted-key'])
+    planted = {**clean, 'f': b'authorization: Bearer planted-key'}
+    found = check_keys(planted, ['planted-key'])
+    assert [one.subject for one in found] == ['f']
+    assert 'planted-key' not in str(found[0])
+
+
+def test_queue_beyond_a_bound_is_found() -> None:
+    def found(sample: QueueSample) -> list[Violation]:
+        return check_queue(
+            [sample], max_requests=4, max_tokens=100, max_age_s=10
+        )
+
+    clean = QueueSample(
+        cell='c', at_s=0, requests=4, tokens=100, oldest_age_s=10
+    )
+    assert not found(clean)
+    assert found(msgspec.structs.replace(clean, requests=5))
+    assert found(msgspec.structs.replace(clean, tokens=101))
+    assert found(msgspec.structs.replace(clean, oldest_age_s=11.1))
