--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/commands.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/commands.py
@@ -27,14 +27,16 @@
     upstream: Upstream,
     pool: Pool,
     options: BenchOptions,
+    *,
     capture: Path,
+    journal: Path,
 ) -> list[str]:
     """Returns the flags of an upstream's stand-in."""
     flags = [f'--name={upstream.upstream_id}', f'--port={upstream.port}']
     if options.has_capture:
         flags.append(f'--capture={capture}')
     if pool.role is PoolRole.PLAIN:
-        return flags
+        return [*flags, f'--journal={journal}']
     return [
         *flags,
         f'--role={pool.role.value}',
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/faults.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/faults.py
@@ -13,6 +13,7 @@
 )
 from .links import (
     CALLERS,
+    NODES,
     PLATFORM,
     ProxyLinks,
     caller_link,
@@ -25,6 +26,7 @@
 if TYPE_CHECKING:
     from .deployment import Deployment
     from .plan import NodePlan
+    from .processes import BenchProcess
 
 _CUT = LinkFaults(cut=True)
 _LOSE = DirectionFaults(vanish=True)
@@ -48,6 +50,22 @@
                 return one
         raise KeyError(vm_id)
 
+    def vm_ids(self) -> list[str]:
+        """Returns the ids of the planned VMs."""
+        return [node.vm_id for node in self._deployment.nodes]
+
+    def process(self, name: str) -> BenchProcess:
+        """Returns a process by its name."""
+        return self._deployment.processes[name]
+
+    def ended_upstreams(self) -> list[str]:
+        """Returns the upstreams whose process has ended."""
+        return [
+            upstream_id
+            for upstream_id in self._deployment.settings.upstreams
+            if not self._deployment.processes[upstream_id].is_running
+        ]
+
     def cut(self, one: str, other: str) -> None:
         """Refuses and breaks all connections between two, both ways."""
         for link, source in self._links_between(one, other):
@@ -104,6 +122,7 @@
         for upstream in upstreams.values():
             if upstream.upstream_id == upstream_id:
                 self._deployment.start_upstream(upstream, *flags)
+                self._deployment.wait_listening(upstream_id, upstream.port)
 
     def replace_vm(self, vm_id: str) -> str:
         """Puts a new VM in the place of one and publishes the list.
@@ -154,8 +173,8 @@
             return [(caller_link((pair - {CALLERS}).pop()), ANY_SOURCE)]
         if PLATFORM in pair:
             return [(platform_link((pair - {PLATFORM}).pop()), ANY_SOURCE)]
-        if 'nodes' in pair:
-            return [(upstream_link((pair - {'nodes'}).pop()), ANY_SOURCE)]
+        if NODES in pair:
+            return [(upstream_link((pair - {NODES}).pop()), ANY_SOURCE)]
         return [(peer_link(one), other), (peer_link(other), one)]
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/links.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/links.py
@@ -16,13 +16,19 @@
     LinkPlan,
 )
 from .calls import http_call
+from .plan import with_ports
 from .ports import LOOPBACK, free_ports
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from catkinreach_core.settings.fleet import FleetSettings
+
     from .plan import NodePlan
 
 PLATFORM = 'platform'
 CALLERS = 'callers'
+NODES = 'nodes'
 
 
 def caller_link(vm_id: str) -> str:
@@ -42,7 +48,7 @@
 
 def upstream_link(upstream_id: str) -> str:
     """Returns the name of the link from all nodes to an upstream."""
-    return f'nodes>{upstream_id}'
+    return f'{NODES}>{upstream_id}'
 
 
 class ProxyLinks:
@@ -53,6 +59,21 @@
         self.control_port = free_ports(1)[0]
         self._plans: dict[str, LinkPlan] = {}
 
+    @classmethod
+    def for_fleet(
+        cls,
+        settings: FleetSettings,
+        nodes: Sequence[NodePlan],
+        config_port: int,
+    ) -> ProxyLinks:
+        """Plans the links to every upstream and of every node."""
+        links = cls()
+        for upstream in settings.upstreams.values():
+            links.plan(upstream_link(upstream.upstream_id), upstream.port)
+        for node in nodes:
+            links.plan_node(node, config_port)
+        return links
+
     @property
     def plans(self) -> list[LinkPlan]:
         """Returns the planned links."""
@@ -81,6 +102,15 @@
             self.plan(platform_link(node.vm_id), config_port),
         ]
 
+    def published_text(self, text: str) -> str:
+        """Returns the fleet's text with the links' ports for upstreams."""
+        ports = {
+            int(plan.target.rpartition(':')[2]): plan.port
+            for plan in self._plans.values()
+            if plan.name.startswith(NODES)
+        }
+        return with_ports(text, ports)
+
     def add(self, plan: LinkPlan) -> None:
         """Adds a planned link to the running proxy."""
         self._call('PUT', '/standin/links', plan)
@@ -116,6 +146,7 @@
 
 __all__ = (
     'CALLERS',
+    'NODES',
     'PLATFORM',
     'ProxyLinks',
     'caller_link',
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/plan.py
@@ -11,8 +11,6 @@
 from .ports import LOOPBACK, free_ports
 
 if TYPE_CHECKING:
-    from pathlib import Path
-
     from catkinreach_core.settings.fleet import FleetSettings
 
 OPERATOR_KEY = 'demo-operator-key'
@@ -41,6 +39,8 @@
         has_balancer: Whether a balancer stands before the nodes.
         node_sections: Further sections of every node's start-up settings.
         has_proxy: Whether a fault proxy stands on every link.
+        is_balancer_direct: Whether the balancer connects to the nodes past
+            the proxy, so that it sees which ones refuse connections.
         has_capture: Whether upstreams keep every byte that they receive.
     """
 
@@ -51,6 +51,7 @@
     has_balancer: bool = True
     node_sections: dict[str, dict[str, str]] = field(default_factory=dict)
     has_proxy: bool = False
+    is_balancer_direct: bool = False
     has_capture: bool = False
 
 
@@ -101,7 +102,8 @@
     node: NodePlan,
     config_port: int,
     further: dict[str, dict[str, str]],
-    event_log: Path,
+    *,
+    event_log: str = '',
 ) -> str:
     """Returns the start-up settings of a node."""
     sections = {
@@ -113,7 +115,7 @@
             'peer_address': f'{LOOPBACK}:{node.peer_port}',
             'config_service': f'{LOOPBACK}:{config_port}',
             'operator_key_digest': f'sha256:{key_digest(OPERATOR_KEY)}',
-            'event_log': str(event_log),
+            **({'event_log': event_log} if event_log else {}),
         },
         **further,
     }
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/ports.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/ports.py
@@ -6,36 +6,40 @@
 import socket
 
 LOOPBACK = '127.0.0.1'
-
-
 FIRST_PORT = 10_000
-LAST_PORT = 32_000
-"""Ports below the range from which the system serves connecting sockets."""
+END_PORT = 32_000
+"""Ports from here on may be those of outgoing connections, which would take
+a free port before its process listens."""
 
 _random = random.SystemRandom()
+_given: set[int] = set()
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns distinct ports that nothing listens on.
-
-    They are not from the system's own range: there, any connecting socket on
-    the machine could take a port before its process listens.
-    """
-    ports: set[int] = set()
+    """Returns ports that nothing listens on and that were not given before."""
+    ports: list[int] = []
     while len(ports) < count:
-        port = _random.randint(FIRST_PORT, LAST_PORT)
-        if _is_free(port):
-            ports.add(port)
-    return list(ports)
+        port = _random.randrange(FIRST_PORT, END_PORT)
+        if port not in _given and is_free(port):
+            _given.add(port)
+            ports.append(port)
+    return ports
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as one:
+def is_free(port: int) -> bool:
+    """Tells whether a process could listen on the port."""
+    with socket.socket() as probe:
         try:
-            one.bind((LOOPBACK, port))
+            probe.bind((LOOPBACK, port))
         except OSError:
             return False
     return True
 
 
-__all__ = ('LOOPBACK', 'free_ports')
+def is_listening(port: int) -> bool:
+    """Tells whether a process accepts connections on the port."""
+    with socket.socket() as probe:
+        return probe.connect_ex((LOOPBACK, port)) == 0
+
+
+__all__ = ('LOOPBACK', 'free_ports', 'is_free', 'is_listening')
--- a/packages/catkinreach-standins/src/catkinreach_standins/plain.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/plain.py
@@ -57,8 +57,16 @@
         *,
         delay_s: float = 0,
         capture: Path | None = None,
+        journal: Path | None = None,
     ) -> None:
-        """Start with no counts; ``capture`` keeps every byte received."""
+        """Start with no counts.
+
+        Args:
+            name: name in the answers.
+            delay_s: time from execution to answer.
+            capture: file that keeps every byte received.
+            journal: file that keeps the executions over a crash.
+        """
         self._name = name
         self._delay_s = delay_s
         self._deaths_left = 0
@@ -67,6 +75,7 @@
         self._by_path: Counter[str] = Counter()
         self._header_names: set[str] = set()
         self._log: list[Execution] = []
+        self._journal = open_capture(journal)
         self._server = HttpServer(self._route, on_bytes=open_capture(capture))
 
     @property
@@ -105,9 +114,7 @@
         self._by_path[request.path] += 1
         self._by_key[workspace, key] += 1
         execution = self._by_key[workspace, key]
-        self._log.append(
-            Execution(request.path, workspace, key, time.monotonic())
-        )
+        self._enter(Execution(request.path, workspace, key, time.monotonic()))
         if self._exit_before_answer:
             os._exit(CRASH_EXIT_CODE)
         if self._deaths_left:
@@ -124,6 +131,11 @@
             }
         )
 
+    def _enter(self, execution: Execution) -> None:
+        self._log.append(execution)
+        if self._journal is not None:
+            self._journal(msgspec.json.encode(execution) + b'\n')
+
     def _record(self) -> dict[str, object]:
         return {
             'executions': [
@@ -143,6 +155,7 @@
     flags.DEFINE_string('name', 'plain', 'service name', flag_values=values)
     flags.DEFINE_float('delay_s', 0, 'answer delay', flag_values=values)
     flags.DEFINE_string('capture', '', 'capture path', flag_values=values)
+    flags.DEFINE_string('journal', '', 'journal path', flag_values=values)
     values(argv)
     asyncio.run(_run(values))
 
@@ -152,6 +165,7 @@
         values.name,
         delay_s=values.delay_s,
         capture=Path(values.capture) if values.capture else None,
+        journal=Path(values.journal) if values.journal else None,
     )
     await serve_forever(service, name=values.name, port=values.port)
 
