Bring failures about in scripted scenarios

Cause: nothing showed that what must always hold does hold while processes die, pause and lose each other. Scenarios whose mechanism is not there yet are tagged @pending; tools/check.py leaves them out and prints how many.

--- /dev/null
+++ b/features/steps/break_things.py
@@ -0,0 +1,176 @@
+"""Steps that bring faults about."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import when
+
+from catkinreach_standins.bench.background import roll_each_vm
+from catkinreach_standins.faultproxy.faults import (
+    ActKind,
+    DirectionFaults,
+    LinkFaults,
+)
+
+ROLL_LIMIT_S = 30.0
+
+
+@when('{name} is killed')
+def kill(context: Any, name: str) -> None:
+    context.trial.faults.kill(name)
+
+
+@when('{name} is frozen')
+def freeze(context: Any, name: str) -> None:
+    context.trial.faults.freeze(name)
+
+
+@when('{name} wakes')
+def wake(context: Any, name: str) -> None:
+    context.trial.faults.wake(name)
+
+
+@when('{vm_id} is asked to stop')
+def terminate(context: Any, vm_id: str) -> None:
+    context.trial.deployment.processes[vm_id].terminate()
+
+
+@when('VM {vm_id} starts again')
+def restart_vm(context: Any, vm_id: str) -> None:
+    context.trial.faults.restart_vm(vm_id)
+
+
+@when('upstream {upstream_id} starts again')
+def restart_upstream(context: Any, upstream_id: str) -> None:
+    context.trial.faults.restart_upstream(upstream_id)
+
+
+@when('upstream {upstream_id} starts fresh and bears {places:d} at first')
+def restart_fresh(context: Any, upstream_id: str, places: int) -> None:
+    context.trial.faults.restart_upstream(
+        upstream_id, '--warmup_requests=12', f'--cold_places={places}'
+    )
+
+
+@when('{vm_id} is replaced')
+def replace(context: Any, vm_id: str) -> None:
+    context.replacement = context.trial.faults.replace_vm(vm_id)
+
+
+@when('the link between {one} and {other} is cut')
+def cut(context: Any, one: str, other: str) -> None:
+    context.trial.faults.cut(one, other)
+
+
+@when('{vm_id} is cut off from all other VMs')
+def isolate(context: Any, vm_id: str) -> None:
+    context.trial.faults.isolate(vm_id)
+
+
+@when('bytes from {source} to {target} vanish')
+def cut_one_way(context: Any, source: str, target: str) -> None:
+    context.trial.faults.cut_one_way(source, target)
+
+
+@when('the link between {one} and {other} is reset')
+def reset(context: Any, one: str, other: str) -> None:
+    context.trial.faults.act(one, other, ActKind.RESET)
+
+
+@when('the link between {one} and {other} closes its way back')
+def half_close(context: Any, one: str, other: str) -> None:
+    context.trial.faults.act(one, other, ActKind.HALF_CLOSE_DOWN)
+
+
+@when('the link between {one} and {other} stalls')
+def stall(context: Any, one: str, other: str) -> None:
+    held = DirectionFaults(stall=True)
+    context.trial.faults.set_faults(one, other, LinkFaults(up=held, down=held))
+
+
+@when('answers between {one} and {other} come up to {delay_ms:d} ms late')
+def delay(context: Any, one: str, other: str, delay_ms: int) -> None:
+    late = DirectionFaults(jitter_s=delay_ms / 1000)
+    context.trial.faults.set_faults(one, other, LinkFaults(down=late))
+
+
+@when('the link between {one} and {other} carries {rate:d} bytes a second')
+def throttle(context: Any, one: str, other: str, rate: int) -> None:
+    slow = DirectionFaults(bytes_per_s=rate)
+    context.trial.faults.set_faults(one, other, LinkFaults(down=slow))
+
+
+@when('the network heals')
+def heal(context: Any) -> None:
+    context.trial.faults.heal()
+
+
+@when('the platform goes down')
+def platform_down(context: Any) -> None:
+    context.trial.faults.platform(down=True)
+
+
+@when('the platform turns stale')
+def platform_stale(context: Any) -> None:
+    context.trial.faults.platform(stale=True)
+
+
+@when('the list of VMs is no longer kept up')
+def list_frozen(context: Any) -> None:
+    context.trial.faults.platform(frozen_vms=True)
+
+
+@when('the platform is back')
+def platform_back(context: Any) -> None:
+    context.trial.faults.platform(down=False, stale=False, frozen_vms=False)
+
+
+def set_upstream_faults(context: Any, upstream_id: str, **faults: Any) -> None:
+    """Sets faults of a stand-in on its own control address."""
+    deployment = context.trial.deployment
+    port = deployment.settings.upstreams[upstream_id].port
+    deployment.standin_call(port, 'POST', '/standin/faults', faults)
+
+
+@when('{upstream_id} will die after the next order, before its answer')
+def die_after_order(context: Any, upstream_id: str) -> None:
+    set_upstream_faults(context, upstream_id, exit_before_answer=True)
+
+
+@when('every {pool} upstream drops its next answer')
+def drop_next_answer(context: Any, pool: str) -> None:
+    for upstream in context.trial.deployment.settings.upstreams.values():
+        if upstream.pool_id == pool:
+            set_upstream_faults(
+                context, upstream.upstream_id, die_before_answer=1
+            )
+
+
+@when('every {pool} upstream takes {delay_s:g} s for an answer')
+def slow_answers(context: Any, pool: str, delay_s: float) -> None:
+    for upstream in context.trial.deployment.settings.upstreams.values():
+        if upstream.pool_id == pool:
+            set_upstream_faults(context, upstream.upstream_id, delay_s=delay_s)
+
+
+@when('transfers to {upstream_id} stall for {seconds:g} s')
+def stall_transfers(context: Any, upstream_id: str, seconds: float) -> None:
+    set_upstream_faults(context, upstream_id, stall_imports_s=seconds)
+
+
+@when('{upstream_id} turns cold without warning')
+def turn_cold(context: Any, upstream_id: str) -> None:
+    set_upstream_faults(
+        context, upstream_id, cold=True, drop_cache=True, slow_factor=3.0
+    )
+
+
+@when('{upstream_id} loses its state without warning')
+def lose_state(context: Any, upstream_id: str) -> None:
+    set_upstream_faults(context, upstream_id, restart_boot=True)
+
+
+@when('each VM is rolled in turn')
+def roll(context: Any) -> None:
+    roll_each_vm(context.trial.faults, limit_s=ROLL_LIMIT_S)
--- /dev/null
+++ b/features/steps/publish.py
@@ -0,0 +1,84 @@
+"""Steps in which operators publish."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import when
+
+from catkinreach_core.keys import key_digest
+from catkinreach_standins.bench.edits import remove_section, set_option
+
+
+@when('operators take failure domain {domain} out')
+def take_domain_out(context: Any, domain: str) -> None:
+    scenario = context.trial
+    section = f'failure-domain {domain}'
+    scenario.mark(f'{domain} out')
+    scenario.publish(
+        set_option(scenario.text, section, 'state', 'out-of-service')
+    )
+
+
+@when('operators return failure domain {domain}')
+def return_domain(context: Any, domain: str) -> None:
+    scenario = context.trial
+    section = f'failure-domain {domain}'
+    scenario.mark(f'{domain} back')
+    scenario.publish(set_option(scenario.text, section, 'state', 'in-service'))
+
+
+@when('operators take upstream {upstream_id} away')
+def remove_upstream(context: Any, upstream_id: str) -> None:
+    scenario = context.trial
+    scenario.mark(f'{upstream_id} out')
+    scenario.publish(remove_section(scenario.text, f'upstream {upstream_id}'))
+
+
+@when('operators withdraw the key of "{workspace}"')
+def withdraw_key(context: Any, workspace: str) -> None:
+    _set_key(context, workspace, 'some-other-key')
+
+
+@when('operators grant the key of "{workspace}" again')
+def grant_key(context: Any, workspace: str) -> None:
+    _set_key(context, workspace, f'demo-key-{workspace}')
+
+
+def _set_key(context: Any, workspace: str, key: str) -> None:
+    scenario = context.trial
+    scenario.publish(
+        set_option(
+            scenario.text,
+            f'workspace {workspace}',
+            'key_digests',
+            f'sha256:{key_digest(key)}',
+        )
+    )
+
+
+@when('operators bound the queue to {count:d} requests')
+def bound_queue(context: Any, count: int) -> None:
+    scenario = context.trial
+    scenario.publish(
+        set_option(scenario.text, 'queue', 'max_requests', str(count))
+    )
+
+
+@when('operators publish {count:d} texts at once')
+def publish_many(context: Any, count: int) -> None:
+    scenario = context.trial
+    for number in range(count):
+        scenario.publish(
+            set_option(
+                scenario.text, 'queue', 'max_requests', str(300 + number)
+            )
+        )
+
+
+@when('operators publish a text with a fault')
+def publish_bad(context: Any) -> None:
+    scenario = context.trial
+    good = scenario.text
+    scenario.publish(good + '\n[pool nonsense]\nrole = plian\n')
+    scenario.text = good
--- /dev/null
+++ b/features/steps/send.py
@@ -0,0 +1,165 @@
+"""Steps in which callers send requests."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from behave import when
+
+from catkinreach_standins.bench.scenario import CROWD
+
+CLAIMS = '/bee/claims'
+POISON = -666
+RESTART_PAUSE_S = 1.5
+
+
+@when('"{workspace}" asks for {tokens:d} tokens through {vm_id} as {name}')
+def ask_through(
+    context: Any, workspace: str, tokens: int, vm_id: str, name: str
+) -> None:
+    trial = context.trial
+    call = trial.callers.start_patient(
+        trial.port_towards(vm_id),
+        workspace,
+        trial.prompt(300),
+        max_tokens=tokens,
+    )
+    trial.remember(name, call)
+
+
+@when('"{workspace}" asks for {tokens:d} tokens as {name}')
+def ask(context: Any, workspace: str, tokens: int, name: str) -> None:
+    ask_through(context, workspace, tokens, '', name)
+
+
+@when('{count:d} impatient callers of "{workspace}" ask for {tokens:d} tokens')
+def ask_impatiently(
+    context: Any, count: int, workspace: str, tokens: int
+) -> None:
+    trial = context.trial
+    for _ in range(count):
+        call = trial.callers.start_complete(
+            trial.port_towards(''),
+            workspace,
+            trial.prompt(300),
+            max_tokens=tokens,
+        )
+        trial.remember(CROWD, call)
+
+
+@when('{count:d} callers of "{workspace}" ask for {tokens:d} tokens')
+def ask_many(context: Any, count: int, workspace: str, tokens: int) -> None:
+    for _ in range(count):
+        ask_through(context, workspace, tokens, '', CROWD)
+
+
+@when('"{workspace}" leaves after {tokens:d} of {total:d} tokens as {name}')
+def leave(
+    context: Any, workspace: str, tokens: int, total: int, name: str
+) -> None:
+    trial = context.trial
+    call = trial.callers.start_complete(
+        trial.port_towards(''),
+        workspace,
+        trial.prompt(300),
+        max_tokens=total,
+        cancel_after=tokens,
+    )
+    trial.remember(name, call)
+
+
+@when('"{workspace}" claims {key} with another body as {name}')
+def claim_other_body(context: Any, workspace: str, key: str, name: str) -> None:
+    _claim(context, workspace, key, '', name, body='{"slot": "another"}')
+
+
+@when('"{workspace}" claims {key} through {vm_id} as {name}')
+def claim_through(
+    context: Any, workspace: str, key: str, vm_id: str, name: str
+) -> None:
+    _claim(context, workspace, key, vm_id, name)
+
+
+@when('"{workspace}" claims {key} as {name}')
+def claim(context: Any, workspace: str, key: str, name: str) -> None:
+    _claim(context, workspace, key, '', name)
+
+
+def _claim(
+    context: Any,
+    workspace: str,
+    key: str,
+    vm_id: str,
+    name: str,
+    *,
+    body: str = '{}',
+) -> None:
+    trial = context.trial
+    call = trial.callers.start_order(
+        trial.port_towards(vm_id),
+        workspace,
+        CLAIMS,
+        trial.order_key(key),
+        body,
+    )
+    trial.remember(name, call)
+
+
+@when('"{workspace}" reads "{path}" as {name}')
+def read(context: Any, workspace: str, path: str, name: str) -> None:
+    trial = context.trial
+    trial.remember(
+        name,
+        trial.callers.start_read(trial.port_towards(''), workspace, path),
+    )
+
+
+@when('someone without a key reads "{path}" as {name}')
+def read_open(context: Any, path: str, name: str) -> None:
+    read(context, '', path, name)
+
+
+@when('"{workspace}" reads {count:d} times within {span_s:g} s through all VMs')
+def read_many(context: Any, workspace: str, count: int, span_s: float) -> None:
+    trial = context.trial
+    nodes = trial.deployment.nodes
+    for number in range(count):
+        port = trial.port_towards(nodes[number % len(nodes)].vm_id)
+        call = trial.callers.start_read(port, workspace, '/bee/status')
+        trial.remember(CROWD, call)
+        time.sleep(span_s / count)
+
+
+@when('"{workspace}" stays connected to {vm_id}')
+def stay_connected(context: Any, workspace: str, vm_id: str) -> None:
+    record = context.trial.stay_connected(workspace, vm_id)
+    assert record.is_success, record
+
+
+@when('{seconds:g} s pass')
+def wait(context: Any, seconds: float) -> None:
+    del context
+    time.sleep(seconds)
+
+
+@when('all calls have ended')
+def wait_calls(context: Any) -> None:
+    for name in context.trial.calls:
+        context.trial.ended(name)
+
+
+@when('"{workspace}" asks for the crashing prompt {count:d} times')
+def ask_crashing(context: Any, workspace: str, count: int) -> None:
+    trial = context.trial
+    trial.watch_upstreams()
+    for _ in range(count):
+        trial.callers.complete(
+            trial.port_towards(''), workspace, [POISON, 1, 2, 3], max_tokens=5
+        )
+        time.sleep(RESTART_PAUSE_S)
+
+
+@when('"{workspace}" keeps asking for {tokens:d} tokens through the balancer')
+def keep_asking(context: Any, workspace: str, tokens: int) -> None:
+    context.trial.start_load(workspace, tokens)
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/chaos/__init__.py
@@ -0,0 +1,3 @@
+"""Random pairs of faults under load, with every check afterwards."""
+
+from __future__ import annotations
--- a/tools/check.py
+++ b/tools/check.py
@@ -18,6 +18,9 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 BIN = Path(sys.executable).parent
 
+DEFAULT_TAGS = 'not @long and not @pending'
+"""Scenarios whose mechanism is still to come are tagged @pending."""
+
 STATIC_CHECKS = (
     ('format', ('ruff', 'format', '--check', '--quiet', '.')),
     ('lint', ('ruff', 'check', '--quiet', '.')),
@@ -92,12 +95,13 @@
             '--junit',
             f'--junit-directory={report_dir / "behave"}',
             '--format=progress',
-            '--tags=not @long',
+            f'--tags={DEFAULT_TAGS}',
             f'--define=seed={seed}',
         ],
         cwd=ROOT,
         check=False,
     )
+    print(f'pending scenarios left out: {count_pending()}')
     outcomes = []
     for report in sorted((report_dir / 'behave').glob('*.xml')):
         outcomes += read_junit(report)
@@ -106,6 +110,15 @@
     return outcomes
 
 
+def count_pending() -> int:
+    """Counts the scenarios and examples tables that are tagged @pending."""
+    return sum(
+        len(re.findall(r'^\s*@pending\b', text, re.MULTILINE))
+        for path in (ROOT / 'features').glob('**/*.feature')
+        if (text := path.read_text(encoding='utf-8'))
+    )
+
+
 def known_red() -> frozenset[str]:
     """Returns the names of the tests that are known to fail."""
     if not KNOWN_RED.exists():
