--- a/features/answers.feature
+++ b/features/answers.feature
@@ -48,6 +48,7 @@
     And 18 callers of "sunday-bee" ask for 20 tokens
     Then the crowd gets whole answers
 
+  @long
   Scenario: A decode engine pauses and wakes late
     When 9 callers of "sunday-bee" ask for 100 tokens
     And 0.6 s pass
@@ -56,11 +57,13 @@
     And pattern-decode-1 wakes
     Then the crowd gets whole answers
 
+  @long
   Scenario: Transfers to a decode engine stall
     When transfers to pattern-decode-1 stall for 8 s
     And 9 callers of "sunday-bee" ask for 20 tokens
     Then the crowd gets whole answers
 
+  @long
   Scenario: A slow caller gets all of a long answer
     When the link between callers and vm-1 carries 6000 bytes a second
     And "sunday-bee" asks for 60 tokens through vm-1 as Mei
@@ -74,6 +77,7 @@
     And "sunday-bee" asks for 20 tokens as Mei
     Then Mei gets the whole answer
 
+  @long
   Scenario: A VM cut off from the others still answers
     When vm-1 is cut off from all other VMs
     And 4 s pass
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -56,6 +56,7 @@
     And VM vm-2 starts again
     Then vm-2 has a text no older than the others
 
+  @long
   Scenario: A VM pauses while operators publish and wakes late
     When vm-2 is frozen
     And operators publish 3 texts at once
--- a/features/domains.feature
+++ b/features/domains.feature
@@ -25,6 +25,7 @@
     And all calls have ended
     Then failure domain tw-central-a got no new work after 3 s
 
+  @long
   Scenario: A failure domain is taken out while a VM pauses
     When vm-1 is frozen
     And operators take failure domain tw-central-a out
--- a/features/memory.feature
+++ b/features/memory.feature
@@ -9,6 +9,7 @@
     And "moon-gate" leaves after 1 of 400 tokens as Mei
     Then no engine holds memory of a request that is gone
 
+  @pending
   Scenario: A VM dies with answers under way
     When 9 callers of "sunday-bee" ask for 300 tokens
     And 0.8 s pass
@@ -16,6 +17,7 @@
     And all calls have ended
     Then no engine holds memory of a request that is gone
 
+  @long
   Scenario: A VM that carries answers is cut off and nothing live is freed
     When "sunday-bee" asks for 400 tokens through vm-1 as Mei
     And 0.5 s pass
@@ -23,6 +25,7 @@
     Then Mei gets the whole answer
     And no engine holds memory of a request that is gone
 
+  @long
   Scenario: A VM pauses with answers under way and wakes late
     When "sunday-bee" asks for 200 tokens through vm-2 as Mei
     And 0.5 s pass
--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -13,6 +13,7 @@
     Then every shard had one owner at a time
     And within 10 s every shard has an owner
 
+  @long
   Scenario: Each VM in turn pauses and wakes late
     When vm-1 is frozen
     And 5 s pass
@@ -32,6 +33,7 @@
     Then every shard had one owner at a time
     And within 10 s every shard has an owner
 
+  @long
   Scenario: Bytes vanish one way
     When bytes from vm-1 to vm-2 vanish
     And bytes from vm-2 to vm-3 vanish
@@ -41,6 +43,7 @@
     Then every shard had one owner at a time
     And within 10 s every shard has an owner
 
+  @long
   Scenario: VMs are replaced while the list lags
     When the list of VMs is no longer kept up
     And vm-2 is replaced
--- a/features/steps/expect.py
+++ b/features/steps/expect.py
@@ -12,6 +12,8 @@
 from catkinreach_standins.checks.rates import admitted_requests
 from catkinreach_standins.checks.records import CallEnd
 
+LEAK_WATCH_S = 20.0
+
 
 def _only(context: Any, name: str) -> Any:
     records = context.trial.ended(name)
@@ -77,6 +79,9 @@
     last_s = max(call.ended_s for call in trial.callers.records)
     time.sleep(max(0.0, last_s + 5.1 - time.monotonic()))
     leaks = trial.leaks()
+    if leaks:
+        trial.wait_for(lambda: not trial.leaks(), LEAK_WATCH_S)
+        print(f'last freed {time.monotonic() - last_s:.1f} s after')  # noqa: T201
     assert not leaks, '\n'.join(map(str, leaks))
 
 
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -11,6 +11,7 @@
     Then the crowd gets whole answers
     And pattern-decode-1 still runs
 
+  @long
   Scenario: A warm upstream turns cold without warning
     When 9 callers of "sunday-bee" ask for 20 tokens
     And all calls have ended
