Wait for every call before orders are judged

Cause: 'Bytes vanish one way between two VMs' counted runs while its calls were still under way ('calls: none' in its summary), so a later second run would have gone unseen. Change: the count of runs and the checks after each scenario wait for all calls. Conclusion: stricter; the scenario has to be run anew.

--- a/features/steps/expect.py
+++ b/features/steps/expect.py
@@ -66,6 +66,7 @@
 
 
 def _runs(context: Any, key: str) -> int:
+    context.trial.wait_calls()
     wanted = context.trial.order_key(key)
     runs = context.trial.observer.executions()
     return sum(run.key == wanted for run in runs)
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/scenario.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/scenario.py
@@ -85,6 +85,11 @@
         """Waits for the calls of a name and returns their records."""
         return [call.result() for call in self.calls[name]]
 
+    def wait_calls(self) -> None:
+        """Waits until every started call has ended."""
+        for name in tuple(self.calls):
+            self.ended(name)
+
     def mark(self, name: str) -> None:
         """Keeps this moment under a name."""
         self.marks[name] = time.monotonic()
@@ -157,7 +162,8 @@
         return wait_until(condition, limit_s=limit_s)
 
     def violations(self) -> list[Violation]:
-        """Returns breaches of what holds in every scenario."""
+        """Waits for every call; returns breaches of what always holds."""
+        self.wait_calls()
         calls = self.callers.records
         started_s = self.started_s
         runs = [
