--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -13,6 +13,7 @@
     Then every shard had one owner at a time
     And within 10 s every shard has an owner
 
+  @pending
   Scenario: A VM that starts again finds the owners of what it lost
     When vm-1 is killed
     And 6 s pass
