--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/observe.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/observe.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from catkinreach_core.ownership.events import LeaseEvent
 from catkinreach_core.ownership.shards import shards_of
 from catkinreach_core.settings.fleet import PoolRole
 
@@ -23,6 +22,7 @@
     from collections.abc import Iterator
 
     from catkinreach_core.ids import ShardId
+    from catkinreach_core.ownership.events import LeaseEvent
     from catkinreach_core.settings.fleet import Upstream
 
     from .deployment import Deployment
@@ -116,12 +116,7 @@
 
     def lease_events(self) -> list[LeaseEvent]:
         """Returns the lease events of every VM, of ended ones too."""
-        decoder = msgspec.json.Decoder(LeaseEvent)
-        return [
-            event
-            for path in sorted(self._deployment.directory.glob('*.events'))
-            for event in decoder.decode_lines(path.read_bytes())
-        ]
+        return self._deployment.lease_events()
 
     def unowned_shards(self) -> set[ShardId]:
         """Returns the shards that no reachable VM says to own."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/process_set.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/process_set.py
@@ -6,6 +6,10 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
+
+from catkinreach_core.ownership.events import LeaseEvent
+
 from .ports import is_listening
 from .processes import BenchProcess, wait_until
 
@@ -61,6 +65,15 @@
         if not wait_until(lambda: is_listening(port), limit_s=START_LIMIT_S):
             raise RuntimeError(f'{name} does not listen:\n{self.log_of(name)}')
 
+    def lease_events(self) -> list[LeaseEvent]:
+        """Returns the lease events of every VM, of ended ones too."""
+        decoder = msgspec.json.Decoder(LeaseEvent)
+        return [
+            event
+            for path in sorted(self._path.glob('*.events'))
+            for event in decoder.decode_lines(path.read_bytes())
+        ]
+
     def spawn(self, name: str, module: str, *arguments: str) -> None:
         """Starts a process, or starts it again."""
         if name not in self.processes:
