--- a/features/orders.feature
+++ b/features/orders.feature
@@ -118,6 +118,7 @@
       | slot-11 | vm-2 |
       | slot-12 | vm-3 |
 
+  @pending
   Scenario: Bytes vanish one way between two VMs
     When bytes from vm-1 to vm-2 vanish
     And bytes from vm-3 to vm-1 vanish
