--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/plan.py
@@ -37,7 +37,8 @@
         engine_flags: Extra flags of every engine.
         seed: Seed of the stand-ins.
         has_balancer: Whether a balancer stands before the nodes.
-        node_sections: Further sections of every node's start-up settings.
+        node_sections: Further sections of every node's start-up settings;
+            those of ``node`` join the planned ones.
         has_proxy: Whether a fault proxy stands on every link.
         is_balancer_direct: Whether the balancer connects to the nodes past
             the proxy, so that it sees which ones refuse connections.
@@ -116,8 +117,9 @@
             'config_service': f'{LOOPBACK}:{config_port}',
             'operator_key_digest': f'sha256:{key_digest(OPERATOR_KEY)}',
             **({'event_log': event_log} if event_log else {}),
+            **further.get('node', {}),
         },
-        **further,
+        **{name: further[name] for name in further if name != 'node'},
     }
     return ''.join(
         f'[{name}]\n'
