Run orders at most once at the owner of their key

Cause: an order that a caller sent again after a lost reply ran again. Ruled out: not-run from an entry node that reaches no owner. The key may have run through another node, so such an entry says unknown. Limits are charged by the owner after its ledger was asked, so that a resend is neither charged nor refused as not-run. Change: the owner of order/N keeps a ledger of (workspace, key); a key born before the tenure plus its margin gets unknown and never runs; ledgers are handed over on a graceful leave, running orders end at the old owner.

--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/orders/__init__.py
@@ -0,0 +1,3 @@
+"""Non-idempotent requests run at most once."""
+
+from __future__ import annotations
--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -118,6 +118,7 @@
         try:
             async with asyncio.timeout(DRAIN_LIMIT_S):
                 await self._callers.activity.wait_idle()
+                await self._wiring.orders.wait_idle()
         except TimeoutError:
             logger.error('node: drain limit reached with requests running.')
 
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/orders/part.py
@@ -0,0 +1,171 @@
+"""Entry side: passes an order to the owner of its key."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+from loguru import logger
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind, Outcome
+from catkinreach_core.ids import WorkspaceId
+from catkinreach_core.messages.orders import (
+    OrderAnswer,
+    OrderCall,
+    OrderFinished,
+    OrderHandover,
+    OrderHandoverKept,
+)
+from catkinreach_core.ownership.shards import ORDER_PREFIX, order_shard
+
+from ..peers.transport import PeerUnreachableError
+from .desk import OrderDesk
+from .runner import response_of
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from catkinreach_core.ids import VmId
+
+    from ..http.messages import HttpResponse
+    from ..parts import NodeContext
+    from ..session.context import SessionContext
+    from .runner import OrderRunner
+
+KEY_HEADER: Final = 'idempotency-key'
+MAX_KEY_CHARACTERS: Final = 255
+MAX_BODY_BYTES: Final = 1024 * 1024
+CALL_TIMEOUT_S: Final = 3.0
+RETRY_S: Final = 0.1
+ANSWER_LIMIT_S: Final = 60.0
+OWNER_LIMIT_S: Final = 10.0
+HANDOVER_TIMEOUT_S: Final = 1.0
+_NEVER_PASSED: Final = frozenset({'authorization', 'cookie'})
+
+
+class OrdersPart:
+    """Orders as one node passes and keeps them."""
+
+    def __init__(self, context: NodeContext, runner: OrderRunner) -> None:
+        """Registers the messages."""
+        self._context = context
+        self._desk = OrderDesk(context, runner)
+        transport = context.transport
+        transport.on_call(OrderCall, self._desk.respond)
+        transport.on_call(OrderHandover, self._desk.keep)
+        transport.on_message(OrderFinished, self._desk.receive_finished)
+        context.tenures.on_tenure(
+            ORDER_PREFIX, self._desk.take_over, self._desk.give_up
+        )
+
+    @property
+    def name(self) -> str:
+        """Returns the key of the part in the status document."""
+        return 'orders'
+
+    async def serve(self, session: SessionContext) -> HttpResponse:
+        """Answers an order through the owner of its key.
+
+        A repeated call is harmless: the owner runs a key once. Without an
+        owner the outcome is unknown, since the key may be a resent one.
+
+        Raises:
+            CatkinreachError: a refusal; ``not-run`` only on the owner's word
+                or before any node was asked.
+        """
+        call = _call_of(session)
+        shard = order_shard(call.workspace_id, call.key)
+        started_s = time.monotonic()
+        answered_s = started_s
+        while True:
+            owner = self._context.ownership.owner_of(shard)
+            answer = None if owner is None else await self._ask(owner, call)
+            now_s = time.monotonic()
+            if answer is not None and not _is_ownerless(answer):
+                return response_of(answer)
+            if now_s - started_s > ANSWER_LIMIT_S:
+                break
+            if answer is not None and now_s - answered_s > OWNER_LIMIT_S:
+                break
+            await asyncio.sleep(RETRY_S)
+        raise CatkinreachError(ErrorKind.NO_OWNER, outcome=Outcome.UNKNOWN)
+
+    async def run(self) -> None:
+        """Has nothing to do between messages."""
+        await asyncio.Event().wait()
+
+    async def hand_over(self) -> None:
+        """Gives the ledgers to the nodes that are to own the shards next."""
+        async with asyncio.TaskGroup() as group:
+            for handover in self._desk.close():
+                vm_id = self._context.tenures.successor_of(handover.shard)
+                if vm_id is not None:
+                    group.create_task(self._give(vm_id, handover))
+
+    async def wait_idle(self) -> None:
+        """Waits until no order runs at this node, for whichever entry."""
+        await self._desk.wait_idle()
+
+    def status(self) -> Mapping[str, object]:
+        """Returns the counts of decisions and ledgers."""
+        return {**self._desk.counts, 'ledgers': self._desk.ledger_count}
+
+    async def _ask(self, owner: VmId, call: OrderCall) -> OrderAnswer | None:
+        try:
+            if owner == self._context.settings.vm_id:
+                async with asyncio.timeout(CALL_TIMEOUT_S):
+                    return await self._desk.respond(owner, call)
+            return await self._context.transport.call(
+                owner, call, OrderAnswer, timeout_s=CALL_TIMEOUT_S
+            )
+        except (PeerUnreachableError, CatkinreachError, TimeoutError):
+            return None
+
+    async def _give(self, vm_id: VmId, handover: OrderHandover) -> None:
+        try:
+            await self._context.transport.call(
+                vm_id,
+                handover,
+                OrderHandoverKept,
+                timeout_s=HANDOVER_TIMEOUT_S,
+            )
+        except (PeerUnreachableError, CatkinreachError):
+            logger.warning('orders: {} did not take {}.', vm_id, handover.shard)
+
+
+def _is_ownerless(answer: OrderAnswer) -> bool:
+    return (
+        answer.kind == ErrorKind.NO_OWNER.value
+        and answer.outcome == Outcome.UNKNOWN.value
+    )
+
+
+def _call_of(session: SessionContext) -> OrderCall:
+    request = session.request
+    key = (request.header(KEY_HEADER) or '').strip()
+    if not key:
+        raise CatkinreachError(ErrorKind.IDEMPOTENCY_KEY_MISSING)
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise CatkinreachError(
+            ErrorKind.BAD_REQUEST, 'The Idempotency-Key is too long.'
+        )
+    if len(request.body) > MAX_BODY_BYTES:
+        raise CatkinreachError(ErrorKind.TOO_LARGE)
+    return OrderCall(
+        workspace_id=session.workspace_id or WorkspaceId(''),
+        key=key,
+        attempt=session.request_id,
+        route_id=session.route.route_id,
+        method=request.method,
+        target=request.target,
+        headers=tuple(
+            (name, text)
+            for name, text in request.headers
+            if name not in _NEVER_PASSED
+        ),
+        body=request.body,
+    )
+
+
+__all__ = ('OrdersPart',)
--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -20,7 +20,7 @@
     from ..http.messages import Headers
     from ..telemetry.hop import HopRecorder, TraceScope
     from .context import SessionContext
-    from .seams import Limiter
+    from .seams import Limiter, Orders
 
 WORKSPACE_HEADER = 'x-workspace'
 _HOP_BY_HOP = frozenset(
@@ -159,13 +159,21 @@
 class PlainStage:
     """Serves requests to plain services."""
 
-    def __init__(self, forwarder: PlainForwarder, limiter: Limiter) -> None:
-        """Keeps the forwarder and the limits."""
+    def __init__(
+        self, forwarder: PlainForwarder, limiter: Limiter, orders: Orders
+    ) -> None:
+        """Keeps the forwarder, the limits and the part that runs orders."""
         self._forwarder = forwarder
         self._limiter = limiter
+        self._orders = orders
 
     async def serve(self, session: SessionContext) -> HttpResponse:
-        """Answers a request; a repeatable one is tried on two upstreams."""
+        """Answers a request; a repeatable one is tried on two upstreams.
+
+        Any other is an order, which the owner of its key limits and runs.
+        """
+        if not session.route.is_repeatable:
+            return await self._orders.serve(session)
         grant = await self._limiter.admit(session, 0)
         try:
             return await self._serve_admitted(session)
@@ -173,19 +181,14 @@
             grant.settle(0)
 
     async def _serve_admitted(self, session: SessionContext) -> HttpResponse:
-        is_repeatable = session.route.is_repeatable
         try:
             return await self._forwarder.forward(
-                session,
-                self._forwarder.choose(session),
-                is_fresh=not is_repeatable,
+                session, self._forwarder.choose(session), is_fresh=False
+            )
+        except CatkinreachError:
+            return await self._forwarder.forward(
+                session, self._forwarder.choose(session), is_fresh=True
             )
-        except CatkinreachError as error:
-            if not is_repeatable and error.outcome is not Outcome.NOT_RUN:
-                raise
-        return await self._forwarder.forward(
-            session, self._forwarder.choose(session), is_fresh=True
-        )
 
 
 __all__ = ('PlainForwarder', 'PlainStage', 'forwarded_headers')
--- a/packages/catkinreach-node/src/catkinreach_node/session/seams.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/seams.py
@@ -11,6 +11,7 @@
     from catkinreach_core.ids import RequestId
     from catkinreach_core.placement.policy import Placement, WorkItem
 
+    from ..http.messages import HttpResponse
     from .context import SessionContext
 
 
@@ -70,6 +71,17 @@
         """
 
 
+class Orders(Protocol):
+    """Runs requests that may not be repeated, at most once."""
+
+    async def serve(self, session: SessionContext) -> HttpResponse:
+        """Answers an order.
+
+        Raises:
+            CatkinreachError: a refusal that tells what is known.
+        """
+
+
 class LocalReservation:
     """A reservation that nothing stands behind."""
 
@@ -123,6 +135,7 @@
     'LimitGrant',
     'Limiter',
     'LocalReservation',
+    'Orders',
     'Reservation',
     'Scheduler',
     'UnlimitedLimiter',
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -21,6 +21,8 @@
 from .limits.admissions import admission_sink
 from .limits.part import LimitPart
 from .operator.api import OperatorApi
+from .orders.part import OrdersPart
+from .orders.runner import OrderRunner
 from .parts import NodeContext
 from .peers.transport import PeerTransport
 from .session.accept import AcceptStage
@@ -38,7 +40,6 @@
 
     from .fleet.relay import RelayPart
     from .parts import NodePart
-    from .session.seams import Limiter, Scheduler
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,7 @@
     parts: tuple[NodePart, ...]
     relay: RelayPart
     limits: LimitPart
+    orders: OrdersPart
     accept: AcceptStage
     tracing: Tracing
     tls: NodeTls
@@ -65,19 +67,27 @@
     )
     cells = _build_cells(context, engines)
     limits = LimitPart(context, admission_sink(settings.event_log))
+    forwarder = PlainForwarder(context.client, context.hops)
+    orders = OrdersPart(context, OrderRunner(context.state, forwarder, limits))
     return NodeWiring(
         context=context,
         parts=(
             *fleet.first,
             limits,
+            orders,
             *cells.parts,
             EngineOrdersPart(context),
             *fleet.last,
         ),
         relay=fleet.relay,
         limits=limits,
-        accept=_build_stages(
-            context, engines, cells.scheduler, limits, fleet.relay
+        orders=orders,
+        accept=AcceptStage(
+            context.state,
+            ModelStage(cells.scheduler, limits, engines, context.hops),
+            PlainStage(forwarder, limits, orders),
+            context.hops,
+            is_confirmed=lambda: fleet.relay.is_confirmed,
         ),
         tracing=tracing,
         tls=tls,
@@ -137,20 +147,4 @@
     return _CellParts((owner, poller, baseline, scheduler), scheduler)
 
 
-def _build_stages(
-    context: NodeContext,
-    engines: EngineClient,
-    scheduler: Scheduler,
-    limiter: Limiter,
-    relay: RelayPart,
-) -> AcceptStage:
-    return AcceptStage(
-        context.state,
-        ModelStage(scheduler, limiter, engines, context.hops),
-        PlainStage(PlainForwarder(context.client, context.hops), limiter),
-        context.hops,
-        is_confirmed=lambda: relay.is_confirmed,
-    )
-
-
 __all__ = ('NodeWiring', 'wire_node')
