--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/orders_loss.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/orders_loss.py
@@ -63,7 +63,7 @@
             time.sleep(RESEND_S)
             continue
         document = json.loads(body)
-        code = document.get('code', 'done')
+        code = str(document.get('code', 'done'))
         if code == 'done' or code in FINAL:
             return code
         time.sleep(RESEND_S)
