--- a/packages/catkinreach-standins/src/catkinreach_standins/demo.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/demo.py
@@ -75,7 +75,7 @@
     return 0
 
 
+__all__ = ('main', 'run_demo')
+
 if __name__ == '__main__':
     sys.exit(main())
-
-__all__ = ('main', 'run_demo')
