Bound the wait of a request whose cell has no owner to be found

Ruled out: counting the wait against the first-token target, which would refuse requests that a new owner could still serve. Change: one limit over all tries, the queue's longest age plus the slack of a call; then no-owner, not-run. Conclusion: the caller gets a true refusal; why the hint is stale stays open.

--- a/packages/catkinreach-node/src/catkinreach_node/cell/link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/link.py
@@ -176,8 +176,9 @@
 
     async def _place(self, ask: Ask, accepted_at_s: float) -> Granted:
         refused_since_s: float | None = None
-        while True:
-            now_s = time.monotonic()
+        max_age_s = self._context.state.settings.queue.max_age_s
+        give_up_s = time.monotonic() + max_age_s + CALL_SLACK_S
+        while (now_s := time.monotonic()) <= give_up_s:
             current = replace(ask, age_s=now_s - accepted_at_s)
             owner = self._reachable_owner()
             if owner is None and self._can_place_alone():
@@ -197,6 +198,7 @@
                 if now_s - refused_since_s > NO_OWNER_PATIENCE_S:
                     self._cut(owner)
             await asyncio.sleep(ASK_AGAIN_S)
+        raise CatkinreachError(ErrorKind.NO_OWNER)
 
     async def _ask_owner(self, owner: VmId, ask: Ask) -> Granted:
         if owner == self._context.settings.vm_id:
--- /dev/null
+++ b/packages/catkinreach-node/tests/cell/test_link_patience.py
@@ -0,0 +1,65 @@
+"""A request does not wait for ever while no owner can be found."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from catkinreach_core.cell.ask import Ask
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.ids import RequestId, ShardId, VmId
+from catkinreach_node.cell import link as link_module
+from catkinreach_node.cell.fallback import FallbackCell
+from catkinreach_node.cell.link import CellLink
+
+LIMIT_S = 6.0
+
+
+class OwnerlessTransport:
+    """Every node says that it does not own the cell."""
+
+    async def call(self, *_: Any, **_fields: Any) -> None:
+        """Refuses the call."""
+        raise CatkinreachError(ErrorKind.NO_OWNER)
+
+
+def _link() -> CellLink:
+    context: Any = SimpleNamespace(
+        ownership=SimpleNamespace(owner_of=lambda _: VmId('vm-2')),
+        settings=SimpleNamespace(vm_id=VmId('vm-1')),
+        state=SimpleNamespace(
+            settings=SimpleNamespace(queue=SimpleNamespace(max_age_s=1.0))
+        ),
+        transport=OwnerlessTransport(),
+    )
+    service: Any = SimpleNamespace()
+    owner: Any = SimpleNamespace()
+    return CellLink(context, owner, ShardId('cell/x'), service)
+
+
+def test_request_is_refused_once_its_time_is_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(link_module, 'CALL_SLACK_S', 0.1)
+    monkeypatch.setattr(link_module, 'CUT_S', 0.05)
+    monkeypatch.setattr(FallbackCell, 'can_serve', lambda *_, **_fields: False)
+    ask = Ask(
+        request_id=RequestId('one'),
+        attempt=0,
+        vm_id=VmId('vm-1'),
+        workspace_id=None,
+        prompt_tokens=1,
+        max_tokens=1,
+    )
+
+    async def place() -> None:
+        async with asyncio.timeout(LIMIT_S):
+            await _link().place(ask, time.monotonic())
+
+    with pytest.raises(CatkinreachError) as refusal:
+        asyncio.run(place())
+    assert refusal.value.kind is ErrorKind.NO_OWNER
