Call a node ready only once it votes

Cause: a rolling restart that waits for readiness took the next VM away while the first did not vote yet, so two of three voters were missing, leases lapsed and the ledgers of orders went with them. Ruled out: waiting in the roll (the balancer and the operators have only the readiness to go by). Next suspect: the leaving node's guess of its successor is another than the VM that acquires the shard.

--- a/packages/catkinreach-node/src/catkinreach_node/fleet/ownership.py
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/ownership.py
@@ -62,6 +62,11 @@
         """Returns the key of the part in the status document."""
         return 'ownership'
 
+    @property
+    def is_voting(self) -> bool:
+        """Tells whether this node votes on owners."""
+        return self._leases.is_voting
+
     def tenure_of(self, shard: ShardId, now_s: float) -> Tenure | None:
         """Returns this node's tenure if it may act as owner right now."""
         if self._suspension_s() > MAX_SUSPENSION_S:
--- a/packages/catkinreach-node/src/catkinreach_node/limits/part.py
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/part.py
@@ -85,7 +85,9 @@
 
     @property
     def is_ready(self) -> bool:
-        """Tells whether every limit shard's owner has lent something.
+        """Tells whether the node votes and every limit's owner has lent.
+
+        A roll that waits for this takes no voter away before the next votes.
 
         A node that has waited long for owners counts as ready too.
         Once true it stays so: a lost owner is no reason to take nodes out.
@@ -159,7 +161,8 @@
         for gate in gates:
             gate.probe()
         waited_s = time.monotonic() - self._probing_from_s
-        is_probed = all(gate.is_probed for gate in gates)
+        is_voting = self._context.tenures.is_voting
+        is_probed = is_voting and all(gate.is_probed for gate in gates)
         self._is_ready = is_probed or waited_s > READY_LIMIT_S
 
     async def _wait(self, gate: WorkspaceGate, number: int, cost: Cost) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/parts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/parts.py
@@ -22,6 +22,10 @@
 class TenureFeed(Protocol):
     """Tells parts of the beginning and end of this node's tenures."""
 
+    @property
+    def is_voting(self) -> bool:
+        """Tells whether this node votes on owners."""
+
     def on_tenure(
         self,
         shard_prefix: str,
