Open a span for the hop of an order

Cause: orders passed to their owner without a span or a latency of their own. Change: the entry node's order hop, from the checks to the owner's answer. Before: the hop was named and never opened. Conclusion: the owner's send is not yet a child of it: the call between nodes carries no trace.

--- a/packages/catkinreach-node/src/catkinreach_node/orders/part.py
+++ b/packages/catkinreach-node/src/catkinreach_node/orders/part.py
@@ -20,6 +20,7 @@
 from catkinreach_core.ownership.shards import ORDER_PREFIX, order_shard
 
 from ..peers.transport import PeerUnreachableError
+from ..telemetry.hop import Hop
 from .desk import OrderDesk
 from .runner import response_of
 
@@ -74,7 +75,10 @@
             CatkinreachError: a refusal; ``not-run`` only on the owner's word
                 or before any node was asked.
         """
-        call = _call_of(session)
+        with self._context.hops.hop(Hop.ORDER, session.trace):
+            return await self._serve(_call_of(session))
+
+    async def _serve(self, call: OrderCall) -> HttpResponse:
         shard = order_shard(call.workspace_id, call.key)
         started_s = time.monotonic()
         answered_s = started_s
