Turn callers away with the connection's own refusal

Cause: a caller beyond the connection bound was answered by a second copy of the code that writes a whole response; a limiter that admits everything was left behind by the real one. Ruled out: removing the grant that draws nothing, which open routes use. Change: the connection's refusal serves both; the unused limiter is gone. Before and after: the tests of the HTTP edge, TLS and the thin path pass, assertions unchanged; format, lint, names and types are clean. Conclusion: behaviour as it was.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -115,10 +115,10 @@
         try:
             request = await self._read_request(timeout_s)
         except CatkinreachError as error:
-            await self._refuse(error)
+            await self.refuse(error)
             return False
         except h11.RemoteProtocolError as error:
-            await self._refuse(
+            await self.refuse(
                 CatkinreachError(ErrorKind.BAD_REQUEST, str(error))
             )
             return False
@@ -244,7 +244,8 @@
                 await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
 
-    async def _refuse(self, error: CatkinreachError) -> None:
+    async def refuse(self, error: CatkinreachError) -> None:
+        """Answers with an error, if an answer may still be sent."""
         if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         response = problem_response(error)
@@ -322,9 +323,6 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if len(self._connections) >= self._bounds.max_connections:
-            self._turn_away(writer)
-            return
         connection = ServerConnection(
             reader,
             writer,
@@ -332,6 +330,13 @@
             self._bounds,
             self._activity,
         )
+        if len(self._connections) >= self._bounds.max_connections:
+            logger.warning('{}: too many connections.', self._name)
+            await connection.refuse(
+                CatkinreachError(ErrorKind.CONNECTIONS_FULL)
+            )
+            writer.close()
+            return
         self._connections.add(writer)
         try:
             await connection.run()
@@ -341,28 +346,6 @@
             self._connections.discard(writer)
             writer.close()
 
-    def _turn_away(self, writer: asyncio.StreamWriter) -> None:
-        logger.warning('{}: too many connections.', self._name)
-        response = problem_response(
-            CatkinreachError(ErrorKind.CONNECTIONS_FULL)
-        )
-        protocol = h11.Connection(our_role=h11.SERVER)
-        events = (
-            h11.Response(
-                status_code=response.status,
-                headers=[
-                    *response.headers,
-                    ('content-length', str(len(response.body))),
-                    ('connection', 'close'),
-                ],
-            ),
-            h11.Data(data=response.body),
-            h11.EndOfMessage(),
-        )
-        chunks = [protocol.send(event) for event in events]
-        writer.write(b''.join(chunk for chunk in chunks if chunk))
-        writer.close()
-
 
 def _check_framing(head: h11.Request) -> None:
     """Refuses a head that two parsers could frame in different ways."""
--- a/packages/catkinreach-node/src/catkinreach_node/session/seams.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/seams.py
@@ -119,18 +119,6 @@
         """Does nothing."""
 
 
-class UnlimitedLimiter:
-    """Admits everything; for tests and measurements of the bare path."""
-
-    async def admit(
-        self,
-        session: SessionContext,  # noqa: ARG002 - part of the protocol
-        tokens: int,  # noqa: ARG002 - part of the protocol
-    ) -> LimitGrant:
-        """Admits the request."""
-        return UnlimitedGrant()
-
-
 __all__ = (
     'LimitGrant',
     'Limiter',
@@ -138,5 +126,5 @@
     'Orders',
     'Reservation',
     'Scheduler',
-    'UnlimitedLimiter',
+    'UnlimitedGrant',
 )
