--- a/packages/catkinreach-core/src/catkinreach_core/errors.py
+++ b/packages/catkinreach-core/src/catkinreach_core/errors.py
@@ -36,6 +36,7 @@
     NO_UPSTREAM = 'no-upstream'
     DEPENDENCY_OUT = 'dependency-out'
     UPSTREAM_FAILED = 'upstream-failed'
+    UPSTREAM_TIMEOUT = 'upstream-timeout'
     REQUEST_QUARANTINED = 'request-quarantined'
     NO_OWNER = 'no-owner'
     CONFIG_MISSING = 'config-missing'
@@ -128,6 +129,9 @@
     ErrorKind.UPSTREAM_FAILED: Answer(
         502, Outcome.UNKNOWN, None, 'The upstream failed.'
     ),
+    ErrorKind.UPSTREAM_TIMEOUT: Answer(
+        504, Outcome.UNKNOWN, None, 'The upstream did not answer in time.'
+    ),
     ErrorKind.REQUEST_QUARANTINED: Answer(
         422, _NOT_RUN, None, 'The request crashed upstreams before.'
     ),
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
@@ -0,0 +1,62 @@
+"""What a node tells its peers, a few times a second, as one datagram."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct, field
+
+from ..ids import UpstreamId, WorkspaceId
+from .crash_suspects import Fingerprint
+from .load_table import UpstreamLoad
+
+MAX_DIGEST_BYTES = 8_000
+MAX_TOLD_MEMBERS = 12
+"""Members that one message names; others follow in later messages."""
+
+
+class Digest(Struct, array_like=True, kw_only=True):
+    """One message.
+
+    Attributes:
+        node: Address of the sender.
+        is_leaving: Whether the sender is about to stop.
+        revision: Newest revision of the store that the sender has read.
+        members: Some other nodes that the sender heard.
+        loads: The sender's own work in flight, by upstream.
+        admitted: Cost that the sender admitted in the window, by workspace.
+        crashes: Breaks that the sender counted, by fingerprint.
+    """
+
+    node: str
+    is_leaving: bool
+    revision: int
+    members: list[str] = field(default_factory=list)
+    loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
+    admitted: dict[WorkspaceId, float] = field(default_factory=dict)
+    crashes: dict[Fingerprint, int] = field(default_factory=dict)
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Digest)
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """Returns a message as msgpack."""
+    return _ENCODER.encode(digest)
+
+
+def decode_digest(data: bytes) -> Digest | None:
+    """Returns a message, or ``None`` if the bytes are none."""
+    try:
+        return _DECODER.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+__all__ = (
+    'MAX_DIGEST_BYTES',
+    'MAX_TOLD_MEMBERS',
+    'Digest',
+    'decode_digest',
+    'encode_digest',
+)
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/load_table.py
@@ -0,0 +1,107 @@
+"""Work in flight at upstreams: this node's own and what peers told."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from ..ids import UpstreamId
+
+PEER_LOAD_TTL_S = 1.5
+"""Age at which a peer's loads no longer count."""
+
+
+class UpstreamLoad(Struct, array_like=True):
+    """Work in flight at one upstream.
+
+    Attributes:
+        running: Requests, prefills included.
+        prefill_tokens: Prompt tokens that wait to be read or are being read.
+        memory_tokens: Tokens that decoding requests may grow to.
+    """
+
+    running: int = 0
+    prefill_tokens: int = 0
+    memory_tokens: int = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Tells whether nothing is in flight."""
+        return not (self.running or self.prefill_tokens or self.memory_tokens)
+
+    def add(self, other: UpstreamLoad) -> None:
+        """Adds the work of another load to this one."""
+        self.running += other.running
+        self.prefill_tokens += other.prefill_tokens
+        self.memory_tokens += other.memory_tokens
+
+    def subtract(self, other: UpstreamLoad) -> None:
+        """Takes work of another load off this one."""
+        self.running -= other.running
+        self.prefill_tokens -= other.prefill_tokens
+        self.memory_tokens -= other.memory_tokens
+
+
+@dataclass(slots=True)
+class _PeerLoads:
+    heard_at_s: float
+    loads: Mapping[UpstreamId, UpstreamLoad] = field(default_factory=dict)
+
+
+class LoadTable:
+    """Loads by upstream."""
+
+    def __init__(self) -> None:
+        """Starts idle."""
+        self._own: dict[UpstreamId, UpstreamLoad] = {}
+        self._peers: dict[str, _PeerLoads] = {}
+
+    def begin(self, upstream_id: UpstreamId, work: UpstreamLoad) -> None:
+        """Counts work that is about to be sent."""
+        self._own.setdefault(upstream_id, UpstreamLoad()).add(work)
+
+    def end(self, upstream_id: UpstreamId, work: UpstreamLoad) -> None:
+        """Counts work that is over."""
+        load = self._own[upstream_id]
+        load.subtract(work)
+        if load.is_idle:
+            del self._own[upstream_id]
+
+    def hear(
+        self,
+        peer: str,
+        loads: Mapping[UpstreamId, UpstreamLoad],
+        now_s: float,
+    ) -> None:
+        """Takes a peer's loads; they replace what it told before."""
+        self._peers[peer] = _PeerLoads(now_s, loads)
+
+    def forget_peer(self, peer: str) -> None:
+        """Drops the loads of a peer that is gone."""
+        self._peers.pop(peer, None)
+
+    def own(self) -> dict[UpstreamId, UpstreamLoad]:
+        """Returns this node's loads."""
+        return self._own
+
+    def total(self, upstream_id: UpstreamId, now_s: float) -> UpstreamLoad:
+        """Returns the load of all nodes on one upstream."""
+        total = UpstreamLoad()
+        own = self._own.get(upstream_id)
+        if own is not None:
+            total.add(own)
+        for told in self._peers.values():
+            if now_s - told.heard_at_s > PEER_LOAD_TTL_S:
+                continue
+            load = told.loads.get(upstream_id)
+            if load is not None:
+                total.add(load)
+        return total
+
+
+__all__ = ('PEER_LOAD_TTL_S', 'LoadTable', 'UpstreamLoad')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
@@ -0,0 +1,79 @@
+"""Which other nodes there are, and which were heard lately."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SILENT_AFTER_S = 1.5
+"""Silence after which a member no longer counts as heard."""
+
+FORGET_AFTER_S = 15.0
+"""Silence after which a member no longer counts as a member."""
+
+
+class Members:
+    """Nodes by address; a member is a node that was heard lately."""
+
+    def __init__(self, own: str, seeds: Iterable[str]) -> None:
+        """Starts with the seeds, none of them heard."""
+        self._own = own
+        self._seeds = frozenset(seeds) - {own}
+        self._heard_at_s: dict[str, float] = {}
+        self._told: set[str] = set()
+
+    @property
+    def contacts(self) -> tuple[str, ...]:
+        """Returns all nodes that are told of this one."""
+        known = self._seeds | self._heard_at_s.keys() | self._told
+        return tuple(sorted(known - {self._own}))
+
+    @property
+    def count(self) -> int:
+        """Returns the number of members, this node included."""
+        return 1 + len(self._heard_at_s)
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Replaces the seeds."""
+        self._seeds = frozenset(seeds) - {self._own}
+
+    def hear(self, node: str, others: Iterable[str], now_s: float) -> bool:
+        """Takes a message of a node; True if it wasn't heard lately."""
+        last_s = self._heard_at_s.get(node)
+        self._heard_at_s[node] = now_s
+        self._told.update(others)
+        self._told.discard(self._own)
+        return last_s is None or now_s - last_s > SILENT_AFTER_S
+
+    def leave(self, node: str) -> None:
+        """Takes that a node says that it stops."""
+        self._heard_at_s.pop(node, None)
+        self._told.discard(node)
+
+    def heard(self, now_s: float) -> tuple[str, ...]:
+        """Returns the members that were heard lately."""
+        return tuple(
+            node
+            for node, at_s in self._heard_at_s.items()
+            if now_s - at_s <= SILENT_AFTER_S
+        )
+
+    def silent(self, now_s: float) -> int:
+        """Returns the number of members that were not heard lately."""
+        return len(self._heard_at_s) - len(self.heard(now_s))
+
+    def expire(self, now_s: float) -> tuple[str, ...]:
+        """Drops and returns members that have been silent for long."""
+        gone = tuple(
+            node
+            for node, at_s in self._heard_at_s.items()
+            if now_s - at_s > FORGET_AFTER_S
+        )
+        for node in gone:
+            self.leave(node)
+        return gone
+
+
+__all__ = ('FORGET_AFTER_S', 'SILENT_AFTER_S', 'Members')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
@@ -0,0 +1,54 @@
+"""Upstreams as the store lists them."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from msgspec import Struct
+
+from ..ids import FailureDomainId, ServiceId, UpstreamId
+from ..settings.node import Address
+
+
+class UpstreamState(Enum):
+    """What an upstream says of itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class Stage(Enum):
+    """What an upstream does for a request."""
+
+    WHOLE = 'whole'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+class Upstream(Struct, frozen=True, kw_only=True):
+    """One life of an upstream.
+
+    Attributes:
+        upstream_id: Name in the list.
+        service_id: Service that it belongs to.
+        address: Where it listens.
+        domain_id: Its failure domain.
+        state: Whether new work may go to it.
+        stage: ``WHOLE`` for plain upstreams.
+        slots: Requests that it runs at once.
+        cold_s: Seconds that it stays cold, counted from the entry's arrival.
+        started_ms: Unix time of its start; tells two lives of one id apart.
+    """
+
+    upstream_id: UpstreamId
+    service_id: ServiceId
+    address: Address
+    domain_id: FailureDomainId
+    state: UpstreamState
+    stage: Stage
+    slots: int
+    cold_s: float
+    started_ms: int
+
+
+__all__ = ('Stage', 'Upstream', 'UpstreamState')
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -0,0 +1,165 @@
+"""What a node believes of the deployment, and since when."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from .upstream import Upstream, UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from ..ids import FailureDomainId, ServiceId, UpstreamId
+    from .catalog import Catalog
+
+LAPSE_GRACE_S = 2.0
+"""Time for upstreams to renew entries that lapsed during an outage."""
+
+
+class KnownUpstream(Struct, kw_only=True):
+    """An upstream with the node's own times.
+
+    Attributes:
+        upstream: The entry.
+        cold_until_s: Monotonic time at which it is warm.
+        removed_at_s: When its entry went, ``None`` while it is listed.
+    """
+
+    upstream: Upstream
+    cold_until_s: float
+    removed_at_s: float | None = None
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tells whether the upstream bears only little load."""
+        return now_s < self.cold_until_s
+
+
+class FleetView:
+    """Configuration, upstreams and failure domains taken out.
+
+    An entry that goes missing while the store recovers from an outage stays
+    in use for ``LAPSE_GRACE_S``, since a live upstream renews it by then.
+    """
+
+    def __init__(self) -> None:
+        """Starts with nothing known."""
+        self._catalog: Catalog | None = None
+        self._known: dict[UpstreamId, KnownUpstream] = {}
+        self._by_service: dict[ServiceId, dict[UpstreamId, KnownUpstream]] = {}
+        self._evacuated: set[FailureDomainId] = set()
+        self._lapse_until_s = 0.0
+        self._is_listed = False
+
+    @property
+    def catalog(self) -> Catalog | None:
+        """Returns the newest accepted configuration."""
+        return self._catalog
+
+    @property
+    def is_complete(self) -> bool:
+        """Tells whether configuration and upstreams were read once."""
+        return self._catalog is not None and self._is_listed
+
+    @property
+    def evacuated(self) -> frozenset[FailureDomainId]:
+        """Returns the failure domains that get no new work."""
+        return frozenset(self._evacuated)
+
+    @property
+    def upstream_ids(self) -> tuple[UpstreamId, ...]:
+        """Returns the ids of all known upstreams."""
+        return tuple(self._known)
+
+    def accept(self, catalog: Catalog) -> bool:
+        """Takes a configuration; False if it is no newer than the known."""
+        known = self._catalog
+        if known is not None and catalog.version <= known.version:
+            return False
+        self._catalog = catalog
+        return True
+
+    def find(self, upstream_id: UpstreamId) -> KnownUpstream | None:
+        """Returns an upstream by id, if known."""
+        return self._known.get(upstream_id)
+
+    def put(self, upstream: Upstream, now_s: float) -> bool:
+        """Takes an entry; True if it tells of a new life."""
+        known = self._known.get(upstream.upstream_id)
+        is_new = (
+            known is None
+            or known.upstream.started_ms != upstream.started_ms
+            or known.upstream.address != upstream.address
+        )
+        if known is not None:
+            self._drop(known.upstream.upstream_id)
+        entry = KnownUpstream(
+            upstream=upstream, cold_until_s=now_s + upstream.cold_s
+        )
+        self._known[upstream.upstream_id] = entry
+        service = self._by_service.setdefault(upstream.service_id, {})
+        service[upstream.upstream_id] = entry
+        return is_new
+
+    def remove(self, upstream_id: UpstreamId, now_s: float) -> None:
+        """Takes the end of an entry."""
+        known = self._known.get(upstream_id)
+        if known is None:
+            return
+        if now_s >= self._lapse_until_s:
+            self._drop(upstream_id)
+        elif known.removed_at_s is None:
+            known.removed_at_s = now_s
+
+    def relist(self, upstreams: Iterable[Upstream], now_s: float) -> None:
+        """Takes the whole list; what isn't on it has lost its entry."""
+        missing = set(self._known)
+        for upstream in upstreams:
+            missing.discard(upstream.upstream_id)
+            self.put(upstream, now_s)
+        for upstream_id in missing:
+            self.remove(upstream_id, now_s)
+        self._is_listed = True
+
+    def store_returned(self, now_s: float) -> None:
+        """Notes that the store answers again after an outage."""
+        self._lapse_until_s = now_s + LAPSE_GRACE_S
+
+    def expire(self, now_s: float) -> tuple[UpstreamId, ...]:
+        """Drops upstreams that didn't renew their entries in time."""
+        if now_s < self._lapse_until_s:
+            return ()
+        lapsed = tuple(
+            upstream_id
+            for upstream_id, known in self._known.items()
+            if known.removed_at_s is not None
+        )
+        for upstream_id in lapsed:
+            self._drop(upstream_id)
+        return lapsed
+
+    def evacuate(self, domain_id: FailureDomainId) -> None:
+        """Takes a failure domain out."""
+        self._evacuated.add(domain_id)
+
+    def take_back(self, domain_id: FailureDomainId) -> None:
+        """Takes a failure domain back."""
+        self._evacuated.discard(domain_id)
+
+    def usable(self, service_id: ServiceId) -> Iterator[KnownUpstream]:
+        """Yields the upstreams of a service that may get new work."""
+        for known in self._by_service.get(service_id, {}).values():
+            upstream = known.upstream
+            if upstream.state is not UpstreamState.READY:
+                continue
+            if upstream.domain_id not in self._evacuated:
+                yield known
+
+    def _drop(self, upstream_id: UpstreamId) -> None:
+        known = self._known.pop(upstream_id)
+        service = self._by_service[known.upstream.service_id]
+        del service[upstream_id]
+
+
+__all__ = ('LAPSE_GRACE_S', 'FleetView', 'KnownUpstream')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -0,0 +1,167 @@
+"""One gateway process: its servers, its tasks and how it stops."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from ..http.messages import HttpResponse
+from ..http.server import HttpServer, ServerBounds
+from ..telemetry.metrics import METRICS_TYPE
+from .decision_log import Event
+from .ingress import Ingress
+from .node import Node
+from .peer_link import PeerLink
+from .probes import ProbeTask
+from .store_task import StoreTask
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinreach_core.gateway.feed import StoreFeed
+
+    from ..http.messages import HttpRequest
+    from .dialect import Dialect
+    from .settings import GatewaySettings
+
+LINGER_S = 3.0
+"""Time after a stop signal in which callers may still connect."""
+
+STOP_MARGIN_S = 0.4
+"""The process ends this long before it would be killed."""
+
+TICK_S = 0.5
+READY = HttpResponse(200, [('content-type', 'text/plain')], b'ready\n')
+NOT_READY = HttpResponse(503, [('content-type', 'text/plain')], b'not ready\n')
+
+
+class GatewayApp:
+    """Wires servers and tasks; runs until told to stop."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        *,
+        dialect: Dialect,
+        feed: StoreFeed,
+        reload: Callable[[], GatewaySettings | None],
+    ) -> None:
+        """Prepares the process.
+
+        Args:
+            settings: Start-up settings.
+            dialect: Spelling of requests and replies.
+            feed: Reader of the store.
+            reload: Returns new settings if they have changed.
+        """
+        self._node = Node(settings, dialect)
+        self._reload = reload
+        self._ingress = HttpServer(
+            Ingress(self._node).serve, name='ingress', bounds=ServerBounds()
+        )
+        self._ready = HttpServer(self._answer_ready, name='ready')
+        self._metrics = HttpServer(self._answer_metrics, name='metrics')
+        self._peers = PeerLink(self._node)
+        self._store = StoreTask(self._node, feed)
+        self._probes = ProbeTask(self._node)
+        self._stop = asyncio.Event()
+
+    def stop(self) -> None:
+        """Begins to stop, on a signal."""
+        self._node.is_stopping = True
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serves until stopped and drained."""
+        settings = self._node.settings
+        log = self._node.log
+        log.write(Event.START, vm=settings.vm_id, domain=settings.domain_id)
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(work)
+                for work in (
+                    self._store.run(),
+                    self._peers.run(),
+                    self._probes.run(),
+                    self._follow_settings(),
+                )
+            ]
+            await self._ready.start(settings.ready_address)
+            await self._metrics.start(settings.metrics_address)
+            await self._ingress.start(settings.caller_address)
+            await self._stop.wait()
+            await self._drain()
+            for task in tasks:
+                task.cancel()
+        self._close()
+        log.write(Event.STOP, vm=settings.vm_id)
+
+    async def _drain(self) -> None:
+        """Lets running requests end within the time that is given."""
+        grace_s = self._node.settings.bounds.stop_grace_s - STOP_MARGIN_S
+        self._node.log.write(
+            Event.STOPPING,
+            running=self._ingress.activity.running,
+            grace_s=grace_s,
+        )
+        await asyncio.sleep(min(LINGER_S, grace_s / 2))
+        await self._ingress.stop_accepting()
+        self._ingress.close_idle()
+        try:
+            async with asyncio.timeout(grace_s - LINGER_S):
+                await self._ingress.activity.wait_idle()
+        except TimeoutError:
+            self._node.log.write(
+                Event.STOPPING, running=self._ingress.activity.running
+            )
+
+    def _close(self) -> None:
+        self._peers.close()
+        for server in (self._ingress, self._ready, self._metrics):
+            server.close()
+        self._node.pool.close()
+
+    async def _follow_settings(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._apply_limits()
+            try:
+                settings = self._reload()
+            except Exception as error:  # noqa: BLE001 - any fault keeps the old
+                logger.opt(raw=True).debug('{}', error)
+                self._node.log.write(
+                    Event.RELOAD, outcome='kept', reason=str(error)
+                )
+                continue
+            if settings is not None:
+                self._node.members.set_seeds(settings.peer_hosts)
+                self._node.log.write(Event.RELOAD, outcome='taken')
+
+    def _apply_limits(self) -> None:
+        catalog = self._node.view.catalog
+        if catalog is None:
+            return
+        limits = catalog.limits
+        self._ingress.set_bounds(
+            ServerBounds(
+                head_timeout_s=limits.head_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+                max_body_bytes=limits.max_body_bytes,
+                max_head_bytes=limits.max_head_bytes,
+            )
+        )
+
+    async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
+        del request
+        is_ready = self._node.view.is_complete and not self._node.is_stopping
+        return READY if is_ready else NOT_READY
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        del request
+        text = self._node.metrics.exposition().encode()
+        return HttpResponse(200, [('content-type', METRICS_TYPE)], text)
+
+
+__all__ = ('GatewayApp',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -0,0 +1,156 @@
+"""Structured log: JSON lines on standard output, bounded, never blocking."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+import traceback
+from collections import Counter
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loguru import Message, Record
+
+LINES_PER_S: Final = 60.0
+"""Lines of one event that a process writes in the long run."""
+
+LINE_BURST: Final = 200.0
+MAX_PENDING_BYTES: Final = 256 * 1024
+MAX_TRACE: Final = 3000
+DOCUMENT: Final = 'document'
+
+
+class Event(Enum):
+    """The closed list of what is logged."""
+
+    START = 'start'
+    STOP = 'stop'
+    STOPPING = 'stopping'
+    RELOAD = 'reload'
+    DEPENDENCY_LOST = 'dependency-lost'
+    DEPENDENCY_BACK = 'dependency-back'
+    CATALOG = 'catalog-accepted'
+    UPSTREAM_KNOWN = 'upstream-known'
+    UPSTREAM_GONE = 'upstream-gone'
+    ENTRY_UNREADABLE = 'entry-unreadable'
+    DOMAIN = 'domain'
+    PEER_HEARD = 'peer-heard'
+    PEER_SILENT = 'peer-silent'
+    UPSTREAM_DOWN = 'upstream-down'
+    UPSTREAM_UP = 'upstream-up'
+    REFUSED = 'refused'
+    PLACED = 'placed'
+    SEND_FAILED = 'send-failed'
+    RESUMED = 'resumed'
+    FAILED = 'failed'
+    ANSWERED = 'answered'
+    CALLER_LEFT = 'caller-left'
+    SUSPECT = 'crash-suspect'
+    LINES_DROPPED = 'lines-dropped'
+    INTERNAL = 'internal-error'
+
+
+class LineWriter:
+    """Writes lines to a descriptor; drops them where it would block."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Makes the descriptor non-blocking."""
+        self._descriptor = descriptor
+        self._pending = b''
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, message: Message) -> None:
+        """Writes one line, or as much as fits."""
+        line = str(message).encode()
+        if len(self._pending) + len(line) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            return
+        self._pending += line
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except OSError:
+            return
+        self._pending = self._pending[written:]
+
+
+class DecisionLog:
+    """One line for each decision, within a budget for each event."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Starts with full budgets."""
+        self._clock = clock
+        self._tokens: dict[Event, tuple[float, float]] = {}
+        self._dropped: Counter[str] = Counter()
+
+    def write(self, event: Event, **fields: object) -> None:
+        """Writes a line unless the event's budget is used up.
+
+        Args:
+            event: What happened.
+            fields: Request id, inputs, their age or version, outcome.
+        """
+        if not self._take(event):
+            self._dropped[event.value] += 1
+            return
+        if self._dropped:
+            dropped = dict(self._dropped)
+            self._dropped.clear()
+            _emit(Event.LINES_DROPPED, {'count': dropped})
+        _emit(event, fields)
+
+    def _take(self, event: Event) -> bool:
+        now_s = self._clock()
+        tokens, at_s = self._tokens.get(event, (LINE_BURST, now_s))
+        tokens = min(LINE_BURST, tokens + (now_s - at_s) * LINES_PER_S)
+        is_taken = tokens >= 1
+        self._tokens[event] = (tokens - is_taken, now_s)
+        return is_taken
+
+
+class LoguruHandler(logging.Handler):
+    """Hands records of the standard library's loggers on."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Hands one record on."""
+        logger.opt(exception=record.exc_info).log(
+            record.levelname, record.getMessage()
+        )
+
+
+def set_up_decision_log() -> None:
+    """Sends log records to standard output, one JSON document a line."""
+    writer = LineWriter(sys.stdout.fileno())
+    logger.remove()
+    logger.add(writer, format=_line, catch=False, level='INFO')
+    logging.basicConfig(
+        handlers=[LoguruHandler()], level=logging.WARNING, force=True
+    )
+
+
+def _line(record: Record) -> str:
+    """Returns the format of a record, which is a JSON document."""
+    document = record['extra'].get(DOCUMENT)
+    if document is None:
+        document = {'event': 'message', 'text': record['message']}
+        error = record['exception']
+        if error is not None and error.value is not None:
+            trace = traceback.format_exception(error.value)
+            document['trace'] = ''.join(trace)[-MAX_TRACE:]
+    document['time'] = round(record['time'].timestamp(), 4)
+    record['extra']['line'] = msgspec.json.encode(document).decode()
+    return '{extra[line]}\n'
+
+
+def _emit(event: Event, fields: dict[str, object]) -> None:
+    logger.bind(**{DOCUMENT: {'event': event.value, **fields}}).info('')
+
+
+__all__ = ('DecisionLog', 'Event', 'LineWriter', 'set_up_decision_log')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -0,0 +1,134 @@
+"""One request sent to one upstream, up to the head of the reply."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import h11
+
+from ..http.client import ClientResponse, ExchangeError
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.terms import ReplyMarks
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import RequestId
+
+    from ..http.client import ClientConnection
+    from ..http.messages import Headers, HttpRequest
+    from .node import Node
+
+FIRST_FAILURE_STATUS = 500
+MAX_SKIPPED_REPLIES = 4
+
+
+@dataclass(slots=True)
+class Reply:
+    """A reply whose body is still to be read; holds its connection."""
+
+    node: Node
+    upstream: Upstream
+    connection: ClientConnection
+    status: int
+    headers: Headers
+    marks: ReplyMarks
+
+    @property
+    def is_success(self) -> bool:
+        """Tells whether the upstream ran the request well."""
+        return self.status < FIRST_FAILURE_STATUS and self.marks.is_sealed
+
+    async def next_data(self) -> tuple[bytes, bool]:
+        """Returns data of the body and whether it is whole.
+
+        Raises:
+            ExchangeError: if the body breaks off.
+        """
+        try:
+            return await self.connection.next_data()
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise ExchangeError('reply broke off') from error
+
+    async def read_all(self) -> bytes:
+        """Returns the whole body and gives the connection back.
+
+        Raises:
+            ExchangeError: if the body breaks off.
+        """
+        parts: list[bytes] = []
+        is_whole = False
+        try:
+            while not is_whole:
+                data, is_whole = await self.next_data()
+                parts.append(data)
+        finally:
+            if not is_whole:
+                self.abort()
+        self.give_back()
+        return b''.join(parts)
+
+    def give_back(self) -> None:
+        """Keeps the connection for the next request, if it may be."""
+        self.node.pool.give_back(
+            self.upstream.upstream_id,
+            self.connection,
+            self.marks.idle_timeout_s,
+        )
+
+    def abort(self) -> None:
+        """Closes the connection; the upstream drops the request."""
+        self.connection.close()
+
+
+async def exchange(
+    node: Node, upstream: Upstream, request: HttpRequest, request_id: RequestId
+) -> Reply:
+    """Sends a request and returns the head of its reply.
+
+    Raises:
+        ConnectError: nothing was sent.
+        ExchangeError: the request may have run.
+    """
+    connection = await node.pool.take(upstream)
+    is_answered = False
+    try:
+        await connection.send(request, request.header('host') or 'upstream')
+        reply = await _read_head(node, upstream, connection, request_id)
+        is_answered = True
+    except (OSError, h11.ProtocolError) as error:
+        raise ExchangeError(f'no reply from {upstream.address}') from error
+    finally:
+        if not is_answered:
+            connection.close()
+    return reply
+
+
+async def _read_head(
+    node: Node,
+    upstream: Upstream,
+    connection: ClientConnection,
+    request_id: RequestId,
+) -> Reply:
+    """Reads replies until one doesn't name another request."""
+    for _ in range(MAX_SKIPPED_REPLIES):
+        head = await connection.next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await connection.next_event()
+        if not isinstance(head, h11.Response):
+            raise ExchangeError(f'no reply from {upstream.address}')
+        response = ClientResponse(connection, head)
+        marks = node.dialect.read_reply(response.status, response.headers)
+        if marks.request_id in {None, request_id}:
+            return Reply(
+                node,
+                upstream,
+                connection,
+                response.status,
+                response.headers,
+                marks,
+            )
+        await connection.skip_response()
+    raise ExchangeError(f'only replies to other requests: {upstream.address}')
+
+
+__all__ = ('Reply', 'exchange')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -0,0 +1,178 @@
+"""From a caller's request to the flow that serves it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+from loguru import logger
+
+from catkinreach_core.errors import ANSWERS, CatkinreachError, ErrorKind
+from catkinreach_core.gateway.catalog import RouteKind
+from catkinreach_core.gateway.crash_suspects import Fingerprint
+
+from ..http.client import ExchangeError
+from ..http.problem import problem_response
+from .call import Call, refusal
+from .decision_log import Event
+from .plain_flow import PlainFlow
+from .stream_flow import StreamFlow
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.catalog import (
+        Catalog,
+        Route,
+        WorkspaceTerms,
+    )
+    from catkinreach_core.gateway.terms import RequestTerms
+
+    from ..http.messages import HttpRequest, HttpResponse
+    from .node import Node
+
+DEFAULT_DEADLINE_S = 30.0
+TIMEOUT_MARGIN_S = 0.02
+"""The node answers this long before the route's timeout."""
+
+RETRY_AFTER_HEADER = 'retry-after'
+
+
+class Ingress:
+    """Admits requests and hands them to the flow of their kind."""
+
+    def __init__(self, node: Node) -> None:
+        """Keeps the node's beliefs."""
+        self._node = node
+
+    async def serve(self, request: HttpRequest) -> HttpResponse:
+        """Returns the answer to one request."""
+        arrived_s = self._node.clock()
+        terms = self._node.dialect.read_request(request)
+        try:
+            response = await self._serve(request, terms, arrived_s)
+        except CatkinreachError as error:
+            response = self._refused(terms, error, arrived_s)
+        except ExchangeError as error:
+            failure = CatkinreachError(ErrorKind.UPSTREAM_FAILED, str(error))
+            response = self._refused(terms, failure, arrived_s)
+        except Exception as error:  # noqa: BLE001 - one call, not the process
+            logger.opt(exception=error).error('ingress: a request failed.')
+            failure = CatkinreachError(ErrorKind.INTERNAL)
+            response = self._refused(terms, failure, arrived_s)
+        if self._node.is_stopping:
+            response.headers.append(('connection', 'close'))
+        self._node.metrics.count_answer(response.status, 'any')
+        return response
+
+    async def _serve(
+        self, request: HttpRequest, terms: RequestTerms, arrived_s: float
+    ) -> HttpResponse:
+        call = self._admit(request, terms, arrived_s)
+        self._node.repeats.note_request(call.service.service_id, arrived_s)
+        traits = call.service.engine
+        if call.route.kind is RouteKind.STREAM and traits is not None:
+            return await StreamFlow(self._node, call, traits).run()
+        return await PlainFlow(self._node, call).run()
+
+    def _admit(
+        self, request: HttpRequest, terms: RequestTerms, arrived_s: float
+    ) -> Call:
+        catalog = self._node.view.catalog
+        if catalog is None or not self._node.view.is_complete:
+            raise refusal(self._node, ErrorKind.CONFIG_MISSING)
+        host = terms.host.partition(':')[0]
+        route = catalog.match(host, request.path)
+        if route is None:
+            raise CatkinreachError(ErrorKind.ROUTE_UNKNOWN)
+        workspace = _workspace(catalog, route, terms)
+        service_id = route.choose_service(self._node.rng)
+        fingerprint = _fingerprint(request, terms)
+        if self._node.suspects.is_refused(fingerprint):
+            raise CatkinreachError(
+                ErrorKind.INTERNAL, 'the request crashed upstreams before'
+            )
+        if workspace is not None:
+            self._charge(workspace, terms, arrived_s)
+        return Call(
+            request=request,
+            terms=terms,
+            route=route,
+            service=catalog.services[service_id],
+            workspace=workspace,
+            fingerprint=fingerprint,
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + _patience_s(route, terms),
+            version=catalog.version,
+        )
+
+    def _charge(
+        self, workspace: WorkspaceTerms, terms: RequestTerms, now_s: float
+    ) -> None:
+        cost = 1.0
+        if workspace.counts_tokens:
+            is_counted = terms.prompt_tokens is not None
+            cost = terms.total_tokens if is_counted else workspace.plain_cost
+        retry_after_s = self._node.quota.admit(
+            workspace,
+            cost,
+            heard=self._node.heard_quota(workspace.workspace_id),
+            silent_peers=self._node.members.silent(now_s),
+            members=self._node.members.count,
+            now_s=now_s,
+        )
+        if retry_after_s is not None:
+            raise refusal(self._node, ErrorKind.RATE_LIMITED, retry_after_s)
+
+    def _refused(
+        self, terms: RequestTerms, error: CatkinreachError, arrived_s: float
+    ) -> HttpResponse:
+        now_s = self._node.clock()
+        catalog = self._node.view.catalog
+        self._node.log.write(
+            Event.REFUSED,
+            request=terms.request_id,
+            code=error.kind.value,
+            status=ANSWERS[error.kind].status,
+            outcome=error.outcome.value,
+            detail=error.detail,
+            version=catalog and catalog.version,
+            after_s=round(now_s - arrived_s, 4),
+        )
+        response = problem_response(error)
+        headers = response.headers
+        headers[:] = [pair for pair in headers if pair[0] != RETRY_AFTER_HEADER]
+        if error.retry_after_s is not None:
+            headers.append((RETRY_AFTER_HEADER, f'{error.retry_after_s:.3f}'))
+        return response
+
+
+def _workspace(
+    catalog: Catalog, route: Route, terms: RequestTerms
+) -> WorkspaceTerms | None:
+    """Returns the workspace of the caller's key; none on public routes."""
+    if route.is_public or not catalog.has_workspaces:
+        return None
+    if terms.key is None:
+        raise CatkinreachError(ErrorKind.KEY_MISSING)
+    workspace = catalog.workspaces.get(terms.key)
+    if workspace is None:
+        raise CatkinreachError(ErrorKind.KEY_REFUSED)
+    return workspace
+
+
+def _patience_s(route: Route, terms: RequestTerms) -> float:
+    patience_s = terms.deadline_s
+    if patience_s is None:
+        patience_s = DEFAULT_DEADLINE_S
+    if route.timeout_s > 0:
+        patience_s = min(patience_s, route.timeout_s - TIMEOUT_MARGIN_S)
+    return patience_s
+
+
+def _fingerprint(request: HttpRequest, terms: RequestTerms) -> Fingerprint:
+    digest = xxhash.xxh3_64((terms.key or '').encode())
+    digest.update(request.target.encode())
+    digest.update(request.body)
+    return Fingerprint(digest.hexdigest())
+
+
+__all__ = ('Ingress',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -0,0 +1,172 @@
+"""What the tasks of one gateway process share: its beliefs and counts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from catkinreach_core.gateway.cold_start import ColdPacer
+from catkinreach_core.gateway.crash_suspects import CrashSuspects
+from catkinreach_core.gateway.health import HealthTable
+from catkinreach_core.gateway.load_table import LoadTable
+from catkinreach_core.gateway.members import Members
+from catkinreach_core.gateway.placement import Choice
+from catkinreach_core.gateway.quota import QuotaTable
+from catkinreach_core.gateway.repeats import RepeatBudget
+from catkinreach_core.gateway.view import FleetView
+from catkinreach_core.ids import Revision
+
+from ..http.client import ConnectError, ExchangeError, HttpClient
+from ..telemetry.metrics import Metrics
+from .decision_log import DecisionLog, Event
+from .upstream_pool import UpstreamPool
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from catkinreach_core.gateway.catalog import ServiceTraits
+    from catkinreach_core.gateway.crash_suspects import Fingerprint
+    from catkinreach_core.gateway.load_table import UpstreamLoad
+    from catkinreach_core.gateway.terms import KvHandle
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.gateway.view import KnownUpstream
+    from catkinreach_core.ids import ServiceId, UpstreamId, WorkspaceId
+
+    from .dialect import Dialect
+    from .exchange import Reply
+    from .settings import GatewaySettings
+
+FREE_TIMEOUT_S = 0.3
+
+
+class Node:
+    """Beliefs and counts of one process; changed only on its event loop."""
+
+    def __init__(self, settings: GatewaySettings, dialect: Dialect) -> None:
+        """Starts with nothing known but the settings."""
+        bounds = settings.bounds
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = time.monotonic
+        self.rng = random.Random()
+        self.view = FleetView()
+        self.loads = LoadTable()
+        self.health = HealthTable()
+        self.cold = ColdPacer()
+        self.suspects = CrashSuspects()
+        self.members = Members(settings.host, settings.peer_hosts)
+        self.quota = QuotaTable(
+            window_s=bounds.quota_window_s, slack=bounds.quota_slack
+        )
+        self.repeats = RepeatBudget(
+            ratio=bounds.repeat_ratio,
+            slack=bounds.repeat_slack,
+            window_s=bounds.repeat_window_s,
+        )
+        self.peer_admitted: dict[str, dict[WorkspaceId, float]] = {}
+        self.pool = UpstreamPool()
+        self.control_http = HttpClient()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.metrics = Metrics()
+        self.log = DecisionLog(self.clock)
+        self.is_stopping = False
+        self.revision = Revision(0)
+        self.peer_revision = Revision(0)
+
+    def choices(
+        self,
+        service_id: ServiceId,
+        traits: ServiceTraits,
+        excluded: set[UpstreamId],
+    ) -> list[Choice]:
+        """Returns the upstreams of a service that may get a request now."""
+        now_s = self.clock()
+        return [
+            self._choice(known, now_s)
+            for known in self.view.usable(service_id)
+            if known.upstream.upstream_id not in excluded
+            and not self.health.is_down(known.upstream.upstream_id)
+            and self._bears_more(known, traits, now_s)
+        ]
+
+    def heard_quota(self, workspace_id: WorkspaceId) -> float:
+        """Returns what peers that were heard lately admitted."""
+        return sum(
+            self.peer_admitted.get(peer, {}).get(workspace_id, 0.0)
+            for peer in self.members.heard(self.clock())
+        )
+
+    def begin_work(self, upstream_id: UpstreamId, work: UpstreamLoad) -> None:
+        """Counts work that is about to be sent to an upstream."""
+        self.loads.begin(upstream_id, work)
+        self.cold.spend(upstream_id)
+
+    def note_refused(self, reply: Reply) -> None:
+        """Takes that an upstream refused, or that another has its address."""
+        upstream_id = reply.upstream.upstream_id
+        if reply.marks.is_other_upstream:
+            self.health.note_unreachable(upstream_id, self.clock())
+        else:
+            self.health.note_failure(upstream_id, self.clock())
+
+    def check_crash(self, upstream: Upstream, fingerprint: Fingerprint) -> None:
+        """Finds out whether an upstream crashed under a request."""
+        self._spawn(self._confirm_crash(upstream, fingerprint))
+
+    def free_handle(self, handle: KvHandle) -> None:
+        """Frees KV cache that no engine will take."""
+        self._spawn(self._free(handle))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _confirm_crash(
+        self, upstream: Upstream, fingerprint: Fingerprint
+    ) -> None:
+        now_s = self.clock()
+        try:
+            await self.pool.probe(upstream)
+        except ConnectError:
+            self.health.note_unreachable(upstream.upstream_id, now_s)
+            crashes = self.suspects.note_break(fingerprint, now_s)
+            self.log.write(
+                Event.SUSPECT,
+                fingerprint=fingerprint,
+                upstream=upstream.upstream_id,
+                crashes=crashes,
+            )
+
+    async def _free(self, handle: KvHandle) -> None:
+        request = self.dialect.free_request(handle)
+        with suppress(ConnectError, ExchangeError, TimeoutError):
+            async with asyncio.timeout(FREE_TIMEOUT_S):
+                await self.control_http.call_raw(handle.engine, request)
+
+    def _choice(self, known: KnownUpstream, now_s: float) -> Choice:
+        upstream_id = known.upstream.upstream_id
+        return Choice(
+            known=known,
+            load=self.loads.total(upstream_id, now_s),
+            penalty=self.health.penalty(upstream_id, now_s),
+            is_cold=known.is_cold(now_s),
+        )
+
+    def _bears_more(
+        self, known: KnownUpstream, traits: ServiceTraits, now_s: float
+    ) -> bool:
+        if not traits.cold_per_s or not known.is_cold(now_s):
+            return True
+        return self.cold.has_room(
+            known.upstream.upstream_id,
+            traits.cold_per_s,
+            self.members.count,
+            now_s,
+        )
+
+
+__all__ = ('Node',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -0,0 +1,129 @@
+"""Datagrams between nodes: what each admitted and has in flight."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, cast
+
+from catkinreach_core.gateway.digest import (
+    MAX_DIGEST_BYTES,
+    MAX_TOLD_MEMBERS,
+    Digest,
+    decode_digest,
+    encode_digest,
+)
+from catkinreach_core.ids import Revision
+
+from .decision_log import Event
+
+if TYPE_CHECKING:
+    from .node import Node
+
+TELL_INTERVAL_S = 0.3
+MAX_TOLD_PEERS = 12
+"""Peers that are told at once; in larger fleets a random part of them."""
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Owns the datagram socket."""
+
+    def __init__(self, node: Node) -> None:
+        """Keeps the node's beliefs; the socket is opened by ``run``."""
+        self._node = node
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the socket."""
+        self._transport = cast('asyncio.DatagramTransport', transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes a message of a peer."""
+        digest = decode_digest(data)
+        if digest is not None and digest.node == addr[0]:
+            self._take(digest)
+
+    def error_received(self, exc: Exception) -> None:
+        """Passes over a peer that can't be reached: its silence counts."""
+
+    async def run(self) -> None:
+        """Tells the peers until cancelled."""
+        address = self._node.settings.peer_address
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.host, address.port)
+        )
+        while True:
+            self.tell()
+            self._expire()
+            jitter = 0.8 + 0.4 * self._node.rng.random()
+            await asyncio.sleep(TELL_INTERVAL_S * jitter)
+
+    def tell(self) -> None:
+        """Sends one message to the peers, or to a random part of them."""
+        if self._transport is None:
+            return
+        contacts = list(self._node.members.contacts)
+        if len(contacts) > MAX_TOLD_PEERS:
+            contacts = self._node.rng.sample(contacts, MAX_TOLD_PEERS)
+        data = encode_digest(self._digest())
+        if len(data) > MAX_DIGEST_BYTES:
+            data = encode_digest(self._digest(is_short=True))
+        port = self._node.settings.peer_address.port
+        for host in contacts:
+            self._transport.sendto(data, (host, port))
+
+    def close(self) -> None:
+        """Says goodbye and closes the socket."""
+        self.tell()
+        if self._transport is not None:
+            self._transport.close()
+
+    def _digest(self, *, is_short: bool = False) -> Digest:
+        node = self._node
+        now_s = node.clock()
+        heard = list(node.members.heard(now_s))
+        node.rng.shuffle(heard)
+        return Digest(
+            node=node.settings.host,
+            is_leaving=node.is_stopping,
+            revision=node.revision,
+            members=heard[:MAX_TOLD_MEMBERS],
+            loads={} if is_short else node.loads.own(),
+            admitted=node.quota.own_counts(now_s),
+            crashes=node.suspects.to_tell(now_s),
+        )
+
+    def _take(self, digest: Digest) -> None:
+        node = self._node
+        now_s = node.clock()
+        peer = digest.node
+        if node.members.hear(peer, digest.members, now_s):
+            node.log.write(
+                Event.PEER_HEARD, peer=peer, members=node.members.count
+            )
+        node.loads.hear(peer, digest.loads, now_s)
+        node.suspects.hear(peer, digest.crashes)
+        node.peer_admitted[peer] = digest.admitted
+        node.peer_revision = Revision(max(node.peer_revision, digest.revision))
+        if digest.is_leaving:
+            self._forget(peer, 'left')
+
+    def _expire(self) -> None:
+        for peer in self._node.members.expire(self._node.clock()):
+            self._forget(peer, 'silent')
+
+    def _forget(self, peer: str, reason: str) -> None:
+        node = self._node
+        node.members.leave(peer)
+        node.loads.forget_peer(peer)
+        node.suspects.forget_peer(peer)
+        node.peer_admitted.pop(peer, None)
+        node.log.write(
+            Event.PEER_SILENT,
+            peer=peer,
+            reason=reason,
+            members=node.members.count,
+        )
+
+
+__all__ = ('TELL_INTERVAL_S', 'PeerLink')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/probes.py
@@ -0,0 +1,57 @@
+"""Tries upstreams that couldn't be reached, so that no request has to."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ..http.client import ConnectError
+from .decision_log import Event
+
+if TYPE_CHECKING:
+    from catkinreach_core.ids import UpstreamId
+
+    from .node import Node
+
+PROBE_TICK_S = 0.1
+
+
+class ProbeTask:
+    """Connects to unreachable upstreams with growing pauses."""
+
+    def __init__(self, node: Node) -> None:
+        """Keeps the node's beliefs."""
+        self._node = node
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            await asyncio.sleep(PROBE_TICK_S)
+            now_s = self._node.clock()
+            due = self._node.health.due_probes(now_s)
+            await asyncio.gather(*map(self._probe, due))
+            for upstream_id in self._node.view.expire(now_s):
+                self._node.log.write(
+                    Event.UPSTREAM_GONE,
+                    upstream=upstream_id,
+                    reason='not renewed after the outage',
+                )
+
+    async def _probe(self, upstream_id: UpstreamId) -> None:
+        known = self._node.view.find(upstream_id)
+        if known is None:
+            self._node.health.forget(upstream_id)
+            return
+        try:
+            await self._node.pool.probe(known.upstream)
+        except ConnectError as error:
+            self._node.health.note_unreachable(upstream_id, self._node.clock())
+            self._node.log.write(
+                Event.UPSTREAM_DOWN, upstream=upstream_id, reason=str(error)
+            )
+            return
+        self._node.health.note_reachable(upstream_id)
+        self._node.log.write(Event.UPSTREAM_UP, upstream=upstream_id)
+
+
+__all__ = ('ProbeTask',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -0,0 +1,208 @@
+"""Keeps the node's view in step with the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from catkinreach_core.gateway.feed import (
+    CatalogRead,
+    DomainBack,
+    DomainOut,
+    EntryUnreadable,
+    HistoryLost,
+    StoreUnavailable,
+    UpstreamGone,
+    UpstreamRead,
+)
+
+from .decision_log import Event
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.catalog import Catalog
+    from catkinreach_core.gateway.feed import (
+        Change,
+        Listing,
+        StoreFeed,
+    )
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import Revision, UpstreamId
+
+    from .node import Node
+
+WATCH_WAIT_S = 2.0
+"""Time that a watch waits: a silent connection is noticed after it."""
+
+FIRST_RETRY_S = 0.1
+LAST_RETRY_S = 0.6
+DEPENDENCY = 'store'
+
+
+class StoreTask:
+    """Lists once, then watches; lists again when history is lost."""
+
+    def __init__(self, node: Node, feed: StoreFeed) -> None:
+        """Keeps the feed; nothing is read yet."""
+        self._node = node
+        self._feed = feed
+        self._is_lost = False
+        self._retry_s = FIRST_RETRY_S
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            revision = await self._list()
+            await self._watch_from(revision)
+
+    async def _list(self) -> Revision:
+        while True:
+            try:
+                listing = await self._feed.list_all()
+            except StoreUnavailable as error:
+                await self._note_lost(str(error))
+            except HistoryLost:
+                await self._note_lost('history lost')
+            else:
+                self._note_back()
+                self._take_listing(listing)
+                return listing.revision
+
+    async def _watch_from(self, revision: Revision) -> None:
+        """Watches until the store no longer knows the changes."""
+        while True:
+            try:
+                batch = await self._feed.watch(revision, WATCH_WAIT_S)
+            except StoreUnavailable as error:
+                await self._note_lost(str(error))
+                continue
+            except HistoryLost:
+                return
+            self._note_back()
+            for change in batch.changes:
+                self._take(change)
+            revision = batch.revision
+            self._node.revision = revision
+
+    async def _note_lost(self, reason: str) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._node.log.write(
+                Event.DEPENDENCY_LOST,
+                dependency=DEPENDENCY,
+                reason=reason,
+                revision=self._node.revision,
+            )
+        await asyncio.sleep(self._retry_s * (0.5 + self._node.rng.random()))
+        self._retry_s = min(LAST_RETRY_S, 2 * self._retry_s)
+
+    def _note_back(self) -> None:
+        self._retry_s = FIRST_RETRY_S
+        if not self._is_lost:
+            return
+        self._is_lost = False
+        self._node.view.store_returned(self._node.clock())
+        self._node.log.write(
+            Event.DEPENDENCY_BACK,
+            dependency=DEPENDENCY,
+            revision=self._node.revision,
+        )
+
+    def _take_listing(self, listing: Listing) -> None:
+        upstreams: list[Upstream] = []
+        out = set()
+        for change in listing.changes:
+            if isinstance(change, UpstreamRead):
+                upstreams.append(change.upstream)
+            elif isinstance(change, DomainOut):
+                out.add(change.domain_id)
+            else:
+                self._take(change)
+        for upstream in upstreams:
+            self._forget_old_life(upstream)
+        self._node.view.relist(upstreams, self._node.clock())
+        for domain_id in self._node.view.evacuated - out:
+            self._take(DomainBack(domain_id))
+        for domain_id in out - self._node.view.evacuated:
+            self._take(DomainOut(domain_id))
+        self._node.revision = listing.revision
+
+    def _take(self, change: Change) -> None:
+        match change:
+            case CatalogRead(catalog):
+                self._take_catalog(catalog)
+            case UpstreamRead(upstream):
+                self._take_upstream(upstream)
+            case UpstreamGone(upstream_id):
+                self._lose_upstream(upstream_id, 'entry removed')
+            case DomainOut(domain_id):
+                self._node.view.evacuate(domain_id)
+                self._log_domain(domain_id, 'out')
+            case DomainBack(domain_id):
+                self._node.view.take_back(domain_id)
+                self._log_domain(domain_id, 'back')
+            case EntryUnreadable():
+                self._take_unreadable(change)
+
+    def _take_catalog(self, catalog: Catalog) -> None:
+        if self._node.view.accept(catalog):
+            self._node.log.write(
+                Event.CATALOG,
+                version=catalog.version,
+                routes=sum(map(len, catalog.routes.values())),
+            )
+
+    def _take_unreadable(self, entry: EntryUnreadable) -> None:
+        self._node.log.write(
+            Event.ENTRY_UNREADABLE, key=entry.key, reason=entry.reason
+        )
+        if entry.upstream_id is not None:
+            self._lose_upstream(entry.upstream_id, 'entry unreadable')
+
+    def _take_upstream(self, upstream: Upstream) -> None:
+        self._forget_old_life(upstream)
+        self._node.view.put(upstream, self._node.clock())
+        self._node.log.write(
+            Event.UPSTREAM_KNOWN,
+            upstream=upstream.upstream_id,
+            service=upstream.service_id,
+            domain=upstream.domain_id,
+            state=upstream.state.value,
+            stage=upstream.stage.value,
+            cold_s=upstream.cold_s,
+        )
+
+    def _forget_old_life(self, upstream: Upstream) -> None:
+        """Drops what is known of an earlier life under the same id."""
+        known = self._node.view.find(upstream.upstream_id)
+        if known is None:
+            return
+        before = known.upstream
+        if (before.started_ms, before.address) != (
+            upstream.started_ms,
+            upstream.address,
+        ):
+            self._forget(upstream.upstream_id)
+
+    def _lose_upstream(self, upstream_id: UpstreamId, reason: str) -> None:
+        self._node.view.remove(upstream_id, self._node.clock())
+        if self._node.view.find(upstream_id) is None:
+            self._forget(upstream_id)
+        self._node.log.write(
+            Event.UPSTREAM_GONE, upstream=upstream_id, reason=reason
+        )
+
+    def _forget(self, upstream_id: UpstreamId) -> None:
+        self._node.pool.drop(upstream_id)
+        self._node.health.forget(upstream_id)
+        self._node.cold.forget(upstream_id)
+
+    def _log_domain(self, domain_id: str, state: str) -> None:
+        self._node.log.write(
+            Event.DOMAIN,
+            domain=domain_id,
+            state=state,
+            revision=self._node.revision,
+        )
+
+
+__all__ = ('WATCH_WAIT_S', 'StoreTask')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -0,0 +1,274 @@
+"""Streams: prefill, decode, and the way on when an engine is lost."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from catkinreach_core.errors import ErrorKind
+from catkinreach_core.gateway.load_table import UpstreamLoad
+from catkinreach_core.gateway.placement import StreamNeed, plan_stream
+
+from ..http.client import ConnectError, ExchangeError
+from ..http.messages import HttpResponse
+from .call import Attempts, refusal
+from .decision_log import Event
+from .engine_run import EngineRun
+from .event_relay import EventRelay
+from .exchange import exchange
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.catalog import EngineTraits
+    from catkinreach_core.gateway.placement import StreamPlan
+    from catkinreach_core.gateway.terms import KvHandle
+    from catkinreach_core.gateway.upstream import Upstream
+
+    from .call import Call
+    from .node import Node
+
+ROOM_WAIT_SHARE = 0.125
+"""Part of the latency target that a stream waits for room at an engine."""
+
+ROOM_POLL_S = 0.01
+PREFILL_SLACK_S = 0.2
+PREFILL_SLACK_FACTOR = 3.0
+"""A prefill may take its prediction times this, plus the slack."""
+
+FIRST_EVENT_SLACK_S = 0.3
+FIRST_EVENT_SLACK_FACTOR = 3.0
+LATE_SHARE = 1.0
+"""Part of the latency target beyond which a stream is refused at once."""
+
+MIN_LEFT_S = 0.02
+DEFAULT_PROMPT_TOKENS = 1000
+
+
+class StreamFlow:
+    """Opens one stream and keeps it going."""
+
+    def __init__(self, node: Node, call: Call, traits: EngineTraits) -> None:
+        """Prepares the call."""
+        self._node = node
+        self._call = call
+        self._traits = traits
+        self._attempts = Attempts(node, call)
+        self._is_prefill_spent = call.terms.resume_after is not None
+        prompt = call.terms.prompt_tokens
+        if prompt is None:
+            prompt = DEFAULT_PROMPT_TOKENS
+        self._need = StreamNeed(
+            prompt_tokens=prompt,
+            memory_tokens=prompt + call.terms.output_tokens,
+        )
+
+    async def run(self) -> HttpResponse:
+        """Returns the answer once its first event is there.
+
+        Raises:
+            CatkinreachError: if it can't be served.
+        """
+        run = await self._open(self._call.terms.resume_after)
+        reply = run.reply
+        headers = self._node.dialect.caller_headers(reply.headers)
+        if not reply.is_success:
+            return HttpResponse(reply.status, headers, await run.read_failure())
+        relay = EventRelay(self._node, self._call, self, run)
+        return HttpResponse(reply.status, headers, stream=relay)
+
+    @property
+    def can_resume(self) -> bool:
+        """Tells whether the stream may go on at another engine."""
+        return self._call.route.may_repeat and self._attempts.is_repeatable
+
+    async def resume(self, last_id: int | None) -> EngineRun | None:
+        """Opens the stream again after an event; ``None`` if it may not be."""
+        if not self.can_resume:
+            return None
+        run = await self._open(last_id)
+        if run.reply.is_success:
+            return run
+        run.close()
+        return None
+
+    def lost(self, run: EngineRun, reason: str) -> None:
+        """Notes that an engine broke off or fell silent."""
+        run.close()
+        upstream = run.reply.upstream
+        self._note_failure(upstream, reason)
+
+    async def _open(self, resume_after: int | None) -> EngineRun:
+        while self._attempts.left_s > MIN_LEFT_S:
+            plan = await self._plan()
+            handle = None
+            if plan.prefill is not None:
+                handle = await self._prefill(plan.prefill.upstream, plan)
+                if handle is None:
+                    continue
+            if not self._attempts.may_send():
+                self._free(handle)
+                break
+            run = await self._decode(plan, handle, resume_after)
+            if run is not None:
+                return run
+        raise self._attempts.error()
+
+    async def _plan(self) -> StreamPlan:
+        target_s = self._call.route.target_s
+        until_s = self._node.clock() + target_s * ROOM_WAIT_SHARE
+        while True:
+            plan = self._best_plan()
+            if plan is not None:
+                self._check_on_time(plan)
+                return plan
+            if self._node.clock() >= until_s:
+                raise self._attempts.error(ErrorKind.NO_UPSTREAM)
+            await asyncio.sleep(ROOM_POLL_S)
+
+    def _best_plan(self) -> StreamPlan | None:
+        service = self._call.service
+        choices = self._node.choices(
+            service.service_id, service, self._attempts.excluded
+        )
+        if self._is_prefill_spent:
+            choices = [one for one in choices if one.decodes]
+        return plan_stream(choices, self._need, self._traits)
+
+    def _check_on_time(self, plan: StreamPlan) -> None:
+        """Refuses a stream that would be late before anything was sent."""
+        elapsed_s = self._node.clock() - self._call.arrived_s
+        late_s = elapsed_s + plan.first_token_s
+        late_s -= self._call.route.target_s * LATE_SHARE
+        if late_s > 0 and not self._is_prefill_spent:
+            raise refusal(self._node, ErrorKind.DEADLINE_UNREACHABLE, late_s)
+
+    async def _prefill(
+        self, upstream: Upstream, plan: StreamPlan
+    ) -> KvHandle | None:
+        """Has the prompt read; only the first such call is free."""
+        self._is_prefill_spent = True
+        work = UpstreamLoad(running=1, prefill_tokens=self._need.prompt_tokens)
+        upstream_id = upstream.upstream_id
+        self._node.begin_work(upstream_id, work)
+        wait_s = PREFILL_SLACK_S + plan.first_token_s * PREFILL_SLACK_FACTOR
+        try:
+            async with asyncio.timeout(min(wait_s, self._attempts.left_s)):
+                return await self._prefill_exchange(upstream)
+        except ConnectError:
+            self._node.health.note_unreachable(upstream_id, self._node.clock())
+            self._attempts.failed(upstream_id, 'prefill unreachable')
+        except ExchangeError as error:
+            self._node.health.note_failure(upstream_id, self._node.clock())
+            self._attempts.failed(upstream_id, f'prefill: {error}')
+            self._node.check_crash(upstream, self._call.fingerprint)
+        except TimeoutError:
+            self._node.health.note_failure(upstream_id, self._node.clock())
+            self._attempts.failed(upstream_id, 'prefill not in time')
+        finally:
+            self._node.loads.end(upstream_id, work)
+        return None
+
+    async def _prefill_exchange(self, upstream: Upstream) -> KvHandle | None:
+        call = self._call
+        request = self._node.dialect.prefill_request(
+            call.request, call.send_terms(upstream, self._node.clock())
+        )
+        reply = await exchange(
+            self._node, upstream, request, call.terms.request_id
+        )
+        body = await reply.read_all()
+        handle = self._node.dialect.read_handle(upstream.address, body)
+        if handle is not None and not reply.marks.has_not_run:
+            self._node.health.note_success(
+                upstream.upstream_id, self._node.clock()
+            )
+            return handle
+        if reply.marks.has_not_run and not reply.marks.is_other_upstream:
+            self._attempts.note_sent()
+        self._node.note_refused(reply)
+        self._attempts.failed(
+            upstream.upstream_id, 'prefill refused', status=reply.status
+        )
+        return None
+
+    async def _decode(
+        self,
+        plan: StreamPlan,
+        handle: KvHandle | None,
+        resume_after: int | None,
+    ) -> EngineRun | None:
+        upstream = plan.decode.upstream
+        upstream_id = upstream.upstream_id
+        self._log_placed(plan, resume_after)
+        run = EngineRun(self._node, self._call, upstream, self._need, handle)
+        self._attempts.note_sent()
+        wait_s = FIRST_EVENT_SLACK_S
+        wait_s += plan.first_token_s * FIRST_EVENT_SLACK_FACTOR
+        is_open = False
+        try:
+            async with asyncio.timeout(self._patience_s(wait_s)):
+                await run.open(resume_after)
+            is_open = await self._accepts(run)
+        except ConnectError:
+            self._attempts.note_not_counted()
+            self._node.health.note_unreachable(upstream_id, self._node.clock())
+            self._attempts.failed(upstream_id, 'unreachable')
+        except ExchangeError as error:
+            self._note_failure(upstream, str(error))
+            self._node.check_crash(upstream, self._call.fingerprint)
+        except TimeoutError:
+            self._attempts.has_timed_out = True
+            self._note_failure(upstream, 'no first event in time')
+        finally:
+            if not is_open:
+                run.close()
+        if is_open:
+            return run
+        self._free(handle)
+        return None
+
+    async def _accepts(self, run: EngineRun) -> bool:
+        reply = run.reply
+        if reply.marks.has_not_run:
+            await run.read_failure()
+            self._node.note_refused(reply)
+            if reply.marks.is_other_upstream:
+                self._attempts.note_not_counted()
+            self._attempts.failed(
+                reply.upstream.upstream_id, 'refused', status=reply.status
+            )
+            return False
+        if not reply.marks.is_sealed:
+            raise ExchangeError('reply without the mark of its upstream')
+        return True
+
+    def _patience_s(self, wait_s: float) -> float:
+        """Returns how long to wait before another engine is tried."""
+        left_s = self._attempts.left_s
+        return min(left_s, wait_s) if self.can_resume else left_s
+
+    def _note_failure(self, upstream: Upstream, reason: str) -> None:
+        self._attempts.may_have_run = True
+        upstream_id = upstream.upstream_id
+        self._node.health.note_failure(upstream_id, self._node.clock())
+        self._attempts.failed(upstream_id, reason)
+
+    def _free(self, handle: KvHandle | None) -> None:
+        if handle is not None:
+            self._node.free_handle(handle)
+
+    def _log_placed(self, plan: StreamPlan, resume_after: int | None) -> None:
+        prefill = plan.prefill
+        self._node.log.write(
+            Event.PLACED,
+            request=self._call.terms.request_id,
+            workspace=self._call.workspace_id,
+            version=self._call.version,
+            decode=plan.decode.upstream.upstream_id,
+            prefill=prefill and prefill.upstream.upstream_id,
+            first_token_s=round(plan.first_token_s, 4),
+            members=self._node.members.count,
+            resume_after=resume_after,
+        )
+
+
+__all__ = ('StreamFlow',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -0,0 +1,125 @@
+"""Connections to upstreams, kept for the next request."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..http.client import ClientConnection
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import UpstreamId
+
+CONNECT_TIMEOUT_S = 0.35
+MAX_IDLE = 16
+"""Most idle connections to one upstream."""
+
+DEFAULT_IDLE_S = 30.0
+"""Time that an idle connection is kept where the upstream says nothing."""
+
+IDLE_MARGIN_S = 0.7
+"""A connection is left this long before the upstream would close it."""
+
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class _Idle:
+    connection: ClientConnection
+    until_s: float
+    watch: asyncio.Task[None]
+
+
+class UpstreamPool:
+    """Owns the connections to all upstreams."""
+
+    def __init__(self) -> None:
+        """Starts without connections."""
+        self._idle: dict[UpstreamId, list[_Idle]] = {}
+        self.opened = 0
+
+    async def take(self, upstream: Upstream) -> ClientConnection:
+        """Returns an idle connection or opens one.
+
+        Raises:
+            ConnectError: if the upstream does not accept.
+        """
+        idle = self._idle.get(upstream.upstream_id, [])
+        while idle:
+            kept = idle.pop()
+            kept.watch.cancel()
+            await asyncio.wait({kept.watch})
+            if kept.connection.is_reusable and time.monotonic() < kept.until_s:
+                return kept.connection
+            kept.connection.close()
+        return await self._open(upstream)
+
+    async def probe(self, upstream: Upstream) -> None:
+        """Opens a connection and keeps it.
+
+        Raises:
+            ConnectError: if the upstream does not accept.
+        """
+        connection = await self._open(upstream)
+        self._keep(upstream.upstream_id, connection, None)
+
+    def give_back(
+        self,
+        upstream_id: UpstreamId,
+        connection: ClientConnection,
+        idle_timeout_s: float | None,
+    ) -> None:
+        """Takes a connection whose exchange is complete."""
+        connection.finish()
+        self._keep(upstream_id, connection, idle_timeout_s)
+
+    def drop(self, upstream_id: UpstreamId) -> None:
+        """Closes the idle connections to an upstream that is gone."""
+        for kept in self._idle.pop(upstream_id, []):
+            kept.watch.cancel()
+            kept.connection.close()
+
+    def close(self) -> None:
+        """Closes every idle connection."""
+        for upstream_id in tuple(self._idle):
+            self.drop(upstream_id)
+
+    async def _open(self, upstream: Upstream) -> ClientConnection:
+        connection = await ClientConnection.open(
+            upstream.address, timeout_s=CONNECT_TIMEOUT_S
+        )
+        self.opened += 1
+        connection.buffer_requests(MAX_BUFFERED_BYTES)
+        return connection
+
+    def _keep(
+        self,
+        upstream_id: UpstreamId,
+        connection: ClientConnection,
+        idle_timeout_s: float | None,
+    ) -> None:
+        idle = self._idle.setdefault(upstream_id, [])
+        if not connection.is_reusable or len(idle) >= MAX_IDLE:
+            connection.close()
+            return
+        kept_s = DEFAULT_IDLE_S
+        if idle_timeout_s is not None:
+            kept_s = idle_timeout_s - IDLE_MARGIN_S
+        watch = asyncio.ensure_future(self._watch(upstream_id, connection))
+        until_s = time.monotonic() + kept_s
+        idle.append(_Idle(connection, until_s, watch))
+
+    async def _watch(
+        self, upstream_id: UpstreamId, connection: ClientConnection
+    ) -> None:
+        """Closes an idle connection that the upstream closes or writes to."""
+        await connection.wait_disturbed()
+        connection.close()
+        idle = self._idle.get(upstream_id, [])
+        idle[:] = [kept for kept in idle if kept.connection is not connection]
+
+
+__all__ = ('CONNECT_TIMEOUT_S', 'UpstreamPool')
--- a/packages/catkinreach-node/src/catkinreach_node/http/client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import defaultdict, deque
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING
 
 import h11
@@ -41,6 +41,7 @@
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(our_role=h11.CLIENT)
+        self._sent: tuple[h11.Event, ...] = ()
 
     @property
     def is_reusable(self) -> bool:
@@ -49,17 +50,20 @@
             self._protocol.our_state is h11.IDLE
             and not self._writer.is_closing()
             and not self._reader.at_eof()
+            and not self._writer.transport.get_write_buffer_size()
         )
 
     @classmethod
-    async def open(cls, address: Address) -> ClientConnection:
+    async def open(
+        cls, address: Address, *, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> ClientConnection:
         """Opens a connection.
 
         Raises:
             ConnectError: if the address does not accept in time.
         """
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 reader, writer = await asyncio.open_connection(
                     address.host, address.port
                 )
@@ -67,6 +71,14 @@
             raise ConnectError(f'no connection to {address}') from error
         return cls(reader, writer)
 
+    def buffer_requests(self, size_bytes: int) -> None:
+        """Lets requests up to a size be sent without waiting for the reader.
+
+        An upstream may answer before it has read the request; a sender that
+        waits for it to read would never see that answer.
+        """
+        self._writer.transport.set_write_buffer_limits(high=size_bytes)
+
     async def send(self, request: HttpRequest, host: str) -> None:
         """Sends a whole request."""
         headers = [
@@ -77,13 +89,35 @@
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
-        chunks = [self._protocol.send(head)]
-        if request.body:
-            chunks.append(self._protocol.send(h11.Data(data=request.body)))
-        chunks.append(self._protocol.send(h11.EndOfMessage()))
+        body = (h11.Data(data=request.body),) if request.body else ()
+        self._sent = (head, *body, h11.EndOfMessage())
+        chunks = [self._protocol.send(event) for event in self._sent]
         self._writer.write(b''.join(chunk for chunk in chunks if chunk))
         await self._writer.drain()
 
+    async def skip_response(self) -> None:
+        """Reads a response that belongs to another request to its end.
+
+        The next response is then the one to the request that was sent.
+
+        Raises:
+            ExchangeError: if the response breaks off.
+        """
+        is_whole = False
+        while not is_whole:
+            _, is_whole = await self.next_data()
+        rest, _ = self._protocol.trailing_data
+        self._protocol = h11.Connection(our_role=h11.CLIENT)
+        for event in self._sent:
+            self._protocol.send(event)
+        if rest:
+            self._protocol.receive_data(rest)
+
+    async def wait_disturbed(self) -> None:
+        """Waits until an idle connection is closed or sent something."""
+        with suppress(OSError):
+            await self._reader.read(READ_SIZE_BYTES)
+
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Returns the next event of the response."""
         while True:
@@ -239,6 +273,12 @@
             headers=[('content-type', JSON_TYPE), *(headers or [])],
             body=body,
         )
+        return await self.call_raw(address, request)
+
+    async def call_raw(
+        self, address: Address, request: HttpRequest
+    ) -> tuple[int, bytes]:
+        """Sends a request; returns the status and the raw body."""
         async with self.exchange(address, request) as response:
             return response.status, await response.read()
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/messages.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/messages.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncIterator
 
 Headers: TypeAlias = list[tuple[str, str]]
 
@@ -17,6 +17,16 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 
 
+class BodyStream(Protocol):
+    """A body that is made while it is sent."""
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Returns the iterator over the body's chunks."""
+
+    async def aclose(self) -> None:
+        """Ends the body early, also where no chunk was asked for yet."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A complete request.
@@ -52,7 +62,7 @@
     status: int
     headers: Headers = field(default_factory=list)
     body: bytes = b''
-    stream: AsyncGenerator[bytes, None] | None = None
+    stream: BodyStream | None = None
 
     @classmethod
     def from_json(
@@ -75,6 +85,7 @@
     'EVENT_STREAM_TYPE',
     'JSON_TYPE',
     'PROBLEM_TYPE',
+    'BodyStream',
     'Headers',
     'HttpRequest',
     'HttpResponse',
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -22,6 +22,11 @@
 
     from catkinreach_core.settings.node import Address
 
+_EVENT_STREAM_HEADERS = (
+    ('content-type', EVENT_STREAM_TYPE),
+    ('cache-control', 'no-store'),
+)
+
 RequestFilter: TypeAlias = 'Callable[[HttpRequest], Awaitable[HttpResponse]]'
 
 
@@ -100,6 +105,18 @@
             max_incomplete_event_size=bounds.max_head_bytes,
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Tells whether no byte of a request has arrived."""
+        return (
+            self._protocol.states[h11.CLIENT] is h11.IDLE
+            and not self._protocol.trailing_data[0]
+        )
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._writer.close()
+
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         timeout_s = self._bounds.head_timeout_s
@@ -231,15 +248,12 @@
 
     async def _send_stream(self, response: HttpResponse) -> None:
         assert response.stream is not None  # noqa: S101 - narrows the type
-        headers = [
-            ('content-type', EVENT_STREAM_TYPE),
-            ('cache-control', 'no-store'),
-            *response.headers,
-        ]
-        await self._send(
-            h11.Response(status_code=response.status, headers=headers)
-        )
+        headers = response.headers
+        if not any(name == 'content-type' for name, _ in headers):
+            headers = [*_EVENT_STREAM_HEADERS, *headers]
+        head = h11.Response(status_code=response.status, headers=headers)
         async with aclosing(response.stream) as chunks:
+            await self._send(head)
             async for chunk in chunks:
                 await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
@@ -286,7 +300,7 @@
         self._name = name
         self._bounds = bounds or ServerBounds()
         self._server: asyncio.Server | None = None
-        self._connections: set[asyncio.StreamWriter] = set()
+        self._connections: set[ServerConnection] = set()
         self._activity = Activity()
 
     @property
@@ -313,12 +327,22 @@
         if self._server is not None:
             self._server.close()
 
+    def set_bounds(self, bounds: ServerBounds) -> None:
+        """Sets the bounds of connections that are accepted from now on."""
+        self._bounds = bounds
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request has begun."""
+        for connection in tuple(self._connections):
+            if connection.is_idle:
+                connection.close()
+
     def close(self) -> None:
         """Closes the listening socket and every connection."""
         if self._server is not None:
             self._server.close()
-        for writer in tuple(self._connections):
-            writer.close()
+        for connection in tuple(self._connections):
+            connection.close()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -337,13 +361,13 @@
             )
             writer.close()
             return
-        self._connections.add(writer)
+        self._connections.add(connection)
         try:
             await connection.run()
         except (OSError, h11.ProtocolError):
             logger.debug('{}: a caller broke off.', self._name)
         finally:
-            self._connections.discard(writer)
+            self._connections.discard(connection)
             writer.close()
 
 
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
@@ -0,0 +1,107 @@
+"""Settings file of a process: lines of the form ``a.b=value``."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Final
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.ids import FailureDomainId, VmId
+from catkinreach_core.settings.node import Address
+
+from ..gateway.settings import GatewaySettings, SharedBounds
+
+BOOT_VARIABLE: Final = 'CATKINREACH_BOOT'
+MS_PER_S: Final = 1000.0
+
+
+class BootFile:
+    """The settings file; it may change at any time."""
+
+    def __init__(self, path: Path) -> None:
+        """Keeps the path."""
+        self._path = path
+        self._text = ''
+
+    @classmethod
+    def from_environment(cls) -> BootFile:
+        """Returns the file that the environment names."""
+        return cls(Path(os.environ[BOOT_VARIABLE]))
+
+    def read(self, metrics_port: int) -> GatewaySettings:
+        """Reads the settings; the file names no port for the metrics.
+
+        Raises:
+            CatkinreachError: if a field is missing or malformed.
+        """
+        self._text = self._path.read_text(encoding='utf-8')
+        return read_settings(self._text, metrics_port)
+
+    def has_changed(self) -> bool:
+        """Tells whether the text differs from the one read last."""
+        return self._path.read_text(encoding='utf-8') != self._text
+
+
+def read_settings(text: str, metrics_port: int) -> GatewaySettings:
+    """Returns typed settings.
+
+    Raises:
+        CatkinreachError: if a field is missing or malformed.
+    """
+    fields = dict(
+        line.strip().split('=', 1)
+        for line in text.splitlines()
+        if '=' in line and not line.lstrip().startswith('#')
+    )
+    try:
+        return _settings(fields, metrics_port)
+    except (KeyError, ValueError) as error:
+        raise CatkinreachError(
+            ErrorKind.SETTINGS_INVALID, f'settings file: {error!r}'
+        ) from error
+
+
+def read_address(text: str) -> Address:
+    """Returns the address that ``IP:PORT`` names.
+
+    Raises:
+        ValueError: if it names none.
+    """
+    host, separator, port = text.rpartition(':')
+    if not separator or not host:
+        raise ValueError(f'no address: {text!r}')
+    return Address(host=host, port=int(port))
+
+
+def _settings(fields: dict[str, str], metrics_port: int) -> GatewaySettings:
+    first_port = int(fields['internal-ports'].split(',')[0])
+    own_host = fields['ip']
+    seeds = [one for one in fields.get('seeds', '').split(',') if one]
+    return GatewaySettings(
+        vm_id=VmId(fields['node-name']),
+        domain_id=FailureDomainId(fields['zone']),
+        host=own_host,
+        caller_address=read_address(fields['listen.front']),
+        ready_address=read_address(fields['listen.ready']),
+        peer_address=Address(host=own_host, port=first_port),
+        metrics_address=Address(host=own_host, port=metrics_port),
+        store_address=read_address(fields['platform.address']),
+        # Seeds name another service's port; only the host matters here.
+        peer_hosts=tuple(read_address(one).host for one in seeds),
+        bounds=_bounds(fields),
+    )
+
+
+def _bounds(fields: dict[str, str]) -> SharedBounds:
+    return SharedBounds(
+        stop_grace_s=float(fields['bounds.grace-s']),
+        repeat_ratio=float(fields['bounds.budget-ratio']),
+        repeat_slack=float(fields['bounds.retry-slack']),
+        repeat_window_s=float(fields['bounds.budget-window-s']),
+        quota_window_s=float(fields['bounds.quota-window-s']),
+        quota_slack=float(fields['bounds.quota-slack']),
+    )
+
+
+__all__ = ('BootFile', 'read_address', 'read_settings')
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
@@ -0,0 +1,177 @@
+"""The operator's configuration document, decoded into the catalog."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+from msgspec import Struct, field
+
+from catkinreach_core.gateway.catalog import (
+    CallerLimits,
+    Catalog,
+    EngineTraits,
+    Route,
+    RouteKind,
+    ServiceShare,
+    ServiceTraits,
+    WorkspaceTerms,
+    routes_by_host,
+)
+from catkinreach_core.ids import RouteId, ServiceId, WorkspaceId
+
+from .boot import MS_PER_S
+
+KINDS: Final = {
+    'idempotent': RouteKind.IDEMPOTENT,
+    'non_idempotent': RouteKind.NON_IDEMPOTENT,
+    'streaming': RouteKind.STREAM,
+}
+COUNTED_IN_TOKENS: Final = 'tokens'
+
+
+class _Split(Struct):
+    service: str
+    weight: float
+
+
+class _Route(Struct, rename='kebab'):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    gap_aim_ms: float = 300.0
+    priority: int = 5
+    service: str = ''
+    weighted_split: list[_Split] = field(default_factory=list)
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(Struct, rename='kebab'):
+    kv_tokens: int
+    kv_token_bytes: int
+    link_mbps: float
+    handle_ttl_s: float = 0.5
+
+
+class _Service(Struct, rename='kebab'):
+    name: str
+    max_connections: int = 100
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Tenant(Struct, rename='kebab'):
+    name: str
+    api_keys: list[str] = field(default_factory=list)
+    priority: int | None = None
+    unit: str = ''
+    plain_tokens: float = 1.0
+    # A limit over all nodes, not of one node or connection.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Limits(Struct, rename='kebab'):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Config)
+
+
+def read_catalog(document: bytes) -> Catalog:
+    """Returns the configuration.
+
+    Raises:
+        msgspec.DecodeError: if the document is malformed.
+        KeyError: if a route has an unknown kind.
+    """
+    config = _DECODER.decode(document)
+    tenants = config.tenants or []
+    return Catalog(
+        version=config.version,
+        routes=dict(routes_by_host(map(_route, config.routes))),
+        services={
+            ServiceId(one.name): _service(one) for one in config.services
+        },
+        workspaces={
+            key: _workspace(tenant)
+            for tenant in tenants
+            for key in tenant.api_keys
+        },
+        has_workspaces=config.tenants is not None,
+        limits=CallerLimits(
+            max_head_bytes=config.limits.max_header_bytes,
+            max_body_bytes=config.limits.max_body_bytes,
+            head_timeout_s=config.limits.header_timeout_ms / MS_PER_S,
+            idle_timeout_s=config.limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(
+        ServiceShare(ServiceId(one.service), one.weight)
+        for one in route.weighted_split
+        if one.weight > 0
+    )
+    return Route(
+        route_id=RouteId(route.name),
+        host=route.host,
+        prefix=route.prefix,
+        kind=KINDS[route.kind],
+        shares=shares or (ServiceShare(ServiceId(route.service), 1.0),),
+        timeout_s=route.timeout_ms / MS_PER_S,
+        target_s=route.target_latency_ms / MS_PER_S,
+        gap_target_s=route.gap_aim_ms / MS_PER_S,
+        max_attempts=route.max_attempts,
+        priority=route.priority,
+        is_public=route.public,
+        is_resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> ServiceTraits:
+    engine = service.engine
+    return ServiceTraits(
+        service_id=ServiceId(service.name),
+        max_connections=service.max_connections,
+        cold_per_s=service.cold_per_s,
+        engine=None
+        if engine is None
+        else EngineTraits(
+            memory_tokens=engine.kv_tokens,
+            token_bytes=engine.kv_token_bytes,
+            link_mbps=engine.link_mbps,
+            handle_ttl_s=engine.handle_ttl_s,
+        ),
+    )
+
+
+def _workspace(tenant: _Tenant) -> WorkspaceTerms:
+    return WorkspaceTerms(
+        workspace_id=WorkspaceId(tenant.name),
+        rate=tenant.rate_per_s,
+        burst=tenant.burst,
+        counts_tokens=tenant.unit == COUNTED_IN_TOKENS,
+        plain_cost=tenant.plain_tokens,
+        priority=tenant.priority,
+    )
+
+
+__all__ = ('read_catalog',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/run.py
@@ -0,0 +1,78 @@
+"""Entry point of a front VM's process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from absl import app, flags
+
+from catkinreach_core.errors import CatkinreachError
+
+from ..gateway.app import GatewayApp
+from ..gateway.decision_log import set_up_decision_log
+from .boot import BootFile
+from .store import StoreClient
+from .wire import PlatformDialect
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..gateway.settings import GatewaySettings
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+_METRICS_PORT = flags.DEFINE_integer(
+    'metrics_port', 9464, 'TCP port of the metrics, on the address of the VM.'
+)
+
+
+async def run_gateway(boot: BootFile, settings: GatewaySettings) -> None:
+    """Runs a process until SIGTERM or SIGINT drains it."""
+
+    def reload() -> GatewaySettings | None:
+        return (
+            boot.read(settings.metrics_address.port)
+            if boot.has_changed()
+            else None
+        )
+
+    gateway = GatewayApp(
+        settings,
+        dialect=PlatformDialect(),
+        feed=StoreClient(settings.store_address),
+        reload=reload,
+    )
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, gateway.stop)
+    # The settings are followed without a signal; it must not end the process.
+    loop.add_signal_handler(signal.SIGHUP, int)
+    await gateway.run()
+
+
+def _run(arguments: Sequence[str]) -> int:
+    del arguments
+    set_up_decision_log()
+    try:
+        boot = BootFile.from_environment()
+        settings = boot.read(_METRICS_PORT.value)
+        asyncio.run(run_gateway(boot, settings))
+    except (OSError, KeyError, CatkinreachError) as error:
+        sys.stderr.write(f'catkinreachd: {error}\n')
+        return EXIT_SETTINGS
+    return EXIT_OK
+
+
+def main() -> None:
+    """Runs the process."""
+    app.run(_run)
+
+
+__all__ = ('main', 'run_gateway')
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -0,0 +1,189 @@
+"""Client of the platform's store: list and watch, reading only."""
+
+from __future__ import annotations
+
+import asyncio
+import binascii
+from base64 import b64decode
+from typing import TYPE_CHECKING, Final, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from msgspec import Struct, field
+
+from catkinreach_core.gateway.feed import (
+    CatalogRead,
+    Change,
+    ChangeBatch,
+    DomainBack,
+    DomainOut,
+    EntryUnreadable,
+    HistoryLost,
+    Listing,
+    StoreUnavailable,
+    UpstreamGone,
+    UpstreamRead,
+)
+from catkinreach_core.ids import FailureDomainId, Revision, UpstreamId
+
+from ..http.client import ConnectError, ExchangeError, HttpClient
+from ..http.messages import HttpRequest
+from .boot import MS_PER_S
+from .catalog import read_catalog
+from .registry import read_upstream
+
+if TYPE_CHECKING:
+    from catkinreach_core.settings.node import Address
+
+ALL_KEYS: Final = ''
+CONFIG_KEY: Final = 'op/config'
+OUT_PREFIX: Final = 'op/evacuate/'
+UPSTREAM_PREFIX: Final = 'servers/'
+LIST_TIMEOUT_S: Final = 1.5
+WATCH_SLACK_S: Final = 0.7
+STATUS_OK: Final = 200
+STATUS_HISTORY_LOST: Final = 410
+
+
+class _Item(Struct, rename='kebab'):
+    key: str
+    value: str = ''
+    revision: int = 0
+    removed: bool = False
+
+
+class _Page(Struct, rename='kebab'):
+    items: list[_Item]
+    current_rev: int
+    has_more: bool = False
+
+
+class _Events(Struct, rename='kebab'):
+    current_rev: int
+    events: list[_Item] = field(default_factory=list)
+
+
+_Message = TypeVar('_Message')
+
+_PAGE_DECODER = msgspec.json.Decoder(_Page)
+_EVENTS_DECODER = msgspec.json.Decoder(_Events)
+
+
+class StoreClient:
+    """Reads the store; owns its connections."""
+
+    def __init__(self, address: Address) -> None:
+        """Sets up the client of one store."""
+        self._address = address
+        self._http = HttpClient()
+        self.call_count = 0
+
+    async def list_all(self) -> Listing:
+        """Returns all that is published.
+
+        Raises:
+            StoreUnavailable: if it can't be read.
+        """
+        items: list[_Item] = []
+        revision: int | None = None
+        has_more = True
+        while has_more:
+            query = {'prefix': ALL_KEYS}
+            if items:
+                query['after'] = items[-1].key
+            body = await self._get('/kv-range', query, LIST_TIMEOUT_S)
+            page = _decode(_PAGE_DECODER, body)
+            # Pages are no snapshot: the watch starts at the first one.
+            revision = page.current_rev if revision is None else revision
+            items += page.items
+            has_more = page.has_more and bool(page.items)
+        changes = [change for item in items if (change := _change(item))]
+        return Listing(changes=changes, revision=Revision(revision or 0))
+
+    async def watch(self, after: Revision, wait_s: float) -> ChangeBatch:
+        """Returns the changes after a revision, once there are any.
+
+        Raises:
+            HistoryLost: if the store no longer knows them.
+            StoreUnavailable: if it can't be read.
+        """
+        query = {
+            'prefix': ALL_KEYS,
+            'after': str(after),
+            'wait-ms': str(int(wait_s * MS_PER_S)),
+        }
+        body = await self._get('/kv-watch', query, wait_s + WATCH_SLACK_S)
+        events = _decode(_EVENTS_DECODER, body)
+        changes = [
+            change for item in events.events if (change := _change(item))
+        ]
+        return ChangeBatch(
+            changes=changes, revision=Revision(events.current_rev)
+        )
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._http.close()
+
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> bytes:
+        self.call_count += 1
+        request = HttpRequest('GET', f'{path}?{urlencode(query)}')
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._http.exchange(self._address, request) as response,
+            ):
+                body = await response.read()
+        except (ConnectError, ExchangeError, TimeoutError) as error:
+            raise StoreUnavailable(str(error) or 'no answer in time') from error
+        if response.status == STATUS_HISTORY_LOST:
+            raise HistoryLost
+        if response.status != STATUS_OK:
+            raise StoreUnavailable(f'status {response.status}')
+        return body
+
+
+def _decode(decoder: msgspec.json.Decoder[_Message], body: bytes) -> _Message:
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise StoreUnavailable(f'malformed answer: {error}') from error
+
+
+def _change(item: _Item) -> Change | None:
+    """Returns the change that an item or event stands for, if any."""
+    if item.key == CONFIG_KEY:
+        return None if item.removed else _config_change(item)
+    if item.key.startswith(OUT_PREFIX):
+        domain_id = FailureDomainId(item.key.removeprefix(OUT_PREFIX))
+        return DomainBack(domain_id) if item.removed else DomainOut(domain_id)
+    if item.key.startswith(UPSTREAM_PREFIX):
+        return _upstream_change(item)
+    return None
+
+
+def _config_change(item: _Item) -> Change:
+    try:
+        catalog = read_catalog(b64decode(item.value, validate=True))
+    except (msgspec.DecodeError, KeyError, binascii.Error) as error:
+        return EntryUnreadable(item.key, str(error), None)
+    return CatalogRead(catalog)
+
+
+def _upstream_change(item: _Item) -> Change:
+    upstream_id = UpstreamId(item.key.removeprefix(UPSTREAM_PREFIX))
+    if item.removed:
+        return UpstreamGone(upstream_id)
+    try:
+        document = b64decode(item.value, validate=True)
+    except (binascii.Error, ValueError) as error:
+        return EntryUnreadable(item.key, str(error), upstream_id)
+    upstream = read_upstream(upstream_id, document)
+    if upstream is None:
+        return EntryUnreadable(item.key, 'fields', upstream_id)
+    return UpstreamRead(upstream)
+
+
+__all__ = ('StoreClient',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -0,0 +1,191 @@
+"""Headers of requests and replies, and the calls to engines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from msgspec import Struct
+
+from catkinreach_core.gateway.terms import KvHandle, ReplyMarks, RequestTerms
+from catkinreach_core.ids import RequestId
+
+from ..http.messages import Headers, HttpRequest
+from .boot import MS_PER_S
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.terms import SendTerms
+    from catkinreach_core.settings.node import Address
+
+REQUEST_ID: Final = 'request-id'
+DEADLINE: Final = 'deadline-ms'
+RESUME: Final = 'last-event-id'
+SEAL: Final = 'response-seal'
+MISDIRECTED: Final = 421
+MAX_PRIORITY: Final = 9
+
+PER_CONNECTION: Final = frozenset(
+    {
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+SET_BY_NODE: Final = frozenset(
+    {
+        'authorization',
+        DEADLINE,
+        'expect-instance',
+        'expect-version',
+        'kv-backup',
+        'kv-fetch',
+        'kv-hold',
+        'kv-source',
+        'pin-ms',
+        'request-priority',
+        'serving-stage',
+        'tenant',
+    }
+)
+KEPT_FROM_CALLER: Final = frozenset({'instance-load', 'not-executed'})
+
+
+class _Prefill(Struct):
+    handle: str
+
+
+_PREFILL_DECODER = msgspec.json.Decoder(_Prefill)
+
+
+class PlatformDialect:
+    """Reads and writes requests and replies as the platform spells them."""
+
+    def read_request(self, request: HttpRequest) -> RequestTerms:
+        """Returns what a caller asks."""
+        prompt, output = _token_counts(request.header('token-count'))
+        scheme, _, key = (request.header('authorization') or '').partition(' ')
+        deadline_ms = _number(request.header(DEADLINE))
+        return RequestTerms(
+            request_id=RequestId(request.header(REQUEST_ID) or ''),
+            host=request.header('host') or '',
+            key=key.strip() if scheme.lower() == 'bearer' else None,
+            deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
+            prompt_tokens=prompt,
+            output_tokens=output,
+            resume_after=_whole(request.header(RESUME)),
+        )
+
+    def run_request(self, request: HttpRequest, send: SendTerms) -> HttpRequest:
+        """Returns the request that an upstream is to run."""
+        headers = _forwarded(request)
+        if send.resume_after is not None:
+            headers = [pair for pair in headers if pair[0] != RESUME]
+            headers.append((RESUME, str(send.resume_after)))
+        if send.source is not None:
+            source = f'{send.source.engine}/{send.source.name}'
+            headers.append(('kv-source', source))
+        return _addressed(request, headers, send)
+
+    def prefill_request(
+        self, request: HttpRequest, send: SendTerms
+    ) -> HttpRequest:
+        """Returns the call that only has the prompt read."""
+        headers = [*_forwarded(request), ('serving-stage', 'prefill')]
+        return _addressed(request, headers, send)
+
+    def read_reply(self, status: int, headers: Headers) -> ReplyMarks:
+        """Returns what the head of a reply says."""
+        known = dict(headers)
+        request_id = known.get(REQUEST_ID)
+        return ReplyMarks(
+            request_id=None if request_id is None else RequestId(request_id),
+            is_sealed=SEAL in known,
+            has_not_run='not-executed' in known or status == MISDIRECTED,
+            is_other_upstream=status == MISDIRECTED,
+            idle_timeout_s=_idle_timeout_s(known.get('keep-alive')),
+        )
+
+    def read_handle(self, engine: Address, body: bytes) -> KvHandle | None:
+        """Returns the handle that a prefill call answered, if it did."""
+        try:
+            return KvHandle(
+                engine=engine, name=_PREFILL_DECODER.decode(body).handle
+            )
+        except msgspec.DecodeError:
+            return None
+
+    def free_request(self, handle: KvHandle) -> HttpRequest:
+        """Returns the call that frees KV cache that nobody will take."""
+        return HttpRequest('DELETE', f'/kv-handle/{handle.name}')
+
+    def caller_headers(self, headers: Headers) -> Headers:
+        """Returns the headers of a reply that the caller gets."""
+        dropped = _named_by_connection(headers) | PER_CONNECTION
+        dropped |= KEPT_FROM_CALLER
+        return [pair for pair in headers if pair[0] not in dropped]
+
+
+def _addressed(
+    request: HttpRequest, headers: Headers, send: SendTerms
+) -> HttpRequest:
+    headers += [
+        (DEADLINE, str(max(1, int(send.deadline_s * MS_PER_S)))),
+        ('expect-instance', send.upstream_id),
+        ('request-priority', str(min(MAX_PRIORITY, max(0, send.priority)))),
+    ]
+    if send.workspace_id is not None:
+        headers.append(('tenant', send.workspace_id))
+    return HttpRequest(request.method, request.target, headers, request.body)
+
+
+def _forwarded(request: HttpRequest) -> Headers:
+    dropped = _named_by_connection(request.headers)
+    dropped |= PER_CONNECTION | SET_BY_NODE
+    dropped -= {REQUEST_ID}
+    return [pair for pair in request.headers if pair[0] not in dropped]
+
+
+def _named_by_connection(headers: Headers) -> set[str]:
+    return {
+        token.strip().lower()
+        for name, text in headers
+        if name == 'connection'
+        for token in text.split(',')
+    }
+
+
+def _token_counts(text: str | None) -> tuple[int | None, int]:
+    prompt, _, output = (text or '').partition(',')
+    return _whole(prompt), _whole(output) or 0
+
+
+def _idle_timeout_s(text: str | None) -> float | None:
+    for part in (text or '').split(','):
+        name, _, number = part.strip().partition('=')
+        if name.lower() == 'timeout':
+            return _number(number)
+    return None
+
+
+def _number(text: str | None) -> float | None:
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
+def _whole(text: str | None) -> int | None:
+    stripped = (text or '').strip()
+    return int(stripped) if stripped.isdecimal() else None
+
+
+__all__ = ('PlatformDialect',)
