--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -49,6 +49,7 @@
         self._source = source
         self._run = run
         self._last_id = call.terms.resume_after
+        self._first_event_s = 0.0
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         """Returns the iterator over the events' bytes."""
@@ -64,9 +65,9 @@
 
     async def _chunks(self) -> AsyncIterator[bytes]:
         events = self._run.first_events
-        self._node.metrics.first_token.record(
-            self._node.clock() - self._call.arrived_s
-        )
+        first_s = self._node.clock() - self._call.arrived_s
+        self._first_event_s = round(first_s, 4)
+        self._node.metrics.first_token.record(first_s)
         while True:
             data = self._take(events)
             if data:
@@ -142,6 +143,7 @@
             request=self._call.terms.request_id,
             upstream=upstream_id,
             last_event=self._last_id,
+            first_event_s=self._first_event_s,
             after_s=round(now_s - self._call.arrived_s, 4),
         )
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -265,7 +265,9 @@
             version=self._call.version,
             decode=plan.decode.upstream.upstream_id,
             prefill=prefill and prefill.upstream.upstream_id,
+            prompt_tokens=self._need.prompt_tokens,
             first_token_s=round(plan.first_token_s, 4),
+            elapsed_s=round(self._node.clock() - self._call.arrived_s, 4),
             members=self._node.members.count,
             resume_after=resume_after,
         )
