Tell peers at once when work at an engine begins or ends

Cause: prefills take about 100 ms, peers told their loads every 300 ms, so several nodes chose the same engine and filled the same memory. Change: a change of load wakes the sender, 10 ms apart at the least.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_run.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_run.py
@@ -111,7 +111,7 @@
             return
         self._is_closed = True
         self._end_waiting()
-        self._node.loads.end(self._upstream.upstream_id, self._held)
+        self._node.end_work(self._upstream.upstream_id, self._held)
         if self._reply is None:
             return
         if self.is_whole:
@@ -122,7 +122,7 @@
     def _end_waiting(self) -> None:
         waiting, self._waiting = self._waiting, UpstreamLoad()
         if not waiting.is_idle:
-            self._node.loads.end(self._upstream.upstream_id, waiting)
+            self._node.end_work(self._upstream.upstream_id, waiting)
 
 
 __all__ = ('EngineRun',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -72,6 +72,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.metrics = Metrics()
         self.log = DecisionLog(self.clock)
+        self.load_changed = asyncio.Event()
         self.is_stopping = False
         self.revision = Revision(0)
         self.peer_revision = Revision(0)
@@ -103,6 +104,12 @@
         """Counts work that is about to be sent to an upstream."""
         self.loads.begin(upstream_id, work)
         self.cold.spend(upstream_id)
+        self.load_changed.set()
+
+    def end_work(self, upstream_id: UpstreamId, work: UpstreamLoad) -> None:
+        """Counts work that is over."""
+        self.loads.end(upstream_id, work)
+        self.load_changed.set()
 
     def note_refused(self, reply: Reply) -> None:
         """Takes that an upstream refused, or that another has its address."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING, cast
 
 from catkinreach_core.gateway.digest import (
@@ -20,6 +21,9 @@
     from .node import Node
 
 TELL_INTERVAL_S = 0.3
+MIN_TELL_GAP_S = 0.01
+"""Changes of load that follow each other this closely are told together."""
+
 MAX_TOLD_PEERS = 12
 """Peers that are told at once; in larger fleets a random part of them."""
 
@@ -55,8 +59,17 @@
         while True:
             self.tell()
             self._expire()
-            jitter = 0.8 + 0.4 * self._node.rng.random()
-            await asyncio.sleep(TELL_INTERVAL_S * jitter)
+            await asyncio.sleep(MIN_TELL_GAP_S)
+            await self._wait_news()
+
+    async def _wait_news(self) -> None:
+        """Waits until work at an engine began or ended, or for the interval."""
+        changed = self._node.load_changed
+        jitter = 0.8 + 0.4 * self._node.rng.random()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(TELL_INTERVAL_S * jitter):
+                await changed.wait()
+        changed.clear()
 
     def tell(self) -> None:
         """Sends one message to the peers, or to a random part of them."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -164,7 +164,7 @@
             self._node.health.note_failure(upstream_id, self._node.clock())
             self._attempts.failed(upstream_id, 'prefill not in time')
         finally:
-            self._node.loads.end(upstream_id, work)
+            self._node.end_work(upstream_id, work)
         return None
 
     async def _prefill_exchange(self, upstream: Upstream) -> KvHandle | None:
