Set decode memory aside before the prefill, for the output that streams make

Change: the run at the decode engine is counted when it is planned; the share of the allowed output is learned from streams that ended. Ruled out: learning alone, which let engines refuse 23 prompts already read. Refusals for want of decode memory remain.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/catalog.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/catalog.py
@@ -84,12 +84,14 @@
         token_bytes: KV cache of one token.
         link_mbps: Rate of an engine's link.
         handle_ttl_s: Life of a prefill result that nobody takes.
+        event_tokens: Tokens that one event of a stream holds.
     """
 
     memory_tokens: int
     token_bytes: int
     link_mbps: float
     handle_ttl_s: float
+    event_tokens: int
 
 
 class ServiceTraits(Struct, frozen=True, kw_only=True):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_run.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_run.py
@@ -28,24 +28,33 @@
         call: Call,
         upstream: Upstream,
         need: StreamNeed,
-        source: KvHandle | None,
+        *,
+        reads_prompt: bool,
     ) -> None:
-        """Counts the work; nothing is sent yet."""
+        """Sets the memory aside; nothing is sent yet.
+
+        Args:
+            node: The node's beliefs.
+            call: The call to serve.
+            upstream: The engine.
+            need: What the stream needs there.
+            reads_prompt: Whether the engine reads the prompt itself.
+        """
         self._node = node
         self._call = call
         self._upstream = upstream
-        self._source = source
+        self.source: KvHandle | None = None
         self._reply: Reply | None = None
         self._cutter = EventCutter()
         self._is_closed = False
         self._waiting = UpstreamLoad(
-            prefill_tokens=0 if source else need.prompt_tokens
+            prefill_tokens=need.prompt_tokens if reads_prompt else 0
         )
         self._held = UpstreamLoad(running=1, memory_tokens=need.memory_tokens)
         self.first_events: list[StreamEvent] = []
         self.is_whole = False
         node.begin_work(upstream.upstream_id, self._held)
-        node.loads.begin(upstream.upstream_id, self._waiting)
+        node.begin_work(upstream.upstream_id, self._waiting)
 
     @property
     def reply(self) -> Reply:
@@ -69,7 +78,7 @@
         send = call.send_terms(
             self._upstream,
             self._node.clock(),
-            source=self._source,
+            source=self.source,
             resume_after=resume_after,
         )
         self._reply = await exchange(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -138,6 +138,7 @@
         upstream_id = self._run.reply.upstream.upstream_id
         self._node.health.note_success(upstream_id, now_s)
         self._node.suspects.clear(self._call.fingerprint)
+        self._note_output()
         self._node.log.write(
             Event.ANSWERED,
             request=self._call.terms.request_id,
@@ -147,5 +148,14 @@
             after_s=round(now_s - self._call.arrived_s, 4),
         )
 
+    def _note_output(self) -> None:
+        """Lets the estimate learn from the tokens that were made."""
+        traits = self._call.service.engine
+        allowed = self._call.terms.output_tokens
+        if traits is None or not allowed or self._last_id is None:
+            return
+        made = self._last_id * traits.event_tokens
+        self._node.outputs.note_finished(made / allowed)
+
 
 __all__ = ('EventRelay', 'StreamSource')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -13,6 +13,7 @@
 from catkinreach_core.gateway.health import HealthTable
 from catkinreach_core.gateway.load_table import LoadTable
 from catkinreach_core.gateway.members import Members
+from catkinreach_core.gateway.output_estimate import OutputEstimate
 from catkinreach_core.gateway.placement import Choice
 from catkinreach_core.gateway.quota import QuotaTable
 from catkinreach_core.gateway.repeats import RepeatBudget
@@ -56,6 +57,7 @@
         self.loads = LoadTable()
         self.health = HealthTable()
         self.cold = ColdPacer()
+        self.outputs = OutputEstimate()
         self.suspects = CrashSuspects()
         self.members = Members(settings.host, settings.peer_hosts)
         self.quota = QuotaTable(
@@ -103,7 +105,6 @@
     def begin_work(self, upstream_id: UpstreamId, work: UpstreamLoad) -> None:
         """Counts work that is about to be sent to an upstream."""
         self.loads.begin(upstream_id, work)
-        self.cold.spend(upstream_id)
         self.load_changed.set()
 
     def end_work(self, upstream_id: UpstreamId, work: UpstreamLoad) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
@@ -83,6 +83,7 @@
         work = UpstreamLoad(running=1)
         upstream_id = upstream.upstream_id
         self._node.loads.begin(upstream_id, work)
+        self._node.cold.spend(upstream_id)
         self._attempts.note_sent()
         try:
             async with asyncio.timeout(self._wait_s()):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -58,7 +58,9 @@
             prompt = DEFAULT_PROMPT_TOKENS
         self._need = StreamNeed(
             prompt_tokens=prompt,
-            memory_tokens=prompt + call.terms.output_tokens,
+            memory_tokens=node.outputs.memory_tokens(
+                prompt, call.terms.output_tokens
+            ),
         )
 
     async def run(self) -> HttpResponse:
@@ -99,19 +101,36 @@
     async def _open(self, resume_after: int | None) -> EngineRun:
         while self._attempts.left_s > MIN_LEFT_S:
             plan = await self._plan()
-            handle = None
-            if plan.prefill is not None:
-                handle = await self._prefill(plan.prefill.upstream, plan)
-                if handle is None:
-                    continue
-            if not self._attempts.may_send():
-                self._free(handle)
-                break
-            run = await self._decode(plan, handle, resume_after)
-            if run is not None:
+            run = EngineRun(
+                self._node,
+                self._call,
+                plan.decode.upstream,
+                self._need,
+                reads_prompt=plan.prefill is None,
+            )
+            if await self._start(plan, run, resume_after):
                 return run
         raise self._attempts.error()
 
+    async def _start(
+        self, plan: StreamPlan, run: EngineRun, resume_after: int | None
+    ) -> bool:
+        """Has the prompt read, if planned, and the stream begun."""
+        is_open = False
+        try:
+            if plan.prefill is not None:
+                run.source = await self._prefill(plan.prefill.upstream, plan)
+                if run.source is None:
+                    return False
+            if not self._attempts.may_send():
+                raise self._attempts.error()
+            is_open = await self._decode(plan, run, resume_after)
+        finally:
+            if not is_open:
+                run.close()
+                self._free(run.source)
+        return is_open
+
     async def _plan(self) -> StreamPlan:
         target_s = self._call.route.target_s
         until_s = self._node.clock() + target_s * ROOM_WAIT_SHARE
@@ -149,6 +168,7 @@
         work = UpstreamLoad(running=1, prefill_tokens=self._need.prompt_tokens)
         upstream_id = upstream.upstream_id
         self._node.begin_work(upstream_id, work)
+        self._node.cold.spend(upstream_id)
         wait_s = PREFILL_SLACK_S + plan.first_token_s * PREFILL_SLACK_FACTOR
         try:
             async with asyncio.timeout(min(wait_s, self._attempts.left_s)):
@@ -191,23 +211,19 @@
         return None
 
     async def _decode(
-        self,
-        plan: StreamPlan,
-        handle: KvHandle | None,
-        resume_after: int | None,
-    ) -> EngineRun | None:
+        self, plan: StreamPlan, run: EngineRun, resume_after: int | None
+    ) -> bool:
         upstream = plan.decode.upstream
         upstream_id = upstream.upstream_id
         self._log_placed(plan, resume_after)
-        run = EngineRun(self._node, self._call, upstream, self._need, handle)
         self._attempts.note_sent()
+        self._node.cold.spend(upstream_id)
         wait_s = FIRST_EVENT_SLACK_S
         wait_s += plan.first_token_s * FIRST_EVENT_SLACK_FACTOR
-        is_open = False
         try:
             async with asyncio.timeout(self._patience_s(wait_s)):
                 await run.open(resume_after)
-            is_open = await self._accepts(run)
+            return await self._accepts(run)
         except ConnectError:
             self._attempts.note_not_counted()
             self._node.health.note_unreachable(upstream_id, self._node.clock())
@@ -218,13 +234,7 @@
         except TimeoutError:
             self._attempts.has_timed_out = True
             self._note_failure(upstream, 'no first event in time')
-        finally:
-            if not is_open:
-                run.close()
-        if is_open:
-            return run
-        self._free(handle)
-        return None
+        return False
 
     async def _accepts(self, run: EngineRun) -> bool:
         reply = run.reply
@@ -233,8 +243,14 @@
             self._node.note_refused(reply)
             if reply.marks.is_other_upstream:
                 self._attempts.note_not_counted()
+            upstream_id = reply.upstream.upstream_id
+            load = self._node.loads.total(upstream_id, self._node.clock())
             self._attempts.failed(
-                reply.upstream.upstream_id, 'refused', status=reply.status
+                upstream_id,
+                'refused',
+                status=reply.status,
+                running=load.running,
+                memory_tokens=load.memory_tokens,
             )
             return False
         if not reply.marks.is_sealed:
@@ -266,6 +282,7 @@
             decode=plan.decode.upstream.upstream_id,
             prefill=prefill and prefill.upstream.upstream_id,
             prompt_tokens=self._need.prompt_tokens,
+            output_tokens=self._call.terms.output_tokens,
             first_token_s=round(plan.first_token_s, 4),
             elapsed_s=round(self._node.clock() - self._call.arrived_s, 4),
             members=self._node.members.count,
--- a/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
@@ -56,6 +56,7 @@
     kv_token_bytes: int
     link_mbps: float
     handle_ttl_s: float = 0.5
+    stride: int = 1
 
 
 class _Service(Struct, rename='kebab'):
@@ -159,6 +160,7 @@
             token_bytes=engine.kv_token_bytes,
             link_mbps=engine.link_mbps,
             handle_ttl_s=engine.handle_ttl_s,
+            event_tokens=engine.stride,
         ),
     )
 
