Order surplus prefill engines to decode, from one node at a time

Change: the number of readers follows from the memory that decode engines turn over; a node that a majority names gives the orders, with a fence that grows with the store's revision, after telling the peers. No request waits for it.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/catalog.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/catalog.py
@@ -85,6 +85,7 @@
         link_mbps: Rate of an engine's link.
         handle_ttl_s: Life of a prefill result that nobody takes.
         event_tokens: Tokens that one event of a stream holds.
+        stage_switch_s: Time that an engine is out when its stage changes.
     """
 
     memory_tokens: int
@@ -92,6 +93,7 @@
     link_mbps: float
     handle_ttl_s: float
     event_tokens: int
+    stage_switch_s: float
 
 
 class ServiceTraits(Struct, frozen=True, kw_only=True):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
@@ -25,6 +25,8 @@
         loads: The sender's own work in flight, by upstream.
         admitted: Cost that the sender admitted in the window, by workspace.
         crashes: Breaks that the sender counted, by fingerprint.
+        holder: Node that the sender names as the one to give orders.
+        switching: Seconds for which engines that change their stage are out.
     """
 
     node: str
@@ -34,6 +36,8 @@
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
     admitted: dict[WorkspaceId, float] = field(default_factory=dict)
     crashes: dict[Fingerprint, int] = field(default_factory=dict)
+    holder: str = ''
+    switching: dict[UpstreamId, float] = field(default_factory=dict)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
@@ -35,6 +35,11 @@
         """Returns the number of members, this node included."""
         return 1 + len(self._heard_at_s)
 
+    @property
+    def least_count(self) -> int:
+        """Returns the number of nodes that the settings name, with this one."""
+        return 1 + len(self._seeds)
+
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Replaces the seeds."""
         self._seeds = frozenset(seeds) - {self._own}
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/stage_plan.py
@@ -0,0 +1,61 @@
+"""How many engines of a service only read prompts.
+
+Load pattern: many long prompts at once. Prefill engines that stand idle
+hold memory that the decode engines lack, and streams are refused.
+
+A prefill engine reads as many tokens a second as fill the memory of some
+decode engines at the rate at which their streams end. That ratio tells how
+many readers a service needs; a decode engine can read prompts too.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .placement import PREFILL_TOKENS_PER_S
+from .upstream import Stage, UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from ..ids import UpstreamId
+    from .catalog import EngineTraits
+    from .upstream import Upstream
+
+RESIDENCE_S = 3.0
+"""Time that a stream holds its memory."""
+
+MIN_READERS = 1
+
+
+def wanted_readers(engines: int, traits: EngineTraits) -> int:
+    """Returns the number of prefill engines that a service needs."""
+    turnover_per_s = traits.memory_tokens / RESIDENCE_S
+    fed = PREFILL_TOKENS_PER_S / turnover_per_s
+    return max(MIN_READERS, int(engines / (1 + fed)))
+
+
+def surplus_reader(
+    upstreams: Collection[Upstream],
+    traits: EngineTraits,
+    switching: Collection[UpstreamId],
+) -> Upstream | None:
+    """Returns a prefill engine that is to decode from now on, if any.
+
+    Args:
+        upstreams: Upstreams of one service.
+        traits: Traits of its engines.
+        switching: Engines that already change their stage.
+    """
+    engines = [one for one in upstreams if one.state is UpstreamState.READY]
+    readers = [
+        one
+        for one in engines
+        if one.stage is Stage.PREFILL and one.upstream_id not in switching
+    ]
+    if len(readers) <= wanted_readers(len(engines), traits):
+        return None
+    return max(readers, key=lambda one: one.upstream_id)
+
+
+__all__ = ('surplus_reader', 'wanted_readers')
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -51,6 +51,12 @@
         self._evacuated: set[FailureDomainId] = set()
         self._lapse_until_s = 0.0
         self._is_listed = False
+        self._grown_at_s = 0.0
+
+    @property
+    def grown_at_s(self) -> float:
+        """Returns when an upstream was last added."""
+        return self._grown_at_s
 
     @property
     def catalog(self) -> Catalog | None:
@@ -87,6 +93,8 @@
     def put(self, upstream: Upstream, now_s: float) -> bool:
         """Takes an entry; True if it tells of a new life."""
         known = self._known.get(upstream.upstream_id)
+        if known is None:
+            self._grown_at_s = now_s
         is_new = (
             known is None
             or known.upstream.started_ms != upstream.started_ms
@@ -147,6 +155,11 @@
         """Takes a failure domain back."""
         self._evacuated.discard(domain_id)
 
+    def listed(self, service_id: ServiceId) -> list[Upstream]:
+        """Returns the upstreams of a service, whatever their state."""
+        known = self._by_service.get(service_id, {}).values()
+        return [one.upstream for one in known]
+
     def usable(self, service_id: ServiceId) -> Iterator[KnownUpstream]:
         """Yields the upstreams of a service that may get new work."""
         for known in self._by_service.get(service_id, {}).values():
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -13,6 +13,7 @@
 from .decision_log import Event
 from .ingress import Ingress
 from .node import Node
+from .order_task import OrderTask
 from .peer_link import PeerLink
 from .probes import ProbeTask
 from .store_task import StoreTask
@@ -66,6 +67,7 @@
         self._peers = PeerLink(self._node)
         self._store = StoreTask(self._node, feed)
         self._probes = ProbeTask(self._node)
+        self._orders = OrderTask(self._node)
         self._stop = asyncio.Event()
 
     def stop(self) -> None:
@@ -85,6 +87,7 @@
                     self._store.run(),
                     self._peers.run(),
                     self._probes.run(),
+                    self._orders.run(),
                     self._follow_settings(),
                 )
             ]
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -53,6 +53,7 @@
     ANSWERED = 'answered'
     CALLER_LEFT = 'caller-left'
     SUSPECT = 'crash-suspect'
+    ORDER = 'order'
     LINES_DROPPED = 'lines-dropped'
     INTERNAL = 'internal-error'
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
@@ -11,6 +11,7 @@
         RequestTerms,
         SendTerms,
     )
+    from catkinreach_core.gateway.upstream import Stage, Upstream
     from catkinreach_core.settings.node import Address
 
     from ..http.messages import Headers, HttpRequest
@@ -39,6 +40,11 @@
     def free_request(self, handle: KvHandle) -> HttpRequest:
         """Returns the call that frees KV cache that nobody will take."""
 
+    def stage_order(
+        self, upstream: Upstream, stage: Stage, holder: str, fence: int
+    ) -> HttpRequest:
+        """Returns the order to change an engine's stage."""
+
     def caller_headers(self, headers: Headers) -> Headers:
         """Returns the headers of a reply that the caller gets."""
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -17,6 +17,7 @@
 from catkinreach_core.gateway.placement import Choice
 from catkinreach_core.gateway.quota import QuotaTable
 from catkinreach_core.gateway.repeats import RepeatBudget
+from catkinreach_core.gateway.switching import SwitchingEngines
 from catkinreach_core.gateway.view import FleetView
 from catkinreach_core.ids import Revision
 
@@ -74,6 +75,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.metrics = Metrics()
         self.log = DecisionLog(self.clock)
+        self.peer_holders: dict[str, str] = {}
+        self.named_holder = ''
+        self.switching = SwitchingEngines()
         self.load_changed = asyncio.Event()
         self.is_stopping = False
         self.revision = Revision(0)
@@ -87,10 +91,11 @@
     ) -> list[Choice]:
         """Returns the upstreams of a service that may get a request now."""
         now_s = self.clock()
+        out = excluded | self.switching.known(now_s)
         return [
             self._choice(known, now_s)
             for known in self.view.usable(service_id)
-            if known.upstream.upstream_id not in excluded
+            if known.upstream.upstream_id not in out
             and not self.health.is_down(known.upstream.upstream_id)
             and self._bears_more(known, traits, now_s)
         ]
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/order_task.py
@@ -0,0 +1,117 @@
+"""Gives engines the order to change their stage, on one node at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from catkinreach_core.gateway.order_holder import OrderHolder
+from catkinreach_core.gateway.stage_plan import surplus_reader
+from catkinreach_core.gateway.upstream import Stage
+
+from ..http.client import ConnectError, ExchangeError
+from .decision_log import Event
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.upstream import Upstream
+
+    from .node import Node
+
+TICK_S = 0.3
+SETTLED_S = 1.5
+"""Time without a new upstream after which the list counts as complete."""
+
+ANNOUNCE_S = 0.4
+"""Time between telling the peers of an order and giving it."""
+
+ORDER_TIMEOUT_S = 1.0
+SWITCH_MARGIN_S = 3.0
+"""An engine counts as switching this long beyond its usual time."""
+
+ACCEPTED = frozenset({200, 202})
+
+
+class OrderTask:
+    """Plans and gives orders while this node holds the right to."""
+
+    def __init__(self, node: Node) -> None:
+        """Starts without the right."""
+        self._node = node
+        self._holder = OrderHolder(node.settings.host)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self._may_order():
+                await self._order_next()
+
+    def _may_order(self) -> bool:
+        node = self._node
+        now_s = node.clock()
+        heard = node.members.heard(now_s)
+        node.named_holder = self._holder.vote(heard)
+        votes = [node.named_holder, *map(node.peer_holders.get, heard)]
+        holds = self._holder.look(
+            [vote for vote in votes if vote is not None],
+            members=max(node.members.count, node.members.least_count),
+            now_s=time.clock_gettime(time.CLOCK_BOOTTIME),
+        )
+        is_settled = now_s - node.view.grown_at_s > SETTLED_S
+        return holds and is_settled and not node.is_stopping
+
+    async def _order_next(self) -> None:
+        """Orders one engine, if a service has readers to spare."""
+        catalog = self._node.view.catalog
+        if catalog is None:
+            return
+        for service in catalog.services.values():
+            if service.engine is None:
+                continue
+            upstream = surplus_reader(
+                self._node.view.listed(service.service_id),
+                service.engine,
+                self._node.switching.known(self._node.clock()),
+            )
+            if upstream is None:
+                continue
+            pause_s = service.engine.stage_switch_s + SWITCH_MARGIN_S
+            self._node.switching.put(
+                upstream.upstream_id, pause_s, self._node.clock()
+            )
+            self._node.load_changed.set()
+            await asyncio.sleep(ANNOUNCE_S)
+            if self._may_order():
+                await self._give(upstream)
+            return
+
+    async def _give(self, upstream: Upstream) -> None:
+        request = self._node.dialect.stage_order(
+            upstream, Stage.DECODE, self._node.settings.vm_id, self._fence()
+        )
+        outcome: int | str
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                outcome, _ = await self._node.control_http.call_raw(
+                    upstream.address, request
+                )
+        except (ConnectError, ExchangeError, TimeoutError) as error:
+            outcome = repr(error)
+        self._node.log.write(
+            Event.ORDER,
+            upstream=upstream.upstream_id,
+            stage=Stage.DECODE.value,
+            outcome=outcome,
+            is_accepted=outcome in ACCEPTED,
+            revision=self._node.revision,
+        )
+
+    def _fence(self) -> int:
+        """Returns a number that grows with the store and names this node."""
+        *_, zone, high, low = self._node.settings.host.split('.')
+        node_part = (int(zone) << 16) | (int(high) << 8) | int(low)
+        return (self._node.revision << 24) | node_part
+
+
+__all__ = ('OrderTask',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -104,6 +104,8 @@
             loads={} if is_short else node.loads.own(),
             admitted=node.quota.own_counts(now_s),
             crashes=node.suspects.to_tell(now_s),
+            holder=node.named_holder,
+            switching=node.switching.to_tell(now_s),
         )
 
     def _take(self, digest: Digest) -> None:
@@ -117,6 +119,8 @@
         node.loads.hear(peer, digest.loads, now_s)
         node.suspects.hear(peer, digest.crashes)
         node.peer_admitted[peer] = digest.admitted
+        node.peer_holders[peer] = digest.holder
+        node.switching.hear(digest.switching, now_s)
         node.peer_revision = Revision(max(node.peer_revision, digest.revision))
         if digest.is_leaving:
             self._forget(peer, 'left')
@@ -131,6 +135,7 @@
         node.loads.forget_peer(peer)
         node.suspects.forget_peer(peer)
         node.peer_admitted.pop(peer, None)
+        node.peer_holders.pop(peer, None)
         node.log.write(
             Event.PEER_SILENT,
             peer=peer,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -160,6 +160,9 @@
 
     def _take_upstream(self, upstream: Upstream) -> None:
         self._forget_old_life(upstream)
+        known = self._node.view.find(upstream.upstream_id)
+        if known is not None and known.upstream.stage is not upstream.stage:
+            self._node.switching.end(upstream.upstream_id)
         self._node.view.put(upstream, self._node.clock())
         self._node.log.write(
             Event.UPSTREAM_KNOWN,
--- a/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
@@ -57,6 +57,7 @@
     link_mbps: float
     handle_ttl_s: float = 0.5
     stride: int = 1
+    stage_switch_s: float = 6.0
 
 
 class _Service(Struct, rename='kebab'):
@@ -161,6 +162,7 @@
             link_mbps=engine.link_mbps,
             handle_ttl_s=engine.handle_ttl_s,
             event_tokens=engine.stride,
+            stage_switch_s=engine.stage_switch_s,
         ),
     )
 
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -10,11 +10,12 @@
 from catkinreach_core.gateway.terms import KvHandle, ReplyMarks, RequestTerms
 from catkinreach_core.ids import RequestId
 
-from ..http.messages import Headers, HttpRequest
+from ..http.messages import JSON_TYPE, Headers, HttpRequest
 from .boot import MS_PER_S
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.terms import SendTerms
+    from catkinreach_core.gateway.upstream import Stage, Upstream
     from catkinreach_core.settings.node import Address
 
 REQUEST_ID: Final = 'request-id'
@@ -127,6 +128,23 @@
         """Returns the call that frees KV cache that nobody will take."""
         return HttpRequest('DELETE', f'/kv-handle/{handle.name}')
 
+    def stage_order(
+        self, upstream: Upstream, stage: Stage, holder: str, fence: int
+    ) -> HttpRequest:
+        """Returns the order to change an engine's stage."""
+        order = {
+            'operation': 'stage',
+            'stage': stage.value,
+            'holder': holder,
+            'fence': fence,
+        }
+        headers = [
+            ('content-type', JSON_TYPE),
+            ('expect-instance', upstream.upstream_id),
+        ]
+        body = msgspec.json.encode(order)
+        return HttpRequest('POST', '/order', headers, body)
+
     def caller_headers(self, headers: Headers) -> Headers:
         """Returns the headers of a reply that the caller gets."""
         dropped = _named_by_connection(headers) | PER_CONNECTION
