Let streams wait in line for decode memory while the wait is worth it

Change: a line at each node, on-time streams first, then by rank, workspace and arrival; refused at once when the predicted wait is too long. The number of prefill engines is rounded to the nearest; a decode engine counts as 2.5 times slower at reading. Draining closes connections after their answer.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Struct, field
 
-from ..ids import UpstreamId, WorkspaceId
+from ..ids import ServiceId, UpstreamId, WorkspaceId
 from .crash_suspects import Fingerprint
 from .load_table import UpstreamLoad
 
@@ -25,6 +25,7 @@
         loads: The sender's own work in flight, by upstream.
         admitted: Cost that the sender admitted in the window, by workspace.
         crashes: Breaks that the sender counted, by fingerprint.
+        waiting: Memory that streams wait for at the sender, by service.
         holder: Node that the sender names as the one to give orders.
         switching: Seconds for which engines that change their stage are out.
     """
@@ -36,6 +37,7 @@
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
     admitted: dict[WorkspaceId, float] = field(default_factory=dict)
     crashes: dict[Fingerprint, int] = field(default_factory=dict)
+    waiting: dict[ServiceId, int] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, float] = field(default_factory=dict)
 
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/placement.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/placement.py
@@ -26,8 +26,9 @@
 PREFILL_TOKENS_PER_S = 50_000.0
 """Rate at which a prefill engine reads prompts."""
 
-DECODE_PREFILL_FACTOR = 2.0
-"""A decode engine reads a prompt this many times as slowly."""
+DECODE_PREFILL_FACTOR = 2.5
+"""A decode engine reads a prompt this many times as slowly: at half the
+speed, and between the steps of the streams that it runs."""
 
 TRANSFER_SETUP_S = 0.004
 """Time to start a transfer between engines."""
@@ -155,6 +156,11 @@
     return min(plans, key=lambda plan: plan.cost_s, default=None)
 
 
+def read_alone_s(need: StreamNeed) -> float:
+    """Returns the time to the first token at idle engines."""
+    return need.prompt_tokens / PREFILL_TOKENS_PER_S + DECODE_START_S
+
+
 def read_time_s(choice: Choice, need: StreamNeed) -> float:
     """Returns when an engine will have read a prompt, by its factor."""
     return _read_s(choice, need) * choice.factor
@@ -204,5 +210,6 @@
     'choose_plain',
     'fits',
     'plan_stream',
+    'read_alone_s',
     'read_time_s',
 )
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
@@ -74,6 +74,10 @@
         }
         return {one: total for one, total in totals.items() if total > 0}
 
+    def own_count(self, workspace_id: WorkspaceId, now_s: float) -> float:
+        """Returns what this node admitted of a workspace in the window."""
+        return self._count(workspace_id).total(now_s)
+
     def admit(
         self,
         terms: WorkspaceTerms,
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/stage_plan.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/stage_plan.py
@@ -32,7 +32,7 @@
     """Returns the number of prefill engines that a service needs."""
     turnover_per_s = traits.memory_tokens / RESIDENCE_S
     fed = PREFILL_TOKENS_PER_S / turnover_per_s
-    return max(MIN_READERS, int(engines / (1 + fed)))
+    return max(MIN_READERS, round(engines / (1 + fed)))
 
 
 def surplus_reader(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -19,6 +19,7 @@
 from catkinreach_core.gateway.repeats import RepeatBudget
 from catkinreach_core.gateway.switching import SwitchingEngines
 from catkinreach_core.gateway.view import FleetView
+from catkinreach_core.gateway.wait_line import WaitLine
 from catkinreach_core.ids import Revision
 
 from ..http.client import ConnectError, ExchangeError, HttpClient
@@ -76,6 +77,8 @@
         self.metrics = Metrics()
         self.log = DecisionLog(self.clock)
         self.peer_holders: dict[str, str] = {}
+        self.peer_waiting: dict[str, dict[ServiceId, int]] = {}
+        self._lines: dict[ServiceId, WaitLine] = {}
         self.named_holder = ''
         self.switching = SwitchingEngines()
         self.load_changed = asyncio.Event()
@@ -100,6 +103,25 @@
             and self._bears_more(known, traits, now_s)
         ]
 
+    def line(self, service_id: ServiceId) -> WaitLine:
+        """Returns the streams of a service that wait at this node."""
+        return self._lines.setdefault(service_id, WaitLine())
+
+    def waiting_tokens(self) -> dict[ServiceId, int]:
+        """Returns the memory that streams wait for here, by service."""
+        return {
+            service_id: line.tokens
+            for service_id, line in self._lines.items()
+            if line.count
+        }
+
+    def peer_waiting_tokens(self, service_id: ServiceId) -> int:
+        """Returns the memory that streams wait for at peers."""
+        return sum(
+            self.peer_waiting.get(peer, {}).get(service_id, 0)
+            for peer in self.members.heard(self.clock())
+        )
+
     def heard_quota(self, workspace_id: WorkspaceId) -> float:
         """Returns what peers that were heard lately admitted."""
         return sum(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -104,6 +104,7 @@
             loads={} if is_short else node.loads.own(),
             admitted=node.quota.own_counts(now_s),
             crashes=node.suspects.to_tell(now_s),
+            waiting=node.waiting_tokens(),
             holder=node.named_holder,
             switching=node.switching.to_tell(now_s),
         )
@@ -120,6 +121,7 @@
         node.suspects.hear(peer, digest.crashes)
         node.peer_admitted[peer] = digest.admitted
         node.peer_holders[peer] = digest.holder
+        node.peer_waiting[peer] = digest.waiting
         node.switching.hear(digest.switching, now_s)
         node.peer_revision = Revision(max(node.peer_revision, digest.revision))
         if digest.is_leaving:
@@ -136,6 +138,7 @@
         node.suspects.forget_peer(peer)
         node.peer_admitted.pop(peer, None)
         node.peer_holders.pop(peer, None)
+        node.peer_waiting.pop(peer, None)
         node.log.write(
             Event.PEER_SILENT,
             peer=peer,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -7,11 +7,17 @@
 
 from catkinreach_core.errors import ErrorKind
 from catkinreach_core.gateway.load_table import UpstreamLoad
-from catkinreach_core.gateway.placement import StreamNeed, plan_stream
+from catkinreach_core.gateway.placement import (
+    StreamNeed,
+    plan_stream,
+    read_alone_s,
+)
+from catkinreach_core.gateway.stage_plan import RESIDENCE_S
+from catkinreach_core.gateway.wait_line import Ticket, Verdict
 
 from ..http.client import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .call import Attempts, refusal
+from .call import Attempts
 from .decision_log import Event
 from .engine_run import EngineRun
 from .event_relay import EventRelay
@@ -19,16 +25,14 @@
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import EngineTraits
-    from catkinreach_core.gateway.placement import StreamPlan
+    from catkinreach_core.gateway.placement import Choice, StreamPlan
     from catkinreach_core.gateway.terms import KvHandle
     from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.gateway.wait_line import WaitLine
 
     from .call import Call
     from .node import Node
 
-ROOM_WAIT_SHARE = 0.125
-"""Part of the latency target that a stream waits for room at an engine."""
-
 ROOM_POLL_S = 0.01
 PREFILL_SLACK_S = 0.2
 PREFILL_SLACK_FACTOR = 3.0
@@ -36,9 +40,6 @@
 
 FIRST_EVENT_SLACK_S = 0.3
 FIRST_EVENT_SLACK_FACTOR = 3.0
-LATE_SHARE = 1.0
-"""Part of the latency target beyond which a stream is refused at once."""
-
 MIN_LEFT_S = 0.02
 DEFAULT_PROMPT_TOKENS = 1000
 
@@ -132,34 +133,69 @@
         return is_open
 
     async def _plan(self) -> StreamPlan:
-        target_s = self._call.route.target_s
-        until_s = self._node.clock() + target_s * ROOM_WAIT_SHARE
-        while True:
-            plan = self._best_plan()
-            if plan is not None:
-                self._check_on_time(plan)
-                return plan
-            if self._node.clock() >= until_s:
-                raise self._attempts.error(ErrorKind.NO_UPSTREAM)
-            await asyncio.sleep(ROOM_POLL_S)
+        """Returns where to run; waits in line while there is no room."""
+        service_id = self._call.service.service_id
+        line = self._node.line(service_id)
+        ticket = self._ticket()
+        line.join(ticket)
+        try:
+            while True:
+                now_s = self._node.clock()
+                if line.is_first(ticket, now_s):
+                    plan = self._best_plan()
+                    if plan is not None:
+                        return plan
+                self._check_wait(line, ticket, now_s)
+                await asyncio.sleep(
+                    ROOM_POLL_S * (0.5 + self._node.rng.random())
+                )
+        finally:
+            line.leave(ticket)
 
-    def _best_plan(self) -> StreamPlan | None:
+    def _ticket(self) -> Ticket:
+        call = self._call
+        read_s = read_alone_s(self._need)
+        return Ticket(
+            tokens=self._need.memory_tokens,
+            priority=call.priority,
+            served=0.0
+            if call.workspace_id is None
+            else self._node.quota.own_count(
+                call.workspace_id, self._node.clock()
+            ),
+            arrived_s=self._node.clock(),
+            on_time_until_s=call.arrived_s + call.route.target_s - read_s,
+        )
+
+    def _check_wait(self, line: WaitLine, ticket: Ticket, now_s: float) -> None:
+        """Refuses a stream at once that would wait too long."""
+        service_id = self._call.service.service_id
+        capacity = sum(
+            self._traits.memory_tokens
+            for choice in self._choices()
+            if choice.decodes
+        )
+        verdict = line.judge(
+            ticket,
+            peer_tokens=self._node.peer_waiting_tokens(service_id),
+            release_per_s=capacity / RESIDENCE_S,
+            now_s=now_s,
+        )
+        if verdict is Verdict.REFUSE or self._attempts.left_s < MIN_LEFT_S:
+            raise self._attempts.error(ErrorKind.QUEUE_TIMEOUT)
+
+    def _choices(self) -> list[Choice]:
         service = self._call.service
-        choices = self._node.choices(
+        return self._node.choices(
             service.service_id, service, self._attempts.excluded
         )
+
+    def _best_plan(self) -> StreamPlan | None:
+        choices = self._choices()
         if self._is_prefill_spent:
             choices = [one for one in choices if one.decodes]
         return plan_stream(choices, self._need, self._traits)
 
-    def _check_on_time(self, plan: StreamPlan) -> None:
-        """Refuses a stream that would be late before anything was sent."""
-        elapsed_s = self._node.clock() - self._call.arrived_s
-        late_s = elapsed_s + plan.first_token_s
-        late_s -= self._call.route.target_s * LATE_SHARE
-        if late_s > 0 and not self._is_prefill_spent:
-            raise refusal(self._node, ErrorKind.DEADLINE_UNREACHABLE, late_s)
-
     async def _prefill(
         self, upstream: Upstream, plan: StreamPlan
     ) -> KvHandle | None:
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -93,8 +93,10 @@
         serve: RequestFilter,
         bounds: ServerBounds,
         activity: Activity,
+        is_draining: Callable[[], bool],
     ) -> None:
         """Wraps an accepted connection."""
+        self._is_draining = is_draining
         self._activity = activity
         self._reader = reader
         self._writer = writer
@@ -121,6 +123,8 @@
         """Serves requests until the connection ends."""
         timeout_s = self._bounds.head_timeout_s
         while await self._serve_one(timeout_s):
+            if self._is_draining():
+                return
             if self._protocol.our_state is not h11.DONE:
                 return
             if self._protocol.their_state is not h11.DONE:
@@ -302,6 +306,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._activity = Activity()
+        self._is_draining = False
 
     @property
     def activity(self) -> Activity:
@@ -332,7 +337,8 @@
         self._bounds = bounds
 
     def close_idle(self) -> None:
-        """Closes the connections on which no request has begun."""
+        """Closes idle connections now, the others after their answer."""
+        self._is_draining = True
         for connection in tuple(self._connections):
             if connection.is_idle:
                 connection.close()
@@ -353,6 +359,7 @@
             self._serve,
             self._bounds,
             self._activity,
+            lambda: self._is_draining,
         )
         if len(self._connections) >= self._bounds.max_connections:
             logger.warning('{}: too many connections.', self._name)
