--- /dev/null
+++ b/packages/catkinreach-core/tests/gateway/test_digest.py
@@ -0,0 +1,52 @@
+"""Messages between nodes."""
+
+from __future__ import annotations
+
+from catkinreach_core.gateway.digest import (
+    Digest,
+    decode_digest,
+    encode_digest,
+)
+from catkinreach_core.gateway.load_table import UpstreamLoad
+from catkinreach_core.gateway.members import (
+    FORGET_AFTER_S,
+    SILENT_AFTER_S,
+    Members,
+)
+from catkinreach_core.ids import UpstreamId
+
+
+def test_message_survives_the_wire() -> None:
+    digest = Digest(
+        node='10.0.0.1',
+        is_leaving=False,
+        revision=7,
+        members=['10.0.0.2'],
+        loads={UpstreamId('a'): UpstreamLoad(1, 2, 3)},
+    )
+    assert decode_digest(encode_digest(digest)) == digest
+
+
+def test_bytes_that_are_no_message_are_dropped() -> None:
+    assert decode_digest(b'\xc1') is None
+    assert decode_digest(b'') is None
+    assert decode_digest(b'\x93\x01\x02\x03') is None
+
+
+def test_members_are_learned_from_seeds_and_peers() -> None:
+    members = Members('a', ['a', 'b'])
+    assert list(members.contacts) == ['b']
+    assert members.hear('b', ['a', 'c'], 0.0)
+    assert list(members.contacts) == ['b', 'c']
+    assert members.count == 2
+    assert members.silent(SILENT_AFTER_S) == 0
+    assert members.silent(SILENT_AFTER_S + 0.1) == 1
+
+
+def test_silent_member_is_forgotten_but_a_seed_is_still_told() -> None:
+    members = Members('a', ['b'])
+    members.hear('b', [], 0.0)
+    members.hear('c', [], 10.0)
+    assert members.expire(FORGET_AFTER_S + 1) == ('b',)
+    assert list(members.contacts) == ['b', 'c']
+    assert members.count == 2
--- /dev/null
+++ b/packages/catkinreach-core/tests/gateway/test_events.py
@@ -0,0 +1,26 @@
+"""Events cut from bytes as they arrive."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from catkinreach_core.gateway.events import EventCutter
+
+STREAM = (
+    b'id: 1\ndata: one\n\nid: 2\nx: 3\ndata: two\n\ndata: none\n\nid: 4\nda'
+)
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_events_do_not_depend_on_where_reads_end(cuts: list[int]) -> None:
+    cutter = EventCutter()
+    events = []
+    edges = [0, *sorted(cuts), len(STREAM)]
+    for start, end in pairwise(edges):
+        events += cutter.feed(STREAM[start:end])
+    assert [event.event_id for event in events] == [1, 2, None]
+    whole = b''.join(event.data for event in events)
+    assert whole + cutter.rest == STREAM
--- /dev/null
+++ b/packages/catkinreach-core/tests/gateway/test_placement.py
@@ -0,0 +1,127 @@
+"""Where requests run.
+
+Load patterns: prompts that arrive faster than they are read, memory that
+fills, upstreams that fail a part of their requests.
+"""
+
+from __future__ import annotations
+
+from catkinreach_core.gateway.health import HealthTable
+from catkinreach_core.gateway.load_table import (
+    PEER_LOAD_TTL_S,
+    LoadTable,
+    UpstreamLoad,
+)
+from catkinreach_core.gateway.output_estimate import OutputEstimate
+from catkinreach_core.gateway.placement import (
+    Choice,
+    StreamNeed,
+    choose_plain,
+    plan_stream,
+)
+from catkinreach_core.gateway.upstream import Stage
+from catkinreach_core.gateway.view import KnownUpstream
+from catkinreach_core.ids import FailureDomainId, UpstreamId
+from catkinreach_standins.fakes.gateway import TRAITS, make_upstream
+
+HERE = FailureDomainId('here')
+NEED = StreamNeed(prompt_tokens=5000, memory_tokens=5600)
+UPSTREAM = UpstreamId('a')
+
+
+def _choice(
+    name: str,
+    *,
+    stage: Stage = Stage.WHOLE,
+    load: UpstreamLoad | None = None,
+    penalty: float = 1.0,
+    domain: str = 'here',
+) -> Choice:
+    upstream = make_upstream(name, stage=stage, domain=domain)
+    known = KnownUpstream(upstream=upstream, cold_until_s=0.0)
+    return Choice(known, load or UpstreamLoad(), penalty, is_cold=False)
+
+
+def _no_jitter() -> float:
+    return 0.0
+
+
+def test_plain_request_goes_where_least_runs() -> None:
+    busy = _choice('busy', load=UpstreamLoad(running=3))
+    idle = _choice('idle', domain='there')
+    chosen = choose_plain([busy, idle], HERE, _no_jitter)
+    assert chosen is idle.known
+
+
+def test_plain_request_stays_in_its_domain_when_all_are_idle() -> None:
+    there, here = _choice('there', domain='there'), _choice('here')
+    assert choose_plain([there, here], HERE, _no_jitter) is here.known
+
+
+def test_upstream_that_fails_is_avoided_and_comes_back() -> None:
+    health = HealthTable()
+    for _ in range(3):
+        health.note_failure(UPSTREAM, 0.0)
+    assert health.penalty(UPSTREAM, 0.0) > 5
+    assert health.penalty(UPSTREAM, 30.0) < 1.1
+
+
+def test_unreachable_upstream_is_probed_with_growing_pauses() -> None:
+    health = HealthTable()
+    health.note_unreachable(UPSTREAM, 0.0)
+    assert health.is_down(UPSTREAM)
+    assert not health.due_probes(0.2)
+    assert health.due_probes(0.3) == (UPSTREAM,)
+    health.note_unreachable(UPSTREAM, 0.3)
+    assert not health.due_probes(0.8)
+    health.note_reachable(UPSTREAM)
+    assert not health.is_down(UPSTREAM)
+
+
+def test_idle_prefill_engine_reads_the_prompt() -> None:
+    reader = _choice('reader', stage=Stage.PREFILL)
+    decoder = _choice('decoder', stage=Stage.DECODE)
+    plan = plan_stream([reader, decoder], NEED, TRAITS)
+    assert plan is not None
+    assert plan.prefill is reader.known
+    assert plan.decode is decoder.known
+
+
+def test_decode_engine_reads_when_prefill_engines_have_a_backlog() -> None:
+    backlog = UpstreamLoad(running=8, prefill_tokens=40_000)
+    reader = _choice('reader', stage=Stage.PREFILL, load=backlog)
+    plan = plan_stream(
+        [reader, _choice('decoder', stage=Stage.DECODE)], NEED, TRAITS
+    )
+    assert plan is not None
+    assert plan.prefill is None
+
+
+def test_stream_needs_memory_at_the_decode_engine() -> None:
+    full = UpstreamLoad(running=10, memory_tokens=TRAITS.memory_tokens - 5000)
+    decoder = _choice('decoder', stage=Stage.DECODE, load=full)
+    reader = _choice('reader', stage=Stage.PREFILL)
+    assert plan_stream([reader, decoder], NEED, TRAITS) is None
+
+
+def test_prefill_engine_alone_runs_no_stream() -> None:
+    reader = _choice('reader', stage=Stage.PREFILL)
+    assert plan_stream([reader], NEED, TRAITS) is None
+
+
+def test_loads_of_a_silent_peer_no_longer_count() -> None:
+    loads = LoadTable()
+    loads.begin(UPSTREAM, UpstreamLoad(running=1))
+    loads.hear('peer', {UPSTREAM: UpstreamLoad(running=2)}, 0.0)
+    assert loads.total(UPSTREAM, PEER_LOAD_TTL_S).running == 3
+    assert loads.total(UPSTREAM, PEER_LOAD_TTL_S + 0.1).running == 1
+    loads.end(UPSTREAM, UpstreamLoad(running=1))
+    assert loads.own() == {}
+
+
+def test_memory_follows_the_output_that_streams_make() -> None:
+    estimate = OutputEstimate()
+    first = estimate.memory_tokens(5000, 1760)
+    for _ in range(100):
+        estimate.note_finished(0.3)
+    assert 5000 < estimate.memory_tokens(5000, 1760) < first
--- /dev/null
+++ b/packages/catkinreach-core/tests/gateway/test_shared_bounds.py
@@ -0,0 +1,75 @@
+"""Bounds that all nodes keep together: repeats, cold upstreams, crashes."""
+
+from __future__ import annotations
+
+import pytest
+
+from catkinreach_core.gateway.cold_start import ColdPacer
+from catkinreach_core.gateway.crash_suspects import (
+    CRASHES_TO_REFUSE,
+    CrashSuspects,
+    Fingerprint,
+)
+from catkinreach_core.gateway.quota import WindowCount
+from catkinreach_core.gateway.repeats import RepeatBudget
+from catkinreach_core.ids import ServiceId, UpstreamId
+
+SERVICE = ServiceId('plain')
+UPSTREAM = UpstreamId('a')
+NODES = 9
+BAD = Fingerprint('bad')
+
+
+@pytest.mark.parametrize('requests_per_s', [1, 10, 100])
+def test_repeats_of_all_nodes_keep_ratio_and_slack(requests_per_s: int) -> None:
+    ratio, slack, window_s = 0.2, 58.0, 10.0
+    nodes = [
+        RepeatBudget(ratio=ratio, slack=slack, window_s=window_s)
+        for _ in range(NODES)
+    ]
+    requests, repeats = WindowCount(window_s), WindowCount(window_s)
+    for step in range(30 * requests_per_s):
+        now_s = step / requests_per_s
+        node = nodes[step % NODES]
+        node.note_request(SERVICE, now_s)
+        requests.add(1, now_s)
+        while node.spend(SERVICE, NODES, now_s):
+            repeats.add(1, now_s)
+        allowed = ratio * requests.total(now_s) + slack
+        assert repeats.total(now_s) <= allowed
+
+
+def test_a_few_repeats_are_allowed_at_once() -> None:
+    budget = RepeatBudget(ratio=0.2, slack=58.0, window_s=10.0)
+    assert budget.spend(SERVICE, NODES, 0.0)
+
+
+def test_cold_upstream_gets_its_rate_from_all_nodes_together() -> None:
+    per_s = 8.0
+    nodes = [ColdPacer() for _ in range(NODES)]
+    sent = WindowCount(1.0)
+    for step in range(5000):
+        now_s = step / 1000
+        for node in nodes:
+            if node.has_room(UPSTREAM, per_s, NODES, now_s):
+                node.spend(UPSTREAM)
+                sent.add(1, now_s)
+        assert sent.total(now_s) <= per_s * 1.5 + 5
+
+
+def test_request_that_crashed_upstreams_everywhere_is_refused() -> None:
+    suspects = CrashSuspects()
+    suspects.note_break(BAD, 0.0)
+    suspects.hear('peer', {BAD: CRASHES_TO_REFUSE - 2})
+    assert not suspects.is_refused(BAD)
+    suspects.note_break(BAD, 1.0)
+    assert suspects.is_refused(BAD)
+
+
+def test_request_that_ran_well_is_no_suspect() -> None:
+    suspects = CrashSuspects()
+    for at_s in range(CRASHES_TO_REFUSE):
+        suspects.note_break(BAD, at_s)
+    suspects.clear(BAD)
+    assert not suspects.is_refused(BAD)
+    assert not suspects.to_tell(5.0)
--- /dev/null
+++ b/packages/catkinreach-core/tests/gateway/test_view.py
@@ -0,0 +1,84 @@
+"""What a node believes of upstreams and configuration."""
+
+from __future__ import annotations
+
+from catkinreach_core.gateway.catalog import Catalog
+from catkinreach_core.gateway.upstream import UpstreamState
+from catkinreach_core.gateway.view import LAPSE_GRACE_S, FleetView
+from catkinreach_core.ids import FailureDomainId, UpstreamId
+from catkinreach_standins.fakes.gateway import SERVICE, make_upstream
+
+
+def _catalog(version: int) -> Catalog:
+    return Catalog(
+        version=version,
+        routes={},
+        services={},
+        workspaces={},
+        has_workspaces=False,
+    )
+
+
+def _usable(view: FleetView) -> set[str]:
+    return {one.upstream.upstream_id for one in view.usable(SERVICE)}
+
+
+def test_older_configuration_is_never_accepted() -> None:
+    view = FleetView()
+    assert view.accept(_catalog(7))
+    assert not view.accept(_catalog(6))
+    assert not view.accept(_catalog(7))
+    assert view.catalog is not None
+    assert view.catalog.version == 7
+
+
+def test_draining_upstream_gets_no_work() -> None:
+    view = FleetView()
+    view.put(make_upstream('a'), 0.0)
+    view.put(make_upstream('b', state=UpstreamState.DRAINING), 0.0)
+    assert _usable(view) == {'a'}
+
+
+def test_failure_domain_is_taken_out_and_back() -> None:
+    view = FleetView()
+    view.put(make_upstream('a', domain='north'), 0.0)
+    view.evacuate(FailureDomainId('north'))
+    assert not _usable(view)
+    view.take_back(FailureDomainId('north'))
+    assert _usable(view) == {'a'}
+
+
+def test_entry_that_lapsed_during_an_outage_may_come_back() -> None:
+    view = FleetView()
+    view.relist([make_upstream('a'), make_upstream('b')], 0.0)
+    view.store_returned(10.0)
+    view.relist([make_upstream('b')], 10.0)
+    assert _usable(view) == {'a', 'b'}
+    view.put(make_upstream('a'), 11.0)
+    assert not view.expire(10.0 + LAPSE_GRACE_S)
+    assert _usable(view) == {'a', 'b'}
+
+
+def test_entry_still_missing_after_the_outage_is_gone() -> None:
+    view = FleetView()
+    view.relist([make_upstream('a')], 0.0)
+    view.store_returned(10.0)
+    view.relist([], 10.0)
+    assert not view.expire(10.0 + LAPSE_GRACE_S / 2)
+    assert view.expire(10.0 + LAPSE_GRACE_S) == ('a',)
+    assert not _usable(view)
+
+
+def test_entry_removed_in_calm_times_is_gone_at_once() -> None:
+    view = FleetView()
+    view.relist([make_upstream('a')], 0.0)
+    view.remove(UpstreamId('a'), 5.0)
+    assert not _usable(view)
+
+
+def test_cold_upstream_warms_up() -> None:
+    view = FleetView()
+    view.put(make_upstream('a', cold_s=3.0), 1.0)
+    (known,) = view.usable(SERVICE)
+    assert known.is_cold(3.9)
+    assert not known.is_cold(4.0)
--- /dev/null
+++ b/packages/catkinreach-core/tests/gateway/test_wait_line.py
@@ -0,0 +1,129 @@
+"""Streams that wait for memory.
+
+Load pattern: a burst of 1.9 times the usual fills the memory of all decode
+engines for five seconds, while streams end all the time.
+"""
+
+from __future__ import annotations
+
+import heapq
+
+from catkinreach_core.gateway.wait_line import (
+    MAX_WAIT_S,
+    Ticket,
+    Verdict,
+    WaitLine,
+)
+
+TARGET_S = 0.9
+RELEASE_PER_S = 60_000.0
+STREAM_TOKENS = 5600
+RESIDENCE_S = 3.0
+SLOTS = 32
+"""Streams whose memory fits at once."""
+
+
+def _ticket(at_s: float, *, priority: int = 1, served: float = 0.0) -> Ticket:
+    return Ticket(
+        tokens=STREAM_TOKENS,
+        priority=priority,
+        served=served,
+        arrived_s=at_s,
+        on_time_until_s=at_s + TARGET_S - 0.2,
+    )
+
+
+def _judge(line: WaitLine, ticket: Ticket, now_s: float) -> Verdict:
+    return line.judge(
+        ticket, peer_tokens=0.0, release_per_s=RELEASE_PER_S, now_s=now_s
+    )
+
+
+def _replay(rate_at: list[tuple[float, float]], until_s: float) -> list[float]:
+    """Replays arrivals at one node; returns waits, -1 for a refusal."""
+    line = WaitLine()
+    running: list[float] = []
+    waits: list[float] = []
+    waiting: list[Ticket] = []
+    now_s, due_s = 0.0, 0.0
+    while now_s < until_s:
+        now_s += 0.005
+        rate = next(rate for start, rate in reversed(rate_at) if now_s >= start)
+        while due_s <= now_s:
+            due_s += 1 / rate
+            ticket = _ticket(now_s)
+            line.join(ticket)
+            waiting.append(ticket)
+        while running and running[0] <= now_s:
+            heapq.heappop(running)
+        for ticket in tuple(waiting):
+            if len(running) < SLOTS and line.is_first(ticket, now_s):
+                heapq.heappush(running, now_s + RESIDENCE_S)
+                waits.append(now_s - ticket.arrived_s)
+            elif _judge(line, ticket, now_s) is Verdict.REFUSE:
+                waits.append(-1.0)
+            else:
+                continue
+            waiting.remove(ticket)
+            line.leave(ticket)
+    return waits
+
+
+def test_a_burst_within_reach_is_waited_out() -> None:
+    waits = _replay([(0.0, 6.0), (4.0, 11.4), (9.0, 6.0)], 14.0)
+    assert -1.0 not in waits
+    on_time = sum(wait <= TARGET_S - 0.2 for wait in waits)
+    assert on_time / len(waits) > 0.9
+
+
+def test_a_load_beyond_reach_is_refused_early() -> None:
+    waits = _replay([(0.0, 40.0)], 10.0)
+    refused = waits.count(-1.0)
+    assert refused > len(waits) / 3
+    served = [wait for wait in waits if wait >= 0]
+    assert max(served) <= MAX_WAIT_S
+    assert len(served) >= 0.9 * SLOTS / RESIDENCE_S * 10.0
+
+
+def test_line_refuses_at_once_what_it_can_not_serve() -> None:
+    line = WaitLine()
+    for number in range(100):
+        line.join(_ticket(number * 1e-3))
+    last = _ticket(0.2)
+    line.join(last)
+    assert _judge(line, last, 0.2) is Verdict.REFUSE
+
+
+def test_nothing_waits_where_no_engine_decodes() -> None:
+    line, ticket = WaitLine(), _ticket(0.0)
+    line.join(ticket)
+    verdict = line.judge(ticket, peer_tokens=0, release_per_s=0, now_s=0.0)
+    assert verdict is Verdict.REFUSE
+
+
+def test_streams_that_can_be_on_time_go_before_late_ones() -> None:
+    line, late, fresh = WaitLine(), _ticket(0.0), _ticket(1.0)
+    line.join(late)
+    line.join(fresh)
+    assert line.is_first(late, 0.5)
+    assert line.is_first(fresh, 1.2)
+
+
+def test_workspace_that_was_served_less_goes_first() -> None:
+    line = WaitLine()
+    hot, small = _ticket(0.0, served=90_000.0), _ticket(0.1, served=5_000.0)
+    line.join(hot)
+    line.join(small)
+    assert line.is_first(small, 0.2)
+
+
+def test_peers_that_wait_lengthen_the_prediction() -> None:
+    line, ticket = WaitLine(), _ticket(0.0)
+    line.join(ticket)
+    verdict = line.judge(
+        ticket,
+        peer_tokens=RELEASE_PER_S * 10,
+        release_per_s=RELEASE_PER_S,
+        now_s=0.0,
+    )
+    assert verdict is Verdict.REFUSE
