Know replaced engines by their answer, keep handles, wait as long as callers stay

Change: a 421 that names another upstream takes the entry out until it changes; a handle goes to another decode engine while it lives; a surplus of readers must last 3 s; streams wait until their caller would leave, resumed ones first.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -48,7 +49,7 @@
             return
         self._decay(record, now_s)
         record.rate *= 1 - FAILURE_WEIGHT
-        record.is_down = False
+        record.is_down = record.probe_at_s == math.inf
         record.probe_gap_s = FIRST_PROBE_S
 
     def note_failure(self, upstream_id: UpstreamId, now_s: float) -> None:
@@ -61,15 +62,23 @@
         """Takes an upstream out until a probe connects to it."""
         self.note_failure(upstream_id, now_s)
         record = self._records[upstream_id]
+        if record.probe_at_s == math.inf:
+            return
         if record.is_down:
             record.probe_gap_s = min(LAST_PROBE_S, 2 * record.probe_gap_s)
         record.is_down = True
         record.probe_at_s = now_s + record.probe_gap_s
 
+    def note_replaced(self, upstream_id: UpstreamId, now_s: float) -> None:
+        """Takes an upstream out whose address belongs to another one now."""
+        record = self._records.setdefault(upstream_id, _Record(at_s=now_s))
+        record.is_down = True
+        record.probe_at_s = math.inf
+
     def note_reachable(self, upstream_id: UpstreamId) -> None:
         """Takes an upstream back that accepted a connection."""
         record = self._records.get(upstream_id)
-        if record is not None:
+        if record is not None and record.probe_at_s < math.inf:
             record.is_down = False
             record.probe_gap_s = FIRST_PROBE_S
 
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/stage_plan.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/stage_plan.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from ..ids import UpstreamId
+    from ..ids import ServiceId, UpstreamId
     from .catalog import EngineTraits
     from .upstream import Upstream
 
@@ -27,6 +27,9 @@
 
 MIN_READERS = 1
 
+STEADY_S = 3.0
+"""Time for which engines must be surplus before one changes its stage."""
+
 
 def wanted_readers(engines: int, traits: EngineTraits) -> int:
     """Returns the number of prefill engines that a service needs."""
@@ -43,7 +46,7 @@
     """Returns a prefill engine that is to decode from now on, if any.
 
     Args:
-        upstreams: Upstreams of one service.
+        upstreams: Upstreams of one service that may get work.
         traits: Traits of its engines.
         switching: Engines that already change their stage.
     """
@@ -58,4 +61,26 @@
     return max(readers, key=lambda one: one.upstream_id)
 
 
-__all__ = ('surplus_reader', 'wanted_readers')
+class SteadySurplus:
+    """Passes on a surplus that has lasted.
+
+    Engines that crash are back within seconds; a change of stage takes
+    longer than that, so it has to wait until a loss proves to last.
+    """
+
+    def __init__(self) -> None:
+        """Starts without a surplus."""
+        self._since_s: dict[ServiceId, float] = {}
+
+    def has_lasted(
+        self, service_id: ServiceId, *, is_surplus: bool, now_s: float
+    ) -> bool:
+        """Takes one look; True once all looks of some seconds agreed."""
+        if not is_surplus:
+            self._since_s.pop(service_id, None)
+            return False
+        since_s = self._since_s.setdefault(service_id, now_s)
+        return now_s - since_s >= STEADY_S
+
+
+__all__ = ('STEADY_S', 'SteadySurplus', 'surplus_reader', 'wanted_readers')
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/terms.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/terms.py
@@ -74,14 +74,17 @@
         request_id: Request that it answers; ``None`` if not told.
         is_sealed: Whether the upstream vouches for the reply.
         has_not_run: Whether it says that the request did not run.
-        is_other_upstream: Whether another upstream has the address now.
+        is_misdirected: Whether it refuses because it isn't the upstream, or
+            not of the stage, that was meant.
+        answered_by: The upstream that it says it is, if told.
         idle_timeout_s: Time that it keeps an idle connection, if told.
     """
 
     request_id: RequestId | None
     is_sealed: bool
     has_not_run: bool
-    is_other_upstream: bool
+    is_misdirected: bool
+    answered_by: UpstreamId | None
     idle_timeout_s: float | None
 
 
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -155,11 +155,6 @@
         """Takes a failure domain back."""
         self._evacuated.discard(domain_id)
 
-    def listed(self, service_id: ServiceId) -> list[Upstream]:
-        """Returns the upstreams of a service, whatever their state."""
-        known = self._by_service.get(service_id, {}).values()
-        return [one.upstream for one in known]
-
     def usable(self, service_id: ServiceId) -> Iterator[KnownUpstream]:
         """Yields the upstreams of a service that may get new work."""
         for known in self._by_service.get(service_id, {}).values():
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/wait_line.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/wait_line.py
@@ -3,10 +3,11 @@
 Load pattern: a burst fills the memory of all decode engines for some
 seconds; streams end all the time, so that a short wait is enough for most.
 
-Waiting streams that can still be on time go first, then the more urgent
-workspaces, then workspaces that were served less, then the earlier arrival.
-Only the first one may be placed, so that a large prompt is not passed over.
-A stream that would wait too long is refused at once.
+Streams that lost their engine go first, then those that can still be on time,
+then the more urgent workspaces, then workspaces that were served less, then
+the earlier arrival. Only the first one may be placed, so that a large prompt
+is not passed over. A stream that would start after its caller has left is
+refused at once.
 """
 
 from __future__ import annotations
@@ -14,11 +15,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-MAX_LATE_WAIT_S = 2.5
-"""Longest predicted wait of a stream that can't be on time any more."""
-
-MAX_WAIT_S = 4.0
-"""Longest wait of a stream whose prediction proved wrong."""
+PEER_SHARE = 0.5
+"""Part of the streams waiting at peers that will go first."""
 
 
 class Verdict(Enum):
@@ -38,6 +36,8 @@
         served: Cost that its workspace was served lately.
         arrived_s: When it joined.
         on_time_until_s: Last time at which a start is on time.
+        useful_until_s: Last time at which a start finds the caller.
+        is_resumed: Whether the caller already has a part of the stream.
     """
 
     tokens: int
@@ -45,11 +45,18 @@
     served: float
     arrived_s: float
     on_time_until_s: float
+    useful_until_s: float
+    is_resumed: bool = False
 
-    def rank(self, now_s: float) -> tuple[bool, int, float, float]:
+    def rank(self, now_s: float) -> tuple[bool, bool, int, float, float]:
         """Returns the sort key; the smallest goes first."""
-        is_late = now_s > self.on_time_until_s
-        return is_late, self.priority, self.served, self.arrived_s
+        return (
+            not self.is_resumed,
+            now_s > self.on_time_until_s,
+            self.priority,
+            self.served,
+            self.arrived_s,
+        )
 
 
 class WaitLine:
@@ -98,17 +105,17 @@
             release_per_s: Memory that ending streams free each second.
             now_s: Monotonic clock.
         """
-        if release_per_s <= 0 or now_s - ticket.arrived_s > MAX_WAIT_S:
+        if release_per_s <= 0:
             return Verdict.REFUSE
         rank = ticket.rank(now_s)
         ahead = sum(
             one.tokens for one in self._tickets if one.rank(now_s) < rank
         )
-        wait_s = (ahead + peer_tokens + ticket.tokens) / release_per_s
-        is_on_time = now_s + wait_s <= ticket.on_time_until_s
-        if is_on_time or wait_s <= MAX_LATE_WAIT_S:
+        ahead += int(peer_tokens * PEER_SHARE)
+        starts_at_s = now_s + (ahead + ticket.tokens) / release_per_s
+        if starts_at_s <= ticket.useful_until_s:
             return Verdict.WAIT
         return Verdict.REFUSE
 
 
-__all__ = ('MAX_LATE_WAIT_S', 'MAX_WAIT_S', 'Ticket', 'Verdict', 'WaitLine')
+__all__ = ('Ticket', 'Verdict', 'WaitLine')
--- a/packages/catkinreach-core/tests/gateway/test_placement.py
+++ b/packages/catkinreach-core/tests/gateway/test_placement.py
@@ -78,6 +78,17 @@
     assert not health.is_down(UPSTREAM)
 
 
+def test_upstream_whose_address_was_taken_over_stays_out() -> None:
+    health = HealthTable()
+    health.note_replaced(UPSTREAM, 0.0)
+    health.note_reachable(UPSTREAM)
+    health.note_unreachable(UPSTREAM, 1.0)
+    assert health.is_down(UPSTREAM)
+    assert not health.due_probes(1e6)
+    health.forget(UPSTREAM)
+    assert not health.is_down(UPSTREAM)
+
+
 def test_idle_prefill_engine_reads_the_prompt() -> None:
     reader = _choice('reader', stage=Stage.PREFILL)
     decoder = _choice('decoder', stage=Stage.DECODE)
--- a/packages/catkinreach-core/tests/gateway/test_stage_orders.py
+++ b/packages/catkinreach-core/tests/gateway/test_stage_orders.py
@@ -11,11 +11,16 @@
 
 from catkinreach_core.gateway.members import SILENT_AFTER_S
 from catkinreach_core.gateway.order_holder import HOLD_AFTER_S, OrderHolder
-from catkinreach_core.gateway.stage_plan import surplus_reader, wanted_readers
+from catkinreach_core.gateway.stage_plan import (
+    STEADY_S,
+    SteadySurplus,
+    surplus_reader,
+    wanted_readers,
+)
 from catkinreach_core.gateway.switching import SwitchingEngines
 from catkinreach_core.gateway.upstream import Stage, Upstream
 from catkinreach_core.ids import UpstreamId
-from catkinreach_standins.fakes.gateway import TRAITS, make_upstream
+from catkinreach_standins.fakes.gateway import SERVICE, TRAITS, make_upstream
 
 LEASE_S = 3.0
 TICK_S = 0.3
@@ -50,6 +55,18 @@
     assert surplus_reader(_engines(0, 6), TRAITS, ()) is None
 
 
+def test_only_a_surplus_that_lasts_is_acted_on() -> None:
+    surplus = SteadySurplus()
+
+    def look(now_s: float, *, is_surplus: bool) -> bool:
+        return surplus.has_lasted(SERVICE, is_surplus=is_surplus, now_s=now_s)
+
+    assert not look(0.0, is_surplus=True)
+    assert not look(STEADY_S - 0.5, is_surplus=False)
+    assert not look(STEADY_S, is_surplus=True)
+    assert look(2 * STEADY_S, is_surplus=True)
+
+
 def test_switching_engine_is_out_until_its_time_is_over() -> None:
     switching, one = SwitchingEngines(), UpstreamId('r1')
     switching.put(one, 5.0, 0.0)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -142,8 +142,9 @@
     def note_refused(self, reply: Reply) -> None:
         """Takes that an upstream refused, or that another has its address."""
         upstream_id = reply.upstream.upstream_id
-        if reply.marks.is_other_upstream:
-            self.health.note_unreachable(upstream_id, self.clock())
+        marks = reply.marks
+        if marks.is_misdirected and marks.answered_by != upstream_id:
+            self.health.note_replaced(upstream_id, self.clock())
         else:
             self.health.note_failure(upstream_id, self.clock())
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/order_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/order_task.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.order_holder import OrderHolder
-from catkinreach_core.gateway.stage_plan import surplus_reader
+from catkinreach_core.gateway.stage_plan import SteadySurplus, surplus_reader
 from catkinreach_core.gateway.upstream import Stage
 
 from ..http.client import ConnectError, ExchangeError
@@ -39,6 +39,7 @@
         """Starts without the right."""
         self._node = node
         self._holder = OrderHolder(node.settings.host)
+        self._surplus = SteadySurplus()
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -69,12 +70,21 @@
         for service in catalog.services.values():
             if service.engine is None:
                 continue
+            engines = [
+                known.upstream
+                for known in self._node.view.usable(service.service_id)
+            ]
             upstream = surplus_reader(
-                self._node.view.listed(service.service_id),
+                engines,
                 service.engine,
                 self._node.switching.known(self._node.clock()),
             )
-            if upstream is None:
+            has_lasted = self._surplus.has_lasted(
+                service.service_id,
+                is_surplus=upstream is not None,
+                now_s=self._node.clock(),
+            )
+            if upstream is None or not has_lasted:
                 continue
             pause_s = service.engine.stage_switch_s + SWITCH_MARGIN_S
             self._node.switching.put(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
@@ -130,7 +130,7 @@
         now_s = self._node.clock()
         if reply.marks.has_not_run:
             self._node.note_refused(reply)
-            if reply.marks.is_other_upstream:
+            if reply.marks.is_misdirected:
                 self._attempts.note_not_counted()
             self._attempts.failed(upstream_id, 'refused', status=reply.status)
             return None
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
@@ -0,0 +1,143 @@
+"""Has the prompt of one call read by a prefill engine, once.
+
+The first such call that an engine takes counts neither as a send nor against
+the budget of repeats; a further one would, and decode engines read prompts
+themselves, so there is none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from catkinreach_core.gateway.load_table import UpstreamLoad
+
+from ..http.client import ConnectError, ExchangeError
+from .exchange import exchange
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.catalog import EngineTraits
+    from catkinreach_core.gateway.placement import StreamNeed
+    from catkinreach_core.gateway.terms import KvHandle
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import UpstreamId
+
+    from .call import Attempts, Call
+    from .exchange import Reply
+    from .node import Node
+
+SLACK_S = 0.2
+SLACK_FACTOR = 3.0
+"""A prefill may take its prediction times this, plus the slack."""
+
+HANDLE_MARGIN_S = 0.1
+"""A handle isn't used this long before it lapses."""
+
+
+class PromptReader:
+    """The prefill of one call, and the handle that it brought."""
+
+    def __init__(
+        self,
+        node: Node,
+        call: Call,
+        attempts: Attempts,
+        need: StreamNeed,
+        traits: EngineTraits,
+    ) -> None:
+        """Prepares the call; a stream that is resumed isn't read apart."""
+        self._node = node
+        self._call = call
+        self._attempts = attempts
+        self._need = need
+        self._traits = traits
+        self._handle: KvHandle | None = None
+        self._reader: Upstream | None = None
+        self._usable_until_s = 0.0
+        self.is_spent = call.terms.resume_after is not None
+
+    @property
+    def handle(self) -> KvHandle | None:
+        """Returns the handle, while it may be used."""
+        if self._node.clock() > self._usable_until_s:
+            self.free()
+        return self._handle
+
+    async def read(self, upstream: Upstream, predicted_s: float) -> bool:
+        """Has the prompt read; tells whether a handle is there."""
+        work = UpstreamLoad(running=1, prefill_tokens=self._need.prompt_tokens)
+        upstream_id = upstream.upstream_id
+        self.is_spent = True
+        self._node.begin_work(upstream_id, work)
+        self._node.cold.spend(upstream_id)
+        wait_s = SLACK_S + predicted_s * SLACK_FACTOR
+        try:
+            async with asyncio.timeout(min(wait_s, self._attempts.left_s)):
+                await self._exchange(upstream)
+        except ConnectError:
+            self.is_spent = False
+            self._node.health.note_unreachable(upstream_id, self._node.clock())
+            self._attempts.failed(upstream_id, 'prefill unreachable')
+        except ExchangeError as error:
+            self._fail(upstream_id, f'prefill: {error}')
+            self._node.check_crash(upstream, self._call.fingerprint)
+        except TimeoutError:
+            self._fail(upstream_id, 'prefill not in time')
+        finally:
+            self._node.end_work(upstream_id, work)
+        return self._handle is not None
+
+    def note_taken(self) -> None:
+        """Forgets a handle that a decode engine has taken or may have."""
+        self._handle = None
+
+    def note_refused(self) -> None:
+        """Forgets a handle that was refused; its engine may be at fault."""
+        if self._reader is not None:
+            self._node.health.note_failure(
+                self._reader.upstream_id, self._node.clock()
+            )
+        self.free()
+
+    def free(self) -> None:
+        """Frees the KV cache, if it was not taken."""
+        handle, self._handle = self._handle, None
+        if handle is not None:
+            self._node.free_handle(handle)
+
+    async def _exchange(self, upstream: Upstream) -> None:
+        call = self._call
+        request = self._node.dialect.prefill_request(
+            call.request, call.send_terms(upstream, self._node.clock())
+        )
+        reply = await exchange(
+            self._node, upstream, request, call.terms.request_id
+        )
+        body = await reply.read_all()
+        handle = self._node.dialect.read_handle(upstream.address, body)
+        if handle is None or reply.marks.has_not_run:
+            self._refuse(reply)
+            return
+        now_s = self._node.clock()
+        self._node.health.note_success(upstream.upstream_id, now_s)
+        self._handle = handle
+        self._reader = upstream
+        life_s = self._traits.handle_ttl_s - HANDLE_MARGIN_S
+        self._usable_until_s = now_s + life_s
+
+    def _refuse(self, reply: Reply) -> None:
+        if reply.marks.is_misdirected:
+            self.is_spent = False
+        elif reply.marks.has_not_run:
+            self._attempts.note_sent()
+        self._node.note_refused(reply)
+        self._attempts.failed(
+            reply.upstream.upstream_id, 'prefill refused', status=reply.status
+        )
+
+    def _fail(self, upstream_id: UpstreamId, reason: str) -> None:
+        self._node.health.note_failure(upstream_id, self._node.clock())
+        self._attempts.failed(upstream_id, reason)
+
+
+__all__ = ('PromptReader',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from catkinreach_core.errors import ErrorKind
-from catkinreach_core.gateway.load_table import UpstreamLoad
 from catkinreach_core.gateway.placement import (
     StreamNeed,
     plan_stream,
@@ -21,12 +21,11 @@
 from .decision_log import Event
 from .engine_run import EngineRun
 from .event_relay import EventRelay
-from .exchange import exchange
+from .prompt_reader import PromptReader
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import EngineTraits
     from catkinreach_core.gateway.placement import Choice, StreamPlan
-    from catkinreach_core.gateway.terms import KvHandle
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.gateway.wait_line import WaitLine
 
@@ -34,12 +33,11 @@
     from .node import Node
 
 ROOM_POLL_S = 0.01
-PREFILL_SLACK_S = 0.2
-PREFILL_SLACK_FACTOR = 3.0
-"""A prefill may take its prediction times this, plus the slack."""
-
 FIRST_EVENT_SLACK_S = 0.3
 FIRST_EVENT_SLACK_FACTOR = 3.0
+PATIENCE_TARGETS = 3.6
+"""Callers leave after four latency targets without an event."""
+
 MIN_LEFT_S = 0.02
 DEFAULT_PROMPT_TOKENS = 1000
 
@@ -53,7 +51,8 @@
         self._call = call
         self._traits = traits
         self._attempts = Attempts(node, call)
-        self._is_prefill_spent = call.terms.resume_after is not None
+        self._is_resuming = False
+        self._silent_since_s = call.arrived_s
         prompt = call.terms.prompt_tokens
         if prompt is None:
             prompt = DEFAULT_PROMPT_TOKENS
@@ -63,6 +62,9 @@
                 prompt, call.terms.output_tokens
             ),
         )
+        self._reader = PromptReader(
+            node, call, self._attempts, self._need, traits
+        )
 
     async def run(self) -> HttpResponse:
         """Returns the answer once its first event is there.
@@ -70,7 +72,10 @@
         Raises:
             CatkinreachError: if it can't be served.
         """
-        run = await self._open(self._call.terms.resume_after)
+        try:
+            run = await self._open(self._call.terms.resume_after)
+        finally:
+            self._reader.free()
         reply = run.reply
         headers = self._node.dialect.caller_headers(reply.headers)
         if not reply.is_success:
@@ -87,6 +92,8 @@
         """Opens the stream again after an event; ``None`` if it may not be."""
         if not self.can_resume:
             return None
+        self._is_resuming = True
+        self._silent_since_s = self._node.clock()
         run = await self._open(last_id)
         if run.reply.is_success:
             return run
@@ -118,18 +125,19 @@
     ) -> bool:
         """Has the prompt read, if planned, and the stream begun."""
         is_open = False
+        prefill = plan.prefill
         try:
-            if plan.prefill is not None:
-                run.source = await self._prefill(plan.prefill.upstream, plan)
-                if run.source is None:
-                    return False
+            if prefill is not None and not await self._reader.read(
+                prefill.upstream, plan.first_token_s
+            ):
+                return False
             if not self._attempts.may_send():
                 raise self._attempts.error()
+            run.source = self._reader.handle
             is_open = await self._decode(plan, run, resume_after)
         finally:
             if not is_open:
                 run.close()
-                self._free(run.source)
         return is_open
 
     async def _plan(self) -> StreamPlan:
@@ -165,6 +173,10 @@
             ),
             arrived_s=self._node.clock(),
             on_time_until_s=call.arrived_s + call.route.target_s - read_s,
+            useful_until_s=self._silent_since_s
+            + call.route.target_s * PATIENCE_TARGETS
+            - read_s,
+            is_resumed=self._is_resuming,
         )
 
     def _check_wait(self, line: WaitLine, ticket: Ticket, now_s: float) -> None:
@@ -192,59 +204,12 @@
 
     def _best_plan(self) -> StreamPlan | None:
         choices = self._choices()
-        if self._is_prefill_spent:
+        if self._reader.is_spent:
             choices = [one for one in choices if one.decodes]
-        return plan_stream(choices, self._need, self._traits)
-
-    async def _prefill(
-        self, upstream: Upstream, plan: StreamPlan
-    ) -> KvHandle | None:
-        """Has the prompt read; only the first such call is free."""
-        self._is_prefill_spent = True
-        work = UpstreamLoad(running=1, prefill_tokens=self._need.prompt_tokens)
-        upstream_id = upstream.upstream_id
-        self._node.begin_work(upstream_id, work)
-        self._node.cold.spend(upstream_id)
-        wait_s = PREFILL_SLACK_S + plan.first_token_s * PREFILL_SLACK_FACTOR
-        try:
-            async with asyncio.timeout(min(wait_s, self._attempts.left_s)):
-                return await self._prefill_exchange(upstream)
-        except ConnectError:
-            self._node.health.note_unreachable(upstream_id, self._node.clock())
-            self._attempts.failed(upstream_id, 'prefill unreachable')
-        except ExchangeError as error:
-            self._node.health.note_failure(upstream_id, self._node.clock())
-            self._attempts.failed(upstream_id, f'prefill: {error}')
-            self._node.check_crash(upstream, self._call.fingerprint)
-        except TimeoutError:
-            self._node.health.note_failure(upstream_id, self._node.clock())
-            self._attempts.failed(upstream_id, 'prefill not in time')
-        finally:
-            self._node.end_work(upstream_id, work)
-        return None
-
-    async def _prefill_exchange(self, upstream: Upstream) -> KvHandle | None:
-        call = self._call
-        request = self._node.dialect.prefill_request(
-            call.request, call.send_terms(upstream, self._node.clock())
-        )
-        reply = await exchange(
-            self._node, upstream, request, call.terms.request_id
-        )
-        body = await reply.read_all()
-        handle = self._node.dialect.read_handle(upstream.address, body)
-        if handle is not None and not reply.marks.has_not_run:
-            self._node.health.note_success(
-                upstream.upstream_id, self._node.clock()
-            )
-            return handle
-        if reply.marks.has_not_run and not reply.marks.is_other_upstream:
-            self._attempts.note_sent()
-        self._node.note_refused(reply)
-        self._attempts.failed(
-            upstream.upstream_id, 'prefill refused', status=reply.status
-        )
-        return None
+        need = self._need
+        if self._reader.handle is not None:
+            need = replace(need, prompt_tokens=0)
+        return plan_stream(choices, need, self._traits)
 
     async def _decode(
         self, plan: StreamPlan, run: EngineRun, resume_after: int | None
@@ -265,9 +230,11 @@
             self._node.health.note_unreachable(upstream_id, self._node.clock())
             self._attempts.failed(upstream_id, 'unreachable')
         except ExchangeError as error:
+            self._reader.note_taken()
             self._note_failure(upstream, str(error))
             self._node.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
+            self._reader.note_taken()
             self._attempts.has_timed_out = True
             self._note_failure(upstream, 'no first event in time')
         return False
@@ -277,8 +244,10 @@
         if reply.marks.has_not_run:
             await run.read_failure()
             self._node.note_refused(reply)
-            if reply.marks.is_other_upstream:
+            if reply.marks.is_misdirected:
                 self._attempts.note_not_counted()
+            else:
+                self._reader.note_refused()
             upstream_id = reply.upstream.upstream_id
             load = self._node.loads.total(upstream_id, self._node.clock())
             self._attempts.failed(
@@ -289,6 +258,7 @@
                 memory_tokens=load.memory_tokens,
             )
             return False
+        self._reader.note_taken()
         if not reply.marks.is_sealed:
             raise ExchangeError('reply without the mark of its upstream')
         return True
@@ -304,10 +274,6 @@
         self._node.health.note_failure(upstream_id, self._node.clock())
         self._attempts.failed(upstream_id, reason)
 
-    def _free(self, handle: KvHandle | None) -> None:
-        if handle is not None:
-            self._node.free_handle(handle)
-
     def _log_placed(self, plan: StreamPlan, resume_after: int | None) -> None:
         prefill = plan.prefill
         self._node.log.write(
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from catkinreach_core.gateway.terms import KvHandle, ReplyMarks, RequestTerms
-from catkinreach_core.ids import RequestId
+from catkinreach_core.ids import RequestId, UpstreamId
 
 from ..http.messages import JSON_TYPE, Headers, HttpRequest
 from .boot import MS_PER_S
@@ -107,11 +107,13 @@
         """Returns what the head of a reply says."""
         known = dict(headers)
         request_id = known.get(REQUEST_ID)
+        instance = known.get('instance-id')
         return ReplyMarks(
             request_id=None if request_id is None else RequestId(request_id),
             is_sealed=SEAL in known,
             has_not_run='not-executed' in known or status == MISDIRECTED,
-            is_other_upstream=status == MISDIRECTED,
+            is_misdirected=status == MISDIRECTED,
+            answered_by=None if instance is None else UpstreamId(instance),
             idle_timeout_s=_idle_timeout_s(known.get('keep-alive')),
         )
 
