Check an engine that fell silent, or that a peer can't reach, by connecting to it

Change: silence and a peer's word lead to one connect, which decides; the word alone doesn't, since the peer may be the one that is cut off. Connects end after 0.15 s.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
@@ -25,6 +25,7 @@
         loads: The sender's own work in flight, by upstream.
         admitted: Cost that the sender admitted in the window, by workspace.
         crashes: Breaks that the sender counted, by fingerprint.
+        down: Upstreams that the sender could not reach.
         waiting: Memory that streams wait for at the sender, by service.
         holder: Node that the sender names as the one to give orders.
         switching: Seconds for which engines that change their stage are out.
@@ -37,6 +38,7 @@
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
     admitted: dict[WorkspaceId, float] = field(default_factory=dict)
     crashes: dict[Fingerprint, int] = field(default_factory=dict)
+    down: list[UpstreamId] = field(default_factory=list)
     waiting: dict[ServiceId, int] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, float] = field(default_factory=dict)
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
@@ -91,6 +91,10 @@
         record = self._records.get(upstream_id)
         return record is not None and record.is_down
 
+    def down(self) -> list[UpstreamId]:
+        """Returns the upstreams that couldn't be reached."""
+        return [one for one, record in self._records.items() if record.is_down]
+
     def due_probes(self, now_s: float) -> tuple[UpstreamId, ...]:
         """Returns the unreachable upstreams to try now."""
         return tuple(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from contextlib import suppress
@@ -43,6 +44,8 @@
     from .settings import GatewaySettings
 
 FREE_TIMEOUT_S = 0.3
+DOUBT_GAP_S = 1.0
+"""Time between two checks of an upstream that peers can't reach."""
 
 
 class Node:
@@ -73,11 +76,12 @@
         self.peer_admitted: dict[str, dict[WorkspaceId, float]] = {}
         self.pool = UpstreamPool()
         self.control_http = HttpClient()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
         self.metrics = Metrics()
         self.log = DecisionLog(self.clock)
         self.peer_holders: dict[str, str] = {}
         self.peer_waiting: dict[str, dict[ServiceId, int]] = {}
+        self._doubted_at_s: dict[UpstreamId, float] = {}
         self._lines: dict[ServiceId, WaitLine] = {}
         self.named_holder = ''
         self.switching = SwitchingEngines()
@@ -139,6 +143,15 @@
         self.loads.end(upstream_id, work)
         self.load_changed.set()
 
+    def note_unreachable(self, upstream_id: UpstreamId, reason: str) -> None:
+        """Takes an upstream out that does not accept connections."""
+        if not self.health.is_down(upstream_id):
+            self.log.write(
+                Event.UPSTREAM_DOWN, upstream=upstream_id, reason=reason
+            )
+            self.load_changed.set()
+        self.health.note_unreachable(upstream_id, self.clock())
+
     def note_refused(self, reply: Reply) -> None:
         """Takes that an upstream refused, or that another has its address."""
         upstream_id = reply.upstream.upstream_id
@@ -152,11 +165,29 @@
         """Finds out whether an upstream crashed under a request."""
         self._spawn(self._confirm_crash(upstream, fingerprint))
 
+    def check_reachable(self, upstream: Upstream) -> None:
+        """Finds out whether an upstream that fell silent can be reached."""
+        self._spawn(self._confirm_reachable(upstream))
+
+    def doubt(self, upstream_id: UpstreamId) -> None:
+        """Checks an upstream that a peer could not reach.
+
+        The peer alone may be cut off from it, so its word is no proof.
+        """
+        now_s = self.clock()
+        known = self.view.find(upstream_id)
+        if known is None or self.health.is_down(upstream_id):
+            return
+        if now_s - self._doubted_at_s.get(upstream_id, -math.inf) < DOUBT_GAP_S:
+            return
+        self._doubted_at_s[upstream_id] = now_s
+        self.check_reachable(known.upstream)
+
     def free_handle(self, handle: KvHandle) -> None:
         """Frees KV cache that no engine will take."""
         self._spawn(self._free(handle))
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+    def _spawn(self, work: Coroutine[None, None, object]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -164,18 +195,24 @@
     async def _confirm_crash(
         self, upstream: Upstream, fingerprint: Fingerprint
     ) -> None:
-        now_s = self.clock()
+        if await self._confirm_reachable(upstream):
+            return
+        crashes = self.suspects.note_break(fingerprint, self.clock())
+        self.log.write(
+            Event.SUSPECT,
+            fingerprint=fingerprint,
+            upstream=upstream.upstream_id,
+            crashes=crashes,
+        )
+
+    async def _confirm_reachable(self, upstream: Upstream) -> bool:
+        """Connects to an upstream; takes it out if it does not accept."""
         try:
             await self.pool.probe(upstream)
-        except ConnectError:
-            self.health.note_unreachable(upstream.upstream_id, now_s)
-            crashes = self.suspects.note_break(fingerprint, now_s)
-            self.log.write(
-                Event.SUSPECT,
-                fingerprint=fingerprint,
-                upstream=upstream.upstream_id,
-                crashes=crashes,
-            )
+        except ConnectError as error:
+            self.note_unreachable(upstream.upstream_id, str(error))
+            return False
+        return True
 
     async def _free(self, handle: KvHandle) -> None:
         request = self.dialect.free_request(handle)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -104,6 +104,7 @@
             loads={} if is_short else node.loads.own(),
             admitted=node.quota.own_counts(now_s),
             crashes=node.suspects.to_tell(now_s),
+            down=node.health.down(),
             waiting=node.waiting_tokens(),
             holder=node.named_holder,
             switching=node.switching.to_tell(now_s),
@@ -120,6 +121,8 @@
         node.loads.hear(peer, digest.loads, now_s)
         node.suspects.hear(peer, digest.crashes)
         node.peer_admitted[peer] = digest.admitted
+        for upstream_id in digest.down:
+            node.doubt(upstream_id)
         node.peer_holders[peer] = digest.holder
         node.peer_waiting[peer] = digest.waiting
         node.switching.hear(digest.switching, now_s)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
@@ -88,9 +88,9 @@
         try:
             async with asyncio.timeout(self._wait_s()):
                 return await self._exchange(upstream)
-        except ConnectError:
+        except ConnectError as error:
             self._attempts.note_not_counted()
-            self._node.health.note_unreachable(upstream_id, self._node.clock())
+            self._node.note_unreachable(upstream_id, str(error))
             self._attempts.failed(upstream_id, 'unreachable')
         except ExchangeError as error:
             self._note_failure(upstream, str(error))
@@ -98,6 +98,7 @@
         except TimeoutError:
             self._attempts.has_timed_out = True
             self._note_failure(upstream, 'no reply in time')
+            self._node.check_reachable(upstream)
         finally:
             self._node.loads.end(upstream_id, work)
         return None
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/probes.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/probes.py
@@ -45,10 +45,7 @@
         try:
             await self._node.pool.probe(known.upstream)
         except ConnectError as error:
-            self._node.health.note_unreachable(upstream_id, self._node.clock())
-            self._node.log.write(
-                Event.UPSTREAM_DOWN, upstream=upstream_id, reason=str(error)
-            )
+            self._node.note_unreachable(upstream_id, str(error))
             return
         self._node.health.note_reachable(upstream_id)
         self._node.log.write(Event.UPSTREAM_UP, upstream=upstream_id)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
@@ -74,15 +74,16 @@
         try:
             async with asyncio.timeout(min(wait_s, self._attempts.left_s)):
                 await self._exchange(upstream)
-        except ConnectError:
+        except ConnectError as error:
             self.is_spent = False
-            self._node.health.note_unreachable(upstream_id, self._node.clock())
+            self._node.note_unreachable(upstream_id, str(error))
             self._attempts.failed(upstream_id, 'prefill unreachable')
         except ExchangeError as error:
             self._fail(upstream_id, f'prefill: {error}')
             self._node.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
             self._fail(upstream_id, 'prefill not in time')
+            self._node.check_reachable(upstream)
         finally:
             self._node.end_work(upstream_id, work)
         return self._handle is not None
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -105,6 +105,7 @@
         run.close()
         upstream = run.reply.upstream
         self._note_failure(upstream, reason)
+        self._node.check_reachable(upstream)
 
     async def _open(self, resume_after: int | None) -> EngineRun:
         while self._attempts.left_s > MIN_LEFT_S:
@@ -225,9 +226,9 @@
             async with asyncio.timeout(self._patience_s(wait_s)):
                 await run.open(resume_after)
             return await self._accepts(run)
-        except ConnectError:
+        except ConnectError as error:
             self._attempts.note_not_counted()
-            self._node.health.note_unreachable(upstream_id, self._node.clock())
+            self._node.note_unreachable(upstream_id, str(error))
             self._attempts.failed(upstream_id, 'unreachable')
         except ExchangeError as error:
             self._reader.note_taken()
@@ -237,6 +238,7 @@
             self._reader.note_taken()
             self._attempts.has_timed_out = True
             self._note_failure(upstream, 'no first event in time')
+            self._node.check_reachable(upstream)
         return False
 
     async def _accepts(self, run: EngineRun) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -13,7 +13,7 @@
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import UpstreamId
 
-CONNECT_TIMEOUT_S = 0.35
+CONNECT_TIMEOUT_S = 0.15
 MAX_IDLE = 16
 """Most idle connections to one upstream."""
 
