Choose the number of prefill engines by what the service passes on

Cause: the ratio of rates said nothing of prompts that decode engines read themselves, and kept one reader of two engines whatever their memory. Change: throughput as a function of the readers; the most, or nearly the most with more readers. Conclusion: a model with a test in place of a rounded ratio.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/stage_plan.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/stage_plan.py
@@ -3,16 +3,17 @@
 Load pattern: many long prompts at once. Prefill engines that stand idle
 hold memory that the decode engines lack, and streams are refused.
 
-A prefill engine reads as many tokens a second as fill the memory of some
-decode engines at the rate at which their streams end. That ratio tells how
-many readers a service needs; a decode engine can read prompts too.
+Decode engines pass on as many tokens as their memory turns over while their
+streams end. What the prefill engines can't read for them they read
+themselves, and generate more slowly for it. The plan takes the number of
+readers that passes on the most.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from .placement import PREFILL_TOKENS_PER_S
+from .placement import DECODE_PREFILL_FACTOR, PREFILL_TOKENS_PER_S
 from .upstream import Stage, UpstreamState
 
 if TYPE_CHECKING:
@@ -25,17 +26,42 @@
 RESIDENCE_S = 3.0
 """Time that a stream holds its memory."""
 
-MIN_READERS = 1
+NEARLY = 0.95
+"""Part of the best throughput that counts as nearly as good."""
 
 STEADY_S = 3.0
 """Time for which engines must be surplus before one changes its stage."""
 
 
+def throughput(readers: int, engines: int, traits: EngineTraits) -> float:
+    """Returns the prompt tokens a second that a service passes on.
+
+    A decode engine that reads ``own`` tokens a second spends the share
+    ``own / own_rate`` of its time on it, and its streams hold their memory
+    longer by as much.
+    """
+    decoders = engines - readers
+    read_apart = readers * PREFILL_TOKENS_PER_S
+    turnover = traits.memory_tokens / RESIDENCE_S
+    if not decoders or read_apart >= decoders * turnover:
+        return decoders * turnover
+    own_rate = PREFILL_TOKENS_PER_S / DECODE_PREFILL_FACTOR
+    own = (turnover - read_apart / decoders) / (1 + turnover / own_rate)
+    return read_apart + decoders * own
+
+
 def wanted_readers(engines: int, traits: EngineTraits) -> int:
-    """Returns the number of prefill engines that a service needs."""
-    turnover_per_s = traits.memory_tokens / RESIDENCE_S
-    fed = PREFILL_TOKENS_PER_S / turnover_per_s
-    return max(MIN_READERS, round(engines / (1 + fed)))
+    """Returns the number of prefill engines that a service needs.
+
+    Of plans that are nearly as good the one with the most readers is taken:
+    a prompt is read faster apart.
+    """
+    best = max(throughput(one, engines, traits) for one in range(engines))
+    return max(
+        one
+        for one in range(engines)
+        if throughput(one, engines, traits) >= best * NEARLY
+    )
 
 
 def surplus_reader(
@@ -56,7 +82,7 @@
         for one in engines
         if one.stage is Stage.PREFILL and one.upstream_id not in switching
     ]
-    if len(readers) <= wanted_readers(len(engines), traits):
+    if not readers or len(readers) <= wanted_readers(len(engines), traits):
         return None
     return max(readers, key=lambda one: one.upstream_id)
 
@@ -83,4 +109,10 @@
         return now_s - since_s >= STEADY_S
 
 
-__all__ = ('STEADY_S', 'SteadySurplus', 'surplus_reader', 'wanted_readers')
+__all__ = (
+    'STEADY_S',
+    'SteadySurplus',
+    'surplus_reader',
+    'throughput',
+    'wanted_readers',
+)
