Test the gateway and the adapter before stand-ins of the platform

The tests found one fault: the caller's Host was replaced on the way to the upstream; it is forwarded now.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -92,7 +92,7 @@
     connection = await node.pool.take(upstream)
     is_answered = False
     try:
-        await connection.send(request, request.header('host') or 'upstream')
+        await connection.send(request, str(upstream.address))
         reply = await _read_head(node, upstream, connection, request_id)
         is_answered = True
     except (OSError, h11.ProtocolError) as error:
--- a/packages/catkinreach-node/src/catkinreach_node/http/client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -80,12 +80,13 @@
         self._writer.transport.set_write_buffer_limits(high=size_bytes)
 
     async def send(self, request: HttpRequest, host: str) -> None:
-        """Sends a whole request."""
+        """Sends a whole request, to ``host`` unless it names one."""
         headers = [
-            ('host', host),
             ('content-length', str(len(request.body))),
             *request.headers,
         ]
+        if request.header('host') is None:
+            headers.insert(0, ('host', host))
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -30,7 +30,6 @@
         'connection',
         'content-length',
         'expect',
-        'host',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
--- /dev/null
+++ b/packages/catkinreach-node/tests/platform/test_boot.py
@@ -0,0 +1,65 @@
+"""The settings file of a process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from catkinreach_core.errors import CatkinreachError
+from catkinreach_core.settings.node import Address
+from catkinreach_node.platform.boot import BootFile, read_settings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+TEXT = """\
+node-name=front-1
+zone=zone-a
+ip=10.1.0.25
+listen.front=10.1.0.25:8221
+listen.ready=10.1.0.25:8224
+internal-ports=7600,7615
+seeds=10.1.0.25:8229,10.2.0.17:8229
+platform.address=10.200.1.7:8225
+bounds.grace-s=8
+bounds.budget-ratio=0.2
+bounds.retry-slack=58
+bounds.budget-window-s=10
+bounds.quota-window-s=8
+bounds.quota-slack=190000
+a.field=that nobody knows
+"""
+METRICS_PORT = 9464
+
+
+def test_settings_are_typed() -> None:
+    settings = read_settings(TEXT, METRICS_PORT)
+    assert settings.vm_id == 'front-1'
+    assert settings.caller_address == Address(host='10.1.0.25', port=8221)
+    assert settings.peer_address.port == 7600
+    assert settings.peer_hosts == ('10.1.0.25', '10.2.0.17')
+    assert settings.bounds.stop_grace_s == 8
+
+
+@pytest.mark.parametrize(
+    ('line', 'wrong'),
+    [
+        ('ip=10.1.0.25\n', ''),
+        ('bounds.grace-s=8', 'bounds.grace-s=soon'),
+        ('listen.front=10.1.0.25:8221', 'listen.front=8221'),
+    ],
+)
+def test_fault_is_named(line: str, wrong: str) -> None:
+    with pytest.raises(CatkinreachError):
+        read_settings(TEXT.replace(line, wrong), METRICS_PORT)
+
+
+def test_change_without_a_signal_is_noticed(tmp_path: Path) -> None:
+    path = tmp_path / 'boot.conf'
+    path.write_text(TEXT)
+    boot = BootFile(path)
+    boot.read(METRICS_PORT)
+    assert not boot.has_changed()
+    path.write_text(TEXT.replace(',10.2.0.17:8229', ''))
+    assert boot.has_changed()
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins of the users' platform: its store and its upstreams."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/config.py
@@ -0,0 +1,87 @@
+"""Configuration documents as the platform's operator writes them."""
+
+from __future__ import annotations
+
+HOST = 'app.example'
+KEY = 'key-one'
+OTHER_KEY = 'key-two'
+PLAIN = 'plain'
+MODEL = 'model'
+
+
+def route(name: str, kind: str, service: str, **changed: object) -> object:
+    """Returns one route whose prefix is its name."""
+    document: dict[str, object] = {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'timeout-ms': 3000,
+        'target-latency-ms': 900,
+        'priority': 1,
+        'service': service,
+        'max-attempts': 2,
+        'public': False,
+        'resumable': False,
+        'gap-aim-ms': 300,
+    }
+    return {**document, **changed}
+
+
+def config(version: int, **changed: object) -> dict[str, object]:
+    """Returns a configuration with a route of each kind."""
+    document: dict[str, object] = {
+        'version': version,
+        'routes': [
+            route('read', 'idempotent', PLAIN),
+            route('order', 'non_idempotent', PLAIN, **{'max-attempts': 1}),
+            route('open', 'idempotent', PLAIN, public=True),
+            route('stream', 'streaming', MODEL, resumable=True),
+            route('once', 'streaming', MODEL, **{'max-attempts': 1}),
+        ],
+        'services': [
+            {
+                'name': PLAIN,
+                'health-path': '/health',
+                'max-connections': 110,
+                'cold-per-s': 0.0,
+            },
+            {
+                'name': MODEL,
+                'health-path': '/health',
+                'max-connections': 370,
+                'cold-per-s': 8.0,
+                'engine': {
+                    'slots': 64,
+                    'kv-tokens': 60_000,
+                    'kv-token-bytes': 163_840,
+                    'link-mbps': 1_400_000.0,
+                    'stride': 11,
+                    'handle-ttl-s': 0.5,
+                    'stage-switch-s': 6.0,
+                },
+            },
+        ],
+        'limits': {
+            'max-header-bytes': 16_384,
+            'max-body-bytes': 100_000,
+            'header-timeout-ms': 1000,
+            'idle-timeout-ms': 2000,
+        },
+        'tenants': [
+            {
+                'name': 'one',
+                'api-keys': [KEY],
+                'priority': 1,
+                'unit': 'tokens',
+                'plain-tokens': 200,
+                'rate-per-s': 47_000,
+                'burst': 47_000,
+            },
+            {'name': 'two', 'api-keys': [OTHER_KEY], 'unit': 'tokens'},
+        ],
+    }
+    return {**document, **changed}
+
+
+__all__ = ('HOST', 'KEY', 'MODEL', 'OTHER_KEY', 'PLAIN', 'config', 'route')
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
@@ -0,0 +1,184 @@
+"""A gateway before stand-ins of the platform, all in one process."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from catkinreach_core.ids import FailureDomainId, VmId
+from catkinreach_core.settings.node import Address
+from catkinreach_node.gateway.app import GatewayApp
+from catkinreach_node.gateway.settings import GatewaySettings, SharedBounds
+from catkinreach_node.http.client import (
+    ClientConnection,
+    ConnectError,
+    HttpClient,
+)
+from catkinreach_node.http.messages import HttpRequest
+from catkinreach_node.platform.store import StoreClient
+from catkinreach_node.platform.wire import PlatformDialect
+
+from ..bench.ports import free_ports
+from .config import HOST, KEY, MODEL, PLAIN, config
+from .store import StoreStandin
+from .upstream import UpstreamStandin
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+LOOPBACK = '127.0.0.1'
+START_TIMEOUT_S = 10.0
+POLL_S = 0.02
+
+BOUNDS = SharedBounds(
+    stop_grace_s=2.0,
+    repeat_ratio=0.2,
+    repeat_slack=58.0,
+    repeat_window_s=10.0,
+    quota_window_s=8.0,
+    quota_slack=190_000.0,
+)
+
+
+async def eventually(
+    check: Callable[[], Awaitable[bool]], *, within_s: float
+) -> None:
+    """Asks until the answer is yes.
+
+    Raises:
+        TimeoutError: if it isn't in time.
+    """
+    async with asyncio.timeout(within_s):
+        while True:
+            if await check():
+                return
+            await asyncio.sleep(POLL_S)
+
+
+class Deployment:
+    """The parts of a running deployment."""
+
+    def __init__(self) -> None:
+        """Chooses free ports; nothing runs yet."""
+        front, ready, peer, metrics = (
+            Address(host=LOOPBACK, port=port) for port in free_ports(4)
+        )
+        self.store = StoreStandin()
+        self.upstreams = {
+            'a': UpstreamStandin('a', PLAIN),
+            'b': UpstreamStandin('b', PLAIN),
+            'p': UpstreamStandin('p', MODEL, 'prefill'),
+            'd': UpstreamStandin('d', MODEL, 'decode'),
+            'e': UpstreamStandin('e', MODEL, 'decode'),
+        }
+        self.front, self.ready = front, ready
+        self.peer, self.metrics = peer, metrics
+        self.client = HttpClient()
+        self._sent = 0
+
+    def settings(self) -> GatewaySettings:
+        """Returns the settings of the gateway."""
+        return GatewaySettings(
+            vm_id=VmId('front-1'),
+            domain_id=FailureDomainId('zone-a'),
+            host=LOOPBACK,
+            caller_address=self.front,
+            ready_address=self.ready,
+            peer_address=self.peer,
+            metrics_address=self.metrics,
+            store_address=Address(host=LOOPBACK, port=self.store.port),
+            peer_hosts=(),
+            bounds=BOUNDS,
+        )
+
+    def publish(self) -> None:
+        """Writes the configuration and all upstreams' entries."""
+        self.store.put('op/config', config(5))
+        for upstream in self.upstreams.values():
+            self.list_upstream(upstream)
+
+    def list_upstream(
+        self, upstream: UpstreamStandin, **changed: object
+    ) -> None:
+        """Writes one upstream's entry."""
+        key = f'servers/{upstream.upstream_id}'
+        self.store.put(key, upstream.entry(**changed))
+
+    def request(
+        self,
+        path: str,
+        *,
+        method: str = 'GET',
+        key: str | None = KEY,
+        body: bytes = b'',
+        **headers: str,
+    ) -> HttpRequest:
+        """Returns a request with an id of its own."""
+        self._sent += 1
+        pairs = [('request-id', f'r{self._sent}'), ('deadline-ms', '3000')]
+        if key is not None:
+            pairs.append(('authorization', f'Bearer {key}'))
+        pairs += [
+            (name.replace('_', '-'), text) for name, text in headers.items()
+        ]
+        pairs.append(('host', HOST))
+        return HttpRequest(method, path, pairs, body)
+
+    async def until_ready(self) -> None:
+        """Waits until the gateway says that it is ready."""
+        await eventually(self.is_ready, within_s=START_TIMEOUT_S)
+
+    async def is_ready(self) -> bool:
+        """Asks for readiness; a node that doesn't listen isn't ready."""
+        request = HttpRequest('GET', '/ready')
+        try:
+            status, _ = await self.client.call_raw(self.ready, request)
+        except ConnectError:
+            return False
+        return status == HTTPStatus.OK
+
+    async def is_listening(self) -> bool:
+        """Tells whether callers can connect."""
+        try:
+            connection = await ClientConnection.open(self.front)
+        except ConnectError:
+            return False
+        connection.close()
+        return True
+
+
+@asynccontextmanager
+async def running_deployment(
+    *, is_published: bool = True
+) -> AsyncIterator[tuple[Deployment, GatewayApp]]:
+    """Runs a gateway and its stand-ins."""
+    deployment = Deployment()
+    await deployment.store.start()
+    for upstream in deployment.upstreams.values():
+        await upstream.start()
+    if is_published:
+        deployment.publish()
+    settings = deployment.settings()
+    gateway = GatewayApp(
+        settings,
+        dialect=PlatformDialect(),
+        feed=StoreClient(settings.store_address),
+        reload=lambda: None,
+    )
+    running = asyncio.ensure_future(gateway.run())
+    try:
+        if is_published:
+            await deployment.until_ready()
+        await eventually(deployment.is_listening, within_s=START_TIMEOUT_S)
+        yield deployment, gateway
+    finally:
+        running.cancel()
+        await asyncio.wait({running})
+        for upstream in deployment.upstreams.values():
+            upstream.close()
+        await deployment.store.close()
+
+
+__all__ = ('Deployment', 'eventually', 'running_deployment')
