Tell every peer of a change, and less often where there are many

Each change in the store woke 70 watches. Change: changes of load go to all peers in short messages, full ones every 0.3 to 0.9 s by size, with the silence allowed to match; a watch that brought changes pauses for 0.3 s.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
@@ -23,7 +23,8 @@
         revision: Newest revision of the store that the sender has read.
         members: Some other nodes that the sender heard.
         loads: The sender's own work in flight, by upstream.
-        admitted: Cost that the sender admitted in the window, by workspace.
+        admitted: Cost that the sender admitted in the window, by workspace;
+            ``None`` in messages that only tell of a change of load.
         crashes: Breaks that the sender counted, by fingerprint.
         down: Upstreams that the sender could not reach.
         waiting: Memory that streams wait for at the sender, by service.
@@ -36,7 +37,7 @@
     revision: int
     members: list[str] = field(default_factory=list)
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
-    admitted: dict[WorkspaceId, float] = field(default_factory=dict)
+    admitted: dict[WorkspaceId, float] | None = None
     crashes: dict[Fingerprint, int] = field(default_factory=dict)
     down: list[UpstreamId] = field(default_factory=list)
     waiting: dict[ServiceId, int] = field(default_factory=dict)
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
@@ -10,6 +10,11 @@
 SILENT_AFTER_S = 1.5
 """Silence after which a member no longer counts as heard."""
 
+SMALL_FLEET = 24
+"""Members up to which messages come at the usual pace."""
+
+MOST_SILENCE_FACTOR = 2.0
+
 FORGET_AFTER_S = 15.0
 """Silence after which a member no longer counts as a member."""
 
@@ -35,6 +40,12 @@
         """Returns the number of members, this node included."""
         return 1 + len(self._heard_at_s)
 
+    @property
+    def silent_after_s(self) -> float:
+        """Returns the silence allowed; large fleets tell each other less."""
+        factor = max(1.0, self.count / SMALL_FLEET)
+        return SILENT_AFTER_S * min(MOST_SILENCE_FACTOR, factor)
+
     @property
     def least_count(self) -> int:
         """Returns the number of nodes that the settings name, with this one."""
@@ -50,7 +61,7 @@
         self._heard_at_s[node] = now_s
         self._told.update(others)
         self._told.discard(self._own)
-        return last_s is None or now_s - last_s > SILENT_AFTER_S
+        return last_s is None or now_s - last_s > self.silent_after_s
 
     def leave(self, node: str) -> None:
         """Takes that a node says that it stops."""
@@ -62,7 +73,7 @@
         return tuple(
             node
             for node, at_s in self._heard_at_s.items()
-            if now_s - at_s <= SILENT_AFTER_S
+            if now_s - at_s <= self.silent_after_s
         )
 
     def silent(self, now_s: float) -> int:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
 from typing import TYPE_CHECKING, cast
 
 from catkinreach_core.gateway.digest import (
@@ -13,6 +12,7 @@
     decode_digest,
     encode_digest,
 )
+from catkinreach_core.gateway.members import SMALL_FLEET
 from catkinreach_core.ids import Revision
 
 from .decision_log import Event
@@ -21,10 +21,13 @@
     from .node import Node
 
 TELL_INTERVAL_S = 0.3
+"""Time between two full messages in a small fleet."""
+
+MOST_INTERVAL_FACTOR = 3.0
 MIN_TELL_GAP_S = 0.01
 """Changes of load that follow each other this closely are told together."""
 
-MAX_TOLD_PEERS = 12
+MAX_TOLD_PEERS = 100
 """Peers that are told at once; in larger fleets a random part of them."""
 
 
@@ -35,6 +38,7 @@
         """Keeps the node's beliefs; the socket is opened by ``run``."""
         self._node = node
         self._transport: asyncio.DatagramTransport | None = None
+        self._full_at_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the socket."""
@@ -56,31 +60,47 @@
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(address.host, address.port)
         )
+        is_change = False
         while True:
-            self.tell()
+            self.tell(is_change=is_change)
             self._expire()
             await asyncio.sleep(MIN_TELL_GAP_S)
-            await self._wait_news()
+            is_change = await self._wait_news()
 
-    async def _wait_news(self) -> None:
-        """Waits until work at an engine began or ended, or for the interval."""
+    async def _wait_news(self) -> bool:
+        """Waits for a change of load; False if a full message is due."""
+        loop = asyncio.get_running_loop()
         changed = self._node.load_changed
-        jitter = 0.8 + 0.4 * self._node.rng.random()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(TELL_INTERVAL_S * jitter):
+        try:
+            async with asyncio.timeout_at(max(self._full_at_s, loop.time())):
                 await changed.wait()
+        except TimeoutError:
+            return False
         changed.clear()
+        return True
+
+    def _plan_full(self) -> None:
+        """Sets the time of the next full message."""
+        factor = self._node.members.count / SMALL_FLEET
+        interval_s = TELL_INTERVAL_S * min(
+            MOST_INTERVAL_FACTOR, max(1.0, factor)
+        )
+        jitter = 0.8 + 0.4 * self._node.rng.random()
+        now_s = asyncio.get_running_loop().time()
+        self._full_at_s = now_s + interval_s * jitter
 
-    def tell(self) -> None:
+    def tell(self, *, is_change: bool = False) -> None:
         """Sends one message to the peers, or to a random part of them."""
         if self._transport is None:
             return
+        if not is_change:
+            self._plan_full()
         contacts = list(self._node.members.contacts)
         if len(contacts) > MAX_TOLD_PEERS:
             contacts = self._node.rng.sample(contacts, MAX_TOLD_PEERS)
-        data = encode_digest(self._digest())
+        data = encode_digest(self._digest(is_change=is_change))
         if len(data) > MAX_DIGEST_BYTES:
-            data = encode_digest(self._digest(is_short=True))
+            data = encode_digest(self._digest(is_change=True))
         port = self._node.settings.peer_address.port
         for host in contacts:
             self._transport.sendto(data, (host, port))
@@ -91,7 +111,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _digest(self, *, is_short: bool = False) -> Digest:
+    def _digest(self, *, is_change: bool) -> Digest:
         node = self._node
         now_s = node.clock()
         heard = list(node.members.heard(now_s))
@@ -100,10 +120,10 @@
             node=node.settings.host,
             is_leaving=node.is_stopping,
             revision=node.revision,
-            members=heard[:MAX_TOLD_MEMBERS],
-            loads={} if is_short else node.loads.own(),
-            admitted=node.quota.own_counts(now_s),
-            crashes=node.suspects.to_tell(now_s),
+            members=[] if is_change else heard[:MAX_TOLD_MEMBERS],
+            loads=node.loads.own(),
+            admitted=None if is_change else node.quota.own_counts(now_s),
+            crashes={} if is_change else node.suspects.to_tell(now_s),
             down=node.health.down(),
             waiting=node.waiting_tokens(),
             holder=node.named_holder,
@@ -119,8 +139,9 @@
                 Event.PEER_HEARD, peer=peer, members=node.members.count
             )
         node.loads.hear(peer, digest.loads, now_s)
-        node.suspects.hear(peer, digest.crashes)
-        node.peer_admitted[peer] = digest.admitted
+        if digest.admitted is not None:
+            node.suspects.hear(peer, digest.crashes)
+            node.peer_admitted[peer] = digest.admitted
         for upstream_id in digest.down:
             node.doubt(upstream_id)
         node.peer_holders[peer] = digest.holder
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -33,6 +33,9 @@
 WATCH_WAIT_S = 2.0
 """Time that a watch waits: a silent connection is noticed after it."""
 
+CHANGES_PAUSE_S = 0.3
+"""Changes that follow each other this closely are read in one call."""
+
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 0.6
 DEPENDENCY = 'store'
@@ -82,6 +85,8 @@
                 self._take(change)
             revision = batch.revision
             self._node.revision = revision
+            if batch.changes:
+                await asyncio.sleep(CHANGES_PAUSE_S)
 
     async def _note_lost(self, reason: str) -> None:
         if not self._is_lost:
