Count and name what a gateway decides, with the inputs that decided

Cause: refusals named no inputs, failed sends were free text, and the metrics counted answers only. Change: a closed list of send failures; counters by status, code and failure, latencies by stage, gauges of what a node believes; refusals carry the queue or the counts that decided.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
@@ -29,6 +30,20 @@
 """Callers that were refused together return spread over this time."""
 
 
+class SendFailure(Enum):
+    """Ways in which a send to an upstream fails."""
+
+    UNREACHABLE = 'unreachable'
+    BROKEN = 'broken'
+    SILENT = 'silent'
+    REFUSED = 'refused'
+    FAILED = 'failed'
+    PREFILL_UNREACHABLE = 'prefill-unreachable'
+    PREFILL_BROKEN = 'prefill-broken'
+    PREFILL_SILENT = 'prefill-silent'
+    PREFILL_REFUSED = 'prefill-refused'
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """A request that was admitted.
@@ -128,38 +143,45 @@
         )
 
     def failed(
-        self, upstream_id: UpstreamId, reason: str, **inputs: object
+        self, upstream_id: UpstreamId, failure: SendFailure, **inputs: object
     ) -> None:
         """Logs a send that failed and avoids the upstream from now on."""
         self.excluded.add(upstream_id)
+        self._node.metrics.count_failed_send(failure.value)
         self._node.log.write(
             Event.SEND_FAILED,
             request=self._call.terms.request_id,
             upstream=upstream_id,
-            reason=reason,
+            reason=failure.value,
             sent=self._sent,
             may_have_run=self.may_have_run,
             **inputs,
         )
 
     def error(
-        self, kind: ErrorKind = ErrorKind.NO_UPSTREAM
+        self, kind: ErrorKind = ErrorKind.NO_UPSTREAM, detail: str = ''
     ) -> CatkinreachError:
         """Returns the answer to a call that can't be served."""
         if not self.may_have_run:
-            return refusal(self._node, kind)
+            return refusal(self._node, kind, detail=detail)
         if self.has_timed_out or self.left_s <= 0:
             return CatkinreachError(ErrorKind.UPSTREAM_TIMEOUT)
         return CatkinreachError(ErrorKind.UPSTREAM_FAILED)
 
 
 def refusal(
-    node: Node, kind: ErrorKind, after_s: float = RETRY_AFTER_S
+    node: Node,
+    kind: ErrorKind,
+    *,
+    after_s: float = RETRY_AFTER_S,
+    detail: str = '',
 ) -> CatkinreachError:
     """Returns a refusal whose advice spreads the return of callers."""
     return CatkinreachError(
-        kind, retry_after_s=after_s + node.rng.random() * RETRY_SPREAD_S
+        kind,
+        detail,
+        retry_after_s=after_s + node.rng.random() * RETRY_SPREAD_S,
     )
 
 
-__all__ = ('Attempts', 'Call', 'refusal')
+__all__ = ('Attempts', 'Call', 'SendFailure', 'refusal')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -90,6 +90,12 @@
         self._clock = clock
         self._tokens: dict[Event, tuple[float, float]] = {}
         self._dropped: Counter[str] = Counter()
+        self._dropped_in_all = 0
+
+    @property
+    def dropped(self) -> int:
+        """Returns the lines that were left out so far."""
+        return self._dropped_in_all
 
     def write(self, event: Event, **fields: object) -> None:
         """Writes a line unless the event's budget is used up.
@@ -100,6 +106,7 @@
         """
         if not self._take(event):
             self._dropped[event.value] += 1
+            self._dropped_in_all += 1
             return
         if self._dropped:
             dropped = dict(self._dropped)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -9,6 +9,7 @@
 
 from ..http.client import ExchangeError
 from .decision_log import Event
+from .gateway_metrics import Stage
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -67,7 +68,7 @@
         events = self._run.first_events
         first_s = self._node.clock() - self._call.arrived_s
         self._first_event_s = round(first_s, 4)
-        self._node.metrics.first_token.record(first_s)
+        self._node.metrics.record(Stage.FIRST_EVENT, first_s)
         while True:
             data = self._take(events)
             if data:
@@ -139,6 +140,7 @@
         self._node.health.note_success(upstream_id, now_s)
         self._node.suspects.clear(self._call.fingerprint)
         self._note_output()
+        self._node.metrics.record(Stage.TOTAL, now_s - self._call.arrived_s)
         self._node.log.write(
             Event.ANSWERED,
             request=self._call.terms.request_id,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -49,6 +49,7 @@
         terms = self._node.dialect.read_request(request)
         try:
             response = await self._serve(request, terms, arrived_s)
+            self._node.metrics.count_answer(response.status, 'ok')
         except CatkinreachError as error:
             response = self._refused(terms, error, arrived_s)
         except ExchangeError as error:
@@ -60,7 +61,6 @@
             response = self._refused(terms, failure, arrived_s)
         if self._node.is_stopping:
             response.headers.append(('connection', 'close'))
-        self._node.metrics.count_answer(response.status, 'any')
         return response
 
     async def _serve(
@@ -111,16 +111,25 @@
         if workspace.counts_tokens:
             is_counted = terms.prompt_tokens is not None
             cost = terms.total_tokens if is_counted else workspace.plain_cost
+        heard = self._node.heard_quota(workspace.workspace_id)
+        silent = self._node.members.silent(now_s)
         retry_after_s = self._node.quota.admit(
             workspace,
             cost,
-            heard=self._node.heard_quota(workspace.workspace_id),
-            silent_peers=self._node.members.silent(now_s),
+            heard=heard,
+            silent_peers=silent,
             members=self._node.members.count,
             now_s=now_s,
         )
         if retry_after_s is not None:
-            raise refusal(self._node, ErrorKind.RATE_LIMITED, retry_after_s)
+            own = self._node.quota.own_count(workspace.workspace_id, now_s)
+            raise refusal(
+                self._node,
+                ErrorKind.RATE_LIMITED,
+                after_s=retry_after_s,
+                detail=f'{own:.0f} admitted here and {heard:.0f} by peers in'
+                f' the window, {silent} peers silent',
+            )
 
     def _refused(
         self, terms: RequestTerms, error: CatkinreachError, arrived_s: float
@@ -137,6 +146,9 @@
             version=catalog and catalog.version,
             after_s=round(now_s - arrived_s, 4),
         )
+        self._node.metrics.count_answer(
+            ANSWERS[error.kind].status, error.kind.value
+        )
         response = problem_response(error)
         headers = response.headers
         headers[:] = [pair for pair in headers if pair[0] != RETRY_AFTER_HEADER]
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -24,12 +24,12 @@
 from catkinreach_core.ids import Revision
 
 from ..http.client import ConnectError, ExchangeError, HttpClient
-from ..telemetry.metrics import Metrics
 from .decision_log import DecisionLog, Event
+from .gateway_metrics import GatewayMetrics
 from .upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from catkinreach_core.gateway.catalog import ServiceTraits
     from catkinreach_core.gateway.crash_suspects import Fingerprint
@@ -77,7 +77,8 @@
         self.pool = UpstreamPool()
         self.control_http = HttpClient()
         self._tasks: set[asyncio.Task[object]] = set()
-        self.metrics = Metrics()
+        self.metrics = GatewayMetrics()
+        self._add_gauges()
         self.log = DecisionLog(self.clock)
         self.peer_holders: dict[str, str] = {}
         self.peer_waiting: dict[str, dict[ServiceId, int]] = {}
@@ -90,6 +91,26 @@
         self.revision = Revision(0)
         self.peer_revision = Revision(0)
 
+    def _add_gauges(self) -> None:
+        """Shows beliefs whose age or size explains decisions."""
+        gauges: dict[str, Callable[[], float]] = {
+            'members': lambda: self.members.count,
+            'members_silent': lambda: self.members.silent(self.clock()),
+            'catalog_version': lambda: (
+                self.view.catalog.version if self.view.catalog else 0
+            ),
+            'store_revision': lambda: self.revision,
+            'upstreams_known': lambda: len(self.view.upstream_ids),
+            'upstreams_down': lambda: len(self.health.down()),
+            'streams_waiting': lambda: sum(
+                line.count for line in self._lines.values()
+            ),
+            'connections_opened': lambda: self.pool.opened,
+            'log_lines_dropped': lambda: self.log.dropped,
+        }
+        for name, read in gauges.items():
+            self.metrics.add_gauge(name, read)
+
     def choices(
         self,
         service_id: ServiceId,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
@@ -11,9 +11,10 @@
 
 from ..http.client import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .call import Attempts
+from .call import Attempts, SendFailure
 from .decision_log import Event
 from .exchange import exchange
+from .gateway_metrics import Stage
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.upstream import Upstream
@@ -91,13 +92,13 @@
         except ConnectError as error:
             self._attempts.note_not_counted()
             self._node.note_unreachable(upstream_id, str(error))
-            self._attempts.failed(upstream_id, 'unreachable')
+            self._attempts.failed(upstream_id, SendFailure.UNREACHABLE)
         except ExchangeError as error:
-            self._note_failure(upstream, str(error))
+            self._note_failure(upstream, SendFailure.BROKEN, detail=str(error))
             self._node.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
             self._attempts.has_timed_out = True
-            self._note_failure(upstream, 'no reply in time')
+            self._note_failure(upstream, SendFailure.SILENT)
             self._node.check_reachable(upstream)
         finally:
             self._node.loads.end(upstream_id, work)
@@ -109,11 +110,13 @@
             return left_s
         return min(left_s, self._call.route.target_s * FIRST_WAIT_SHARE)
 
-    def _note_failure(self, upstream: Upstream, reason: str) -> None:
+    def _note_failure(
+        self, upstream: Upstream, failure: SendFailure, **inputs: object
+    ) -> None:
         self._attempts.may_have_run = True
         upstream_id = upstream.upstream_id
         self._node.health.note_failure(upstream_id, self._node.clock())
-        self._attempts.failed(upstream_id, reason)
+        self._attempts.failed(upstream_id, failure, **inputs)
 
     async def _exchange(self, upstream: Upstream) -> HttpResponse | None:
         call = self._call
@@ -133,7 +136,9 @@
             self._node.note_refused(reply)
             if reply.marks.is_misdirected:
                 self._attempts.note_not_counted()
-            self._attempts.failed(upstream_id, 'refused', status=reply.status)
+            self._attempts.failed(
+                upstream_id, SendFailure.REFUSED, status=reply.status
+            )
             return None
         if not reply.marks.is_sealed:
             raise ExchangeError('reply without the mark of its upstream')
@@ -143,6 +148,7 @@
         if reply.is_success:
             self._node.health.note_success(upstream_id, now_s)
             self._node.suspects.clear(self._call.fingerprint)
+            self._node.metrics.record(Stage.TOTAL, now_s - self._call.arrived_s)
             self._node.log.write(
                 Event.ANSWERED,
                 request=self._call.terms.request_id,
@@ -152,7 +158,9 @@
             )
             return answer
         self._failure = answer
-        self._note_failure(reply.upstream, f'status {reply.status}')
+        self._note_failure(
+            reply.upstream, SendFailure.FAILED, status=reply.status
+        )
         return None
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
@@ -13,7 +13,9 @@
 from catkinreach_core.gateway.load_table import UpstreamLoad
 
 from ..http.client import ConnectError, ExchangeError
+from .call import SendFailure
 from .exchange import exchange
+from .gateway_metrics import Stage
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import EngineTraits
@@ -77,12 +79,14 @@
         except ConnectError as error:
             self.is_spent = False
             self._node.note_unreachable(upstream_id, str(error))
-            self._attempts.failed(upstream_id, 'prefill unreachable')
+            self._attempts.failed(upstream_id, SendFailure.PREFILL_UNREACHABLE)
         except ExchangeError as error:
-            self._fail(upstream_id, f'prefill: {error}')
+            self._fail(
+                upstream_id, SendFailure.PREFILL_BROKEN, detail=str(error)
+            )
             self._node.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
-            self._fail(upstream_id, 'prefill not in time')
+            self._fail(upstream_id, SendFailure.PREFILL_SILENT, waited_s=wait_s)
             self._node.check_reachable(upstream)
         finally:
             self._node.end_work(upstream_id, work)
@@ -108,6 +112,7 @@
 
     async def _exchange(self, upstream: Upstream) -> None:
         call = self._call
+        sent_s = self._node.clock()
         request = self._node.dialect.prefill_request(
             call.request, call.send_terms(upstream, self._node.clock())
         )
@@ -121,6 +126,7 @@
             return
         now_s = self._node.clock()
         self._node.health.note_success(upstream.upstream_id, now_s)
+        self._node.metrics.record(Stage.PREFILL, now_s - sent_s)
         self._handle = handle
         self._reader = upstream
         life_s = self._traits.handle_ttl_s - HANDLE_MARGIN_S
@@ -133,12 +139,16 @@
             self._attempts.note_sent()
         self._node.note_refused(reply)
         self._attempts.failed(
-            reply.upstream.upstream_id, 'prefill refused', status=reply.status
+            reply.upstream.upstream_id,
+            SendFailure.PREFILL_REFUSED,
+            status=reply.status,
         )
 
-    def _fail(self, upstream_id: UpstreamId, reason: str) -> None:
+    def _fail(
+        self, upstream_id: UpstreamId, failure: SendFailure, **inputs: object
+    ) -> None:
         self._node.health.note_failure(upstream_id, self._node.clock())
-        self._attempts.failed(upstream_id, reason)
+        self._attempts.failed(upstream_id, failure, **inputs)
 
 
 __all__ = ('PromptReader',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -17,10 +17,11 @@
 
 from ..http.client import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .call import Attempts
+from .call import Attempts, SendFailure
 from .decision_log import Event
 from .engine_run import EngineRun
 from .event_relay import EventRelay
+from .gateway_metrics import Stage
 from .prompt_reader import PromptReader
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         self._call = call
         self._traits = traits
         self._attempts = Attempts(node, call)
+        self._waited_s = 0.0
         self._is_resuming = False
         self._silent_since_s = call.arrived_s
         prompt = call.terms.prompt_tokens
@@ -104,7 +106,7 @@
         """Notes that an engine broke off or fell silent."""
         run.close()
         upstream = run.reply.upstream
-        self._note_failure(upstream, reason)
+        self._note_failure(upstream, SendFailure.BROKEN, detail=reason)
         self._node.check_reachable(upstream)
 
     async def _open(self, resume_after: int | None) -> EngineRun:
@@ -153,6 +155,8 @@
                 if line.is_first(ticket, now_s):
                     plan = self._best_plan()
                     if plan is not None:
+                        self._waited_s = now_s - ticket.arrived_s
+                        self._node.metrics.record(Stage.WAIT, self._waited_s)
                         return plan
                 self._check_wait(line, ticket, now_s)
                 await asyncio.sleep(
@@ -188,14 +192,19 @@
             for choice in self._choices()
             if choice.decodes
         )
+        peer_tokens = self._node.peer_waiting_tokens(service_id)
         verdict = line.judge(
             ticket,
-            peer_tokens=self._node.peer_waiting_tokens(service_id),
+            peer_tokens=peer_tokens,
             release_per_s=capacity / RESIDENCE_S,
             now_s=now_s,
         )
         if verdict is Verdict.REFUSE or self._attempts.left_s < MIN_LEFT_S:
-            raise self._attempts.error(ErrorKind.QUEUE_TIMEOUT)
+            raise self._attempts.error(
+                ErrorKind.QUEUE_TIMEOUT,
+                f'{line.count} streams wait here, {peer_tokens} tokens at'
+                f' peers, for {capacity} tokens of memory',
+            )
 
     def _choices(self) -> list[Choice]:
         service = self._call.service
@@ -229,15 +238,15 @@
         except ConnectError as error:
             self._attempts.note_not_counted()
             self._node.note_unreachable(upstream_id, str(error))
-            self._attempts.failed(upstream_id, 'unreachable')
+            self._attempts.failed(upstream_id, SendFailure.UNREACHABLE)
         except ExchangeError as error:
             self._reader.note_taken()
-            self._note_failure(upstream, str(error))
+            self._note_failure(upstream, SendFailure.BROKEN, detail=str(error))
             self._node.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
             self._reader.note_taken()
             self._attempts.has_timed_out = True
-            self._note_failure(upstream, 'no first event in time')
+            self._note_failure(upstream, SendFailure.SILENT, waited_s=wait_s)
             self._node.check_reachable(upstream)
         return False
 
@@ -254,7 +263,7 @@
             load = self._node.loads.total(upstream_id, self._node.clock())
             self._attempts.failed(
                 upstream_id,
-                'refused',
+                SendFailure.REFUSED,
                 status=reply.status,
                 running=load.running,
                 memory_tokens=load.memory_tokens,
@@ -270,11 +279,13 @@
         left_s = self._attempts.left_s
         return min(left_s, wait_s) if self.can_resume else left_s
 
-    def _note_failure(self, upstream: Upstream, reason: str) -> None:
+    def _note_failure(
+        self, upstream: Upstream, failure: SendFailure, **inputs: object
+    ) -> None:
         self._attempts.may_have_run = True
         upstream_id = upstream.upstream_id
         self._node.health.note_failure(upstream_id, self._node.clock())
-        self._attempts.failed(upstream_id, reason)
+        self._attempts.failed(upstream_id, failure, **inputs)
 
     def _log_placed(self, plan: StreamPlan, resume_after: int | None) -> None:
         prefill = plan.prefill
@@ -289,7 +300,9 @@
             output_tokens=self._call.terms.output_tokens,
             first_token_s=round(plan.first_token_s, 4),
             elapsed_s=round(self._node.clock() - self._call.arrived_s, 4),
+            waited_s=round(self._waited_s, 4),
             members=self._node.members.count,
+            silent=self._node.members.silent(self._node.clock()),
             resume_after=resume_after,
         )
 
--- a/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
+++ b/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
@@ -100,13 +100,13 @@
         for hop, histogram in sorted(
             self._hops.items(), key=lambda pair: pair[0].value
         ):
-            yield from _summary(
+            yield from summary_lines(
                 'catkinreach_hop_seconds', histogram, f'hop="{hop.value}"'
             )
-        yield from _summary(
+        yield from summary_lines(
             'catkinreach_first_token_seconds', self._first_token
         )
-        yield from _summary(
+        yield from summary_lines(
             'catkinreach_between_tokens_seconds', self._between_tokens
         )
         for (status, code), count in sorted(self._answers.items()):
@@ -116,9 +116,10 @@
             yield f'catkinreach_{name} {read():g}'
 
 
-def _summary(
+def summary_lines(
     name: str, histogram: LatencyHistogram, labels: str = ''
 ) -> Iterator[str]:
+    """Yields the quantiles, the sum and the count of a histogram."""
     for quantile in QUANTILES:
         parts = ','.join(filter(None, (labels, f'quantile="{quantile}"')))
         yield f'{name}{{{parts}}} {histogram.quantile_s(quantile):g}'
@@ -127,4 +128,4 @@
     yield f'{name}_count{suffix} {histogram.count}'
 
 
-__all__ = ('METRICS_TYPE', 'LatencyHistogram', 'Metrics')
+__all__ = ('METRICS_TYPE', 'LatencyHistogram', 'Metrics', 'summary_lines')
