Count the work of a stopping node until it is gone

Cause (callers-in-a-hurry, logs): a node that got SIGTERM told its peers that it leaves, and they forgot its work at once though its streams ran for up to eight seconds more; engines that looked empty refused 158 of 414 prompts that had been read. A node that has just started knew no loads at all. Change: peers forget a node when it is gone; a node that is new to a peer is told at once, and is ready once it heard one, or after half a second.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import msgspec
 from msgspec import Struct, field
 
@@ -14,12 +16,20 @@
 """Members that one message names; others follow in later messages."""
 
 
+class Phase(Enum):
+    """Where a node is in its life."""
+
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+    GONE = 'gone'
+
+
 class Digest(Struct, array_like=True, kw_only=True):
     """One message.
 
     Attributes:
         node: Address of the sender.
-        is_leaving: Whether the sender is about to stop.
+        phase: Where the sender is in its life.
         revision: Newest revision of the store that the sender has read.
         members: Some other nodes that the sender heard.
         loads: The sender's own work in flight, by upstream.
@@ -33,7 +43,7 @@
     """
 
     node: str
-    is_leaving: bool
+    phase: Phase
     revision: int
     members: list[str] = field(default_factory=list)
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
@@ -66,6 +76,7 @@
     'MAX_DIGEST_BYTES',
     'MAX_TOLD_MEMBERS',
     'Digest',
+    'Phase',
     'decode_digest',
     'encode_digest',
 )
--- a/packages/catkinreach-core/tests/gateway/test_digest.py
+++ b/packages/catkinreach-core/tests/gateway/test_digest.py
@@ -4,6 +4,7 @@
 
 from catkinreach_core.gateway.digest import (
     Digest,
+    Phase,
     decode_digest,
     encode_digest,
 )
@@ -19,7 +20,7 @@
 def test_message_survives_the_wire() -> None:
     digest = Digest(
         node='10.0.0.1',
-        is_leaving=False,
+        phase=Phase.STOPPING,
         revision=7,
         members=['10.0.0.2'],
         loads={UpstreamId('a'): UpstreamLoad(1, 2, 3)},
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -33,6 +33,9 @@
 STOP_MARGIN_S = 0.4
 """The process ends this long before it would be killed."""
 
+ALONE_AFTER_S = 0.5
+"""Time after which a node that hears no peer is ready all the same."""
+
 TICK_S = 0.5
 READY = HttpResponse(200, [('content-type', 'text/plain')], b'ready\n')
 NOT_READY = HttpResponse(503, [('content-type', 'text/plain')], b'not ready\n')
@@ -69,6 +72,7 @@
         self._probes = ProbeTask(self._node)
         self._orders = OrderTask(self._node)
         self._stop = asyncio.Event()
+        self._started_s = self._node.clock()
 
     def stop(self) -> None:
         """Begins to stop, on a signal."""
@@ -158,8 +162,13 @@
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
         del request
-        is_ready = self._node.view.is_complete and not self._node.is_stopping
-        return READY if is_ready else NOT_READY
+        node = self._node
+        knows_loads = (
+            bool(node.members.heard(node.clock()))
+            or node.clock() - self._started_s > ALONE_AFTER_S
+        )
+        is_ready = node.view.is_complete and knows_loads
+        return READY if is_ready and not node.is_stopping else NOT_READY
 
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         del request
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -84,6 +84,7 @@
         self.peer_waiting: dict[str, dict[ServiceId, int]] = {}
         self._doubted_at_s: dict[UpstreamId, float] = {}
         self._lines: dict[ServiceId, WaitLine] = {}
+        self.stopping_peers: set[str] = set()
         self.named_holder = ''
         self.switching = SwitchingEngines()
         self.load_changed = asyncio.Event()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/order_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/order_task.py
@@ -52,7 +52,8 @@
         node = self._node
         now_s = node.clock()
         heard = node.members.heard(now_s)
-        node.named_holder = self._holder.vote(heard)
+        running = [peer for peer in heard if peer not in node.stopping_peers]
+        node.named_holder = self._holder.vote(running)
         votes = [node.named_holder, *map(node.peer_holders.get, heard)]
         holds = self._holder.look(
             [vote for vote in votes if vote is not None],
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -9,6 +9,7 @@
     MAX_DIGEST_BYTES,
     MAX_TOLD_MEMBERS,
     Digest,
+    Phase,
     decode_digest,
     encode_digest,
 )
@@ -39,6 +40,7 @@
         self._node = node
         self._transport: asyncio.DatagramTransport | None = None
         self._full_at_s = 0.0
+        self._is_gone = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the socket."""
@@ -107,10 +109,16 @@
 
     def close(self) -> None:
         """Says goodbye and closes the socket."""
+        self._is_gone = True
         self.tell()
         if self._transport is not None:
             self._transport.close()
 
+    def _phase(self) -> Phase:
+        if self._is_gone:
+            return Phase.GONE
+        return Phase.STOPPING if self._node.is_stopping else Phase.RUNNING
+
     def _digest(self, *, is_change: bool) -> Digest:
         node = self._node
         now_s = node.clock()
@@ -118,7 +126,7 @@
         node.rng.shuffle(heard)
         return Digest(
             node=node.settings.host,
-            is_leaving=node.is_stopping,
+            phase=self._phase(),
             revision=node.revision,
             members=[] if is_change else heard[:MAX_TOLD_MEMBERS],
             loads=node.loads.own(),
@@ -135,6 +143,8 @@
         now_s = node.clock()
         peer = digest.node
         if node.members.hear(peer, digest.members, now_s):
+            # A node that has just started needs to know what is in flight.
+            node.load_changed.set()
             node.log.write(
                 Event.PEER_HEARD, peer=peer, members=node.members.count
             )
@@ -145,10 +155,13 @@
         for upstream_id in digest.down:
             node.doubt(upstream_id)
         node.peer_holders[peer] = digest.holder
+        node.stopping_peers.discard(peer)
+        if digest.phase is Phase.STOPPING:
+            node.stopping_peers.add(peer)
         node.peer_waiting[peer] = digest.waiting
         node.switching.hear(digest.switching, now_s)
         node.peer_revision = Revision(max(node.peer_revision, digest.revision))
-        if digest.is_leaving:
+        if digest.phase is Phase.GONE:
             self._forget(peer, 'left')
 
     def _expire(self) -> None:
@@ -162,6 +175,7 @@
         node.suspects.forget_peer(peer)
         node.peer_admitted.pop(peer, None)
         node.peer_holders.pop(peer, None)
+        node.stopping_peers.discard(peer)
         node.peer_waiting.pop(peer, None)
         node.log.write(
             Event.PEER_SILENT,
