--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -27,7 +27,7 @@
     from .dialect import Dialect
     from .settings import GatewaySettings
 
-LINGER_S = 3.0
+LINGER_S = 2.5
 """Time after a stop signal in which callers may still connect."""
 
 STOP_MARGIN_S = 0.4
