Share bounds by the most members of the last minute; start cold buckets at random

Cause: after a partition of 15 s each side took the others' part of the repeats and of cold upstreams' rate; in a fleet of 70 nodes every bucket for a cold upstream was full at first, 70 requests where 17 a second are allowed. Change: shares count the members of the last minute and the seeds; buckets of large fleets start with random fillings.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/cold_start.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/cold_start.py
@@ -4,7 +4,8 @@
 every node would send them all it has.
 
 All nodes together may send a cold upstream its rate; each node takes an
-equal share of it as a token bucket that holds at least one request.
+equal share of it as a token bucket of one request. In a large fleet the
+buckets start with random fillings, so that they don't empty all at once.
 """
 
 from __future__ import annotations
@@ -13,11 +14,16 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..ids import UpstreamId
 
 RATE_USE = 0.9
 """Part of a cold upstream's rate that the nodes share out."""
 
+SMALL_FLEET = 9
+"""Nodes that may each send one request at the same moment."""
+
 
 @dataclass(slots=True)
 class _Bucket:
@@ -28,8 +34,13 @@
 class ColdPacer:
     """Token buckets of one node, one for each cold upstream."""
 
-    def __init__(self) -> None:
-        """Starts without cold upstreams."""
+    def __init__(self, random_share: Callable[[], float]) -> None:
+        """Starts without cold upstreams.
+
+        Args:
+            random_share: Returns random numbers from 0 to 1.
+        """
+        self._random_share = random_share
         self._buckets: dict[UpstreamId, _Bucket] = {}
 
     def has_room(
@@ -53,7 +64,9 @@
     ) -> _Bucket:
         bucket = self._buckets.get(upstream_id)
         if bucket is None:
-            bucket = self._buckets[upstream_id] = _Bucket(1.0, now_s)
+            is_small = members <= SMALL_FLEET
+            tokens = 1.0 if is_small else self._random_share()
+            bucket = self._buckets[upstream_id] = _Bucket(tokens, now_s)
             return bucket
         rate = per_s * RATE_USE / max(1, members)
         gained = (now_s - bucket.at_s) * rate
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
@@ -10,6 +10,9 @@
 SILENT_AFTER_S = 1.5
 """Silence after which a member no longer counts as heard."""
 
+KEEP_MOST_S = 60.0
+"""Time for which the largest number of members counts for shares."""
+
 SMALL_FLEET = 24
 """Members up to which messages come at the usual pace."""
 
@@ -28,6 +31,8 @@
         self._seeds = frozenset(seeds) - {own}
         self._heard_at_s: dict[str, float] = {}
         self._told: set[str] = set()
+        self._most = 1
+        self._most_at_s = 0.0
 
     @property
     def contacts(self) -> tuple[str, ...]:
@@ -40,6 +45,15 @@
         """Returns the number of members, this node included."""
         return 1 + len(self._heard_at_s)
 
+    @property
+    def share_count(self) -> int:
+        """Returns the nodes that a bound over all nodes is shared by.
+
+        Nodes that were members within a minute count, and those that the
+        settings name: in a partition each side keeps to its part.
+        """
+        return max(self.count, self.least_count, self._most)
+
     @property
     def silent_after_s(self) -> float:
         """Returns the silence allowed; large fleets tell each other less."""
@@ -59,10 +73,17 @@
         """Takes a message of a node; True if it wasn't heard lately."""
         last_s = self._heard_at_s.get(node)
         self._heard_at_s[node] = now_s
+        self._note_count(now_s)
         self._told.update(others)
         self._told.discard(self._own)
         return last_s is None or now_s - last_s > self.silent_after_s
 
+    def _note_count(self, now_s: float) -> None:
+        """Keeps the largest number of members of the last minute."""
+        if self.count >= self._most or now_s - self._most_at_s > KEEP_MOST_S:
+            self._most = self.count
+            self._most_at_s = now_s
+
     def leave(self, node: str) -> None:
         """Takes that a node says that it stops."""
         self._heard_at_s.pop(node, None)
--- a/packages/catkinreach-core/tests/gateway/test_digest.py
+++ b/packages/catkinreach-core/tests/gateway/test_digest.py
@@ -44,6 +44,18 @@
     assert members.silent(SILENT_AFTER_S + 0.1) == 1
 
 
+def test_partition_keeps_to_its_part_of_shared_bounds() -> None:
+    members = Members('a', ['b'])
+    assert members.share_count == 2
+    for number in range(8):
+        members.hear(f'peer-{number}', [], 0.0)
+    members.expire(FORGET_AFTER_S + 1)
+    assert members.count == 1
+    assert members.share_count == 9
+    members.hear('b', [], 100.0)
+    assert members.share_count == 2
+
+
 def test_silent_member_is_forgotten_but_a_seed_is_still_told() -> None:
     members = Members('a', ['b'])
     members.hear('b', [], 0.0)
--- a/packages/catkinreach-core/tests/gateway/test_shared_bounds.py
+++ b/packages/catkinreach-core/tests/gateway/test_shared_bounds.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from catkinreach_core.gateway.cold_start import ColdPacer
@@ -44,14 +46,16 @@
     assert budget.spend(SERVICE, NODES, 0.0)
 
 
-def test_cold_upstream_gets_its_rate_from_all_nodes_together() -> None:
+@pytest.mark.parametrize('count', [1, NODES, 70])
+def test_cold_upstream_gets_its_rate_from_all_nodes(count: int) -> None:
     per_s = 8.0
-    nodes = [ColdPacer() for _ in range(NODES)]
+    rng = random.Random(count)
+    nodes = [ColdPacer(rng.random) for _ in range(count)]
     sent = WindowCount(1.0)
     for step in range(5000):
         now_s = step / 1000
         for node in nodes:
-            if node.has_room(UPSTREAM, per_s, NODES, now_s):
+            if node.has_room(UPSTREAM, per_s, count, now_s):
                 node.spend(UPSTREAM)
                 sent.add(1, now_s)
         assert sent.total(now_s) <= per_s * 1.5 + 5
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
@@ -138,7 +138,7 @@
             return True
         return self.is_repeatable and self._node.repeats.spend(
             self._call.service.service_id,
-            self._node.members.count,
+            self._node.members.share_count,
             self._node.clock(),
         )
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -61,7 +61,7 @@
         self.view = FleetView()
         self.loads = LoadTable()
         self.health = HealthTable()
-        self.cold = ColdPacer()
+        self.cold = ColdPacer(self.rng.random)
         self.outputs = OutputEstimate()
         self.suspects = CrashSuspects()
         self.members = Members(settings.host, settings.peer_hosts)
@@ -266,7 +266,7 @@
         return self.cold.has_room(
             known.upstream.upstream_id,
             traits.cold_per_s,
-            self.members.count,
+            self.members.share_count,
             now_s,
         )
 
