Split a stream's way: context, reader, planner and wait are parts of their own

Cause: the flow of a stream had grown to 320 lines, three parts took the same five arguments, and the rule for a send that may have run stood twice. Change: StreamContext, PromptReader, StreamPlanner, RoomWait; the rule is in Attempts. No behaviour changes. Conclusion: a refactoring.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
@@ -158,6 +158,14 @@
             **inputs,
         )
 
+    def may_have_failed(
+        self, upstream: Upstream, failure: SendFailure, **inputs: object
+    ) -> None:
+        """Takes a send that failed after the request may have run."""
+        self.may_have_run = True
+        self._node.health.note_failure(upstream.upstream_id, self._node.clock())
+        self.failed(upstream.upstream_id, failure, **inputs)
+
     def error(
         self, kind: ErrorKind = ErrorKind.NO_UPSTREAM, detail: str = ''
     ) -> CatkinreachError:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
@@ -94,11 +94,13 @@
             self._node.note_unreachable(upstream_id, str(error))
             self._attempts.failed(upstream_id, SendFailure.UNREACHABLE)
         except ExchangeError as error:
-            self._note_failure(upstream, SendFailure.BROKEN, detail=str(error))
+            self._attempts.may_have_failed(
+                upstream, SendFailure.BROKEN, detail=str(error)
+            )
             self._node.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
             self._attempts.has_timed_out = True
-            self._note_failure(upstream, SendFailure.SILENT)
+            self._attempts.may_have_failed(upstream, SendFailure.SILENT)
             self._node.check_reachable(upstream)
         finally:
             self._node.loads.end(upstream_id, work)
@@ -110,14 +112,6 @@
             return left_s
         return min(left_s, self._call.route.target_s * FIRST_WAIT_SHARE)
 
-    def _note_failure(
-        self, upstream: Upstream, failure: SendFailure, **inputs: object
-    ) -> None:
-        self._attempts.may_have_run = True
-        upstream_id = upstream.upstream_id
-        self._node.health.note_failure(upstream_id, self._node.clock())
-        self._attempts.failed(upstream_id, failure, **inputs)
-
     async def _exchange(self, upstream: Upstream) -> HttpResponse | None:
         call = self._call
         request = self._node.dialect.run_request(
@@ -158,7 +152,7 @@
             )
             return answer
         self._failure = answer
-        self._note_failure(
+        self._attempts.may_have_failed(
             reply.upstream, SendFailure.FAILED, status=reply.status
         )
         return None
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
@@ -18,15 +18,12 @@
 from .gateway_metrics import Stage
 
 if TYPE_CHECKING:
-    from catkinreach_core.gateway.catalog import EngineTraits
-    from catkinreach_core.gateway.placement import StreamNeed
     from catkinreach_core.gateway.terms import KvHandle
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import UpstreamId
 
-    from .call import Attempts, Call
     from .exchange import Reply
-    from .node import Node
+    from .stream_context import StreamContext
 
 SLACK_S = 0.2
 SLACK_FACTOR = 3.0
@@ -39,24 +36,17 @@
 class PromptReader:
     """The prefill of one call, and the handle that it brought."""
 
-    def __init__(
-        self,
-        node: Node,
-        call: Call,
-        attempts: Attempts,
-        need: StreamNeed,
-        traits: EngineTraits,
-    ) -> None:
+    def __init__(self, context: StreamContext) -> None:
         """Prepares the call; a stream that is resumed isn't read apart."""
-        self._node = node
-        self._call = call
-        self._attempts = attempts
-        self._need = need
-        self._traits = traits
+        self._node = context.node
+        self._call = context.call
+        self._attempts = context.attempts
+        self._need = context.need
+        self._traits = context.traits
         self._handle: KvHandle | None = None
         self._reader: Upstream | None = None
         self._usable_until_s = 0.0
-        self.is_spent = call.terms.resume_after is not None
+        self.is_spent = context.call.terms.resume_after is not None
 
     @property
     def handle(self) -> KvHandle | None:
