Refund what didn't run; serve on without a metrics port; drain by the real pause

Change: not-run refusals are refunded; a failed bind is a log line; the drain subtracts the pause that was made.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
@@ -112,6 +112,12 @@
         missing = own + cost - room
         return max(MIN_RETRY_AFTER_S, count.room_at_s(missing, now_s))
 
+    def refund(
+        self, workspace_id: WorkspaceId, cost: float, now_s: float
+    ) -> None:
+        """Takes back the cost of a request that was admitted but not run."""
+        self._count(workspace_id).add(-cost, now_s)
+
     def _count(self, workspace_id: WorkspaceId) -> WindowCount:
         count = self._own.get(workspace_id)
         if count is None:
--- a/packages/catkinreach-core/tests/gateway/test_quota.py
+++ b/packages/catkinreach-core/tests/gateway/test_quota.py
@@ -97,6 +97,20 @@
     assert ask(3.0 + 5.0) is None
 
 
+def test_request_that_did_not_run_does_not_count() -> None:
+    table = QuotaTable(window_s=WINDOW_S, slack=0.0)
+
+    def ask() -> float | None:
+        return table.admit(
+            HOT, LIMIT, heard=0.0, silent_peers=0, members=1, now_s=1.0
+        )
+
+    assert ask() is None
+    assert ask() is not None
+    table.refund(HOT.workspace_id, LIMIT, 1.0)
+    assert ask() is None
+
+
 def test_workspace_without_a_limit_is_admitted() -> None:
     table = QuotaTable(window_s=WINDOW_S, slack=0.0)
     terms = WorkspaceTerms(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -96,8 +96,8 @@
                 )
             ]
             await self._ready.start(settings.ready_address)
-            await self._metrics.start(settings.metrics_address)
             await self._ingress.start(settings.caller_address)
+            await self._start_metrics()
             await self._stop.wait()
             await self._drain()
             for task in tasks:
@@ -105,6 +105,19 @@
         self._close()
         log.write(Event.STOP, vm=settings.vm_id)
 
+    async def _start_metrics(self) -> None:
+        """Serves metrics; the process goes on without a port for them."""
+        address = self._node.settings.metrics_address
+        try:
+            await self._metrics.start(address)
+        except OSError as error:
+            self._node.log.write(
+                Event.DEPENDENCY_LOST,
+                dependency='metrics port',
+                address=str(address),
+                reason=str(error),
+            )
+
     async def _drain(self) -> None:
         """Lets running requests end within the time that is given."""
         grace_s = self._node.settings.bounds.stop_grace_s - STOP_MARGIN_S
@@ -113,11 +126,12 @@
             running=self._ingress.activity.running,
             grace_s=grace_s,
         )
-        await asyncio.sleep(min(LINGER_S, grace_s / 2))
+        linger_s = min(LINGER_S, grace_s / 2)
+        await asyncio.sleep(linger_s)
         await self._ingress.stop_accepting()
         self._ingress.close_idle()
         try:
-            async with asyncio.timeout(grace_s - LINGER_S):
+            async with asyncio.timeout(grace_s - linger_s):
                 await self._ingress.activity.wait_idle()
         except TimeoutError:
             self._node.log.write(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -7,7 +7,12 @@
 import xxhash
 from loguru import logger
 
-from catkinreach_core.errors import ANSWERS, CatkinreachError, ErrorKind
+from catkinreach_core.errors import (
+    ANSWERS,
+    CatkinreachError,
+    ErrorKind,
+    Outcome,
+)
 from catkinreach_core.gateway.catalog import RouteKind
 from catkinreach_core.gateway.crash_suspects import Fingerprint
 
@@ -68,11 +73,28 @@
     ) -> HttpResponse:
         call = self._admit(request, terms, arrived_s)
         self._node.repeats.note_request(call.service.service_id, arrived_s)
+        try:
+            return await self._run(call)
+        except CatkinreachError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                self._refund(call)
+            raise
+
+    async def _run(self, call: Call) -> HttpResponse:
         traits = call.service.engine
         if call.route.kind is RouteKind.STREAM and traits is not None:
             return await StreamFlow(self._node, call, traits).run()
         return await PlainFlow(self._node, call).run()
 
+    def _refund(self, call: Call) -> None:
+        """Lets a request that didn't run not count towards its limit."""
+        if call.workspace is not None:
+            self._node.quota.refund(
+                call.workspace.workspace_id,
+                _cost(call.workspace, call.terms),
+                self._node.clock(),
+            )
+
     def _admit(
         self, request: HttpRequest, terms: RequestTerms, arrived_s: float
     ) -> Call:
@@ -107,15 +129,11 @@
     def _charge(
         self, workspace: WorkspaceTerms, terms: RequestTerms, now_s: float
     ) -> None:
-        cost = 1.0
-        if workspace.counts_tokens:
-            is_counted = terms.prompt_tokens is not None
-            cost = terms.total_tokens if is_counted else workspace.plain_cost
         heard = self._node.heard_quota(workspace.workspace_id)
         silent = self._node.members.silent(now_s)
         retry_after_s = self._node.quota.admit(
             workspace,
-            cost,
+            _cost(workspace, terms),
             heard=heard,
             silent_peers=silent,
             members=self._node.members.count,
@@ -171,6 +189,15 @@
     return workspace
 
 
+def _cost(workspace: WorkspaceTerms, terms: RequestTerms) -> float:
+    """Returns what a request counts towards its workspace's limit."""
+    if not workspace.counts_tokens:
+        return 1.0
+    if terms.prompt_tokens is None:
+        return workspace.plain_cost
+    return terms.total_tokens
+
+
 def _patience_s(route: Route, terms: RequestTerms) -> float:
     patience_s = terms.deadline_s
     if patience_s is None:
--- a/packages/catkinreach-node/tests/gateway/test_gateway_store.py
+++ b/packages/catkinreach-node/tests/gateway/test_gateway_store.py
@@ -173,6 +173,21 @@
     _run(scenario)
 
 
+def test_node_serves_without_a_port_for_its_metrics() -> None:
+    async def run() -> None:
+        deployment = Deployment()
+        taken = await asyncio.start_server(
+            lambda _, writer: writer.close(),
+            deployment.metrics.host,
+            deployment.metrics.port,
+        )
+        async with running_deployment(deployment=deployment):
+            assert await _status(deployment) == 200
+        taken.close()
+
+    asyncio.run(run())
+
+
 def test_metrics_are_served() -> None:
     async def scenario(deployment: Deployment) -> None:
         await _status(deployment)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
@@ -151,10 +151,10 @@
 
 @asynccontextmanager
 async def running_deployment(
-    *, is_published: bool = True
+    *, is_published: bool = True, deployment: Deployment | None = None
 ) -> AsyncIterator[tuple[Deployment, GatewayApp]]:
     """Runs a gateway and its stand-ins."""
-    deployment = Deployment()
+    deployment = deployment or Deployment()
     await deployment.store.start()
     for upstream in deployment.upstreams.values():
         await upstream.start()
