Count a node ready only when its votes know the owners of now

Cause: a process that starts anew votes after 3.08 s and was ready at once, but its voter remembers a shard's term only after the owner's next renewal (1 s apart). A roll that stopped the next node in between left one voter of three with a memory: the successor found no majority for a predecessor, dropped the ledger that it had been handed and answered outcome-unknown. Ruled out: shards that move back to a returned node; leases don't move while their owner lives. Change: `remembers_terms`, two renewal periods after the first vote, is what readiness waits for.

--- a/packages/catkinreach-core/src/catkinreach_core/ownership/leases.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/leases.py
@@ -10,7 +10,7 @@
 from .history import ListHistory, majority
 from .holder import LeaseHolder, Outgoing
 from .tenure import OwnershipView, Tenure
-from .timing import MAX_GAP_S, SILENCE_S
+from .timing import MAX_GAP_S, MEMORY_S, SILENCE_S
 from .voter import LeaseVoter
 
 if TYPE_CHECKING:
@@ -87,6 +87,17 @@
         """Tells whether the node votes and may own."""
         return self._voter.is_voting
 
+    @property
+    def remembers_terms(self) -> bool:
+        """Tells whether the node's votes name the owners of now.
+
+        A new voter remembers no term until the owners' next renewals reach
+        it. Before that, a second voter that leaves takes the only majority
+        with a memory along, and successors begin without state.
+        """
+        voted_s = self._tick_at_s - self._voting_since_s
+        return self.is_voting and voted_s >= MEMORY_S
+
     @property
     def is_leaving(self) -> bool:
         """Tells whether the node asks for no more shards."""
--- a/packages/catkinreach-core/src/catkinreach_core/ownership/timing.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ownership/timing.py
@@ -19,6 +19,9 @@
 RENEW_S: Final = 1.0
 """Time between renewals."""
 
+MEMORY_S: Final = 2 * RENEW_S
+"""Time a voter needs to hear each owner's renewal, one of them lost."""
+
 ACQUIRE_LIMIT_S: Final = 0.6
 """Time after which an acquisition without a majority is given up."""
 
@@ -31,6 +34,7 @@
     'HOLD_S',
     'LEASE_S',
     'MAX_GAP_S',
+    'MEMORY_S',
     'RENEW_S',
     'SILENCE_S',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/fleet/ownership.py
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/ownership.py
@@ -67,6 +67,11 @@
         """Tells whether this node votes on owners."""
         return self._leases.is_voting
 
+    @property
+    def remembers_terms(self) -> bool:
+        """Tells whether this node's votes name the owners of now."""
+        return self._leases.remembers_terms
+
     def tenure_of(self, shard: ShardId, now_s: float) -> Tenure | None:
         """Returns this node's tenure if it may act as owner right now."""
         if self._suspension_s() > MAX_SUSPENSION_S:
--- a/packages/catkinreach-node/src/catkinreach_node/limits/part.py
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/part.py
@@ -85,9 +85,10 @@
 
     @property
     def is_ready(self) -> bool:
-        """Tells whether the node votes and every limit's owner has lent.
+        """Tells whether the node's votes count and every owner has lent.
 
-        A roll that waits for this takes no voter away before the next votes.
+        A roll that waits for this takes no voter away before this one knows
+        the owners of now.
 
         A node that has waited long for owners counts as ready too.
         Once true it stays so: a lost owner is no reason to take nodes out.
@@ -161,8 +162,8 @@
         for gate in gates:
             gate.probe()
         waited_s = time.monotonic() - self._probing_from_s
-        is_voting = self._context.tenures.is_voting
-        is_probed = is_voting and all(gate.is_probed for gate in gates)
+        remembers_terms = self._context.tenures.remembers_terms
+        is_probed = remembers_terms and all(gate.is_probed for gate in gates)
         self._is_ready = is_probed or waited_s > READY_LIMIT_S
 
     async def _wait(self, gate: WorkspaceGate, number: int, cost: Cost) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/parts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/parts.py
@@ -23,8 +23,8 @@
     """Tells parts of the beginning and end of this node's tenures."""
 
     @property
-    def is_voting(self) -> bool:
-        """Tells whether this node votes on owners."""
+    def remembers_terms(self) -> bool:
+        """Tells whether this node's votes name the owners of now."""
 
     def on_tenure(
         self,
