Explain a request, and all failures by cause, from logs

Cause: on-call engineers have logs only; `catkinreach explain` asked a node's operator address, which the platform's program does not serve. Pure modules in `catkinreach_ctl.story`, with planted lines as tests.

--- a/packages/catkinreach-ctl/src/catkinreach_ctl/commands/explain.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/commands/explain.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
 from urllib.parse import quote
 
+from ..exit_codes import ExitCode
+from ..story.lines import read_lines
+from ..story.story import gather
+from ..story.telling import summarize, tell
 from .node_document import show_document
 from .parsing import add_command, add_json_option, add_node_options
 
 if TYPE_CHECKING:
     from argparse import Namespace
+    from collections.abc import Iterator
 
+    from ..story.lines import LogLine
     from .parsing import Subparsers
 
+STANDARD_INPUT: Final = '-'
+
 
 def add_parser(subparsers: Subparsers) -> None:
     """Adds the subcommand."""
@@ -20,19 +30,63 @@
         subparsers,
         'explain',
         'Explain the decisions on one request.',
-        'Ask the node that answered; the id is its x-request-id header.\n'
-        'Exit code 4 if the node does not know the request.',
+        'With --logs it reads the JSON lines of front processes, a file for\n'
+        'each process or - for the standard input, and tells the story of the\n'
+        'request; without an id it sums up all requests by cause.\n'
+        'With --address it asks the node that answered; the id is its\n'
+        'x-request-id header.\n'
+        'Exit code 4 if the request is not known.',
+    )
+    parser.add_argument('request', nargs='?', help='id of the request')
+    parser.add_argument(
+        '--logs', nargs='+', default=(), metavar='FILE', help='logs to read'
     )
-    parser.add_argument('request', help='id of the request')
-    add_node_options(parser)
+    add_node_options(parser, is_required=False)
     add_json_option(parser)
     parser.set_defaults(run=run)
 
 
 def run(options: Namespace) -> int:
     """Prints the decisions; returns the exit code."""
+    if options.logs:
+        return _explain_logs(options.logs, options.request)
+    if options.address is None or options.request is None:
+        sys.stderr.write('explain: give --logs, or an id and --address\n')
+        return ExitCode.USAGE
     request_id = quote(options.request, safe='')
     return show_document(options, f'/explain?request={request_id}')
 
 
+def _explain_logs(sources: list[str], request: str | None) -> int:
+    unreadable = 0
+    lines: list[LogLine] = []
+    try:
+        for line in _read(sources):
+            if line is None:
+                unreadable += 1
+            else:
+                lines.append(line)
+    except OSError as error:
+        sys.stderr.write(f'explain: {error}\n')
+        return ExitCode.USAGE
+    if unreadable:
+        sys.stderr.write(f'explain: {unreadable} lines are no log lines\n')
+    stories = gather(lines, request)
+    if request is None:
+        told = summarize(stories)
+    else:
+        told = [text for story in stories for text in tell(story)]
+    sys.stdout.write('\n'.join((*told, '')) if told else '')
+    return ExitCode.OK if stories else ExitCode.REFUSED
+
+
+def _read(sources: list[str]) -> Iterator[LogLine | None]:
+    for source in sources:
+        if source == STANDARD_INPUT:
+            yield from read_lines(source, sys.stdin.buffer)
+            continue
+        with Path(source).open('rb') as lines:
+            yield from read_lines(Path(source).name, lines)
+
+
 __all__ = ('add_parser', 'run')
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/commands/parsing.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/commands/parsing.py
@@ -106,12 +106,14 @@
     return parser
 
 
-def add_node_options(parser: argparse.ArgumentParser) -> None:
+def add_node_options(
+    parser: argparse.ArgumentParser, *, is_required: bool = True
+) -> None:
     """Adds the options of commands that ask a node."""
     parser.add_argument(
         '--address',
         type=parse_address,
-        required=True,
+        required=is_required,
         metavar='IP:PORT',
         help='operator address of the node',
     )
--- /dev/null
+++ b/packages/catkinreach-ctl/tests/story/test_story.py
@@ -0,0 +1,121 @@
+"""Causes of failures, told from planted log lines alone."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from catkinreach_ctl.story.cause import Cause, cause_of
+from catkinreach_ctl.story.lines import LogLine, read_lines
+from catkinreach_ctl.story.story import gather
+from catkinreach_ctl.story.telling import summarize, tell
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+LOST = {'event': 'dependency-lost', 'dependency': 'store', 'reason': 'busy'}
+BACK = {'event': 'dependency-back', 'dependency': 'store'}
+CATALOG = {'event': 'catalog-accepted', 'version': 5}
+PLACED = {'event': 'placed', 'request': 'r', 'decode': 'd', 'version': 5}
+DOWN = {'event': 'upstream-down', 'upstream': 'd', 'reason': 'no connection'}
+
+
+def _failed(reason: str, **fields: object) -> dict[str, object]:
+    return {
+        'event': 'send-failed',
+        'request': 'r',
+        'upstream': 'd',
+        'reason': reason,
+        **fields,
+    }
+
+
+def _refused(code: str) -> dict[str, object]:
+    return {'event': 'refused', 'request': 'r', 'code': code}
+
+
+def _lines(
+    *documents: Mapping[str, object], source: str = 'f'
+) -> list[LogLine]:
+    raw = [
+        json.dumps({'time': 100.0 + number, **document}).encode()
+        for number, document in enumerate(documents)
+    ]
+    return [line for line in read_lines(source, raw) if line is not None]
+
+
+@pytest.mark.parametrize(
+    ('documents', 'expected'),
+    [
+        ((PLACED, {'event': 'answered', 'request': 'r'}), Cause.SERVED),
+        ((PLACED, {'event': 'caller-left', 'request': 'r'}), Cause.CALLER_LEFT),
+        ((PLACED,), Cause.UNFINISHED),
+        ((_refused('queue-timeout'),), Cause.NO_ROOM),
+        ((_refused('rate-limited'),), Cause.WORKSPACE_LIMIT),
+        ((_refused('route-unknown'),), Cause.NOT_ALLOWED),
+        ((LOST, _refused('route-unknown')), Cause.STALE_VIEW),
+        ((LOST, BACK, _refused('route-unknown')), Cause.NOT_ALLOWED),
+        ((_failed('refused', status=421), _refused('x')), Cause.STALE_VIEW),
+        ((_failed('broken'), _refused('upstream-failed')), Cause.UPSTREAM_LOST),
+        ((_failed('silent'), _refused('queue-timeout')), Cause.UPSTREAM_LOST),
+        ((LOST, _failed('unreachable'), _refused('x')), Cause.STALE_VIEW),
+        ((_failed('failed', status=500), _refused('x')), Cause.UPSTREAM_FAILED),
+        ((_refused('config-missing'),), Cause.NOT_CONFIGURED),
+        ((_refused('internal'),), Cause.OTHER),
+    ],
+)
+def test_cause_is_named(
+    documents: tuple[Mapping[str, object], ...], expected: Cause
+) -> None:
+    (story,) = gather(_lines(*documents), 'r')
+    assert cause_of(story) is expected
+
+
+def test_restart_forgets_what_the_process_before_believed() -> None:
+    lines = _lines(LOST, {'event': 'start'}, _refused('route-unknown'))
+    (story,) = gather(lines, 'r')
+    assert story.store_lost is None
+
+
+def test_story_tells_beliefs_with_their_age() -> None:
+    lines = _lines(
+        CATALOG,
+        DOWN,
+        PLACED,
+        _failed('broken', detail='reply broke off'),
+        {'event': 'failed', 'request': 'r', 'reason': 'reply broke off'},
+    )
+    (story,) = gather(lines, 'r')
+    text = '\n'.join(tell(story))
+    assert 'a send failed (broken: reply broke off)' in text
+    assert 'configuration 5, accepted 4.0 s before' in text
+    assert 'd: upstream-down no connection, 3.0 s before' in text
+    assert text.endswith('cause: an upstream was lost or silent')
+
+
+def test_beliefs_of_one_process_do_not_colour_another() -> None:
+    lines = [
+        *_lines(LOST, source='one'),
+        *_lines(_refused('route-unknown'), source='two'),
+    ]
+    (story,) = gather(lines, 'r')
+    assert cause_of(story) is Cause.NOT_ALLOWED
+
+
+def test_summary_counts_failures_by_cause() -> None:
+    lines = _lines(
+        {**_refused('queue-timeout'), 'request': 'a'},
+        {**_refused('queue-timeout'), 'request': 'b'},
+        {**_refused('rate-limited'), 'request': 'c'},
+        {'event': 'answered', 'request': 'd'},
+    )
+    told = summarize(gather(lines))
+    assert told[0] == '1 served, 3 others'
+    assert Cause.NO_ROOM.value in told[1]
+    assert 'a, b' in told[1]
+
+
+def test_lines_that_are_no_documents_are_counted() -> None:
+    assert list(read_lines('f', [b'Traceback', b'{"time": 1}'])) == [None, None]
