Take a reply only if it names the request

Change: `ReplyMarks.answers`: only refusals that promise not to have run are taken without an id; others are skipped and logged as `reply-skipped`. A test with an unnamed second answer failed before.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/terms.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/terms.py
@@ -87,5 +87,15 @@
     answered_by: UpstreamId | None
     idle_timeout_s: float | None
 
+    def answers(self, request_id: RequestId) -> bool:
+        """Tells whether it is the reply to a request.
+
+        A reply that names no request can be a second one to an earlier
+        request; only refusals are taken without a name.
+        """
+        if self.request_id is None:
+            return self.has_not_run
+        return self.request_id == request_id
+
 
 __all__ = ('KvHandle', 'ReplyMarks', 'RequestTerms', 'SendTerms')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -48,6 +48,7 @@
     REFUSED = 'refused'
     PLACED = 'placed'
     SEND_FAILED = 'send-failed'
+    REPLY_SKIPPED = 'reply-skipped'
     RESUMED = 'resumed'
     FAILED = 'failed'
     ANSWERED = 'answered'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -8,6 +8,7 @@
 import h11
 
 from ..http.client import ClientResponse, ExchangeError
+from .decision_log import Event
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.terms import ReplyMarks
@@ -109,7 +110,7 @@
     connection: ClientConnection,
     request_id: RequestId,
 ) -> Reply:
-    """Reads replies until one doesn't name another request."""
+    """Reads replies until one answers the request."""
     for _ in range(MAX_SKIPPED_REPLIES):
         head = await connection.next_event()
         while isinstance(head, h11.InformationalResponse):
@@ -118,7 +119,7 @@
             raise ExchangeError(f'no reply from {upstream.address}')
         response = ClientResponse(connection, head)
         marks = node.dialect.read_reply(response.status, response.headers)
-        if marks.request_id in {None, request_id}:
+        if marks.answers(request_id):
             return Reply(
                 node,
                 upstream,
@@ -127,6 +128,13 @@
                 response.headers,
                 marks,
             )
+        node.log.write(
+            Event.REPLY_SKIPPED,
+            request=request_id,
+            upstream=upstream.upstream_id,
+            status=response.status,
+            names=marks.request_id,
+        )
         await connection.skip_response()
     raise ExchangeError(f'only replies to other requests: {upstream.address}')
 
--- a/packages/catkinreach-node/tests/gateway/test_gateway_plain.py
+++ b/packages/catkinreach-node/tests/gateway/test_gateway_plain.py
@@ -159,9 +159,12 @@
     _run(scenario)
 
 
-def test_reply_to_another_request_is_passed_over() -> None:
+@pytest.mark.parametrize('behaviour', [Behaviour.EXTRA, Behaviour.UNNAMED])
+def test_reply_to_no_request_of_ours_is_passed_over(
+    behaviour: Behaviour,
+) -> None:
     async def scenario(deployment: Deployment) -> None:
-        _script(deployment, Behaviour.EXTRA)
+        _script(deployment, behaviour)
         request = deployment.request('/order/', method='POST', body=b'hold')
         status, _, body = await _call(deployment, request)
         assert status == 200
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -28,6 +28,7 @@
     HANG = 'hang'
     UNSEALED = 'unsealed'
     EXTRA = 'extra'
+    UNNAMED = 'unnamed'
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +168,8 @@
         if behaviour is Behaviour.EXTRA:
             other = Received('GET', '/', {'request-id': 'other'}, b'')
             writer.write(self._head(other, 200, b'not yours'))
+        if behaviour is Behaviour.UNNAMED:
+            writer.write(self._unnamed(b'not yours'))
         status = 500 if behaviour is Behaviour.FAIL else 200
         body = f'{self.upstream_id} ran {request.request_id}'.encode()
         is_sealed = behaviour is not Behaviour.UNSEALED
@@ -216,6 +219,15 @@
         writer.write(_chunk(b''))
         return True
 
+    def _unnamed(self, body: bytes) -> bytes:
+        """Returns a whole reply that doesn't say what it answers."""
+        lines = (
+            'HTTP/1.1 200 status',
+            f'Response-Seal: seal-{self.upstream_id}',
+            f'Content-Length: {len(body)}',
+        )
+        return '\r\n'.join((*lines, '', '')).encode() + body
+
     def _head(
         self,
         request: Received,
