Tell peers of replaced upstreams, with the life that was replaced

Peers were told "down", checked by connecting and found the address open. Change: digests carry the replaced upstreams with their start; a peer takes the word for the same life. `down` no longer names them, so no check is wasted. Beside it: `Node` gives its checks by connecting to `UpstreamChecks`, a refused reply is taken in one place (`Attempts.refused`), the view alone tells a new life, the unused `peer_revision` is gone.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
@@ -37,6 +37,8 @@
             ``None`` in messages that only tell of a change of load.
         crashes: Breaks that the sender counted, by fingerprint.
         down: Upstreams that the sender could not reach.
+        replaced: Start, in Unix milliseconds, of each upstream at whose
+            address another one answered the sender.
         waiting: Memory that streams wait for at the sender, by service.
         holder: Node that the sender names as the one to give orders.
         switching: Seconds for which engines that change their stage are out.
@@ -50,6 +52,7 @@
     admitted: dict[WorkspaceId, float] | None = None
     crashes: dict[Fingerprint, int] = field(default_factory=dict)
     down: list[UpstreamId] = field(default_factory=list)
+    replaced: dict[UpstreamId, int] = field(default_factory=dict)
     waiting: dict[ServiceId, int] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, float] = field(default_factory=dict)
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
@@ -91,9 +91,26 @@
         record = self._records.get(upstream_id)
         return record is not None and record.is_down
 
+    def is_replaced(self, upstream_id: UpstreamId) -> bool:
+        """Tells whether another upstream has the address of this one."""
+        record = self._records.get(upstream_id)
+        return record is not None and record.probe_at_s == math.inf
+
     def down(self) -> list[UpstreamId]:
         """Returns the upstreams that couldn't be reached."""
-        return [one for one, record in self._records.items() if record.is_down]
+        return [
+            one
+            for one, record in self._records.items()
+            if record.is_down and record.probe_at_s < math.inf
+        ]
+
+    def replaced(self) -> list[UpstreamId]:
+        """Returns the upstreams whose address belongs to another one."""
+        return [
+            one
+            for one, record in self._records.items()
+            if record.probe_at_s == math.inf
+        ]
 
     def due_probes(self, now_s: float) -> tuple[UpstreamId, ...]:
         """Returns the unreachable upstreams to try now."""
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -90,17 +90,20 @@
         """Returns an upstream by id, if known."""
         return self._known.get(upstream_id)
 
-    def put(self, upstream: Upstream, now_s: float) -> bool:
-        """Takes an entry; True if it tells of a new life."""
+    def is_reborn(self, upstream: Upstream) -> bool:
+        """Tells whether an entry is of a later life of a known upstream."""
         known = self._known.get(upstream.upstream_id)
-        if known is None:
-            self._grown_at_s = now_s
-        is_new = (
-            known is None
-            or known.upstream.started_ms != upstream.started_ms
+        return known is not None and (
+            known.upstream.started_ms != upstream.started_ms
             or known.upstream.address != upstream.address
         )
-        if known is not None:
+
+    def put(self, upstream: Upstream, now_s: float) -> None:
+        """Takes an entry."""
+        known = self._known.get(upstream.upstream_id)
+        if known is None:
+            self._grown_at_s = now_s
+        else:
             self._drop(known.upstream.upstream_id)
         entry = KnownUpstream(
             upstream=upstream, cold_until_s=now_s + upstream.cold_s
@@ -108,7 +111,6 @@
         self._known[upstream.upstream_id] = entry
         service = self._by_service.setdefault(upstream.service_id, {})
         service[upstream.upstream_id] = entry
-        return is_new
 
     def remove(self, upstream_id: UpstreamId, now_s: float) -> None:
         """Takes the end of an entry."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
@@ -23,6 +23,7 @@
     from catkinreach_core.ids import UpstreamId, WorkspaceId
 
     from ..http.messages import HttpRequest
+    from .exchange import Reply
     from .node import Node
 
 RETRY_AFTER_S = 0.25
@@ -158,6 +159,18 @@
             **inputs,
         )
 
+    def refused(self, reply: Reply, **inputs: object) -> None:
+        """Takes a reply that promises that the request did not run."""
+        self._node.note_refused(reply)
+        if reply.marks.is_misdirected:
+            self.note_not_counted()
+        self.failed(
+            reply.upstream.upstream_id,
+            SendFailure.REFUSED,
+            status=reply.status,
+            **inputs,
+        )
+
     def may_have_failed(
         self, upstream: Upstream, failure: SendFailure, **inputs: object
     ) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 import time
 from contextlib import suppress
@@ -26,13 +25,13 @@
 from ..http.client import ConnectError, ExchangeError, HttpClient
 from .decision_log import DecisionLog, Event
 from .gateway_metrics import GatewayMetrics
+from .upstream_checks import UpstreamChecks
 from .upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
     from catkinreach_core.gateway.catalog import ServiceTraits
-    from catkinreach_core.gateway.crash_suspects import Fingerprint
     from catkinreach_core.gateway.load_table import UpstreamLoad
     from catkinreach_core.gateway.terms import KvHandle
     from catkinreach_core.gateway.upstream import Upstream
@@ -44,8 +43,6 @@
     from .settings import GatewaySettings
 
 FREE_TIMEOUT_S = 0.3
-DOUBT_GAP_S = 1.0
-"""Time between two checks of an upstream that peers can't reach."""
 
 
 class Node:
@@ -75,6 +72,7 @@
         )
         self.peer_admitted: dict[str, dict[WorkspaceId, float]] = {}
         self.pool = UpstreamPool()
+        self.checks = UpstreamChecks(self)
         self.control_http = HttpClient()
         self._tasks: set[asyncio.Task[object]] = set()
         self.metrics = GatewayMetrics()
@@ -82,7 +80,6 @@
         self.log = DecisionLog(self.clock)
         self.peer_holders: dict[str, str] = {}
         self.peer_waiting: dict[str, dict[ServiceId, int]] = {}
-        self._doubted_at_s: dict[UpstreamId, float] = {}
         self._lines: dict[ServiceId, WaitLine] = {}
         self.stopping_peers: set[str] = set()
         self.named_holder = ''
@@ -90,7 +87,6 @@
         self.load_changed = asyncio.Event()
         self.is_stopping = False
         self.revision = Revision(0)
-        self.peer_revision = Revision(0)
 
     def _add_gauges(self) -> None:
         """Shows beliefs whose age or size explains decisions."""
@@ -103,6 +99,7 @@
             'store_revision': lambda: self.revision,
             'upstreams_known': lambda: len(self.view.upstream_ids),
             'upstreams_down': lambda: len(self.health.down()),
+            'upstreams_replaced': lambda: len(self.health.replaced()),
             'streams_waiting': lambda: sum(
                 line.count for line in self._lines.values()
             ),
@@ -186,63 +183,39 @@
         upstream_id = reply.upstream.upstream_id
         marks = reply.marks
         if marks.is_misdirected and marks.answered_by != upstream_id:
-            self.health.note_replaced(upstream_id, self.clock())
+            self.note_replaced(reply.upstream)
         else:
             self.health.note_failure(upstream_id, self.clock())
 
-    def check_crash(self, upstream: Upstream, fingerprint: Fingerprint) -> None:
-        """Finds out whether an upstream crashed under a request."""
-        self._spawn(self._confirm_crash(upstream, fingerprint))
-
-    def check_reachable(self, upstream: Upstream) -> None:
-        """Finds out whether an upstream that fell silent can be reached."""
-        self._spawn(self._confirm_reachable(upstream))
-
-    def doubt(self, upstream_id: UpstreamId) -> None:
-        """Checks an upstream that a peer could not reach.
+    def note_replaced(self, upstream: Upstream) -> None:
+        """Takes an upstream out at whose address another one answers."""
+        upstream_id = upstream.upstream_id
+        if not self.health.is_replaced(upstream_id):
+            self.log.write(
+                Event.UPSTREAM_DOWN, upstream=upstream_id, reason='replaced'
+            )
+            self.load_changed.set()
+        self.health.note_replaced(upstream_id, self.clock())
 
-        The peer alone may be cut off from it, so its word is no proof.
-        """
-        now_s = self.clock()
-        known = self.view.find(upstream_id)
-        if known is None or self.health.is_down(upstream_id):
-            return
-        if now_s - self._doubted_at_s.get(upstream_id, -math.inf) < DOUBT_GAP_S:
-            return
-        self._doubted_at_s[upstream_id] = now_s
-        self.check_reachable(known.upstream)
+    def replaced(self) -> dict[UpstreamId, int]:
+        """Returns the start of each upstream that was replaced."""
+        known = map(self.view.find, self.health.replaced())
+        return {
+            one.upstream.upstream_id: one.upstream.started_ms
+            for one in known
+            if one is not None
+        }
 
     def free_handle(self, handle: KvHandle) -> None:
         """Frees KV cache that no engine will take."""
-        self._spawn(self._free(handle))
+        self.spawn(self._free(handle))
 
-    def _spawn(self, work: Coroutine[None, None, object]) -> None:
+    def spawn(self, work: Coroutine[None, None, object]) -> None:
+        """Runs work that nobody waits for."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _confirm_crash(
-        self, upstream: Upstream, fingerprint: Fingerprint
-    ) -> None:
-        if await self._confirm_reachable(upstream):
-            return
-        crashes = self.suspects.note_break(fingerprint, self.clock())
-        self.log.write(
-            Event.SUSPECT,
-            fingerprint=fingerprint,
-            upstream=upstream.upstream_id,
-            crashes=crashes,
-        )
-
-    async def _confirm_reachable(self, upstream: Upstream) -> bool:
-        """Connects to an upstream; takes it out if it does not accept."""
-        try:
-            await self.pool.probe(upstream)
-        except ConnectError as error:
-            self.note_unreachable(upstream.upstream_id, str(error))
-            return False
-        return True
-
     async def _free(self, handle: KvHandle) -> None:
         request = self.dialect.free_request(handle)
         with suppress(ConnectError, ExchangeError, TimeoutError):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -14,7 +14,6 @@
     encode_digest,
 )
 from catkinreach_core.gateway.members import SMALL_FLEET
-from catkinreach_core.ids import Revision
 
 from .decision_log import Event
 
@@ -133,6 +132,7 @@
             admitted=None if is_change else node.quota.own_counts(now_s),
             crashes={} if is_change else node.suspects.to_tell(now_s),
             down=node.health.down(),
+            replaced=node.replaced(),
             waiting=node.waiting_tokens(),
             holder=node.named_holder,
             switching=node.switching.to_tell(now_s),
@@ -153,14 +153,14 @@
             node.suspects.hear(peer, digest.crashes)
             node.peer_admitted[peer] = digest.admitted
         for upstream_id in digest.down:
-            node.doubt(upstream_id)
+            node.checks.doubt(upstream_id)
+        node.checks.take_replaced(digest.replaced)
         node.peer_holders[peer] = digest.holder
         node.stopping_peers.discard(peer)
         if digest.phase is Phase.STOPPING:
             node.stopping_peers.add(peer)
         node.peer_waiting[peer] = digest.waiting
         node.switching.hear(digest.switching, now_s)
-        node.peer_revision = Revision(max(node.peer_revision, digest.revision))
         if digest.phase is Phase.GONE:
             self._forget(peer, 'left')
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
@@ -97,11 +97,11 @@
             self._attempts.may_have_failed(
                 upstream, SendFailure.BROKEN, detail=str(error)
             )
-            self._node.check_crash(upstream, self._call.fingerprint)
+            self._node.checks.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
             self._attempts.has_timed_out = True
             self._attempts.may_have_failed(upstream, SendFailure.SILENT)
-            self._node.check_reachable(upstream)
+            self._node.checks.check_reachable(upstream)
         finally:
             self._node.loads.end(upstream_id, work)
         return None
@@ -127,12 +127,7 @@
         upstream_id = reply.upstream.upstream_id
         now_s = self._node.clock()
         if reply.marks.has_not_run:
-            self._node.note_refused(reply)
-            if reply.marks.is_misdirected:
-                self._attempts.note_not_counted()
-            self._attempts.failed(
-                upstream_id, SendFailure.REFUSED, status=reply.status
-            )
+            self._attempts.refused(reply)
             return None
         if not reply.marks.is_sealed:
             raise ExchangeError('reply without the mark of its upstream')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
@@ -74,10 +74,10 @@
             self._fail(
                 upstream_id, SendFailure.PREFILL_BROKEN, detail=str(error)
             )
-            self._node.check_crash(upstream, self._call.fingerprint)
+            self._node.checks.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
             self._fail(upstream_id, SendFailure.PREFILL_SILENT, waited_s=wait_s)
-            self._node.check_reachable(upstream)
+            self._node.checks.check_reachable(upstream)
         finally:
             self._node.end_work(upstream_id, work)
         return self._handle is not None
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -181,14 +181,7 @@
 
     def _forget_old_life(self, upstream: Upstream) -> None:
         """Drops what is known of an earlier life under the same id."""
-        known = self._node.view.find(upstream.upstream_id)
-        if known is None:
-            return
-        before = known.upstream
-        if (before.started_ms, before.address) != (
-            upstream.started_ms,
-            upstream.address,
-        ):
+        if self._node.view.is_reborn(upstream):
             self._forget(upstream.upstream_id)
 
     def _lose_upstream(self, upstream_id: UpstreamId, reason: str) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -93,7 +93,7 @@
         self._attempts.may_have_failed(
             upstream, SendFailure.BROKEN, detail=reason
         )
-        self._node.check_reachable(upstream)
+        self._node.checks.check_reachable(upstream)
 
     async def _open(self, resume_after: int | None) -> EngineRun:
         while self._attempts.left_s > MIN_LEFT_S:
@@ -152,33 +152,27 @@
             self._attempts.may_have_failed(
                 upstream, SendFailure.BROKEN, detail=str(error)
             )
-            self._node.check_crash(upstream, self._call.fingerprint)
+            self._node.checks.check_crash(upstream, self._call.fingerprint)
         except TimeoutError:
             self._reader.note_taken()
             self._attempts.has_timed_out = True
             self._attempts.may_have_failed(
                 upstream, SendFailure.SILENT, waited_s=wait_s
             )
-            self._node.check_reachable(upstream)
+            self._node.checks.check_reachable(upstream)
         return False
 
     async def _accepts(self, run: EngineRun) -> bool:
         reply = run.reply
         if reply.marks.has_not_run:
             await run.read_failure()
-            self._node.note_refused(reply)
-            if reply.marks.is_misdirected:
-                self._attempts.note_not_counted()
-            else:
+            if not reply.marks.is_misdirected:
                 self._reader.note_refused()
-            upstream_id = reply.upstream.upstream_id
-            load = self._node.loads.total(upstream_id, self._node.clock())
-            self._attempts.failed(
-                upstream_id,
-                SendFailure.REFUSED,
-                status=reply.status,
-                running=load.running,
-                memory_tokens=load.memory_tokens,
+            load = self._node.loads.total(
+                reply.upstream.upstream_id, self._node.clock()
+            )
+            self._attempts.refused(
+                reply, running=load.running, memory_tokens=load.memory_tokens
             )
             return False
         self._reader.note_taken()
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
@@ -10,6 +10,7 @@
 from catkinreach_core.ids import FailureDomainId, VmId
 from catkinreach_core.settings.node import Address
 from catkinreach_node.gateway.app import GatewayApp
+from catkinreach_node.gateway.node import Node
 from catkinreach_node.gateway.settings import GatewaySettings, SharedBounds
 from catkinreach_node.http.client import (
     ClientConnection,
@@ -57,6 +58,35 @@
             await asyncio.sleep(POLL_S)
 
 
+def settings_with(
+    front: Address,
+    ready: Address,
+    peer: Address,
+    metrics: Address,
+    store_port: int,
+) -> GatewaySettings:
+    """Returns the settings of a gateway without peers on loopback."""
+    return GatewaySettings(
+        vm_id=VmId('front-1'),
+        domain_id=FailureDomainId('zone-a'),
+        host=LOOPBACK,
+        caller_address=front,
+        ready_address=ready,
+        peer_address=peer,
+        metrics_address=metrics,
+        store_address=Address(host=LOOPBACK, port=store_port),
+        peer_hosts=(),
+        bounds=BOUNDS,
+    )
+
+
+def idle_node() -> Node:
+    """Returns the beliefs of a gateway that listens nowhere."""
+    nowhere = Address(host=LOOPBACK, port=1)
+    settings = settings_with(nowhere, nowhere, nowhere, nowhere, 1)
+    return Node(settings, PlatformDialect())
+
+
 class Deployment:
     """The parts of a running deployment."""
 
@@ -80,17 +110,8 @@
 
     def settings(self) -> GatewaySettings:
         """Returns the settings of the gateway."""
-        return GatewaySettings(
-            vm_id=VmId('front-1'),
-            domain_id=FailureDomainId('zone-a'),
-            host=LOOPBACK,
-            caller_address=self.front,
-            ready_address=self.ready,
-            peer_address=self.peer,
-            metrics_address=self.metrics,
-            store_address=Address(host=LOOPBACK, port=self.store.port),
-            peer_hosts=(),
-            bounds=BOUNDS,
+        return settings_with(
+            self.front, self.ready, self.peer, self.metrics, self.store.port
         )
 
     def publish(self) -> None:
@@ -181,4 +202,10 @@
         await deployment.store.close()
 
 
-__all__ = ('Deployment', 'eventually', 'running_deployment')
+__all__ = (
+    'Deployment',
+    'eventually',
+    'idle_node',
+    'running_deployment',
+    'settings_with',
+)
