--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from catkinreach_node.http.client import ConnectError, ExchangeError, HttpClient
-from catkinreach_node.http.messages import HttpRequest
+from catkinreach_node.http.messages import PROBLEM_TYPE, HttpRequest
 
 from ..config import HOST, OTHER_KEY
 from .history import CallEnd, CallKind, CallRecord
@@ -49,8 +49,8 @@
     """What has come of an answer so far."""
 
     status: int = 0
+    is_problem: bool = False
     body: bytes = b''
-    is_whole: bool = False
 
 
 @dataclass(slots=True)
@@ -125,7 +125,7 @@
             return CallEnd.TIMED_OUT
         if answer.status == HTTPStatus.OK:
             return CallEnd.ANSWERED
-        return CallEnd.REFUSED
+        return CallEnd.REFUSED if answer.is_problem else CallEnd.FAILED
 
     def _request(self, kind: CallKind) -> HttpRequest:
         self._sent += 1
@@ -145,9 +145,9 @@
 
 async def _read_into(answer: _Answer, response: ClientResponse) -> None:
     answer.status = response.status
+    answer.is_problem = response.header('content-type') == PROBLEM_TYPE
     async for chunk in response.chunks():
         answer.body += chunk
-    answer.is_whole = True
 
 
 def _record(
@@ -162,7 +162,8 @@
     if end is CallEnd.REFUSED:
         problem = msgspec.json.decode(answer.body, type=_Problem)
     is_stream = kind in {CallKind.STREAM, CallKind.ONCE}
-    events = answer.body if is_stream and end is not CallEnd.REFUSED else b''
+    has_events = is_stream and answer.status == HTTPStatus.OK
+    events = answer.body if has_events else b''
     return CallRecord(
         request_id=request.header('request-id') or '',
         kind=kind,
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -20,6 +20,9 @@
 
     ANSWERED = 'answered'
     REFUSED = 'refused'
+    FAILED = 'failed'
+    """An upstream's own answer, which is no success."""
+
     UNREACHED = 'unreached'
     BROKEN = 'broken'
     """The connection ended before the head of an answer."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/promises.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/promises.py
@@ -26,7 +26,7 @@
 }
 NOT_RUN: Final = 'not-run'
 WRONG_STATUSES: Final = frozenset({400, 401, 403, 404, 500})
-"""Statuses that no call of a run earns."""
+"""Statuses with which a front refuses what no caller of a run sends."""
 
 BUDGET_WINDOW_S: Final = 10.0
 BUDGET_RATIO: Final = 0.2
@@ -73,12 +73,14 @@
         yield f'ran {runs} times'
     if call.outcome == NOT_RUN and runs:
         yield f'refused as not run ({call.code}), ran {runs} times'
-    if call.status in WRONG_STATUSES:
+    if call.end is CallEnd.REFUSED and call.status in WRONG_STATUSES:
         yield f'answered {call.status} {call.code}'
     if call.end is CallEnd.TIMED_OUT and not history.had(call, *_FROZEN):
         yield 'was not answered'
     if call.end is CallEnd.BROKEN and not _may_break(call, history, runs):
         yield f'was dropped without an answer, ran {runs} times'
+    if call.end is CallEnd.FAILED and not runs:
+        yield f'a failure {call.status} that no upstream gave'
     yield from _of_stream(call)
     yield from _of_time(call, history)
     needs_cause = call.end in {CallEnd.REFUSED, CallEnd.CUT}
--- a/packages/catkinreach-standins/tests/platform/soak/test_promises.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_promises.py
@@ -60,6 +60,7 @@
         (REFUSED, 0),
         (replace(STREAM, end=CallEnd.CUT, events=WHOLE[:3]), 2),
         (replace(READ, end=CallEnd.LEFT, status=0), 1),
+        (replace(READ, end=CallEnd.FAILED, status=500), 1),
         (replace(READ, end=CallEnd.UNREACHED, status=0), 0),
     ],
 )
@@ -80,6 +81,7 @@
         (replace(STREAM, events=WHOLE[:2]), 1, 'a false end'),
         (replace(STREAM, has_torn_event=True), 1, 'is torn'),
         (replace(REFUSED, ended_s=14.5), 0, 'after 4.5 s'),
+        (replace(READ, end=CallEnd.FAILED, status=500), 0, 'no upstream gave'),
     ],
 )
 def test_broken_promise_is_found(
