Prove the cause of three kinds of failure from logs and metrics of processes

Cause: only a broken stream was proved on real processes. The test for it, with `explain`, showed a false line: a stream that the node broke off was logged as `failed` and then as `caller-left`. Change: tests with real processes for a refusal under load, an engine lost in a stream and a stale view; `caller-left` only where the caller left; `running_fronts` is shared with the roll's tests. Before: cause "the caller closed the connection". After: "an upstream was lost".

--- /dev/null
+++ b/packages/catkinreach-ctl/tests/story/test_failures_of_processes.py
@@ -0,0 +1,127 @@
+"""The cause of each kind of failure, from logs and metrics of processes."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from catkinreach_ctl.story.cause import Cause, cause_of
+from catkinreach_ctl.story.lines import read_lines
+from catkinreach_ctl.story.story import gather
+from catkinreach_ctl.story.telling import tell
+from catkinreach_node.http.client import ExchangeError, HttpClient
+from catkinreach_standins.platform.config import OTHER_KEY
+from catkinreach_standins.platform.deployment import Deployment, eventually
+from catkinreach_standins.platform.processes import running_fronts
+from catkinreach_standins.platform.store import StoreFault
+from catkinreach_standins.platform.upstream import Behaviour
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from pathlib import Path
+
+    from catkinreach_ctl.story.story import Story
+    from catkinreach_node.http.messages import HttpRequest
+    from catkinreach_standins.platform.processes import FrontProcess
+
+CAUSE_WITHIN_S = 3.0
+STREAMS = 10
+LONG_GAP_S = 0.5
+
+
+def _run(
+    folder: Path,
+    scenario: Callable[[Deployment, FrontProcess], Awaitable[None]],
+) -> None:
+    async def run() -> None:
+        async with running_fronts(1, folder) as (deployment, fronts):
+            await scenario(deployment, fronts[0])
+
+    asyncio.run(run())
+
+
+async def _call(front: FrontProcess, request: HttpRequest) -> int:
+    client = HttpClient()
+    status = 0
+    with suppress(ExchangeError):
+        async with client.exchange(front.front, request) as response:
+            status = response.status
+            await response.read()
+    return status
+
+
+async def _story(front: FrontProcess, request: HttpRequest) -> Story:
+    request_id = request.header('request-id')
+
+    def stories() -> list[Story]:
+        lines = read_lines('front', front.log.encode().splitlines())
+        return gather((one for one in lines if one is not None), request_id)
+
+    async def has_ended() -> bool:
+        found = stories()
+        return bool(found) and found[0].end is not None
+
+    await eventually(has_ended, within_s=CAUSE_WITHIN_S)
+    return stories()[0]
+
+
+def _stream(deployment: Deployment, path: str, tokens: str) -> HttpRequest:
+    return deployment.request(
+        path, method='POST', body=b'x', key=OTHER_KEY, token_count=tokens
+    )
+
+
+def test_refusal_under_load_is_explained(tmp_path: Path) -> None:
+    async def scenario(deployment: Deployment, front: FrontProcess) -> None:
+        for name in 'de':
+            deployment.upstreams[name].event_gap_s = LONG_GAP_S
+        requests = [
+            _stream(deployment, '/stream/', '50000,1000')
+            for _ in range(STREAMS)
+        ]
+        calls = [asyncio.create_task(_call(front, one)) for one in requests]
+        statuses = await asyncio.gather(*calls)
+        assert 503 in statuses
+        refused = requests[statuses.index(503)]
+        story = await _story(front, refused)
+        assert cause_of(story) is Cause.NO_ROOM
+        assert 'tokens of memory' in '\n'.join(tell(story))
+        metrics = await front.read_metrics()
+        assert 'status="503",code="queue-timeout"' in metrics
+
+    _run(tmp_path, scenario)
+
+
+def test_engine_lost_in_a_stream_is_explained(tmp_path: Path) -> None:
+    async def scenario(deployment: Deployment, front: FrontProcess) -> None:
+        for name in 'de':
+            deployment.upstreams[name].script.append(Behaviour.BREAK)
+        request = _stream(deployment, '/once/', '500,100')
+        await _call(front, request)
+        story = await _story(front, request)
+        assert cause_of(story) is Cause.UPSTREAM_LOST
+        assert story.upstream_ids & {'d', 'e'}
+        metrics = await front.read_metrics()
+        assert 'catkinreach_failed_sends_total{kind="broken"} 1' in metrics
+
+    _run(tmp_path, scenario)
+
+
+def test_stale_view_is_explained(tmp_path: Path) -> None:
+    async def scenario(deployment: Deployment, front: FrontProcess) -> None:
+        deployment.store.fault = StoreFault.RESET
+        deployment.store.compact()
+        for name in 'ab':
+            deployment.upstreams[name].upstream_id = f'{name}-successor'
+        request = deployment.request('/read/', key=OTHER_KEY)
+        assert await _call(front, request) == 503
+        story = await _story(front, request)
+        assert cause_of(story) is Cause.STALE_VIEW
+        assert story.catalog is not None
+        assert story.catalog.text('version') == '5'
+        metrics = await front.read_metrics()
+        assert 'catkinreach_failed_sends_total{kind="refused"}' in metrics
+        assert 'catkinreach_upstreams_replaced' in metrics
+
+    _run(tmp_path, scenario)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -51,6 +51,7 @@
         self._run = run
         self._last_id = call.terms.resume_after
         self._first_event_s = 0.0
+        self._has_failed = False
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         """Returns the iterator over the events' bytes."""
@@ -58,7 +59,7 @@
 
     async def aclose(self) -> None:
         """Ends the stream; an engine at work drops it."""
-        if not self._run.is_whole:
+        if not self._run.is_whole and not self._has_failed:
             self._node.log.write(
                 Event.CALLER_LEFT, request=self._call.terms.request_id
             )
@@ -117,6 +118,7 @@
             run = None
             reason = f'{reason}; {error}'
         if run is None:
+            self._has_failed = True
             self._node.log.write(
                 Event.FAILED,
                 request=self._call.terms.request_id,
--- a/packages/catkinreach-node/tests/gateway/test_gateway_processes.py
+++ b/packages/catkinreach-node/tests/gateway/test_gateway_processes.py
@@ -5,20 +5,19 @@
 import asyncio
 import json
 from collections import Counter
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 from catkinreach_node.http.client import ConnectError, ExchangeError, HttpClient
 from catkinreach_standins.platform.config import OTHER_KEY
-from catkinreach_standins.platform.deployment import Deployment
-from catkinreach_standins.platform.processes import FrontProcess, make_fronts
+from catkinreach_standins.platform.processes import running_fronts
 from catkinreach_standins.platform.upstream import EVENT_COUNT, Behaviour
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from pathlib import Path
 
     from catkinreach_node.http.messages import HttpRequest
+    from catkinreach_standins.platform.deployment import Deployment
+    from catkinreach_standins.platform.processes import FrontProcess
 
 FRONTS = 3
 CALLERS = 6
@@ -103,29 +102,9 @@
         self.answered[kind] += 1
 
 
-@asynccontextmanager
-async def _deployed(
-    folder: Path,
-) -> AsyncIterator[tuple[Deployment, list[FrontProcess]]]:
-    deployment = Deployment()
-    await deployment.store.start()
-    for upstream in deployment.upstreams.values():
-        await upstream.start()
-    deployment.publish()
-    fronts = make_fronts(FRONTS, deployment.store.port, folder)
-    try:
-        await asyncio.gather(*(front.start() for front in fronts))
-        yield deployment, fronts
-    finally:
-        await asyncio.gather(*(front.kill() for front in fronts))
-        await deployment.store.close()
-        for upstream in deployment.upstreams.values():
-            upstream.close()
-
-
 def test_rolling_restart_fails_no_request(tmp_path: Path) -> None:
     async def run() -> None:
-        async with _deployed(tmp_path) as (deployment, fronts):
+        async with running_fronts(FRONTS, tmp_path) as (deployment, fronts):
             traffic = Traffic(deployment, fronts)
             running = asyncio.ensure_future(traffic.run())
             for front in fronts:
@@ -146,7 +125,7 @@
 
 def test_cause_of_a_failure_is_found_in_the_log(tmp_path: Path) -> None:
     async def run() -> None:
-        async with _deployed(tmp_path) as (deployment, fronts):
+        async with running_fronts(FRONTS, tmp_path) as (deployment, fronts):
             for name in 'de':
                 deployment.upstreams[name].script.append(Behaviour.BREAK)
             request = deployment.request(
@@ -179,7 +158,7 @@
 
 def test_processes_hear_each_other(tmp_path: Path) -> None:
     async def run() -> None:
-        async with _deployed(tmp_path) as (_, fronts):
+        async with running_fronts(FRONTS, tmp_path) as (_, fronts):
             await asyncio.sleep(1.0)
             for front in fronts:
                 heard = [
--- a/packages/catkinreach-standins/src/catkinreach_standins/http.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/http.py
@@ -124,7 +124,7 @@
             logger.debug('http: stopped with a caller connected')
         finally:
             writer.close()
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(OSError, asyncio.CancelledError):
                 await writer.wait_closed()
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -19,10 +20,11 @@
 from catkinreach_node.http.messages import HttpRequest
 
 from ..bench.ports import free_ports
-from .deployment import eventually
+from .deployment import Deployment, eventually
 
 if TYPE_CHECKING:
     from asyncio.subprocess import Process
+    from collections.abc import AsyncIterator
 
 ROOT = Path(__file__).resolve().parents[5]
 START_TIMEOUT_S = 15.0
@@ -58,7 +60,7 @@
         self.ready = Address(host=host, port=ports.ready)
         self._boot = folder / f'boot-{number}.conf'
         self._log = folder / f'front-{number}.jsonl'
-        self._metrics_port = ports.metrics
+        self.metrics = Address(host=host, port=ports.metrics)
         self._process: Process | None = None
         self._client = HttpClient()
         self._boot.write_text(text)
@@ -89,7 +91,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / 'deploy' / 'front.py'),
-                f'--metrics_port={self._metrics_port}',
+                f'--metrics_port={self.metrics.port}',
                 stdout=output,
                 stderr=output,
                 env={**os.environ, 'CATKINREACH_BOOT': str(self._boot)},
@@ -110,6 +112,13 @@
             return False
         return status == 200  # noqa: PLR2004 - HTTP's OK
 
+    async def read_metrics(self) -> str:
+        """Returns what the metrics address serves."""
+        _, body = await self._client.call_raw(
+            self.metrics, HttpRequest('GET', '/metrics')
+        )
+        return body.decode()
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process runs."""
         if self._process is not None and self.is_running:
@@ -171,4 +180,25 @@
     ]
 
 
-__all__ = ('FrontProcess', 'make_fronts')
+@asynccontextmanager
+async def running_fronts(
+    count: int, folder: Path
+) -> AsyncIterator[tuple[Deployment, list[FrontProcess]]]:
+    """Runs front processes before the stand-ins of a deployment."""
+    deployment = Deployment()
+    await deployment.store.start()
+    for upstream in deployment.upstreams.values():
+        await upstream.start()
+    deployment.publish()
+    fronts = make_fronts(count, deployment.store.port, folder)
+    try:
+        await asyncio.gather(*(front.start() for front in fronts))
+        yield deployment, fronts
+    finally:
+        await asyncio.gather(*(front.kill() for front in fronts))
+        await deployment.store.close()
+        for upstream in deployment.upstreams.values():
+            upstream.close()
+
+
+__all__ = ('FrontProcess', 'make_fronts', 'running_fronts')
