Give way at a decode engine that filled while the prompt was read

Change: after the prefill a stream leaves an engine that is overbooked by then and looks for another with its handle, first in line; a refused handle is offered to a second engine before the engine that read it is blamed.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/placement.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/placement.py
@@ -135,6 +135,16 @@
     return memory <= traits.memory_tokens * MEMORY_USE
 
 
+def is_overbooked(load: UpstreamLoad, traits: EngineTraits) -> bool:
+    """Tells whether more memory was set aside at an engine than it has.
+
+    Nodes that plan at the same moment set the same room aside, and learn of
+    each other while the prompts are read. In a fleet of 70 nodes that is how
+    most refusals of decode engines come about.
+    """
+    return load.memory_tokens > traits.memory_tokens * MEMORY_USE
+
+
 def plan_stream(
     choices: Sequence[Choice],
     need: StreamNeed,
@@ -209,6 +219,7 @@
     'StreamPlan',
     'choose_plain',
     'fits',
+    'is_overbooked',
     'plan_stream',
     'read_alone_s',
     'read_time_s',
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/wait_line.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/wait_line.py
@@ -3,11 +3,11 @@
 Load pattern: a burst fills the memory of all decode engines for some
 seconds; streams end all the time, so that a short wait is enough for most.
 
-Streams that lost their engine go first, then those that can still be on time,
-then the more urgent workspaces, then workspaces that were served less, then
-the earlier arrival. Only the first one may be placed, so that a large prompt
-is not passed over. A stream that would start after its caller has left is
-refused at once.
+Streams that lost their engine, or whose prompt was read, go first, then those
+that can still be on time, then the more urgent workspaces, then workspaces
+that were served less, then the earlier arrival. Only the first one may be placed,
+so that a large prompt is not passed over. A stream that would start after its
+caller has left is refused at once.
 """
 
 from __future__ import annotations
@@ -55,7 +55,8 @@
         arrived_s: When it joined.
         on_time_until_s: Last time at which a start is on time.
         useful_until_s: Last time at which a start finds the caller.
-        is_resumed: Whether the caller already has a part of the stream.
+        is_begun: Whether work for it would be lost: the caller has a part of
+            the stream, or its prompt was read.
     """
 
     tokens: int
@@ -64,12 +65,12 @@
     arrived_s: float
     on_time_until_s: float
     useful_until_s: float
-    is_resumed: bool = False
+    is_begun: bool = False
 
     def rank(self, now_s: float) -> tuple[bool, bool, int, float, float]:
         """Returns the sort key; the smallest goes first."""
         return (
-            not self.is_resumed,
+            not self.is_begun,
             now_s > self.on_time_until_s,
             self.priority,
             self.served,
--- a/packages/catkinreach-core/tests/gateway/test_wait_line.py
+++ b/packages/catkinreach-core/tests/gateway/test_wait_line.py
@@ -28,7 +28,7 @@
 
 
 def _ticket(
-    at_s: float, *, served: float = 0.0, is_resumed: bool = False
+    at_s: float, *, served: float = 0.0, is_begun: bool = False
 ) -> Ticket:
     return Ticket(
         tokens=STREAM_TOKENS,
@@ -37,7 +37,7 @@
         arrived_s=at_s,
         on_time_until_s=at_s + TARGET_S - 0.2,
         useful_until_s=at_s + PATIENCE_S,
-        is_resumed=is_resumed,
+        is_begun=is_begun,
     )
 
 
@@ -119,7 +119,7 @@
 
 def test_stream_that_lost_its_engine_goes_first() -> None:
     line, fresh = WaitLine(), _ticket(0.0)
-    resumed = _ticket(0.5, served=1e6, is_resumed=True)
+    resumed = _ticket(0.5, served=1e6, is_begun=True)
     line.join(fresh)
     line.join(resumed)
     assert line.is_first(resumed, 0.6)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -47,6 +47,7 @@
     UPSTREAM_UP = 'upstream-up'
     REFUSED = 'refused'
     PLACED = 'placed'
+    GAVE_WAY = 'gave-way'
     SEND_FAILED = 'send-failed'
     REPLY_SKIPPED = 'reply-skipped'
     RESUMED = 'resumed'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
@@ -29,6 +29,7 @@
 SLACK_FACTOR = 3.0
 """A prefill may take its prediction times this, plus the slack."""
 
+MAX_HANDLE_REFUSALS = 2
 HANDLE_MARGIN_S = 0.1
 """A handle isn't used this long before it lapses."""
 
@@ -46,6 +47,7 @@
         self._handle: KvHandle | None = None
         self._reader: Upstream | None = None
         self._usable_until_s = 0.0
+        self._refusals = 0
         self.is_spent = context.call.terms.resume_after is not None
 
     @property
@@ -87,7 +89,14 @@
         self._handle = None
 
     def note_refused(self) -> None:
-        """Forgets a handle that was refused; its engine may be at fault."""
+        """Takes that a decode engine refused the handle or had no memory.
+
+        The reply doesn't tell which: a second engine is offered the handle,
+        and if it refuses too, the engine that read the prompt is at fault.
+        """
+        self._refusals += 1
+        if self._refusals < MAX_HANDLE_REFUSALS:
+            return
         if self._reader is not None:
             self._node.health.note_failure(
                 self._reader.upstream_id, self._node.clock()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/room_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/room_wait.py
@@ -36,14 +36,18 @@
         self._need = context.need
         self._planner = planner
         self._silent_since_s = context.call.arrived_s
-        self._is_resuming = False
+        self._is_begun = False
         self.waited_s = 0.0
 
     def note_resuming(self) -> None:
         """Lets the caller's patience start anew: it has had an event."""
-        self._is_resuming = True
+        self._is_begun = True
         self._silent_since_s = self._node.clock()
 
+    def note_read(self) -> None:
+        """Lets the stream go first, since its prompt was read."""
+        self._is_begun = True
+
     async def until_placed(self) -> StreamPlan:
         """Returns where to run; waits while there is no room.
 
@@ -89,7 +93,7 @@
             arrived_s=self._node.clock(),
             on_time_until_s=call.arrived_s + call.route.target_s - read_s,
             useful_until_s=self._silent_since_s + patience_s - read_s,
-            is_resumed=self._is_resuming,
+            is_begun=self._is_begun,
         )
 
     def _served(self) -> float:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from catkinreach_core.gateway.placement import StreamNeed
+from catkinreach_core.gateway.placement import StreamNeed, is_overbooked
 
 from ..http.client import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
@@ -49,6 +49,7 @@
                 prompt, call.terms.output_tokens
             ),
         )
+        self._traits = traits
         context = StreamContext(node, call, self._attempts, self._need, traits)
         self._reader = PromptReader(context)
         self._room = RoomWait(context, StreamPlanner(context, self._reader))
@@ -120,6 +121,8 @@
                 prefill.upstream, plan.first_token_s
             ):
                 return False
+            if self._gives_way(plan):
+                return False
             if not self._attempts.may_send():
                 raise self._attempts.error()
             run.source = self._reader.handle
@@ -129,6 +132,25 @@
                 run.close()
         return is_open
 
+    def _gives_way(self, plan: StreamPlan) -> bool:
+        """Leaves an engine that others have filled while the prompt was read.
+
+        The prompt's handle is kept and goes to another engine.
+        """
+        upstream_id = plan.decode.upstream.upstream_id
+        load = self._node.loads.total(upstream_id, self._node.clock())
+        if plan.prefill is None or not is_overbooked(load, self._traits):
+            return False
+        self._node.log.write(
+            Event.GAVE_WAY,
+            request=self._call.terms.request_id,
+            upstream=upstream_id,
+            memory_tokens=load.memory_tokens,
+            running=load.running,
+        )
+        self._room.note_read()
+        return True
+
     async def _decode(
         self, plan: StreamPlan, run: EngineRun, resume_after: int | None
     ) -> bool:
--- a/packages/catkinreach-node/tests/gateway/test_gateway_streams.py
+++ b/packages/catkinreach-node/tests/gateway/test_gateway_streams.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
 
+from catkinreach_core.gateway.digest import Digest, Phase, encode_digest
+from catkinreach_core.gateway.load_table import UpstreamLoad
+from catkinreach_core.ids import UpstreamId
 from catkinreach_node.http.client import ExchangeError
 from catkinreach_standins.platform.deployment import (
     Deployment,
@@ -19,6 +23,7 @@
 
     from catkinreach_node.http.messages import HttpRequest
 
+PEER_HOST = '127.0.0.9'
 WHOLE = b''.join(
     f'id: {number}\ndata: token {number}\n\n'.encode()
     for number in range(1, EVENT_COUNT + 1)
@@ -136,6 +141,51 @@
     _run(scenario)
 
 
+def test_refused_handle_is_offered_to_another_engine() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.upstreams['d'].script.extend([Behaviour.REFUSE] * 9)
+        for _ in range(4):
+            request = _prompt(deployment, '/stream/')
+            assert await _stream(deployment, request) == (200, WHOLE)
+        assert deployment.upstreams['d'].received
+        assert len(deployment.upstreams['p'].received) == 4
+        served = deployment.upstreams['e'].received
+        assert all('kv-source' in one.headers for one in served)
+
+    _run(scenario)
+
+
+def _tell_load(deployment: Deployment, name: str, tokens: int) -> None:
+    """Tells the gateway, as a peer, of work at an upstream."""
+    digest = Digest(
+        node=PEER_HOST,
+        phase=Phase.RUNNING,
+        revision=1,
+        loads={UpstreamId(name): UpstreamLoad(1, 0, tokens)},
+    )
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.bind((PEER_HOST, 0))
+        address = (deployment.peer.host, deployment.peer.port)
+        sender.sendto(encode_digest(digest), address)
+
+
+def test_engine_that_fills_during_the_prefill_is_left() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.upstreams['p'].prefill_s = 0.2
+        for name in 'de':
+            deployment.upstreams[name].event_gap_s = 0.01
+        request = _prompt(deployment, '/stream/')
+        streaming = asyncio.ensure_future(_stream(deployment, request))
+        await asyncio.sleep(0.1)
+        _tell_load(deployment, 'd', 59_000)
+        assert await streaming == (200, WHOLE)
+        assert not deployment.upstreams['d'].received
+        (served,) = deployment.upstreams['e'].received
+        assert 'kv-source' in served.headers
+
+    _run(scenario)
+
+
 def test_silent_engine_is_left_before_the_first_event() -> None:
     async def scenario(deployment: Deployment) -> None:
         deployment.upstreams['d'].script.extend([Behaviour.HANG] * 9)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -69,6 +69,7 @@
         runs: Runs by request id.
         left: Ids of requests whose connection closed while they hung.
         event_gap_s: Pause before each event of a stream.
+        prefill_s: Time that it takes to read a prompt.
     """
 
     upstream_id: str
@@ -79,6 +80,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     left: list[str] = field(default_factory=list)
     event_gap_s: float = 0.0
+    prefill_s: float = 0.0
     _server: asyncio.Server | None = None
     _handles: int = 0
 
@@ -151,6 +153,7 @@
             self.left.append(request.request_id)
             return False
         if request.is_prefill:
+            await asyncio.sleep(self.prefill_s)
             return self._prefill(request, writer, behaviour)
         if self.stage:
             return await self._stream(request, writer, behaviour)
