--- a/packages/catkinreach-core/src/catkinreach_core/gateway/wait_line.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/wait_line.py
@@ -5,9 +5,9 @@
 
 Streams that lost their engine, or whose prompt was read, go first, then those
 that can still be on time, then the more urgent workspaces, then workspaces
-that were served less, then the earlier arrival. Only the first one may be placed,
-so that a large prompt is not passed over. A stream that would start after its
-caller has left is refused at once.
+that were served less, then the earlier arrival. Only the first one may be
+placed, so that a large prompt is not passed over. A stream that would start
+after its caller has left is refused at once.
 """
 
 from __future__ import annotations
