--- a/packages/catkinreach-core/src/catkinreach_core/cell/roster.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/membership.py
@@ -16,7 +16,7 @@
     from ..settings.fleet import FleetSettings, Service, Upstream
 
 
-class CellRoster:
+class CellMembership:
     """Keeps one service's cell in line with the accepted settings."""
 
     def __init__(
@@ -133,4 +133,4 @@
     return (known.host, known.port) != (upstream.host, upstream.port)
 
 
-__all__ = ('CellRoster',)
+__all__ = ('CellMembership',)
--- a/packages/catkinreach-core/src/catkinreach_core/limits/purse.py
+++ b/packages/catkinreach-core/src/catkinreach_core/limits/borrowed_budget.py
@@ -57,7 +57,7 @@
             units -= claim
 
 
-class Purse:
+class BorrowedBudget:
     """Holdings of one kind of unit; the borrower's half of a loan."""
 
     def __init__(self, policy: SlicePolicy) -> None:
@@ -116,7 +116,7 @@
     def state_need(
         self, waiting: float, first: float, burst: float, now_s: float
     ) -> SliceNeed:
-        """Returns what is held and wanted; a surplus leaves the purse.
+        """Returns what is held and wanted; a surplus leaves the budget.
 
         Args:
             waiting: Units that all waiting requests cost.
@@ -172,4 +172,4 @@
                 holding.clear()
 
 
-__all__ = ('Holding', 'Purse')
+__all__ = ('BorrowedBudget', 'Holding')
--- a/packages/catkinreach-core/src/catkinreach_core/limits/book.py
+++ b/packages/catkinreach-core/src/catkinreach_core/limits/lease_table.py
@@ -1,4 +1,4 @@
-"""The owner's book: the buckets of one limit shard during one tenure."""
+"""The owner's lease table: the buckets of one limit shard during one tenure."""
 
 from __future__ import annotations
 
@@ -86,7 +86,7 @@
         return True
 
 
-class LimitBook:
+class SliceLeaseTable:
     """Limits of one shard's workspaces during one tenure."""
 
     def __init__(
@@ -108,8 +108,10 @@
         return len(self._accounts)
 
     @classmethod
-    def from_tenure(cls, tenure: Tenure, *, not_before_s: float) -> LimitBook:
-        """Returns a book that fills once every earlier slice has lapsed."""
+    def from_tenure(
+        cls, tenure: Tenure, *, not_before_s: float
+    ) -> SliceLeaseTable:
+        """Returns a table that fills once every earlier slice has lapsed."""
         started_at_s = max(tenure.started_at_s, not_before_s)
         return cls(tenure, started_at_s + LAPSE_S)
 
@@ -120,8 +122,8 @@
         handover: LimitHandover,
         limits: dict[WorkspaceId, WorkspaceLimits],
         now_s: float,
-    ) -> LimitBook:
-        """Returns a book that goes on where the predecessor stopped.
+    ) -> SliceLeaseTable:
+        """Returns a lease table that goes on where the predecessor stopped.
 
         Nothing is filled for the time between the two tenures.
         """
@@ -219,4 +221,4 @@
     )
 
 
-__all__ = ('LimitBook', 'WorkspaceAccount')
+__all__ = ('SliceLeaseTable', 'WorkspaceAccount')
--- a/packages/catkinreach-core/src/catkinreach_core/limits/gate.py
+++ b/packages/catkinreach-core/src/catkinreach_core/limits/limiter.py
@@ -9,7 +9,7 @@
 
 from ..errors import CatkinreachError, ErrorKind
 from ..messages.limits import SliceAsk
-from .purse import Purse
+from .borrowed_budget import BorrowedBudget
 from .terms import SLICE_LIFE_S, SlicePolicy
 
 if TYPE_CHECKING:
@@ -78,10 +78,10 @@
     arrived_at_s: float
 
 
-class WorkspaceGate:
+class WorkspaceLimiter:
     """Admits from borrowed slices, first come, first served.
 
-    The owner of the gate calls ``step`` after every event, sends what
+    The owner of the limiter calls ``step`` after every event, sends what
     ``next_ask`` returns, and reads its clock right before each call: a
     process that was paused finds its slices expired.
     """
@@ -98,7 +98,7 @@
         self._policy = policy
         self._workspace_id = workspace_id
         self._incarnation = incarnation
-        self._purses = (Purse(policy), Purse(policy))
+        self._budgets = (BorrowedBudget(policy), BorrowedBudget(policy))
         self._waiting: deque[_Waiting] = deque()
         self._sequence = 0
         self._accepted = 0
@@ -128,13 +128,13 @@
 
     def free(self, now_s: float) -> tuple[float, float]:
         """Returns the requests and tokens at hand."""
-        requests, tokens = self._purses
+        requests, tokens = self._budgets
         return requests.free(now_s), tokens.free(now_s)
 
     def try_admit(self, number: int, cost: Cost, now_s: float) -> bool:
         """Admits at once if nothing waits and units are at hand."""
-        for purse, units in zip(self._purses, cost.units, strict=True):
-            purse.demand.add(units, now_s)
+        for budget, units in zip(self._budgets, cost.units, strict=True):
+            budget.demand.add(units, now_s)
         if self._waiting or not self._can_draw(cost, now_s):
             return False
         self._draw(number, cost)
@@ -165,7 +165,7 @@
 
     def settle(self, number: int, unused_tokens: float, now_s: float) -> None:
         """Gives back the tokens that an admitted request did not use."""
-        self._purses[1].settle(number, unused_tokens, now_s)
+        self._budgets[1].settle(number, unused_tokens, now_s)
 
     def step(self, now_s: float) -> list[Verdict]:
         """Returns the requests whose wait ends now."""
@@ -189,16 +189,16 @@
         first = self._first_units
         waiting = self._waiting_units()
         requests, tokens = (
-            purse.state_need(units, units_first, limit.burst, now_s)
-            for purse, units, units_first, limit in zip(
-                self._purses, waiting, first, self.limits.units, strict=True
+            budget.state_need(units, units_first, limit.burst, now_s)
+            for budget, units, units_first, limit in zip(
+                self._budgets, waiting, first, self.limits.units, strict=True
             )
         )
         return SliceAsk(
             workspace_id=self._workspace_id,
             incarnation=self._incarnation,
             sequence=self._sequence,
-            term=self._purses[0].term,
+            term=self._budgets[0].term,
             accepted=self._accepted,
             needs=(requests, tokens),
         )
@@ -213,8 +213,8 @@
         self._failing_from_s = None
         self._is_recovering = grant.is_recovering
         expires_at_s = self._asked_at_s + SLICE_LIFE_S
-        for purse, lent in zip(self._purses, grant.slices, strict=True):
-            purse.take(lent, grant.term, expires_at_s, now_s)
+        for budget, lent in zip(self._budgets, grant.slices, strict=True):
+            budget.take(lent, grant.term, expires_at_s, now_s)
         if min(self.free(now_s)) >= min(PROBE_UNITS):
             self._probe = ProbeState.DONE
         ready_in_s = max(lent.ready_in_s for lent in grant.slices)
@@ -239,13 +239,13 @@
         return self._ask_from_s
 
     def _can_draw(self, cost: Cost, now_s: float) -> bool:
-        requests, tokens = self._purses
+        requests, tokens = self._budgets
         return requests.can_draw(cost.requests, now_s) and tokens.can_draw(
             cost.tokens, now_s
         )
 
     def _draw(self, number: int, cost: Cost) -> None:
-        requests, tokens = self._purses
+        requests, tokens = self._budgets
         requests.draw(cost.requests, number, is_claim=False)
         tokens.draw(cost.tokens, number, is_claim=cost.tokens > 0)
 
@@ -266,13 +266,13 @@
     def _has_reason(self, now_s: float) -> bool:
         if self._waiting or self._probe is ProbeState.OPEN:
             return True
-        if any(purse.wants_ask(now_s) for purse in self._purses):
+        if any(budget.wants_ask(now_s) for budget in self._budgets):
             return True
         if now_s - self._asked_at_s < RENEW_S / 2:
             return False
-        if any(purse.has_surplus(now_s) for purse in self._purses):
+        if any(budget.has_surplus(now_s) for budget in self._budgets):
             return True
-        is_held = not all(purse.is_idle(now_s) for purse in self._purses)
+        is_held = not all(budget.is_idle(now_s) for budget in self._budgets)
         return is_held and now_s - self._asked_at_s >= RENEW_S
 
     def _refusals(self, now_s: float) -> Iterator[Verdict]:
@@ -325,4 +325,4 @@
         return longest_s
 
 
-__all__ = ('Cost', 'Verdict', 'WorkspaceGate')
+__all__ = ('Cost', 'Verdict', 'WorkspaceLimiter')
--- a/packages/catkinreach-core/tests/limits/test_limit_machine.py
+++ b/packages/catkinreach-core/tests/limits/test_limit_machine.py
@@ -19,9 +19,9 @@
 
 from catkinreach_core.errors import CatkinreachError
 from catkinreach_core.ids import Incarnation, ShardId, VmId, WorkspaceId
-from catkinreach_core.limits.book import LimitBook
 from catkinreach_core.limits.checker import Admission, window_violations
-from catkinreach_core.limits.gate import Cost, WorkspaceGate
+from catkinreach_core.limits.lease_table import SliceLeaseTable
+from catkinreach_core.limits.limiter import Cost, WorkspaceLimiter
 from catkinreach_core.limits.terms import (
     SlicePolicy,
     UnitLimit,
@@ -67,19 +67,19 @@
         self.now_s = 0.0
         self.numbers = iter(range(1, 10**9))
         self.lives = iter(range(10**9))
-        self.gates = [self._new_gate() for _ in range(3)]
-        self.asks: list[tuple[int, WorkspaceGate, SliceAsk]] = []
-        self.grants: list[tuple[WorkspaceGate, SliceGrant]] = []
-        self.running: list[tuple[WorkspaceGate, int, float]] = []
+        self.limiters = [self._new_limiter() for _ in range(3)]
+        self.asks: list[tuple[int, WorkspaceLimiter, SliceAsk]] = []
+        self.grants: list[tuple[WorkspaceLimiter, SliceGrant]] = []
+        self.running: list[tuple[WorkspaceLimiter, int, float]] = []
         self.tokens: dict[int, Admission] = {}
         self.requests: list[Admission] = []
         self.costs: dict[int, Cost] = {}
         self.term = 1
-        self.book: LimitBook | None = self._new_book()
+        self.lease_table: SliceLeaseTable | None = self._new_lease_table()
 
-    def _new_gate(self) -> WorkspaceGate:
+    def _new_limiter(self) -> WorkspaceLimiter:
         life = Incarnation(f'life-{next(self.lives)}')
-        return WorkspaceGate(WORKSPACE, life, LIMITS, GREEDY)
+        return WorkspaceLimiter(WORKSPACE, life, LIMITS, GREEDY)
 
     def _tenure(self) -> Tenure:
         return Tenure(
@@ -91,19 +91,19 @@
             expires_at_s=1e9,
         )
 
-    def _new_book(self) -> LimitBook:
-        return LimitBook.from_tenure(self._tenure(), not_before_s=0)
+    def _new_lease_table(self) -> SliceLeaseTable:
+        return SliceLeaseTable.from_tenure(self._tenure(), not_before_s=0)
 
-    def _admit(self, gate: WorkspaceGate, number: int) -> None:
+    def _admit(self, limiter: WorkspaceLimiter, number: int) -> None:
         cost = self.costs[number]
         self.requests.append(Admission(self.now_s, cost.requests))
         self.tokens[number] = Admission(self.now_s, cost.tokens)
-        self.running.append((gate, number, cost.tokens))
+        self.running.append((limiter, number, cost.tokens))
 
-    def _step(self, gate: WorkspaceGate) -> None:
-        for verdict in gate.step(self.now_s):
+    def _step(self, limiter: WorkspaceLimiter) -> None:
+        for verdict in limiter.step(self.now_s):
             if verdict.refusal is None:
-                self._admit(gate, verdict.number)
+                self._admit(limiter, verdict.number)
 
     @rule(pause_s=st.sampled_from([0.001, 0.2, 0.5, 0.9, 1.1, 2.5]))
     def advance(self, pause_s: float) -> None:
@@ -113,15 +113,15 @@
     @rule(node=NODES, count=st.sampled_from([1, 9, 25]), fault=FAULTS)
     def arrive(self, node: int, count: int, fault: Fault) -> None:
         """Brings requests to a node, which asks for slices."""
-        gate = self.gates[node]
+        limiter = self.limiters[node]
         for _ in range(count):
             number = next(self.numbers)
             self.costs[number] = Cost(1, 9 if number % 3 else 11)
             try:
-                if gate.try_admit(number, self.costs[number], self.now_s):
-                    self._admit(gate, number)
+                if limiter.try_admit(number, self.costs[number], self.now_s):
+                    self._admit(limiter, number)
                 else:
-                    gate.wait(number, self.costs[number], self.now_s)
+                    limiter.wait(number, self.costs[number], self.now_s)
             except CatkinreachError:
                 continue
         self._exchange(node, fault)
@@ -129,100 +129,104 @@
     @rule(node=NODES, fault=FAULTS)
     def tick(self, node: int, fault: Fault) -> None:
         """Lets a node renew, return and ask."""
-        self._step(self.gates[node])
+        self._step(self.limiters[node])
         self._exchange(node, fault)
 
     def _exchange(self, node: int, fault: Fault) -> None:
-        gate = self.gates[node]
-        ask = gate.next_ask(self.now_s)
+        limiter = self.limiters[node]
+        ask = limiter.next_ask(self.now_s)
         if ask is None:
             return
         if fault in (Fault.ASK_LATE, Fault.ASK_TWICE):
-            self.asks.append((node, gate, ask))
-        if fault in (Fault.ASK_LATE, Fault.LOST) or self.book is None:
-            gate.on_failure(ask.sequence, self.now_s + 0.3)
+            self.asks.append((node, limiter, ask))
+        if fault in (Fault.ASK_LATE, Fault.LOST) or self.lease_table is None:
+            limiter.on_failure(ask.sequence, self.now_s + 0.3)
             return
-        grant = self.book.answer(VmId(f'vm-{node}'), ask, LIMITS, self.now_s)
+        grant = self.lease_table.answer(
+            VmId(f'vm-{node}'), ask, LIMITS, self.now_s
+        )
         assert grant is not None
         if fault in (Fault.GRANT_LATE, Fault.GRANT_TWICE):
-            self.grants.append((gate, grant))
+            self.grants.append((limiter, grant))
         if fault is Fault.GRANT_LATE:
-            gate.on_failure(ask.sequence, self.now_s)
+            limiter.on_failure(ask.sequence, self.now_s)
             return
         if fault is not Fault.GRANT_WAITS:
-            gate.on_grant(grant, self.now_s)
-            self._step(gate)
+            limiter.on_grant(grant, self.now_s)
+            self._step(limiter)
         else:
-            self.grants.append((gate, grant))
+            self.grants.append((limiter, grant))
 
     @precondition(lambda machine: machine.asks)
     @rule(pick=st.integers(0, 99), is_kept=st.booleans())
     def answer(self, pick: int, is_kept: bool) -> None:  # noqa: FBT001
         """Delivers an ask, maybe not for the last time."""
-        node, gate, ask = self.asks[pick % len(self.asks)]
+        node, limiter, ask = self.asks[pick % len(self.asks)]
         if not is_kept:
-            self.asks.remove((node, gate, ask))
-        if self.book is None:
+            self.asks.remove((node, limiter, ask))
+        if self.lease_table is None:
             return
-        grant = self.book.answer(VmId(f'vm-{node}'), ask, LIMITS, self.now_s)
+        grant = self.lease_table.answer(
+            VmId(f'vm-{node}'), ask, LIMITS, self.now_s
+        )
         if grant is not None:
-            self.grants.append((gate, grant))
+            self.grants.append((limiter, grant))
 
     @precondition(lambda machine: machine.grants)
     @rule(pick=st.integers(0, 99), is_kept=st.booleans())
     def take(self, pick: int, is_kept: bool) -> None:  # noqa: FBT001
         """Delivers a grant, maybe not for the last time."""
-        gate, grant = self.grants[pick % len(self.grants)]
+        limiter, grant = self.grants[pick % len(self.grants)]
         if not is_kept:
-            self.grants.remove((gate, grant))
-        gate.on_grant(grant, self.now_s)
-        self._step(gate)
+            self.grants.remove((limiter, grant))
+        limiter.on_grant(grant, self.now_s)
+        self._step(limiter)
 
     @rule(node=NODES)
     def time_out(self, node: int) -> None:
         """Ends the open ask of a node."""
-        gate = self.gates[node]
+        limiter = self.limiters[node]
         for sequence in range(200):
-            gate.on_failure(sequence, self.now_s)
+            limiter.on_failure(sequence, self.now_s)
 
     @precondition(lambda machine: machine.running)
     @rule(pick=st.integers(0, 99), part=st.sampled_from([0.0, 0.5, 1.0]))
     def settle(self, pick: int, part: float) -> None:
         """Ends a request that used a part of its tokens."""
-        gate, number, tokens = self.running.pop(pick % len(self.running))
+        limiter, number, tokens = self.running.pop(pick % len(self.running))
         used = tokens * part
         admission = self.tokens[number]
         self.tokens[number] = replace(admission, units=used)
-        gate.settle(number, tokens - used, self.now_s)
+        limiter.settle(number, tokens - used, self.now_s)
 
     @rule(node=NODES)
     def restart(self, node: int) -> None:
         """Starts a node anew; what it held is lost."""
-        gone = self.gates[node]
+        gone = self.limiters[node]
         self.running = [one for one in self.running if one[0] is not gone]
-        self.gates[node] = self._new_gate()
+        self.limiters[node] = self._new_limiter()
 
     @rule()
     def lose_owner(self) -> None:
         """Leaves the shard without an owner."""
-        self.book = None
+        self.lease_table = None
 
-    @precondition(lambda machine: machine.book is None)
+    @precondition(lambda machine: machine.lease_table is None)
     @rule()
     def new_owner(self) -> None:
         """Gives the shard to an owner that knows nothing."""
         self.term += 1
-        self.book = self._new_book()
+        self.lease_table = self._new_lease_table()
 
-    @precondition(lambda machine: machine.book is not None)
+    @precondition(lambda machine: machine.lease_table is not None)
     @rule(gap_s=st.sampled_from([0.0, 0.1, 2.0]))
     def hand_over(self, gap_s: float) -> None:
         """Gives the shard to a successor in good order."""
-        assert self.book is not None
-        handover = self.book.handover(self.now_s)
+        assert self.lease_table is not None
+        handover = self.lease_table.handover(self.now_s)
         self.now_s += gap_s
         self.term += 1
-        self.book = LimitBook.from_handover(
+        self.lease_table = SliceLeaseTable.from_handover(
             self._tenure(), handover, {WORKSPACE: LIMITS}, self.now_s
         )
 
@@ -297,7 +301,7 @@
 
 
 def _renew(machine: LimitMachine) -> None:
-    if machine.book is None:
+    if machine.lease_table is None:
         machine.new_owner()
     else:
         machine.hand_over(0.1)
@@ -314,11 +318,11 @@
     machine.advance(2.5)
     machine.advance(2.5)
     machine.arrive(0, HELD, Fault.GRANT_WAITS)
-    gate = machine.gates[0]
+    limiter = machine.limiters[0]
     for number in range(1, HELD + 1):
-        gate.give_up(number)
+        limiter.give_up(number)
     machine.take(0, is_kept=False)
-    assert gate.free(machine.now_s)[0] == pytest.approx(HELD, abs=0.01)
+    assert limiter.free(machine.now_s)[0] == pytest.approx(HELD, abs=0.01)
 
 
 def _everyone_spends(machine: LimitMachine) -> None:
--- a/packages/catkinreach-core/tests/limits/test_limit_gate.py
+++ b/packages/catkinreach-core/tests/limits/test_limiter.py
@@ -1,4 +1,4 @@
-"""A gate waits for slices, refuses what is over the rate, and settles."""
+"""A limiter waits for slices, refuses what is over the rate, and settles."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.ids import Incarnation, VmId, WorkspaceId
 from catkinreach_core.limits.bucket import Borrower, LimitBucket
-from catkinreach_core.limits.gate import Cost, WorkspaceGate
+from catkinreach_core.limits.limiter import Cost, WorkspaceLimiter
 from catkinreach_core.limits.terms import (
     LAPSE_S,
     SLICE_LIFE_S,
@@ -20,87 +20,89 @@
 
 
 @pytest.fixture
-def gate() -> WorkspaceGate:
-    return WorkspaceGate(WorkspaceId('sunday-bee'), Incarnation('a'), LIMITS)
+def limiter() -> WorkspaceLimiter:
+    return WorkspaceLimiter(WorkspaceId('sunday-bee'), Incarnation('a'), LIMITS)
 
 
 def _lend(
-    gate: WorkspaceGate,
+    limiter: WorkspaceLimiter,
     now_s: float,
     *,
     requests: float,
     tokens: float,
     ready_in_s: float = 0.0,
 ) -> None:
-    ask = gate.next_ask(now_s)
+    ask = limiter.next_ask(now_s)
     assert ask is not None
     slices = (
         Slice(granted=requests, ready_in_s=ready_in_s),
         Slice(granted=tokens),
     )
-    gate.on_grant(
+    limiter.on_grant(
         SliceGrant(term=1, sequence=ask.sequence, slices=slices), now_s
     )
 
 
-def test_paused_node_finds_its_slice_expired(gate: WorkspaceGate) -> None:
-    gate.try_admit(1, Cost(1, 10), 0)
-    gate.wait(1, Cost(1, 10), 0)
-    _lend(gate, 0, requests=5, tokens=100)
-    assert [one.number for one in gate.step(0)] == [1]
-    assert gate.try_admit(2, Cost(1, 10), SLICE_LIFE_S - 0.01)
-    assert not gate.try_admit(3, Cost(1, 10), SLICE_LIFE_S)
+def test_paused_node_finds_its_slice_expired(limiter: WorkspaceLimiter) -> None:
+    limiter.try_admit(1, Cost(1, 10), 0)
+    limiter.wait(1, Cost(1, 10), 0)
+    _lend(limiter, 0, requests=5, tokens=100)
+    assert [one.number for one in limiter.step(0)] == [1]
+    assert limiter.try_admit(2, Cost(1, 10), SLICE_LIFE_S - 0.01)
+    assert not limiter.try_admit(3, Cost(1, 10), SLICE_LIFE_S)
 
 
 def test_request_over_the_rate_is_told_when_to_retry(
-    gate: WorkspaceGate,
+    limiter: WorkspaceLimiter,
 ) -> None:
     for number in range(10):
-        gate.wait(number, Cost(1, 0), 0)
-    _lend(gate, 0, requests=0, tokens=0, ready_in_s=0.2)
-    refusals = [one.refusal for one in gate.step(0)]
+        limiter.wait(number, Cost(1, 0), 0)
+    _lend(limiter, 0, requests=0, tokens=0, ready_in_s=0.2)
+    refusals = [one.refusal for one in limiter.step(0)]
     assert len(refusals) == 5
     assert refusals[-1] is not None
     assert refusals[-1].kind is ErrorKind.RATE_LIMITED
     assert refusals[-1].retry_after_s == pytest.approx(6 / 5, abs=0.01)
 
 
-def test_cost_above_the_burst_is_refused_at_once(gate: WorkspaceGate) -> None:
+def test_cost_above_the_burst_is_refused_at_once(
+    limiter: WorkspaceLimiter,
+) -> None:
     with pytest.raises(CatkinreachError, match='more than the burst'):
-        gate.wait(1, Cost(1, 301), 0)
+        limiter.wait(1, Cost(1, 301), 0)
 
 
-def test_unused_tokens_come_back(gate: WorkspaceGate) -> None:
-    gate.wait(1, Cost(1, 100), 0)
-    _lend(gate, 0, requests=5, tokens=100)
-    gate.step(0)
-    gate.settle(1, 60, 0.1)
-    assert gate.free(0.1)[1] == 60
-    gate.settle(1, 60, 0.1)
-    assert gate.free(0.1)[1] == 60
+def test_unused_tokens_come_back(limiter: WorkspaceLimiter) -> None:
+    limiter.wait(1, Cost(1, 100), 0)
+    _lend(limiter, 0, requests=5, tokens=100)
+    limiter.step(0)
+    limiter.settle(1, 60, 0.1)
+    assert limiter.free(0.1)[1] == 60
+    limiter.settle(1, 60, 0.1)
+    assert limiter.free(0.1)[1] == 60
 
 
 def test_units_of_a_waiting_request_are_not_returned(
-    gate: WorkspaceGate,
+    limiter: WorkspaceLimiter,
 ) -> None:
-    gate.try_admit(1, Cost(1, 100), 0)
-    gate.wait(1, Cost(1, 100), 0)
-    _lend(gate, 0, requests=1, tokens=0, ready_in_s=0.2)
-    assert not gate.step(0.9)
-    ask = gate.next_ask(0.9)
+    limiter.try_admit(1, Cost(1, 100), 0)
+    limiter.wait(1, Cost(1, 100), 0)
+    _lend(limiter, 0, requests=1, tokens=0, ready_in_s=0.2)
+    assert not limiter.step(0.9)
+    ask = limiter.next_ask(0.9)
     assert ask is not None
     assert (ask.needs[0].returned, ask.needs[0].held) == (0, 1)
 
 
 def test_lost_owner_ends_in_a_refusal_that_ran_nothing(
-    gate: WorkspaceGate,
+    limiter: WorkspaceLimiter,
 ) -> None:
-    gate.wait(1, Cost(1, 1), 0)
-    ask = gate.next_ask(0)
+    limiter.wait(1, Cost(1, 1), 0)
+    ask = limiter.next_ask(0)
     assert ask is not None
-    gate.on_failure(ask.sequence, 0.3)
-    assert not gate.step(9)
-    (verdict,) = gate.step(11)
+    limiter.on_failure(ask.sequence, 0.3)
+    assert not limiter.step(9)
+    (verdict,) = limiter.step(11)
     assert verdict.refusal is not None
     assert verdict.refusal.kind is ErrorKind.NO_OWNER
 
--- a/packages/catkinreach-node/src/catkinreach_node/cell/fallback.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/fallback.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.cell.engine_view import Health
-from catkinreach_core.cell.roster import CellRoster
+from catkinreach_core.cell.membership import CellMembership
 from catkinreach_core.fleet_list import VmState
 from catkinreach_core.ids import ShardId
 from catkinreach_core.ownership.shards import cell_shard
@@ -121,10 +121,12 @@
     def _prepare(self) -> OwnedCell:
         settings = self._context.state.settings
         if self._owned is None:
-            roster = CellRoster(settings, self._service, share=self._share())
-            self._owned = OwnedCell(roster, self._tenure())
+            membership = CellMembership(
+                settings, self._service, share=self._share()
+            )
+            self._owned = OwnedCell(membership, self._tenure())
             self._owned.cell.opens_at_s = 0.0
-        self._owned.roster.apply(settings, self._share())
+        self._owned.membership.apply(settings, self._share())
         return self._owned
 
     def _share(self) -> float:
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owned.py
@@ -27,7 +27,7 @@
     from collections.abc import Callable
 
     from catkinreach_core.cell.ask import Ask
-    from catkinreach_core.cell.roster import CellRoster
+    from catkinreach_core.cell.membership import CellMembership
     from catkinreach_core.ids import RequestId, VmId
     from catkinreach_core.messages.cell import Ended, Renew
     from catkinreach_core.ownership.tenure import Tenure
@@ -44,20 +44,20 @@
 
     def __init__(
         self,
-        roster: CellRoster,
+        membership: CellMembership,
         tenure: Tenure,
         may_act: Callable[[], bool] = lambda: True,
     ) -> None:
         """Starts a tenure; nothing is placed until it is rebuilt.
 
         Args:
-            roster: The cell.
+            membership: The cell.
             tenure: This node's ownership of it.
             may_act: Tells, right before a decision, whether it still holds.
         """
         self._may_act = may_act
-        self.roster = roster
-        self.cell = roster.cell
+        self.membership = membership
+        self.cell = membership.cell
         self.tenure = tenure
         self.cell.opens_at_s = time.monotonic() + REBUILD_S
         self._waiters: dict[RequestId, asyncio.Future[Granted]] = {}
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owner.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from catkinreach_core.cell.roster import CellRoster
+from catkinreach_core.cell.membership import CellMembership
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.fleet_list import VmState
 from catkinreach_core.messages.cell import (
@@ -175,13 +175,13 @@
             return
         self._give_up(shard)
         policy = settings.queue.policy
-        roster = CellRoster(
+        membership = CellMembership(
             settings,
             service,
             reserves_decode=policy is not QueuePolicy.NO_RESERVATION,
         )
         self._owned[shard] = OwnedCell(
-            roster, tenure, lambda: self._is_in_term(tenure)
+            membership, tenure, lambda: self._is_in_term(tenure)
         )
         logger.info('cell: owns {} in term {}.', shard, tenure.term)
 
@@ -198,7 +198,7 @@
 
     def _follow_settings(self) -> None:
         for owned in self._owned.values():
-            owned.roster.apply(self._context.state.settings)
+            owned.membership.apply(self._context.state.settings)
             owned.pump()
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/cell/poller.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/poller.py
@@ -170,7 +170,7 @@
     async def _probe_dependencies(self, owned: OwnedCell) -> None:
         """Finds the first dependency that has no upstream left."""
         outage = ''
-        for name, upstreams in owned.roster.dependencies().items():
+        for name, upstreams in owned.membership.dependencies().items():
             answers = await asyncio.gather(*map(_accepts, upstreams))
             if not any(answers):
                 outage = name
--- a/packages/catkinreach-node/src/catkinreach_node/engine_orders/part.py
+++ b/packages/catkinreach-node/src/catkinreach_node/engine_orders/task.py
@@ -40,7 +40,7 @@
 _HTTP_CONFLICT = 409
 
 
-class EngineOrdersPart(NodePart):
+class EngineOrdersTask(NodePart):
     """Reconciles the engines of every cell that this node owns."""
 
     def __init__(self, context: NodeContext) -> None:
@@ -188,4 +188,4 @@
             return 0, b''
 
 
-__all__ = ('EngineOrdersPart',)
+__all__ = ('EngineOrdersTask',)
--- a/packages/catkinreach-node/src/catkinreach_node/limits/desk.py
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/service.py
@@ -1,4 +1,4 @@
-"""The owner's side: books of the limit shards that this node owns."""
+"""The owner's side: lease tables of the limit shards that this node owns."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
-from catkinreach_core.limits.book import LimitBook
+from catkinreach_core.limits.lease_table import SliceLeaseTable
 from catkinreach_core.limits.terms import WorkspaceLimits
 from catkinreach_core.messages.limits import LimitHandover, LimitHandoverKept
 from catkinreach_core.ownership.shards import limit_shard
@@ -19,21 +19,21 @@
     from ..parts import NodeContext
 
 
-class LimitDesk:
+class LimitService:
     """Answers asks while this node's tenure of the shard lasts."""
 
     def __init__(self, context: NodeContext) -> None:
-        """Starts without books."""
+        """Starts without lease tables."""
         self._context = context
-        self._books: dict[ShardId, LimitBook] = {}
+        self._lease_tables: dict[ShardId, SliceLeaseTable] = {}
         self._kept: dict[ShardId, LimitHandover] = {}
         self._started_at_s = time.monotonic()
         self._is_closed = False
 
     @property
-    def book_count(self) -> int:
+    def lease_table_count(self) -> int:
         """Returns the shards that were asked for during their tenures."""
-        return len(self._books)
+        return len(self._lease_tables)
 
     async def respond(self, sender: VmId, ask: SliceAsk) -> SliceGrant:
         """Lends slices; nothing is awaited between the checks and the answer.
@@ -47,8 +47,8 @@
         tenure = self._context.ownership.tenure_of(shard, now_s)
         if tenure is None or limits is None or self._is_closed:
             raise CatkinreachError(ErrorKind.NO_OWNER)
-        book = self._book(tenure, now_s)
-        grant = book.answer(sender, ask, limits, now_s)
+        lease_table = self._lease_table(tenure, now_s)
+        grant = lease_table.answer(sender, ask, limits, now_s)
         if grant is None:
             raise CatkinreachError(ErrorKind.NO_OWNER, 'The ask is outdated.')
         return grant
@@ -58,46 +58,50 @@
         sender: VmId,  # noqa: ARG002 - part of the protocol
         handover: LimitHandover,
     ) -> LimitHandoverKept:
-        """Keeps a predecessor's book until this node's tenure begins."""
+        """Keeps a predecessor's lease table until this node's tenure begins."""
         kept = self._kept.get(handover.shard)
         if kept is None or kept.term < handover.term:
             self._kept[handover.shard] = handover
         return LimitHandoverKept()
 
     def close(self, now_s: float) -> list[LimitHandover]:
-        """Stops lending; returns the books whose tenures still last."""
+        """Stops lending; returns the lease tables whose tenures still last."""
         self._is_closed = True
         for workspace_id in self._all_limits():
             tenure = self._context.ownership.tenure_of(
                 limit_shard(workspace_id), now_s
             )
             if tenure is not None:
-                self._book(tenure, now_s)
+                self._lease_table(tenure, now_s)
         return [
-            book.handover(now_s)
-            for shard, book in self._books.items()
-            if self._is_current(shard, book, now_s)
+            lease_table.handover(now_s)
+            for shard, lease_table in self._lease_tables.items()
+            if self._is_current(shard, lease_table, now_s)
         ]
 
     def _is_current(
-        self, shard: ShardId, book: LimitBook, now_s: float
+        self, shard: ShardId, lease_table: SliceLeaseTable, now_s: float
     ) -> bool:
         tenure = self._context.ownership.tenure_of(shard, now_s)
-        return tenure is not None and tenure.term == book.term
+        return tenure is not None and tenure.term == lease_table.term
 
-    def _book(self, tenure: Tenure, now_s: float) -> LimitBook:
-        book = self._books.get(tenure.shard)
-        if book is None or book.term != tenure.term:
-            book = self._open(tenure, now_s)
-            self._books[tenure.shard] = book
-        return book
+    def _lease_table(self, tenure: Tenure, now_s: float) -> SliceLeaseTable:
+        lease_table = self._lease_tables.get(tenure.shard)
+        if lease_table is None or lease_table.term != tenure.term:
+            lease_table = self._open(tenure, now_s)
+            self._lease_tables[tenure.shard] = lease_table
+        return lease_table
 
-    def _open(self, tenure: Tenure, now_s: float) -> LimitBook:
+    def _open(self, tenure: Tenure, now_s: float) -> SliceLeaseTable:
         handover = self._kept.pop(tenure.shard, None)
         if handover is not None and handover.term == tenure.predecessor_term:
             limits = self._all_limits()
-            return LimitBook.from_handover(tenure, handover, limits, now_s)
-        return LimitBook.from_tenure(tenure, not_before_s=self._started_at_s)
+            return SliceLeaseTable.from_handover(
+                tenure, handover, limits, now_s
+            )
+        return SliceLeaseTable.from_tenure(
+            tenure, not_before_s=self._started_at_s
+        )
 
     def _limits(self, workspace_id: WorkspaceId) -> WorkspaceLimits | None:
         workspaces = self._context.state.settings.workspaces
@@ -116,4 +120,4 @@
         }
 
 
-__all__ = ('LimitDesk',)
+__all__ = ('LimitService',)
--- a/packages/catkinreach-node/src/catkinreach_node/limits/part.py
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/task.py
@@ -1,4 +1,4 @@
-"""Carries slices between this node's gates and the owners' books."""
+"""Carries slices between this node's limiters and the owners' lease tables."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
-from catkinreach_core.limits.gate import Cost, WorkspaceGate
+from catkinreach_core.limits.limiter import Cost, WorkspaceLimiter
 from catkinreach_core.limits.terms import WorkspaceLimits
 from catkinreach_core.messages.limits import (
     LimitHandover,
@@ -23,7 +23,7 @@
 
 from ..peers.transport import PeerUnreachableError
 from ..session.seams import UnlimitedGrant
-from .desk import LimitDesk
+from .service import LimitService
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -46,36 +46,36 @@
     """Admission of one request; settles its tokens once."""
 
     def __init__(
-        self, gate: WorkspaceGate, number: int, reserved_tokens: int
+        self, limiter: WorkspaceLimiter, number: int, reserved_tokens: int
     ) -> None:
         """Keeps what was reserved."""
-        self._gate = gate
+        self._limiter = limiter
         self._number = number
         self._reserved_tokens = reserved_tokens
 
     def settle(self, used_tokens: int) -> None:
         """Gives back the tokens that were not used."""
         unused = self._reserved_tokens - used_tokens
-        self._gate.settle(self._number, unused, time.monotonic())
+        self._limiter.settle(self._number, unused, time.monotonic())
 
 
-class LimitPart:
+class LimitTask:
     """Limits of all workspaces as one node sees and keeps them."""
 
     def __init__(self, context: NodeContext, sink: AdmissionSink) -> None:
         """Registers the messages; ``run`` is the task."""
         self._context = context
         self._sink = sink
-        self._desk = LimitDesk(context)
-        self._gates: dict[WorkspaceId, WorkspaceGate] = {}
+        self._service = LimitService(context)
+        self._limiters: dict[WorkspaceId, WorkspaceLimiter] = {}
         self._futures: dict[int, asyncio.Future[None]] = {}
         self._numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_ready = False
         self._probing_from_s = math.inf
         self._counts = {'admitted': 0, 'refused': 0, 'asks': 0}
-        context.transport.on_call(SliceAsk, self._desk.respond)
-        context.transport.on_call(LimitHandover, self._desk.keep)
+        context.transport.on_call(SliceAsk, self._service.respond)
+        context.transport.on_call(LimitHandover, self._service.keep)
         context.state.on_change(self._take_settings)
 
     @property
@@ -105,28 +105,28 @@
         workspace_id = session.workspace_id
         if workspace_id is None:
             return UnlimitedGrant()
-        gate = self._gate(workspace_id)
+        limiter = self._limiter(workspace_id)
         number = next(self._numbers)
         cost = Cost(1.0, float(tokens))
-        if gate.try_admit(number, cost, time.monotonic()):
-            self._pump(gate)
+        if limiter.try_admit(number, cost, time.monotonic()):
+            self._pump(limiter)
         else:
-            await self._wait(gate, number, cost)
+            await self._wait(limiter, number, cost)
         self._counts['admitted'] += 1
         self._sink.note(workspace_id, tokens)
-        return SliceGrantHandle(gate, number, tokens)
+        return SliceGrantHandle(limiter, number, tokens)
 
     async def run(self) -> None:
         """Renews and returns slices until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
             self._probe_owners()
-            for gate in tuple(self._gates.values()):
-                self._pump(gate)
+            for limiter in tuple(self._limiters.values()):
+                self._pump(limiter)
 
     async def hand_over(self) -> None:
-        """Gives the books to the nodes that are to own the shards next."""
-        handovers = self._desk.close(time.monotonic())
+        """Gives the lease tables to the nodes that own the shards next."""
+        handovers = self._service.close(time.monotonic())
         async with asyncio.TaskGroup() as group:
             for handover in handovers:
                 vm_id = self._context.tenures.successor_of(handover.shard)
@@ -138,14 +138,14 @@
         now_s = time.monotonic()
         return {
             **self._counts,
-            'owned_shards': self._desk.book_count,
+            'owned_shards': self._service.lease_table_count,
             'workspaces': {
                 workspace_id: {
-                    'waiting': gate.waiting_count,
-                    'requests_at_hand': round(gate.free(now_s)[0], 3),
-                    'tokens_at_hand': round(gate.free(now_s)[1], 3),
+                    'waiting': limiter.waiting_count,
+                    'requests_at_hand': round(limiter.free(now_s)[0], 3),
+                    'tokens_at_hand': round(limiter.free(now_s)[1], 3),
                 }
-                for workspace_id, gate in self._gates.items()
+                for workspace_id, limiter in self._limiters.items()
             },
         }
 
@@ -158,56 +158,60 @@
             limit_shard(workspace_id): workspace_id
             for workspace_id in self._context.state.settings.workspaces
         }
-        gates = [self._gate(one) for one in by_shard.values()]
-        for gate in gates:
-            gate.probe()
+        limiters = [self._limiter(one) for one in by_shard.values()]
+        for limiter in limiters:
+            limiter.probe()
         waited_s = time.monotonic() - self._probing_from_s
         remembers_terms = self._context.tenures.remembers_terms
-        is_probed = remembers_terms and all(gate.is_probed for gate in gates)
+        is_probed = remembers_terms and all(
+            limiter.is_probed for limiter in limiters
+        )
         self._is_ready = is_probed or waited_s > READY_LIMIT_S
 
-    async def _wait(self, gate: WorkspaceGate, number: int, cost: Cost) -> None:
+    async def _wait(
+        self, limiter: WorkspaceLimiter, number: int, cost: Cost
+    ) -> None:
         future = asyncio.get_running_loop().create_future()
         self._futures[number] = future
         try:
-            gate.wait(number, cost, time.monotonic())
-            self._pump(gate)
+            limiter.wait(number, cost, time.monotonic())
+            self._pump(limiter)
             await future
         except CatkinreachError:
             self._counts['refused'] += 1
             raise
         except asyncio.CancelledError:
-            gate.give_up(number)
+            limiter.give_up(number)
             raise
         finally:
             del self._futures[number]
 
-    def _gate(self, workspace_id: WorkspaceId) -> WorkspaceGate:
-        gate = self._gates.get(workspace_id)
-        if gate is None:
+    def _limiter(self, workspace_id: WorkspaceId) -> WorkspaceLimiter:
+        limiter = self._limiters.get(workspace_id)
+        if limiter is None:
             workspaces = self._context.state.settings.workspaces
-            gate = WorkspaceGate(
+            limiter = WorkspaceLimiter(
                 workspace_id,
                 self._context.incarnation,
                 WorkspaceLimits.from_workspace(workspaces[workspace_id]),
             )
-            self._gates[workspace_id] = gate
-        return gate
+            self._limiters[workspace_id] = limiter
+        return limiter
 
     def _take_settings(self) -> None:
         if not self._context.state.has_settings:
             return
         workspaces = self._context.state.settings.workspaces
-        for workspace_id, gate in tuple(self._gates.items()):
+        for workspace_id, limiter in tuple(self._limiters.items()):
             if workspace_id in workspaces:
-                gate.limits = WorkspaceLimits.from_workspace(
+                limiter.limits = WorkspaceLimits.from_workspace(
                     workspaces[workspace_id]
                 )
-            elif not gate.waiting_count:
-                del self._gates[workspace_id]
+            elif not limiter.waiting_count:
+                del self._limiters[workspace_id]
 
-    def _pump(self, gate: WorkspaceGate) -> None:
-        for verdict in gate.step(time.monotonic()):
+    def _pump(self, limiter: WorkspaceLimiter) -> None:
+        for verdict in limiter.step(time.monotonic()):
             future = self._futures.get(verdict.number)
             if future is None or future.done():
                 continue
@@ -215,28 +219,28 @@
                 future.set_result(None)
             else:
                 future.set_exception(verdict.refusal)
-        ask = gate.next_ask(time.monotonic())
+        ask = limiter.next_ask(time.monotonic())
         if ask is not None:
             self._counts['asks'] += 1
-            task = asyncio.create_task(self._exchange(gate, ask))
+            task = asyncio.create_task(self._exchange(limiter, ask))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _exchange(self, gate: WorkspaceGate, ask: SliceAsk) -> None:
+    async def _exchange(self, limiter: WorkspaceLimiter, ask: SliceAsk) -> None:
         try:
             grant = await self._ask_owner(ask)
         except (PeerUnreachableError, CatkinreachError):
-            gate.on_failure(ask.sequence, time.monotonic())
+            limiter.on_failure(ask.sequence, time.monotonic())
         else:
-            gate.on_grant(grant, time.monotonic())
-        self._pump(gate)
+            limiter.on_grant(grant, time.monotonic())
+        self._pump(limiter)
 
     async def _ask_owner(self, ask: SliceAsk) -> SliceGrant:
         owner = self._context.ownership.owner_of(limit_shard(ask.workspace_id))
         if owner is None:
             raise CatkinreachError(ErrorKind.NO_OWNER)
         if owner == self._context.settings.vm_id:
-            return await self._desk.respond(owner, ask)
+            return await self._service.respond(owner, ask)
         return await self._context.transport.call(
             owner, ask, SliceGrant, timeout_s=ASK_TIMEOUT_S
         )
@@ -253,4 +257,4 @@
             logger.warning('limits: {} did not take {}.', vm_id, handover.shard)
 
 
-__all__ = ('LimitPart',)
+__all__ = ('LimitTask',)
--- a/packages/catkinreach-node/src/catkinreach_node/orders/desk.py
+++ b/packages/catkinreach-node/src/catkinreach_node/orders/service.py
@@ -48,7 +48,7 @@
     successor: VmId | None = None
 
 
-class OrderDesk:
+class OrderService:
     """Decides on orders while this node's tenure of their shard lasts."""
 
     def __init__(self, context: NodeContext, runner: OrderRunner) -> None:
@@ -264,4 +264,4 @@
         )
 
 
-__all__ = ('OrderDesk',)
+__all__ = ('OrderService',)
--- a/packages/catkinreach-node/src/catkinreach_node/orders/part.py
+++ b/packages/catkinreach-node/src/catkinreach_node/orders/task.py
@@ -20,9 +20,9 @@
 from catkinreach_core.ownership.shards import ORDER_PREFIX, order_shard
 
 from ..peers.transport import PeerUnreachableError
-from ..telemetry.hop import Hop
-from .desk import OrderDesk
+from ..telemetry.hop_kind import Hop
 from .runner import response_of
+from .service import OrderService
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -45,19 +45,19 @@
 _NEVER_PASSED: Final = frozenset({'authorization', 'cookie'})
 
 
-class OrdersPart:
+class OrdersTask:
     """Orders as one node passes and keeps them."""
 
     def __init__(self, context: NodeContext, runner: OrderRunner) -> None:
         """Registers the messages."""
         self._context = context
-        self._desk = OrderDesk(context, runner)
+        self._service = OrderService(context, runner)
         transport = context.transport
-        transport.on_call(OrderCall, self._desk.respond)
-        transport.on_call(OrderHandover, self._desk.keep)
-        transport.on_message(OrderFinished, self._desk.receive_finished)
+        transport.on_call(OrderCall, self._service.respond)
+        transport.on_call(OrderHandover, self._service.keep)
+        transport.on_message(OrderFinished, self._service.receive_finished)
         context.tenures.on_tenure(
-            ORDER_PREFIX, self._desk.take_over, self._desk.give_up
+            ORDER_PREFIX, self._service.take_over, self._service.give_up
         )
 
     @property
@@ -102,24 +102,24 @@
     async def hand_over(self) -> None:
         """Gives the ledgers to the nodes that are to own the shards next."""
         async with asyncio.TaskGroup() as group:
-            for handover in self._desk.close():
+            for handover in self._service.close():
                 vm_id = self._context.tenures.successor_of(handover.shard)
                 if vm_id is not None:
                     group.create_task(self._give(vm_id, handover))
 
     async def wait_idle(self) -> None:
         """Waits until no order runs at this node, for whichever entry."""
-        await self._desk.wait_idle()
+        await self._service.wait_idle()
 
     def status(self) -> Mapping[str, object]:
         """Returns the counts of decisions and ledgers."""
-        return {**self._desk.counts, 'ledgers': self._desk.ledger_count}
+        return {**self._service.counts, 'ledgers': self._service.ledger_count}
 
     async def _ask(self, owner: VmId, call: OrderCall) -> OrderAnswer | None:
         try:
             if owner == self._context.settings.vm_id:
                 async with asyncio.timeout(CALL_TIMEOUT_S):
-                    return await self._desk.respond(owner, call)
+                    return await self._service.respond(owner, call)
             return await self._context.transport.call(
                 owner, call, OrderAnswer, timeout_s=CALL_TIMEOUT_S
             )
@@ -172,4 +172,4 @@
     )
 
 
-__all__ = ('OrdersPart',)
+__all__ = ('OrdersTask',)
--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -10,7 +10,8 @@
 
 from ..http.client import ConnectError, ExchangeError
 from ..http.messages import HttpRequest, HttpResponse
-from ..telemetry.hop import TRACE_HEADER, Hop
+from ..telemetry.hop import TRACE_HEADER
+from ..telemetry.hop_kind import Hop
 from .engine_client import upstream_address
 
 if TYPE_CHECKING:
--- a/packages/catkinreach-node/src/catkinreach_node/telemetry/hop.py
+++ b/packages/catkinreach-node/src/catkinreach_node/telemetry/hop.py
@@ -4,7 +4,6 @@
 
 import time
 from contextlib import contextmanager
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from opentelemetry import trace
@@ -14,6 +13,7 @@
 
 from catkinreach_core.errors import CatkinreachError
 
+from .hop_kind import Hop
 from .metrics import Metrics
 
 if TYPE_CHECKING:
@@ -22,24 +22,11 @@
     from opentelemetry.context import Context
     from opentelemetry.trace import Span, Tracer
 
+
 TRACE_HEADER = 'traceparent'
 ERROR_ATTRIBUTE = 'catkinreach.error'
 
 
-class Hop(Enum):
-    """Parts of a request's way that are timed and traced."""
-
-    ACCEPT = 'accept'
-    LIMIT = 'limit'
-    QUEUE = 'queue'
-    PREFILL = 'prefill'
-    TRANSFER = 'transfer'
-    DECODE = 'decode'
-    PLAIN = 'plain'
-    ORDER = 'order'
-    PEER = 'peer'
-
-
 _propagator = TraceContextTextMapPropagator()
 
 
@@ -121,4 +108,4 @@
             self._metrics.hop(hop).record(time.monotonic() - started_s)
 
 
-__all__ = ('TRACE_HEADER', 'Hop', 'HopRecorder', 'TraceScope')
+__all__ = ('TRACE_HEADER', 'HopRecorder', 'TraceScope')
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -15,14 +15,14 @@
 from .cell.scheduler import CellScheduler
 from .cell.sweeper import Sweeper
 from .config.state import FleetState
-from .engine_orders.part import EngineOrdersPart
+from .engine_orders.task import EngineOrdersTask
 from .fleet.wire import FleetParts
 from .http.client import HttpClient
 from .limits.admissions import admission_sink
-from .limits.part import LimitPart
+from .limits.task import LimitTask
 from .operator.api import OperatorApi
-from .orders.part import OrdersPart
 from .orders.runner import OrderRunner
+from .orders.task import OrdersTask
 from .parts import NodeContext
 from .peers.transport import PeerTransport
 from .session.accept import AcceptStage
@@ -49,8 +49,8 @@
     context: NodeContext
     parts: tuple[NodePart, ...]
     relay: RelayPart
-    limits: LimitPart
-    orders: OrdersPart
+    limits: LimitTask
+    orders: OrdersTask
     accept: AcceptStage
     tracing: Tracing
     tls: NodeTls
@@ -66,9 +66,9 @@
         context.client, Holder(vm=settings.vm_id, incarnation=incarnation)
     )
     cells = _build_cells(context, engines)
-    limits = LimitPart(context, admission_sink(settings.event_log))
+    limits = LimitTask(context, admission_sink(settings.event_log))
     forwarder = PlainForwarder(context.client, context.hops)
-    orders = OrdersPart(context, OrderRunner(context.state, forwarder, limits))
+    orders = OrdersTask(context, OrderRunner(context.state, forwarder, limits))
     return NodeWiring(
         context=context,
         parts=(
@@ -76,7 +76,7 @@
             limits,
             orders,
             *cells.parts,
-            EngineOrdersPart(context),
+            EngineOrdersTask(context),
             *fleet.last,
         ),
         relay=fleet.relay,
--- a/packages/catkinreach-node/tests/cell/test_owned.py
+++ b/packages/catkinreach-node/tests/cell/test_owned.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from catkinreach_core.cell.roster import CellRoster
+from catkinreach_core.cell.membership import CellMembership
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.ids import (
     Incarnation,
@@ -41,9 +41,9 @@
 def _owned(*, may_act: bool = True) -> OwnedCell:
     text = (EXAMPLES / 'ninepatch' / 'fleet.ini').read_text()
     settings = load_fleet(text, revision=Revision(1), source='fleet')
-    roster = CellRoster(settings, settings.services[SERVICE])
+    membership = CellMembership(settings, settings.services[SERVICE])
     tenure = Tenure(SHARD, VM, Incarnation('i'), 1, 0.0, math.inf)
-    return OwnedCell(roster, tenure, lambda: may_act)
+    return OwnedCell(membership, tenure, lambda: may_act)
 
 
 def _renew(**members: object) -> Renew:
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/limits_model.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/limits_model.py
@@ -1,6 +1,6 @@
 """The cores of the limits on a virtual clock, message by message.
 
-Each node has the gate that a real node has, the owner the real book; only
+Each node has the limiter that a real node has, the owner the real book; only
 the clock, the network and the tenures are simple fakes.
 """
 
@@ -12,9 +12,9 @@
 from typing import TYPE_CHECKING, Protocol
 
 from catkinreach_core.ids import Incarnation, ShardId, VmId, WorkspaceId
-from catkinreach_core.limits.book import LimitBook
 from catkinreach_core.limits.checker import Admission
-from catkinreach_core.limits.gate import Cost, WorkspaceGate
+from catkinreach_core.limits.lease_table import SliceLeaseTable
+from catkinreach_core.limits.limiter import Cost, WorkspaceLimiter
 from catkinreach_core.ownership.tenure import Tenure
 
 if TYPE_CHECKING:
@@ -105,11 +105,13 @@
         self._clock = clock
         self._limits = limits
         self._owner: int | None = 0
-        self._book = LimitBook.from_tenure(self._tenure(1), not_before_s=0)
+        self._lease_table = SliceLeaseTable.from_tenure(
+            self._tenure(1), not_before_s=0
+        )
         self._arrivals: dict[int, Arrival] = {}
         self._numbers = itertools.count(1)
-        self._gates = [
-            WorkspaceGate(
+        self._limiters = [
+            WorkspaceLimiter(
                 WORKSPACE, Incarnation(f'life-{node}'), limits, policy
             )
             for node in range(node_count)
@@ -119,13 +121,13 @@
 
     def arrive(self, arrival: Arrival) -> None:
         """Takes a request at its node."""
-        gate = self._gates[arrival.node]
+        limiter = self._limiters[arrival.node]
         number = next(self._numbers)
         self._arrivals[number] = arrival
-        if gate.try_admit(number, arrival.cost, self._clock.now_s):
+        if limiter.try_admit(number, arrival.cost, self._clock.now_s):
             self._admitted(arrival.node, number)
         else:
-            gate.wait(number, arrival.cost, self._clock.now_s)
+            limiter.wait(number, arrival.cost, self._clock.now_s)
         self._pump(arrival.node)
 
     def lose(self, node: int, gap_s: float) -> None:
@@ -134,13 +136,15 @@
         if node != self._owner:
             return
         self._owner = None
-        term = self._book.term + 1
+        term = self._lease_table.term + 1
 
         def take_over() -> None:
             self._owner = next(
-                one for one in range(len(self._gates)) if one not in self._lost
+                one
+                for one in range(len(self._limiters))
+                if one not in self._lost
             )
-            self._book = LimitBook.from_tenure(
+            self._lease_table = SliceLeaseTable.from_tenure(
                 self._tenure(term), not_before_s=self._clock.now_s
             )
 
@@ -157,7 +161,7 @@
         )
 
     def _tick(self) -> None:
-        for node in range(len(self._gates)):
+        for node in range(len(self._limiters)):
             self._pump(node)
         self._clock.at(self._clock.now_s + TICK_S, self._tick)
 
@@ -165,13 +169,13 @@
         if node in self._lost:
             return
         now_s = self._clock.now_s
-        gate = self._gates[node]
-        for verdict in gate.step(now_s):
+        limiter = self._limiters[node]
+        for verdict in limiter.step(now_s):
             if verdict.refusal is None:
                 self._admitted(node, verdict.number)
             else:
                 self.log.refused.append(self._arrivals.pop(verdict.number))
-        ask = gate.next_ask(now_s)
+        ask = limiter.next_ask(now_s)
         if ask is not None:
             self._send(node, ask)
 
@@ -182,7 +186,7 @@
         self._clock.at(now_s + delay_s, lambda: self._answer(node, ask))
         self._clock.at(
             now_s + CALL_TIMEOUT_S,
-            lambda: self._gates[node].on_failure(
+            lambda: self._limiters[node].on_failure(
                 ask.sequence, self._clock.now_s
             ),
         )
@@ -191,13 +195,15 @@
         if self._owner is None:
             return
         now_s = self._clock.now_s
-        grant = self._book.answer(VmId(f'vm-{node}'), ask, self._limits, now_s)
+        grant = self._lease_table.answer(
+            VmId(f'vm-{node}'), ask, self._limits, now_s
+        )
         if grant is not None:
             delay_s = 0.0 if node == self._owner else NETWORK_DELAY_S
             self._clock.at(now_s + delay_s, lambda: self._take(node, grant))
 
     def _take(self, node: int, grant: SliceGrant) -> None:
-        self._gates[node].on_grant(grant, self._clock.now_s)
+        self._limiters[node].on_grant(grant, self._clock.now_s)
         self._pump(node)
 
     def _admitted(self, node: int, number: int) -> None:
@@ -206,7 +212,9 @@
         unused = arrival.cost.tokens - arrival.used_tokens
         self._clock.at(
             self._clock.now_s + arrival.runs_s,
-            lambda: self._gates[node].settle(number, unused, self._clock.now_s),
+            lambda: self._limiters[node].settle(
+                number, unused, self._clock.now_s
+            ),
         )
 
 
