Take only a named successor for a replacement; count store calls

Cause: a 421 that names nobody was taken for a successor at the address. Change: `ReplyMarks.is_from_another`, tested with each kind of reply. The store's calls are a gauge; a handle of a short life keeps half of it as margin.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
@@ -97,6 +97,10 @@
 class StoreFeed(Protocol):
     """Reads the store."""
 
+    @property
+    def call_count(self) -> int:
+        """Returns the calls made so far."""
+
     async def list_all(self) -> Listing:
         """Returns all that is published.
 
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/terms.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/terms.py
@@ -87,6 +87,17 @@
     answered_by: UpstreamId | None
     idle_timeout_s: float | None
 
+    def is_from_another(self, upstream_id: UpstreamId) -> bool:
+        """Tells whether another upstream has the address of this one.
+
+        A refusal that names nobody may come from the upstream itself, at
+        another stage than was meant.
+        """
+        is_named = self.answered_by is not None
+        return (
+            self.is_misdirected and is_named and self.answered_by != upstream_id
+        )
+
     def answers(self, request_id: RequestId) -> bool:
         """Tells whether it is the reply to a request.
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -61,6 +61,7 @@
             reload: Returns new settings if they have changed.
         """
         self._node = Node(settings, dialect)
+        self._node.metrics.add_gauge('store_calls', lambda: feed.call_count)
         self._reload = reload
         self._ingress = HttpServer(
             Ingress(self._node).serve, name='ingress', bounds=ServerBounds()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -182,7 +182,7 @@
         """Takes that an upstream refused, or that another has its address."""
         upstream_id = reply.upstream.upstream_id
         marks = reply.marks
-        if marks.is_misdirected and marks.answered_by != upstream_id:
+        if marks.is_from_another(upstream_id):
             self.note_replaced(reply.upstream)
         else:
             self.health.note_failure(upstream_id, self.clock())
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/prompt_reader.py
@@ -31,7 +31,7 @@
 
 MAX_HANDLE_REFUSALS = 2
 HANDLE_MARGIN_S = 0.1
-"""A handle isn't used this long before it lapses."""
+"""A handle isn't used this long before it lapses, or half its life."""
 
 
 class PromptReader:
@@ -128,8 +128,9 @@
         self._node.metrics.record(Stage.PREFILL, now_s - sent_s)
         self._handle = handle
         self._reader = upstream
-        life_s = self._traits.handle_ttl_s - HANDLE_MARGIN_S
-        self._usable_until_s = now_s + life_s
+        life_s = self._traits.handle_ttl_s
+        margin_s = min(HANDLE_MARGIN_S, life_s / 2)
+        self._usable_until_s = now_s + life_s - margin_s
 
     def _refuse(self, reply: Reply) -> None:
         if reply.marks.is_misdirected:
--- a/packages/catkinreach-node/src/catkinreach_node/platform/store.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -76,7 +76,12 @@
         """Sets up the client of one store."""
         self._address = address
         self._http = HttpClient()
-        self.call_count = 0
+        self._call_count = 0
+
+    @property
+    def call_count(self) -> int:
+        """Returns the calls made so far."""
+        return self._call_count
 
     async def list_all(self) -> Listing:
         """Returns all that is published.
@@ -128,7 +133,7 @@
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> bytes:
-        self.call_count += 1
+        self._call_count += 1
         request = HttpRequest('GET', f'{path}?{urlencode(query)}')
         try:
             async with (
--- a/packages/catkinreach-node/tests/gateway/test_replaced_upstreams.py
+++ b/packages/catkinreach-node/tests/gateway/test_replaced_upstreams.py
@@ -9,9 +9,11 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
 from msgspec import structs
 
 from catkinreach_core.gateway.digest import Digest, Phase, encode_digest
+from catkinreach_core.gateway.terms import ReplyMarks
 from catkinreach_core.ids import UpstreamId
 from catkinreach_node.gateway.peer_link import PeerLink
 from catkinreach_standins.fakes.gateway import make_upstream
@@ -63,3 +65,25 @@
     node = _node()
     _tell(node, {UpstreamId('other'): 5})
     assert not node.health.replaced()
+
+
+@pytest.mark.parametrize(
+    ('answered_by', 'expected'),
+    [
+        (UpstreamId('successor'), True),
+        (UPSTREAM.upstream_id, False),
+        (None, False),
+    ],
+)
+def test_only_a_named_successor_replaces(
+    answered_by: UpstreamId | None, *, expected: bool
+) -> None:
+    marks = ReplyMarks(
+        request_id=None,
+        is_sealed=False,
+        has_not_run=True,
+        is_misdirected=True,
+        answered_by=answered_by,
+        idle_timeout_s=None,
+    )
+    assert marks.is_from_another(UPSTREAM.upstream_id) is expected
