Name the soak and the reading of logs plainly

Cause: read as a newcomer, `Saboteur`, `promises` and `story` need explaining. Change: FaultInjector, invariants, `log_reading` with RequestHistory and `render`. Names only; two events get their own words in `explain`.

--- a/packages/catkinreach-ctl/src/catkinreach_ctl/commands/explain.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/commands/explain.py
@@ -8,9 +8,9 @@
 from urllib.parse import quote
 
 from ..exit_codes import ExitCode
-from ..story.lines import read_lines
-from ..story.story import gather
-from ..story.telling import summarize, tell
+from ..log_reading.lines import read_lines
+from ..log_reading.rendering import render, summarize
+from ..log_reading.request_history import gather
 from .node_document import show_document
 from .parsing import add_command, add_json_option, add_node_options
 
@@ -18,7 +18,7 @@
     from argparse import Namespace
     from collections.abc import Iterator
 
-    from ..story.lines import LogLine
+    from ..log_reading.lines import LogLine
     from .parsing import Subparsers
 
 STANDARD_INPUT: Final = '-'
@@ -31,7 +31,7 @@
         'explain',
         'Explain the decisions on one request.',
         'With --logs it reads the JSON lines of front processes, a file for\n'
-        'each process or - for the standard input, and tells the story of the\n'
+        'each process or - for the standard input, and shows what became of a\n'
         'request; without an id it sums up all requests by cause.\n'
         'With --address it asks the node that answered; the id is its\n'
         'x-request-id header.\n'
@@ -71,13 +71,13 @@
         return ExitCode.USAGE
     if unreadable:
         sys.stderr.write(f'explain: {unreadable} lines are no log lines\n')
-    stories = gather(lines, request)
+    histories = gather(lines, request)
     if request is None:
-        told = summarize(stories)
+        told = summarize(histories)
     else:
-        told = [text for story in stories for text in tell(story)]
+        told = [text for history in histories for text in render(history)]
     sys.stdout.write('\n'.join((*told, '')) if told else '')
-    return ExitCode.OK if stories else ExitCode.REFUSED
+    return ExitCode.OK if histories else ExitCode.REFUSED
 
 
 def _read(sources: list[str]) -> Iterator[LogLine | None]:
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/story/cause.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/cause.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from .story import Story
+    from .request_history import RequestHistory
 
 
 class Cause(Enum):
@@ -64,16 +64,16 @@
 _MISDIRECTED: Final = 421
 
 
-def cause_of(story: Story) -> Cause:
+def cause_of(history: RequestHistory) -> Cause:
     """Returns the cause; what explains most goes first."""
-    end = story.end
+    end = history.end
     if end is None:
         return Cause.UNFINISHED
     if end.event in _BY_END:
         return _BY_END[end.event]
-    if _is_outdated(story, end.text('code')):
+    if _is_outdated(history, end.text('code')):
         return Cause.STALE_VIEW
-    reasons = {line.text('reason') for line in story.failed_sends}
+    reasons = {line.text('reason') for line in history.failed_sends}
     if reasons & _LOST_SENDS:
         return Cause.UPSTREAM_LOST
     if 'failed' in reasons:
@@ -83,16 +83,17 @@
     return _BY_CODE.get(end.text('code'), Cause.OTHER)
 
 
-def _is_outdated(story: Story, code: str) -> bool:
+def _is_outdated(history: RequestHistory, code: str) -> bool:
     """Tells whether the node sent or refused by what no longer held."""
     if any(
-        line.fields.get('status') == _MISDIRECTED for line in story.failed_sends
+        line.fields.get('status') == _MISDIRECTED
+        for line in history.failed_sends
     ):
         return True
     is_suspicious = code in _OUTDATED_CODES or any(
-        line.text('reason') in _OUTDATED_SENDS for line in story.failed_sends
+        line.text('reason') in _OUTDATED_SENDS for line in history.failed_sends
     )
-    return story.store_lost is not None and is_suspicious
+    return history.store_lost is not None and is_suspicious
 
 
 __all__ = ('Cause', 'cause_of')
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/story/telling.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
@@ -1,4 +1,4 @@
-"""Puts a story into plain lines for on-call engineers."""
+"""Puts a history into plain lines for on-call engineers."""
 
 from __future__ import annotations
 
@@ -12,10 +12,12 @@
     from collections.abc import Iterator, Sequence
 
     from .lines import LogLine
-    from .story import Story
+    from .request_history import RequestHistory
 
 _HIDDEN: Final = frozenset({'event', 'time', 'request', 'reason', 'detail'})
 _SENTENCES: Final = {
+    'gave-way': 'left an engine that others had filled',
+    'reply-skipped': "passed over a reply that wasn't its own",
     'placed': 'was placed',
     'send-failed': 'a send failed',
     'resumed': 'went on at another upstream',
@@ -29,31 +31,33 @@
 """Ids that the summary names for each cause."""
 
 
-def tell(story: Story) -> list[str]:
-    """Returns the lines that tell one story, its cause last."""
-    began_s = story.lines[0].time_s
-    told = [f'request {story.request}, log {story.source}']
-    told += [f'  {_moment(line, began_s)} {_say(line)}' for line in story.lines]
-    told.append('  what the node believed at the end:')
-    told += [f'    {text}' for text in _beliefs(story)]
-    told.append(f'  cause: {cause_of(story).value}')
-    return told
+def render(history: RequestHistory) -> list[str]:
+    """Returns the lines that tell one history, its cause last."""
+    began_s = history.lines[0].time_s
+    lines = [f'request {history.request}, log {history.source}']
+    lines += [
+        f'  {_moment(line, began_s)} {_say(line)}' for line in history.lines
+    ]
+    lines.append('  what the node believed at the end:')
+    lines += [f'    {text}' for text in _beliefs(history)]
+    lines.append(f'  cause: {cause_of(history).value}')
+    return lines
 
 
-def summarize(stories: Sequence[Story]) -> list[str]:
+def summarize(histories: Sequence[RequestHistory]) -> list[str]:
     """Returns a line for each cause of a failure, the most frequent first."""
     counts: Counter[Cause] = Counter()
     examples: dict[Cause, list[str]] = {}
-    for story in stories:
-        cause = cause_of(story)
+    for history in histories:
+        cause = cause_of(history)
         counts[cause] += 1
-        examples.setdefault(cause, []).append(story.request)
+        examples.setdefault(cause, []).append(history.request)
     served = counts.pop(Cause.SERVED, 0)
-    told = [f'{served} served, {counts.total()} others']
+    lines = [f'{served} served, {counts.total()} others']
     for cause, count in counts.most_common():
         some = ', '.join(examples[cause][:MAX_EXAMPLES])
-        told.append(f'{count:7d}  {cause.value} (for example {some})')
-    return told
+        lines.append(f'{count:7d}  {cause.value} (for example {some})')
+    return lines
 
 
 def _moment(line: LogLine, began_s: float) -> str:
@@ -75,19 +79,19 @@
     return ''.join(parts)
 
 
-def _beliefs(story: Story) -> Iterator[str]:
-    end_s = story.lines[-1].time_s
-    if story.catalog is None:
+def _beliefs(history: RequestHistory) -> Iterator[str]:
+    end_s = history.lines[-1].time_s
+    if history.catalog is None:
         yield 'no configuration was accepted in this log'
     else:
-        age_s = end_s - story.catalog.time_s
-        version = story.catalog.text('version')
+        age_s = end_s - history.catalog.time_s
+        version = history.catalog.text('version')
         yield f'configuration {version}, accepted {age_s:.1f} s before'
-    lost = story.store_lost
+    lost = history.store_lost
     if lost is not None:
         age_s = end_s - lost.time_s
         yield f'store lost for {age_s:.1f} s ({lost.text("reason")})'
-    for upstream_id, line in sorted(story.upstreams.items()):
+    for upstream_id, line in sorted(history.upstreams.items()):
         age_s = end_s - line.time_s
         state = ' '.join(
             line.text(name) for name in ('state', 'stage', 'reason')
@@ -95,4 +99,4 @@
         yield f'{upstream_id}: {line.event} {state}, {age_s:.1f} s before'
 
 
-__all__ = ('summarize', 'tell')
+__all__ = ('render', 'summarize')
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/story/story.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/request_history.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(slots=True)
-class Story:
+class RequestHistory:
     """One request at one process.
 
     Attributes:
@@ -26,7 +26,7 @@
         lines: The lines that touch it, in order.
         catalog: The configuration that was accepted last before its end.
         store_lost: The loss of the store, if it was lost at the end.
-        upstreams: Last line on each upstream of the story before the end.
+        upstreams: Last line on each upstream of the history before the end.
     """
 
     request: str
@@ -76,25 +76,27 @@
         elif line.event in _UPSTREAM_EVENTS:
             self.upstreams[line.text('upstream')] = line
 
-    def copy_to(self, story: Story) -> None:
-        """Writes what is believed now into a story."""
-        story.catalog = self.catalog
-        story.store_lost = self.store_lost
-        for upstream_id in story.upstream_ids:
+    def copy_to(self, history: RequestHistory) -> None:
+        """Writes what is believed now into a history."""
+        history.catalog = self.catalog
+        history.store_lost = self.store_lost
+        for upstream_id in history.upstream_ids:
             known = self.upstreams.get(upstream_id)
             if known is not None:
-                story.upstreams[upstream_id] = known
+                history.upstreams[upstream_id] = known
 
 
-def gather(lines: Iterable[LogLine], request: str | None = None) -> list[Story]:
-    """Returns the stories of one request, or of all.
+def gather(
+    lines: Iterable[LogLine], request: str | None = None
+) -> list[RequestHistory]:
+    """Returns the histories of one request, or of all.
 
     Args:
         lines: The lines of each source in their order.
         request: Id of the request, ``None`` for all requests.
     """
     beliefs: dict[str, _Beliefs] = {}
-    stories: dict[tuple[str, str], Story] = {}
+    histories: dict[tuple[str, str], RequestHistory] = {}
     for line in lines:
         if line.event == 'start':
             beliefs.pop(line.source, None)
@@ -103,10 +105,12 @@
         if not line.request or request not in {None, line.request}:
             continue
         slot = (line.source, line.request)
-        story = stories.setdefault(slot, Story(line.request, line.source))
-        story.lines.append(line)
-        known.copy_to(story)
-    return sorted(stories.values(), key=lambda one: one.lines[0].time_s)
+        history = histories.setdefault(
+            slot, RequestHistory(line.request, line.source)
+        )
+        history.lines.append(line)
+        known.copy_to(history)
+    return sorted(histories.values(), key=lambda one: one.lines[0].time_s)
 
 
-__all__ = ('ENDS', 'Story', 'gather')
+__all__ = ('ENDS', 'RequestHistory', 'gather')
--- a/packages/catkinreach-ctl/tests/story/test_failures_of_processes.py
+++ b/packages/catkinreach-ctl/tests/log_reading/test_failures_of_processes.py
@@ -6,10 +6,10 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from catkinreach_ctl.story.cause import Cause, cause_of
-from catkinreach_ctl.story.lines import read_lines
-from catkinreach_ctl.story.story import gather
-from catkinreach_ctl.story.telling import tell
+from catkinreach_ctl.log_reading.cause import Cause, cause_of
+from catkinreach_ctl.log_reading.lines import read_lines
+from catkinreach_ctl.log_reading.rendering import render
+from catkinreach_ctl.log_reading.request_history import gather
 from catkinreach_node.http.client import ExchangeError, HttpClient
 from catkinreach_standins.platform.config import OTHER_KEY
 from catkinreach_standins.platform.deployment import Deployment, eventually
@@ -21,7 +21,7 @@
     from collections.abc import Awaitable, Callable
     from pathlib import Path
 
-    from catkinreach_ctl.story.story import Story
+    from catkinreach_ctl.log_reading.request_history import RequestHistory
     from catkinreach_node.http.messages import HttpRequest
     from catkinreach_standins.platform.processes import FrontProcess
 
@@ -51,19 +51,19 @@
     return status
 
 
-async def _story(front: FrontProcess, request: HttpRequest) -> Story:
+async def _history(front: FrontProcess, request: HttpRequest) -> RequestHistory:
     request_id = request.header('request-id')
 
-    def stories() -> list[Story]:
+    def histories() -> list[RequestHistory]:
         lines = read_lines('front', front.log.encode().splitlines())
         return gather((one for one in lines if one is not None), request_id)
 
     async def has_ended() -> bool:
-        found = stories()
+        found = histories()
         return bool(found) and found[0].end is not None
 
     await eventually(has_ended, within_s=CAUSE_WITHIN_S)
-    return stories()[0]
+    return histories()[0]
 
 
 def _stream(deployment: Deployment, path: str, tokens: str) -> HttpRequest:
@@ -84,9 +84,9 @@
         statuses = await asyncio.gather(*calls)
         assert 503 in statuses
         refused = requests[statuses.index(503)]
-        story = await _story(front, refused)
-        assert cause_of(story) is Cause.NO_ROOM
-        assert 'tokens of memory' in '\n'.join(tell(story))
+        history = await _history(front, refused)
+        assert cause_of(history) is Cause.NO_ROOM
+        assert 'tokens of memory' in '\n'.join(render(history))
         metrics = await front.read_metrics()
         assert 'status="503",code="queue-timeout"' in metrics
 
@@ -99,9 +99,9 @@
             deployment.upstreams[name].script.append(Behaviour.BREAK)
         request = _stream(deployment, '/once/', '500,100')
         await _call(front, request)
-        story = await _story(front, request)
-        assert cause_of(story) is Cause.UPSTREAM_LOST
-        assert story.upstream_ids & {'d', 'e'}
+        history = await _history(front, request)
+        assert cause_of(history) is Cause.UPSTREAM_LOST
+        assert history.upstream_ids & {'d', 'e'}
         metrics = await front.read_metrics()
         assert 'catkinreach_failed_sends_total{kind="broken"} 1' in metrics
 
@@ -116,10 +116,10 @@
             deployment.upstreams[name].upstream_id = f'{name}-successor'
         request = deployment.request('/read/', key=OTHER_KEY)
         assert await _call(front, request) == 503
-        story = await _story(front, request)
-        assert cause_of(story) is Cause.STALE_VIEW
-        assert story.catalog is not None
-        assert story.catalog.text('version') == '5'
+        history = await _history(front, request)
+        assert cause_of(history) is Cause.STALE_VIEW
+        assert history.catalog is not None
+        assert history.catalog.text('version') == '5'
         metrics = await front.read_metrics()
         assert 'catkinreach_failed_sends_total{kind="refused"}' in metrics
         assert 'catkinreach_upstreams_replaced' in metrics
--- a/packages/catkinreach-ctl/tests/story/test_story.py
+++ b/packages/catkinreach-ctl/tests/log_reading/test_request_history.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from catkinreach_ctl.story.cause import Cause, cause_of
-from catkinreach_ctl.story.lines import LogLine, read_lines
-from catkinreach_ctl.story.story import gather
-from catkinreach_ctl.story.telling import summarize, tell
+from catkinreach_ctl.log_reading.cause import Cause, cause_of
+from catkinreach_ctl.log_reading.lines import LogLine, read_lines
+from catkinreach_ctl.log_reading.rendering import render, summarize
+from catkinreach_ctl.log_reading.request_history import gather
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -69,17 +69,17 @@
 def test_cause_is_named(
     documents: tuple[Mapping[str, object], ...], expected: Cause
 ) -> None:
-    (story,) = gather(_lines(*documents), 'r')
-    assert cause_of(story) is expected
+    (history,) = gather(_lines(*documents), 'r')
+    assert cause_of(history) is expected
 
 
 def test_restart_forgets_what_the_process_before_believed() -> None:
     lines = _lines(LOST, {'event': 'start'}, _refused('route-unknown'))
-    (story,) = gather(lines, 'r')
-    assert story.store_lost is None
+    (history,) = gather(lines, 'r')
+    assert history.store_lost is None
 
 
-def test_story_tells_beliefs_with_their_age() -> None:
+def test_history_shows_beliefs_with_their_age() -> None:
     lines = _lines(
         CATALOG,
         DOWN,
@@ -87,8 +87,8 @@
         _failed('broken', detail='reply broke off'),
         {'event': 'failed', 'request': 'r', 'reason': 'reply broke off'},
     )
-    (story,) = gather(lines, 'r')
-    text = '\n'.join(tell(story))
+    (history,) = gather(lines, 'r')
+    text = '\n'.join(render(history))
     assert 'a send failed (broken: reply broke off)' in text
     assert 'configuration 5, accepted 4.0 s before' in text
     assert 'd: upstream-down no connection, 3.0 s before' in text
@@ -100,8 +100,8 @@
         *_lines(LOST, source='one'),
         *_lines(_refused('route-unknown'), source='two'),
     ]
-    (story,) = gather(lines, 'r')
-    assert cause_of(story) is Cause.NOT_ALLOWED
+    (history,) = gather(lines, 'r')
+    assert cause_of(history) is Cause.NOT_ALLOWED
 
 
 def test_summary_counts_failures_by_cause() -> None:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/__main__.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/__main__.py
@@ -18,7 +18,7 @@
 
 
 def main(argv: list[str]) -> int:
-    """Runs the seeds; returns 1 if any promise was broken."""
+    """Runs the seeds; returns 1 if any invariant was broken."""
     values = new_flag_values()
     flags.DEFINE_integer('first_seed', 1, 'first seed', flag_values=values)
     flags.DEFINE_integer('seeds', 1, 'number of seeds', flag_values=values)
@@ -48,7 +48,7 @@
         )
         broken += bool(result.violations)
         _report(seed, result, folder)
-    sys.stdout.write(f'{values.seeds} seeds, {broken} broke a promise\n')
+    sys.stdout.write(f'{values.seeds} seeds, {broken} broke an invariant\n')
     return 1 if broken else 0
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
@@ -17,7 +17,7 @@
 
 from ..config import HOST, OTHER_KEY
 from .history import CallEnd, CallKind, CallRecord
-from .promises import DEADLINE_S
+from .invariants import DEADLINE_S
 
 if TYPE_CHECKING:
     import random
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/saboteur.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
@@ -52,7 +52,7 @@
 }
 
 
-class Saboteur:
+class FaultInjector:
     """Does to a site what a plan says, and takes it back."""
 
     def __init__(
@@ -123,10 +123,10 @@
             if not self._pauses[f'front-{number}'].locked():
                 left_s -= time.monotonic() - began_s
         if front.is_running:
-            self._accuse(f'front {number} did not end after SIGTERM')
+            self._report(f'front {number} did not end after SIGTERM')
             await front.kill()
         elif front.exit_code != 0:
-            self._accuse(f'front {number} ended with {front.exit_code}')
+            self._report(f'front {number} ended with {front.exit_code}')
 
     async def _start(self, front: FrontProcess, number: int) -> None:
         """Starts a process again; it may be paused or cut off meanwhile."""
@@ -134,7 +134,7 @@
         try:
             await front.wait_listening()
         except TimeoutError:
-            self._accuse(f'front {number} does not listen after a start')
+            self._report(f'front {number} does not listen after a start')
 
     async def _pause(self, fault: Fault, number: int) -> None:
         front = self._site.fronts[fault.target]
@@ -193,8 +193,8 @@
         self._history.troubles.append(trouble)
         return trouble
 
-    def _accuse(self, text: str) -> None:
+    def _report(self, text: str) -> None:
         self._history.violations.append(text)
 
 
-__all__ = ('Saboteur',)
+__all__ = ('FaultInjector',)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -91,7 +91,7 @@
     Attributes:
         calls: Calls in the order of their ends.
         troubles: What was done to front processes.
-        violations: Breaks of a promise that were seen while it ran.
+        violations: Violations that were seen while it ran.
     """
 
     calls: list[CallRecord] = field(default_factory=list)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/promises.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -1,4 +1,4 @@
-"""Checks a finished run against what callers and upstreams are promised."""
+"""Checks a finished run against what callers and upstreams may rely on."""
 
 from __future__ import annotations
 
@@ -52,7 +52,7 @@
 
 
 def violations(evidence: Evidence) -> list[str]:
-    """Returns a line for each broken promise."""
+    """Returns a line for each violation."""
     explained, faults = _read_logs(evidence.logs)
     found = [*evidence.history.violations, *faults]
     for call in evidence.history.calls:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
@@ -13,10 +13,10 @@
 
 from ..deployment import eventually
 from .callers import Callers
+from .fault_injector import FaultInjector
 from .history import CallEnd, CallKind, History
+from .invariants import Evidence, violations
 from .plan import Subject, make_plan
-from .promises import Evidence, violations
-from .saboteur import Saboteur
 from .site import running_site
 
 if TYPE_CHECKING:
@@ -54,7 +54,7 @@
     """What a run showed.
 
     Attributes:
-        violations: A line for each broken promise.
+        violations: A line for each violation.
         ends: Calls by route and end.
         fault_count: Faults that were brought about.
     """
@@ -83,7 +83,7 @@
         callers = Callers(tuple(site.fronts.values()), history, rng)
         count = CALLERS_PER_FRONT * options.front_count
         calling = asyncio.ensure_future(callers.run(count))
-        await Saboteur(site, history, rng).run(plan)
+        await FaultInjector(site, history, rng).run(plan)
         callers.is_over = True
         await calling
         await _check_recovery(site, callers)
--- a/packages/catkinreach-standins/tests/platform/soak/test_promises.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
@@ -1,4 +1,4 @@
-"""Each promise of the soak is found broken on planted records."""
+"""Each violation is found on planted records."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     Trouble,
     TroubleKind,
 )
-from catkinreach_standins.platform.soak.promises import Evidence, violations
+from catkinreach_standins.platform.soak.invariants import Evidence, violations
 from catkinreach_standins.platform.upstream import EVENT_COUNT
 
 WHOLE = tuple(range(1, EVENT_COUNT + 1))
@@ -84,9 +84,7 @@
         (replace(READ, end=CallEnd.FAILED, status=500), 0, 'no upstream gave'),
     ],
 )
-def test_broken_promise_is_found(
-    call: CallRecord, runs: int, text: str
-) -> None:
+def test_violation_is_found(call: CallRecord, runs: int, text: str) -> None:
     found = _found(call, runs=runs)
     assert any(text in line for line in found)
 
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -1,4 +1,4 @@
-"""Short runs of the soak, and every seed that ever broke a promise."""
+"""Short runs of the soak, and every seed that ever broke an invariant."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 @pytest.mark.parametrize('seed', [*SHORT_SEEDS, *ONCE_BROKEN])
-def test_promises_hold_under_faults(seed: int, tmp_path: Path) -> None:
+def test_invariants_hold_under_faults(seed: int, tmp_path: Path) -> None:
     options = SoakOptions(
         seed=seed, duration_s=DURATION_S, front_count=3, folder=tmp_path
     )
