Serve what still arrives at a draining node

Change: nothing is refused for draining; the node stays open for a second in which it says that it isn't ready, then stops to accept, closes idle connections and the others with their answers, and hands over. Tests: a request on an open connection after SIGTERM; the roll twice.

--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -24,6 +24,8 @@
 
 DRAIN_LIMIT_S = 600.0
 HAND_OVER_LIMIT_S = 5.0
+NOTICE_S = 1.0
+"""Time in which balancers see that the node is no longer ready."""
 
 
 class NodeApp:
@@ -39,6 +41,7 @@
         LifecycleActions(self, wiring.parts).add_to(api)
         PageAction(api, self._context.state).add_to(api)
         self._stopping = asyncio.Event()
+        self._is_draining = False
 
     @property
     def is_ready(self) -> bool:
@@ -46,7 +49,7 @@
         return (
             self._wiring.relay.is_synced
             and self._wiring.limits.is_ready
-            and not self._wiring.accept.is_draining
+            and not self._is_draining
         )
 
     @classmethod
@@ -65,7 +68,7 @@
             'vm_list_revision': context.state.vms.revision,
             'running': self._callers.activity.running,
             'connections': self._callers.connection_count,
-            'draining': self._wiring.accept.is_draining,
+            'draining': self._is_draining,
             'peer_bytes_sent': context.transport.sent_bytes,
             'peer_frames_sent': context.transport.sent_frames,
         }
@@ -76,9 +79,9 @@
 
     def drain(self) -> None:
         """Begins a graceful shutdown; requests in flight are finished."""
-        if not self._wiring.accept.is_draining:
+        if not self._is_draining:
             logger.info('node: drains.')
-        self._wiring.accept.is_draining = True
+        self._is_draining = True
         self._stopping.set()
 
     async def run(self) -> None:
@@ -108,7 +111,14 @@
         await self._callers.start(settings.caller_address, tls.callers)
 
     async def _leave(self) -> None:
+        """Serves until balancers know, then ends connections and hands over.
+
+        A request that still arrives on an open connection is served, and its
+        connection is closed with the answer.
+        """
+        await asyncio.sleep(NOTICE_S)
         await self._callers.stop_accepting()
+        self._callers.close_idle()
         for part in self._wiring.parts:
             try:
                 async with asyncio.timeout(HAND_OVER_LIMIT_S):
--- a/packages/catkinreach-node/src/catkinreach_node/session/accept.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/accept.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from catkinreach_core.errors import CatkinreachError, ErrorKind, Outcome
+from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.routing import find_route
 from catkinreach_core.settings.fleet import Access, ServiceKind
 
@@ -47,7 +47,6 @@
         self._plain = plain
         self._hops = hops
         self._is_confirmed = is_confirmed
-        self.is_draining = False
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
         """Answers one request of a caller."""
@@ -67,10 +66,6 @@
         return response
 
     def _open(self, request: HttpRequest, scope: TraceScope) -> SessionContext:
-        if self.is_draining:
-            is_order = request.header('idempotency-key') is not None
-            outcome = Outcome.UNKNOWN if is_order else None
-            raise CatkinreachError(ErrorKind.DRAINING, outcome=outcome)
         settings = self._state.settings
         route = find_route(settings, request.method, request.target)
         if route.access is Access.KEYED and not self._is_confirmed():
--- a/packages/catkinreach-node/tests/orders/test_rolling_restart.py
+++ b/packages/catkinreach-node/tests/orders/test_rolling_restart.py
@@ -6,6 +6,7 @@
 import json
 import threading
 import time
+from http.client import HTTPConnection
 from pathlib import Path
 
 from catkinreach_ctl.load.idempotency import uuid7
@@ -19,6 +20,9 @@
 CALLER = {'authorization': 'Bearer demo-key-sunday-bee'}
 SETTLED_S = 4.0
 PAUSE_S = 0.3
+NOTICED_S = 0.2
+"""Time after SIGTERM in which a caller may not have noticed."""
+
 STOP_LIMIT_S = 60.0
 
 
@@ -87,3 +91,21 @@
             traffic.stop()
     assert len(traffic.answers) > 50
     assert not traffic.failures
+
+
+def test_draining_node_serves_what_still_arrives() -> None:
+    fleet = (EXAMPLES / 'ninepatch' / 'fleet.ini').read_text()
+    with Deployment(BenchOptions(fleet=fleet)) as deployment:
+        node = deployment.nodes[0]
+        deployment.wait_ready(node)
+        connection = HTTPConnection('127.0.0.1', node.caller_port, timeout=10)
+        connection.request('GET', '/bee/status', headers=CALLER)
+        with connection.getresponse() as before:
+            before.read()
+        deployment.processes[node.vm_id].terminate()
+        time.sleep(NOTICED_S)
+        connection.request('GET', '/bee/status', headers=CALLER)
+        with connection.getresponse() as after:
+            after.read()
+        connection.close()
+    assert (before.status, after.status) == (200, 200)
