Let one piece of code serve what stood twice in the gateway

The two flows took a lost connection, a broken reply and a silence alike, each in its own lines, and noted an answer alike; the gateway's metrics wrote answers and gauges as the node's do; the ingress wrote the advice of a refusal over that of the shared response; three places read HOST:PORT; a replaced upstream was told by an infinite probe time; a datagram carried a revision that nobody reads; log lines were decoded twice. Change: Attempts.unreachable, broken and silent; note_answered; ProcessMetrics under both; problem_response takes how to spell the advice; Address.from_text; a flag for replaced; windows as defaultdicts; the pool uses the node's clock. Stand-ins: Deployment starts and closes itself, a front knows its number, an unread counter of the soak is gone.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/digest.py
@@ -30,7 +30,6 @@
     Attributes:
         node: Address of the sender.
         phase: Where the sender is in its life.
-        revision: Newest revision of the store that the sender has read.
         members: Some other nodes that the sender heard.
         loads: The sender's own work in flight, by upstream.
         admitted: Cost that the sender admitted in the window, by workspace;
@@ -46,7 +45,6 @@
 
     node: str
     phase: Phase
-    revision: int
     members: list[str] = field(default_factory=list)
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
     admitted: dict[WorkspaceId, float] | None = None
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -33,6 +32,7 @@
     is_down: bool = False
     probe_at_s: float = 0.0
     probe_gap_s: float = FIRST_PROBE_S
+    is_replaced: bool = False
 
 
 class HealthTable:
@@ -49,7 +49,7 @@
             return
         self._decay(record, now_s)
         record.rate *= 1 - FAILURE_WEIGHT
-        record.is_down = record.probe_at_s == math.inf
+        record.is_down = record.is_replaced
         record.probe_gap_s = FIRST_PROBE_S
 
     def note_failure(self, upstream_id: UpstreamId, now_s: float) -> None:
@@ -62,7 +62,7 @@
         """Takes an upstream out until a probe connects to it."""
         self.note_failure(upstream_id, now_s)
         record = self._records[upstream_id]
-        if record.probe_at_s == math.inf:
+        if record.is_replaced:
             return
         if record.is_down:
             record.probe_gap_s = min(LAST_PROBE_S, 2 * record.probe_gap_s)
@@ -73,12 +73,12 @@
         """Takes an upstream out whose address belongs to another one now."""
         record = self._records.setdefault(upstream_id, _Record(at_s=now_s))
         record.is_down = True
-        record.probe_at_s = math.inf
+        record.is_replaced = True
 
     def note_reachable(self, upstream_id: UpstreamId) -> None:
         """Takes an upstream back that accepted a connection."""
         record = self._records.get(upstream_id)
-        if record is not None and record.probe_at_s < math.inf:
+        if record is not None and not record.is_replaced:
             record.is_down = False
             record.probe_gap_s = FIRST_PROBE_S
 
@@ -94,30 +94,28 @@
     def is_replaced(self, upstream_id: UpstreamId) -> bool:
         """Tells whether another upstream has the address of this one."""
         record = self._records.get(upstream_id)
-        return record is not None and record.probe_at_s == math.inf
+        return record is not None and record.is_replaced
 
     def down(self) -> list[UpstreamId]:
         """Returns the upstreams that couldn't be reached."""
         return [
             one
             for one, record in self._records.items()
-            if record.is_down and record.probe_at_s < math.inf
+            if record.is_down and not record.is_replaced
         ]
 
     def replaced(self) -> list[UpstreamId]:
         """Returns the upstreams whose address belongs to another one."""
         return [
-            one
-            for one, record in self._records.items()
-            if record.probe_at_s == math.inf
+            one for one, record in self._records.items() if record.is_replaced
         ]
 
     def due_probes(self, now_s: float) -> tuple[UpstreamId, ...]:
         """Returns the unreachable upstreams to try now."""
         return tuple(
             upstream_id
-            for upstream_id, record in self._records.items()
-            if record.is_down and record.probe_at_s <= now_s
+            for upstream_id in self.down()
+            if self._records[upstream_id].probe_at_s <= now_s
         )
 
     def penalty(self, upstream_id: UpstreamId, now_s: float) -> float:
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import defaultdict, deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -64,7 +64,9 @@
         """
         self._window_s = window_s
         self._slack = slack
-        self._own: dict[WorkspaceId, WindowCount] = {}
+        self._own: defaultdict[WorkspaceId, WindowCount] = defaultdict(
+            lambda: WindowCount(window_s)
+        )
 
     def own_counts(self, now_s: float) -> dict[WorkspaceId, float]:
         """Returns what this node admitted in the window, by workspace."""
@@ -76,7 +78,7 @@
 
     def own_count(self, workspace_id: WorkspaceId, now_s: float) -> float:
         """Returns what this node admitted of a workspace in the window."""
-        return self._count(workspace_id).total(now_s)
+        return self._own[workspace_id].total(now_s)
 
     def admit(
         self,
@@ -98,7 +100,7 @@
             members: All nodes, this one included.
             now_s: Monotonic clock.
         """
-        count = self._count(terms.workspace_id)
+        count = self._own[terms.workspace_id]
         if terms.rate <= 0:
             count.add(cost, now_s)
             return None
@@ -116,13 +118,7 @@
         self, workspace_id: WorkspaceId, cost: float, now_s: float
     ) -> None:
         """Takes back the cost of a request that was admitted but not run."""
-        self._count(workspace_id).add(-cost, now_s)
-
-    def _count(self, workspace_id: WorkspaceId) -> WindowCount:
-        count = self._own.get(workspace_id)
-        if count is None:
-            count = self._own[workspace_id] = WindowCount(self._window_s)
-        return count
+        self._own[workspace_id].add(-cost, now_s)
 
 
 __all__ = ('MIN_RETRY_AFTER_S', 'QuotaTable', 'WindowCount')
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/repeats.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/repeats.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from .quota import WindowCount
@@ -33,31 +34,26 @@
         """
         self._ratio = ratio
         self._slack = slack * SLACK_USE
-        self._window_s = window_s
-        self._first: dict[ServiceId, WindowCount] = {}
-        self._repeats: dict[ServiceId, WindowCount] = {}
+        self._first: defaultdict[ServiceId, WindowCount] = defaultdict(
+            lambda: WindowCount(window_s)
+        )
+        self._repeats: defaultdict[ServiceId, WindowCount] = defaultdict(
+            lambda: WindowCount(window_s)
+        )
 
     def note_request(self, service_id: ServiceId, now_s: float) -> None:
         """Counts a request of a caller."""
-        self._count(self._first, service_id).add(1, now_s)
+        self._first[service_id].add(1, now_s)
 
     def spend(self, service_id: ServiceId, members: int, now_s: float) -> bool:
         """Takes a repeat; False if there is no budget for it."""
-        requests = self._count(self._first, service_id).total(now_s)
+        requests = self._first[service_id].total(now_s)
         allowed = self._ratio * requests + self._slack / max(1, members)
-        repeats = self._count(self._repeats, service_id)
+        repeats = self._repeats[service_id]
         if repeats.total(now_s) + 1 > allowed:
             return False
         repeats.add(1, now_s)
         return True
 
-    def _count(
-        self, counts: dict[ServiceId, WindowCount], service_id: ServiceId
-    ) -> WindowCount:
-        count = counts.get(service_id)
-        if count is None:
-            count = counts[service_id] = WindowCount(self._window_s)
-        return count
-
 
 __all__ = ('SLACK_USE', 'RepeatBudget')
--- a/packages/catkinreach-core/src/catkinreach_core/settings/node.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/node.py
@@ -13,6 +13,18 @@
     host: str
     port: int
 
+    @classmethod
+    def from_text(cls, text: str) -> Address:
+        """Returns the address that ``host:port`` names.
+
+        Raises:
+            ValueError: if it names none.
+        """
+        host, separator, port = text.rpartition(':')
+        if not separator or not host:
+            raise ValueError(f'no address: {text!r}')
+        return cls(host=host, port=int(port))
+
     def __str__(self) -> str:
         """Returns the address as ``host:port``."""
         return f'{self.host}:{self.port}'
--- a/packages/catkinreach-core/tests/gateway/test_digest.py
+++ b/packages/catkinreach-core/tests/gateway/test_digest.py
@@ -21,7 +21,6 @@
     digest = Digest(
         node='10.0.0.1',
         phase=Phase.STOPPING,
-        revision=7,
         members=['10.0.0.2'],
         loads={UpstreamId('a'): UpstreamLoad(1, 2, 3)},
     )
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/lines.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/lines.py
@@ -38,21 +38,20 @@
         return '' if found is None else str(found)
 
 
-class _Document(msgspec.Struct):
+class _Head(msgspec.Struct):
     event: str
     time: float
 
 
-_HEAD = msgspec.json.Decoder(_Document)
-_FIELDS = msgspec.json.Decoder(dict[str, object])
+_DECODER = msgspec.json.Decoder(dict[str, object])
 
 
 def read_lines(source: str, lines: Iterable[bytes]) -> Iterator[LogLine | None]:
     """Yields each line, ``None`` for one that is no document of the log."""
     for line in lines:
         try:
-            head = _HEAD.decode(line)
-            fields = _FIELDS.decode(line)
+            fields = _DECODER.decode(line)
+            head = msgspec.convert(fields, _Head)
         except msgspec.DecodeError:
             yield None
             continue
--- a/packages/catkinreach-node/src/catkinreach_node/cell/sweeper.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/sweeper.py
@@ -21,6 +21,7 @@
 from catkinreach_core.fleet_list import VmState
 from catkinreach_core.ids import Incarnation, RequestId, VmId, attempt_id
 from catkinreach_core.messages.cell import HoldingsAnswer, HoldingsQuery
+from catkinreach_core.settings.node import Address
 
 from ..peers.transport import PeerUnreachableError
 from ..session.engine_client import EngineError
@@ -160,10 +161,12 @@
 
 
 async def _is_refused(peer_address: str) -> bool:
-    host, _, port = peer_address.rpartition(':')
+    address = Address.from_text(peer_address)
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/call.py
@@ -10,6 +10,7 @@
 from catkinreach_core.gateway.terms import SendTerms
 
 from .decision_log import Event
+from .gateway_metrics import Stage
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import (
@@ -22,6 +23,7 @@
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import UpstreamId, WorkspaceId
 
+    from ..http.client import ConnectError, ExchangeError
     from ..http.messages import HttpRequest
     from .exchange import Reply
     from .node import Node
@@ -159,6 +161,23 @@
             **inputs,
         )
 
+    def unreachable(self, upstream: Upstream, error: ConnectError) -> None:
+        """Takes that a connection was not opened; the send doesn't count."""
+        self.note_not_counted()
+        self._node.note_unreachable(upstream.upstream_id, str(error))
+        self.failed(upstream.upstream_id, SendFailure.UNREACHABLE)
+
+    def broken(self, upstream: Upstream, error: ExchangeError) -> None:
+        """Takes that a reply broke off; the request may have crashed it."""
+        self.may_have_failed(upstream, SendFailure.BROKEN, detail=str(error))
+        self._node.checks.check_crash(upstream, self._call.fingerprint)
+
+    def silent(self, upstream: Upstream, **inputs: object) -> None:
+        """Takes that no reply came in time."""
+        self.has_timed_out = True
+        self.may_have_failed(upstream, SendFailure.SILENT, **inputs)
+        self._node.checks.check_reachable(upstream)
+
     def refused(self, reply: Reply, **inputs: object) -> None:
         """Takes a reply that promises that the request did not run."""
         self._node.note_refused(reply)
@@ -190,6 +209,24 @@
         return CatkinreachError(ErrorKind.UPSTREAM_FAILED)
 
 
+def note_answered(
+    node: Node, call: Call, upstream_id: UpstreamId, **inputs: object
+) -> None:
+    """Takes that an upstream has answered a call well and in full."""
+    now_s = node.clock()
+    after_s = now_s - call.arrived_s
+    node.health.note_success(upstream_id, now_s)
+    node.suspects.clear(call.fingerprint)
+    node.metrics.record(Stage.TOTAL, after_s)
+    node.log.write(
+        Event.ANSWERED,
+        request=call.terms.request_id,
+        upstream=upstream_id,
+        **inputs,
+        after_s=round(after_s, 4),
+    )
+
+
 def refusal(
     node: Node,
     kind: ErrorKind,
@@ -205,4 +242,4 @@
     )
 
 
-__all__ = ('Attempts', 'Call', 'SendFailure', 'refusal')
+__all__ = ('Attempts', 'Call', 'SendFailure', 'note_answered', 'refusal')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -8,6 +8,7 @@
 from catkinreach_core.errors import CatkinreachError
 
 from ..http.client import ExchangeError
+from .call import note_answered
 from .decision_log import Event
 from .gateway_metrics import Stage
 
@@ -137,19 +138,13 @@
         return run.first_events
 
     def _finish(self) -> None:
-        now_s = self._node.clock()
-        upstream_id = self._run.reply.upstream.upstream_id
-        self._node.health.note_success(upstream_id, now_s)
-        self._node.suspects.clear(self._call.fingerprint)
         self._note_output()
-        self._node.metrics.record(Stage.TOTAL, now_s - self._call.arrived_s)
-        self._node.log.write(
-            Event.ANSWERED,
-            request=self._call.terms.request_id,
-            upstream=upstream_id,
+        note_answered(
+            self._node,
+            self._call,
+            self._run.reply.upstream.upstream_id,
             last_event=self._last_id,
             first_event_s=self._first_event_s,
-            after_s=round(now_s - self._call.arrived_s, 4),
         )
 
     def _note_output(self) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -38,8 +38,6 @@
 TIMEOUT_MARGIN_S = 0.02
 """The node answers this long before the route's timeout."""
 
-RETRY_AFTER_HEADER = 'retry-after'
-
 
 class Ingress:
     """Admits requests and hands them to the flow of their kind."""
@@ -167,12 +165,7 @@
         self._node.metrics.count_answer(
             ANSWERS[error.kind].status, error.kind.value
         )
-        response = problem_response(error)
-        headers = response.headers
-        headers[:] = [pair for pair in headers if pair[0] != RETRY_AFTER_HEADER]
-        if error.retry_after_s is not None:
-            headers.append((RETRY_AFTER_HEADER, f'{error.retry_after_s:.3f}'))
-        return response
+        return problem_response(error, '{:.3f}'.format)
 
 
 def _workspace(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -71,7 +71,7 @@
             window_s=bounds.repeat_window_s,
         )
         self.peer_admitted: dict[str, dict[WorkspaceId, float]] = {}
-        self.pool = UpstreamPool()
+        self.pool = UpstreamPool(self.clock)
         self.checks = UpstreamChecks(self)
         self.control_http = HttpClient()
         self._tasks: set[asyncio.Task[object]] = set()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -126,7 +126,6 @@
         return Digest(
             node=node.settings.host,
             phase=self._phase(),
-            revision=node.revision,
             members=[] if is_change else heard[:MAX_TOLD_MEMBERS],
             loads=node.loads.own(),
             admitted=None if is_change else node.quota.own_counts(now_s),
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_flow.py
@@ -11,10 +11,8 @@
 
 from ..http.client import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .call import Attempts, SendFailure
-from .decision_log import Event
+from .call import Attempts, SendFailure, note_answered
 from .exchange import exchange
-from .gateway_metrics import Stage
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.upstream import Upstream
@@ -90,18 +88,11 @@
             async with asyncio.timeout(self._wait_s()):
                 return await self._exchange(upstream)
         except ConnectError as error:
-            self._attempts.note_not_counted()
-            self._node.note_unreachable(upstream_id, str(error))
-            self._attempts.failed(upstream_id, SendFailure.UNREACHABLE)
+            self._attempts.unreachable(upstream, error)
         except ExchangeError as error:
-            self._attempts.may_have_failed(
-                upstream, SendFailure.BROKEN, detail=str(error)
-            )
-            self._node.checks.check_crash(upstream, self._call.fingerprint)
+            self._attempts.broken(upstream, error)
         except TimeoutError:
-            self._attempts.has_timed_out = True
-            self._attempts.may_have_failed(upstream, SendFailure.SILENT)
-            self._node.checks.check_reachable(upstream)
+            self._attempts.silent(upstream)
         finally:
             self._node.loads.end(upstream_id, work)
         return None
@@ -124,8 +115,6 @@
         return self._judge(reply, body)
 
     def _judge(self, reply: Reply, body: bytes) -> HttpResponse | None:
-        upstream_id = reply.upstream.upstream_id
-        now_s = self._node.clock()
         if reply.marks.has_not_run:
             self._attempts.refused(reply)
             return None
@@ -135,15 +124,11 @@
             reply.status, self._node.dialect.caller_headers(reply.headers), body
         )
         if reply.is_success:
-            self._node.health.note_success(upstream_id, now_s)
-            self._node.suspects.clear(self._call.fingerprint)
-            self._node.metrics.record(Stage.TOTAL, now_s - self._call.arrived_s)
-            self._node.log.write(
-                Event.ANSWERED,
-                request=self._call.terms.request_id,
-                upstream=upstream_id,
+            note_answered(
+                self._node,
+                self._call,
+                reply.upstream.upstream_id,
                 status=reply.status,
-                after_s=round(now_s - self._call.arrived_s, 4),
             )
             return answer
         self._failure = answer
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_flow.py
@@ -155,10 +155,9 @@
         self, plan: StreamPlan, run: EngineRun, resume_after: int | None
     ) -> bool:
         upstream = plan.decode.upstream
-        upstream_id = upstream.upstream_id
         self._log_placed(plan, resume_after)
         self._attempts.note_sent()
-        self._node.cold.spend(upstream_id)
+        self._node.cold.spend(upstream.upstream_id)
         wait_s = FIRST_EVENT_SLACK_S
         wait_s += plan.first_token_s * FIRST_EVENT_SLACK_FACTOR
         try:
@@ -166,22 +165,13 @@
                 await run.open(resume_after)
             return await self._accepts(run)
         except ConnectError as error:
-            self._attempts.note_not_counted()
-            self._node.note_unreachable(upstream_id, str(error))
-            self._attempts.failed(upstream_id, SendFailure.UNREACHABLE)
+            self._attempts.unreachable(upstream, error)
         except ExchangeError as error:
             self._reader.note_taken()
-            self._attempts.may_have_failed(
-                upstream, SendFailure.BROKEN, detail=str(error)
-            )
-            self._node.checks.check_crash(upstream, self._call.fingerprint)
+            self._attempts.broken(upstream, error)
         except TimeoutError:
             self._reader.note_taken()
-            self._attempts.has_timed_out = True
-            self._attempts.may_have_failed(
-                upstream, SendFailure.SILENT, waited_s=wait_s
-            )
-            self._node.checks.check_reachable(upstream)
+            self._attempts.silent(upstream, waited_s=wait_s)
         return False
 
     async def _accepts(self, run: EngineRun) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..http.client import ClientConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import UpstreamId
 
@@ -36,8 +37,9 @@
 class UpstreamPool:
     """Owns the connections to all upstreams."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float]) -> None:
         """Starts without connections."""
+        self._clock = clock
         self._idle: dict[UpstreamId, list[_Idle]] = {}
         self.opened = 0
 
@@ -52,7 +54,7 @@
             kept = idle.pop()
             kept.watch.cancel()
             await asyncio.wait({kept.watch})
-            if kept.connection.is_reusable and time.monotonic() < kept.until_s:
+            if kept.connection.is_reusable and self._clock() < kept.until_s:
                 return kept.connection
             kept.connection.close()
         return await self._open(upstream)
@@ -109,7 +111,7 @@
         if idle_timeout_s is not None:
             kept_s = idle_timeout_s - IDLE_MARGIN_S
         watch = asyncio.ensure_future(self._watch(upstream_id, connection))
-        until_s = time.monotonic() + kept_s
+        until_s = self._clock() + kept_s
         idle.append(_Idle(connection, until_s, watch))
 
     async def _watch(
--- a/packages/catkinreach-node/src/catkinreach_node/http/problem.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/problem.py
@@ -10,6 +10,8 @@
 from .messages import PROBLEM_TYPE, HttpResponse
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinreach_core.errors import CatkinreachError
 
 
@@ -26,13 +28,25 @@
     }
 
 
-def problem_response(error: CatkinreachError) -> HttpResponse:
-    """Returns the answer that the table gives for an error."""
+def whole_seconds(advice_s: float) -> str:
+    """Returns the text of a ``Retry-After`` header by RFC 9110."""
+    return str(max(1, math.ceil(advice_s)))
+
+
+def problem_response(
+    error: CatkinreachError,
+    spell_advice: Callable[[float], str] = whole_seconds,
+) -> HttpResponse:
+    """Returns the answer that the table gives for an error.
+
+    Args:
+        error: The error.
+        spell_advice: Returns the text of its ``Retry-After`` header.
+    """
     answer = ANSWERS[error.kind]
     headers = []
     if error.retry_after_s is not None:
-        advice_s = max(1, math.ceil(error.retry_after_s))
-        headers.append(('retry-after', str(advice_s)))
+        headers.append(('retry-after', spell_advice(error.retry_after_s)))
     return HttpResponse.from_json(
         answer.status,
         problem_document(error),
@@ -41,4 +55,4 @@
     )
 
 
-__all__ = ('problem_document', 'problem_response')
+__all__ = ('problem_document', 'problem_response', 'whole_seconds')
--- a/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
@@ -62,18 +62,6 @@
         ) from error
 
 
-def read_address(text: str) -> Address:
-    """Returns the address that ``IP:PORT`` names.
-
-    Raises:
-        ValueError: if it names none.
-    """
-    host, separator, port = text.rpartition(':')
-    if not separator or not host:
-        raise ValueError(f'no address: {text!r}')
-    return Address(host=host, port=int(port))
-
-
 def _settings(fields: dict[str, str], metrics_port: int) -> GatewaySettings:
     first_port = int(fields['internal-ports'].split(',')[0])
     own_host = fields['ip']
@@ -82,13 +70,13 @@
         vm_id=VmId(fields['node-name']),
         domain_id=FailureDomainId(fields['zone']),
         host=own_host,
-        caller_address=read_address(fields['listen.front']),
-        ready_address=read_address(fields['listen.ready']),
+        caller_address=Address.from_text(fields['listen.front']),
+        ready_address=Address.from_text(fields['listen.ready']),
         peer_address=Address(host=own_host, port=first_port),
         metrics_address=Address(host=own_host, port=metrics_port),
-        store_address=read_address(fields['platform.address']),
+        store_address=Address.from_text(fields['platform.address']),
         # Seeds name another service's port; only the host matters here.
-        peer_hosts=tuple(read_address(one).host for one in seeds),
+        peer_hosts=tuple(Address.from_text(one).host for one in seeds),
         bounds=_bounds(fields),
     )
 
@@ -104,4 +92,4 @@
     )
 
 
-__all__ = ('BootFile', 'read_address', 'read_settings')
+__all__ = ('BootFile', 'read_settings')
--- a/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
@@ -9,8 +9,9 @@
 
 from catkinreach_core.gateway.upstream import Stage, Upstream, UpstreamState
 from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
+from catkinreach_core.settings.node import Address
 
-from .boot import MS_PER_S, read_address
+from .boot import MS_PER_S
 
 STATES: Final = {
     'ready': UpstreamState.READY,
@@ -47,7 +48,7 @@
         return Upstream(
             upstream_id=upstream_id,
             service_id=ServiceId(entry.service),
-            address=read_address(entry.address),
+            address=Address.from_text(entry.address),
             domain_id=FailureDomainId(entry.zone),
             state=STATES[entry.state],
             stage=STAGES[entry.stage],
--- a/packages/catkinreach-node/src/catkinreach_node/telemetry/hop.py
+++ b/packages/catkinreach-node/src/catkinreach_node/telemetry/hop.py
@@ -22,11 +22,9 @@
     from opentelemetry.context import Context
     from opentelemetry.trace import Span, Tracer
 
-
 TRACE_HEADER = 'traceparent'
 ERROR_ATTRIBUTE = 'catkinreach.error'
 
-
 _propagator = TraceContextTextMapPropagator()
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
+++ b/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
@@ -57,18 +57,45 @@
         return float(latency_us) / MICROSECONDS_PER_S
 
 
-class Metrics:
+class ProcessMetrics:
+    """What every process counts: answers, and gauges that others add."""
+
+    def __init__(self) -> None:
+        """Starts at zero."""
+        self._answers: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def count_answer(self, status: int, code: str) -> None:
+        """Counts an answer by HTTP status and error code, ``ok`` if none."""
+        self._answers[str(status), code] += 1
+
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Adds a gauge that is read when the metrics are asked for."""
+        self._gauges[name] = read
+
+    def exposition(self) -> str:
+        """Returns all metrics as text."""
+        return '\n'.join((*self._lines(), ''))
+
+    def _lines(self) -> Iterator[str]:
+        for (status, code), count in sorted(self._answers.items()):
+            labels = f'status="{status}",code="{code}"'
+            yield f'catkinreach_answers_total{{{labels}}} {count}'
+        for name, read in sorted(self._gauges.items()):
+            yield f'catkinreach_{name} {read():g}'
+
+
+class Metrics(ProcessMetrics):
     """Everything that one node counts."""
 
     def __init__(self) -> None:
         """Starts at zero."""
+        super().__init__()
         self._hops: defaultdict[Hop, LatencyHistogram] = defaultdict(
             LatencyHistogram
         )
         self._first_token = LatencyHistogram()
         self._between_tokens = LatencyHistogram()
-        self._answers: Counter[tuple[str, str]] = Counter()
-        self._gauges: dict[str, Callable[[], float]] = {}
 
     @property
     def first_token(self) -> LatencyHistogram:
@@ -84,18 +111,6 @@
         """Returns the latencies of one hop."""
         return self._hops[hop]
 
-    def count_answer(self, status: int, code: str) -> None:
-        """Counts an answer by HTTP status and error code, ``ok`` if none."""
-        self._answers[str(status), code] += 1
-
-    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
-        """Adds a gauge that is read when the metrics are asked for."""
-        self._gauges[name] = read
-
-    def exposition(self) -> str:
-        """Returns all metrics as text."""
-        return '\n'.join((*self._lines(), ''))
-
     def _lines(self) -> Iterator[str]:
         for hop, histogram in sorted(
             self._hops.items(), key=lambda pair: pair[0].value
@@ -109,11 +124,7 @@
         yield from summary_lines(
             'catkinreach_between_tokens_seconds', self._between_tokens
         )
-        for (status, code), count in sorted(self._answers.items()):
-            labels = f'status="{status}",code="{code}"'
-            yield f'catkinreach_answers_total{{{labels}}} {count}'
-        for name, read in sorted(self._gauges.items()):
-            yield f'catkinreach_{name} {read():g}'
+        yield from super()._lines()
 
 
 def summary_lines(
@@ -128,4 +139,10 @@
     yield f'{name}_count{suffix} {histogram.count}'
 
 
-__all__ = ('METRICS_TYPE', 'LatencyHistogram', 'Metrics', 'summary_lines')
+__all__ = (
+    'METRICS_TYPE',
+    'LatencyHistogram',
+    'Metrics',
+    'ProcessMetrics',
+    'summary_lines',
+)
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -106,8 +106,7 @@
         entry = state.vms.entry(vm_id)
         if entry is None:
             return None
-        host, _, port = entry.peer_address.rpartition(':')
-        return Address(host, int(port))
+        return Address.from_text(entry.peer_address)
 
     transport = PeerTransport(
         settings.vm_id, incarnation, peer_address, tls=tls.peer_client
--- a/packages/catkinreach-node/tests/gateway/test_gateway_streams.py
+++ b/packages/catkinreach-node/tests/gateway/test_gateway_streams.py
@@ -160,7 +160,6 @@
     digest = Digest(
         node=PEER_HOST,
         phase=Phase.RUNNING,
-        revision=1,
         loads={UpstreamId(name): UpstreamLoad(1, 0, tokens)},
     )
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
--- a/packages/catkinreach-node/tests/gateway/test_replaced_upstreams.py
+++ b/packages/catkinreach-node/tests/gateway/test_replaced_upstreams.py
@@ -34,9 +34,7 @@
 
 
 def _tell(node: Node, replaced: dict[UpstreamId, int]) -> None:
-    digest = Digest(
-        node=PEER, phase=Phase.RUNNING, revision=1, replaced=replaced
-    )
+    digest = Digest(node=PEER, phase=Phase.RUNNING, replaced=replaced)
     PeerLink(node).datagram_received(encode_digest(digest), (PEER, 1))
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
@@ -114,6 +114,18 @@
             self.front, self.ready, self.peer, self.metrics, self.store.port
         )
 
+    async def start(self) -> None:
+        """Starts the store and the upstreams."""
+        await self.store.start()
+        for upstream in self.upstreams.values():
+            await upstream.start()
+
+    async def close(self) -> None:
+        """Stops the store and the upstreams."""
+        for upstream in self.upstreams.values():
+            upstream.close()
+        await self.store.close()
+
     def publish(self) -> None:
         """Writes the configuration and all upstreams' entries."""
         self.store.put('op/config', config(5))
@@ -176,9 +188,7 @@
 ) -> AsyncIterator[tuple[Deployment, GatewayApp]]:
     """Runs a gateway and its stand-ins."""
     deployment = deployment or Deployment()
-    await deployment.store.start()
-    for upstream in deployment.upstreams.values():
-        await upstream.start()
+    await deployment.start()
     if is_published:
         deployment.publish()
     settings = deployment.settings()
@@ -197,9 +207,7 @@
     finally:
         running.cancel()
         await asyncio.wait({running})
-        for upstream in deployment.upstreams.values():
-            upstream.close()
-        await deployment.store.close()
+        await deployment.close()
 
 
 __all__ = (
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -56,6 +56,7 @@
     ) -> None:
         """Writes the settings file."""
         host = f'127.0.0.{10 + number}'
+        self.number = number
         self.front = Address(host=host, port=ports.front)
         self.ready = Address(host=host, port=ports.ready)
         self._boot = folder / f'boot-{number}.conf'
@@ -186,9 +187,7 @@
 ) -> AsyncIterator[tuple[Deployment, list[FrontProcess]]]:
     """Runs front processes before the stand-ins of a deployment."""
     deployment = Deployment()
-    await deployment.store.start()
-    for upstream in deployment.upstreams.values():
-        await upstream.start()
+    await deployment.start()
     deployment.publish()
     fronts = make_fronts(count, deployment.store.port, folder)
     try:
@@ -196,9 +195,7 @@
         yield deployment, fronts
     finally:
         await asyncio.gather(*(front.kill() for front in fronts))
-        await deployment.store.close()
-        for upstream in deployment.upstreams.values():
-            upstream.close()
+        await deployment.close()
 
 
 __all__ = ('FrontProcess', 'make_fronts', 'running_fronts')
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
@@ -5,8 +5,7 @@
 import asyncio
 import re
 import time
-from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
@@ -61,7 +60,6 @@
     history: History
     rng: random.Random
     is_over: bool = False
-    answered: Counter[tuple[CallKind, int]] = field(default_factory=Counter)
     _sent: int = 0
 
     async def run(self, count: int) -> None:
@@ -87,8 +85,6 @@
             end = CallEnd.LEFT
         record = _record(request, kind, front, answer, end, sent_s)
         self.history.calls.append(record)
-        if record.end is CallEnd.ANSWERED:
-            self.answered[kind, front] += 1
         return record
 
     async def _call_on(self, kind: CallKind, number: int) -> None:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
@@ -87,67 +87,66 @@
                 await self._do_to_upstream(fault)
 
     async def _do_to_front(self, fault: Fault) -> None:
-        act: dict[FaultKind, Callable[[Fault, int], Awaitable[None]]] = {
+        act: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.KILL: self._kill,
             FaultKind.ROLL: self._roll,
             FaultKind.PAUSE: self._pause,
             FaultKind.RELOAD: self._reload,
         }
-        number = tuple(self._site.fronts).index(fault.target)
-        await act[fault.kind](fault, number)
+        await act[fault.kind](fault)
 
-    async def _kill(self, fault: Fault, number: int) -> None:
+    async def _kill(self, fault: Fault) -> None:
         front = self._site.fronts[fault.target]
         async with self._restarts[fault.target]:
-            trouble = self._note(number, TroubleKind.KILLED)
+            trouble = self._note(front, TroubleKind.KILLED)
             await front.kill()
             await asyncio.sleep(fault.for_s)
             trouble.until_s = time.monotonic()
-            await self._start(front, number)
+            await self._start(front)
 
-    async def _roll(self, fault: Fault, number: int) -> None:
+    async def _roll(self, fault: Fault) -> None:
         front = self._site.fronts[fault.target]
         async with self._restarts[fault.target]:
-            trouble = self._note(number, TroubleKind.STOPPING)
-            await self._stop(front, number)
+            trouble = self._note(front, TroubleKind.STOPPING)
+            await self._stop(fault.target)
             trouble.until_s = time.monotonic()
-            await self._start(front, number)
+            await self._start(front)
 
-    async def _stop(self, front: FrontProcess, number: int) -> None:
+    async def _stop(self, name: str) -> None:
         """Ends a process by SIGTERM; time in a pause doesn't count."""
+        front = self._site.fronts[name]
         front.send_signal(signal.SIGTERM)
         left_s = STOP_LIMIT_S
         while front.is_running and left_s > 0:
             began_s = time.monotonic()
             await asyncio.sleep(0.05)
-            if not self._pauses[f'front-{number}'].locked():
+            if not self._pauses[name].locked():
                 left_s -= time.monotonic() - began_s
         if front.is_running:
-            self._report(f'front {number} did not end after SIGTERM')
+            self._report(f'{name} did not end after SIGTERM')
             await front.kill()
         elif front.exit_code != 0:
-            self._report(f'front {number} ended with {front.exit_code}')
+            self._report(f'{name} ended with {front.exit_code}')
 
-    async def _start(self, front: FrontProcess, number: int) -> None:
+    async def _start(self, front: FrontProcess) -> None:
         """Starts a process again; it may be paused or cut off meanwhile."""
         await front.launch()
         try:
             await front.wait_listening()
         except TimeoutError:
-            self._report(f'front {number} does not listen after a start')
+            self._report(f'front {front.number} does not listen after a start')
 
-    async def _pause(self, fault: Fault, number: int) -> None:
+    async def _pause(self, fault: Fault) -> None:
         front = self._site.fronts[fault.target]
         async with self._pauses[fault.target]:
-            trouble = self._note(number, TroubleKind.PAUSED)
+            trouble = self._note(front, TroubleKind.PAUSED)
             front.send_signal(signal.SIGSTOP)
             await asyncio.sleep(fault.for_s)
             front.send_signal(signal.SIGCONT)
             trouble.until_s = time.monotonic() + WAKE_S
 
-    async def _reload(self, fault: Fault, number: int) -> None:
+    async def _reload(self, fault: Fault) -> None:
         """Sends SIGHUP, once the process can have set up its handler."""
-        del number
         front = self._site.fronts[fault.target]
         if not self._restarts[fault.target].locked():
             front.send_signal(signal.SIGHUP)
@@ -188,8 +187,8 @@
         await asyncio.sleep(fault.for_s)
         self._site.list_upstream(upstream)
 
-    def _note(self, number: int, kind: TroubleKind) -> Trouble:
-        trouble = Trouble(number, kind, time.monotonic(), float('inf'))
+    def _note(self, front: FrontProcess, kind: TroubleKind) -> Trouble:
+        trouble = Trouble(front.number, kind, time.monotonic(), float('inf'))
         self._history.troubles.append(trouble)
         return trouble
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -31,6 +31,13 @@
 BUDGET_WINDOW_S: Final = 10.0
 BUDGET_RATIO: Final = 0.2
 BUDGET_SLACK: Final = 58
+MAY_SILENCE: Final = (
+    TroubleKind.KILLED,
+    TroubleKind.PAUSED,
+    TroubleKind.STOPPING,
+)
+"""Troubles of a front that leave its callers without an answer in time."""
+
 EXPLAINING: Final = frozenset({'refused', 'failed', 'send-failed'})
 
 
@@ -75,7 +82,7 @@
         yield f'refused as not run ({call.code}), ran {runs} times'
     if call.end is CallEnd.REFUSED and call.status in WRONG_STATUSES:
         yield f'answered {call.status} {call.code}'
-    if call.end is CallEnd.TIMED_OUT and not history.had(call, *_FROZEN):
+    if call.end is CallEnd.TIMED_OUT and not history.had(call, *MAY_SILENCE):
         yield 'was not answered'
     if call.end is CallEnd.BROKEN and not _may_break(call, history, runs):
         yield f'was dropped without an answer, ran {runs} times'
@@ -89,13 +96,6 @@
         yield f'{call.end.value} {call.code}: no line of a log says why'
 
 
-_FROZEN: Final = (
-    TroubleKind.KILLED,
-    TroubleKind.PAUSED,
-    TroubleKind.STOPPING,
-)
-
-
 def _may_break(call: CallRecord, history: History, runs: int) -> bool:
     """Tells whether a connection may end without an answer.
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
@@ -101,7 +101,7 @@
     until_s = time.monotonic() + RECOVER_S
     client = HttpClient()
     for name, front in site.fronts.items():
-        number = tuple(site.fronts).index(name)
+        number = front.number
         try:
             await eventually(front.is_ready, within_s=RECOVER_S)
         except TimeoutError:
@@ -134,10 +134,7 @@
         history=history,
         runs=runs,
         sends=sends,
-        logs={
-            number: front.log
-            for number, front in enumerate(site.fronts.values())
-        },
+        logs={one.number: one.log for one in site.fronts.values()},
     )
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -152,11 +152,14 @@
             await reader.read(READ_SIZE_BYTES)
             self.left.append(request.request_id)
             return False
+        if self.stage and not request.is_prefill:
+            return await self._stream(request, writer, behaviour)
+        if behaviour is Behaviour.BREAK:
+            writer.transport.abort()
+            return False
         if request.is_prefill:
             await asyncio.sleep(self.prefill_s)
-            return self._prefill(request, writer, behaviour)
-        if self.stage:
-            return await self._stream(request, writer, behaviour)
+            return self._prefill(request, writer)
         return self._plain(request, writer, behaviour)
 
     def _plain(
@@ -165,9 +168,6 @@
         writer: asyncio.StreamWriter,
         behaviour: Behaviour,
     ) -> bool:
-        if behaviour is Behaviour.BREAK:
-            writer.transport.abort()
-            return False
         if behaviour is Behaviour.EXTRA:
             other = Received('GET', '/', {'request-id': 'other'}, b'')
             writer.write(self._head(other, 200, b'not yours'))
@@ -183,11 +183,7 @@
         self,
         request: Received,
         writer: asyncio.StreamWriter,
-        behaviour: Behaviour,
     ) -> bool:
-        if behaviour is Behaviour.BREAK:
-            writer.transport.abort()
-            return False
         self._handles += 1
         answer = {'handle': f'h{self._handles}', 'tokens': 10, 'version': 1}
         body = msgspec.json.encode(answer)
