Close a gateway's own clients before its event loop ends

Cause, from a trial that wrote where each writer had been opened: the gateway closed its servers and the pool of upstream connections, but neither the client that frees KV handles nor that of the store. Both keep a connection after an exchange; if one is idle at that moment it stays open, and is collected after the loop has closed. It shows only if a handle was freed before, or if SIGTERM falls into the 0.3 s after a change of the store, hence not on each machine.

Now the end of run() closes both, also if a task fails.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
@@ -116,6 +116,9 @@
             StoreUnavailable: if the store can't be read.
         """
 
+    def close(self) -> None:
+        """Closes the connections to the store."""
+
 
 __all__ = (
     'CatalogPublished',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -65,6 +65,7 @@
             reload: Returns the new settings, or ``None`` if none changed.
         """
         self._node = Node(settings, dialect)
+        self._feed = feed
         self._node.metrics.add_gauge('store_calls', lambda: feed.call_count)
         self._reload = reload
         self._ingress = HttpServer(
@@ -95,6 +96,14 @@
         settings = self._node.settings
         log = self._node.log
         log.write(Event.START, vm=settings.vm_id, domain=settings.domain_id)
+        try:
+            await self._serve_until_drained()
+        finally:
+            self._close()
+        log.write(Event.STOP, vm=settings.vm_id)
+
+    async def _serve_until_drained(self) -> None:
+        settings = self._node.settings
         async with asyncio.TaskGroup() as group:
             tasks = [
                 group.create_task(work)
@@ -113,8 +122,6 @@
             await self._drain()
             for task in tasks:
                 task.cancel()
-        self._close()
-        log.write(Event.STOP, vm=settings.vm_id)
 
     async def _start_metrics(self) -> None:
         """Serves metrics; a port that can't be bound isn't fatal."""
@@ -154,6 +161,8 @@
         for server in (self._ingress, self._ready, self._metrics):
             server.close()
         self._node.pool.close()
+        self._node.control_http.close()
+        self._feed.close()
 
     async def _watch_settings(self) -> None:
         while True:
--- a/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
@@ -70,6 +70,9 @@
         self._host = host
         self.call_count = 0
 
+    def close(self) -> None:
+        """Has no connections."""
+
     async def list_all(self) -> Listing:
         """Returns a listing of what was published."""
         self._count()
