Keep a silent engine's stream until another engine has taken it

Callers saw a stream end without its last events although its engine was sound: an engine that sent nothing for two and a half gap targets and would then have gone on.

Cause: after that time the relay closed the engine's stream first and looked for another engine afterwards. If no engine had room, the retry budget was used up or the other engine refused, there was nothing left to relay and the response was aborted.

Evidence: of the tests of test_silent_engines.py, these three failed on the code before (ExchangeError at the caller, "response is incomplete or malformed") and pass now, on sockets with an engine that pauses for 1.2 s after three events: without another engine, without retry budget, with another engine that refuses. The other three passed before and after.

The stream is now kept while another engine is looked for, and its events are relayed. If no other engine takes it, the next search comes one stall timeout later; only sends spend retry budget. Events are passed on by their ids, so none is missing or doubled. A lost connection is handled as before.

The log tells the cases apart: `silent-kept`; `send-failed` with `silent`, then `resumed`; `send-failed` with `broken`, then `resumed`.

--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
@@ -23,6 +23,7 @@
     'placed': 'was placed',
     'send-failed': 'a send failed',
     'resumed': 'went on at another upstream',
+    'silent-kept': 'stayed with an engine that was silent',
     'failed': 'ended early',
     'refused': 'was refused',
     'answered': 'was answered',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -157,6 +157,11 @@
             self._node.clock(),
         )
 
+    def set_aside(self, upstream: Upstream) -> None:
+        """Excludes an upstream that is silent but may go on."""
+        self.may_have_run = True
+        self.excluded.add(upstream.upstream_id)
+
     def record_failed_send(
         self, upstream_id: UpstreamId, failure: SendFailure, **inputs: object
     ) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -53,6 +53,7 @@
     SEND_FAILED = 'send-failed'
     REPLY_SKIPPED = 'reply-skipped'
     RESUMED = 'resumed'
+    SILENT_KEPT = 'silent-kept'
     FAILED = 'failed'
     ANSWERED = 'answered'
     CALLER_LEFT = 'caller-left'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NoReturn
 
 from catkinreach_core.errors import CatkinreachError
 
 from ..http.connection import ExchangeError
-from .admitted_request import record_answer
+from .admitted_request import SendFailure, record_answer
 from .decision_log import Event
 from .gateway_metrics import RequestStage
+from .handover import SILENT_DETAIL, Handover
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -19,25 +20,12 @@
 
     from .admitted_request import AdmittedRequest
     from .engine_stream import EngineStream
+    from .handover import StreamSource
     from .node import Node
 
 STALL_GAP_TARGETS = 2.5
-"""Time without an event, in gap targets, after which another engine resumes
-the stream."""
-
-
-class StreamSource(Protocol):
-    """Reopens a stream at another engine when its engine is lost."""
-
-    @property
-    def can_resume(self) -> bool:
-        """Returns whether the stream may be resumed at another engine."""
-
-    def record_lost_engine(self, stream: EngineStream, reason: str) -> None:
-        """Records that an engine disconnected or sends no events."""
-
-    async def resume(self, last_id: int | None) -> EngineStream | None:
-        """Reopens the stream after an event; ``None`` if that isn't allowed."""
+"""Time without an event, in gap targets, after which another engine is tried
+for the stream."""
 
 
 class EventRelay:
@@ -55,6 +43,7 @@
         self._admitted = admitted
         self._source = source
         self._stream = stream
+        self._handover: Handover | None = None
         self._last_id = admitted.metadata.resume_after
         self._first_event_s = 0.0
         self._has_failed = False
@@ -69,6 +58,7 @@
             self._node.log.write(
                 Event.CALLER_LEFT, request=self._admitted.metadata.request_id
             )
+        self._end_handover()
         self._stream.close()
 
     async def _chunks(self) -> AsyncIterator[bytes]:
@@ -83,6 +73,7 @@
             if self._stream.is_complete:
                 break
             events = await self._next_events()
+        self._end_handover()
         if self._stream.rest:
             yield self._stream.rest
         self._finish()
@@ -101,39 +92,100 @@
         return b''.join(parts)
 
     async def _next_events(self) -> list[StreamEvent]:
+        if self._handover is not None:
+            return await self._next_during_handover(self._handover)
         try:
             async with asyncio.timeout(self._event_timeout_s()):
                 return await self._stream.next_events()
         except ExchangeError as error:
             return await self._resume(str(error))
         except TimeoutError:
-            return await self._resume('no event in time')
+            self._start_handover()
+        return []
+
+    @property
+    def _remaining_s(self) -> float:
+        return self._admitted.deadline_s - self._node.clock()
 
     def _event_timeout_s(self) -> float:
-        remaining_s = self._admitted.deadline_s - self._node.clock()
         if not self._source.can_resume:
-            return remaining_s
+            return self._remaining_s
         return min(
-            remaining_s, self._admitted.route.gap_target_s * STALL_GAP_TARGETS
+            self._remaining_s,
+            self._admitted.route.gap_target_s * STALL_GAP_TARGETS,
         )
 
+    def _start_handover(self) -> None:
+        """Looks for another engine, or aborts the response at its deadline."""
+        if self._remaining_s <= 0 or not self._source.can_resume:
+            self._fail_silent()
+        self._handover = Handover(self._source, self._stream, self._last_id)
+
+    async def _next_during_handover(
+        self, handover: Handover
+    ) -> list[StreamEvent]:
+        """Returns the next events of whichever engine sends them."""
+        if handover.is_done:
+            return await self._end_search(handover)
+        try:
+            async with handover.interrupt_when_done(self._remaining_s):
+                events = await self._stream.next_events()
+        except ExchangeError as error:
+            return await self._replace_lost(handover, str(error))
+        except TimeoutError:
+            if not handover.is_done:
+                self._fail_silent()
+            return await self._end_search(handover)
+        if not handover.may_run_elsewhere:
+            self._end_handover()
+            self._log_kept('it went on')
+        return events
+
+    async def _end_search(self, handover: Handover) -> list[StreamEvent]:
+        """Goes on at the other engine, or at the silent one if there's none."""
+        other = await handover.other_stream()
+        self._handover = None
+        if other is not None:
+            return self._switch(other, SILENT_DETAIL)
+        if handover.has_given_up:
+            self._fail(f'{SILENT_DETAIL}; {handover.detail}')
+        self._log_kept(handover.detail)
+        return []
+
+    async def _replace_lost(
+        self, handover: Handover, reason: str
+    ) -> list[StreamEvent]:
+        """Waits for the other engine once the silent one is lost."""
+        if handover.has_given_up:
+            reason = SILENT_DETAIL
+        handover.give_up(SendFailure.BROKEN, reason)
+        other = await handover.other_stream()
+        self._handover = None
+        if other is None:
+            self._fail(f'{reason}; {handover.detail}')
+        return self._switch(other, reason)
+
+    def _end_handover(self) -> None:
+        if self._handover is not None:
+            self._handover.cancel()
+            self._handover = None
+
     async def _resume(self, reason: str) -> list[StreamEvent]:
         """Resumes at another engine, or aborts the response."""
-        self._source.record_lost_engine(self._stream, reason)
+        self._source.record_lost_engine(
+            self._stream, SendFailure.BROKEN, reason
+        )
         try:
             stream = await self._source.resume(self._last_id)
         except CatkinreachError as error:
             stream = None
             reason = f'{reason}; {error}'
         if stream is None:
-            self._has_failed = True
-            self._node.log.write(
-                Event.FAILED,
-                request=self._admitted.metadata.request_id,
-                reason=reason,
-                after_event=self._last_id,
-            )
-            raise ConnectionAbortedError('the stream can not be resumed')
+            self._fail(reason)
+        return self._switch(stream, reason)
+
+    def _switch(self, stream: EngineStream, reason: str) -> list[StreamEvent]:
+        """Goes on with the stream of another engine."""
         self._stream = stream
         self._node.log.write(
             Event.RESUMED,
@@ -144,6 +196,36 @@
         )
         return stream.first_events
 
+    def _log_kept(self, reason: str) -> None:
+        self._node.log.write(
+            Event.SILENT_KEPT,
+            request=self._admitted.metadata.request_id,
+            upstream=self._stream.reply.upstream.upstream_id,
+            reason=reason,
+            after_event=self._last_id,
+        )
+
+    def _fail_silent(self) -> NoReturn:
+        self._source.record_lost_engine(
+            self._stream, SendFailure.SILENT, SILENT_DETAIL
+        )
+        self._fail(SILENT_DETAIL)
+
+    def _fail(self, reason: str) -> NoReturn:
+        """Aborts the response.
+
+        Raises:
+            ConnectionAbortedError: always.
+        """
+        self._has_failed = True
+        self._node.log.write(
+            Event.FAILED,
+            request=self._admitted.metadata.request_id,
+            reason=reason,
+            after_event=self._last_id,
+        )
+        raise ConnectionAbortedError('the stream can not be resumed')
+
     def _finish(self) -> None:
         self._record_output_ratio()
         record_answer(
@@ -164,4 +246,4 @@
         self._node.output_estimate.record_output_ratio(generated / allowed)
 
 
-__all__ = ('EventRelay', 'StreamSource')
+__all__ = ('EventRelay',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.placement import StreamNeed, is_overbooked
@@ -23,6 +24,7 @@
     from catkinreach_core.gateway.placement import StreamPlan
 
     from .admitted_request import AdmittedRequest
+    from .handover import Handover
     from .node import Node
 
 FIRST_EVENT_SLACK_S = 0.3
@@ -43,6 +45,7 @@
         self._node = node
         self._admitted = admitted
         self._attempts = Attempts(node, admitted)
+        self._handover: Handover | None = None
         prompt = admitted.metadata.prompt_tokens
         if prompt is None:
             prompt = DEFAULT_PROMPT_TOKENS
@@ -87,25 +90,39 @@
         """Returns whether the stream may be resumed at another engine."""
         return self._admitted.route.is_retryable and self._attempts.can_retry
 
-    async def resume(self, last_id: int | None) -> EngineStream | None:
-        """Reopens the stream after an event; ``None`` if that isn't allowed."""
+    async def resume(
+        self, last_id: int | None, handover: Handover | None = None
+    ) -> EngineStream | None:
+        """Reopens the stream after an event; ``None`` if that isn't allowed.
+
+        Args:
+            last_id: Last event that the caller has.
+            handover: Handover from a silent engine; ``None`` if the engine is
+                lost.
+        """
         if not self.can_resume:
             return None
+        self._handover = handover
+        if handover is not None:
+            self._attempts.set_aside(handover.silent_upstream)
+            self._node.checks.check_reachable(handover.silent_upstream)
         self._memory_wait.restart_timeout()
         engine_stream = await self._open_stream(last_id)
         if engine_stream.reply.is_success:
+            if handover is not None:
+                handover.give_up()
             return engine_stream
         engine_stream.close()
         return None
 
     def record_lost_engine(
-        self, engine_stream: EngineStream, reason: str
+        self, engine_stream: EngineStream, failure: SendFailure, detail: str
     ) -> None:
         """Records that an engine disconnected or sends no events."""
         engine_stream.close()
         upstream = engine_stream.reply.upstream
         self._attempts.record_failure_after_send(
-            upstream, SendFailure.BROKEN, detail=reason
+            upstream, failure, detail=detail
         )
         self._node.checks.check_reachable(upstream)
 
@@ -182,8 +199,9 @@
         wait_s = FIRST_EVENT_SLACK_S
         wait_s += plan.first_token_s * FIRST_EVENT_SLACK_FACTOR
         try:
-            async with asyncio.timeout(self._first_event_timeout_s(wait_s)):
-                await engine_stream.open(resume_after)
+            with self._handover.overlap() if self._handover else nullcontext():
+                async with asyncio.timeout(self._first_event_timeout_s(wait_s)):
+                    await engine_stream.open(resume_after)
             return await self._check_reply(engine_stream)
         except ConnectError as error:
             self._attempts.record_unreachable(upstream, error)
--- /dev/null
+++ b/packages/catkinreach-node/tests/gateway/test_silent_engines.py
@@ -0,0 +1,210 @@
+"""Engines that fall silent for a while and go on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from catkinreach_standins.platform.config import MODEL_SERVICE
+from catkinreach_standins.platform.deployment import (
+    Deployment,
+    eventually,
+    running_deployment,
+)
+from catkinreach_standins.platform.upstream import (
+    EVENT_COUNT,
+    UpstreamStandin,
+)
+from catkinreach_standins.platform.upstream_behaviour import Behaviour
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from catkinreach_node.gateway.settings import GatewaySettings
+    from catkinreach_node.http.messages import HttpRequest
+
+TWO_ENGINES_S = 0.4
+"""Longest time for which two engines may run one stream."""
+
+MEDIUM_PAUSE_S = 1.6
+LONG_PAUSE_S = 2.5
+WHOLE = b''.join(
+    f'id: {number}\ndata: token {number}\n\n'.encode()
+    for number in range(1, EVENT_COUNT + 1)
+)
+
+
+class _DeploymentWithoutOthers(Deployment):
+    def __init__(self) -> None:
+        """Starts with one upstream for each task."""
+        super().__init__()
+        del self.upstreams['b'], self.upstreams['e']
+
+
+class _DeploymentWithoutRetries(Deployment):
+    def settings(self) -> GatewaySettings:
+        """Returns settings with a retry budget of zero."""
+        settings = super().settings()
+        bounds = replace(settings.bounds, repeat_ratio=0.0, repeat_slack=0.0)
+        return replace(settings, bounds=bounds)
+
+
+def _run(
+    scenario: Callable[[Deployment], Awaitable[None]],
+    make_deployment: Callable[[], Deployment] = Deployment,
+) -> None:
+    async def run() -> None:
+        deployment = make_deployment()
+        async with running_deployment(deployment=deployment):
+            await scenario(deployment)
+
+    asyncio.run(run())
+
+
+def _stream_request(deployment: Deployment) -> HttpRequest:
+    return deployment.make_request(
+        '/stream/', method='POST', body=b'prompt', token_count='1000,100'
+    )
+
+
+async def _fetch(
+    deployment: Deployment, request: HttpRequest
+) -> tuple[int, bytes]:
+    client = deployment.client
+    async with client.exchange(deployment.caller_address, request) as response:
+        return response.status, await response.read()
+
+
+def _decode_engines(deployment: Deployment) -> list[UpstreamStandin]:
+    return [
+        upstream
+        for upstream in deployment.upstreams.values()
+        if upstream.service == MODEL_SERVICE and upstream.stage == 'decode'
+    ]
+
+
+def _set_pause(deployment: Deployment, pause_s: float) -> None:
+    for upstream in deployment.upstreams.values():
+        upstream.pause_s = pause_s
+
+
+async def _script_in_turn(
+    deployment: Deployment, first: Behaviour, other: Behaviour
+) -> tuple[UpstreamStandin, UpstreamStandin]:
+    """Scripts the decode engine that is used first, and then the other one."""
+    engines = _decode_engines(deployment)
+    for engine in engines:
+        engine.script.append(first)
+
+    async def is_sent() -> bool:
+        return any(engine.received for engine in engines)
+
+    await eventually(is_sent, within_s=1.0)
+    engines.sort(key=lambda engine: not engine.received)
+    engines[1].script.clear()
+    engines[1].script.extend([other] * 9)
+    return engines[0], engines[1]
+
+
+def _check_only_engine(
+    behaviour: Behaviour, make_deployment: Callable[[], Deployment]
+) -> None:
+    """Checks that a stream is served by the engine that pauses."""
+
+    async def scenario(deployment: Deployment) -> None:
+        for engine in _decode_engines(deployment):
+            engine.script.append(behaviour)
+        request = _stream_request(deployment)
+        assert await _fetch(deployment, request) == (200, WHOLE)
+        sends = [len(one.received) for one in _decode_engines(deployment)]
+        assert sum(sends) == 1
+
+    _run(scenario, make_deployment)
+
+
+# A sound engine paused, and its stream was closed with no other engine to go
+# to.
+def test_silent_engine_keeps_its_stream_without_another_engine() -> None:
+    _check_only_engine(Behaviour.PAUSE, _DeploymentWithoutOthers)
+
+
+# A sound engine paused, and its stream was closed without a retry to spend.
+def test_silent_engine_keeps_its_stream_without_retry_budget() -> None:
+    _check_only_engine(Behaviour.PAUSE, _DeploymentWithoutRetries)
+
+
+# A sound engine paused, and its stream was closed before another one refused.
+def test_silent_engine_keeps_its_stream_when_another_refuses() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        first, other = await _script_in_turn(
+            deployment, Behaviour.PAUSE, Behaviour.REFUSE
+        )
+        assert await fetching == (200, WHOLE)
+        assert (len(first.received), len(other.received)) == (1, 1)
+        assert not first.abandoned_ids
+
+    _run(scenario)
+
+
+def test_silent_engine_is_replaced_with_the_next_event() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _set_pause(deployment, LONG_PAUSE_S)
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        first, other = await _script_in_turn(
+            deployment, Behaviour.PAUSE, Behaviour.SERVE
+        )
+        assert await fetching == (200, WHOLE)
+        (resumed,) = other.received
+        assert resumed.headers['last-event-id'] == '3'
+        assert first.abandoned_ids == [resumed.request_id]
+
+    _run(scenario)
+
+
+def test_silent_engine_is_closed_beside_one_that_starts_slowly() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _set_pause(deployment, MEDIUM_PAUSE_S)
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        first, other = await _script_in_turn(
+            deployment, Behaviour.PAUSE, Behaviour.PAUSE_FIRST
+        )
+
+        async def is_sent() -> bool:
+            return bool(other.received)
+
+        async def is_closed() -> bool:
+            return bool(first.abandoned_ids)
+
+        await eventually(is_sent, within_s=2.0)
+        await eventually(is_closed, within_s=TWO_ENGINES_S)
+        assert await fetching == (200, WHOLE)
+
+    _run(scenario)
+
+
+def test_caller_that_leaves_during_a_handover_ends_both_streams() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _set_pause(deployment, MEDIUM_PAUSE_S)
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        first, other = await _script_in_turn(
+            deployment, Behaviour.PAUSE, Behaviour.PAUSE_FIRST
+        )
+
+        async def is_sent() -> bool:
+            return bool(other.received)
+
+        async def are_closed() -> bool:
+            return bool(first.abandoned_ids and other.abandoned_ids)
+
+        await eventually(is_sent, within_s=2.0)
+        fetching.cancel()
+        await eventually(are_closed, within_s=0.5)
+
+    _run(scenario)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -17,6 +17,7 @@
 )
 from .upstream_behaviour import (
     EVENTS_BEFORE_DISCONNECT,
+    EVENTS_BEFORE_PAUSE,
     Behaviour,
     EndlessReply,
     encode_chunk,
@@ -25,6 +26,9 @@
 
 EVENT_COUNT = 6
 
+_PAUSES = {0: Behaviour.PAUSE_FIRST, EVENTS_BEFORE_PAUSE: Behaviour.PAUSE}
+"""Behaviours that pause a stream, by the number of events sent before."""
+
 
 @dataclass
 class UpstreamStandin:
@@ -40,10 +44,11 @@
         received: All requests, including refused ones.
         runs: Executions by request id; prefills aren't counted.
         endless_bytes: Bytes sent by the endless behaviours.
-        abandoned_ids: Ids of requests that hung until their connection was
-            closed.
+        abandoned_ids: Ids of requests that hung or paused until their
+            connection was closed.
         event_gap_s: Pause after each event of a stream.
         prefill_s: Duration of a prefill.
+        pause_s: Pause of the behaviours that pause.
     """
 
     upstream_id: str
@@ -56,6 +61,7 @@
     endless_bytes: int = 0
     event_gap_s: float = 0.0
     prefill_s: float = 0.0
+    pause_s: float = 1.2
     _server: asyncio.Server | None = None
     _handle_count: int = 0
 
@@ -137,25 +143,37 @@
         if endless is not None:
             await self._send_without_end(request, writer, endless)
             return False
-        return await self._respond(request, writer, behaviour)
+        return await self._respond(request, reader, writer, behaviour)
 
     async def _respond(
         self,
         request: ReceivedRequest,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         behaviour: Behaviour,
     ) -> bool:
         """Sends the response; returns whether the connection stays open."""
         if self.stage and not request.is_prefill:
-            return await self._send_stream(request, writer, behaviour)
+            return await self._send_stream(request, reader, writer, behaviour)
         if behaviour is Behaviour.DISCONNECT:
             writer.transport.abort()
             return False
         if request.is_prefill:
             await asyncio.sleep(self.prefill_s)
             return self._respond_prefill(request, writer)
+        if behaviour is Behaviour.PAUSE:
+            await self._pause(request, reader)
         return self._respond_plain(request, writer, behaviour)
 
+    async def _pause(
+        self, request: ReceivedRequest, reader: asyncio.StreamReader
+    ) -> None:
+        """Waits for the pause to end or the gateway to close."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.pause_s):
+                await reader.read(READ_SIZE_BYTES)
+            self.abandoned_ids.append(request.request_id)
+
     async def _send_without_end(
         self,
         request: ReceivedRequest,
@@ -207,6 +225,7 @@
     async def _send_stream(
         self,
         request: ReceivedRequest,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         behaviour: Behaviour,
     ) -> bool:
@@ -230,6 +249,8 @@
                 await asyncio.sleep(0.01)
                 writer.transport.abort()
                 return False
+            if behaviour is _PAUSES.get(event_id - first_event_id):
+                await self._pause(request, reader)
             writer.write(encode_chunk(event))
             await asyncio.sleep(self.event_gap_s)
         writer.write(encode_chunk(b''))
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
@@ -12,6 +12,9 @@
 EVENTS_BEFORE_DISCONNECT = 3
 """Whole events that ``Behaviour.DISCONNECT`` sends before a partial one."""
 
+EVENTS_BEFORE_PAUSE = 3
+"""Events that ``Behaviour.PAUSE`` sends before the pause."""
+
 OK_LINE = b'HTTP/1.1 200 OK\r\n'
 
 
@@ -31,6 +34,12 @@
     HANG = 'hang'
     """No response comes before the gateway closes the connection."""
 
+    PAUSE = 'pause'
+    """The response, or a stream after some events, comes after a pause."""
+
+    PAUSE_FIRST = 'pause-first'
+    """A stream's first event comes after a pause."""
+
     NO_SEAL = 'unsealed'
     """A plain response has no ``Response-Seal`` header."""
 
@@ -90,6 +99,7 @@
 
 __all__ = (
     'EVENTS_BEFORE_DISCONNECT',
+    'EVENTS_BEFORE_PAUSE',
     'Behaviour',
     'EndlessReply',
     'encode_chunk',
