Give a silent send up only when another send is possible

Callers got a 504 long before their deadline although the engine was sound and would have answered: it was silent before its first event, or before the reply to an idempotent request.

Cause: the timeout of such a send was decided when it began, from the route's number of attempts alone. When it fired, the send was closed even if the retry budget was used up or no other engine could get the request.

When the time is over, the send is now given up only if the route allows a retry, another engine has room and the retry budget allows it. The retry is taken out of the budget at that moment, so that no other request can use it up in between, and the send that follows spends none. Otherwise the wait goes on and the question comes up again after the same time, until the deadline. The logged `waited_s` is now the measured time.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -122,6 +122,7 @@
         self._node = node
         self._admitted = admitted
         self._sends = 0
+        self._has_reserved_retry = False
         self.may_have_run = False
         self.has_timed_out = False
         self.excluded: set[UpstreamId] = set()
@@ -147,15 +148,26 @@
         """Undoes the count of a send that missed the intended upstream."""
         self._sends -= 1
 
+    def try_reserve_retry(self) -> bool:
+        """Returns whether a retry is allowed; it spends retry budget now.
+
+        The next send then spends none.
+        """
+        if not self._has_reserved_retry and self.can_retry:
+            self._has_reserved_retry = self._node.retry_budget.spend(
+                self._admitted.service.service_id,
+                self._node.members.share_count,
+                self._node.clock(),
+            )
+        return self._has_reserved_retry
+
     def try_acquire_send(self) -> bool:
         """Returns whether a send is allowed; a retry spends retry budget."""
         if not self._sends:
             return True
-        return self.can_retry and self._node.retry_budget.spend(
-            self._admitted.service.service_id,
-            self._node.members.share_count,
-            self._node.clock(),
-        )
+        is_allowed = self.can_retry and self.try_reserve_retry()
+        self._has_reserved_retry = False
+        return is_allowed
 
     def set_aside(self, upstream: Upstream) -> None:
         """Excludes an upstream that is silent but may go on."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from catkinreach_core.gateway.placement import StreamPlan
     from catkinreach_core.gateway.wait_queue import WaitQueue
+    from catkinreach_core.ids import UpstreamId
 
     from .stream_context import StreamContext
     from .stream_planner import StreamPlanner
@@ -54,6 +55,11 @@
         """Moves the stream ahead of others, since its prompt is prefilled."""
         self._has_progress = True
 
+    def can_place_elsewhere(self, silent_id: UpstreamId) -> bool:
+        """Returns whether another engine has memory and no stream waits."""
+        queue = self._node.wait_queue(self._admitted.service.service_id)
+        return not queue.count and self._planner.has_room_elsewhere(silent_id)
+
     async def wait_for_plan(self) -> StreamPlan:
         """Waits until an engine has memory; returns the plan of the stream.
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -13,16 +13,21 @@
 from ..http.messages import HttpResponse
 from .admitted_request import Attempts, SendFailure, record_answer
 from .exchange import exchange
+from .send_timeout import send_timeout
 
 if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
     from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import UpstreamId
 
     from .admitted_request import AdmittedRequest
     from .exchange import Reply
     from .node import Node
 
 REPLY_TIMEOUT_RATIO = 0.6
-"""Reply timeout of a retryable request, as a fraction of the latency target."""
+"""Time after which a retryable request may be sent to another upstream, as a
+fraction of the latency target."""
 
 MIN_REMAINING_S = 0.005
 """Time to the deadline below which a request isn't sent."""
@@ -72,10 +77,12 @@
             return self._failure_response
         raise self._attempts.error()
 
-    def _choose_upstream(self) -> Upstream | None:
+    def _choose_upstream(
+        self, silent: AbstractSet[UpstreamId] = frozenset()
+    ) -> Upstream | None:
         service = self._admitted.service
         candidates = self._node.candidates(
-            service.service_id, service, self._attempts.excluded
+            service.service_id, service, self._attempts.excluded | silent
         )
         known = choose_plain_upstream(
             candidates,
@@ -92,7 +99,11 @@
         self._node.cold_rate_limiter.spend(upstream_id)
         self._attempts.count_send()
         try:
-            async with asyncio.timeout(self._reply_timeout_s()):
+            async with send_timeout(
+                self._attempts.remaining_s,
+                self._admitted.route.target_s * REPLY_TIMEOUT_RATIO,
+                lambda: self._may_give_up(upstream_id),
+            ):
                 return await self._exchange(upstream)
         except ConnectError as error:
             self._attempts.record_unreachable(upstream, error)
@@ -105,15 +116,12 @@
             self._node.report_change()
         return None
 
-    def _reply_timeout_s(self) -> float:
-        remaining_s = self._attempts.remaining_s
-        if (
-            not self._admitted.route.is_retryable
-            or not self._attempts.can_retry
-        ):
-            return remaining_s
-        return min(
-            remaining_s, self._admitted.route.target_s * REPLY_TIMEOUT_RATIO
+    def _may_give_up(self, upstream_id: UpstreamId) -> bool:
+        """Returns whether another upstream can get the request now."""
+        return (
+            self._admitted.route.is_retryable
+            and self._choose_upstream({upstream_id}) is not None
+            and self._attempts.try_reserve_retry()
         )
 
     async def _exchange(self, upstream: Upstream) -> HttpResponse | None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
@@ -15,6 +14,7 @@
 from .engine_stream import EngineStream
 from .event_relay import EventRelay
 from .memory_wait import MIN_REMAINING_S, MemoryWait
+from .send_timeout import send_timeout
 from .stream_context import StreamContext
 from .stream_planner import StreamPlanner
 from .stream_prefill import StreamPrefill
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import EngineTraits
     from catkinreach_core.gateway.placement import StreamPlan
+    from catkinreach_core.ids import UpstreamId
 
     from .admitted_request import AdmittedRequest
     from .handover import Handover
@@ -30,7 +31,7 @@
 FIRST_EVENT_SLACK_S = 0.3
 FIRST_EVENT_SLACK_FACTOR = 3.0
 """Factor on the predicted time to the first event; with the slack added, it is
-the timeout of the first event."""
+the time after which another engine may get the stream."""
 
 DEFAULT_PROMPT_TOKENS = 1000
 
@@ -196,11 +197,16 @@
         self._log_placement(plan, resume_after)
         self._attempts.count_send()
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
+        sent_s = self._node.clock()
         wait_s = FIRST_EVENT_SLACK_S
         wait_s += plan.first_token_s * FIRST_EVENT_SLACK_FACTOR
         try:
             with self._handover.overlap() if self._handover else nullcontext():
-                async with asyncio.timeout(self._first_event_timeout_s(wait_s)):
+                async with send_timeout(
+                    self._attempts.remaining_s,
+                    wait_s,
+                    lambda: self._may_give_up(upstream.upstream_id),
+                ):
                     await engine_stream.open(resume_after)
             return await self._check_reply(engine_stream)
         except ConnectError as error:
@@ -210,7 +216,8 @@
             self._attempts.record_disconnect(upstream, error)
         except TimeoutError:
             self._prefill.forget_handle()
-            self._attempts.record_timeout(upstream, waited_s=wait_s)
+            waited_s = round(self._node.clock() - sent_s, 4)
+            self._attempts.record_timeout(upstream, waited_s=waited_s)
         return False
 
     async def _check_reply(self, engine_stream: EngineStream) -> bool:
@@ -231,10 +238,13 @@
             raise ExchangeError('reply without the seal of its upstream')
         return True
 
-    def _first_event_timeout_s(self, wait_s: float) -> float:
-        """Returns the time to wait before another engine is tried."""
-        remaining_s = self._attempts.remaining_s
-        return min(remaining_s, wait_s) if self.can_resume else remaining_s
+    def _may_give_up(self, upstream_id: UpstreamId) -> bool:
+        """Returns whether another engine can get the stream now."""
+        return (
+            self.can_resume
+            and self._memory_wait.can_place_elsewhere(upstream_id)
+            and self._attempts.try_reserve_retry()
+        )
 
     def _log_placement(
         self, plan: StreamPlan, resume_after: int | None
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.placement import Candidate, StreamPlan
+    from catkinreach_core.ids import UpstreamId
 
     from .stream_context import StreamContext
     from .stream_prefill import StreamPrefill
@@ -38,6 +39,18 @@
             need = replace(need, prompt_tokens=0)
         return plan_stream(candidates, need, self._traits)
 
+    def has_room_elsewhere(self, silent_id: UpstreamId) -> bool:
+        """Returns whether a decode engine other than a silent one has memory.
+
+        The memory is that of a stream without a prefilled prompt.
+        """
+        others = [
+            candidate
+            for candidate in self._candidates()
+            if candidate.known.upstream.upstream_id != silent_id
+        ]
+        return plan_stream(others, self._need, self._traits) is not None
+
     def total_decode_memory(self) -> int:
         """Returns the total memory of all usable decode engines, in tokens."""
         decode_engines = sum(
--- a/packages/catkinreach-node/tests/gateway/test_silent_engines.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_engines.py
@@ -5,9 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
 from msgspec.structs import replace
 
-from catkinreach_standins.platform.config import MODEL_SERVICE
+from catkinreach_core.gateway.retry_budget import SLACK_USE
+from catkinreach_standins.platform.config import MODEL_SERVICE, PLAIN_SERVICE
 from catkinreach_standins.platform.deployment import (
     Deployment,
     eventually,
@@ -38,19 +40,29 @@
 
 class _DeploymentWithoutOthers(Deployment):
     def __init__(self) -> None:
-        """Starts with one upstream for each task."""
+        """Starts with one plain upstream and one decode engine."""
         super().__init__()
         del self.upstreams['b'], self.upstreams['e']
 
 
 class _DeploymentWithoutRetries(Deployment):
+    _retries = 0
+
     def settings(self) -> GatewaySettings:
-        """Returns settings with a retry budget of zero."""
+        """Returns settings with a fixed number of retries."""
         settings = super().settings()
-        bounds = replace(settings.bounds, repeat_ratio=0.0, repeat_slack=0.0)
+        slack = self._retries / SLACK_USE
+        bounds = replace(settings.bounds, repeat_ratio=0.0, repeat_slack=slack)
         return replace(settings, bounds=bounds)
 
 
+class _DeploymentWithOneRetry(_DeploymentWithoutRetries):
+    _retries = 1
+
+
+WITHOUT_RETRY = [_DeploymentWithoutOthers, _DeploymentWithoutRetries]
+
+
 def _run(
     scenario: Callable[[Deployment], Awaitable[None]],
     make_deployment: Callable[[], Deployment] = Deployment,
@@ -150,6 +162,49 @@
     _run(scenario)
 
 
+# A sound engine was silent before its first event, and callers got a 504.
+@pytest.mark.parametrize('make_deployment', WITHOUT_RETRY)
+def test_engine_that_starts_slowly_keeps_its_stream(
+    make_deployment: Callable[[], Deployment],
+) -> None:
+    _check_only_engine(Behaviour.PAUSE_FIRST, make_deployment)
+
+
+# A sound upstream was silent before its reply, and callers got a 504.
+@pytest.mark.parametrize('make_deployment', WITHOUT_RETRY)
+def test_upstream_that_replies_slowly_keeps_its_request(
+    make_deployment: Callable[[], Deployment],
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        plain_upstreams = [
+            upstream
+            for upstream in deployment.upstreams.values()
+            if upstream.service == PLAIN_SERVICE
+        ]
+        for upstream in plain_upstreams:
+            upstream.script.append(Behaviour.PAUSE)
+        request = deployment.make_request('/read/')
+        status, body = await _fetch(deployment, request)
+        assert status == 200
+        assert body.decode().endswith(request.header('request-id') or '?')
+        assert sum(len(one.received) for one in plain_upstreams) == 1
+
+    _run(scenario, make_deployment)
+
+
+def test_request_given_up_for_a_retry_spends_the_budget_once() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        first, other = await _script_in_turn(
+            deployment, Behaviour.HANG, Behaviour.SERVE
+        )
+        assert await fetching == (200, WHOLE)
+        assert (len(first.received), len(other.received)) == (1, 1)
+
+    _run(scenario, _DeploymentWithOneRetry)
+
+
 def test_silent_engine_is_replaced_with_the_next_event() -> None:
     async def scenario(deployment: Deployment) -> None:
         _set_pause(deployment, LONG_PAUSE_S)
