Answer a request that arrives before an idle timeout in a busy loop

Callers saw a connection close without an answer or a refusal to a whole request that the process had received.

Cause: the timeout for the head cancelled the connection's task. If the event loop was busy from before the request arrived until after the timeout expired, the bytes and the timer were handled in the same iteration: the task was cancelled while the request was in the buffer of the stream reader. h11 hadn't seen it, so the connection counted as idle and was closed. The same happened with bytes still in the socket's buffer when the timer ran.

Evidence: a test sends a request from a blocking socket, blocks the event loop past the timeout and expects a 200.

The fix works because an expired timeout no longer decides alone: the socket is polled once more and the buffer is read, and only a connection without any byte is closed. The head has its own timeout from its first byte on. The same rule holds for the rest of the head and for the body.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server_bounds.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_bounds.py
@@ -11,10 +11,11 @@
     """Timeouts and size limits of one listening address.
 
     Attributes:
-        head_timeout_s: Timeout for the head of the first request.
+        head_timeout_s: Timeout for the first byte of the first request, and
+            for the head of each request from its first byte on.
         body_timeout_s: Timeout for the body of a request.
-        idle_timeout_s: Timeout for the head of each later request on a
-            keep-alive connection.
+        idle_timeout_s: Timeout for the first byte of each later request on
+            a keep-alive connection.
         max_body_bytes: Largest request body.
         max_head_bytes: Largest request head.
         write_timeout_s: Timeout for the client to read sent data.
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -12,14 +12,13 @@
 
 from .messages import EVENT_STREAM_TYPE, HttpRequest, HttpResponse
 from .problem import problem_response
+from .socket_input import SocketInput
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from .server_bounds import RequestCounter, ServerBounds
 
-READ_SIZE_BYTES = 65_536
-
 _EVENT_STREAM_HEADERS = (
     ('content-type', EVENT_STREAM_TYPE),
     ('cache-control', 'no-store'),
@@ -43,7 +42,7 @@
         """Wraps an accepted connection."""
         self._is_draining = is_draining
         self._request_counter = request_counter
-        self._reader = reader
+        self._input = SocketInput(reader)
         self._writer = writer
         self._serve = serve
         self._bounds = bounds
@@ -103,21 +102,14 @@
         Raises:
             CatkinreachError: if the request is too slow, too large or invalid.
         """
-        try:
-            async with asyncio.timeout(timeout_s):
-                head = await self._next_event()
-        except TimeoutError as error:
-            if self._protocol.trailing_data[0]:
-                raise CatkinreachError(ErrorKind.TOO_SLOW) from error
+        if not await self._wait_for_input(timeout_s):
             return None
+        loop = asyncio.get_running_loop()
+        head = await self._next_event(loop.time() + self._bounds.head_timeout_s)
         if not isinstance(head, h11.Request):
             return None
         _check_framing(head)
-        try:
-            async with asyncio.timeout(self._bounds.body_timeout_s):
-                body = await self._read_body()
-        except TimeoutError as error:
-            raise CatkinreachError(ErrorKind.TOO_SLOW) from error
+        body = await self._read_body(loop.time() + self._bounds.body_timeout_s)
         return HttpRequest(
             method=head.method.decode('ascii'),
             target=head.target.decode('latin-1'),
@@ -128,11 +120,21 @@
             body=body,
         )
 
-    async def _read_body(self) -> bytes:
+    async def _wait_for_input(self, timeout_s: float) -> bool:
+        """Returns whether bytes, or the end of the input, arrive in time."""
+        if self._protocol.trailing_data[0]:
+            return True
+        chunk = await self._input.read_within(asyncio.timeout(timeout_s))
+        if chunk is None:
+            return False
+        self._protocol.receive_data(chunk)
+        return True
+
+    async def _read_body(self, deadline_s: float) -> bytes:
         parts: list[bytes] = []
         size = 0
         while True:
-            event = await self._next_event()
+            event = await self._next_event(deadline_s)
             if isinstance(event, h11.EndOfMessage):
                 return b''.join(parts)
             if not isinstance(event, h11.Data):
@@ -142,7 +144,14 @@
                 raise CatkinreachError(ErrorKind.TOO_LARGE)
             parts.append(bytes(event.data))
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(
+        self, deadline_s: float
+    ) -> h11.Event | type[h11.PAUSED]:
+        """Returns the next event of a request.
+
+        Raises:
+            CatkinreachError: if it hasn't arrived by the deadline.
+        """
         while True:
             event = self._protocol.next_event()
             if not isinstance(event, type) or event is h11.PAUSED:
@@ -151,9 +160,12 @@
                 await self._send(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
-            self._protocol.receive_data(
-                await self._reader.read(READ_SIZE_BYTES)
+            chunk = await self._input.read_within(
+                asyncio.timeout_at(deadline_s)
             )
+            if chunk is None:
+                raise CatkinreachError(ErrorKind.TOO_SLOW)
+            self._protocol.receive_data(chunk)
 
     async def _answer_unless_disconnected(self, request: HttpRequest) -> bool:
         """Serves a request and cancels it if the client disconnects.
@@ -181,7 +193,7 @@
 
     async def _watch_disconnect(self) -> bool:
         """Returns whether the client disconnects before it sends more data."""
-        chunk = await self._reader.read(READ_SIZE_BYTES)
+        chunk = await self._input.read()
         if chunk:
             self._protocol.receive_data(chunk)
         return not chunk
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/http/socket_input.py
@@ -0,0 +1,44 @@
+"""Bytes that arrive on a connection, read with a timeout."""
+
+from __future__ import annotations
+
+import asyncio
+
+READ_SIZE_BYTES = 65_536
+
+
+class SocketInput:
+    """Reads from a connection and loses no byte to a timeout."""
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        """Reads from an open connection."""
+        self._reader = reader
+
+    async def read(self) -> bytes:
+        """Returns the next bytes, none at the end of the input."""
+        return await self._reader.read(READ_SIZE_BYTES)
+
+    async def read_within(self, limit: asyncio.Timeout) -> bytes | None:
+        """Returns the next bytes; ``None`` if none arrived in time."""
+        try:
+            async with limit:
+                return await self.read()
+        except TimeoutError:
+            return await self._read_available()
+
+    async def _read_available(self) -> bytes | None:
+        """Returns bytes that have arrived; ``None`` if there are none.
+
+        If the event loop was busy when a timeout expired, bytes that arrived
+        in time are still in the buffer of the stream or of the socket. The
+        timer of ``asyncio.wait`` runs after the loop has polled the sockets.
+        """
+        read_task = asyncio.ensure_future(self.read())
+        try:
+            await asyncio.wait({read_task}, timeout=0)
+            return read_task.result() if read_task.done() else None
+        finally:
+            read_task.cancel()
+
+
+__all__ = ('SocketInput',)
--- /dev/null
+++ b/packages/catkinreach-node/tests/http/test_server_connections.py
@@ -0,0 +1,97 @@
+"""A request that has arrived is answered, whatever the connection does."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import pytest
+
+from catkinreach_core.settings.node import Address
+from catkinreach_node.http.messages import HttpRequest, HttpResponse
+from catkinreach_node.http.server import HttpServer
+from catkinreach_node.http.server_bounds import ServerBounds
+from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+TIMEOUT_S = 0.2
+BOUNDS = ServerBounds(head_timeout_s=TIMEOUT_S, idle_timeout_s=TIMEOUT_S)
+REQUEST = b'GET /x HTTP/1.1\r\nhost: edge\r\n\r\n'
+
+
+async def _serve(request: HttpRequest) -> HttpResponse:
+    return HttpResponse.from_json(200, {'bytes': len(request.body)})
+
+
+class _Client:
+    """Client whose bytes are sent without the event loop."""
+
+    def __init__(self, address: Address) -> None:
+        self._socket = socket.create_connection((address.host, address.port))
+        self._socket.settimeout(10)
+
+    def send(self, raw: bytes = REQUEST) -> None:
+        self._socket.sendall(raw)
+
+    async def receive(self) -> bytes:
+        """Returns one response, empty if the connection closes before it."""
+        return await asyncio.to_thread(self._receive)
+
+    def _receive(self) -> bytes:
+        try:
+            return self._socket.recv(65_536)
+        except ConnectionError:
+            return b''
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+@asynccontextmanager
+async def _server(
+    bounds: ServerBounds = BOUNDS,
+) -> AsyncIterator[tuple[HttpServer, _Client]]:
+    """Runs a server with one accepted connection."""
+    server = HttpServer(_serve, name='test', bounds=bounds)
+    address = Address(LOOPBACK, free_ports(1)[0])
+    await server.start(address)
+    client = _Client(address)
+    while not server.connection_count:  # noqa: ASYNC110
+        await asyncio.sleep(0.001)
+    try:
+        yield server, client
+    finally:
+        client.close()
+        server.close()
+
+
+def _run_after_iterations(count: int, action: Callable[[], object]) -> None:
+    """Runs an action after some iterations of the event loop."""
+    loop = asyncio.get_running_loop()
+    if count:
+        loop.call_soon(_run_after_iterations, count - 1, action)
+    else:
+        action()
+
+
+@pytest.mark.parametrize('is_first_request', [True, False])
+@pytest.mark.parametrize('iterations_before_send', [0, 1])
+def test_request_lost_when_idle_timeout_ends_in_busy_event_loop(
+    *, is_first_request: bool, iterations_before_send: int
+) -> None:
+    # The task was cancelled although the request was in the read buffer.
+    async def run() -> bytes:
+        async with _server() as (_, client):
+            if not is_first_request:
+                client.send()
+                assert b' 200 ' in await client.receive()
+            _run_after_iterations(iterations_before_send, client.send)
+            time.sleep(2 * TIMEOUT_S)  # noqa: ASYNC251 - blocks the loop
+            return await client.receive()
+
+    assert b' 200 ' in asyncio.run(run())
