Serve a request that arrives while the server stops

Callers saw an open connection close without an answer to a whole request that they had sent on it before the process stopped accepting.

Cause: at the stop the server closed, from outside, each connection whose h11 state was idle. A request in the buffer of the stream reader or of the socket isn't in that state yet. The process then waited only for requests in flight, so that a connection about to read one could be cut off as well. A connection also dropped a further request that it had read during a response.

Evidence: a test sends a request and stops the server 0 to 4 iterations of the event loop later. Before the fix the answer was empty for 0 and 1 iterations, and for 2 it didn't announce the end of the connection; with two pipelined requests the client got no answer to either. All pass now.

The fix works because the stop only ends the wait of an idle connection. The connection itself reads what has arrived, serves it, and closes when nothing is left; its last response carries 'connection: close'. The process waits until the connections have closed, within the same grace as before.

--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -132,7 +132,7 @@
                 logger.error('node: hand-over of {} timed out.', component.name)
         try:
             async with asyncio.timeout(DRAIN_TIMEOUT_S):
-                await self._caller_server.request_counter.wait_idle()
+                await self._caller_server.wait_connections_closed()
                 await self._wiring.orders.wait_idle()
         except TimeoutError:
             logger.error('node: drain timed out with requests in flight.')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -150,7 +150,7 @@
         self._ingress.close_idle_connections()
         try:
             async with asyncio.timeout(grace_s - linger_s):
-                await self._ingress.request_counter.wait_idle()
+                await self._ingress.wait_connections_closed()
         except TimeoutError:
             self._node.log.write(
                 Event.STOPPING, running=self._ingress.request_counter.running
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -39,6 +39,8 @@
         self._connections: set[ServerConnection] = set()
         self._request_counter = RequestCounter()
         self._is_draining = False
+        self._all_closed = asyncio.Event()
+        self._all_closed.set()
 
     @property
     def request_counter(self) -> RequestCounter:
@@ -69,11 +71,18 @@
         self._bounds = bounds
 
     def close_idle_connections(self) -> None:
-        """Closes idle connections now, the others after their response."""
+        """Closes idle connections now, the others after their response.
+
+        Requests that have arrived are still served: wait for
+        ``wait_connections_closed`` before ``close``.
+        """
         self._is_draining = True
         for connection in tuple(self._connections):
-            if connection.is_idle:
-                connection.close()
+            connection.close_if_idle()
+
+    async def wait_connections_closed(self) -> None:
+        """Waits until no connection is open."""
+        await self._all_closed.wait()
 
     def close(self) -> None:
         """Closes the listening socket and every connection."""
@@ -103,6 +112,7 @@
             writer.close()
             return
         self._connections.add(connection)
+        self._all_closed.clear()
         try:
             await connection.run()
         except (OSError, h11.ProtocolError):
@@ -117,8 +127,13 @@
                 self._name,
             )
         finally:
-            self._connections.discard(connection)
             writer.close()
+            self._discard(connection)
+
+    def _discard(self, connection: ServerConnection) -> None:
+        self._connections.discard(connection)
+        if not self._connections:
+            self._all_closed.set()
 
 
 __all__ = ('HttpServer',)
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_bounds.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_bounds.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 
 
@@ -37,8 +36,6 @@
     def __init__(self) -> None:
         """Starts with no request in flight."""
         self._running = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     @property
     def running(self) -> int:
@@ -48,17 +45,10 @@
     def begin(self) -> None:
         """Counts a request as in flight."""
         self._running += 1
-        self._idle.clear()
 
     def end(self) -> None:
         """Counts a request as finished."""
         self._running -= 1
-        if not self._running:
-            self._idle.set()
-
-    async def wait_idle(self) -> None:
-        """Waits until no request is in flight."""
-        await self._idle.wait()
 
 
 __all__ = ('RequestCounter', 'ServerBounds')
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from .messages import Headers
     from .server_bounds import RequestCounter, ServerBounds
 
 _EVENT_STREAM_HEADERS = (
@@ -46,35 +47,40 @@
         self._writer = writer
         self._serve = serve
         self._bounds = bounds
+        self._idle_wait: asyncio.Timeout | None = None
         self._protocol = h11.Connection(
             our_role=h11.SERVER,
             max_incomplete_event_size=bounds.max_head_bytes,
         )
 
-    @property
-    def is_idle(self) -> bool:
-        """Returns whether no byte of a request has arrived."""
-        return (
-            self._protocol.states[h11.CLIENT] is h11.IDLE
-            and not self._protocol.trailing_data[0]
-        )
+    def close_if_idle(self) -> None:
+        """Lets the connection close unless bytes of a request have arrived.
+
+        The connection decides: such bytes may still be in a buffer.
+        """
+        wait = self._idle_wait
+        if wait is not None and not wait.expired():
+            wait.reschedule(asyncio.get_running_loop().time())
 
     def close(self) -> None:
         """Closes the socket."""
         self._writer.close()
 
     async def run(self) -> None:
-        """Serves requests until the connection closes or the server drains."""
+        """Serves requests until the connection closes.
+
+        While the server drains, requests that have arrived are still served.
+        """
         timeout_s = self._bounds.head_timeout_s
         while await self._serve_next_request(timeout_s):
-            if self._is_draining():
-                return
             if self._protocol.our_state is not h11.DONE:
                 return
             if self._protocol.their_state is not h11.DONE:
                 return
             self._protocol.start_next_cycle()
-            timeout_s = self._bounds.idle_timeout_s
+            timeout_s = (
+                0 if self._is_draining() else self._bounds.idle_timeout_s
+            )
 
     async def _serve_next_request(self, timeout_s: float) -> bool:
         """Reads and serves a request; returns False to close the connection."""
@@ -124,7 +130,11 @@
         """Returns whether bytes, or the end of the input, arrive in time."""
         if self._protocol.trailing_data[0]:
             return True
-        chunk = await self._input.read_within(asyncio.timeout(timeout_s))
+        self._idle_wait = asyncio.timeout(timeout_s)
+        try:
+            chunk = await self._input.read_within(self._idle_wait)
+        finally:
+            self._idle_wait = None
         if chunk is None:
             return False
         self._protocol.receive_data(chunk)
@@ -213,6 +223,7 @@
         head = h11.Response(
             status_code=response.status,
             headers=[
+                *self._connection_headers(response),
                 *response.headers,
                 ('content-length', str(len(response.body))),
             ],
@@ -221,7 +232,7 @@
 
     async def _send_stream(self, response: HttpResponse) -> None:
         assert response.stream is not None  # noqa: S101 - narrows the type
-        headers = response.headers
+        headers = [*self._connection_headers(response), *response.headers]
         if not any(name == 'content-type' for name, _ in headers):
             headers = [*_EVENT_STREAM_HEADERS, *headers]
         head = h11.Response(status_code=response.status, headers=headers)
@@ -231,6 +242,18 @@
                 await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
 
+    def _connection_headers(self, response: HttpResponse) -> Headers:
+        """Returns the header that announces the end of the connection.
+
+        It isn't sent while another request has arrived: a client takes the
+        requests after such a response as not received.
+        """
+        is_announced = any(name == 'connection' for name, _ in response.headers)
+        has_input = bool(self._protocol.trailing_data[0])
+        if is_announced or has_input or not self._is_draining():
+            return []
+        return [('connection', 'close')]
+
     async def refuse(self, error: CatkinreachError) -> None:
         """Sends an error response unless a response has already started."""
         if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
--- a/packages/catkinreach-node/tests/http/test_server_connections.py
+++ b/packages/catkinreach-node/tests/http/test_server_connections.py
@@ -21,6 +21,9 @@
 
 TIMEOUT_S = 0.2
 BOUNDS = ServerBounds(head_timeout_s=TIMEOUT_S, idle_timeout_s=TIMEOUT_S)
+ITERATIONS_TO_ANSWER = 3
+"""Iterations of the event loop from an arrived request to its answer."""
+
 REQUEST = b'GET /x HTTP/1.1\r\nhost: edge\r\n\r\n'
 
 
@@ -95,3 +98,50 @@
             return await client.receive()
 
     assert b' 200 ' in asyncio.run(run())
+
+
+async def _stop(server: HttpServer) -> None:
+    """Stops a server as the processes do."""
+    await server.stop_accepting()
+    server.close_idle_connections()
+    await server.wait_connections_closed()
+    server.close()
+
+
+@pytest.mark.parametrize('iterations', range(5))
+def test_request_lost_when_server_stops_while_it_arrives(
+    iterations: int,
+) -> None:
+    # An idle connection was closed with a request in its read buffer.
+    async def run() -> bytes:
+        async with _server(ServerBounds()) as (server, client):
+            client.send()
+            assert b' 200 ' in await client.receive()
+            stopping: list[asyncio.Task[None]] = []
+            client.send()
+            _run_after_iterations(
+                iterations,
+                lambda: stopping.append(asyncio.create_task(_stop(server))),
+            )
+            answer = await client.receive()
+            await stopping[0]
+            return answer
+
+    answer = asyncio.run(run())
+    assert b' 200 ' in answer
+    if iterations < ITERATIONS_TO_ANSWER:
+        assert b'connection: close' in answer.lower()
+
+
+def test_pipelined_request_lost_when_server_stops() -> None:
+    # The connection closed after the response although a request was read.
+    async def run() -> bytes:
+        async with _server(ServerBounds()) as (server, client):
+            client.send(REQUEST + REQUEST)
+            _run_after_iterations(2, server.close_idle_connections)
+            received = b''
+            while chunk := await client.receive():
+                received += chunk
+            return received
+
+    assert asyncio.run(run()).count(b' 200 ') == 2
