Send no body in responses that can't have one

Callers saw the connection close without an answer to a HEAD request that was refused; to a streamed one they got a head and then the close. A 204 or 304 response carried a content-length, which RFC 9110 doesn't allow for 204.

Cause: the server handed the body of every response to h11, which rejects body data in a response to HEAD; the error ended the connection.

Evidence: a test sends each request twice on one connection, and then another one. Before the fix it received nothing for the refused HEAD request (expected 404, 404, 200), one head for the streamed one, and a content-length with 204 and 304. HEAD with an empty body passed before and after.

The fix works because the server decides by the request's method and the response's status whether a body is sent, for refusals as well.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -17,9 +17,11 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from .messages import Headers
+    from .messages import BodyStream, Headers
     from .server_bounds import RequestCounter, ServerBounds
 
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
 _EVENT_STREAM_HEADERS = (
     ('content-type', EVENT_STREAM_TYPE),
     ('cache-control', 'no-store'),
@@ -48,6 +50,7 @@
         self._serve = serve
         self._bounds = bounds
         self._idle_wait: asyncio.Timeout | None = None
+        self._is_head_request = False
         self._protocol = h11.Connection(
             our_role=h11.SERVER,
             max_incomplete_event_size=bounds.max_head_bytes,
@@ -78,6 +81,7 @@
             if self._protocol.their_state is not h11.DONE:
                 return
             self._protocol.start_next_cycle()
+            self._is_head_request = False
             timeout_s = (
                 0 if self._is_draining() else self._bounds.idle_timeout_s
             )
@@ -114,6 +118,7 @@
         head = await self._next_event(loop.time() + self._bounds.head_timeout_s)
         if not isinstance(head, h11.Request):
             return None
+        self._is_head_request = head.method == b'HEAD'
         _check_framing(head)
         body = await self._read_body(loop.time() + self._bounds.body_timeout_s)
         return HttpRequest(
@@ -213,35 +218,43 @@
             response = await self._serve(request)
         except CatkinreachError as error:
             response = problem_response(error)
-        if response.stream is None:
-            await self._send_whole(response)
-        else:
-            await self._send_stream(response)
+        await self._send_response(response)
         return True
 
-    async def _send_whole(self, response: HttpResponse) -> None:
+    async def _send_response(self, response: HttpResponse) -> None:
         head = h11.Response(
             status_code=response.status,
-            headers=[
-                *self._connection_headers(response),
-                *response.headers,
-                ('content-length', str(len(response.body))),
-            ],
+            headers=self._response_headers(response),
         )
-        await self._send(head, h11.Data(data=response.body), h11.EndOfMessage())
+        if self._is_head_request or response.status in STATUSES_WITHOUT_BODY:
+            if response.stream is not None:
+                await response.stream.aclose()
+            await self._send(head, h11.EndOfMessage())
+        elif response.stream is None:
+            data = h11.Data(data=response.body)
+            await self._send(head, data, h11.EndOfMessage())
+        else:
+            await self._send_stream(head, response.stream)
 
-    async def _send_stream(self, response: HttpResponse) -> None:
-        assert response.stream is not None  # noqa: S101 - narrows the type
-        headers = [*self._connection_headers(response), *response.headers]
-        if not any(name == 'content-type' for name, _ in headers):
-            headers = [*_EVENT_STREAM_HEADERS, *headers]
-        head = h11.Response(status_code=response.status, headers=headers)
-        async with aclosing(response.stream) as chunks:
+    async def _send_stream(
+        self, head: h11.Response, stream: BodyStream
+    ) -> None:
+        async with aclosing(stream) as chunks:
             await self._send(head)
             async for chunk in chunks:
                 await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
 
+    def _response_headers(self, response: HttpResponse) -> Headers:
+        headers = [*self._connection_headers(response), *response.headers]
+        if response.status in STATUSES_WITHOUT_BODY:
+            return headers
+        if response.stream is None:
+            return [*headers, ('content-length', str(len(response.body)))]
+        if any(name == 'content-type' for name, _ in headers):
+            return headers
+        return [*_EVENT_STREAM_HEADERS, *headers]
+
     def _connection_headers(self, response: HttpResponse) -> Headers:
         """Returns the header that announces the end of the connection.
 
@@ -261,7 +274,7 @@
         response = problem_response(error)
         response.headers.append(('connection', 'close'))
         with suppress(OSError, h11.LocalProtocolError):
-            await self._send_whole(response)
+            await self._send_response(response)
 
     async def _send(self, *events: h11.Event) -> None:
         chunks = [self._protocol.send(event) for event in events]
--- /dev/null
+++ b/packages/catkinreach-node/tests/http/test_server_responses.py
@@ -0,0 +1,77 @@
+"""Every request gets a response, whatever its response contains."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.settings.node import Address
+from catkinreach_node.http.messages import HttpRequest, HttpResponse
+from catkinreach_node.http.server import HttpServer
+from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+
+async def _events() -> AsyncGenerator[bytes, None]:
+    yield b'data: 1\n\n'
+
+
+async def _serve(request: HttpRequest) -> HttpResponse:
+    await asyncio.sleep(0)
+    status = request.path.strip('/')
+    match status:
+        case 'problem':
+            raise CatkinreachError(ErrorKind.ROUTE_UNKNOWN)
+        case 'stream':
+            return HttpResponse(200, stream=_events())
+        case _:
+            return HttpResponse(int(status), [('x-note', 'a')], b'')
+
+
+def _exchange(path: str, method: str = 'GET') -> bytes:
+    """Returns all that the server sends."""
+    raw = f'{method} /{path} HTTP/1.1\r\nhost: edge\r\n\r\n'.encode()
+    return asyncio.run(_send_twice(raw))
+
+
+async def _send_twice(raw: bytes) -> bytes:
+    """Sends a request and then the same one again on one connection."""
+    server = HttpServer(_serve, name='test')
+    address = Address(LOOPBACK, free_ports(1)[0])
+    await server.start(address)
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    try:
+        writer.write(raw + raw)
+        writer.write(b'GET /200 HTTP/1.1\r\nhost: edge\r\n')
+        writer.write(b'connection: close\r\n\r\n')
+        return await asyncio.wait_for(reader.read(), 10)
+    finally:
+        writer.close()
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ('path', 'method', 'status'),
+    [
+        ('problem', 'HEAD', 404),
+        ('stream', 'HEAD', 200),
+        ('200', 'HEAD', 200),
+        ('204', 'GET', 204),
+        ('304', 'GET', 304),
+    ],
+)
+def test_response_without_body_closes_connection(
+    path: str, method: str, status: int
+) -> None:
+    # h11 rejected the body of a response that can't have one.
+    received = _exchange(path, method)
+    heads = received.split(b'\r\n\r\n')
+    statuses = [int(head.split()[1]) for head in heads if head]
+    assert statuses == [status, status, 200]
+    if status in {204, 304}:
+        assert b'content-length' not in heads[0]
