Pass on header bytes outside ASCII

Callers saw the connection close without an answer to a request whose engine had run it and replied with a header that contains a byte above 127. A request with such a header was refused with 500.

Cause: header bytes are decoded as latin-1 when they are received, and h11 encodes strings as ASCII when they are sent. The UnicodeEncodeError was handled nowhere on the way of a response.

Evidence: found by reading. Before the fix the test of a response received nothing, and the test of a request ended with UnicodeEncodeError; both pass now.

The fix works because headers are encoded as they were decoded, in the server and in the client, so that each received byte is sent unchanged.

--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from .messages import encode_headers
+
 if TYPE_CHECKING:
     from catkinreach_core.settings.node import Address
 
@@ -86,7 +88,9 @@
         if request.header('host') is None:
             headers.insert(0, ('host', host))
         head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+            method=request.method,
+            target=request.target,
+            headers=encode_headers(headers),
         )
         body = (h11.Data(data=request.body),) if request.body else ()
         self._sent_events = (head, *body, h11.EndOfMessage())
--- a/packages/catkinreach-node/src/catkinreach_node/http/messages.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/messages.py
@@ -12,6 +12,8 @@
 
 Headers: TypeAlias = list[tuple[str, str]]
 
+RawHeaders: TypeAlias = list[tuple[bytes, bytes]]
+
 JSON_TYPE = 'application/json'
 PROBLEM_TYPE = 'application/problem+json'
 EVENT_STREAM_TYPE = 'text/event-stream'
@@ -27,6 +29,14 @@
         """Ends the body, also before its first chunk was requested."""
 
 
+def encode_headers(headers: Headers) -> RawHeaders:
+    """Returns headers as sent; a received byte above 127 stays the same."""
+    return [
+        (name.encode('latin-1'), content.encode('latin-1'))
+        for name, content in headers
+    ]
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request with its whole body.
@@ -94,4 +104,6 @@
     'Headers',
     'HttpRequest',
     'HttpResponse',
+    'RawHeaders',
+    'encode_headers',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -10,7 +10,12 @@
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 
-from .messages import EVENT_STREAM_TYPE, HttpRequest, HttpResponse
+from .messages import (
+    EVENT_STREAM_TYPE,
+    HttpRequest,
+    HttpResponse,
+    encode_headers,
+)
 from .problem import problem_response
 from .socket_input import SocketInput
 
@@ -224,7 +229,7 @@
     async def _send_response(self, response: HttpResponse) -> None:
         head = h11.Response(
             status_code=response.status,
-            headers=self._response_headers(response),
+            headers=encode_headers(self._response_headers(response)),
         )
         if self._is_head_request or response.status in STATUSES_WITHOUT_BODY:
             if response.stream is not None:
--- a/packages/catkinreach-node/tests/http/test_server_responses.py
+++ b/packages/catkinreach-node/tests/http/test_server_responses.py
@@ -9,6 +9,7 @@
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.settings.node import Address
+from catkinreach_node.http.client import HttpClient
 from catkinreach_node.http.messages import HttpRequest, HttpResponse
 from catkinreach_node.http.server import HttpServer
 from catkinreach_standins.bench.ports import LOOPBACK, free_ports
@@ -29,6 +30,8 @@
             raise CatkinreachError(ErrorKind.ROUTE_UNKNOWN)
         case 'stream':
             return HttpResponse(200, stream=_events())
+        case 'latin':
+            return HttpResponse(200, [('x-note', 'caf\xe9')], b'ok')
         case _:
             return HttpResponse(int(status), [('x-note', 'a')], b'')
 
@@ -39,11 +42,16 @@
     return asyncio.run(_send_twice(raw))
 
 
-async def _send_twice(raw: bytes) -> bytes:
-    """Sends a request and then the same one again on one connection."""
+async def _start_server() -> tuple[HttpServer, Address]:
     server = HttpServer(_serve, name='test')
     address = Address(LOOPBACK, free_ports(1)[0])
     await server.start(address)
+    return server, address
+
+
+async def _send_twice(raw: bytes) -> bytes:
+    """Sends a request and then the same one again on one connection."""
+    server, address = await _start_server()
     reader, writer = await asyncio.open_connection(address.host, address.port)
     try:
         writer.write(raw + raw)
@@ -75,3 +83,26 @@
     assert statuses == [status, status, 200]
     if status in {204, 304}:
         assert b'content-length' not in heads[0]
+
+
+def test_header_outside_ascii_closes_connection() -> None:
+    # A header of an engine's reply could not be encoded as ASCII.
+    received = _exchange('latin')
+    assert received.count(b'x-note: caf\xe9\r\n') == 2
+
+
+def test_header_outside_ascii_is_not_forwarded() -> None:
+    # A header of a caller's request could not be encoded as ASCII.
+    async def run() -> int:
+        server, address = await _start_server()
+        client = HttpClient()
+        try:
+            status, _ = await client.call_raw(
+                address, HttpRequest('GET', '/latin', [('x-note', 'caf\xe9')])
+            )
+        finally:
+            client.close()
+            server.close()
+        return status
+
+    assert asyncio.run(run()) == 200
