Let open connections follow changed limits at once

Callers saw an open connection close while they reused it within the idle timeout of a new configuration, so that a whole request got no answer beside the change. A head that the new configuration allows was refused with 400 on a connection opened before.

Cause: a connection kept the bounds that were in force when it was accepted, and the wait of an idle connection kept the timeout with which it began.

The fix works because a connection reads the current bounds at each use and, when an idle wait expires, again before it closes. The limits are applied together with the configuration that holds them.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from catkinreach_core.gateway.catalog import Catalog
     from catkinreach_core.gateway.feed import StoreFeed
 
     from ..http.messages import HttpRequest
@@ -73,6 +74,7 @@
         )
         self._ready = HttpServer(self._answer_ready, name='ready')
         self._metrics = HttpServer(self._answer_metrics, name='metrics')
+        self._node.apply_limits = self._apply_limits
         self._peers = PeerLink(self._node)
         self._store = StoreTask(self._node, feed)
         self._probes = ProbeTask(self._node)
@@ -167,7 +169,6 @@
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
-            self._apply_limits()
             try:
                 settings = self._reload()
             except Exception as error:  # noqa: BLE001 - the old settings stay
@@ -180,10 +181,7 @@
                 self._node.members.set_seeds(settings.peer_hosts)
                 self._node.log.write(Event.RELOAD, outcome='taken')
 
-    def _apply_limits(self) -> None:
-        catalog = self._node.view.catalog
-        if catalog is None:
-            return
+    def _apply_limits(self, catalog: Catalog) -> None:
         limits = catalog.limits
         self._ingress.set_bounds(
             ServerBounds(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -38,7 +38,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from catkinreach_core.gateway.catalog import ServiceTraits
+    from catkinreach_core.gateway.catalog import Catalog, ServiceTraits
     from catkinreach_core.gateway.load_table import UpstreamLoad
     from catkinreach_core.gateway.metadata import KvHandle
     from catkinreach_core.gateway.upstream import Upstream
@@ -95,6 +95,7 @@
         self.switching_engines = SwitchingEngines()
         self.peer_handlers: dict[type[object], Callable[[Any], None]] = {}
         self.send_datagram: Callable[[str, bytes], None] = _drop_datagram
+        self.apply_limits: Callable[[Catalog], None] = _ignore_limits
         self.aggregators = AggregatorChoice()
         self.load_queries = LoadQueries(self)
         self.load_changed = asyncio.Event()
@@ -258,6 +259,11 @@
         )
 
 
+def _ignore_limits(catalog: Catalog) -> None:
+    """Stands for the server of the callers until it exists."""
+    del catalog
+
+
 def _drop_datagram(host: str, data: bytes) -> None:
     """Stands for the socket until it is open."""
     del host, data
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
@@ -71,6 +71,7 @@
 
     def _apply_catalog(self, catalog: Catalog) -> None:
         if self._node.view.accept_catalog(catalog):
+            self._node.apply_limits(catalog)
             self._node.log.write(
                 Event.CATALOG,
                 version=catalog.version,
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -67,7 +67,7 @@
             self._server.close()
 
     def set_bounds(self, bounds: ServerBounds) -> None:
-        """Sets the bounds for connections that are accepted from now on."""
+        """Sets the bounds; open connections follow them, too."""
         self._bounds = bounds
 
     def close_idle_connections(self) -> None:
@@ -98,7 +98,7 @@
             reader,
             writer,
             self._serve,
-            self._bounds,
+            lambda: self._bounds,
             self._request_counter,
             lambda: self._is_draining,
         )
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -43,7 +43,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         serve: RequestHandler,
-        bounds: ServerBounds,
+        read_bounds: Callable[[], ServerBounds],
         request_counter: RequestCounter,
         is_draining: Callable[[], bool],
     ) -> None:
@@ -53,13 +53,17 @@
         self._input = SocketInput(reader)
         self._writer = writer
         self._serve = serve
-        self._bounds = bounds
+        self._read_bounds = read_bounds
         self._idle_wait: asyncio.Timeout | None = None
         self._is_head_request = False
-        self._protocol = h11.Connection(
-            our_role=h11.SERVER,
-            max_incomplete_event_size=bounds.max_head_bytes,
-        )
+        self._is_first_request = True
+        self._max_head_bytes = self._bounds.max_head_bytes
+        self._protocol = _new_protocol(self._max_head_bytes)
+
+    @property
+    def _bounds(self) -> ServerBounds:
+        """Returns the current bounds; they may change at any time."""
+        return self._read_bounds()
 
     def close_if_idle(self) -> None:
         """Lets the connection close unless bytes of a request have arrived.
@@ -79,22 +83,19 @@
 
         While the server drains, requests that have arrived are still served.
         """
-        timeout_s = self._bounds.head_timeout_s
-        while await self._serve_next_request(timeout_s):
+        while await self._serve_next_request():
             if self._protocol.our_state is not h11.DONE:
                 return
             if self._protocol.their_state is not h11.DONE:
                 return
             self._protocol.start_next_cycle()
             self._is_head_request = False
-            timeout_s = (
-                0 if self._is_draining() else self._bounds.idle_timeout_s
-            )
+            self._is_first_request = False
 
-    async def _serve_next_request(self, timeout_s: float) -> bool:
+    async def _serve_next_request(self) -> bool:
         """Reads and serves a request; returns False to close the connection."""
         try:
-            request = await self._read_request(timeout_s)
+            request = await self._read_request()
         except CatkinreachError as error:
             await self.refuse(error)
             return False
@@ -111,14 +112,15 @@
         finally:
             self._request_counter.end()
 
-    async def _read_request(self, timeout_s: float) -> HttpRequest | None:
+    async def _read_request(self) -> HttpRequest | None:
         """Returns the next request, ``None`` if the client sends none.
 
         Raises:
             CatkinreachError: if the request is too slow, too large or invalid.
         """
-        if not await self._wait_for_input(timeout_s):
+        if not await self._wait_for_input():
             return None
+        self._apply_head_limit()
         loop = asyncio.get_running_loop()
         head = await self._next_event(loop.time() + self._bounds.head_timeout_s)
         if not isinstance(head, h11.Request):
@@ -136,20 +138,56 @@
             body=body,
         )
 
-    async def _wait_for_input(self, timeout_s: float) -> bool:
-        """Returns whether bytes, or the end of the input, arrive in time."""
+    async def _wait_for_input(self) -> bool:
+        """Returns whether bytes, or the end of the input, arrive in time.
+
+        The timeout may change during the wait.
+        """
         if self._protocol.trailing_data[0]:
             return True
-        self._idle_wait = asyncio.timeout(timeout_s)
-        try:
-            chunk = await self._input.read_within(self._idle_wait)
-        finally:
-            self._idle_wait = None
+        chunk = await self._read_first_bytes(asyncio.get_running_loop().time())
         if chunk is None:
             return False
         self._protocol.receive_data(chunk)
         return True
 
+    async def _read_first_bytes(self, started_s: float) -> bytes | None:
+        while not self._is_expired(started_s):
+            until_s = started_s + self._input_timeout_s()
+            self._idle_wait = asyncio.timeout_at(until_s)
+            try:
+                async with self._idle_wait:
+                    return await self._input.read()
+            except TimeoutError:
+                continue
+            finally:
+                self._idle_wait = None
+        return await self._input.read_available()
+
+    def _is_expired(self, started_s: float) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return started_s + self._input_timeout_s() <= now_s
+
+    def _input_timeout_s(self) -> float:
+        if self._is_draining():
+            return 0
+        if self._is_first_request:
+            return self._bounds.head_timeout_s
+        return self._bounds.idle_timeout_s
+
+    def _apply_head_limit(self) -> None:
+        """Applies a changed size limit to the head that is read next."""
+        max_head_bytes = self._bounds.max_head_bytes
+        if max_head_bytes == self._max_head_bytes:
+            return
+        self._max_head_bytes = max_head_bytes
+        received, is_closed = self._protocol.trailing_data
+        self._protocol = _new_protocol(max_head_bytes)
+        if received:
+            self._protocol.receive_data(received)
+        if is_closed:
+            self._protocol.receive_data(b'')
+
     async def _read_body(self, deadline_s: float) -> bytes:
         parts: list[bytes] = []
         size = 0
@@ -307,6 +345,12 @@
             ) from error
 
 
+def _new_protocol(max_head_bytes: int) -> h11.Connection:
+    return h11.Connection(
+        our_role=h11.SERVER, max_incomplete_event_size=max_head_bytes
+    )
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuses a request whose body length is ambiguous.
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/socket_input.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/socket_input.py
@@ -19,16 +19,21 @@
         return await self._reader.read(READ_SIZE_BYTES)
 
     async def read_within(self, limit: asyncio.Timeout) -> bytes | None:
-        """Returns the next bytes; ``None`` if none arrived in time."""
+        """Returns the next bytes; ``None`` if none arrived in time.
+
+        After ``None`` nothing more can be read.
+        """
         try:
             async with limit:
                 return await self.read()
         except TimeoutError:
-            return await self._read_available()
+            return await self.read_available()
 
-    async def _read_available(self) -> bytes | None:
+    async def read_available(self) -> bytes | None:
         """Returns bytes that have arrived; ``None`` if there are none.
 
+        After ``None`` nothing more can be read.
+
         If the event loop was busy when a timeout expired, bytes that arrived
         in time are still in the buffer of the stream or of the socket. The
         timer of ``asyncio.wait`` runs after the loop has polled the sockets.
--- a/packages/catkinreach-node/tests/http/test_server_connections.py
+++ b/packages/catkinreach-node/tests/http/test_server_connections.py
@@ -21,6 +21,7 @@
 
 TIMEOUT_S = 0.2
 BOUNDS = ServerBounds(head_timeout_s=TIMEOUT_S, idle_timeout_s=TIMEOUT_S)
+LARGER_BOUNDS = ServerBounds(max_head_bytes=4 * BOUNDS.max_head_bytes)
 ITERATIONS_TO_ANSWER = 3
 """Iterations of the event loop from an arrived request to its answer."""
 
@@ -73,6 +74,10 @@
         server.close()
 
 
+def _request_with_head(size_bytes: int) -> bytes:
+    return REQUEST[:-2] + b'x-filler: ' + b'x' * size_bytes + b'\r\n\r\n'
+
+
 def _run_after_iterations(count: int, action: Callable[[], object]) -> None:
     """Runs an action after some iterations of the event loop."""
     loop = asyncio.get_running_loop()
@@ -145,3 +150,30 @@
             return received
 
     assert asyncio.run(run()).count(b' 200 ') == 2
+
+
+def test_open_connection_keeps_shorter_idle_timeout() -> None:
+    # Clients reuse a connection for as long as the new bounds allow.
+    async def run() -> bytes:
+        async with _server() as (server, client):
+            client.send()
+            assert b' 200 ' in await client.receive()
+            server.set_bounds(LARGER_BOUNDS)
+            await asyncio.sleep(2 * TIMEOUT_S)
+            client.send()
+            return await client.receive()
+
+    assert b' 200 ' in asyncio.run(run())
+
+
+def test_open_connection_keeps_smaller_head_limit() -> None:
+    # A head that the new bounds allow was refused on an open connection.
+    async def run() -> bytes:
+        async with _server() as (server, client):
+            client.send()
+            assert b' 200 ' in await client.receive()
+            server.set_bounds(LARGER_BOUNDS)
+            client.send(_request_with_head(2 * BOUNDS.max_head_bytes))
+            return await client.receive()
+
+    assert b' 200 ' in asyncio.run(run())
