Answer and log an unexpected error of a response

Callers saw the connection close without an answer if a handler raised an error that the server doesn't know, or if a header of its response was invalid. An error in a streamed response was missing in the log of the process.

Cause: only known errors were turned into responses. Others ended the connection's task, and asyncio's handler wrote them to stderr, outside the log.

Evidence: before the fix the test of a failing handler received nothing, and that of a failing stream found no error in the log; both pass now. The stream lacked its last chunk before and after, so it didn't look complete.

The fix works because any error but the loss of the connection is logged once with its cause and answered with 500, outcome unknown, if no response has begun; otherwise the connection closes in the middle of the body.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 import h11
+from loguru import logger
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 
@@ -109,6 +110,14 @@
         self._request_counter.begin()
         try:
             return await self._answer_unless_disconnected(request)
+        except OSError:
+            raise
+        except Exception as error:  # noqa: BLE001 - fails only the request
+            logger.opt(exception=error).error(
+                'unexpected error while a request was answered'
+            )
+            await self.refuse(CatkinreachError(ErrorKind.INTERNAL))
+            return False
         finally:
             self._request_counter.end()
 
--- a/packages/catkinreach-node/tests/http/test_server_responses.py
+++ b/packages/catkinreach-node/tests/http/test_server_responses.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from loguru import logger
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.settings.node import Address
@@ -15,13 +16,18 @@
 from catkinreach_standins.bench.ports import LOOPBACK, free_ports
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Iterator
 
 
 async def _events() -> AsyncGenerator[bytes, None]:
     yield b'data: 1\n\n'
 
 
+async def _failing_events() -> AsyncGenerator[bytes, None]:
+    yield b'data: 1\n\n'
+    raise ValueError('malformed event')
+
+
 async def _serve(request: HttpRequest) -> HttpResponse:
     await asyncio.sleep(0)
     status = request.path.strip('/')
@@ -30,18 +36,31 @@
             raise CatkinreachError(ErrorKind.ROUTE_UNKNOWN)
         case 'stream':
             return HttpResponse(200, stream=_events())
+        case 'bug':
+            raise ValueError('malformed reply')
+        case 'failing-stream':
+            return HttpResponse(200, stream=_failing_events())
         case 'latin':
             return HttpResponse(200, [('x-note', 'caf\xe9')], b'ok')
         case _:
             return HttpResponse(int(status), [('x-note', 'a')], b'')
 
 
-def _exchange(path: str, method: str = 'GET') -> bytes:
+def _exchange(path: str, method: str = 'GET', version: str = '1.1') -> bytes:
     """Returns all that the server sends."""
-    raw = f'{method} /{path} HTTP/1.1\r\nhost: edge\r\n\r\n'.encode()
+    raw = f'{method} /{path} HTTP/{version}\r\nhost: edge\r\n\r\n'.encode()
     return asyncio.run(_send_twice(raw))
 
 
+@pytest.fixture
+def logged_errors() -> Iterator[list[str]]:
+    """Collects the errors in the log of the process."""
+    errors: list[str] = []
+    sink = logger.add(errors.append, level='ERROR', format='{exception}')
+    yield errors
+    logger.remove(sink)
+
+
 async def _start_server() -> tuple[HttpServer, Address]:
     server = HttpServer(_serve, name='test')
     address = Address(LOOPBACK, free_ports(1)[0])
@@ -106,3 +125,24 @@
         return status
 
     assert asyncio.run(run()) == 200
+
+
+def test_unexpected_error_closes_connection_without_response(
+    logged_errors: list[str],
+) -> None:
+    # asyncio closed the connection and logged outside the process's log.
+    received = _exchange('bug')
+    assert received.startswith(b'HTTP/1.1 500 ')
+    assert len(logged_errors) == 1
+    assert 'malformed reply' in logged_errors[0]
+
+
+def test_unexpected_error_in_stream_is_missing_in_log(
+    logged_errors: list[str],
+) -> None:
+    # The handler of asyncio's server wrote it to stderr.
+    received = _exchange('failing-stream')
+    assert received.count(b' 200 ') == 1
+    assert not received.endswith(b'0\r\n\r\n')
+    assert len(logged_errors) == 1
+    assert 'malformed event' in logged_errors[0]
