Reset a connection whose HTTP/1.0 stream breaks off

HTTP/1.0 callers saw a stream that had broken off end as if it were complete.

Cause: such a body has no chunks, so that the end of the connection is the end of the body, and the server closed the connection in the usual way.

Evidence: before the fix the test's HTTP/1.0 client read the first event and then a normal end; now it gets ConnectionResetError. Aborting the transport alone did not pass the test: asyncio closes the socket without a reset.

The fix works because the socket is closed with SO_LINGER set to zero, which resets the connection, while a response without chunks is unfinished.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -127,7 +127,7 @@
                 self._name,
             )
         finally:
-            writer.close()
+            connection.close()
             self._discard(connection)
 
     def _discard(self, connection: ServerConnection) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from contextlib import aclosing, suppress
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -26,6 +28,9 @@
     from .messages import BodyStream, Headers
     from .server_bounds import RequestCounter, ServerBounds
 
+NO_LINGER = struct.pack('ii', 1, 0)
+"""Value of ``SO_LINGER`` with which a close resets the connection."""
+
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 _EVENT_STREAM_HEADERS = (
@@ -76,8 +81,30 @@
             wait.reschedule(asyncio.get_running_loop().time())
 
     def close(self) -> None:
-        """Closes the socket."""
-        self._writer.close()
+        """Closes the socket.
+
+        It is reset if the body of an unfinished response has no chunks: a
+        client would take a closed connection as the end of that body.
+        """
+        if self._is_body_ended_by_close:
+            self._reset()
+        else:
+            self._writer.close()
+
+    def _reset(self) -> None:
+        """Closes the socket so that the client gets an error."""
+        with suppress(OSError):
+            self._writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
+        self._writer.transport.abort()
+
+    @property
+    def _is_body_ended_by_close(self) -> bool:
+        return (
+            self._protocol.our_state is h11.SEND_BODY
+            and self._protocol.their_http_version == b'1.0'
+        )
 
     async def run(self) -> None:
         """Serves requests until the connection closes.
--- a/packages/catkinreach-node/tests/http/test_server_responses.py
+++ b/packages/catkinreach-node/tests/http/test_server_responses.py
@@ -146,3 +146,9 @@
     assert not received.endswith(b'0\r\n\r\n')
     assert len(logged_errors) == 1
     assert 'malformed event' in logged_errors[0]
+
+
+def test_broken_stream_looks_complete_to_http_1_0_client() -> None:
+    # Without chunks the end of the connection is the end of the body.
+    with pytest.raises(ConnectionResetError):
+        _exchange('failing-stream', version='1.0')
