Log the parts of the prompt of a request that crashed an engine

A crash-suspect line named only the hash of the whole request. Whether crashes have a part of their prompts in common couldn't be told from the logs. The line now has the id of the request and of the parts that other requests may share; the last part is the request's own and is left out. No decision changes.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
@@ -20,6 +20,8 @@
         output_tokens: Maximum number of tokens to generate.
         resume_after: Id of the last event that the caller has, if it resumes
             a stream.
+        shared_parts: Ids of the parts of the prompt that other requests may
+            have too, in order; the last part is the request's own.
     """
 
     request_id: RequestId
@@ -29,6 +31,7 @@
     prompt_tokens: int | None
     output_tokens: int
     resume_after: int | None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def total_tokens(self) -> int:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -205,7 +205,7 @@
         self.record_failure_after_send(
             upstream, SendFailure.BROKEN, detail=str(error)
         )
-        self._node.checks.check_crash(upstream, self._admitted.fingerprint)
+        self._node.checks.check_crash(upstream, self._admitted)
 
     def record_timeout(self, upstream: Upstream, **inputs: object) -> None:
         """Records that the upstream didn't reply in time."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
@@ -90,7 +90,7 @@
             self._record_failure(
                 upstream_id, SendFailure.PREFILL_BROKEN, detail=str(error)
             )
-            self._node.checks.check_crash(upstream, self._admitted.fingerprint)
+            self._node.checks.check_crash(upstream, self._admitted)
         except TimeoutError:
             self._record_failure(
                 upstream_id, SendFailure.PREFILL_SILENT, waited_s=wait_s
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -11,10 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from catkinreach_core.gateway.crash_suspects import Fingerprint
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import UpstreamId
 
+    from .admitted_request import AdmittedRequest
     from .node import Node
 
 CHECK_INTERVAL_S = 1.0
@@ -29,9 +29,11 @@
         self._node = node
         self._checked_at_s: dict[UpstreamId, float] = {}
 
-    def check_crash(self, upstream: Upstream, fingerprint: Fingerprint) -> None:
+    def check_crash(
+        self, upstream: Upstream, admitted: AdmittedRequest
+    ) -> None:
         """Checks in the background whether a request crashed an upstream."""
-        self._node.spawn(self._confirm_crash(upstream, fingerprint))
+        self._node.spawn(self._confirm_crash(upstream, admitted))
 
     def check_reachable(self, upstream: Upstream) -> None:
         """Checks in the background whether a silent upstream is reachable."""
@@ -72,15 +74,18 @@
                 self._node.mark_replaced(known.upstream)
 
     async def _confirm_crash(
-        self, upstream: Upstream, fingerprint: Fingerprint
+        self, upstream: Upstream, admitted: AdmittedRequest
     ) -> None:
         if await self._confirm_reachable(upstream):
             return
         node = self._node
+        fingerprint = admitted.fingerprint
         crashes = node.crash_suspects.record_crash(fingerprint, node.clock())
         node.log.write(
             Event.SUSPECT,
+            request=admitted.metadata.request_id,
             fingerprint=fingerprint,
+            parts=admitted.metadata.shared_parts,
             upstream=upstream.upstream_id,
             crashes=crashes,
         )
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -89,6 +89,7 @@
             prompt_tokens=prompt,
             output_tokens=output,
             resume_after=_parse_integer(request.header(RESUME_AFTER_HEADER)),
+            shared_parts=_parse_shared_parts(request.header('prompt-prefix')),
         )
 
     def upstream_request(
@@ -199,6 +200,13 @@
     return _parse_integer(prompt), _parse_integer(output) or 0
 
 
+def _parse_shared_parts(text: str | None) -> tuple[str, ...]:
+    """Returns the ids of all parts but the last, from ``ID:TOKENS`` pairs."""
+    pairs = (text or '').split(',')[:-1]
+    ids = (pair.partition(':')[0].strip().lower() for pair in pairs)
+    return tuple(part_id for part_id in ids if part_id)
+
+
 def _parse_idle_timeout_s(text: str | None) -> float | None:
     for part in (text or '').split(','):
         name, _, number = part.strip().partition('=')
