Know a crashing request by the shared parts of its prompt

Cause: a crash was counted for the hash of key, target and body. Requests that have only one part of their prompts in common never added up: 17 crash-suspect lines, each under a hash of its own, while their new field `parts` named the same two parts. Counts were also kept per node, lost with a peer that left and after 20 s, and a second send didn't wait for the verdict on the first.

Now the whole request and each shared part are suspects of a crash that comes while the answer starts; what runs for half a second, or to its end, is cleared. Three crashes refuse, unless another key explains them all. Nodes exchange sets of crashes named by the engine's incarnation, so that a crash counts once and stays known. The message to peers has a new last field; earlier versions skip it.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -1,84 +1,201 @@
-"""Requests that crash the upstreams that run them.
-
-Load pattern: one caller sends the same request again and again, and each
-upstream that starts to run it crashes.
-
-A fingerprint of API key, target and body identifies a request. An upstream that
-disconnects while the request runs, and is unreachable afterwards, counts as one
-crash. Nodes exchange their counts, and a request with too many crashes is
-refused.
+"""Requests, and parts of prompts, that crash the upstreams that run them.
+
+Load pattern: requests that are all different have one part of their prompts in
+common, or one caller repeats the same request, and each upstream that starts to
+answer them crashes. Sound requests have the same caller and other parts.
+
+A request has several suspect keys: the fingerprint of the whole request, and
+each part of its prompt that other requests may share. An upstream that
+disconnects while requests start on it, and is unreachable afterwards, is one
+crash of each of their keys. A request that runs clears its keys. A request is
+refused if one of its keys has too many crashes, unless another key, which the
+request doesn't have, was part of the same crashes: then one of the two is
+innocent, and only requests that have just one of them can show which.
+
+Nodes exchange the crashes themselves, not counts of them. A crash that several
+nodes saw counts once, and what a node knew survives its end.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import NewType
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NewType
+
+from msgspec import Struct
 
-Fingerprint = NewType('Fingerprint', str)
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Mapping
+
+SuspectKey = NewType('SuspectKey', str)
+"""Hash of a whole request or of one part of its prompt."""
+
+CrashId = NewType('CrashId', int)
+"""Hash of the incarnation of an upstream, which crashes at most once."""
 
 CRASHES_TO_REFUSE = 3
+CRASHES_TO_STOP_RETRY = 2
+"""Crashes of one of its keys after which a request that crashed an upstream
+isn't sent to another one."""
+
 MAX_SUSPECTS = 2_000
 MAX_GOSSIP_SUSPECTS = 16
-"""Maximum number of fingerprints in one gossip message."""
+"""Maximum number of keys in one gossip message."""
+
+MAX_GOSSIP_CRASHES = 6
+"""Maximum number of crashes, for each key, in one gossip message."""
+
+MAX_CLEARED = 12
+"""Cleared crashes, for each key, that are remembered."""
+
+REFUSAL_S = 600.0
+"""Time after its last crash for which a key is refused; then one more crash is
+enough to refuse it again."""
+
+
+class SuspectReport(Struct, array_like=True, frozen=True):
+    """What a node tells its peers about one key.
+
+    Attributes:
+        crashes: Crashes for which the key is still a suspect.
+        cleared: Crashes for which it no longer is, since it ran later.
+    """
 
-REPORT_S = 20.0
-"""Time for which a crash is reported to the peers."""
+    crashes: list[CrashId]
+    cleared: list[CrashId]
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """Crashes of one key; dictionaries serve as sets in order of arrival."""
+
+    crashes: dict[CrashId, None] = field(default_factory=dict)
+    cleared: dict[CrashId, None] = field(default_factory=dict)
+    last_crash_s: float = 0.0
+
+    def add(self, crashes: Iterable[CrashId], now_s: float) -> bool:
+        """Adds crashes; returns whether any was new."""
+        known = self.crashes.keys() | self.cleared.keys()
+        new = [crash for crash in crashes if crash not in known]
+        if new:
+            self.crashes.update(dict.fromkeys(new))
+            self.last_crash_s = now_s
+        return bool(new)
+
+    def clear(self, crashes: Iterable[CrashId]) -> None:
+        """Clears the key of crashes."""
+        for crash in tuple(crashes):
+            self.crashes.pop(crash, None)
+            self.cleared[crash] = None
+        for crash in tuple(self.cleared)[:-MAX_CLEARED]:
+            del self.cleared[crash]
+
+    def report(self) -> SuspectReport:
+        """Returns what peers are told, limited to the newest crashes."""
+        return SuspectReport(
+            list(self.crashes)[-MAX_GOSSIP_CRASHES:],
+            list(self.cleared)[-MAX_GOSSIP_CRASHES:],
+        )
 
 
 class CrashSuspects:
-    """Crash counts by fingerprint, of this node and of its peers."""
+    """Crashes by suspect key, as this node and its peers saw them."""
 
     def __init__(self) -> None:
         """Starts without suspects."""
-        self._own: OrderedDict[Fingerprint, tuple[int, float]] = OrderedDict()
-        self._peers: dict[str, dict[Fingerprint, int]] = {}
-
-    def record_crash(self, fingerprint: Fingerprint, now_s: float) -> int:
-        """Counts a crash during the request; returns the count of all nodes."""
-        count, _ = self._own.get(fingerprint, (0, 0.0))
-        self._own[fingerprint] = (count + 1, now_s)
-        self._own.move_to_end(fingerprint)
-        while len(self._own) > MAX_SUSPECTS:
-            self._own.popitem(last=False)
-        return self.crashes(fingerprint)
-
-    def clear(self, fingerprint: Fingerprint) -> None:
-        """Resets the count of a request that ran to completion."""
-        self._own.pop(fingerprint, None)
-
-    def set_peer_counts(
-        self, peer: str, counts: dict[Fingerprint, int]
+        self._suspects: OrderedDict[SuspectKey, _Suspect] = OrderedDict()
+        self._has_news = False
+
+    def record_crash(
+        self, keys: Collection[SuspectKey], crash: CrashId, now_s: float
+    ) -> int:
+        """Records a crash; returns the most crashes that one key has."""
+        for key in keys:
+            self._has_news |= self._touch(key).add((crash,), now_s)
+        self._drop_oldest()
+        return self.crashes(keys)
+
+    def clear(self, keys: Iterable[SuspectKey]) -> None:
+        """Clears the keys of a request that ran."""
+        for key in keys:
+            suspect = self._suspects.get(key)
+            if suspect is not None and suspect.crashes:
+                self._touch(key).clear(suspect.crashes)
+                self._has_news = True
+
+    def crashes(self, keys: Iterable[SuspectKey]) -> int:
+        """Returns the most crashes that one of the keys has."""
+        found = map(self._suspects.get, keys)
+        return max((len(one.crashes) for one in found if one), default=0)
+
+    def is_quarantined(
+        self, keys: Collection[SuspectKey], now_s: float
+    ) -> bool:
+        """Returns whether a request with these keys must not run."""
+        return any(
+            self._has_too_many(key, now_s) and not self._is_explained(key, keys)
+            for key in keys
+        )
+
+    def merge(
+        self, reports: Mapping[SuspectKey, SuspectReport], now_s: float
     ) -> None:
-        """Replaces the counts that a peer reported."""
-        self._peers[peer] = counts
-
-    def forget_peer(self, peer: str) -> None:
-        """Drops the counts of a peer that left or is silent."""
-        self._peers.pop(peer, None)
-
-    def crashes(self, fingerprint: Fingerprint) -> int:
-        """Returns the number of crashes that all nodes counted."""
-        own, _ = self._own.get(fingerprint, (0, 0.0))
-        return own + sum(
-            counts.get(fingerprint, 0) for counts in self._peers.values()
+        """Adds what a peer reported."""
+        for key, report in reports.items():
+            suspect = self._suspects.setdefault(key, _Suspect())
+            suspect.clear(report.cleared)
+            if suspect.add(report.crashes, now_s):
+                self._suspects.move_to_end(key)
+        self._drop_oldest()
+
+    def reports(self) -> dict[SuspectKey, SuspectReport]:
+        """Returns what peers are told, repeated and new suspects first."""
+        newest = list(reversed(self._suspects.items()))
+        newest.sort(key=lambda item: len(item[1].crashes) <= 1)
+        return {key: one.report() for key, one in newest[:MAX_GOSSIP_SUSPECTS]}
+
+    def take_news(self) -> bool:
+        """Returns whether this node saw anything new since the last call."""
+        has_news, self._has_news = self._has_news, False
+        return has_news
+
+    def _has_too_many(self, key: SuspectKey, now_s: float) -> bool:
+        suspect = self._suspects.get(key)
+        return (
+            suspect is not None
+            and len(suspect.crashes) >= CRASHES_TO_REFUSE
+            and now_s - suspect.last_crash_s < REFUSAL_S
+        )
+
+    def _is_explained(
+        self, key: SuspectKey, keys: Collection[SuspectKey]
+    ) -> bool:
+        """Returns whether a key outside the request explains all crashes."""
+        crashes = self._suspects[key].crashes.keys()
+        return any(
+            crashes <= other.crashes.keys()
+            for other_key, other in self._suspects.items()
+            if other_key not in keys
         )
 
-    def is_refused(self, fingerprint: Fingerprint) -> bool:
-        """Returns whether a request must not run again."""
-        return self.crashes(fingerprint) >= CRASHES_TO_REFUSE
+    def _touch(self, key: SuspectKey) -> _Suspect:
+        """Returns the suspect, which becomes the newest one."""
+        suspect = self._suspects.setdefault(key, _Suspect())
+        self._suspects.move_to_end(key)
+        return suspect
 
-    def recent_counts(self, now_s: float) -> dict[Fingerprint, int]:
-        """Returns this node's recent counts, the newest ones first."""
-        recent = [
-            (fingerprint, count)
-            for fingerprint, (count, at_s) in reversed(self._own.items())
-            if now_s - at_s < REPORT_S
-        ]
-        return dict(recent[:MAX_GOSSIP_SUSPECTS])
+    def _drop_oldest(self) -> None:
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
 
 
 __all__ = (
     'CRASHES_TO_REFUSE',
+    'CRASHES_TO_STOP_RETRY',
+    'MAX_GOSSIP_SUSPECTS',
+    'REFUSAL_S',
+    'CrashId',
     'CrashSuspects',
-    'Fingerprint',
+    'SuspectKey',
+    'SuspectReport',
 )
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -9,7 +9,7 @@
 from msgspec import Struct, field
 
 from ..ids import Revision, ServiceId, UpstreamId, WorkspaceId
-from .crash_suspects import Fingerprint
+from .crash_suspects import SuspectKey, SuspectReport
 from .feed import SmallChange
 from .load_table import UpstreamLoad
 
@@ -35,8 +35,7 @@
         members: Random sample of the sender's responsive peers.
         loads: The sender's own work in flight, by upstream.
         admitted: Cost that the sender admitted in the window, by workspace.
-        crashes: Crashes that the sender counted, by fingerprint; ``None`` in
-            messages that only report a change of load.
+        crashes: Counts of earlier versions; no longer read.
         down: Upstreams that don't accept the sender's connections.
         replaced: Start, in Unix milliseconds, of each upstream at whose
             address another upstream answered the sender.
@@ -46,6 +45,8 @@
             orders to engines.
         switching: Remaining downtime, in seconds, of engines that change
             their stage.
+        suspects: Crashes by suspect key, as the sender knows them; empty in
+            messages that only report a change of load.
     """
 
     node: str
@@ -53,12 +54,13 @@
     members: list[str] = field(default_factory=list)
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
     admitted: dict[WorkspaceId, float] = field(default_factory=dict)
-    crashes: dict[Fingerprint, int] | None = None
+    crashes: dict[str, int] | None = None
     down: list[UpstreamId] = field(default_factory=list)
     replaced: dict[UpstreamId, int] = field(default_factory=dict)
     waiting: dict[ServiceId, int] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, float] = field(default_factory=dict)
+    suspects: dict[SuspectKey, SuspectReport] = field(default_factory=dict)
 
 
 class LoadQuery(Struct, array_like=True, kw_only=True, tag='query'):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -7,10 +7,12 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.gateway.crash_suspects import CRASHES_TO_STOP_RETRY
 from catkinreach_core.gateway.metadata import ForwardMetadata
 
 from .decision_log import Event
 from .gateway_metrics import RequestStage
+from .suspect_keys import refuse_if_quarantined
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import (
@@ -18,12 +20,12 @@
         ServiceTraits,
         WorkspacePolicy,
     )
-    from catkinreach_core.gateway.crash_suspects import Fingerprint
+    from catkinreach_core.gateway.crash_suspects import SuspectKey
     from catkinreach_core.gateway.metadata import KvHandle, RequestMetadata
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import UpstreamId, WorkspaceId
 
-    from ..http.connection import ConnectError, ExchangeError
+    from ..http.connection import ConnectError
     from ..http.messages import HttpRequest
     from .exchange import Reply
     from .node import Node
@@ -57,8 +59,8 @@
         route: Route that matched.
         service: Service that runs the request.
         workspace: Workspace of the API key; ``None`` on public routes.
-        fingerprint: Hash of key, target and body; equal for retries of the
-            same request.
+        suspect_keys: Keys by which other requests that crash upstreams like
+            this one are known.
         arrived_s: Monotonic time of arrival.
         deadline_s: Monotonic time at which the request times out.
         version: Version of the configuration at admission.
@@ -69,7 +71,7 @@
     route: Route
     service: ServiceTraits
     workspace: WorkspacePolicy | None
-    fingerprint: Fingerprint
+    suspect_keys: tuple[SuspectKey, ...]
     arrived_s: float
     deadline_s: float
     version: int
@@ -123,6 +125,7 @@
         self._admitted = admitted
         self._sends = 0
         self._has_reserved_retry = False
+        self._may_crash_upstreams = False
         self.may_have_run = False
         self.has_timed_out = False
         self.excluded: set[UpstreamId] = set()
@@ -135,7 +138,7 @@
     @property
     def can_retry(self) -> bool:
         """Returns whether the route allows one more send."""
-        is_retryable = (
+        is_retryable = not self._may_crash_upstreams and (
             self._admitted.route.is_retryable or not self.may_have_run
         )
         return is_retryable and self._sends < self._admitted.route.max_attempts
@@ -162,7 +165,12 @@
         return self._has_reserved_retry
 
     def try_acquire_send(self) -> bool:
-        """Returns whether a send is allowed; a retry spends retry budget."""
+        """Returns whether a send is allowed; a retry spends retry budget.
+
+        Raises:
+            CatkinreachError: if requests like this one crash upstreams.
+        """
+        refuse_if_quarantined(self._node, self._admitted.suspect_keys)
         if not self._sends:
             return True
         is_allowed = self.can_retry and self.try_reserve_retry()
@@ -198,14 +206,22 @@
         self._node.mark_unreachable(upstream.upstream_id, str(error))
         self.record_failed_send(upstream.upstream_id, SendFailure.UNREACHABLE)
 
-    def record_disconnect(
-        self, upstream: Upstream, error: ExchangeError
-    ) -> None:
+    async def record_disconnect(self, upstream: Upstream, reason: str) -> None:
         """Records a disconnect; the request may have crashed the upstream."""
         self.record_failure_after_send(
-            upstream, SendFailure.BROKEN, detail=str(error)
+            upstream, SendFailure.BROKEN, detail=reason
+        )
+        await self.check_crash(upstream)
+
+    async def check_crash(self, upstream: Upstream) -> None:
+        """Checks whether the request, as it started, crashed the upstream.
+
+        If requests like it crashed others before, it isn't sent again.
+        """
+        crashes = await self._node.checks.confirm_crash(
+            upstream, self._admitted
         )
-        self._node.checks.check_crash(upstream, self._admitted)
+        self._may_crash_upstreams |= crashes >= CRASHES_TO_STOP_RETRY
 
     def record_timeout(self, upstream: Upstream, **inputs: object) -> None:
         """Records that the upstream didn't reply in time."""
@@ -256,7 +272,7 @@
     now_s = node.clock()
     after_s = now_s - admitted.arrived_s
     node.health.record_success(upstream_id, now_s)
-    node.crash_suspects.clear(admitted.fingerprint)
+    node.crash_suspects.clear(admitted.suspect_keys)
     node.metrics.record(RequestStage.TOTAL, after_s)
     node.log.write(
         Event.ANSWERED,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.events import EventSplitter, EventTooLongError
@@ -20,6 +21,11 @@
     from .node import Node
 
 
+STARTED_S = 0.5
+"""Time after its first event from which a stream has started: a crash of its
+engine is then no longer ascribed to it."""
+
+
 class EngineStream:
     """Runs a stream at one engine.
 
@@ -63,6 +69,8 @@
         self._decode_load = UpstreamLoad(
             running=1, memory_tokens=need.memory_tokens
         )
+        self._first_event_at_s = math.inf
+        self._has_started = False
         self.first_events: list[StreamEvent] = []
         self.is_complete = False
         node.begin_work(upstream.upstream_id, self._decode_load)
@@ -74,6 +82,11 @@
         assert self._reply is not None  # noqa: S101 - narrows the type
         return self._reply
 
+    @property
+    def has_started(self) -> bool:
+        """Returns whether the engine has been sending events for a while."""
+        return self._node.clock() - self._first_event_at_s >= STARTED_S
+
     @property
     def rest(self) -> bytes:
         """Returns the bytes after the last complete event."""
@@ -112,9 +125,20 @@
         """
         data, self.is_complete = await self.reply.next_data()
         try:
-            return self._splitter.feed(data)
+            events = self._splitter.feed(data)
         except EventTooLongError as error:
             raise ExchangeError(str(error)) from error
+        if events:
+            self._note_events()
+        return events
+
+    def _note_events(self) -> None:
+        """Clears the request of earlier crashes once its stream has started."""
+        now_s = self._node.clock()
+        self._first_event_at_s = min(self._first_event_at_s, now_s)
+        if self.has_started and not self._has_started:
+            self._has_started = True
+            self._node.crash_suspects.clear(self._admitted.suspect_keys)
 
     async def read_failure(self) -> bytes:
         """Returns the body of a reply that isn't an event stream.
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import xxhash
 from loguru import logger
 
 from catkinreach_core.errors import (
@@ -14,7 +13,6 @@
     Outcome,
 )
 from catkinreach_core.gateway.catalog import RouteKind
-from catkinreach_core.gateway.crash_suspects import Fingerprint
 
 from ..http.connection import ExchangeError
 from ..http.problem import problem_response
@@ -22,6 +20,7 @@
 from .decision_log import Event
 from .plain_handler import PlainHandler
 from .stream_handler import StreamHandler
+from .suspect_keys import refuse_if_quarantined, suspect_keys
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import (
@@ -110,12 +109,8 @@
             raise CatkinreachError(ErrorKind.ROUTE_UNKNOWN)
         workspace = _workspace(catalog, route, metadata)
         service_id = route.choose_service(self._node.rng)
-        fingerprint = _fingerprint(request, metadata)
-        if self._node.crash_suspects.is_refused(fingerprint):
-            raise CatkinreachError(
-                ErrorKind.INTERNAL,
-                'earlier sends of this request crashed upstreams',
-            )
+        keys = suspect_keys(request, metadata)
+        refuse_if_quarantined(self._node, keys)
         await self._node.load_queries.refresh(
             service_id, None if workspace is None else workspace.workspace_id
         )
@@ -129,7 +124,7 @@
             route=route,
             service=catalog.services[service_id],
             workspace=workspace,
-            fingerprint=fingerprint,
+            suspect_keys=keys,
             arrived_s=arrived_s,
             deadline_s=min(
                 arrived_s + _timeout_s(route, metadata),
@@ -224,13 +219,4 @@
     return timeout_s
 
 
-def _fingerprint(
-    request: HttpRequest, metadata: RequestMetadata
-) -> Fingerprint:
-    digest = xxhash.xxh3_64((metadata.key or '').encode())
-    digest.update(request.target.encode())
-    digest.update(request.body)
-    return Fingerprint(digest.hexdigest())
-
-
 __all__ = ('Ingress',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -101,19 +101,31 @@
     def send_message(self, *, is_load_change: bool = False) -> None:
         """Sends the node's state to its peers, or in its turn to some of them.
 
+        New crash suspects are sent to all peers at once.
+
         Args:
             is_load_change: Whether to leave out what only full messages carry:
-                members and crashes.
+                members and crash suspects.
         """
         if self._transport is None:
             return
         if not is_load_change:
             self._schedule_full_message()
             self._node.load_queries.choose_aggregators()
-        data = encode_gossip(self._message(is_load_change=is_load_change))
+        has_suspects = self._node.crash_suspects.take_news()
+        message = self._message(is_load_change=is_load_change)
+        if has_suspects or not is_load_change:
+            message.suspects = self._node.crash_suspects.reports()
+        data = encode_gossip(message)
         if len(data) > MAX_GOSSIP_BYTES:
-            data = encode_gossip(self._message(is_load_change=True))
-        for host in self._recipients(is_load_change=is_load_change):
+            message.members = []
+            data = encode_gossip(message)
+        recipients = (
+            self._node.members.contacts
+            if has_suspects
+            else self._recipients(is_load_change=is_load_change)
+        )
+        for host in recipients:
             self._send_to(host, data)
 
     def _recipients(self, *, is_load_change: bool) -> Iterable[str]:
@@ -159,9 +171,6 @@
             else responsive_peers[:MAX_GOSSIP_MEMBERS],
             loads=node.loads.own_loads(),
             admitted=node.quota.own_counts(now_s),
-            crashes=None
-            if is_load_change
-            else node.crash_suspects.recent_counts(now_s),
             down=node.health.unreachable_upstreams(),
             replaced=node.replaced_upstreams(),
             waiting=node.queued_tokens(),
@@ -181,8 +190,7 @@
             )
         node.loads.set_peer_loads(peer, message.loads, now_s)
         node.peer_reports.admitted[peer] = message.admitted
-        if message.crashes is not None:
-            node.crash_suspects.set_peer_counts(peer, message.crashes)
+        node.crash_suspects.merge(message.suspects, now_s)
         for upstream_id in message.down:
             node.checks.check_reported_down(upstream_id)
         node.checks.apply_replaced(message.replaced)
@@ -203,7 +211,6 @@
         node = self._node
         node.members.remove(peer)
         node.loads.forget_peer(peer)
-        node.crash_suspects.forget_peer(peer)
         node.peer_reports.forget(peer)
         node.log.write(
             Event.PEER_SILENT,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -98,6 +98,7 @@
         self._node.report_change()
         self._node.cold_rate_limiter.spend(upstream_id)
         self._attempts.count_send()
+        disconnect_reason = None
         try:
             async with send_timeout(
                 self._attempts.remaining_s,
@@ -108,12 +109,15 @@
         except ConnectError as error:
             self._attempts.record_unreachable(upstream, error)
         except ExchangeError as error:
-            self._attempts.record_disconnect(upstream, error)
+            disconnect_reason = str(error)
         except TimeoutError:
             self._attempts.record_timeout(upstream)
         finally:
             self._node.loads.end_work(upstream_id, work)
             self._node.report_change()
+        if disconnect_reason is not None:
+            # Outside of the handler, since the error keeps the partial reply.
+            await self._attempts.record_disconnect(upstream, disconnect_reason)
         return None
 
     def _may_give_up(self, upstream_id: UpstreamId) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 from .stream_context import StreamContext
 from .stream_planner import StreamPlanner
 from .stream_prefill import StreamPrefill
+from .suspect_keys import refuse_if_quarantined
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import EngineTraits
@@ -47,6 +49,7 @@
         self._admitted = admitted
         self._attempts = Attempts(node, admitted)
         self._handover: Handover | None = None
+        self._crash_check: asyncio.Future[None] | None = None
         prompt = admitted.metadata.prompt_tokens
         if prompt is None:
             prompt = DEFAULT_PROMPT_TOKENS
@@ -101,6 +104,8 @@
             handover: Handover from a silent engine; ``None`` if the engine is
                 lost.
         """
+        if self._crash_check is not None:
+            await self._crash_check
         if not self.can_resume:
             return None
         self._handover = handover
@@ -125,7 +130,12 @@
         self._attempts.record_failure_after_send(
             upstream, failure, detail=detail
         )
-        self._node.checks.check_reachable(upstream)
+        if failure is SendFailure.SILENT or engine_stream.has_started:
+            self._node.checks.check_reachable(upstream)
+            return
+        self._crash_check = asyncio.ensure_future(
+            self._attempts.check_crash(upstream)
+        )
 
     async def _open_stream(self, resume_after: int | None) -> EngineStream:
         while self._attempts.remaining_s > MIN_REMAINING_S:
@@ -147,10 +157,15 @@
         engine_stream: EngineStream,
         resume_after: int | None,
     ) -> bool:
-        """Runs the planned prefill, if any, and opens the stream."""
+        """Runs the planned prefill, if any, and opens the stream.
+
+        Raises:
+            CatkinreachError: if it may not be sent.
+        """
         is_open = False
         prefill = plan.prefill
         try:
+            refuse_if_quarantined(self._node, self._admitted.suspect_keys)
             if prefill is not None and not await self._prefill.run(
                 prefill.upstream, plan.first_token_s
             ):
@@ -200,6 +215,7 @@
         sent_s = self._node.clock()
         wait_s = FIRST_EVENT_SLACK_S
         wait_s += plan.first_token_s * FIRST_EVENT_SLACK_FACTOR
+        disconnect_reason = None
         try:
             with self._handover.overlap() if self._handover else nullcontext():
                 async with send_timeout(
@@ -213,11 +229,14 @@
             self._attempts.record_unreachable(upstream, error)
         except ExchangeError as error:
             self._prefill.forget_handle()
-            self._attempts.record_disconnect(upstream, error)
+            disconnect_reason = str(error)
         except TimeoutError:
             self._prefill.forget_handle()
             waited_s = round(self._node.clock() - sent_s, 4)
             self._attempts.record_timeout(upstream, waited_s=waited_s)
+        if disconnect_reason is not None:
+            # Outside of the handler, since the error keeps the partial reply.
+            await self._attempts.record_disconnect(upstream, disconnect_reason)
         return False
 
     async def _check_reply(self, engine_stream: EngineStream) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
@@ -77,6 +77,7 @@
         self._node.begin_work(upstream_id, work)
         self._node.cold_rate_limiter.spend(upstream_id)
         wait_s = PREFILL_SLACK_S + predicted_s * PREFILL_SLACK_FACTOR
+        has_disconnected = False
         try:
             async with asyncio.timeout(min(wait_s, self._attempts.remaining_s)):
                 await self._exchange(upstream)
@@ -90,7 +91,7 @@
             self._record_failure(
                 upstream_id, SendFailure.PREFILL_BROKEN, detail=str(error)
             )
-            self._node.checks.check_crash(upstream, self._admitted)
+            has_disconnected = True
         except TimeoutError:
             self._record_failure(
                 upstream_id, SendFailure.PREFILL_SILENT, waited_s=wait_s
@@ -98,6 +99,8 @@
             self._node.checks.check_reachable(upstream)
         finally:
             self._node.end_work(upstream_id, work)
+        if has_disconnected:
+            await self._attempts.check_crash(upstream)
         return self._handle is not None
 
     def forget_handle(self) -> None:
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
@@ -0,0 +1,63 @@
+"""Keys by which a request that crashes upstreams is known again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.gateway.crash_suspects import CrashId, SuspectKey
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from catkinreach_core.gateway.metadata import RequestMetadata
+    from catkinreach_core.gateway.upstream import Upstream
+
+    from ..http.messages import HttpRequest
+    from .node import Node
+
+MAX_PARTS = 16
+"""Parts of one prompt that are looked at, the first ones."""
+
+
+def suspect_keys(
+    request: HttpRequest, metadata: RequestMetadata
+) -> tuple[SuspectKey, ...]:
+    """Returns the key of the whole request, then those of its shared parts."""
+    parts = dict.fromkeys(metadata.shared_parts[:MAX_PARTS])
+    return (_request_key(request, metadata), *map(_part_key, parts))
+
+
+def crash_id(upstream: Upstream) -> CrashId:
+    """Returns the id of the only crash that an incarnation can have."""
+    name = f'{upstream.upstream_id}/{upstream.started_ms}'
+    return CrashId(xxhash.xxh32_intdigest(name.encode()))
+
+
+def refuse_if_quarantined(node: Node, keys: Collection[SuspectKey]) -> None:
+    """Refuses a request that would crash its upstream.
+
+    Raises:
+        CatkinreachError: the refusal.
+    """
+    if node.crash_suspects.is_quarantined(keys, node.clock()):
+        raise CatkinreachError(
+            ErrorKind.INTERNAL,
+            'earlier requests like this one crashed upstreams',
+        )
+
+
+def _request_key(request: HttpRequest, metadata: RequestMetadata) -> SuspectKey:
+    digest = xxhash.xxh3_64((metadata.key or '').encode())
+    digest.update(request.target.encode())
+    digest.update(request.body)
+    return SuspectKey(digest.hexdigest())
+
+
+def _part_key(part_id: str) -> SuspectKey:
+    return SuspectKey(xxhash.xxh3_64_hexdigest(f'part/{part_id}'.encode()))
+
+
+__all__ = ('crash_id', 'refuse_if_quarantined', 'suspect_keys')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -7,6 +7,7 @@
 
 from ..http.connection import ConnectError
 from .decision_log import Event
+from .suspect_keys import crash_id
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -29,12 +30,6 @@
         self._node = node
         self._checked_at_s: dict[UpstreamId, float] = {}
 
-    def check_crash(
-        self, upstream: Upstream, admitted: AdmittedRequest
-    ) -> None:
-        """Checks in the background whether a request crashed an upstream."""
-        self._node.spawn(self._confirm_crash(upstream, admitted))
-
     def check_reachable(self, upstream: Upstream) -> None:
         """Checks in the background whether a silent upstream is reachable."""
         self._node.spawn(self._confirm_reachable(upstream))
@@ -73,22 +68,30 @@
             if known is not None and known.upstream.started_ms == started_ms:
                 self._node.mark_replaced(known.upstream)
 
-    async def _confirm_crash(
+    async def confirm_crash(
         self, upstream: Upstream, admitted: AdmittedRequest
-    ) -> None:
+    ) -> int:
+        """Records a crash if an upstream that disconnected is unreachable.
+
+        Returns:
+            Most crashes that one key of the request has; 0 without a crash.
+        """
         if await self._confirm_reachable(upstream):
-            return
+            return 0
         node = self._node
-        fingerprint = admitted.fingerprint
-        crashes = node.crash_suspects.record_crash(fingerprint, node.clock())
+        crashes = node.crash_suspects.record_crash(
+            admitted.suspect_keys, crash_id(upstream), node.clock()
+        )
+        node.load_changed.set()
         node.log.write(
             Event.SUSPECT,
             request=admitted.metadata.request_id,
-            fingerprint=fingerprint,
+            fingerprint=admitted.suspect_keys[0],
             parts=admitted.metadata.shared_parts,
             upstream=upstream.upstream_id,
             crashes=crashes,
         )
+        return crashes
 
     async def _confirm_reachable(self, upstream: Upstream) -> bool:
         """Connects to an upstream; marks it down if that fails."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -72,6 +72,11 @@
         port = self._server.sockets[0].getsockname()[1]
         return f'127.0.0.1:{port}'
 
+    @property
+    def is_listening(self) -> bool:
+        """Returns whether the upstream accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
     def entry(self, **changed: object) -> dict[str, object]:
         """Returns the upstream's entry for the store."""
         entry: dict[str, object] = {
