Take no refusal without an id from a kept connection

Callers got 503 (not run, try again), or a second send, for a request that an upstream was running: a faulty upstream wrote an earlier refusal once more on a kept connection, without Request-Id.

Cause: a refusal without an id counted as the reply to the current request on any connection, and a connection with unread bytes after a reply was reused.

Only the first reply on an unused connection may lack the id: no earlier request can have caused it. Others are passed over, and the real reply is awaited.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
@@ -107,14 +107,22 @@
             and self.answered_by != upstream_id
         )
 
-    def is_reply_to(self, request_id: RequestId) -> bool:
+    def is_reply_to(
+        self, request_id: RequestId, *, is_first_reply: bool
+    ) -> bool:
         """Returns whether this is the reply to a request.
 
         A reply without a request id may be a second reply to an earlier
-        request; only refusals are accepted without one.
+        request; only refusals are accepted without one, and only if the
+        connection carried no earlier request.
+
+        Args:
+            request_id: The request that was sent.
+            is_first_reply: Whether this is the first reply to the first
+                request on its connection.
         """
         if self.request_id is None:
-            return self.has_not_run
+            return self.has_not_run and is_first_reply
         return self.request_id == request_id
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -125,13 +125,14 @@
     request_id: RequestId,
 ) -> Reply:
     """Reads replies until one carries the id of the request."""
+    is_first_reply = not connection.is_used
     for _ in range(MAX_SKIPPED_REPLIES):
         head = await _next_final_head(connection)
         if not isinstance(head, h11.Response):
             raise ExchangeError(f'no reply from {upstream.address}')
         response = ClientResponse(connection, head)
         metadata = node.dialect.read_reply(response.status, response.headers)
-        if metadata.is_reply_to(request_id):
+        if metadata.is_reply_to(request_id, is_first_reply=is_first_reply):
             return Reply(
                 node,
                 upstream,
@@ -148,6 +149,7 @@
             names=metadata.request_id,
         )
         await connection.skip_response(MAX_REPLY_BYTES)
+        is_first_reply = False
     raise ExchangeError(f'only replies to other requests: {upstream.address}')
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -42,12 +42,23 @@
         self._writer = writer
         self._protocol = h11.Connection(our_role=h11.CLIENT)
         self._sent_events: tuple[h11.Event, ...] = ()
+        self._is_used = False
+
+    @property
+    def is_used(self) -> bool:
+        """Returns whether an exchange was completed on the connection."""
+        return self._is_used
 
     @property
     def is_reusable(self) -> bool:
-        """Returns whether another request may be sent."""
+        """Returns whether another request may be sent.
+
+        Bytes that follow a response would be read as the next one.
+        """
+        unread, _ = self._protocol.trailing_data
         return (
             self._protocol.our_state is h11.IDLE
+            and not unread
             and not self._writer.is_closing()
             and not self._reader.at_eof()
             and not self._writer.transport.get_write_buffer_size()
@@ -176,6 +187,7 @@
             h11.SERVER: h11.DONE,
         }:
             self._protocol.start_next_cycle()
+            self._is_used = True
         else:
             self.close()
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import Counter, deque
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -20,6 +22,7 @@
     EVENTS_BEFORE_PAUSE,
     Behaviour,
     EndlessReply,
+    RawReply,
     encode_chunk,
     endless_reply,
 )
@@ -29,6 +32,9 @@
 _PAUSES = {0: Behaviour.PAUSE_FIRST, EVENTS_BEFORE_PAUSE: Behaviour.PAUSE}
 """Behaviours that pause a stream, by the number of events sent before."""
 
+RESET_DELAY_S = 0.05
+"""Time for the sent bytes to arrive before the connection is reset."""
+
 
 @dataclass
 class UpstreamStandin:
@@ -54,7 +60,7 @@
     upstream_id: str
     service: str
     stage: str = ''
-    script: deque[Behaviour] = field(default_factory=deque)
+    script: deque[Behaviour | RawReply] = field(default_factory=deque)
     received: list[ReceivedRequest] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     abandoned_ids: list[str] = field(default_factory=list)
@@ -144,12 +150,31 @@
             await reader.read(READ_SIZE_BYTES)
             self.abandoned_ids.append(request.request_id)
             return False
+        if isinstance(behaviour, RawReply):
+            return await self._send_raw(request, writer, behaviour)
         endless = endless_reply(behaviour, request, self.upstream_id)
         if endless is not None:
             await self._send_without_end(request, writer, endless)
             return False
         return await self._respond(request, reader, writer, behaviour)
 
+    async def _send_raw(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        reply: RawReply,
+    ) -> bool:
+        """Sends scripted bytes; returns whether the connection stays open."""
+        writer.write(reply.data.replace(b'{id}', request.request_id.encode()))
+        await writer.drain()
+        if reply.is_reset:
+            await asyncio.sleep(RESET_DELAY_S)
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            writer.transport.abort()
+        return reply.stays_open
+
     async def _respond(
         self,
         request: ReceivedRequest,
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
@@ -84,6 +84,21 @@
     return None
 
 
+@dataclass(frozen=True, slots=True)
+class RawReply:
+    """Bytes that are sent as the reply of a request that runs.
+
+    Attributes:
+        data: Bytes of the reply; ``{id}`` is replaced by the request id.
+        stays_open: Whether the connection stays open after them.
+        is_reset: Whether the connection is reset after them.
+    """
+
+    data: bytes
+    stays_open: bool = False
+    is_reset: bool = False
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Returns data as a chunk; no data as the last one."""
     return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
@@ -102,6 +117,7 @@
     'EVENTS_BEFORE_PAUSE',
     'Behaviour',
     'EndlessReply',
+    'RawReply',
     'encode_chunk',
     'endless_reply',
 )
