Resume a stream only with a stream of events

Callers saw an error's text in the middle of their stream, or a stream that ended as if it were complete, when the engine that was to resume it answered with a sealed error below 500, with 204 or with a body of another type.

Cause: each sealed reply below 500 was relayed as a stream. A first reply of that kind was relayed without its length.

Evidence: test_error_on_resumption_is_not_part_of_the_stream failed for 404, 400, 204 and a JSON body before, and passed for 500; all pass now. The tests of replies cut off anywhere in the head or body passed before and after.

A resumption goes on only with a sealed 200 whose type, if given, is that of events; anything else is a failed send. As a first reply it is read as a whole before the caller's response starts, so a cut off one is a failed send too.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -112,7 +112,7 @@
             self._node.dialect.upstream_request(admitted.request, metadata),
             admitted.metadata.request_id,
         )
-        if self._reply.is_success:
+        if self._reply.is_event_stream:
             while not self.first_events and not self.is_complete:
                 self.first_events = await self.next_events()
         self._end_prefill()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -9,6 +9,7 @@
 
 from ..http.client import ClientResponse
 from ..http.connection import ExchangeError
+from ..http.messages import EVENT_STREAM_TYPE
 from .decision_log import Event
 from .reply_buffer import BufferFullError
 
@@ -21,6 +22,7 @@
     from ..http.messages import Headers, HttpRequest
     from .node import Node
 
+STREAM_STATUS = 200
 MIN_FAILURE_STATUS = 500
 MAX_SKIPPED_REPLIES = 4
 
@@ -47,6 +49,19 @@
         """Returns whether the upstream ran the request successfully."""
         return self.status < MIN_FAILURE_STATUS and self.metadata.is_sealed
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Returns whether the body is an upstream's stream of events.
+
+        Upstreams may omit the content type.
+        """
+        content_type = dict(self.headers).get('content-type', EVENT_STREAM_TYPE)
+        return (
+            self.status == STREAM_STATUS
+            and self.metadata.is_sealed
+            and content_type.lower().startswith(EVENT_STREAM_TYPE)
+        )
+
     async def next_data(self) -> tuple[bytes, bool]:
         """Returns the next data of the body, and whether the body is complete.
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -10,7 +10,7 @@
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .admitted_request import Attempts, SendFailure
+from .admitted_request import Attempts, SendFailure, record_answer
 from .decision_log import Event
 from .engine_stream import EngineStream
 from .event_relay import EventRelay
@@ -50,6 +50,8 @@
         self._attempts = Attempts(node, admitted)
         self._handover: Handover | None = None
         self._crash_check: asyncio.Future[None] | None = None
+        self._has_begun = False
+        self._whole_response: HttpResponse | None = None
         prompt = admitted.metadata.prompt_tokens
         if prompt is None:
             prompt = DEFAULT_PROMPT_TOKENS
@@ -80,12 +82,11 @@
             )
         finally:
             self._prefill.release()
+        if self._whole_response is not None:
+            return self._whole_response
+        self._has_begun = True
         reply = engine_stream.reply
         headers = self._node.dialect.caller_headers(reply.headers)
-        if not reply.is_success:
-            return HttpResponse(
-                reply.status, headers, await engine_stream.read_failure()
-            )
         relay = EventRelay(self._node, self._admitted, self, engine_stream)
         return HttpResponse(reply.status, headers, stream=relay)
 
@@ -114,12 +115,9 @@
             self._node.checks.check_reachable(handover.silent_upstream)
         self._memory_wait.restart_timeout()
         engine_stream = await self._open_stream(last_id)
-        if engine_stream.reply.is_success:
-            if handover is not None:
-                handover.give_up()
-            return engine_stream
-        engine_stream.close()
-        return None
+        if handover is not None:
+            handover.give_up()
+        return engine_stream
 
     def record_lost_engine(
         self, engine_stream: EngineStream, failure: SendFailure, detail: str
@@ -255,6 +253,32 @@
         self._prefill.forget_handle()
         if not reply.metadata.is_sealed:
             raise ExchangeError('reply without the seal of its upstream')
+        if reply.is_event_stream:
+            return True
+        return await self._accept_whole_reply(engine_stream)
+
+    async def _accept_whole_reply(self, engine_stream: EngineStream) -> bool:
+        """Reads a reply that is no stream, unless a stream has begun.
+
+        A stream can't go on with it, so on resumption the send has failed.
+        """
+        reply = engine_stream.reply
+        upstream = reply.upstream
+        if self._has_begun:
+            self._attempts.record_failure_after_send(
+                upstream, SendFailure.FAILED, status=reply.status
+            )
+            return False
+        headers = self._node.dialect.caller_headers(reply.headers)
+        body = await engine_stream.read_failure()
+        self._whole_response = HttpResponse(reply.status, headers, body)
+        if reply.is_success:
+            record_answer(
+                self._node,
+                self._admitted,
+                upstream.upstream_id,
+                status=reply.status,
+            )
         return True
 
     def _may_give_up(self, upstream_id: UpstreamId) -> bool:
--- a/packages/catkinreach-node/tests/gateway/test_broken_replies.py
+++ b/packages/catkinreach-node/tests/gateway/test_broken_replies.py
@@ -137,6 +137,101 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize(
+    'reply',
+    [
+        b'HTTP/1.1 404 no\r\n' + SEALED + b'Content-Length: 4\r\n\r\nlost',
+        b'HTTP/1.1 400 no\r\n' + SEALED + CHUNKED + b'4\r\nlost\r\n0\r\n\r\n',
+        b'HTTP/1.1 204 no\r\n' + SEALED + b'\r\n',
+        OK_HEAD
+        + b'Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}',
+        b'HTTP/1.1 500 no\r\n' + SEALED + b'Content-Length: 4\r\n\r\nlost',
+    ],
+)
+def test_error_on_resumption_is_not_part_of_the_stream(reply: bytes) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        # The engine that is chosen first breaks off, the other one fails.
+        script: deque[Behaviour | RawReply] = deque(
+            (BROKEN_STREAM, RawReply(reply))
+        )
+        for name in 'de':
+            deployment.upstreams[name].script = script
+        with pytest.raises(ExchangeError):
+            await _fetch(deployment, _request(deployment, '/stream/'))
+        assert not script
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize('path', STREAM_PATHS)
+@pytest.mark.parametrize(
+    ('reply', 'expected'),
+    [
+        (
+            b'HTTP/1.1 404 no\r\n' + SEALED + b'Content-Length: 4\r\n\r\nlost',
+            (404, b'lost'),
+        ),
+        (b'HTTP/1.1 404 no\r\n' + SEALED + b'\r\nlost', (404, b'lost')),
+        (
+            OK_HEAD + b'Content-Type: text/plain\r\n\r\nno event',
+            (200, b'no event'),
+        ),
+    ],
+)
+def test_first_reply_that_is_no_stream_is_passed_on_whole(
+    path: str, reply: bytes, expected: tuple[int, bytes]
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _script(deployment, 'de', RawReply(reply))
+        answer = await _fetch(deployment, _request(deployment, path))
+        assert answer == expected
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize('path', STREAM_PATHS)
+def test_cut_off_error_of_a_stream_is_answered_as_failed(path: str) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        reply = b'HTTP/1.1 404 no\r\n' + SEALED + b'Content-Length: 9\r\n\r\nlo'
+        _script(deployment, 'de', *[RawReply(reply)] * 2)
+        status, _ = await _fetch(deployment, _request(deployment, path))
+        assert status == 502
+
+    _run(scenario)
+
+
+def _cut(reply: bytes) -> list[bytes]:
+    return [reply[:end] for end in range(len(reply))]
+
+
+@pytest.mark.parametrize('path', ['/order/', '/read/'])
+def test_reply_that_is_cut_off_anywhere_is_answered_as_failed(
+    path: str,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        cuts = _cut(PLAIN) + _cut(OK_HEAD + CHUNKED + b'4\r\nbody\r\n0\r\n\r')
+        for cut in cuts:
+            for name in 'ab':
+                deployment.upstreams[name].script.clear()
+            _script(deployment, 'ab', *[RawReply(cut)] * 2)
+            status, _ = await _fetch(deployment, _request(deployment, path))
+            assert status in {502, 503, 504}, cut
+
+    _run(scenario)
+
+
+def test_stream_whose_head_is_cut_off_anywhere_fails() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for cut in _cut(STREAM_HEAD + CHUNKED)[::7]:
+            for name in 'de':
+                deployment.upstreams[name].script.clear()
+            _script(deployment, 'de', *[RawReply(cut)] * 2)
+            status, _ = await _fetch(deployment, _request(deployment, '/once/'))
+            assert status in {502, 503, 504}, cut
+
+    _run(scenario)
+
+
 def test_bytes_after_a_reply_reach_no_later_caller() -> None:
     async def scenario(deployment: Deployment) -> None:
         _script(
@@ -147,3 +242,32 @@
             assert await _fetch(deployment, request) == (200, b'body')
 
     _run(scenario)
+
+
+@pytest.mark.parametrize('path', ['/order/', '/read/'])
+def test_plain_reply_that_ends_with_its_connection_is_whole(path: str) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _script(deployment, 'ab', RawReply(OK_HEAD + b'\r\nbody'))
+        answer = await _fetch(deployment, _request(deployment, path))
+        assert answer == (200, b'body')
+
+    _run(scenario)
+
+
+def test_plain_reply_whose_connection_is_reset_is_not_whole() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _script(deployment, 'ab', RawReply(OK_HEAD + b'\r\nbo', is_reset=True))
+        status, _ = await _fetch(deployment, _request(deployment, '/order/'))
+        assert status == 502
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize('path', STREAM_PATHS)
+def test_stream_that_ends_with_its_connection_is_whole(path: str) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _script(deployment, 'de', RawReply(STREAM_HEAD + b'\r\n' + WHOLE))
+        answer = await _fetch(deployment, _request(deployment, path))
+        assert answer == (200, WHOLE)
+
+    _run(scenario)
