Resume a stream that ends inside an event

Callers got a part of an event and then the end of a complete response, when an engine's stream without length and chunks was closed inside an event.

Cause: the relay passed on the bytes after the last event and ended as complete.

Evidence: three tests of test_broken_replies.py with a close inside an event (resumable stream, stream that isn't, first event) failed before; with a reset they passed. All pass now.

Bytes after the last event at the end of the body are now a lost connection: the stream is resumed after its last event, or the response is aborted.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -87,11 +87,6 @@
         """Returns whether the engine has been sending events for a while."""
         return self._node.clock() - self._first_event_at_s >= STARTED_S
 
-    @property
-    def rest(self) -> bytes:
-        """Returns the bytes after the last complete event."""
-        return self._splitter.rest
-
     async def open(self, resume_after: int | None) -> None:
         """Sends the request and waits for the first event or a failure.
 
@@ -121,13 +116,17 @@
         """Returns the events completed by the next bytes.
 
         Raises:
-            ExchangeError: if the connection is lost, or an event too long.
+            ExchangeError: if the connection is lost, an event too long, or
+                the body ends inside an event.
         """
-        data, self.is_complete = await self.reply.next_data()
+        data, is_last = await self.reply.next_data()
         try:
             events = self._splitter.feed(data)
         except EventTooLongError as error:
             raise ExchangeError(str(error)) from error
+        if is_last and self._splitter.rest:
+            raise ExchangeError('stream ended inside an event')
+        self.is_complete = is_last
         if events:
             self._note_events()
         return events
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -74,8 +74,6 @@
                 break
             events = await self._next_events()
         self._end_handover()
-        if self._stream.rest:
-            yield self._stream.rest
         self._finish()
 
     def _join_new_events(self, events: list[StreamEvent]) -> bytes:
--- a/packages/catkinreach-node/tests/gateway/test_broken_replies.py
+++ b/packages/catkinreach-node/tests/gateway/test_broken_replies.py
@@ -271,3 +271,38 @@
         assert answer == (200, WHOLE)
 
     _run(scenario)
+
+
+INSIDE_EVENT = STREAM_HEAD + b'\r\n' + b''.join(EVENTS[:3]) + b'id: 4\nda'
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_stream_that_ends_inside_an_event_is_resumed(*, is_reset: bool) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _script(deployment, 'd', RawReply(INSIDE_EVENT, is_reset=is_reset))
+        for _ in range(3):
+            request = _request(deployment, '/stream/')
+            assert await _fetch(deployment, request) == (200, WHOLE)
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_stream_that_ends_inside_an_event_does_not_look_complete(
+    *, is_reset: bool
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _script(deployment, 'de', RawReply(INSIDE_EVENT, is_reset=is_reset))
+        with pytest.raises(ExchangeError):
+            await _fetch(deployment, _request(deployment, '/once/'))
+
+    _run(scenario)
+
+
+def test_stream_that_ends_inside_its_first_event_fails() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _script(deployment, 'de', RawReply(STREAM_HEAD + b'\r\nid: 1\nda'))
+        status, _ = await _fetch(deployment, _request(deployment, '/once/'))
+        assert status == 502
+
+    _run(scenario)
