Tell every crash to the peers, and try refused parts again

Places are now given to what changed in the last 5 s, to repeated suspects and in turn to all others, each with up to sixteen crashes; refused keys are dropped last; a refusal lasts 20 s and doubles with each further crash up to 600 s, so that an innocent part runs again and a crashing one takes few engines along.

Three more without a test of their own: a check for a crash goes on when its caller leaves; a stream has started by the time of its last event, not of its end; a stream that ends with its connection before its first event has broken off, so it clears nothing.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NewType
@@ -39,18 +40,25 @@
 isn't sent to another one."""
 
 MAX_SUSPECTS = 2_000
-MAX_GOSSIP_SUSPECTS = 16
-"""Maximum number of keys in one gossip message."""
+MAX_GOSSIP_NEW = 12
+MAX_GOSSIP_REPEATED = 8
+MAX_GOSSIP_OTHERS = 8
+"""Maximum numbers of keys in one gossip message: those that changed lately,
+those with several crashes, and in turn all others."""
 
-MAX_GOSSIP_CRASHES = 6
+NEWS_S = 5.0
+"""Time for which a key counts as changed lately."""
+
+MAX_GOSSIP_CRASHES = 16
 """Maximum number of crashes, for each key, in one gossip message."""
 
-MAX_CLEARED = 12
+MAX_CLEARED = 64
 """Cleared crashes, for each key, that are remembered."""
 
-REFUSAL_S = 600.0
-"""Time after its last crash for which a key is refused; then one more crash is
-enough to refuse it again."""
+MIN_REFUSAL_S = 20.0
+MAX_REFUSAL_S = 600.0
+"""Time after its last crash for which a key is refused. It doubles with each
+further crash: a key that is innocent is found to be so, others crash rarely."""
 
 
 class SuspectReport(Struct, array_like=True, frozen=True):
@@ -72,6 +80,16 @@
     crashes: dict[CrashId, None] = field(default_factory=dict)
     cleared: dict[CrashId, None] = field(default_factory=dict)
     last_crash_s: float = 0.0
+    changed_s: float = 0.0
+
+    @property
+    def refused_until_s(self) -> float:
+        """Returns when a request with the key may be tried again."""
+        excess = len(self.crashes) - CRASHES_TO_REFUSE
+        if excess < 0:
+            return -math.inf
+        refusal_s = MIN_REFUSAL_S * float(1 << min(excess, 16))
+        return self.last_crash_s + min(MAX_REFUSAL_S, refusal_s)
 
     def add(self, crashes: Iterable[CrashId], now_s: float) -> bool:
         """Adds crashes; returns whether any was new."""
@@ -80,13 +98,16 @@
         if new:
             self.crashes.update(dict.fromkeys(new))
             self.last_crash_s = now_s
+            self.changed_s = now_s
         return bool(new)
 
-    def clear(self, crashes: Iterable[CrashId]) -> None:
+    def clear(self, crashes: Iterable[CrashId], now_s: float) -> None:
         """Clears the key of crashes."""
         for crash in tuple(crashes):
             self.crashes.pop(crash, None)
-            self.cleared[crash] = None
+            if crash not in self.cleared:
+                self.cleared[crash] = None
+                self.changed_s = now_s
         for crash in tuple(self.cleared)[:-MAX_CLEARED]:
             del self.cleared[crash]
 
@@ -105,6 +126,7 @@
         """Starts without suspects."""
         self._suspects: OrderedDict[SuspectKey, _Suspect] = OrderedDict()
         self._has_news = False
+        self._next_other = 0
 
     def record_crash(
         self, keys: Collection[SuspectKey], crash: CrashId, now_s: float
@@ -115,12 +137,12 @@
         self._drop_oldest()
         return self.crashes(keys)
 
-    def clear(self, keys: Iterable[SuspectKey]) -> None:
+    def clear(self, keys: Iterable[SuspectKey], now_s: float) -> None:
         """Clears the keys of a request that ran."""
         for key in keys:
             suspect = self._suspects.get(key)
             if suspect is not None and suspect.crashes:
-                self._touch(key).clear(suspect.crashes)
+                self._touch(key).clear(suspect.crashes, now_s)
                 self._has_news = True
 
     def crashes(self, keys: Iterable[SuspectKey]) -> int:
@@ -143,16 +165,31 @@
         """Adds what a peer reported."""
         for key, report in reports.items():
             suspect = self._suspects.setdefault(key, _Suspect())
-            suspect.clear(report.cleared)
+            suspect.clear(report.cleared, now_s)
             if suspect.add(report.crashes, now_s):
                 self._suspects.move_to_end(key)
         self._drop_oldest()
 
-    def reports(self) -> dict[SuspectKey, SuspectReport]:
-        """Returns what peers are told, repeated and new suspects first."""
-        newest = list(reversed(self._suspects.items()))
-        newest.sort(key=lambda item: len(item[1].crashes) <= 1)
-        return {key: one.report() for key, one in newest[:MAX_GOSSIP_SUSPECTS]}
+    def reports(self, now_s: float) -> dict[SuspectKey, SuspectReport]:
+        """Returns what peers are told now; after some calls they know all."""
+        new: list[SuspectKey] = []
+        repeated: list[SuspectKey] = []
+        others: list[SuspectKey] = []
+        for key, one in reversed(self._suspects.items()):
+            if now_s - one.changed_s < NEWS_S and len(new) < MAX_GOSSIP_NEW:
+                new.append(key)
+            elif len(one.crashes) > 1 and len(repeated) < MAX_GOSSIP_REPEATED:
+                repeated.append(key)
+            else:
+                others.append(key)
+        chosen = [*new, *repeated, *self._take_turn(others)]
+        return {key: self._suspects[key].report() for key in chosen}
+
+    def _take_turn(self, others: list[SuspectKey]) -> list[SuspectKey]:
+        """Returns the next of the keys that are told in turn."""
+        start = self._next_other if self._next_other < len(others) else 0
+        self._next_other = start + MAX_GOSSIP_OTHERS
+        return others[start : self._next_other]
 
     def take_news(self) -> bool:
         """Returns whether this node saw anything new since the last call."""
@@ -161,11 +198,7 @@
 
     def _has_too_many(self, key: SuspectKey, now_s: float) -> bool:
         suspect = self._suspects.get(key)
-        return (
-            suspect is not None
-            and len(suspect.crashes) >= CRASHES_TO_REFUSE
-            and now_s - suspect.last_crash_s < REFUSAL_S
-        )
+        return suspect is not None and now_s < suspect.refused_until_s
 
     def _is_explained(
         self, key: SuspectKey, keys: Collection[SuspectKey]
@@ -185,15 +218,25 @@
         return suspect
 
     def _drop_oldest(self) -> None:
-        while len(self._suspects) > MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
+        """Drops the oldest keys that aren't refused, if there are too many."""
+        excess = len(self._suspects) - MAX_SUSPECTS
+        if excess <= 0:
+            return
+        droppable = [
+            key
+            for key, one in self._suspects.items()
+            if len(one.crashes) < CRASHES_TO_REFUSE
+        ]
+        for key in (droppable or list(self._suspects))[:excess]:
+            del self._suspects[key]
 
 
 __all__ = (
     'CRASHES_TO_REFUSE',
     'CRASHES_TO_STOP_RETRY',
-    'MAX_GOSSIP_SUSPECTS',
-    'REFUSAL_S',
+    'MAX_GOSSIP_NEW',
+    'MAX_SUSPECTS',
+    'MIN_REFUSAL_S',
     'CrashId',
     'CrashSuspects',
     'SuspectKey',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -218,9 +219,11 @@
 
         If requests like it crashed others before, it isn't sent again.
         """
-        crashes = await self._node.checks.confirm_crash(
-            upstream, self._admitted
+        check = self._node.spawn(
+            self._node.checks.confirm_crash(upstream, self._admitted)
         )
+        # The crash counts even if the caller leaves meanwhile.
+        crashes = await asyncio.shield(check)
         self._may_crash_upstreams |= crashes >= CRASHES_TO_STOP_RETRY
 
     def record_timeout(self, upstream: Upstream, **inputs: object) -> None:
@@ -272,7 +275,7 @@
     now_s = node.clock()
     after_s = now_s - admitted.arrived_s
     node.health.record_success(upstream_id, now_s)
-    node.crash_suspects.clear(admitted.suspect_keys)
+    node.crash_suspects.clear(admitted.suspect_keys, now_s)
     node.metrics.record(RequestStage.TOTAL, after_s)
     node.log.write(
         Event.ANSWERED,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -70,6 +70,7 @@
             running=1, memory_tokens=need.memory_tokens
         )
         self._first_event_at_s = math.inf
+        self._last_event_at_s = 0.0
         self._has_started = False
         self.first_events: list[StreamEvent] = []
         self.is_complete = False
@@ -84,8 +85,8 @@
 
     @property
     def has_started(self) -> bool:
-        """Returns whether the engine has been sending events for a while."""
-        return self._node.clock() - self._first_event_at_s >= STARTED_S
+        """Returns whether the engine has sent events for a while."""
+        return self._last_event_at_s - self._first_event_at_s >= STARTED_S
 
     async def open(self, resume_after: int | None) -> None:
         """Sends the request and waits for the first event or a failure.
@@ -126,6 +127,12 @@
             raise ExchangeError(str(error)) from error
         if is_last and self._splitter.rest:
             raise ExchangeError('stream ended inside an event')
+        if (
+            is_last
+            and self.reply.ends_with_connection
+            and not (events or self._last_event_at_s)
+        ):
+            raise ExchangeError('connection ended before the first event')
         self.is_complete = is_last
         if events:
             self._note_events()
@@ -135,9 +142,10 @@
         """Clears the request of earlier crashes once its stream has started."""
         now_s = self._node.clock()
         self._first_event_at_s = min(self._first_event_at_s, now_s)
+        self._last_event_at_s = now_s
         if self.has_started and not self._has_started:
             self._has_started = True
-            self._node.crash_suspects.clear(self._admitted.suspect_keys)
+            self._node.crash_suspects.clear(self._admitted.suspect_keys, now_s)
 
     async def read_failure(self) -> bytes:
         """Returns the body of a reply that isn't an event stream.
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -62,6 +62,12 @@
             and content_type.lower().startswith(EVENT_STREAM_TYPE)
         )
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Returns whether the end of the body is that of the connection."""
+        names = {name for name, _ in self.headers}
+        return names.isdisjoint({'content-length', 'transfer-encoding'})
+
     async def next_data(self) -> tuple[bytes, bool]:
         """Returns the next data of the body, and whether the body is complete.
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -7,7 +7,7 @@
 import random
 import time
 from contextlib import suppress
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from catkinreach_core.gateway.aggregation import AggregatorChoice
 from catkinreach_core.gateway.cold_start import ColdRateLimiter
@@ -51,6 +51,8 @@
 
 RELEASE_TIMEOUT_S = 0.3
 
+_Result = TypeVar('_Result')
+
 
 class Node:
     """State of one gateway process; changed only on its event loop."""
@@ -86,7 +88,7 @@
         self.pool = UpstreamPool(self.clock)
         self.checks = UpstreamChecks(self)
         self.control_http = HttpClient()
-        self._tasks: set[asyncio.Task[object]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
         self.metrics = GatewayMetrics()
         self._add_gauges()
         self.log = DecisionLog(self.clock)
@@ -224,11 +226,14 @@
         """Frees the KV cache of a handle that won't be imported."""
         self.spawn(self._release_handle(handle))
 
-    def spawn(self, work: Coroutine[None, None, object]) -> None:
+    def spawn(
+        self, work: Coroutine[None, None, _Result]
+    ) -> asyncio.Task[_Result]:
         """Runs a coroutine in the background."""
-        task = asyncio.ensure_future(work)
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _release_handle(self, handle: KvHandle) -> None:
         request = self.dialect.release_request(handle)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -115,7 +115,9 @@
         has_suspects = self._node.crash_suspects.take_news()
         message = self._message(is_load_change=is_load_change)
         if has_suspects or not is_load_change:
-            message.suspects = self._node.crash_suspects.reports()
+            message.suspects = self._node.crash_suspects.reports(
+                self._node.clock()
+            )
         data = encode_gossip(message)
         if len(data) > MAX_GOSSIP_BYTES:
             message.members = []
