Carry a reset through a link of the fault proxy

Cause: a link took a reset of its source for the end of the stream and half-closed the other side, so the gateway saw an orderly end.

Evidence: test_reset_by_the_target_does_not_become_an_orderly_end fails with the earlier pump (DID NOT RAISE ConnectionResetError) and passes with this one.

--- a/packages/catkinreach-standins/src/catkinreach_standins/faultproxy/pump.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/faultproxy/pump.py
@@ -23,10 +23,16 @@
     """Bytes, and the loop time before which they aren't forwarded.
 
     Empty bytes mark the end of the stream.
+
+    Attributes:
+        content: The bytes.
+        ready_at_s: The loop time.
+        is_reset: Whether the stream ended by a reset.
     """
 
     content: bytes
     ready_at_s: float
+    is_reset: bool = False
 
 
 class Pump:
@@ -66,7 +72,11 @@
         self.has_lost_bytes = False
 
     async def run(self) -> None:
-        """Forwards until the reader ends, then half-closes the writer."""
+        """Forwards until the reader ends, then half-closes the writer.
+
+        Raises:
+            ConnectionResetError: if the reader ended by a reset.
+        """
         read_task = asyncio.create_task(self._read())
         try:
             await self._write()
@@ -82,12 +92,13 @@
 
     async def _read(self) -> None:
         chunk = b'-'  # not empty, so that the loop starts
+        is_reset = False
         while chunk:
             try:
                 chunk = await self._reader.read(CHUNK_BYTES)
             except OSError:
-                chunk = b''
-            await self._queue.put(_Chunk(chunk, self._ready_at_s()))
+                chunk, is_reset = b'', True
+            await self._queue.put(_Chunk(chunk, self._ready_at_s(), is_reset))
 
     def _ready_at_s(self) -> float:
         faults = self._faults()
@@ -100,6 +111,8 @@
             chunk = await self._queue.get()
             await asyncio.sleep(max(0.0, chunk.ready_at_s - loop.time()))
             await self._wait_while_stalled()
+            if chunk.is_reset:
+                raise ConnectionResetError('reset by the source')
             if not chunk.content:
                 self.half_close()
                 return
--- a/packages/catkinreach-standins/tests/test_faultproxy.py
+++ b/packages/catkinreach-standins/tests/test_faultproxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import time
 from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING
@@ -29,6 +31,8 @@
 
 REPLY_TIMEOUT_S = 5.0
 SILENCE_S = 0.2
+RESET = b'reset'
+LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
 class ProxyTestbed:
@@ -43,10 +47,19 @@
     async def echo(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Sends received bytes back, and ``end`` at the end of the stream."""
+        """Sends received bytes back, and ``end`` at the end of the stream.
+
+        The bytes ``RESET`` make it reset the connection.
+        """
         with suppress(OSError):
             while chunk := await reader.read(65536):
                 self.received += chunk
+                if chunk == RESET:
+                    writer.get_extra_info('socket').setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO
+                    )
+                    writer.transport.abort()
+                    return
                 writer.write(chunk)
             writer.write(b'end')
         writer.close()
@@ -231,6 +244,18 @@
     asyncio.run(scenario())
 
 
+def test_reset_by_the_target_does_not_become_an_orderly_end() -> None:
+    # A body without length that was reset looked complete behind the link.
+    async def scenario() -> None:
+        async with running_testbed() as testbed:
+            reader, writer = await testbed.connect()
+            writer.write(RESET)
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(reader.read(), REPLY_TIMEOUT_S)
+
+    asyncio.run(scenario())
+
+
 def test_source_of_a_peer_comes_from_its_first_frame() -> None:
     def encode_hello(vm: str) -> bytes:
         message = Hello(vm_id=VmId(vm), incarnation=Incarnation('i'))
