Soak silences, crashing requests and broken replies

It now draws, from outside the processes:

- engines that fall silent for 1 s before or within a response;
- responses that end with their connection, whole or reset midway; heads that are cut; an earlier refusal written again before the next response, with and without its id; a 500 to a resumed stream;
It is drawn apart, so the other faults of old seeds are as before.
Deadly requests go on while recovery is checked.

New invariants: a stream of sound engines isn't cut, nor answered 502 or 504, before its deadline; a plain success has the engine's whole body; a stream holds nothing but events; no 408, 421, 429 or 503 for a request that ran and may not be repeated; at most three deadly requests reach upstreams later than 3 s after the fifth crash.

The constructed record of a cut stream in the test of allowed outcomes is past its deadline now: with a sound engine and time left it is a violation, which has a case of its own.

--- a/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
+++ b/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
@@ -30,7 +30,7 @@
 class CrashingEngine(UpstreamStandin):
     """Decode engine that crashes when it starts to answer on one part."""
 
-    async def _send_stream(
+    async def _respond_stream(
         self,
         request: ReceivedRequest,
         reader: asyncio.StreamReader,
@@ -38,7 +38,7 @@
         behaviour: Behaviour,
     ) -> bool:
         if CRASHING_PART not in request.headers['prompt-prefix']:
-            return await super()._send_stream(
+            return await super()._respond_stream(
                 request, reader, writer, behaviour
             )
         self.close()
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/received_request.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/received_request.py
@@ -37,6 +37,12 @@
         """Returns whether the request is for the prefill stage."""
         return self.headers.get('serving-stage') == 'prefill'
 
+    @property
+    def prefix_ids(self) -> tuple[str, ...]:
+        """Returns the ids of the parts in the ``Prompt-Prefix`` header."""
+        prefix = self.headers.get('prompt-prefix', '')
+        return tuple(part.partition(':')[0] for part in prefix.split(','))
+
     @property
     def request_id(self) -> str:
         """Returns the ``Request-Id`` header; empty if there is none."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/__main__.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/__main__.py
@@ -34,6 +34,12 @@
         'folder for settings and logs; a temporary one by default',
         flag_values=values,
     )
+    flags.DEFINE_bool(
+        'crashing',
+        default=True,
+        help='whether some requests crash engines',
+        flag_values=values,
+    )
     values(argv)
     logger.remove()
     root = Path(values.logs or tempfile.mkdtemp(prefix='soak-'))
@@ -48,6 +54,7 @@
                     duration_s=values.duration_s,
                     front_count=values.fronts,
                     folder=folder,
+                    has_crashing_requests=values.crashing,
                 )
             )
         )
@@ -68,7 +75,8 @@
         )
     )
     sys.stdout.write(
-        f'seed {seed}: {result.fault_count} faults; {call_counts}\n'
+        f'seed {seed}: {result.fault_count} faults,'
+        f' {result.crash_count} crashes; {call_counts}\n'
     )
     for violation in result.violations:
         sys.stdout.write(f'  VIOLATION {violation}\n')
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
@@ -18,6 +18,7 @@
 from ..config import HOST, OTHER_API_KEY
 from .history import CallEnd, CallKind, CallRecord
 from .invariants import DEADLINE_S
+from .prompts import CRASHING_PART
 
 if TYPE_CHECKING:
     import random
@@ -27,6 +28,7 @@
 
     from ..processes import FrontProcess
     from .history import History
+    from .prompts import Prompts
 
 MEAN_PAUSE_S: Final = 0.15
 """Mean pause of a caller between two calls."""
@@ -41,6 +43,7 @@
 _MS_PER_S: Final = 1000
 _EVENT_ID: Final = re.compile(rb'id: (\d+)\n')
 _EVENT_END: Final = b'\n\n'
+_EVENT: Final = re.compile(rb'id: \d+\ndata: token \d+\n\n')
 
 
 class _Problem(msgspec.Struct):
@@ -67,12 +70,14 @@
         fronts: Front processes to call.
         history: Where calls are recorded.
         rng: Random number generator for pauses and cancellations.
+        prompts: Makes the prompts of streams.
         is_stopped: Whether callers end after their current call.
     """
 
     fronts: Sequence[FrontProcess]
     history: History
     rng: random.Random
+    prompts: Prompts
     is_stopped: bool = False
     _request_count: int = 0
 
@@ -160,6 +165,8 @@
         target = f'/{kind.value}/'
         if kind is CallKind.READ:
             return HttpRequest('GET', target, headers)
+        if kind in {CallKind.STREAM, CallKind.ONCE}:
+            headers.append(('prompt-prefix', self.prompts.make_prefix()))
         return HttpRequest('POST', target, headers, request_id.encode())
 
 
@@ -202,6 +209,8 @@
             int(event_id) for event_id in _EVENT_ID.findall(events)
         ),
         has_partial_event=bool(events) and not events.endswith(_EVENT_END),
+        is_crashing=CRASHING_PART in (request.header('prompt-prefix') or ''),
+        body=_EVENT.sub(b'', events) if is_stream else partial_response.body,
     )
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
@@ -11,7 +11,7 @@
 from ..config import make_config
 from ..store import StoreFault
 from ..upstream_behaviour import Behaviour
-from .history import Disruption, DisruptionKind
+from .history import Disruption, DisruptionKind, LinkDisruption
 from .plan import FaultKind, TargetKind
 
 if TYPE_CHECKING:
@@ -21,6 +21,7 @@
     from ..processes import FrontProcess
     from .history import History
     from .plan import Fault
+    from .prompts import Prompts
     from .soak_deployment import SoakDeployment
 
 STOP_TIMEOUT_S: Final = 5.0
@@ -32,7 +33,7 @@
 LINK_DELAY_S: Final = 0.15
 """Delay of a slow link, and the upper bound of its jitter."""
 
-SCRIPT_LENGTH: Final = 3
+SCRIPT_LENGTH: Final = 12
 """Number of behaviours that one fault adds to an upstream's script."""
 
 _LINK_FAULTS: Final = {
@@ -59,10 +60,15 @@
     """Injects the faults of a plan into a deployment, and ends them."""
 
     def __init__(
-        self, deployment: SoakDeployment, history: History, rng: random.Random
+        self,
+        deployment: SoakDeployment,
+        prompts: Prompts,
+        history: History,
+        rng: random.Random,
     ) -> None:
         """Injects nothing yet."""
         self._deployment = deployment
+        self._prompts = prompts
         self._history = history
         self._rng = rng
         self._config_version = 5
@@ -90,6 +96,8 @@
                 await self._inject_store_fault(fault)
             case TargetKind.UPSTREAM:
                 await self._inject_upstream_fault(fault)
+            case TargetKind.CALLERS:
+                await self._send_crashing_requests(fault)
 
     async def _inject_front_fault(self, fault: Fault) -> None:
         handlers: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
@@ -170,12 +178,17 @@
 
     async def _inject_link_fault(self, fault: Fault) -> None:
         link = self._deployment.links[fault.target]
+        disruption = LinkDisruption(
+            fault.target, time.monotonic(), float('inf')
+        )
+        self._history.link_disruptions.append(disruption)
         if fault.kind is FaultKind.RESET:
             link.inject_once(OneTimeFault.RESET, '')
-            return
-        link.set_faults('', _LINK_FAULTS[fault.kind])
-        await asyncio.sleep(fault.duration_s)
-        link.set_faults('', LinkFaults())
+        else:
+            link.set_faults('', _LINK_FAULTS[fault.kind])
+            await asyncio.sleep(fault.duration_s)
+            link.set_faults('', LinkFaults())
+        disruption.until_s = time.monotonic()
 
     async def _inject_store_fault(self, fault: Fault) -> None:
         store = self._deployment.store
@@ -204,6 +217,11 @@
         await asyncio.sleep(fault.duration_s)
         self._deployment.publish_upstream(upstream)
 
+    async def _send_crashing_requests(self, fault: Fault) -> None:
+        """Makes prompts crashing; they stay so until the end of the run."""
+        self._prompts.has_crashing = True
+        await asyncio.sleep(fault.duration_s)
+
     def _add_disruption(
         self, front: FrontProcess, kind: DisruptionKind
     ) -> Disruption:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 
 class CallKind(Enum):
@@ -51,6 +55,9 @@
         outcome: Whether the request ran, as a refusal reports it.
         event_ids: Ids of a stream's events in the order of arrival.
         has_partial_event: Whether the stream ended within an event.
+        is_crashing: Whether the prompt holds the part that crashes engines.
+        body: Body of a response to a plain call; of a stream, the bytes that
+            belong to no event.
     """
 
     request_id: str
@@ -64,6 +71,8 @@
     outcome: str = ''
     event_ids: tuple[int, ...] = ()
     has_partial_event: bool = False
+    is_crashing: bool = False
+    body: bytes = b''
 
 
 class DisruptionKind(Enum):
@@ -91,6 +100,21 @@
     until_s: float
 
 
+@dataclass(slots=True)
+class LinkDisruption:
+    """An interval in which a link was faulty.
+
+    Attributes:
+        link: Name of the link.
+        from_s: Monotonic time of the start.
+        until_s: Monotonic time of the end; infinite until then.
+    """
+
+    link: str
+    from_s: float
+    until_s: float
+
+
 @dataclass(slots=True)
 class History:
     """Records of a run.
@@ -98,11 +122,13 @@
     Attributes:
         calls: Calls in the order in which they ended.
         disruptions: Disruptions of front processes.
+        link_disruptions: Disruptions of links.
         violations: Violations that were found during the run.
     """
 
     calls: list[CallRecord] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
+    link_disruptions: list[LinkDisruption] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
     def was_disrupted(self, call: CallRecord, *kinds: DisruptionKind) -> bool:
@@ -115,6 +141,26 @@
             for disruption in self.disruptions
         )
 
+    def was_link_faulty(self, call: CallRecord, links: Collection[str]) -> bool:
+        """Returns whether one of the links was faulty during the call."""
+        return any(
+            disruption.link in links
+            and disruption.from_s <= call.ended_s
+            and disruption.until_s >= call.sent_s
+            for disruption in self.link_disruptions
+        )
+
+    def was_disrupted_before(
+        self, front: int, at_s: float, within_s: float
+    ) -> bool:
+        """Returns whether a front was disrupted in the time before."""
+        return any(
+            disruption.front == front
+            and disruption.from_s <= at_s
+            and disruption.until_s >= at_s - within_s
+            for disruption in self.disruptions
+        )
+
 
 __all__ = (
     'CallEnd',
@@ -123,4 +169,5 @@
     'Disruption',
     'DisruptionKind',
     'History',
+    'LinkDisruption',
 )
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from ..upstream import EVENT_COUNT
 from .history import CallEnd, CallKind, DisruptionKind
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping, Sequence
+    from collections.abc import Collection, Iterator, Mapping, Sequence
 
     from .history import CallRecord, History
 
@@ -32,11 +32,26 @@
 UNJUSTIFIED_STATUSES: Final = frozenset({400, 401, 403, 404, 500})
 """Statuses of refusals for which the callers give no cause."""
 
+FAILURE_STATUSES: Final = frozenset({502, 504})
+"""Statuses of refusals that may only follow a fault of an upstream."""
+
+PROMISE_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Statuses by which a request that must not be repeated hasn't run."""
+
 RETRY_WINDOW_S: Final = 10.0
 RETRY_RATIO: Final = 0.2
 RETRY_SLACK: Final = 58
 """With the two values above: the retry budget in the fronts' settings."""
 
+CRASHES_BEFORE_STOP: Final = 5
+"""Crashes after which a part of prompts is known to be crashing."""
+
+STOP_WITHIN_S: Final = 3.0
+"""Time from the last of these crashes until its requests are stopped."""
+
+MAX_LATE_CRASHING: Final = 3
+"""Crashing requests that may reach upstreams after that time."""
+
 EXCUSING_DISRUPTIONS: Final = (
     DisruptionKind.KILLED,
     DisruptionKind.PAUSED,
@@ -58,12 +73,21 @@
         sends: Monotonic times at which upstreams received a request, by its
             id; prefills are excluded.
         logs: Output of each front by its number.
+        prefills: Like ``sends``, of prefills.
+        upstreams_by_id: Ids of the upstreams that ran a request, by its id.
+        unsound_ids: Ids of requests to which an upstream's own response was
+            faulty.
+        crashes_s: Monotonic times of crashes, in order.
     """
 
     history: History
     runs: Mapping[str, int]
     sends: Mapping[str, Sequence[float]]
     logs: Mapping[int, str]
+    prefills: Mapping[str, Sequence[float]] = field(default_factory=dict)
+    upstreams_by_id: Mapping[str, Collection[str]] = field(default_factory=dict)
+    unsound_ids: frozenset[str] = frozenset()
+    crashes_s: Sequence[float] = ()
 
 
 def find_violations(records: RunRecords) -> list[str]:
@@ -76,6 +100,7 @@
             for text in _check_call(call, records, explained_ids)
         ]
     found += _check_retry_budget(records)
+    found += _check_crashing_requests(records)
     return found
 
 
@@ -100,7 +125,10 @@
         yield f'connection closed without a response, ran {runs} times'
     if call.end is CallEnd.FAILED and not runs:
         yield f'failed with {call.status}, but no upstream ran it'
+    yield from _check_promise(call, runs)
+    yield from _check_body(call, records)
     yield from _check_stream(call)
+    yield from _check_sound_stream(call, records)
     yield from _check_deadline(call, history)
     needs_cause = call.end in {CallEnd.REFUSED, CallEnd.INCOMPLETE}
     is_disrupted = history.was_disrupted(
@@ -129,6 +157,52 @@
     return is_closing and not runs
 
 
+def _check_promise(call: CallRecord, runs: int) -> Iterator[str]:
+    """Checks that no status promises not-run for what ran."""
+    may_repeat = call.kind in {CallKind.READ, CallKind.STREAM}
+    if runs and not may_repeat and call.status in PROMISE_STATUSES:
+        yield f'{call.end.value} with {call.status}, ran {runs} times'
+
+
+def _check_body(call: CallRecord, records: RunRecords) -> Iterator[str]:
+    """Checks that the body is whole and comes from an upstream that ran it."""
+    if call.kind in {CallKind.STREAM, CallKind.ONCE}:
+        if call.body:
+            yield f'stream holds bytes of no event: {call.body[:100]!r}'
+        return
+    upstreams = records.upstreams_by_id.get(call.request_id, ())
+    bodies = {f'{name} ran {call.request_id}'.encode() for name in upstreams}
+    if call.end is CallEnd.ANSWERED and call.body not in bodies:
+        yield f'answered with the body {call.body[:100]!r}'
+
+
+def _check_sound_stream(call: CallRecord, records: RunRecords) -> Iterator[str]:
+    """Checks that a stream isn't ended early if its engines were sound.
+
+    A fault of a link to these engines, a disruption of the front and the
+    deadline excuse it.
+    """
+    is_stream = call.kind in {CallKind.STREAM, CallKind.ONCE}
+    is_ended_early = call.end is CallEnd.INCOMPLETE or (
+        call.end is CallEnd.REFUSED and call.status in FAILURE_STATUSES
+    )
+    upstreams = records.upstreams_by_id.get(call.request_id, ())
+    if not (is_stream and is_ended_early and upstreams):
+        return
+    is_excused = (
+        call.request_id in records.unsound_ids
+        or call.ended_s - call.sent_s >= DEADLINE_S
+        or records.history.was_disrupted(call, *EXCUSING_DISRUPTIONS)
+        or records.history.was_link_faulty(call, upstreams)
+    )
+    if not is_excused:
+        duration_s = call.ended_s - call.sent_s
+        yield (
+            f'{call.end.value} {call.code} after {duration_s:.1f} s and'
+            f' {len(call.event_ids)} events of sound engines'
+        )
+
+
 def _check_stream(call: CallRecord) -> Iterator[str]:
     if call.kind not in {CallKind.STREAM, CallKind.ONCE}:
         return
@@ -175,6 +249,44 @@
             return
 
 
+def _check_crashing_requests(records: RunRecords) -> Iterator[str]:
+    """Checks that crashing requests are stopped after some crashes.
+
+    Requests of a front that was disrupted shortly before don't count.
+    """
+    if len(records.crashes_s) < CRASHES_BEFORE_STOP:
+        return
+    from_s = records.crashes_s[CRASHES_BEFORE_STOP - 1] + STOP_WITHIN_S
+    late_count = sum(
+        _count_late_arrivals(call, records, from_s)
+        for call in records.history.calls
+        if call.is_crashing
+    )
+    if late_count > MAX_LATE_CRASHING:
+        yield (
+            f'{late_count} crashing requests reached upstreams later than'
+            f' {STOP_WITHIN_S} s after crash {CRASHES_BEFORE_STOP};'
+            f' {len(records.crashes_s)} crashes'
+        )
+
+
+def _count_late_arrivals(
+    call: CallRecord, records: RunRecords, from_s: float
+) -> int:
+    """Returns how often a request arrived; its prefill isn't a second time."""
+
+    def count(arrivals: Mapping[str, Sequence[float]]) -> int:
+        return sum(
+            at_s > from_s
+            and not records.history.was_disrupted_before(
+                call.front, at_s, STOP_WITHIN_S
+            )
+            for at_s in arrivals.get(call.request_id, ())
+        )
+
+    return count(records.sends) or min(1, count(records.prefills))
+
+
 def _read_logs(
     logs: Mapping[int, str],
 ) -> tuple[frozenset[str], list[str]]:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -21,6 +21,13 @@
 MAX_FAULTS_IN_SERIES: Final = 4
 MAX_SERIES_INTERVAL_S: Final = 0.3
 
+MIN_CRASHING_START: Final = 0.1
+MAX_CRASHING_START: Final = 0.5
+"""With the value above: start of the crashing requests, as a share of a run."""
+
+MIN_CRASHING_DURATION_S: Final = 10.0
+MAX_CRASHING_DURATION_S: Final = 14.0
+
 
 class TargetKind(Enum):
     """Component that a fault affects."""
@@ -29,6 +36,7 @@
     UPSTREAM = 'upstream'
     STORE = 'store'
     LINK = 'link'
+    CALLERS = 'callers'
 
 
 class FaultKind(Enum):
@@ -73,6 +81,9 @@
     DELIST = ('delist', TargetKind.UPSTREAM)
     """The upstream's entry is missing for a time."""
 
+    CRASHING_REQUESTS = ('crashing-requests', TargetKind.CALLERS)
+    """Some streams hold a part of a prompt that crashes each engine."""
+
     @property
     def target_kind(self) -> TargetKind:
         """Returns the kind of component that the fault affects."""
@@ -80,6 +91,12 @@
         return target_kind
 
 
+RANDOM_KINDS: Final = tuple(
+    kind for kind in FaultKind if kind is not FaultKind.CRASHING_REQUESTS
+)
+"""Kinds that are drawn for the whole run."""
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """A scheduled fault.
@@ -101,9 +118,23 @@
     seed: int,
     duration_s: float,
     targets: Mapping[TargetKind, Sequence[str]],
+    *,
+    has_crashing_requests: bool = True,
 ) -> tuple[Fault, ...]:
-    """Returns the faults of a run in the order of their start."""
-    faults = _draw_faults(random.Random(seed), duration_s, targets)
+    """Returns the faults of a run in the order of their start.
+
+    Args:
+        seed: Seed of the faults.
+        duration_s: Length of the interval in which faults start.
+        targets: Names of the components by their kind.
+        has_crashing_requests: Whether there are crashing requests; the other
+            faults are the same with and without them.
+    """
+    faults = list(_draw_faults(random.Random(seed), duration_s, targets))
+    if has_crashing_requests:
+        faults.append(
+            _draw_crashing(random.Random(f'{seed}/crashing'), duration_s)
+        )
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
@@ -114,7 +145,7 @@
 ) -> Iterator[Fault]:
     at_s = 0.0
     while (at_s := at_s + rng.expovariate(1 / MEAN_INTERVAL_S)) < duration_s:
-        kind = rng.choice(tuple(FaultKind))
+        kind = rng.choice(RANDOM_KINDS)
         target = rng.choice(targets.get(kind.target_kind) or ('',))
         is_series = rng.random() < SERIES_PROBABILITY
         count = rng.randint(2, MAX_FAULTS_IN_SERIES) if is_series else 1
@@ -127,4 +158,12 @@
             start_s += fault_duration_s + rng.uniform(0, MAX_SERIES_INTERVAL_S)
 
 
+def _draw_crashing(rng: random.Random, duration_s: float) -> Fault:
+    start_s = duration_s * rng.uniform(MIN_CRASHING_START, MAX_CRASHING_START)
+    fault_duration_s = rng.uniform(
+        MIN_CRASHING_DURATION_S, MAX_CRASHING_DURATION_S
+    )
+    return Fault(FaultKind.CRASHING_REQUESTS, '', start_s, fault_duration_s)
+
+
 __all__ = ('Fault', 'FaultKind', 'TargetKind', 'make_plan')
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
@@ -14,15 +14,17 @@
 from ..deployment import eventually
 from .callers import Callers
 from .fault_injector import FaultInjector
-from .history import CallEnd, CallKind, History
+from .history import CallEnd, CallKind, History, LinkDisruption
 from .invariants import RunRecords, find_violations
 from .plan import TargetKind, make_plan
+from .prompts import Prompts
 from .soak_deployment import running_soak_deployment
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
     from pathlib import Path
 
+    from ..upstream import UpstreamStandin
     from .soak_deployment import SoakDeployment
 
 RECOVERY_TIMEOUT_S: Final = 15.0
@@ -42,12 +44,14 @@
         duration_s: Length of the interval in which faults start.
         front_count: Number of front processes.
         folder: Folder for settings and logs of the fronts.
+        has_crashing_requests: Whether some requests crash engines.
     """
 
     seed: int
     duration_s: float
     front_count: int
     folder: Path
+    has_crashing_requests: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,17 +62,20 @@
         violations: A description of each violation.
         end_counts: Number of calls by route and end.
         fault_count: Number of injected faults.
+        crash_count: Number of crashes of engines.
     """
 
     violations: list[str]
     end_counts: Mapping[tuple[CallKind, CallEnd], int]
     fault_count: int
+    crash_count: int
 
 
 async def run_soak(options: SoakOptions) -> SoakResult:
     """Runs the soak with one seed and checks the records."""
     rng = random.Random(options.seed)
     history = History()
+    prompts = Prompts(random.Random(f'{options.seed}/prompts'))
     async with running_soak_deployment(
         options.front_count, options.folder, options.seed
     ) as deployment:
@@ -80,11 +87,14 @@
                 TargetKind.UPSTREAM: tuple(deployment.upstreams),
                 TargetKind.LINK: tuple(deployment.links),
             },
+            has_crashing_requests=options.has_crashing_requests,
+        )
+        callers = Callers(
+            tuple(deployment.fronts.values()), history, rng, prompts
         )
-        callers = Callers(tuple(deployment.fronts.values()), history, rng)
         count = CALLERS_PER_FRONT * options.front_count
         callers_task = asyncio.ensure_future(callers.run(count))
-        await FaultInjector(deployment, history, rng).run(plan)
+        await FaultInjector(deployment, prompts, history, rng).run(plan)
         callers.is_stopped = True
         await callers_task
         await _check_recovery(deployment, callers)
@@ -94,13 +104,15 @@
         violations=find_violations(records),
         end_counts=Counter((call.kind, call.end) for call in history.calls),
         fault_count=len(plan),
+        crash_count=len(records.crashes_s),
     )
 
 
 async def _check_recovery(deployment: SoakDeployment, callers: Callers) -> None:
     """Calls every route of every front until it succeeds.
 
-    A route that doesn't succeed within the time limit is a violation.
+    A route that doesn't succeed within the time limit is a violation. Crashing
+    requests go on, but aren't expected to succeed.
     """
     until_s = time.monotonic() + RECOVERY_TIMEOUT_S
     client = HttpClient()
@@ -131,17 +143,42 @@
 ) -> RunRecords:
     runs: Counter[str] = Counter()
     sends: defaultdict[str, list[float]] = defaultdict(list)
-    for upstream in deployment.upstreams.values():
+    prefills: defaultdict[str, list[float]] = defaultdict(list)
+    upstreams = deployment.upstreams.values()
+    for upstream in upstreams:
         runs.update(upstream.runs)
+        history.link_disruptions += (
+            LinkDisruption(upstream.upstream_id, crash_s, crash_s)
+            for crash_s in upstream.crashes_s
+        )
         for received in upstream.received:
-            if not received.is_prefill:
-                sends[received.request_id].append(received.at_s)
+            arrivals = prefills if received.is_prefill else sends
+            arrivals[received.request_id].append(received.at_s)
     return RunRecords(
         history=history,
         runs=runs,
         sends=sends,
         logs={front.number: front.log for front in deployment.fronts.values()},
+        prefills=prefills,
+        upstreams_by_id=_upstreams_by_id(upstreams),
+        unsound_ids=frozenset().union(
+            *(upstream.unsound_ids for upstream in upstreams)
+        ),
+        crashes_s=sorted(
+            crash_s for upstream in upstreams for crash_s in upstream.crashes_s
+        ),
     )
 
 
+def _upstreams_by_id(
+    upstreams: Iterable[UpstreamStandin],
+) -> Mapping[str, set[str]]:
+    """Returns the ids of the upstreams that ran each request."""
+    found: defaultdict[str, set[str]] = defaultdict(set)
+    for upstream in upstreams:
+        for request_id in upstream.runs:
+            found[request_id].add(upstream.upstream_id)
+    return found
+
+
 __all__ = ('SoakOptions', 'SoakResult', 'run_soak')
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from ...bench.ports import free_ports
@@ -15,6 +16,7 @@
 from ..processes import make_fronts
 from ..store import StoreStandin
 from ..upstream import UpstreamStandin
+from .prompts import CRASHING_PART
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -45,15 +47,26 @@
                 UpstreamStandin('c', PLAIN_SERVICE),
                 UpstreamStandin('p', MODEL_SERVICE, 'prefill'),
                 UpstreamStandin(
-                    'd', MODEL_SERVICE, 'decode', event_gap_s=EVENT_GAP_S
+                    'd',
+                    MODEL_SERVICE,
+                    'decode',
+                    event_gap_s=EVENT_GAP_S,
+                    crashing_part=CRASHING_PART,
                 ),
                 UpstreamStandin(
-                    'e', MODEL_SERVICE, 'decode', event_gap_s=EVENT_GAP_S
+                    'e',
+                    MODEL_SERVICE,
+                    'decode',
+                    event_gap_s=EVENT_GAP_S,
+                    crashing_part=CRASHING_PART,
                 ),
             )
         }
         names = (STORE_LINK, *self.upstreams)
         self._ports = dict(zip(names, free_ports(len(names)), strict=True))
+        self._upstream_ports = dict(
+            zip(self.upstreams, free_ports(len(self.upstreams)), strict=True)
+        )
         self._seed = seed
         self._sequence = 1
         self.links: dict[str, Link] = {}
@@ -69,8 +82,12 @@
         await self.store.start()
         await self._start_link(STORE_LINK, f'{LOOPBACK}:{self.store.port}')
         for name, upstream in self.upstreams.items():
-            await upstream.start()
+            await upstream.start(self._upstream_ports[name])
             await self._start_link(name, upstream.address)
+            # Callers of a crashed process find no listener at its address.
+            link = self.links[name]
+            upstream.on_crash = link.close
+            upstream.on_restart = partial(link.start, LOOPBACK)
         self.store.put('op/config', make_config(5))
         for upstream in self.upstreams.values():
             self.publish_upstream(upstream)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
@@ -15,6 +15,9 @@
 EVENTS_BEFORE_PAUSE = 3
 """Events that ``Behaviour.PAUSE`` sends before the pause."""
 
+SILENCE_S = 1.0
+"""Time for which the silent behaviours send nothing."""
+
 OK_LINE = b'HTTP/1.1 200 OK\r\n'
 
 
@@ -58,6 +61,50 @@
     ENDLESS_BODY = 'endless-body'
     """The body doesn't end, nor does an event in it."""
 
+    SILENT_START = 'silent-start'
+    """Nothing is sent for a time before the response, which is whole."""
+
+    SILENT_MIDWAY = 'silent-midway'
+    """Nothing is sent for a time within the response, which is whole."""
+
+    CLOSED_END = 'closed-end'
+    """A whole response has no length and ends with its connection."""
+
+    RESET_BODY = 'reset-body'
+    """A response without length is reset within the body."""
+
+    CUT_HEAD = 'cut-head'
+    """The connection ends within the head of the response."""
+
+    REPEAT_REFUSAL = 'repeat-refusal'
+    """A refusal comes again before the connection's next response."""
+
+    REPEAT_UNNAMED = 'repeat-unnamed'
+    """As ``REPEAT_REFUSAL``; the second one has no ``Request-Id``."""
+
+    FAIL_RESUMED = 'fail-resumed'
+    """A stream breaks off; the next resumed one is answered with 500."""
+
+
+REFUSING_BEHAVIOURS = frozenset(
+    {
+        Behaviour.REFUSE,
+        Behaviour.REPEAT_REFUSAL,
+        Behaviour.REPEAT_UNNAMED,
+    }
+)
+"""Behaviours by which the request doesn't run."""
+
+SOUND_BEHAVIOURS = frozenset(
+    {
+        Behaviour.SERVE,
+        Behaviour.SILENT_START,
+        Behaviour.SILENT_MIDWAY,
+        Behaviour.CLOSED_END,
+    }
+)
+"""Behaviours by which the request is run and answered in full."""
+
 
 @dataclass(frozen=True, slots=True)
 class EndlessReply:
@@ -115,6 +162,9 @@
 __all__ = (
     'EVENTS_BEFORE_DISCONNECT',
     'EVENTS_BEFORE_PAUSE',
+    'REFUSING_BEHAVIOURS',
+    'SILENCE_S',
+    'SOUND_BEHAVIOURS',
     'Behaviour',
     'EndlessReply',
     'RawReply',
--- /dev/null
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_replies.py
@@ -0,0 +1,85 @@
+"""Bytes that a stand-in of an upstream sends."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .upstream_behaviour import encode_chunk
+
+if TYPE_CHECKING:
+    from .received_request import ReceivedRequest
+
+
+@dataclass(frozen=True, slots=True)
+class StreamFraming:
+    """How a stream is framed.
+
+    Attributes:
+        is_chunked: Whether it is sent in chunks; otherwise it ends with its
+            connection.
+    """
+
+    is_chunked: bool
+
+    def head(self, request: ReceivedRequest, upstream_id: str) -> bytes:
+        """Returns the head of the stream."""
+        lines = [
+            'HTTP/1.1 200 OK',
+            f'Request-Id: {request.request_id}',
+            f'Response-Seal: seal-{upstream_id}',
+            'Content-Type: text/event-stream',
+        ]
+        if self.is_chunked:
+            lines.append('Transfer-Encoding: chunked')
+        return _encode_head(lines)
+
+    def encode(self, data: bytes) -> bytes:
+        """Returns a part of the body as it is sent."""
+        return encode_chunk(data) if self.is_chunked else data
+
+    def end(self) -> bytes:
+        """Returns what ends the body."""
+        return encode_chunk(b'') if self.is_chunked else b''
+
+
+def refusal(request_id: str = '') -> bytes:
+    """Returns a refusal, without ``Request-Id`` if the id is empty."""
+    lines = ['HTTP/1.1 503 full', 'Not-Executed: 1', 'Content-Length: 0']
+    if request_id:
+        lines.append(f'Request-Id: {request_id}')
+    return _encode_head(lines)
+
+
+def response_without_length(
+    request: ReceivedRequest, upstream_id: str, body: bytes
+) -> bytes:
+    """Returns a response that has neither a length nor chunks."""
+    lines = (
+        'HTTP/1.1 200 OK',
+        f'Request-Id: {request.request_id}',
+        f'Response-Seal: seal-{upstream_id}',
+    )
+    return _encode_head(lines) + body
+
+
+def partial_head(request: ReceivedRequest, upstream_id: str) -> bytes:
+    """Returns whole lines of a head that has no end."""
+    lines = (
+        'HTTP/1.1 200 OK',
+        f'Request-Id: {request.request_id}',
+        f'Response-Seal: seal-{upstream_id}',
+    )
+    return _encode_head(lines).removesuffix(b'\r\n')
+
+
+def _encode_head(lines: list[str] | tuple[str, ...]) -> bytes:
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
+__all__ = (
+    'StreamFraming',
+    'partial_head',
+    'refusal',
+    'response_without_length',
+)
--- a/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
@@ -13,6 +13,7 @@
     Disruption,
     DisruptionKind,
     History,
+    LinkDisruption,
 )
 from catkinreach_standins.platform.soak.invariants import (
     RunRecords,
@@ -31,9 +32,11 @@
     ended_s=10.1,
     end=CallEnd.ANSWERED,
     status=200,
+    body=b'a ran r',
 )
 ORDER = replace(READ, kind=CallKind.ORDER)
-STREAM = replace(READ, kind=CallKind.STREAM, event_ids=WHOLE)
+STREAM = replace(READ, kind=CallKind.STREAM, event_ids=WHOLE, body=b'')
+CUT_STREAM = replace(STREAM, end=CallEnd.INCOMPLETE, event_ids=WHOLE[:3])
 REFUSED = replace(
     READ, end=CallEnd.REFUSED, status=503, code='busy', outcome='not-run'
 )
@@ -45,12 +48,25 @@
     runs: int = 0,
     log: str = EXPLAINED,
     disruption: DisruptionKind | None = None,
+    faulty_link: str = '',
+    is_sound: bool = True,
 ) -> list[str]:
     history = History(calls=[call])
+    if faulty_link:
+        history.link_disruptions.append(
+            LinkDisruption(faulty_link, 10.0, 10.01)
+        )
     if disruption is not None:
         history.disruptions.append(Disruption(0, disruption, 10.05, 10.06))
     return find_violations(
-        RunRecords(history=history, runs={'r': runs}, sends={}, logs={0: log})
+        RunRecords(
+            history=history,
+            runs={'r': runs},
+            sends={},
+            logs={0: log},
+            upstreams_by_id={'r': {'a'}},
+            unsound_ids=frozenset() if is_sound else frozenset({'r'}),
+        )
     )
 
 
@@ -61,7 +77,7 @@
         (ORDER, 1),
         (STREAM, 2),
         (REFUSED, 0),
-        (replace(STREAM, end=CallEnd.INCOMPLETE, event_ids=WHOLE[:3]), 2),
+        (replace(CUT_STREAM, ended_s=13.1), 2),
         (replace(READ, end=CallEnd.CANCELLED, status=0), 1),
         (replace(READ, end=CallEnd.FAILED, status=500), 1),
         (replace(READ, end=CallEnd.CONNECT_FAILED, status=0), 0),
@@ -93,6 +109,20 @@
             0,
             'no upstream ran it',
         ),
+        (CUT_STREAM, 1, 'of sound engines'),
+        (
+            replace(STREAM, end=CallEnd.REFUSED, status=504, event_ids=()),
+            1,
+            'of sound engines',
+        ),
+        (
+            replace(ORDER, end=CallEnd.FAILED, status=503),
+            1,
+            'failed with 503, ran 1 times',
+        ),
+        (replace(READ, body=b''), 1, "answered with the body b''"),
+        (replace(READ, body=b'b ran r'), 1, 'answered with the body'),
+        (replace(STREAM, body=b'engine failed'), 1, 'bytes of no event'),
     ],
 )
 def test_violation_is_found(call: CallRecord, runs: int, text: str) -> None:
@@ -119,6 +149,52 @@
     assert _find(no_response, runs=1, disruption=DisruptionKind.STOPPING)
 
 
+@pytest.mark.parametrize('disruption', DisruptionKind)
+def test_disrupted_front_may_cut_a_stream(disruption: DisruptionKind) -> None:
+    assert not _find(CUT_STREAM, runs=1, disruption=disruption)
+
+
+def test_stream_of_an_unsound_engine_may_be_cut() -> None:
+    assert not _find(CUT_STREAM, runs=1, is_sound=False)
+
+
+def test_only_links_to_its_engines_excuse_a_cut_stream() -> None:
+    assert not _find(CUT_STREAM, runs=1, faulty_link='a')
+    assert _find(CUT_STREAM, runs=1, faulty_link='b')
+
+
+@pytest.mark.parametrize(
+    ('late_count', 'disruption', 'is_found'),
+    [
+        (3, None, False),
+        (4, None, True),
+        (4, DisruptionKind.KILLED, False),
+    ],
+)
+def test_crashing_requests_after_the_fifth_crash_are_found(
+    late_count: int, disruption: DisruptionKind | None, *, is_found: bool
+) -> None:
+    calls = [
+        replace(STREAM, request_id=f'r{number}', is_crashing=True)
+        for number in range(late_count)
+    ]
+    history = History(calls=calls)
+    if disruption is not None:
+        history.disruptions.append(Disruption(0, disruption, 7.0, 8.0))
+    arrivals = {call.request_id: (9.0,) for call in calls}
+    records = RunRecords(
+        history=history,
+        runs={},
+        sends=arrivals,
+        logs={},
+        prefills=arrivals,
+        crashes_s=(1.0, 2.0, 3.0, 4.0, 5.0),
+    )
+    found = find_violations(records)
+    text = f'{late_count} crashing requests reached upstreams'
+    assert any(text in line for line in found) is is_found
+
+
 def test_retries_over_the_budget_are_found() -> None:
     sends = {f'r{number}': (1.0, 2.0) for number in range(80)}
     records = RunRecords(history=History(), runs={}, sends=sends, logs={})
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -19,6 +19,7 @@
 
 DURATION_S = 8.0
 SHORT_SEEDS = (101, 103)
+CRASHING_SEED = 301
 REGRESSION_SEEDS: dict[int, str] = {
     64: 'no response: deadline of a request after SIGTERM past the grace',
     102: 'the same, of a request placed 1.41 s after SIGTERM',
@@ -29,13 +30,29 @@
 @pytest.mark.parametrize('seed', [*SHORT_SEEDS, *REGRESSION_SEEDS])
 def test_invariants_hold_under_faults(seed: int, tmp_path: Path) -> None:
     options = SoakOptions(
-        seed=seed, duration_s=DURATION_S, front_count=3, folder=tmp_path
+        seed=seed,
+        duration_s=DURATION_S,
+        front_count=3,
+        folder=tmp_path,
+        has_crashing_requests=False,
     )
     result = asyncio.run(run_soak(options))
     assert not result.violations
     assert result.fault_count
 
 
+def test_requests_that_crash_engines_are_stopped(tmp_path: Path) -> None:
+    options = SoakOptions(
+        seed=CRASHING_SEED,
+        duration_s=DURATION_S,
+        front_count=3,
+        folder=tmp_path,
+    )
+    result = asyncio.run(run_soak(options))
+    assert not result.violations
+    assert result.crash_count
+
+
 def test_plan_is_deterministic_and_covers_every_fault() -> None:
     targets = dict.fromkeys(TargetKind, ('one', 'two'))
     assert make_plan(7, 30.0, targets) == make_plan(7, 30.0, targets)
@@ -45,3 +62,14 @@
         for fault in make_plan(seed, 30.0, targets)
     }
     assert drawn == set(FaultKind)
+
+
+def test_crashing_requests_leave_the_other_faults_as_they_are() -> None:
+    targets = dict.fromkeys(TargetKind, ('one', 'two'))
+    faults = make_plan(7, 30.0, targets, has_crashing_requests=False)
+    others = tuple(
+        fault
+        for fault in make_plan(7, 30.0, targets)
+        if fault.kind is not FaultKind.CRASHING_REQUESTS
+    )
+    assert faults == others
