Answer when a handler fails with an error of the operating system

Nothing has been sent yet at that point, so the error can't come from there; it is answered with 500 and logged.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -297,6 +297,12 @@
             response = await self._serve(request)
         except CatkinreachError as error:
             response = problem_response(error)
+        except OSError as error:
+            # Not of this connection, which nothing was sent on yet.
+            logger.opt(exception=error).error(
+                'unexpected error while a request was answered'
+            )
+            response = problem_response(CatkinreachError(ErrorKind.INTERNAL))
         await self._send_response(response)
         return True
 
--- a/packages/catkinreach-node/tests/http/test_server_responses.py
+++ b/packages/catkinreach-node/tests/http/test_server_responses.py
@@ -38,6 +38,10 @@
             return HttpResponse(200, stream=_events())
         case 'bug':
             raise ValueError('malformed reply')
+        case 'disk':
+            raise OSError('malformed reply')
+        case 'late':
+            raise TimeoutError('malformed reply')
         case 'failing-stream':
             return HttpResponse(200, stream=_failing_events())
         case 'latin':
@@ -127,11 +131,12 @@
     assert asyncio.run(run()) == 200
 
 
+@pytest.mark.parametrize('error', ['bug', 'disk', 'late'])
 def test_unexpected_error_closes_connection_without_response(
-    logged_errors: list[str],
+    logged_errors: list[str], error: str
 ) -> None:
     # asyncio closed the connection and logged outside the process's log.
-    received = _exchange('bug')
+    received = _exchange(error)
     assert received.startswith(b'HTTP/1.1 500 ')
     assert len(logged_errors) == 1
     assert 'malformed reply' in logged_errors[0]
