Tell the end of a replaced stream from the node's own close; check who hangs

A stream with neither length nor chunks ends with its connection. When another engine took over, the node closed the silent engine's connection while it was read, took that for the end of the body, and ended the caller's stream as complete after event 3 of 6. A stream that was closed here now raises.

An engine that hung before its first event was checked only at the deadline if no retry was possible, and got more streams until then. It is now checked, at most once a second, when it is late.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -121,6 +121,9 @@
                 the body ends inside an event.
         """
         data, is_last = await self.reply.next_data()
+        if self._is_closed:
+            # The end of the data is that of this node's own connection.
+            raise ExchangeError('the stream was closed')
         try:
             events = self._splitter.feed(data)
         except EventTooLongError as error:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -134,7 +134,7 @@
             if not handover.is_done:
                 self._fail_silent()
             return await self._end_search(handover)
-        if not handover.may_run_elsewhere:
+        if not handover.may_run_elsewhere and not handover.has_given_up:
             self._end_handover()
             self._log_kept('it went on')
         return events
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -103,7 +103,7 @@
             async with send_timeout(
                 self._attempts.remaining_s,
                 self._admitted.route.target_s * REPLY_TIMEOUT_RATIO,
-                lambda: self._may_give_up(upstream_id),
+                lambda: self._may_give_up(upstream),
             ):
                 return await self._exchange(upstream)
         except ConnectError as error:
@@ -120,11 +120,12 @@
             await self._attempts.record_disconnect(upstream, disconnect_reason)
         return None
 
-    def _may_give_up(self, upstream_id: UpstreamId) -> bool:
-        """Returns whether another upstream can get the request now."""
+    def _may_give_up(self, upstream: Upstream) -> bool:
+        """Checks a silent upstream; returns whether another can be sent to."""
+        self._node.checks.check_silent(upstream)
         return (
             self._admitted.route.is_retryable
-            and self._choose_upstream({upstream_id}) is not None
+            and self._choose_upstream({upstream.upstream_id}) is not None
             and self._attempts.try_reserve_retry()
         )
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from catkinreach_core.gateway.catalog import EngineTraits
     from catkinreach_core.gateway.placement import StreamPlan
-    from catkinreach_core.ids import UpstreamId
+    from catkinreach_core.gateway.upstream import Upstream
 
     from .admitted_request import AdmittedRequest
     from .handover import Handover
@@ -219,7 +219,7 @@
                 async with send_timeout(
                     self._attempts.remaining_s,
                     wait_s,
-                    lambda: self._may_give_up(upstream.upstream_id),
+                    lambda: self._may_give_up(upstream),
                 ):
                     await engine_stream.open(resume_after)
             return await self._check_reply(engine_stream)
@@ -281,11 +281,12 @@
             )
         return True
 
-    def _may_give_up(self, upstream_id: UpstreamId) -> bool:
-        """Returns whether another engine can get the stream now."""
+    def _may_give_up(self, upstream: Upstream) -> bool:
+        """Checks a silent engine; returns whether another one can go on."""
+        self._node.checks.check_silent(upstream)
         return (
             self.can_resume
-            and self._memory_wait.can_place_elsewhere(upstream_id)
+            and self._memory_wait.can_place_elsewhere(upstream.upstream_id)
             and self._attempts.try_reserve_retry()
         )
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -19,7 +19,7 @@
     from .node import Node
 
 CHECK_INTERVAL_S = 1.0
-"""Minimum time between checks of an upstream that peers report as down."""
+"""Minimum time between checks of an upstream that may be down."""
 
 
 class UpstreamChecks:
@@ -39,18 +39,20 @@
 
         Only the peer may be cut off from it, so its report isn't sufficient.
         """
-        node = self._node
-        now_s = node.clock()
-        known = node.view.find_upstream(upstream_id)
-        if known is None or node.health.is_down(upstream_id):
-            return
-        if (
-            now_s - self._checked_at_s.get(upstream_id, -math.inf)
-            < CHECK_INTERVAL_S
-        ):
+        known = self._node.view.find_upstream(upstream_id)
+        if known is not None:
+            self.check_silent(known.upstream)
+
+    def check_silent(self, upstream: Upstream) -> None:
+        """Checks an upstream that may be down, unless that was done lately."""
+        upstream_id = upstream.upstream_id
+        now_s = self._node.clock()
+        checked_at_s = self._checked_at_s.get(upstream_id, -math.inf)
+        if self._node.health.is_down(upstream_id):
             return
-        self._checked_at_s[upstream_id] = now_s
-        self.check_reachable(known.upstream)
+        if now_s - checked_at_s >= CHECK_INTERVAL_S:
+            self._checked_at_s[upstream_id] = now_s
+            self.check_reachable(upstream)
 
     def apply_replaced(self, replaced: Mapping[UpstreamId, int]) -> None:
         """Applies a peer's report that upstreams were replaced.
@@ -80,7 +82,9 @@
             return 0
         node = self._node
         crashes = node.crash_suspects.record_crash(
-            admitted.suspect_keys, crash_id(upstream), node.clock()
+            admitted.suspect_keys,
+            crash_id(upstream),
+            node.clock(),
         )
         node.load_changed.set()
         node.log.write(
--- a/packages/catkinreach-node/tests/gateway/test_silent_engines.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_engines.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from catkinreach_core.gateway.retry_budget import SLACK_USE
+from catkinreach_node.gateway.upstream_checks import UpstreamChecks
 from catkinreach_standins.platform.config import MODEL_SERVICE, PLAIN_SERVICE
 from catkinreach_standins.platform.deployment import (
     Deployment,
@@ -20,10 +21,12 @@
     UpstreamStandin,
 )
 from catkinreach_standins.platform.upstream_behaviour import Behaviour
+from catkinreach_standins.platform.upstream_replies import StreamFraming
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_node.gateway.settings import GatewaySettings
     from catkinreach_node.http.messages import HttpRequest
 
@@ -221,6 +224,63 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize(
+    ('other_behaviour', 'pause_s'),
+    [
+        (Behaviour.SERVE, LONG_PAUSE_S),
+        (Behaviour.PAUSE_FIRST, MEDIUM_PAUSE_S),
+    ],
+)
+def test_replaced_stream_without_length_looks_complete(
+    monkeypatch: pytest.MonkeyPatch, other_behaviour: Behaviour, pause_s: float
+) -> None:
+    # The end of the closed connection was taken for the end of the body.
+    monkeypatch.setattr(
+        'catkinreach_standins.platform.upstream.StreamFraming',
+        _framing_without_length,
+    )
+
+    async def scenario(deployment: Deployment) -> None:
+        _set_pause(deployment, pause_s)
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        await _script_in_turn(deployment, Behaviour.PAUSE, other_behaviour)
+        assert await fetching == (200, WHOLE)
+
+    _run(scenario)
+
+
+def _framing_without_length(*, is_chunked: bool) -> StreamFraming:
+    del is_chunked
+    return StreamFraming(is_chunked=False)
+
+
+@pytest.mark.parametrize('make_deployment', WITHOUT_RETRY)
+def test_engine_that_hangs_without_a_retry_is_not_checked(
+    monkeypatch: pytest.MonkeyPatch, make_deployment: type[Deployment]
+) -> None:
+    # It was checked at the deadline only, and got more streams until then.
+    checked: list[str] = []
+    real_check = UpstreamChecks.check_reachable
+
+    def check(checks: UpstreamChecks, known: Upstream) -> None:
+        checked.append(known.upstream_id)
+        real_check(checks, known)
+
+    monkeypatch.setattr(UpstreamChecks, 'check_reachable', check)
+
+    async def scenario(deployment: Deployment) -> None:
+        for engine in _decode_engines(deployment):
+            engine.script.append(Behaviour.HANG)
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        await asyncio.sleep(LONG_PAUSE_S)
+        assert checked
+        fetching.cancel()
+
+    _run(scenario, make_deployment)
+
+
 def test_silent_engine_is_closed_beside_one_that_starts_slowly() -> None:
     async def scenario(deployment: Deployment) -> None:
         _set_pause(deployment, MEDIUM_PAUSE_S)
