Count a crash of an engine that the store doesn't tell of yet

A crash was named by the engine's incarnation as the store tells it. The name now also has the time of day in steps of 2 s. Nodes whose clocks differ may count a crash twice, which refuses sooner; what runs is cleared as before.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -32,7 +32,7 @@
 """Hash of a whole request or of one part of its prompt."""
 
 CrashId = NewType('CrashId', int)
-"""Hash of the incarnation of an upstream, which crashes at most once."""
+"""Hash that names one crash of one upstream."""
 
 CRASHES_TO_REFUSE = 3
 CRASHES_TO_STOP_RETRY = 2
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
@@ -18,6 +18,9 @@
     from ..http.messages import HttpRequest
     from .node import Node
 
+CRASH_STEP_S = 2.0
+"""Time in which an upstream counts as crashed once at most."""
+
 MAX_PARTS = 16
 """Parts of one prompt that are looked at, the first ones."""
 
@@ -30,9 +33,18 @@
     return (_request_key(request, metadata), *map(_part_key, parts))
 
 
-def crash_id(upstream: Upstream) -> CrashId:
-    """Returns the id of the only crash that an incarnation can have."""
-    name = f'{upstream.upstream_id}/{upstream.started_ms}'
+def crash_id(upstream: Upstream, unix_s: float) -> CrashId:
+    """Returns the id of a crash, the same at nodes that see it together.
+
+    An upstream may crash again before the store tells of its restart, so its
+    incarnation isn't enough.
+
+    Args:
+        upstream: Upstream that crashed.
+        unix_s: Time of day; nodes whose clocks differ count a crash twice.
+    """
+    step = int(unix_s // CRASH_STEP_S)
+    name = f'{upstream.upstream_id}/{upstream.started_ms}/{step}'
     return CrashId(xxhash.xxh32_intdigest(name.encode()))
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from typing import TYPE_CHECKING
 
 from ..http.connection import ConnectError
@@ -83,7 +84,7 @@
         node = self._node
         crashes = node.crash_suspects.record_crash(
             admitted.suspect_keys,
-            crash_id(upstream),
+            crash_id(upstream, time.time()),
             node.clock(),
         )
         node.load_changed.set()
