Close the connection after any unexpected error of a handler

The test, which sends two requests and expects one error in the log, saw two (2 == 1, both new cases). Both kinds now go the same way: a 500, one entry in the log, and the end of the connection.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -41,6 +41,10 @@
 RequestHandler: TypeAlias = 'Callable[[HttpRequest], Awaitable[HttpResponse]]'
 
 
+class HandlerError(Exception):
+    """The handler of a request failed with an error of the system."""
+
+
 class ServerConnection:
     """A connection from a client and the requests on it."""
 
@@ -298,11 +302,8 @@
         except CatkinreachError as error:
             response = problem_response(error)
         except OSError as error:
-            # Not of this connection, which nothing was sent on yet.
-            logger.opt(exception=error).error(
-                'unexpected error while a request was answered'
-            )
-            response = problem_response(CatkinreachError(ErrorKind.INTERNAL))
+            # It isn't one of this connection: nothing was sent on it yet.
+            raise HandlerError('the handler failed') from error
         await self._send_response(response)
         return True
 
