Call an engine that goes on healthy, and one that doesn't faulty

The field's are healthy and faulty; parts of prompts that crash nothing are harmless. Only names, comments and one text of the soak's report with its test change.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -2,7 +2,7 @@
 
 Load pattern: requests that are all different have one part of their prompts in
 common, or one caller repeats the same request, and each upstream that starts to
-answer them crashes. Sound requests have the same caller and other parts.
+answer them crashes. Harmless requests have the same caller and other parts.
 
 A request has several suspect keys: the fingerprint of the whole request, and
 each part of its prompt that other requests may share. An upstream that
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -17,7 +17,7 @@
 NOW_S = 5.0
 REQUEST = SuspectKey('request')
 CRASHING = SuspectKey('crashing part')
-SOUND = SuspectKey('sound part')
+HARMLESS = SuspectKey('harmless part')
 CRASHES = tuple(CrashId(number) for number in range(CRASHES_TO_REFUSE))
 
 
@@ -65,30 +65,30 @@
     assert node.crashes([CRASHING]) == 1
 
 
-def test_sound_part_may_run_without_the_crashing_one() -> None:
+def test_harmless_part_may_run_without_the_crashing_one() -> None:
     suspects = CrashSuspects()
-    _crash_all(suspects, SOUND, CRASHING)
-    assert suspects.is_quarantined([SOUND, CRASHING], 3.0)
-    assert not suspects.is_quarantined([SuspectKey('other'), SOUND], 3.0)
+    _crash_all(suspects, HARMLESS, CRASHING)
+    assert suspects.is_quarantined([HARMLESS, CRASHING], 3.0)
+    assert not suspects.is_quarantined([SuspectKey('other'), HARMLESS], 3.0)
 
 
 def test_part_that_crashes_alone_is_quarantined_alone() -> None:
     suspects = CrashSuspects()
-    _crash_all(suspects, SOUND, CRASHING)
+    _crash_all(suspects, HARMLESS, CRASHING)
     suspects.record_crash([CRASHING], CrashId(99), 4.0)
     assert suspects.is_quarantined([CRASHING], 4.0)
-    assert not suspects.is_quarantined([SOUND], 4.0)
+    assert not suspects.is_quarantined([HARMLESS], 4.0)
 
 
 def test_part_that_ran_at_a_peer_is_cleared_for_all_nodes() -> None:
     node, peer = CrashSuspects(), CrashSuspects()
-    _crash_all(node, SOUND)
+    _crash_all(node, HARMLESS)
     peer.merge(node.reports(NOW_S), 0.0)
-    peer.clear([SOUND], NOW_S)
+    peer.clear([HARMLESS], NOW_S)
     node.merge(peer.reports(NOW_S), 1.0)
-    assert not node.is_quarantined([SOUND], 1.0)
+    assert not node.is_quarantined([HARMLESS], 1.0)
     peer.merge(node.reports(NOW_S), 2.0)
-    assert not peer.is_quarantined([SOUND], 2.0)
+    assert not peer.is_quarantined([HARMLESS], 2.0)
 
 
 def test_crashes_stay_known_when_the_node_that_saw_them_ends() -> None:
@@ -135,16 +135,16 @@
 def test_new_crashes_and_clears_are_told_beside_old_suspects() -> None:
     # Old suspects with several crashes took all places of a message.
     node, peer = CrashSuspects(), CrashSuspects()
-    _crash_all(node, SOUND)
-    _crash_all(peer, SOUND)
+    _crash_all(node, HARMLESS)
+    _crash_all(peer, HARMLESS)
     for number in range(4 * MAX_GOSSIP_NEW):
         for crash in CRASHES:
             node.record_crash([SuspectKey(str(number))], crash, 1.0)
     node.record_crash([CRASHING], CRASHES[0], 9.0)
-    node.clear([SOUND], 9.0)
+    node.clear([HARMLESS], 9.0)
     peer.merge(node.reports(9.0), 9.0)
     assert peer.crashes([CRASHING]) == 1
-    assert not peer.is_quarantined([SOUND], 9.0)
+    assert not peer.is_quarantined([HARMLESS], 9.0)
 
 
 @pytest.mark.parametrize('engines', [8, 9, 12, 16])
@@ -154,23 +154,23 @@
     # Only the newest six of the cleared crashes were told.
     node, peer = CrashSuspects(), CrashSuspects()
     for number in range(engines):
-        node.record_crash([SOUND], CrashId(number), 0.0)
+        node.record_crash([HARMLESS], CrashId(number), 0.0)
         peer.merge(node.reports(0.0), 0.0)
-    node.clear([SOUND], 1.0)
+    node.clear([HARMLESS], 1.0)
     peer.merge(node.reports(1.0), 1.0)
     node.merge(peer.reports(1.0), 1.0)
-    assert not node.is_quarantined([SOUND], 1.0)
-    assert not peer.is_quarantined([SOUND], 1.0)
+    assert not node.is_quarantined([HARMLESS], 1.0)
+    assert not peer.is_quarantined([HARMLESS], 1.0)
 
 
-def test_node_that_starts_anew_still_serves_the_sound_part() -> None:
+def test_node_that_starts_anew_still_serves_the_harmless_part() -> None:
     # It heard of fewer crashes of the other part than of this one.
     seen, started_anew = CrashSuspects(), CrashSuspects()
     for number in range(9):
-        keys = [SOUND, CRASHING] if number < 3 else [CRASHING]
+        keys = [HARMLESS, CRASHING] if number < 3 else [CRASHING]
         seen.record_crash(keys, CrashId(number), float(number))
     started_anew.merge(seen.reports(9.0), 9.0)
-    assert not started_anew.is_quarantined([SOUND], 9.0)
+    assert not started_anew.is_quarantined([HARMLESS], 9.0)
     assert started_anew.is_quarantined([CRASHING], 9.0)
 
 
@@ -186,12 +186,14 @@
 def test_refusal_doubles_with_each_crash() -> None:
     # A part that was refused wrongly never got the chance to run again.
     suspects = CrashSuspects()
-    _crash_all(suspects, SOUND)
+    _crash_all(suspects, HARMLESS)
     first_end_s = CRASHES[-1] + MIN_REFUSAL_S
-    assert not suspects.is_quarantined([SOUND], first_end_s)
-    suspects.record_crash([SOUND], CrashId(99), first_end_s)
-    assert suspects.is_quarantined([SOUND], first_end_s + MIN_REFUSAL_S)
-    assert not suspects.is_quarantined([SOUND], first_end_s + 2 * MIN_REFUSAL_S)
+    assert not suspects.is_quarantined([HARMLESS], first_end_s)
+    suspects.record_crash([HARMLESS], CrashId(99), first_end_s)
+    assert suspects.is_quarantined([HARMLESS], first_end_s + MIN_REFUSAL_S)
+    assert not suspects.is_quarantined(
+        [HARMLESS], first_end_s + 2 * MIN_REFUSAL_S
+    )
 
 
 def test_only_what_this_node_saw_is_told_at_once() -> None:
--- a/packages/catkinreach-node/tests/gateway/test_silent_engines.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_engines.py
@@ -139,18 +139,18 @@
     _run(scenario, make_deployment)
 
 
-# A sound engine paused, and its stream was closed with no other engine to go
+# A healthy engine paused, and its stream was closed with no other engine to go
 # to.
 def test_silent_engine_keeps_its_stream_without_another_engine() -> None:
     _check_only_engine(Behaviour.PAUSE, _DeploymentWithoutOthers)
 
 
-# A sound engine paused, and its stream was closed without a retry to spend.
+# A healthy engine paused, and its stream was closed without a retry to spend.
 def test_silent_engine_keeps_its_stream_without_retry_budget() -> None:
     _check_only_engine(Behaviour.PAUSE, _DeploymentWithoutRetries)
 
 
-# A sound engine paused, and its stream was closed before another one refused.
+# A healthy engine paused, and its stream was closed before another one refused.
 def test_silent_engine_keeps_its_stream_when_another_refuses() -> None:
     async def scenario(deployment: Deployment) -> None:
         request = _stream_request(deployment)
@@ -165,7 +165,7 @@
     _run(scenario)
 
 
-# A sound engine was silent before its first event, and callers got a 504.
+# A healthy engine was silent before its first event, and callers got a 504.
 @pytest.mark.parametrize('make_deployment', WITHOUT_RETRY)
 def test_engine_that_starts_slowly_keeps_its_stream(
     make_deployment: Callable[[], Deployment],
@@ -173,7 +173,7 @@
     _check_only_engine(Behaviour.PAUSE_FIRST, make_deployment)
 
 
-# A sound upstream was silent before its reply, and callers got a 504.
+# A healthy upstream was silent before its reply, and callers got a 504.
 @pytest.mark.parametrize('make_deployment', WITHOUT_RETRY)
 def test_upstream_that_replies_slowly_keeps_its_request(
     make_deployment: Callable[[], Deployment],
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -75,7 +75,7 @@
         logs: Output of each front by its number.
         prefills: Like ``sends``, of prefills.
         upstreams_by_id: Ids of the upstreams that ran a request, by its id.
-        unsound_ids: Ids of requests to which an upstream's own response was
+        faulty_ids: Ids of requests to which an upstream's own response was
             faulty.
         crashes_s: Monotonic times of crashes, in order.
     """
@@ -86,7 +86,7 @@
     logs: Mapping[int, str]
     prefills: Mapping[str, Sequence[float]] = field(default_factory=dict)
     upstreams_by_id: Mapping[str, Collection[str]] = field(default_factory=dict)
-    unsound_ids: frozenset[str] = frozenset()
+    faulty_ids: frozenset[str] = frozenset()
     crashes_s: Sequence[float] = ()
 
 
@@ -128,7 +128,7 @@
     yield from _check_promise(call, runs)
     yield from _check_body(call, records)
     yield from _check_stream(call)
-    yield from _check_sound_stream(call, records)
+    yield from _check_healthy_stream(call, records)
     yield from _check_deadline(call, history)
     needs_cause = call.end in {CallEnd.REFUSED, CallEnd.INCOMPLETE}
     is_disrupted = history.was_disrupted(
@@ -176,8 +176,10 @@
         yield f'answered with the body {call.body[:100]!r}'
 
 
-def _check_sound_stream(call: CallRecord, records: RunRecords) -> Iterator[str]:
-    """Checks that a stream isn't ended early if its engines were sound.
+def _check_healthy_stream(
+    call: CallRecord, records: RunRecords
+) -> Iterator[str]:
+    """Checks that a stream isn't ended early if its engines were healthy.
 
     A fault of a link to these engines, a disruption of the front and the
     deadline excuse it.
@@ -190,7 +192,7 @@
     if not (is_stream and is_ended_early and upstreams):
         return
     is_excused = (
-        call.request_id in records.unsound_ids
+        call.request_id in records.faulty_ids
         or call.ended_s - call.sent_s >= DEADLINE_S
         or records.history.was_disrupted(call, *EXCUSING_DISRUPTIONS)
         or records.history.was_link_faulty(call, upstreams)
@@ -199,7 +201,7 @@
         duration_s = call.ended_s - call.sent_s
         yield (
             f'{call.end.value} {call.code} after {duration_s:.1f} s and'
-            f' {len(call.event_ids)} events of sound engines'
+            f' {len(call.event_ids)} events of healthy engines'
         )
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
@@ -161,8 +161,8 @@
         logs={front.number: front.log for front in deployment.fronts.values()},
         prefills=prefills,
         upstreams_by_id=_upstreams_by_id(upstreams),
-        unsound_ids=frozenset().union(
-            *(upstream.unsound_ids for upstream in upstreams)
+        faulty_ids=frozenset().union(
+            *(upstream.faulty_ids for upstream in upstreams)
         ),
         crashes_s=sorted(
             crash_s for upstream in upstreams for crash_s in upstream.crashes_s
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -23,9 +23,9 @@
 from .upstream_behaviour import (
     EVENTS_BEFORE_DISCONNECT,
     EVENTS_BEFORE_PAUSE,
+    HEALTHY_BEHAVIOURS,
     REFUSING_BEHAVIOURS,
     SILENCE_S,
-    SOUND_BEHAVIOURS,
     Behaviour,
     EndlessReply,
     RawReply,
@@ -77,7 +77,7 @@
             makes the engine crash. Empty for none.
         on_crash: Called at a crash, and ``on_restart`` after the restart.
         crashes_s: Monotonic times of the crashes.
-        unsound_ids: Ids of requests that ran and whose response was faulty
+        faulty_ids: Ids of requests that ran and whose response was faulty
             or was lost in a crash.
     """
 
@@ -96,7 +96,7 @@
     on_crash: Callable[[], None] | None = None
     on_restart: Callable[[], Awaitable[None]] | None = None
     crashes_s: list[float] = field(default_factory=list)
-    unsound_ids: set[str] = field(default_factory=set)
+    faulty_ids: set[str] = field(default_factory=set)
     _server: asyncio.Server | None = None
     _port: int = 0
     _handle_count: int = 0
@@ -152,7 +152,7 @@
         self.crashes_s.append(time.monotonic())
         if self._server is not None:
             self._server.close()
-        self.unsound_ids.update(self._running.values())
+        self.faulty_ids.update(self._running.values())
         for writer in self._running:
             _reset(writer)
         if self.on_crash is not None:
@@ -210,8 +210,8 @@
             return True
         if not request.is_prefill:
             self.runs[request.request_id] += 1
-        if repeat or behaviour not in SOUND_BEHAVIOURS:
-            self.unsound_ids.add(request.request_id)
+        if repeat or behaviour not in HEALTHY_BEHAVIOURS:
+            self.faulty_ids.add(request.request_id)
         return await self._run_request(request, reader, writer, behaviour)
 
     async def _run_request(
@@ -394,7 +394,7 @@
         is_resumed = request.headers.get('last-event-id', '0') != '0'
         if is_resumed and self._resumed_failures:
             self._resumed_failures -= 1
-            self.unsound_ids.add(request.request_id)
+            self.faulty_ids.add(request.request_id)
             writer.write(self._response(request, 500, b'engine failed'))
             return True
         is_chunked = behaviour not in {
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
@@ -95,7 +95,7 @@
 )
 """Behaviours by which the request doesn't run."""
 
-SOUND_BEHAVIOURS = frozenset(
+HEALTHY_BEHAVIOURS = frozenset(
     {
         Behaviour.SERVE,
         Behaviour.SILENT_START,
@@ -162,9 +162,9 @@
 __all__ = (
     'EVENTS_BEFORE_DISCONNECT',
     'EVENTS_BEFORE_PAUSE',
+    'HEALTHY_BEHAVIOURS',
     'REFUSING_BEHAVIOURS',
     'SILENCE_S',
-    'SOUND_BEHAVIOURS',
     'Behaviour',
     'EndlessReply',
     'RawReply',
--- a/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
@@ -49,7 +49,7 @@
     log: str = EXPLAINED,
     disruption: DisruptionKind | None = None,
     faulty_link: str = '',
-    is_sound: bool = True,
+    is_healthy: bool = True,
 ) -> list[str]:
     history = History(calls=[call])
     if faulty_link:
@@ -65,7 +65,7 @@
             sends={},
             logs={0: log},
             upstreams_by_id={'r': {'a'}},
-            unsound_ids=frozenset() if is_sound else frozenset({'r'}),
+            faulty_ids=frozenset() if is_healthy else frozenset({'r'}),
         )
     )
 
@@ -109,11 +109,11 @@
             0,
             'no upstream ran it',
         ),
-        (CUT_STREAM, 1, 'of sound engines'),
+        (CUT_STREAM, 1, 'of healthy engines'),
         (
             replace(STREAM, end=CallEnd.REFUSED, status=504, event_ids=()),
             1,
-            'of sound engines',
+            'of healthy engines',
         ),
         (
             replace(ORDER, end=CallEnd.FAILED, status=503),
@@ -154,8 +154,8 @@
     assert not _find(CUT_STREAM, runs=1, disruption=disruption)
 
 
-def test_stream_of_an_unsound_engine_may_be_cut() -> None:
-    assert not _find(CUT_STREAM, runs=1, is_sound=False)
+def test_stream_of_a_faulty_engine_may_be_cut() -> None:
+    assert not _find(CUT_STREAM, runs=1, is_healthy=False)
 
 
 def test_only_links_to_its_engines_excuse_a_cut_stream() -> None:
--- a/packages/catkinreach-standins/tests/platform/test_upstream.py
+++ b/packages/catkinreach-standins/tests/platform/test_upstream.py
@@ -97,11 +97,11 @@
         assert end in whole
         assert b'Content-Length' not in whole
         assert b'chunked' not in whole
-        assert not upstream.unsound_ids
+        assert not upstream.faulty_ids
         broken_off = await _fetch(upstream, _request('r'))
         assert broken_off.endswith(b'RESET')
         assert end not in broken_off
-        assert upstream.unsound_ids == {'r'}
+        assert upstream.faulty_ids == {'r'}
 
     _run(stage, scenario)
 
@@ -130,7 +130,7 @@
         assert received.count(b'Request-Id: one') == named_count
         assert received.endswith(b'u ran two')
         assert upstream.runs == {'two': 1}
-        assert upstream.unsound_ids == {'two'}
+        assert upstream.faulty_ids == {'two'}
 
     _run('', scenario)
 
@@ -147,14 +147,14 @@
 
 def test_crashing_request_crashes_an_engine_for_a_time() -> None:
     async def scenario(upstream: UpstreamStandin) -> None:
-        sound = _request('r', prompt_prefix='a:1,dead:1')
+        healthy = _request('r', prompt_prefix='a:1,dead:1')
         crashing = _request('d', prompt_prefix='a:1,dead:1,b:1')
-        assert LAST_EVENT in await _fetch(upstream, sound)
+        assert LAST_EVENT in await _fetch(upstream, healthy)
         assert await _fetch(upstream, crashing) == b'RESET'
         assert len(upstream.crashes_s) == 1
 
         async def is_back() -> bool:
-            return LAST_EVENT in await _fetch_or_nothing(upstream, sound)
+            return LAST_EVENT in await _fetch_or_nothing(upstream, healthy)
 
         await eventually(is_back, within_s=RESTART_TIMEOUT_S)
 
