Allow the soak's crashing requests to be refused, and only these

Harmless requests refused so, and crashing ones refused with another code, still count; each has a case in the tests.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -38,6 +38,9 @@
 PROMISE_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses by which a request that must not be repeated hasn't run."""
 
+QUARANTINE_CODE: Final = 'internal'
+"""Code of the refusal of a request that crashes engines."""
+
 RETRY_WINDOW_S: Final = 10.0
 RETRY_RATIO: Final = 0.2
 RETRY_SLACK: Final = 58
@@ -113,7 +116,11 @@
         yield f'ran {runs} times'
     if call.outcome == NOT_RUN and runs:
         yield f'refused as not run ({call.code}), ran {runs} times'
-    if call.end is CallEnd.REFUSED and call.status in UNJUSTIFIED_STATUSES:
+    if (
+        call.end is CallEnd.REFUSED
+        and call.status in UNJUSTIFIED_STATUSES
+        and not _is_quarantined(call)
+    ):
         yield f'wrongly refused with {call.status} {call.code}'
     if call.end is CallEnd.TIMED_OUT and not history.was_disrupted(
         call, *EXCUSING_DISRUPTIONS
@@ -142,6 +149,11 @@
         yield f'{call.end.value} {call.code}: no log line explains it'
 
 
+def _is_quarantined(call: CallRecord) -> bool:
+    """Returns whether a request was refused that would crash an engine."""
+    return call.is_crashing and call.code == QUARANTINE_CODE
+
+
 def _may_disconnect(call: CallRecord, history: History, runs: int) -> bool:
     """Returns whether the connection may end without a response.
 
--- a/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
@@ -94,6 +94,16 @@
         (STREAM, 3, 'ran 3 times'),
         (REFUSED, 1, 'refused as not run'),
         (replace(REFUSED, status=401), 0, 'wrongly refused with 401'),
+        (
+            replace(REFUSED, status=500, code='internal'),
+            0,
+            'wrongly refused with 500',
+        ),
+        (
+            replace(REFUSED, status=404, is_crashing=True),
+            0,
+            'wrongly refused with 404',
+        ),
         (replace(READ, end=CallEnd.TIMED_OUT), 0, 'got no response in time'),
         (
             replace(READ, end=CallEnd.NO_RESPONSE),
@@ -199,3 +209,8 @@
     sends = {f'r{number}': (1.0, 2.0) for number in range(80)}
     records = RunRecords(history=History(), runs={}, sends=sends, logs={})
     assert 'retries' in find_violations(records)[0]
+
+
+def test_request_that_crashes_engines_may_be_refused() -> None:
+    refused = replace(REFUSED, status=500, code='internal', is_crashing=True)
+    assert not _find(refused)
