Close a connection that its request leaves while it is taken from the pool

What callers saw: nothing.

Cause: the pool takes a connection out of its idle ones, then waits for the end of its watch. A request that is cancelled in this wait (its caller left, or the process ends) took the connection with it: neither idle nor closed. It stayed open until it was collected, at times after the event loop had closed.

The fix closes the connection on every way out of the wait that doesn't return it.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -52,15 +52,9 @@
         """
         idle = self._idle.get(upstream.upstream_id, [])
         while idle:
-            entry = idle.pop()
-            entry.watch.cancel()
-            await asyncio.wait({entry.watch})
-            if (
-                entry.connection.is_reusable
-                and self._clock() < entry.reusable_until_s
-            ):
-                return entry.connection
-            entry.connection.close()
+            connection = await self._take(idle.pop())
+            if connection is not None:
+                return connection
         return await self._open(upstream)
 
     async def probe(self, upstream: Upstream) -> None:
@@ -93,6 +87,22 @@
         for upstream_id in tuple(self._idle):
             self.drop(upstream_id)
 
+    async def _take(self, entry: _IdleConnection) -> ClientConnection | None:
+        """Ends the watch of a connection; closes it if it can't be reused."""
+        connection = entry.connection
+        is_reusable = False
+        try:
+            entry.watch.cancel()
+            await asyncio.wait({entry.watch})
+            is_reusable = (
+                connection.is_reusable
+                and self._clock() < entry.reusable_until_s
+            )
+        finally:
+            if not is_reusable:
+                connection.close()
+        return connection if is_reusable else None
+
     async def _open(self, upstream: Upstream) -> ClientConnection:
         connection = await ClientConnection.open(
             upstream.address, timeout_s=CONNECT_TIMEOUT_S
--- /dev/null
+++ b/packages/catkinreach-node/tests/gateway/test_upstream_pool.py
@@ -0,0 +1,50 @@
+"""Connections that the pool hands out and takes back."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from catkinreach_core.settings.node import Address
+from catkinreach_node.gateway.upstream_pool import UpstreamPool
+from catkinreach_standins.fakes.gateway import make_upstream
+from catkinreach_standins.platform.deployment import LOOPBACK
+
+CLOSE_TIMEOUT_S = 5.0
+
+
+def test_connection_stays_open_when_its_caller_leaves() -> None:
+    # The caller left while the pool ended the watch of an idle connection.
+    assert asyncio.run(_received_after_a_cancelled_acquire()) == b''
+
+
+async def _received_after_a_cancelled_acquire() -> bytes:
+    """Returns what the upstream receives once the request is cancelled.
+
+    Raises:
+        TimeoutError: if the connection stays open.
+    """
+    received: asyncio.Future[bytes] = asyncio.Future()
+
+    async def read(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        received.set_result(await reader.read(1))
+        writer.close()
+
+    async with await asyncio.start_server(read, LOOPBACK, 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        upstream = make_upstream(
+            'one', address=Address(host=LOOPBACK, port=port)
+        )
+        pool = UpstreamPool(time.monotonic)
+        await pool.probe(upstream)
+        # Without this reference the garbage collector would close it.
+        connection = pool._idle[upstream.upstream_id][0].connection
+        acquiring = asyncio.ensure_future(pool.acquire(upstream))
+        await asyncio.sleep(0)
+        acquiring.cancel()
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            data = await received
+        assert not connection.is_reusable
+        return data
