Let the tests of stale refusals use a kept connection of each upstream

Cause, in the test: six requests were sent one after the other, and only the upstreams that got one wrote the stale refusal to the seventh. With equal loads the choice is random, so that now and then all six go to one upstream and the seventh to the other, on a connection that was never used; its reply is right.

The test now sends pairs of requests at the same time until each upstream has a kept connection, and all of them write the stale refusal.

--- a/packages/catkinreach-node/tests/gateway/test_broken_replies.py
+++ b/packages/catkinreach-node/tests/gateway/test_broken_replies.py
@@ -40,7 +40,7 @@
 BROKEN_STREAM = RawReply(
     STREAM_HEAD + CHUNKED + encode_chunk(b''.join(EVENTS[:3]) + b'id: 4')
 )
-KEPT_BY_REQUESTS = 6
+MAX_ROUNDS = 50
 
 STREAM_PATHS = ('/stream/', '/once/')
 
@@ -77,13 +77,14 @@
 
 async def _use_connections(
     deployment: Deployment, path: str, names: str
-) -> str:
-    """Returns the upstreams to which requests left a kept connection."""
-    for _ in range(KEPT_BY_REQUESTS):
-        await _fetch(deployment, _request(deployment, path))
-    return ''.join(
-        name for name in names if deployment.upstreams[name].received
-    )
+) -> None:
+    """Sends requests until each upstream was left a kept connection."""
+    for _ in range(MAX_ROUNDS):
+        requests = [_request(deployment, path) for _ in names]
+        await asyncio.gather(*(_fetch(deployment, one) for one in requests))
+        if all(deployment.upstreams[name].received for name in names):
+            return
+    pytest.fail(f'not all of {names} were sent requests')
 
 
 def _count_runs(deployment: Deployment, request: HttpRequest) -> int:
@@ -99,8 +100,8 @@
     path: str, refusal: bytes
 ) -> None:
     async def scenario(deployment: Deployment) -> None:
-        used = await _use_connections(deployment, path, 'ab')
-        _script(deployment, used, RawReply(refusal + PLAIN, stays_open=True))
+        await _use_connections(deployment, path, 'ab')
+        _script(deployment, 'ab', RawReply(refusal + PLAIN, stays_open=True))
         request = _request(deployment, path)
         assert await _fetch(deployment, request) == (200, b'body')
         assert _count_runs(deployment, request) == 1
@@ -128,8 +129,8 @@
 def test_stale_refusal_before_a_stream_is_no_refusal(path: str) -> None:
     async def scenario(deployment: Deployment) -> None:
         whole = STREAM_HEAD + CHUNKED + encode_chunk(WHOLE) + encode_chunk(b'')
-        used = await _use_connections(deployment, path, 'de')
-        _script(deployment, used, RawReply(REFUSAL + whole, stays_open=True))
+        await _use_connections(deployment, path, 'de')
+        _script(deployment, 'de', RawReply(REFUSAL + whole, stays_open=True))
         request = _request(deployment, path)
         assert await _fetch(deployment, request) == (200, WHOLE)
         assert _count_runs(deployment, request) == 1
