Split the server's connection into reading requests and sending responses

RequestReader reads within the bounds and owns the HTTP state, ResponseSender owns the socket, ServerConnection serves one request after the other. No change of behaviour.

--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -0,0 +1,226 @@
+"""Reads the requests of one connection, within the server's bounds."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import h11
+
+from catkinreach_core.errors import CatkinreachError, ErrorKind
+
+from .messages import HttpRequest
+from .socket_input import SocketInput
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .server_bounds import ServerBounds
+
+
+class RequestReader:
+    """Reads requests; owns the HTTP state of the connection.
+
+    Attributes:
+        protocol: HTTP state of both directions, replaced after a changed limit.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        read_bounds: Callable[[], ServerBounds],
+        is_draining: Callable[[], bool],
+        send_continue: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Wraps the input of an accepted connection.
+
+        Args:
+            reader: Input of the connection.
+            read_bounds: Returns the current bounds; they may change.
+            is_draining: Whether the connection closes when it is idle.
+            send_continue: Tells a client that waits for it to send the body.
+        """
+        self._input = SocketInput(reader)
+        self._read_bounds = read_bounds
+        self._is_draining = is_draining
+        self._send_continue = send_continue
+        self._idle_wait: asyncio.Timeout | None = None
+        self._is_first_request = True
+        self._is_head_request = False
+        self._max_head_bytes = self._bounds.max_head_bytes
+        self.protocol = _new_protocol(self._max_head_bytes)
+
+    @property
+    def is_head_request(self) -> bool:
+        """Returns whether the current request has the method HEAD."""
+        return self._is_head_request
+
+    @property
+    def has_input(self) -> bool:
+        """Returns whether bytes of another request have arrived."""
+        return bool(self.protocol.trailing_data[0])
+
+    @property
+    def _bounds(self) -> ServerBounds:
+        """Returns the current bounds."""
+        return self._read_bounds()
+
+    def stop_waiting(self) -> None:
+        """Ends the wait for a request unless bytes of one have arrived.
+
+        They may still be in a buffer, so the wait itself decides.
+        """
+        wait = self._idle_wait
+        if wait is not None and not wait.expired():
+            wait.reschedule(asyncio.get_running_loop().time())
+
+    def start_next_cycle(self) -> bool:
+        """Prepares for another request; ``False`` if there can't be one."""
+        protocol = self.protocol
+        if not (protocol.our_state is protocol.their_state is h11.DONE):
+            return False
+        protocol.start_next_cycle()
+        self._is_head_request = False
+        self._is_first_request = False
+        return True
+
+    async def read_request(self) -> HttpRequest | None:
+        """Returns the next request, ``None`` if the client sends none.
+
+        Raises:
+            CatkinreachError: if the request is too slow, too large or invalid.
+        """
+        if not await self._wait_for_input():
+            return None
+        self._apply_head_limit()
+        loop = asyncio.get_running_loop()
+        head = await self._next_event(loop.time() + self._bounds.head_timeout_s)
+        if not isinstance(head, h11.Request):
+            return None
+        self._is_head_request = head.method == b'HEAD'
+        _check_framing(head)
+        body = await self._read_body(loop.time() + self._bounds.body_timeout_s)
+        return HttpRequest(
+            method=head.method.decode('ascii'),
+            target=head.target.decode('latin-1'),
+            headers=[
+                (name.decode('latin-1'), value.decode('latin-1'))
+                for name, value in head.headers
+            ],
+            body=body,
+        )
+
+    async def watch_disconnect(self) -> bool:
+        """Returns whether the client disconnects before it sends more data."""
+        chunk = await self._input.read()
+        if chunk:
+            self.protocol.receive_data(chunk)
+        return not chunk
+
+    async def _wait_for_input(self) -> bool:
+        """Returns whether bytes, or the end of the input, arrive in time.
+
+        The timeout may change during the wait.
+        """
+        if self.has_input:
+            return True
+        chunk = await self._read_first_bytes(asyncio.get_running_loop().time())
+        if chunk is None:
+            return False
+        self.protocol.receive_data(chunk)
+        return True
+
+    async def _read_first_bytes(self, started_s: float) -> bytes | None:
+        while not self._is_expired(started_s):
+            until_s = started_s + self._input_timeout_s()
+            self._idle_wait = asyncio.timeout_at(until_s)
+            try:
+                async with self._idle_wait:
+                    return await self._input.read()
+            except TimeoutError:
+                continue
+            finally:
+                self._idle_wait = None
+        return await self._input.read_available()
+
+    def _is_expired(self, started_s: float) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return started_s + self._input_timeout_s() <= now_s
+
+    def _input_timeout_s(self) -> float:
+        if self._is_draining():
+            return 0
+        if self._is_first_request:
+            return self._bounds.head_timeout_s
+        return self._bounds.idle_timeout_s
+
+    def _apply_head_limit(self) -> None:
+        """Applies a changed size limit to the head that is read next."""
+        max_head_bytes = self._bounds.max_head_bytes
+        if max_head_bytes == self._max_head_bytes:
+            return
+        self._max_head_bytes = max_head_bytes
+        received, is_closed = self.protocol.trailing_data
+        self.protocol = _new_protocol(max_head_bytes)
+        if received:
+            self.protocol.receive_data(received)
+        if is_closed:
+            self.protocol.receive_data(b'')
+
+    async def _read_body(self, deadline_s: float) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event(deadline_s)
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            if not isinstance(event, h11.Data):
+                raise CatkinreachError(ErrorKind.BAD_REQUEST)
+            size += len(event.data)
+            if size > self._bounds.max_body_bytes:
+                raise CatkinreachError(ErrorKind.TOO_LARGE)
+            parts.append(bytes(event.data))
+
+    async def _next_event(
+        self, deadline_s: float
+    ) -> h11.Event | type[h11.PAUSED]:
+        """Returns the next event of a request.
+
+        Raises:
+            CatkinreachError: if it hasn't arrived by the deadline.
+        """
+        while True:
+            event = self.protocol.next_event()
+            if not isinstance(event, type) or event is h11.PAUSED:
+                return event
+            if self.protocol.they_are_waiting_for_100_continue:
+                await self._send_continue()
+            chunk = await self._input.read_within(
+                asyncio.timeout_at(deadline_s)
+            )
+            if chunk is None:
+                raise CatkinreachError(ErrorKind.TOO_SLOW)
+            self.protocol.receive_data(chunk)
+
+
+def _new_protocol(max_head_bytes: int) -> h11.Connection:
+    return h11.Connection(
+        our_role=h11.SERVER, max_incomplete_event_size=max_head_bytes
+    )
+
+
+def _check_framing(head: h11.Request) -> None:
+    """Refuses a request whose body length is ambiguous.
+
+    Two HTTP parsers could disagree on where such a request ends, which
+    allows request smuggling.
+    """
+    names = [name for name, _ in head.headers]
+    if b'transfer-encoding' in names and b'content-length' in names:
+        raise CatkinreachError(
+            ErrorKind.BAD_REQUEST,
+            'transfer-encoding and content-length must not both be present',
+        )
+
+
+__all__ = ('RequestReader',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -0,0 +1,171 @@
+"""Sends the responses of one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import aclosing, suppress
+from typing import TYPE_CHECKING
+
+import h11
+
+from .messages import EVENT_STREAM_TYPE, encode_headers
+from .problem import problem_response
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinreach_core.errors import CatkinreachError
+
+    from .messages import BodyStream, Headers, HttpResponse
+    from .request_reader import RequestReader
+    from .server_bounds import ServerBounds
+
+NO_LINGER = struct.pack('ii', 1, 0)
+"""Value of ``SO_LINGER`` with which a close resets the connection."""
+
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
+_EVENT_STREAM_HEADERS = (
+    ('content-type', EVENT_STREAM_TYPE),
+    ('cache-control', 'no-store'),
+)
+
+
+class ResponseSender:
+    """Sends the responses to requests; owns the socket."""
+
+    def __init__(
+        self,
+        writer: asyncio.StreamWriter,
+        requests: RequestReader,
+        read_bounds: Callable[[], ServerBounds],
+        is_draining: Callable[[], bool],
+    ) -> None:
+        """Wraps the output of an accepted connection."""
+        self._writer = writer
+        self._requests = requests
+        self._read_bounds = read_bounds
+        self._is_draining = is_draining
+
+    def close(self) -> None:
+        """Closes the socket.
+
+        It is reset if the body of an unfinished response has no chunks: a
+        client would take a closed connection as the end of that body.
+        """
+        if self._is_body_ended_by_close:
+            self._reset()
+        else:
+            self._writer.close()
+
+    async def send_continue(self) -> None:
+        """Tells the client to send the body of its request."""
+        await self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    async def send_response(self, response: HttpResponse) -> None:
+        """Sends a whole response, its stream as it arrives.
+
+        Raises:
+            ConnectionAbortedError: if the client reads too slowly.
+        """
+        head = h11.Response(
+            status_code=response.status,
+            headers=encode_headers(self._response_headers(response)),
+        )
+        has_body = response.status not in STATUSES_WITHOUT_BODY
+        if self._requests.is_head_request or not has_body:
+            if response.stream is not None:
+                await response.stream.aclose()
+            await self._send(head, h11.EndOfMessage())
+        elif response.stream is None:
+            data = h11.Data(data=response.body)
+            await self._send(head, data, h11.EndOfMessage())
+        else:
+            await self._send_stream(head, response.stream)
+
+    async def refuse(self, error: CatkinreachError) -> None:
+        """Sends an error response unless a response has already started."""
+        state = self._requests.protocol.our_state
+        if state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        response = problem_response(error)
+        response.headers.append(('connection', 'close'))
+        with suppress(OSError, h11.LocalProtocolError):
+            await self.send_response(response)
+
+    @property
+    def _is_body_ended_by_close(self) -> bool:
+        protocol = self._requests.protocol
+        return (
+            protocol.our_state is h11.SEND_BODY
+            and protocol.their_http_version == b'1.0'
+        )
+
+    def _reset(self) -> None:
+        """Closes the socket so that the client gets an error."""
+        with suppress(OSError):
+            self._writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
+        self._writer.transport.abort()
+
+    async def _send_stream(
+        self, head: h11.Response, stream: BodyStream
+    ) -> None:
+        async with aclosing(stream) as chunks:
+            await self._send(head)
+            async for chunk in chunks:
+                await self._send(h11.Data(data=chunk))
+        await self._send(h11.EndOfMessage())
+
+    def _response_headers(self, response: HttpResponse) -> Headers:
+        headers = [*self._connection_headers(response), *response.headers]
+        if response.status in STATUSES_WITHOUT_BODY:
+            return headers
+        if response.stream is None:
+            return [*headers, ('content-length', str(len(response.body)))]
+        if any(name == 'content-type' for name, _ in headers):
+            return headers
+        return [*_EVENT_STREAM_HEADERS, *headers]
+
+    def _connection_headers(self, response: HttpResponse) -> Headers:
+        """Returns the header that announces the end of the connection.
+
+        It isn't sent while another request has arrived: a client takes the
+        requests after such a response as not received.
+        """
+        is_announced = any(name == 'connection' for name, _ in response.headers)
+        has_input = self._requests.has_input
+        if is_announced or has_input or not self._is_draining():
+            return []
+        return [('connection', 'close')]
+
+    async def _send(self, *events: h11.Event) -> None:
+        chunks = [self._requests.protocol.send(event) for event in events]
+        self._writer.write(b''.join(chunk for chunk in chunks if chunk))
+        await self._flush()
+
+    async def _flush(self) -> None:
+        """Waits until a slow client has read enough of the sent data.
+
+        No timer is started if the write buffer is already empty.
+
+        Raises:
+            ConnectionAbortedError: if the client reads too slowly.
+        """
+        transport = self._writer.transport
+        if not transport.get_write_buffer_size() and not transport.is_closing():
+            return
+        try:
+            async with asyncio.timeout(self._read_bounds().write_timeout_s):
+                await self._writer.drain()
+        except TimeoutError as error:
+            self._writer.transport.abort()
+            raise ConnectionAbortedError(
+                'client did not read the response in time'
+            ) from error
+
+
+__all__ = ('ResponseSender',)
