--- a/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
+++ b/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.crash_suspects import CRASHES_TO_REFUSE
 from catkinreach_core.ids import UpstreamId
+from catkinreach_node.gateway.suspect_keys import CRASH_STEP_S
 from catkinreach_standins.platform.config import MODEL_SERVICE
 from catkinreach_standins.platform.deployment import (
     Deployment,
@@ -16,6 +18,8 @@
 from catkinreach_standins.platform.upstream import UpstreamStandin
 
 if TYPE_CHECKING:
+    import pytest
+
     from catkinreach_node.gateway.app import GatewayApp
     from catkinreach_node.http.messages import HttpRequest
     from catkinreach_standins.platform.received_request import ReceivedRequest
@@ -24,7 +28,8 @@
 SHARED_PART = 'a1'
 CRASHING_PART = 'd1'
 CRASHING_REQUESTS = 6
-FIRST_RESTART_MS = 1_700_000_001_000
+STARTED_MS = 1_700_000_000_000
+FIRST_RESTART_MS = STARTED_MS + 1000
 
 
 class CrashingEngine(UpstreamStandin):
@@ -71,7 +76,13 @@
 async def _restart_crashed(
     deployment: Deployment, gateway: GatewayApp, born_ms: int
 ) -> None:
-    """Restarts the engines that don't listen, as new incarnations."""
+    """Restarts the engines that don't listen.
+
+    Args:
+        deployment: Deployment of the engines.
+        gateway: Node that has to know the restarted engines.
+        born_ms: Start of the incarnations that the store tells of.
+    """
     for upstream in deployment.upstreams.values():
         if upstream.is_listening:
             continue
@@ -141,3 +152,27 @@
             assert arrivals == [2, 3]
 
     asyncio.run(run())
+
+
+def test_crashes_that_the_store_does_not_tell_of_never_add_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # An engine crashed again before the store told of its restart.
+    real_time = time.time
+    passed_s = 0.0
+    monkeypatch.setattr(time, 'time', lambda: real_time() + passed_s)
+
+    async def run() -> None:
+        nonlocal passed_s
+        deployment = _deployment()
+        async with running_deployment(deployment=deployment) as (_, gateway):
+            for _ in range(CRASHING_REQUESTS):
+                await deployment.client.call_raw(
+                    deployment.caller_address,
+                    _stream(deployment, SHARED_PART, CRASHING_PART),
+                )
+                await _restart_crashed(deployment, gateway, STARTED_MS)
+                passed_s += CRASH_STEP_S
+            assert _count_crashing(deployment) == CRASHES_TO_REFUSE
+
+    asyncio.run(run())
