Count the loss of a failure domain as one crash

What callers saw: when all engines of a failure domain end at once, each of them counted as a crash for every part of a prompt that was starting on it.

Cause: a crash is named by its engine, so one event had as many names as engines.

The fix: before a crash is counted, the node looks at the other engines of the service in that failure domain, and connects to those that aren't known to be down. As long as one engine of the domain answers, or has been down for longer, each crash counts by itself as before. Engines that requests crash one after the other thus keep names of their own: the domain's name can only go to the last one that is up, and an engine takes longer than a second to be back. Prefill engines don't run the answer and stay up, so a domain with one of them is never taken for lost.

What it can cost: requests that crash all engines of a domain within the same instant count once.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
@@ -30,6 +30,7 @@
     failure_rate: float = 0.0
     updated_at_s: float = 0.0
     is_down: bool = False
+    down_since_s: float = 0.0
     next_probe_at_s: float = 0.0
     probe_interval_s: float = MIN_PROBE_INTERVAL_S
     is_replaced: bool = False
@@ -70,6 +71,8 @@
             record.probe_interval_s = min(
                 MAX_PROBE_INTERVAL_S, 2 * record.probe_interval_s
             )
+        else:
+            record.down_since_s = now_s
         record.is_down = True
         record.next_probe_at_s = now_s + record.probe_interval_s
 
@@ -97,6 +100,13 @@
         record = self._records.get(upstream_id)
         return record is not None and record.is_down
 
+    def went_down_before(self, upstream_id: UpstreamId, at_s: float) -> bool:
+        """Returns whether an upstream that is down was so before a time."""
+        record = self._records.get(upstream_id)
+        return (
+            record is not None and record.is_down and record.down_since_s < at_s
+        )
+
     def is_replaced(self, upstream_id: UpstreamId) -> bool:
         """Returns whether another upstream uses the address of this one."""
         record = self._records.get(upstream_id)
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -179,6 +179,16 @@
             if upstream.domain_id not in self._evacuated:
                 yield known
 
+    def others_in_domain(self, upstream: Upstream) -> tuple[Upstream, ...]:
+        """Returns the other upstreams of its service and failure domain."""
+        service = self._by_service.get(upstream.service_id, {})
+        return tuple(
+            other.upstream
+            for other in service.values()
+            if other.upstream.domain_id == upstream.domain_id
+            and other.upstream.upstream_id != upstream.upstream_id
+        )
+
     def _drop(self, upstream_id: UpstreamId) -> None:
         known = self._known.pop(upstream_id)
         service = self._by_service[known.upstream.service_id]
--- a/packages/catkinreach-core/tests/gateway/test_view.py
+++ b/packages/catkinreach-core/tests/gateway/test_view.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from catkinreach_core.gateway.catalog import Catalog
 from catkinreach_core.gateway.upstream import UpstreamState
 from catkinreach_core.gateway.view import EXPIRY_GRACE_S, FleetView
-from catkinreach_core.ids import FailureDomainId, UpstreamId
+from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
 from catkinreach_standins.fakes.gateway import SERVICE, make_upstream
 
 
@@ -84,3 +86,22 @@
     (known,) = view.usable_upstreams(SERVICE)
     assert known.is_cold(3.9)
     assert not known.is_cold(4.0)
+
+
+def test_others_of_a_failure_domain_are_of_the_same_service() -> None:
+    view = FleetView()
+    lost = make_upstream('a', domain='north')
+    other_service = msgspec.structs.replace(
+        make_upstream('d', domain='north'), service_id=ServiceId('other')
+    )
+    view.replace_upstreams(
+        [
+            lost,
+            make_upstream('b', domain='north'),
+            make_upstream('c', domain='south'),
+            other_service,
+        ],
+        0.0,
+    )
+    others = view.others_in_domain(lost)
+    assert [other.upstream_id for other in others] == ['b']
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
@@ -48,6 +48,18 @@
     return CrashId(xxhash.xxh32_intdigest(name.encode()))
 
 
+def domain_loss_id(upstream: Upstream, unix_s: float) -> CrashId:
+    """Returns the id of the loss of an upstream's whole failure domain.
+
+    Args:
+        upstream: One of the lost upstreams of a service.
+        unix_s: Time of day.
+    """
+    step = int(unix_s // CRASH_STEP_S)
+    name = f'{upstream.service_id}/{upstream.domain_id}/{step}'
+    return CrashId(xxhash.xxh32_intdigest(name.encode()))
+
+
 def refuse_if_quarantined(node: Node, keys: Collection[SuspectKey]) -> None:
     """Refuses a request that would crash its upstream.
 
@@ -72,4 +84,10 @@
     return SuspectKey(xxhash.xxh3_64_hexdigest(f'part/{part_id}'.encode()))
 
 
-__all__ = ('crash_id', 'refuse_if_quarantined', 'suspect_keys')
+__all__ = (
+    'CRASH_STEP_S',
+    'crash_id',
+    'domain_loss_id',
+    'refuse_if_quarantined',
+    'suspect_keys',
+)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -8,7 +8,7 @@
 
 from ..http.connection import ConnectError
 from .decision_log import Event
-from .suspect_keys import crash_id
+from .suspect_keys import crash_id, domain_loss_id
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -22,6 +22,10 @@
 CHECK_INTERVAL_S = 1.0
 """Minimum time between checks of an upstream that may be down."""
 
+DOMAIN_LOSS_S = 1.0
+"""Time in which all upstreams of a lost failure domain go down. It is less
+than a restart takes, so that upstreams that crash in turn are told apart."""
+
 
 class UpstreamChecks:
     """Connects to suspected upstreams and marks unreachable ones down."""
@@ -82,9 +86,11 @@
         if await self._confirm_reachable(upstream):
             return 0
         node = self._node
+        is_domain_lost = await self._is_domain_lost(upstream)
+        name_crash = domain_loss_id if is_domain_lost else crash_id
         crashes = node.crash_suspects.record_crash(
             admitted.suspect_keys,
-            crash_id(upstream, time.time()),
+            name_crash(upstream, time.time()),
             node.clock(),
         )
         node.load_changed.set()
@@ -95,9 +101,30 @@
             parts=admitted.metadata.shared_parts,
             upstream=upstream.upstream_id,
             crashes=crashes,
+            domain_lost=is_domain_lost,
         )
         return crashes
 
+    async def _is_domain_lost(self, upstream: Upstream) -> bool:
+        """Returns whether all of its failure domain went down with it.
+
+        That is hardly the work of requests, which crash one upstream after
+        the other.
+        """
+        since_s = self._node.clock() - DOMAIN_LOSS_S
+        health = self._node.health
+        others = self._node.view.others_in_domain(upstream)
+        if any(
+            health.went_down_before(other.upstream_id, since_s)
+            for other in others
+        ):
+            return False
+        for other in others:
+            is_down = health.is_down(other.upstream_id)
+            if not is_down and await self._confirm_reachable(other):
+                return False
+        return bool(others)
+
     async def _confirm_reachable(self, upstream: Upstream) -> bool:
         """Connects to an upstream; marks it down if that fails."""
         try:
--- a/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
+++ b/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
@@ -16,6 +16,7 @@
     running_deployment,
 )
 from catkinreach_standins.platform.upstream import UpstreamStandin
+from catkinreach_standins.platform.upstream_behaviour import Behaviour
 
 if TYPE_CHECKING:
     import pytest
@@ -23,13 +24,14 @@
     from catkinreach_node.gateway.app import GatewayApp
     from catkinreach_node.http.messages import HttpRequest
     from catkinreach_standins.platform.received_request import ReceivedRequest
-    from catkinreach_standins.platform.upstream_behaviour import Behaviour
 
 SHARED_PART = 'a1'
 CRASHING_PART = 'd1'
 CRASHING_REQUESTS = 6
 STARTED_MS = 1_700_000_000_000
 FIRST_RESTART_MS = STARTED_MS + 1000
+LOST_DOMAIN = 'zone-b'
+MAX_STREAMS = 24
 
 
 class CrashingEngine(UpstreamStandin):
@@ -51,6 +53,20 @@
         return False
 
 
+class EngineOfLostDomain(CrashingEngine):
+    """Decode engine of a failure domain that has no other engines."""
+
+    def entry(self, **changed: object) -> dict[str, object]:
+        """Returns the entry for the store, with its failure domain."""
+        return super().entry(zone=LOST_DOMAIN, **changed)
+
+    def crash(self) -> None:
+        """Stops listening and ends all connections."""
+        self.close()
+        for writer in self._running:
+            writer.transport.abort()
+
+
 def _deployment() -> Deployment:
     deployment = Deployment()
     for upstream_id in ('d', 'e'):
@@ -176,3 +192,93 @@
             assert _count_crashing(deployment) == CRASHES_TO_REFUSE
 
     asyncio.run(run())
+
+
+def _add_lost_domain(
+    deployment: Deployment, upstream_ids: str
+) -> list[EngineOfLostDomain]:
+    """Adds the decode engines of a domain, or puts them in place of others."""
+    engines = [
+        EngineOfLostDomain(upstream_id, MODEL_SERVICE, 'decode')
+        for upstream_id in upstream_ids
+    ]
+    deployment.upstreams |= {one.upstream_id: one for one in engines}
+    return engines
+
+
+async def _start_streams_at(
+    deployment: Deployment, engines: list[EngineOfLostDomain]
+) -> list[asyncio.Task[tuple[int, bytes]]]:
+    """Sends streams that hang until each engine has one."""
+    streams: list[asyncio.Task[tuple[int, bytes]]] = []
+    for engine in engines:
+        engine.script.extend([Behaviour.HANG] * MAX_STREAMS)
+    while not all(engine.received for engine in engines):
+        assert len(streams) < MAX_STREAMS
+        sent = sum(len(engine.received) for engine in engines)
+        call = deployment.client.call_raw(
+            deployment.caller_address, _stream(deployment, SHARED_PART)
+        )
+        streams.append(asyncio.create_task(call))
+
+        async def has_arrived(sent: int = sent) -> bool:
+            return sum(len(engine.received) for engine in engines) > sent
+
+        await eventually(has_arrived, within_s=1.0)
+    return streams
+
+
+def test_part_that_starts_at_a_lost_failure_domain_is_refused() -> None:
+    # The loss of a domain counted as one crash for each of its engines.
+    async def run() -> None:
+        deployment = Deployment()
+        engines = _add_lost_domain(deployment, 'def')
+        async with running_deployment(deployment=deployment) as (_, gateway):
+            streams = await _start_streams_at(deployment, engines)
+            for engine in engines:
+                engine.script.clear()
+                engine.crash()
+
+            async def are_down() -> bool:
+                health = gateway._node.health
+                return all(
+                    health.is_down(UpstreamId(one.upstream_id))
+                    for one in engines
+                )
+
+            await eventually(are_down, within_s=2.0)
+            await _restart_crashed(deployment, gateway, FIRST_RESTART_MS)
+            status, _ = await deployment.client.call_raw(
+                deployment.caller_address, _stream(deployment, SHARED_PART)
+            )
+            assert status == 200
+            await asyncio.gather(*streams)
+
+    asyncio.run(run())
+
+
+def test_part_that_crashes_a_failure_domain_in_turn_is_sent_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The last engine of the domain to crash looks like the domain's loss.
+    real_time = time.time
+    passed_s = 0.0
+    monkeypatch.setattr(time, 'time', lambda: real_time() + passed_s)
+
+    async def run() -> None:
+        nonlocal passed_s
+        deployment = Deployment()
+        _add_lost_domain(deployment, 'de')
+        async with running_deployment(deployment=deployment) as (_, gateway):
+            for number in range(CRASHING_REQUESTS):
+                await deployment.client.call_raw(
+                    deployment.caller_address,
+                    _stream(deployment, CRASHING_PART),
+                )
+                await _restart_crashed(
+                    deployment, gateway, FIRST_RESTART_MS + number
+                )
+                passed_s += CRASH_STEP_S
+            assert _count_crashing(deployment) == CRASHES_TO_REFUSE
+
+    asyncio.run(run())
