Name a crash by what crashed and its age, not by the time of day

What callers saw: 500 for healthy streams while a crashing part came, on nodes whose clocks differ.

Cause: a crash was named by incarnation and time of day in steps of 2 s. A node with another clock, on the other side of a step, or that had not heard of the restart gave the same crash a second name. The harmless part of the crashing requests then was in crashes that the crashing part wasn't in: nothing excused it, and it was refused too.

A report now holds what crashed (the address) and how long ago. Two tests that reported at one time and merged at another now use one time, and the two that shifted the time of day shift the node's clock.

--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
@@ -0,0 +1,62 @@
+"""What nodes tell each other about crashes and the requests suspected of them.
+
+Clocks of nodes differ and may jump, so a report gives the age of each crash.
+"""
+
+from __future__ import annotations
+
+from typing import NewType
+
+from msgspec import Struct
+
+SuspectKey = NewType('SuspectKey', str)
+"""Hash of a whole request or of one part of its prompt."""
+
+CrashSource = NewType('CrashSource', int)
+"""Hash that names what crashed, such as one incarnation of an upstream."""
+
+
+class SeenCrash(Struct, array_like=True, frozen=True):
+    """One crash.
+
+    Attributes:
+        source: What crashed.
+        age_ms: Time since the crash, in milliseconds.
+    """
+
+    source: CrashSource
+    age_ms: int
+
+
+class SuspectReport(Struct, array_like=True, frozen=True):
+    """What is known of one key.
+
+    Attributes:
+        crashes: Crashes of which the key is suspected, as positions in the
+            list of the whole report.
+        cleared: Crashes of which it no longer is, since it ran later.
+    """
+
+    crashes: list[int]
+    cleared: list[int]
+
+
+class CrashReport(Struct, array_like=True, frozen=True):
+    """Some of the keys that a node knows, and their crashes.
+
+    Attributes:
+        crashes: The crashes, each once.
+        suspects: The keys.
+    """
+
+    crashes: list[SeenCrash]
+    suspects: dict[SuspectKey, SuspectReport]
+
+
+__all__ = (
+    'CrashReport',
+    'CrashSource',
+    'SeenCrash',
+    'SuspectKey',
+    'SuspectReport',
+)
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -7,10 +7,11 @@
 A request has several suspect keys: the fingerprint of the whole request, and
 each part of its prompt that other requests may share. An upstream that
 disconnects while requests start on it, and is unreachable afterwards, is one
-crash of each of their keys. A request that runs clears its keys. A request is
-refused if one of its keys has too many crashes, unless another key, which the
-request doesn't have, was part of the same crashes: then one of the two is
-innocent, and only requests that have just one of them can show which.
+crash of each of their keys. A request that runs clears its keys of earlier
+crashes. A request is refused if one of its keys has too many crashes, unless
+another key, which the request doesn't have, was part of the same crashes: then
+one of the two is innocent, and only requests that have just one of them can
+show which.
 
 Nodes exchange the crashes themselves, not counts of them. A crash that several
 nodes saw counts once, and what a node knew survives its end.
@@ -18,23 +19,24 @@
 
 from __future__ import annotations
 
-import math
 from collections import OrderedDict
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NewType
-
-from msgspec import Struct
+from typing import TYPE_CHECKING
+
+from .crash_log import CrashLog
+from .crash_reports import (
+    CrashReport,
+    CrashSource,
+    SeenCrash,
+    SuspectKey,
+    SuspectReport,
+)
+from .suspect import CRASHES_TO_REFUSE, MIN_REFUSAL_S, Suspect
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
-
-SuspectKey = NewType('SuspectKey', str)
-"""Hash of a whole request or of one part of its prompt."""
+    from collections.abc import Collection, Iterable, Iterator
 
-CrashId = NewType('CrashId', int)
-"""Hash that names one crash of one upstream."""
+    from .crash_log import Crash
 
-CRASHES_TO_REFUSE = 3
 CRASHES_TO_STOP_RETRY = 2
 """Crashes of one of its keys after which a request that crashed an upstream
 isn't sent to another one."""
@@ -43,80 +45,13 @@
 MAX_GOSSIP_NEW = 12
 MAX_GOSSIP_REPEATED = 8
 MAX_GOSSIP_OTHERS = 8
-"""Maximum numbers of keys in one gossip message: those that changed lately,
-those with several crashes, and in turn all others."""
+"""Maximum numbers of keys in one report: those that changed lately, those with
+several crashes, and in turn all others."""
 
 NEWS_S = 5.0
 """Time for which a key counts as changed lately."""
 
-MAX_GOSSIP_CRASHES = 16
-"""Maximum number of crashes, for each key, in one gossip message."""
-
-MAX_CLEARED = 64
-"""Cleared crashes, for each key, that are remembered."""
-
-MIN_REFUSAL_S = 20.0
-MAX_REFUSAL_S = 600.0
-"""Time after its last crash for which a key is refused. It doubles with each
-further crash: a key that is innocent is found to be so, others crash rarely."""
-
-
-class SuspectReport(Struct, array_like=True, frozen=True):
-    """What a node tells its peers about one key.
-
-    Attributes:
-        crashes: Crashes for which the key is still a suspect.
-        cleared: Crashes for which it no longer is, since it ran later.
-    """
-
-    crashes: list[CrashId]
-    cleared: list[CrashId]
-
-
-@dataclass(slots=True)
-class _Suspect:
-    """Crashes of one key; dictionaries serve as sets in order of arrival."""
-
-    crashes: dict[CrashId, None] = field(default_factory=dict)
-    cleared: dict[CrashId, None] = field(default_factory=dict)
-    last_crash_s: float = 0.0
-    changed_s: float = 0.0
-
-    @property
-    def refused_until_s(self) -> float:
-        """Returns when a request with the key may be tried again."""
-        excess = len(self.crashes) - CRASHES_TO_REFUSE
-        if excess < 0:
-            return -math.inf
-        refusal_s = MIN_REFUSAL_S * float(1 << min(excess, 16))
-        return self.last_crash_s + min(MAX_REFUSAL_S, refusal_s)
-
-    def add(self, crashes: Iterable[CrashId], now_s: float) -> bool:
-        """Adds crashes; returns whether any was new."""
-        known = self.crashes.keys() | self.cleared.keys()
-        new = [crash for crash in crashes if crash not in known]
-        if new:
-            self.crashes.update(dict.fromkeys(new))
-            self.last_crash_s = now_s
-            self.changed_s = now_s
-        return bool(new)
-
-    def clear(self, crashes: Iterable[CrashId], now_s: float) -> None:
-        """Clears the key of crashes."""
-        for crash in tuple(crashes):
-            self.crashes.pop(crash, None)
-            if crash not in self.cleared:
-                self.cleared[crash] = None
-                self.changed_s = now_s
-        for crash in tuple(self.cleared)[:-MAX_CLEARED]:
-            del self.cleared[crash]
-
-    def report(self) -> SuspectReport:
-        """Returns what peers are told, limited to the newest crashes."""
-        return SuspectReport(
-            list(self.crashes)[-MAX_GOSSIP_CRASHES:],
-            list(self.cleared)[-MAX_GOSSIP_CRASHES:],
-        )
+MS_PER_S = 1000
 
 
 class CrashSuspects:
@@ -124,14 +59,16 @@
 
     def __init__(self) -> None:
         """Starts without suspects."""
-        self._suspects: OrderedDict[SuspectKey, _Suspect] = OrderedDict()
+        self._log = CrashLog()
+        self._suspects: OrderedDict[SuspectKey, Suspect] = OrderedDict()
         self._has_news = False
         self._next_other = 0
 
     def record_crash(
-        self, keys: Collection[SuspectKey], crash: CrashId, now_s: float
+        self, keys: Collection[SuspectKey], source: CrashSource, now_s: float
     ) -> int:
         """Records a crash; returns the most crashes that one key has."""
+        crash = self._log.identify(source, now_s)
         for key in keys:
             self._has_news |= self._touch(key).add((crash,), now_s)
         self._drop_oldest()
@@ -154,24 +91,66 @@
         self, keys: Collection[SuspectKey], now_s: float
     ) -> bool:
         """Returns whether a request with these keys must not run."""
-        return any(
-            self._has_too_many(key, now_s) and not self._is_explained(key, keys)
-            for key in keys
-        )
+        return any(self._is_refused(key, keys, now_s) for key in keys)
 
-    def merge(
-        self, reports: Mapping[SuspectKey, SuspectReport], now_s: float
-    ) -> None:
+    def merge(self, report: CrashReport, now_s: float) -> None:
         """Adds what a peer reported."""
-        for key, report in reports.items():
-            suspect = self._suspects.setdefault(key, _Suspect())
-            suspect.clear(report.cleared, now_s)
-            if suspect.add(report.crashes, now_s):
+        crashes = [
+            self._log.identify(seen.source, now_s - seen.age_ms / MS_PER_S)
+            for seen in report.crashes
+        ]
+        for key, told in report.suspects.items():
+            suspect = self._suspects.setdefault(key, Suspect())
+            suspect.clear([crashes[index] for index in told.cleared], now_s)
+            found = [crashes[index] for index in told.crashes]
+            if suspect.add(found, now_s):
                 self._suspects.move_to_end(key)
         self._drop_oldest()
 
-    def reports(self, now_s: float) -> dict[SuspectKey, SuspectReport]:
+    def report(self, now_s: float) -> CrashReport:
         """Returns what peers are told now; after some calls they know all."""
+        told: dict[Crash, int] = {}
+        suspects = {}
+        for key in self._choose_keys(now_s):
+            suspect = self._suspects[key]
+            for crash in (*suspect.crashes, *suspect.cleared):
+                told.setdefault(crash, len(told))
+            suspects[key] = SuspectReport(
+                [told[crash] for crash in suspect.crashes],
+                [told[crash] for crash in suspect.cleared],
+            )
+        return CrashReport(
+            [SeenCrash(one.source, _to_ms(now_s - one.at_s)) for one in told],
+            suspects,
+        )
+
+    def take_news(self) -> bool:
+        """Returns whether this node saw anything new since the last call."""
+        has_news, self._has_news = self._has_news, False
+        return has_news
+
+    def _is_refused(
+        self, key: SuspectKey, keys: Collection[SuspectKey], now_s: float
+    ) -> bool:
+        suspect = self._suspects.get(key)
+        if suspect is None or not suspect.has_too_many:
+            return False
+        if self._is_explained(suspect, keys):
+            return False
+        return now_s < suspect.refusal_end_s
+
+    def _is_explained(
+        self, suspect: Suspect, keys: Collection[SuspectKey]
+    ) -> bool:
+        """Returns whether a key outside the request explains all crashes."""
+        return any(
+            suspect.crashes.keys() <= other.crashes.keys()
+            for key, other in self._suspects.items()
+            if key not in keys
+        )
+
+    def _choose_keys(self, now_s: float) -> Iterator[SuspectKey]:
+        """Yields the keys of a report: news, repeated ones, some others."""
         new: list[SuspectKey] = []
         repeated: list[SuspectKey] = []
         others: list[SuspectKey] = []
@@ -182,8 +161,7 @@
                 repeated.append(key)
             else:
                 others.append(key)
-        chosen = [*new, *repeated, *self._take_turn(others)]
-        return {key: self._suspects[key].report() for key in chosen}
+        yield from (*new, *repeated, *self._take_turn(others))
 
     def _take_turn(self, others: list[SuspectKey]) -> list[SuspectKey]:
         """Returns the next of the keys that are told in turn."""
@@ -191,29 +169,9 @@
         self._next_other = start + MAX_GOSSIP_OTHERS
         return others[start : self._next_other]
 
-    def take_news(self) -> bool:
-        """Returns whether this node saw anything new since the last call."""
-        has_news, self._has_news = self._has_news, False
-        return has_news
-
-    def _has_too_many(self, key: SuspectKey, now_s: float) -> bool:
-        suspect = self._suspects.get(key)
-        return suspect is not None and now_s < suspect.refused_until_s
-
-    def _is_explained(
-        self, key: SuspectKey, keys: Collection[SuspectKey]
-    ) -> bool:
-        """Returns whether a key outside the request explains all crashes."""
-        crashes = self._suspects[key].crashes.keys()
-        return any(
-            crashes <= other.crashes.keys()
-            for other_key, other in self._suspects.items()
-            if other_key not in keys
-        )
-
-    def _touch(self, key: SuspectKey) -> _Suspect:
+    def _touch(self, key: SuspectKey) -> Suspect:
         """Returns the suspect, which becomes the newest one."""
-        suspect = self._suspects.setdefault(key, _Suspect())
+        suspect = self._suspects.setdefault(key, Suspect())
         self._suspects.move_to_end(key)
         return suspect
 
@@ -223,22 +181,24 @@
         if excess <= 0:
             return
         droppable = [
-            key
-            for key, one in self._suspects.items()
-            if len(one.crashes) < CRASHES_TO_REFUSE
+            key for key, one in self._suspects.items() if not one.has_too_many
         ]
         for key in (droppable or list(self._suspects))[:excess]:
             del self._suspects[key]
 
 
+def _to_ms(duration_s: float) -> int:
+    return max(0, round(duration_s * MS_PER_S))
+
+
 __all__ = (
     'CRASHES_TO_REFUSE',
     'CRASHES_TO_STOP_RETRY',
     'MAX_GOSSIP_NEW',
     'MAX_SUSPECTS',
     'MIN_REFUSAL_S',
-    'CrashId',
+    'CrashReport',
+    'CrashSource',
     'CrashSuspects',
     'SuspectKey',
-    'SuspectReport',
 )
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -9,7 +9,7 @@
 from msgspec import Struct, field
 
 from ..ids import Revision, ServiceId, UpstreamId, WorkspaceId
-from .crash_suspects import SuspectKey, SuspectReport
+from .crash_reports import CrashReport
 from .feed import SmallChange
 from .load_table import UpstreamLoad
 
@@ -45,8 +45,8 @@
             orders to engines.
         switching: Remaining downtime, in seconds, of engines that change
             their stage.
-        suspects: Crashes by suspect key, as the sender knows them; empty in
-            messages that only report a change of load.
+        suspects: Crashes and the requests suspected of them, as the sender
+            knows them; ``None`` in messages that only report a change of load.
     """
 
     node: str
@@ -60,7 +60,7 @@
     waiting: dict[ServiceId, int] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, float] = field(default_factory=dict)
-    suspects: dict[SuspectKey, SuspectReport] = field(default_factory=dict)
+    suspects: CrashReport | None = None
 
 
 class LoadQuery(Struct, array_like=True, kw_only=True, tag='query'):
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -4,12 +4,13 @@
 
 import pytest
 
+from catkinreach_core.gateway.crash_log import SAME_CRASH_S
 from catkinreach_core.gateway.crash_suspects import (
     CRASHES_TO_REFUSE,
     MAX_GOSSIP_NEW,
     MAX_SUSPECTS,
     MIN_REFUSAL_S,
-    CrashId,
+    CrashSource,
     CrashSuspects,
     SuspectKey,
 )
@@ -18,7 +19,8 @@
 REQUEST = SuspectKey('request')
 CRASHING = SuspectKey('crashing part')
 HARMLESS = SuspectKey('harmless part')
-CRASHES = tuple(CrashId(number) for number in range(CRASHES_TO_REFUSE))
+OTHER_REQUEST = SuspectKey('another request')
+CRASHES = tuple(CrashSource(number) for number in range(CRASHES_TO_REFUSE))
 
 
 def _crash_all(suspects: CrashSuspects, *keys: SuspectKey) -> None:
@@ -30,7 +32,7 @@
     node, peer = CrashSuspects(), CrashSuspects()
     for crash in CRASHES[1:]:
         peer.record_crash([REQUEST], crash, 0.0)
-    node.merge(peer.reports(NOW_S), 0.0)
+    node.merge(peer.report(NOW_S), 0.0)
     assert not node.is_quarantined([REQUEST], 0.0)
     node.record_crash([REQUEST], CRASHES[0], 1.0)
     assert node.is_quarantined([REQUEST], 1.0)
@@ -41,7 +43,9 @@
     _crash_all(suspects, REQUEST)
     suspects.clear([REQUEST], NOW_S)
     assert not suspects.is_quarantined([REQUEST], 5.0)
-    assert not any(one.crashes for one in suspects.reports(NOW_S).values())
+    assert not any(
+        one.crashes for one in suspects.report(NOW_S).suspects.values()
+    )
 
 
 def test_requests_with_one_crashing_part_are_sent_on_and_on() -> None:
@@ -60,7 +64,7 @@
     for _ in range(CRASHES_TO_REFUSE):
         peer = CrashSuspects()
         peer.record_crash([CRASHING], CRASHES[0], 0.0)
-        node.merge(peer.reports(NOW_S), 0.0)
+        node.merge(peer.report(0.0), 0.0)
     node.record_crash([CRASHING], CRASHES[0], 1.0)
     assert node.crashes([CRASHING]) == 1
 
@@ -75,7 +79,7 @@
 def test_part_that_crashes_alone_is_quarantined_alone() -> None:
     suspects = CrashSuspects()
     _crash_all(suspects, HARMLESS, CRASHING)
-    suspects.record_crash([CRASHING], CrashId(99), 4.0)
+    suspects.record_crash([CRASHING], CrashSource(99), 4.0)
     assert suspects.is_quarantined([CRASHING], 4.0)
     assert not suspects.is_quarantined([HARMLESS], 4.0)
 
@@ -83,21 +87,21 @@
 def test_part_that_ran_at_a_peer_is_cleared_for_all_nodes() -> None:
     node, peer = CrashSuspects(), CrashSuspects()
     _crash_all(node, HARMLESS)
-    peer.merge(node.reports(NOW_S), 0.0)
+    peer.merge(node.report(NOW_S), NOW_S)
     peer.clear([HARMLESS], NOW_S)
-    node.merge(peer.reports(NOW_S), 1.0)
-    assert not node.is_quarantined([HARMLESS], 1.0)
-    peer.merge(node.reports(NOW_S), 2.0)
-    assert not peer.is_quarantined([HARMLESS], 2.0)
+    node.merge(peer.report(NOW_S), NOW_S)
+    assert not node.is_quarantined([HARMLESS], NOW_S)
+    peer.merge(node.report(NOW_S), NOW_S)
+    assert not peer.is_quarantined([HARMLESS], NOW_S)
 
 
 def test_crashes_stay_known_when_the_node_that_saw_them_ends() -> None:
     # Counts of a peer that left were dropped with it.
     seen, node = CrashSuspects(), CrashSuspects()
     _crash_all(seen, CRASHING)
-    node.merge(seen.reports(NOW_S), 0.0)
+    node.merge(seen.report(NOW_S), 0.0)
     started_anew = CrashSuspects()
-    started_anew.merge(node.reports(NOW_S), 1.0)
+    started_anew.merge(node.report(NOW_S), 1.0)
     assert started_anew.is_quarantined([CRASHING], 1.0)
 
 
@@ -107,7 +111,7 @@
     later_s = CRASHES[-1] + MIN_REFUSAL_S
     assert suspects.is_quarantined([CRASHING], later_s - 0.1)
     assert not suspects.is_quarantined([CRASHING], later_s)
-    suspects.record_crash([CRASHING], CrashId(99), later_s)
+    suspects.record_crash([CRASHING], CrashSource(99), later_s)
     assert suspects.is_quarantined([CRASHING], later_s)
 
 
@@ -115,8 +119,8 @@
     suspects = CrashSuspects()
     _crash_all(suspects, CRASHING)
     for number in range(4 * MAX_GOSSIP_NEW):
-        suspects.record_crash([SuspectKey(str(number))], CrashId(9), 9.0)
-    reports = suspects.reports(9.0)
+        suspects.record_crash([SuspectKey(str(number))], CrashSource(9), 9.0)
+    reports = suspects.report(9.0).suspects
     assert len(reports) <= MAX_GOSSIP_NEW + 16
     assert len(reports[CRASHING].crashes) == CRASHES_TO_REFUSE
 
@@ -128,7 +132,7 @@
     for number in range(4 * MAX_GOSSIP_NEW):
         node.record_crash([SuspectKey(str(number))], CRASHES[0], 0.0)
     for _ in range(8):
-        peer.merge(node.reports(0.0), 0.0)
+        peer.merge(node.report(0.0), 0.0)
     assert peer.crashes([CRASHING]) == 1
 
 
@@ -142,7 +146,7 @@
             node.record_crash([SuspectKey(str(number))], crash, 1.0)
     node.record_crash([CRASHING], CRASHES[0], 9.0)
     node.clear([HARMLESS], 9.0)
-    peer.merge(node.reports(9.0), 9.0)
+    peer.merge(node.report(9.0), 9.0)
     assert peer.crashes([CRASHING]) == 1
     assert not peer.is_quarantined([HARMLESS], 9.0)
 
@@ -154,11 +158,11 @@
     # Only the newest six of the cleared crashes were told.
     node, peer = CrashSuspects(), CrashSuspects()
     for number in range(engines):
-        node.record_crash([HARMLESS], CrashId(number), 0.0)
-        peer.merge(node.reports(0.0), 0.0)
+        node.record_crash([HARMLESS], CrashSource(number), 0.0)
+        peer.merge(node.report(0.0), 0.0)
     node.clear([HARMLESS], 1.0)
-    peer.merge(node.reports(1.0), 1.0)
-    node.merge(peer.reports(1.0), 1.0)
+    peer.merge(node.report(1.0), 1.0)
+    node.merge(peer.report(1.0), 1.0)
     assert not node.is_quarantined([HARMLESS], 1.0)
     assert not peer.is_quarantined([HARMLESS], 1.0)
 
@@ -168,8 +172,8 @@
     seen, started_anew = CrashSuspects(), CrashSuspects()
     for number in range(9):
         keys = [HARMLESS, CRASHING] if number < 3 else [CRASHING]
-        seen.record_crash(keys, CrashId(number), float(number))
-    started_anew.merge(seen.reports(9.0), 9.0)
+        seen.record_crash(keys, CrashSource(number), float(number))
+    started_anew.merge(seen.report(9.0), 9.0)
     assert not started_anew.is_quarantined([HARMLESS], 9.0)
     assert started_anew.is_quarantined([CRASHING], 9.0)
 
@@ -179,7 +183,7 @@
     suspects = CrashSuspects()
     _crash_all(suspects, CRASHING)
     for number in range(MAX_SUSPECTS + 1):
-        suspects.record_crash([SuspectKey(str(number))], CrashId(77), 5.0)
+        suspects.record_crash([SuspectKey(str(number))], CrashSource(77), 5.0)
     assert suspects.is_quarantined([CRASHING], 6.0)
 
 
@@ -189,7 +193,7 @@
     _crash_all(suspects, HARMLESS)
     first_end_s = CRASHES[-1] + MIN_REFUSAL_S
     assert not suspects.is_quarantined([HARMLESS], first_end_s)
-    suspects.record_crash([HARMLESS], CrashId(99), first_end_s)
+    suspects.record_crash([HARMLESS], CrashSource(99), first_end_s)
     assert suspects.is_quarantined([HARMLESS], first_end_s + MIN_REFUSAL_S)
     assert not suspects.is_quarantined(
         [HARMLESS], first_end_s + 2 * MIN_REFUSAL_S
@@ -199,7 +203,27 @@
 def test_only_what_this_node_saw_is_told_at_once() -> None:
     node, peer = CrashSuspects(), CrashSuspects()
     node.record_crash([CRASHING], CRASHES[0], 0.0)
-    peer.merge(node.reports(NOW_S), 0.0)
+    peer.merge(node.report(NOW_S), 0.0)
     assert node.take_news()
     assert not node.take_news()
     assert not peer.take_news()
+
+
+def test_clock_of_a_peer_splits_a_crash_in_two() -> None:
+    # Crashes were named by the time of day, which differs between nodes.
+    node, peer = CrashSuspects(), CrashSuspects()
+    for number, crash in enumerate(CRASHES):
+        at_s = 10.0 * number
+        node.record_crash([HARMLESS, CRASHING], crash, at_s)
+        peer.record_crash([HARMLESS], crash, 7_000.0 + at_s)
+        node.merge(peer.report(7_000.3 + at_s), at_s + 0.3)
+    assert node.crashes([HARMLESS]) == len(CRASHES)
+    assert not node.is_quarantined([OTHER_REQUEST, HARMLESS], 21.0)
+
+
+def test_later_crash_of_one_source_is_another_crash() -> None:
+    suspects = CrashSuspects()
+    for number in range(CRASHES_TO_REFUSE):
+        at_s = 2 * SAME_CRASH_S * number
+        suspects.record_crash([CRASHING], CRASHES[0], at_s)
+    assert suspects.crashes([CRASHING]) == CRASHES_TO_REFUSE
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -115,7 +115,7 @@
         has_suspects = self._node.crash_suspects.take_news()
         message = self._message(is_load_change=is_load_change)
         if has_suspects or not is_load_change:
-            message.suspects = self._node.crash_suspects.reports(
+            message.suspects = self._node.crash_suspects.report(
                 self._node.clock()
             )
         data = encode_gossip(message)
@@ -192,7 +192,8 @@
             )
         node.loads.set_peer_loads(peer, message.loads, now_s)
         node.peer_reports.admitted[peer] = message.admitted
-        node.crash_suspects.merge(message.suspects, now_s)
+        if message.suspects is not None:
+            node.crash_suspects.merge(message.suspects, now_s)
         for upstream_id in message.down:
             node.checks.check_reported_down(upstream_id)
         node.checks.apply_replaced(message.replaced)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
-from catkinreach_core.gateway.crash_suspects import CrashId, SuspectKey
+from catkinreach_core.gateway.crash_reports import CrashSource, SuspectKey
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -18,9 +18,6 @@
     from ..http.messages import HttpRequest
     from .node import Node
 
-CRASH_STEP_S = 2.0
-"""Time in which an upstream counts as crashed once at most."""
-
 MAX_PARTS = 16
 """Parts of one prompt that are looked at, the first ones."""
 
@@ -33,31 +30,17 @@
     return (_request_key(request, metadata), *map(_part_key, parts))
 
 
-def crash_id(upstream: Upstream, unix_s: float) -> CrashId:
-    """Returns the id of a crash, the same at nodes that see it together.
-
-    An upstream may crash again before the store tells of its restart, so its
-    incarnation isn't enough.
+def crash_source(upstream: Upstream) -> CrashSource:
+    """Returns the name under which all nodes know crashes of an upstream.
 
-    Args:
-        upstream: Upstream that crashed.
-        unix_s: Time of day; nodes whose clocks differ count a crash twice.
+    It is that of the address: nodes hear of a restart at different times.
     """
-    step = int(unix_s // CRASH_STEP_S)
-    name = f'{upstream.upstream_id}/{upstream.started_ms}/{step}'
-    return CrashId(xxhash.xxh32_intdigest(name.encode()))
-
+    return _source(str(upstream.address))
 
-def domain_loss_id(upstream: Upstream, unix_s: float) -> CrashId:
-    """Returns the id of the loss of an upstream's whole failure domain.
 
-    Args:
-        upstream: One of the lost upstreams of a service.
-        unix_s: Time of day.
-    """
-    step = int(unix_s // CRASH_STEP_S)
-    name = f'{upstream.service_id}/{upstream.domain_id}/{step}'
-    return CrashId(xxhash.xxh32_intdigest(name.encode()))
+def domain_source(upstream: Upstream) -> CrashSource:
+    """Returns the name of the loss of an upstream's whole failure domain."""
+    return _source(f'{upstream.service_id}/{upstream.domain_id}')
 
 
 def refuse_if_quarantined(node: Node, keys: Collection[SuspectKey]) -> None:
@@ -73,6 +56,10 @@
         )
 
 
+def _source(name: str) -> CrashSource:
+    return CrashSource(xxhash.xxh32_intdigest(name.encode()))
+
+
 def _request_key(request: HttpRequest, metadata: RequestMetadata) -> SuspectKey:
     digest = xxhash.xxh3_64((metadata.key or '').encode())
     digest.update(request.target.encode())
@@ -85,9 +72,8 @@
 
 
 __all__ = (
-    'CRASH_STEP_S',
-    'crash_id',
-    'domain_loss_id',
+    'crash_source',
+    'domain_source',
     'refuse_if_quarantined',
     'suspect_keys',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import math
-import time
 from typing import TYPE_CHECKING
 
 from ..http.connection import ConnectError
 from .decision_log import Event
-from .suspect_keys import crash_id, domain_loss_id
+from .suspect_keys import crash_source, domain_source
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -37,7 +36,7 @@
 
     def check_reachable(self, upstream: Upstream) -> None:
         """Checks in the background whether a silent upstream is reachable."""
-        self._node.spawn(self._confirm_reachable(upstream))
+        self._node.spawn(self.confirm_reachable(upstream))
 
     def check_reported_down(self, upstream_id: UpstreamId) -> None:
         """Checks an upstream that a peer could not reach.
@@ -83,14 +82,14 @@
         Returns:
             Most crashes that one key of the request has; 0 without a crash.
         """
-        if await self._confirm_reachable(upstream):
+        if await self.confirm_reachable(upstream):
             return 0
         node = self._node
         is_domain_lost = await self._is_domain_lost(upstream)
-        name_crash = domain_loss_id if is_domain_lost else crash_id
+        name_source = domain_source if is_domain_lost else crash_source
         crashes = node.crash_suspects.record_crash(
             admitted.suspect_keys,
-            name_crash(upstream, time.time()),
+            name_source(upstream),
             node.clock(),
         )
         node.load_changed.set()
@@ -121,11 +120,11 @@
             return False
         for other in others:
             is_down = health.is_down(other.upstream_id)
-            if not is_down and await self._confirm_reachable(other):
+            if not is_down and await self.confirm_reachable(other):
                 return False
         return bool(others)
 
-    async def _confirm_reachable(self, upstream: Upstream) -> bool:
+    async def confirm_reachable(self, upstream: Upstream) -> bool:
         """Connects to an upstream; marks it down if that fails."""
         try:
             await self._node.pool.probe(upstream)
--- a/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
+++ b/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
+from catkinreach_core.gateway.crash_log import SAME_CRASH_S
 from catkinreach_core.gateway.crash_suspects import CRASHES_TO_REFUSE
 from catkinreach_core.ids import UpstreamId
-from catkinreach_node.gateway.suspect_keys import CRASH_STEP_S
 from catkinreach_standins.platform.config import MODEL_SERVICE
 from catkinreach_standins.platform.deployment import (
     Deployment,
@@ -19,8 +18,6 @@
 from catkinreach_standins.platform.upstream_behaviour import Behaviour
 
 if TYPE_CHECKING:
-    import pytest
-
     from catkinreach_node.gateway.app import GatewayApp
     from catkinreach_node.http.messages import HttpRequest
     from catkinreach_standins.platform.received_request import ReceivedRequest
@@ -170,16 +167,15 @@
     asyncio.run(run())
 
 
-def test_crashes_that_the_store_does_not_tell_of_never_add_up(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    # An engine crashed again before the store told of its restart.
-    real_time = time.time
-    passed_s = 0.0
-    monkeypatch.setattr(time, 'time', lambda: real_time() + passed_s)
+def _skip_time(gateway: GatewayApp, duration_s: float) -> None:
+    """Lets time pass for the gateway."""
+    clock = gateway._node.clock
+    gateway._node.clock = lambda: clock() + duration_s
+
 
+def test_crashes_that_the_store_does_not_tell_of_never_add_up() -> None:
+    # An engine crashed again before the store told of its restart.
     async def run() -> None:
-        nonlocal passed_s
         deployment = _deployment()
         async with running_deployment(deployment=deployment) as (_, gateway):
             for _ in range(CRASHING_REQUESTS):
@@ -188,7 +184,7 @@
                     _stream(deployment, SHARED_PART, CRASHING_PART),
                 )
                 await _restart_crashed(deployment, gateway, STARTED_MS)
-                passed_s += CRASH_STEP_S
+                _skip_time(gateway, 2 * SAME_CRASH_S)
             assert _count_crashing(deployment) == CRASHES_TO_REFUSE
 
     asyncio.run(run())
@@ -257,16 +253,9 @@
     asyncio.run(run())
 
 
-def test_part_that_crashes_a_failure_domain_in_turn_is_sent_on(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_part_that_crashes_a_failure_domain_in_turn_is_sent_on() -> None:
     # The last engine of the domain to crash looks like the domain's loss.
-    real_time = time.time
-    passed_s = 0.0
-    monkeypatch.setattr(time, 'time', lambda: real_time() + passed_s)
-
     async def run() -> None:
-        nonlocal passed_s
         deployment = Deployment()
         _add_lost_domain(deployment, 'de')
         async with running_deployment(deployment=deployment) as (_, gateway):
@@ -278,7 +267,7 @@
                 await _restart_crashed(
                     deployment, gateway, FIRST_RESTART_MS + number
                 )
-                passed_s += CRASH_STEP_S
+                _skip_time(gateway, 2 * SAME_CRASH_S)
             assert _count_crashing(deployment) == CRASHES_TO_REFUSE
 
     asyncio.run(run())
