Clear a part by the time of its run, not crash by crash

What callers saw: nothing yet; found by the review. A part that had run again stayed refused at peers if it had more than 16 crashes, as after the loss of many engines in a large fleet.

Cause: a clear was told as a list of crashes, of which a message holds the newest 16.

A report now says when a request with the key last began to run without harm; all crashes before that have another cause. It is the time of the run's first event, so that a stream that began before a part turned bad doesn't clear later crashes.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
@@ -34,11 +34,12 @@
     Attributes:
         crashes: Crashes of which the key is suspected, as positions in the
             list of the whole report.
-        cleared: Crashes of which it no longer is, since it ran later.
+        ran_ms_ago: Time since a request with the key last ran, in
+            milliseconds; ``None`` if that isn't known.
     """
 
     crashes: list[int]
-    cleared: list[int]
+    ran_ms_ago: int | None
 
 
 class CrashReport(Struct, array_like=True, frozen=True):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
@@ -74,14 +75,20 @@
         self._drop_oldest()
         return self.crashes(keys)
 
-    def clear(self, keys: Iterable[SuspectKey], now_s: float) -> None:
-        """Clears the keys of a request that ran."""
+    def clear(
+        self, keys: Iterable[SuspectKey], ran_at_s: float, now_s: float
+    ) -> None:
+        """Clears the keys of a request that began to run at a time."""
         for key in keys:
             suspect = self._suspects.get(key)
-            if suspect is not None and suspect.crashes:
-                self._touch(key).clear(suspect.crashes, now_s)
+            if suspect is not None and suspect.clear(ran_at_s, now_s):
+                self._suspects.move_to_end(key)
                 self._has_news = True
 
+    def clear_now(self, keys: Iterable[SuspectKey], now_s: float) -> None:
+        """Clears the keys of a request that has run."""
+        self.clear(keys, now_s, now_s)
+
     def crashes(self, keys: Iterable[SuspectKey]) -> int:
         """Returns the most crashes that one of the keys has."""
         found = map(self._suspects.get, keys)
@@ -101,7 +108,8 @@
         ]
         for key, told in report.suspects.items():
             suspect = self._suspects.setdefault(key, Suspect())
-            suspect.clear([crashes[index] for index in told.cleared], now_s)
+            if told.ran_ms_ago is not None:
+                suspect.clear(now_s - told.ran_ms_ago / MS_PER_S, now_s)
             found = [crashes[index] for index in told.crashes]
             if suspect.add(found, now_s):
                 self._suspects.move_to_end(key)
@@ -113,11 +121,13 @@
         suspects = {}
         for key in self._choose_keys(now_s):
             suspect = self._suspects[key]
-            for crash in (*suspect.crashes, *suspect.cleared):
+            for crash in suspect.crashes:
                 told.setdefault(crash, len(told))
             suspects[key] = SuspectReport(
                 [told[crash] for crash in suspect.crashes],
-                [told[crash] for crash in suspect.cleared],
+                None
+                if math.isinf(suspect.ran_at_s)
+                else _to_ms(now_s - suspect.ran_at_s),
             )
         return CrashReport(
             [SeenCrash(one.source, _to_ms(now_s - one.at_s)) for one in told],
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
@@ -30,12 +30,13 @@
     Attributes:
         crashes: Crashes that requests with the key may have caused, as an
             ordered set.
-        cleared: Crashes of which the key is innocent, since it ran later.
+        ran_at_s: Time at which a request with the key last began to run
+            without harm; it is innocent of earlier crashes.
         changed_s: Time of the last change.
     """
 
     crashes: dict[Crash, None] = field(default_factory=dict)
-    cleared: dict[Crash, None] = field(default_factory=dict)
+    ran_at_s: float = -math.inf
     changed_s: float = 0.0
 
     @property
@@ -50,8 +51,11 @@
 
     def add(self, crashes: Iterable[Crash], now_s: float) -> bool:
         """Adds crashes; returns whether any was new."""
-        known = self.crashes.keys() | self.cleared.keys()
-        new = [crash for crash in crashes if crash not in known]
+        new = [
+            crash
+            for crash in crashes
+            if crash not in self.crashes and crash.at_s > self.ran_at_s
+        ]
         for crash in new:
             self.crashes[crash] = None
             self.changed_s = now_s
@@ -59,15 +63,20 @@
             del self.crashes[crash]
         return bool(new)
 
-    def clear(self, crashes: Iterable[Crash], now_s: float) -> None:
-        """Clears the key of crashes."""
-        for crash in tuple(crashes):
-            self.crashes.pop(crash, None)
-            if crash not in self.cleared:
-                self.cleared[crash] = None
-                self.changed_s = now_s
-        for crash in tuple(self.cleared)[:-MAX_CRASHES]:
-            del self.cleared[crash]
+    def clear(self, ran_at_s: float, now_s: float) -> bool:
+        """Clears the key of crashes up to a run; returns whether that is news.
+
+        Args:
+            ran_at_s: Time at which the run began.
+            now_s: The current time.
+        """
+        earlier = [one for one in self.crashes if one.at_s <= ran_at_s]
+        for crash in earlier:
+            del self.crashes[crash]
+        if earlier:
+            self.changed_s = now_s
+        self.ran_at_s = max(self.ran_at_s, ran_at_s)
+        return bool(earlier)
 
     @property
     def refusal_end_s(self) -> float:
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -41,7 +41,7 @@
 def test_completed_request_is_no_longer_a_suspect() -> None:
     suspects = CrashSuspects()
     _crash_all(suspects, REQUEST)
-    suspects.clear([REQUEST], NOW_S)
+    suspects.clear_now([REQUEST], NOW_S)
     assert not suspects.is_quarantined([REQUEST], 5.0)
     assert not any(
         one.crashes for one in suspects.report(NOW_S).suspects.values()
@@ -88,7 +88,7 @@
     node, peer = CrashSuspects(), CrashSuspects()
     _crash_all(node, HARMLESS)
     peer.merge(node.report(NOW_S), NOW_S)
-    peer.clear([HARMLESS], NOW_S)
+    peer.clear_now([HARMLESS], NOW_S)
     node.merge(peer.report(NOW_S), NOW_S)
     assert not node.is_quarantined([HARMLESS], NOW_S)
     peer.merge(node.report(NOW_S), NOW_S)
@@ -145,7 +145,7 @@
         for crash in CRASHES:
             node.record_crash([SuspectKey(str(number))], crash, 1.0)
     node.record_crash([CRASHING], CRASHES[0], 9.0)
-    node.clear([HARMLESS], 9.0)
+    node.clear_now([HARMLESS], 9.0)
     peer.merge(node.report(9.0), 9.0)
     assert peer.crashes([CRASHING]) == 1
     assert not peer.is_quarantined([HARMLESS], 9.0)
@@ -160,7 +160,7 @@
     for number in range(engines):
         node.record_crash([HARMLESS], CrashSource(number), 0.0)
         peer.merge(node.report(0.0), 0.0)
-    node.clear([HARMLESS], 1.0)
+    node.clear_now([HARMLESS], 1.0)
     peer.merge(node.report(1.0), 1.0)
     node.merge(peer.report(1.0), 1.0)
     assert not node.is_quarantined([HARMLESS], 1.0)
@@ -227,3 +227,23 @@
         at_s = 2 * SAME_CRASH_S * number
         suspects.record_crash([CRASHING], CRASHES[0], at_s)
     assert suspects.crashes([CRASHING]) == CRASHES_TO_REFUSE
+
+
+def test_clear_of_more_crashes_than_a_report_holds_reaches_peers() -> None:
+    # A report named the newest cleared crashes only.
+    node, peer = CrashSuspects(), CrashSuspects()
+    for number in range(40):
+        node.record_crash([HARMLESS], CrashSource(number), 0.0)
+        peer.merge(node.report(0.0), 0.0)
+    node.clear_now([HARMLESS], 1.0)
+    peer.merge(node.report(1.0), 1.0)
+    node.merge(peer.report(1.0), 1.0)
+    assert not node.is_quarantined([HARMLESS], 1.0)
+    assert not peer.is_quarantined([HARMLESS], 1.0)
+
+
+def test_crash_after_the_start_of_a_run_is_not_cleared_by_it() -> None:
+    suspects = CrashSuspects()
+    _crash_all(suspects, CRASHING)
+    suspects.clear([CRASHING], ran_at_s=CRASHES[0] + 0.5, now_s=NOW_S)
+    assert suspects.crashes([CRASHING]) == CRASHES_TO_REFUSE - 1
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -148,7 +148,9 @@
         self._last_event_at_s = now_s
         if self.has_started and not self._has_started:
             self._has_started = True
-            self._node.crash_suspects.clear(self._admitted.suspect_keys, now_s)
+            self._node.crash_suspects.clear(
+                self._admitted.suspect_keys, self._first_event_at_s, now_s
+            )
 
     async def read_failure(self) -> bytes:
         """Returns the body of a reply that isn't an event stream.
