Double a refusal with each round of crashes, not with each engine

Cause: the refusal doubled with the number of crashes, however close together. Now crashes less than 5 s apart are one round, and only rounds double it. A part that is tried again and crashes an engine begins a new round, as before.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -16,9 +17,13 @@
 MIN_REFUSAL_S = 20.0
 MAX_REFUSAL_S = 600.0
 """Time after its last crash for which a key is refused. It doubles with each
-further crash: a key that is innocent is found to be so, others crash
+further round of crashes: a key that is innocent is found to be so, others crash
 rarely."""
 
+ROUND_S = 5.0
+"""Time without a crash after which another one begins a new round. Upstreams
+that are lost together, as with their failure domain, make one round."""
+
 MAX_CRASHES = 16
 """Maximum number of crashes of one key that are remembered, the newest."""
 
@@ -81,13 +86,21 @@
     @property
     def refusal_end_s(self) -> float:
         """Returns when a request with the key may be tried again."""
-        doublings = min(len(self.crashes) - CRASHES_TO_REFUSE, 16)
+        doublings = min(self._count_rounds() - 1, 16)
         refusal_s = MIN_REFUSAL_S * float(1 << doublings)
         return self.last_crash_s + min(MAX_REFUSAL_S, refusal_s)
 
+    def _count_rounds(self) -> int:
+        times_s = sorted(crash.at_s for crash in self.crashes)
+        return 1 + sum(
+            later_s - earlier_s >= ROUND_S
+            for earlier_s, later_s in pairwise(times_s)
+        )
+
 
 __all__ = (
     'CRASHES_TO_REFUSE',
     'MIN_REFUSAL_S',
+    'ROUND_S',
     'Suspect',
 )
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -247,3 +247,12 @@
     _crash_all(suspects, CRASHING)
     suspects.clear([CRASHING], ran_at_s=CRASHES[0] + 0.5, now_s=NOW_S)
     assert suspects.crashes([CRASHING]) == CRASHES_TO_REFUSE - 1
+
+
+def test_loss_of_many_engines_refuses_a_part_for_minutes() -> None:
+    # The refusal doubled with each engine that was lost at the same moment.
+    suspects = CrashSuspects()
+    for number in range(8):
+        suspects.record_crash([HARMLESS], CrashSource(number), 0.1 * number)
+    assert suspects.is_quarantined([HARMLESS], MIN_REFUSAL_S)
+    assert not suspects.is_quarantined([HARMLESS], MIN_REFUSAL_S + 1.0)
