Try one request when a refusal ends, instead of letting all pass

Cause: a refusal ended for everybody at once.

A node now tries one request at a time, for up to 4 s each, and nodes begin in the order of a rendezvous ranking of the key, 1 s apart, so that they don't try at the same time without asking each other. A trial that runs clears the key for all.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -13,8 +13,10 @@
 one of the two is innocent, and only requests that have just one of them can
 show which.
 
-Nodes exchange the crashes themselves, not counts of them. A crash that several
-nodes saw counts once, and what a node knew survives its end.
+A refusal doesn't end for all requests at once: one request of one node is
+tried, and if it runs, its keys are cleared. Nodes exchange the crashes
+themselves, not counts of them. A crash that several nodes saw counts once, and
+what a node knew survives its end.
 """
 
 from __future__ import annotations
@@ -34,7 +36,7 @@
 from .suspect import CRASHES_TO_REFUSE, MIN_REFUSAL_S, Suspect
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Iterator
+    from collections.abc import Callable, Collection, Iterable, Iterator
 
     from .crash_log import Crash
 
@@ -42,6 +44,9 @@
 """Crashes of one of its keys after which a request that crashed an upstream
 isn't sent to another one."""
 
+RANK_DELAY_S = 1.0
+"""Time by which each node tries a refused key later than the one before it."""
+
 MAX_SUSPECTS = 2_000
 MAX_GOSSIP_NEW = 12
 MAX_GOSSIP_REPEATED = 8
@@ -58,8 +63,16 @@
 class CrashSuspects:
     """Crashes by suspect key, as this node and its peers saw them."""
 
-    def __init__(self) -> None:
-        """Starts without suspects."""
+    def __init__(
+        self, rank_of: Callable[[SuspectKey], int] = lambda _: 0
+    ) -> None:
+        """Starts without suspects.
+
+        Args:
+            rank_of: Returns this node's place, from 0, in the order in which
+                nodes try a key again.
+        """
+        self._rank_of = rank_of
         self._log = CrashLog()
         self._suspects: OrderedDict[SuspectKey, Suspect] = OrderedDict()
         self._has_news = False
@@ -97,7 +110,10 @@
     def is_quarantined(
         self, keys: Collection[SuspectKey], now_s: float
     ) -> bool:
-        """Returns whether a request with these keys must not run."""
+        """Returns whether a request with these keys must not run now.
+
+        A request that may run as a trial keeps others out for a while.
+        """
         return any(self._is_refused(key, keys, now_s) for key in keys)
 
     def merge(self, report: CrashReport, now_s: float) -> None:
@@ -147,7 +163,10 @@
             return False
         if self._is_explained(suspect, keys):
             return False
-        return now_s < suspect.refusal_end_s
+        delay_s = self._rank_of(key) * RANK_DELAY_S
+        if now_s < suspect.refusal_end_s + delay_s:
+            return True
+        return not suspect.try_begin_trial(next(iter(keys)), now_s)
 
     def _is_explained(
         self, suspect: Suspect, keys: Collection[SuspectKey]
@@ -207,6 +226,7 @@
     'MAX_GOSSIP_NEW',
     'MAX_SUSPECTS',
     'MIN_REFUSAL_S',
+    'RANK_DELAY_S',
     'CrashReport',
     'CrashSource',
     'CrashSuspects',
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
@@ -11,6 +11,7 @@
     from collections.abc import Iterable
 
     from .crash_log import Crash
+    from .crash_reports import SuspectKey
 
 CRASHES_TO_REFUSE = 3
 
@@ -24,6 +25,10 @@
 """Time without a crash after which another one begins a new round. Upstreams
 that are lost together, as with their failure domain, make one round."""
 
+TRIAL_S = 4.0
+"""Time for which a request that is tried keeps other ones out. It is long
+enough for its upstream to crash, and for all nodes to hear of that."""
+
 MAX_CRASHES = 16
 """Maximum number of crashes of one key that are remembered, the newest."""
 
@@ -43,6 +48,8 @@
     crashes: dict[Crash, None] = field(default_factory=dict)
     ran_at_s: float = -math.inf
     changed_s: float = 0.0
+    _trial_owner: SuspectKey | None = None
+    _trial_until_s: float = -math.inf
 
     @property
     def last_crash_s(self) -> float:
@@ -90,6 +97,13 @@
         refusal_s = MIN_REFUSAL_S * float(1 << doublings)
         return self.last_crash_s + min(MAX_REFUSAL_S, refusal_s)
 
+    def try_begin_trial(self, owner: SuspectKey, now_s: float) -> bool:
+        """Returns whether a request is the one that is tried now."""
+        if now_s >= self._trial_until_s:
+            self._trial_owner = owner
+            self._trial_until_s = now_s + TRIAL_S
+        return owner == self._trial_owner
+
     def _count_rounds(self) -> int:
         times_s = sorted(crash.at_s for crash in self.crashes)
         return 1 + sum(
@@ -102,5 +116,6 @@
     'CRASHES_TO_REFUSE',
     'MIN_REFUSAL_S',
     'ROUND_S',
+    'TRIAL_S',
     'Suspect',
 )
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -10,10 +10,12 @@
     MAX_GOSSIP_NEW,
     MAX_SUSPECTS,
     MIN_REFUSAL_S,
+    RANK_DELAY_S,
     CrashSource,
     CrashSuspects,
     SuspectKey,
 )
+from catkinreach_core.gateway.suspect import TRIAL_S
 
 NOW_S = 5.0
 REQUEST = SuspectKey('request')
@@ -28,6 +30,10 @@
         suspects.record_crash(keys, crash, float(crash))
 
 
+def _node_of_rank(rank: int) -> CrashSuspects:
+    return CrashSuspects(lambda _: rank)
+
+
 def test_crashes_at_all_nodes_count_towards_a_refusal() -> None:
     node, peer = CrashSuspects(), CrashSuspects()
     for crash in CRASHES[1:]:
@@ -256,3 +262,26 @@
         suspects.record_crash([HARMLESS], CrashSource(number), 0.1 * number)
     assert suspects.is_quarantined([HARMLESS], MIN_REFUSAL_S)
     assert not suspects.is_quarantined([HARMLESS], MIN_REFUSAL_S + 1.0)
+
+
+def test_end_of_a_refusal_lets_all_requests_pass_at_once() -> None:
+    suspects = CrashSuspects()
+    _crash_all(suspects, CRASHING)
+    end_s = CRASHES[-1] + MIN_REFUSAL_S
+    tried = [SuspectKey('tried'), CRASHING]
+    other = [OTHER_REQUEST, CRASHING]
+    assert not suspects.is_quarantined(tried, end_s)
+    assert suspects.is_quarantined(other, end_s)
+    assert not suspects.is_quarantined(tried, end_s + 0.1)
+    assert suspects.is_quarantined(other, end_s + TRIAL_S - 0.1)
+    assert not suspects.is_quarantined(other, end_s + TRIAL_S)
+
+
+def test_nodes_try_a_refused_part_all_at_once() -> None:
+    nodes = [_node_of_rank(rank) for rank in range(3)]
+    for node in nodes:
+        _crash_all(node, CRASHING)
+    end_s = CRASHES[-1] + MIN_REFUSAL_S
+    allowed = [not node.is_quarantined([CRASHING], end_s) for node in nodes]
+    assert allowed == [True, False, False]
+    assert not nodes[1].is_quarantined([CRASHING], end_s + RANK_DELAY_S)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -23,7 +23,8 @@
 from catkinreach_core.gateway.switching_engines import SwitchingEngines
 from catkinreach_core.gateway.view import FleetView
 from catkinreach_core.gateway.wait_queue import WaitQueue
-from catkinreach_core.ids import Revision
+from catkinreach_core.ids import Revision, ShardId, VmId
+from catkinreach_core.rendezvous import rank_vms
 
 from ..http.client import HttpClient
 from ..http.connection import ConnectError, ExchangeError
@@ -39,6 +40,7 @@
     from collections.abc import Callable, Coroutine
 
     from catkinreach_core.gateway.catalog import Catalog, ServiceTraits
+    from catkinreach_core.gateway.crash_reports import SuspectKey
     from catkinreach_core.gateway.load_table import UpstreamLoad
     from catkinreach_core.gateway.metadata import KvHandle
     from catkinreach_core.gateway.upstream import Upstream
@@ -69,7 +71,7 @@
         self.health = HealthTable()
         self.cold_rate_limiter = ColdRateLimiter(self.rng.random)
         self.output_estimate = OutputEstimate()
-        self.crash_suspects = CrashSuspects()
+        self.crash_suspects = CrashSuspects(self._trial_rank)
         self.members = Members(settings.host, settings.peer_hosts)
         self.quota = QuotaTable(
             window_s=bounds.quota_window_s,
@@ -235,6 +237,12 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def _trial_rank(self, key: SuspectKey) -> int:
+        """Returns this node's place in the order of trials of a key."""
+        own = VmId(self.settings.host)
+        peers = map(VmId, self.members.responsive(self.clock()))
+        return rank_vms(ShardId(key), {own, *peers}).index(own)
+
     async def _release_handle(self, handle: KvHandle) -> None:
         request = self.dialect.release_request(handle)
         with suppress(ConnectError, ExchangeError, TimeoutError):
--- /dev/null
+++ b/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
@@ -0,0 +1,106 @@
+"""Crashes of engines that gateways see, miss or take for something else."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from catkinreach_core.gateway.crash_suspects import (
+    CRASHES_TO_REFUSE,
+    MIN_REFUSAL_S,
+    CrashSource,
+)
+from catkinreach_node.gateway.suspect_keys import _part_key
+from catkinreach_standins.platform.config import MODEL_SERVICE
+from catkinreach_standins.platform.deployment import (
+    Deployment,
+    running_deployment,
+)
+from catkinreach_standins.platform.upstream import UpstreamStandin
+
+if TYPE_CHECKING:
+    from catkinreach_node.http.messages import HttpRequest
+    from catkinreach_standins.platform.received_request import ReceivedRequest
+    from catkinreach_standins.platform.upstream_behaviour import Behaviour
+
+SHARED_PART = 'a1'
+CRASHING_PART = 'd1'
+CRASHING_KEY = _part_key(CRASHING_PART)
+
+
+class SlowlyCrashingEngine(UpstreamStandin):
+    """Crashes 0.3 s after it got a request with the crashing part."""
+
+    async def _respond_stream(
+        self,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        behaviour: Behaviour,
+    ) -> bool:
+        if CRASHING_PART not in request.headers['prompt-prefix']:
+            return await super()._respond_stream(
+                request, reader, writer, behaviour
+            )
+        await asyncio.sleep(0.3)
+        self.close()
+        writer.transport.abort()
+        return False
+
+
+def _deployment(engine: type[UpstreamStandin], count: int) -> Deployment:
+    deployment = Deployment()
+    del deployment.upstreams['d'], deployment.upstreams['e']
+    for number in range(count):
+        upstream_id = f'd{number}'
+        deployment.upstreams[upstream_id] = engine(
+            upstream_id, MODEL_SERVICE, 'decode'
+        )
+    return deployment
+
+
+def _stream(deployment: Deployment, own: str) -> HttpRequest:
+    return deployment.make_request(
+        '/stream/',
+        method='POST',
+        body=own.encode(),
+        token_count='300,100',
+        prompt_prefix=f'{SHARED_PART}:100,{CRASHING_PART}:100,{own}:100',
+    )
+
+
+def _arrivals(deployment: Deployment) -> int:
+    return sum(
+        CRASHING_PART in received.headers.get('prompt-prefix', '')
+        for upstream in deployment.upstreams.values()
+        if upstream.stage == 'decode'
+        for received in upstream.received
+    )
+
+
+def test_end_of_a_refusal_lets_many_crashing_requests_pass() -> None:
+    # All were sent until the crash of the first one was known.
+    async def run() -> None:
+        deployment = _deployment(SlowlyCrashingEngine, 8)
+        async with running_deployment(deployment=deployment) as (_, gateway):
+            node = gateway._node
+            crashed_s = node.clock() - MIN_REFUSAL_S - 1
+            for number in range(CRASHES_TO_REFUSE):
+                node.crash_suspects.record_crash(
+                    [CRASHING_KEY], CrashSource(number), crashed_s
+                )
+            calls = []
+            for number in range(8):
+                request = _stream(deployment, f'b{number}')
+                calls.append(
+                    asyncio.ensure_future(
+                        deployment.client.call_raw(
+                            deployment.caller_address, request
+                        )
+                    )
+                )
+                await asyncio.sleep(0.03)
+            await asyncio.gather(*calls)
+            assert _arrivals(deployment) == 1
+
+    asyncio.run(run())
