Excuse a part of all but one of its crashes

What callers saw: one unrelated crash of an engine on which a harmless part was starting ended its excuse, and it was refused for 20 s or more beside the crashing part. Refused requests can't run, so nothing cleared it.

Cause: a part was excused only if another one was in each of its crashes. Now it is tried again 2 s after its last crash if another part explains all but one of them, by one request at a time; if that crashes an engine too, two crashes are unexplained and the refusal is the usual one. That costs one engine at most.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -161,22 +161,25 @@
         suspect = self._suspects.get(key)
         if suspect is None or not suspect.has_too_many:
             return False
-        if self._is_explained(suspect, keys):
+        unexplained = self._unexplained(suspect, keys)
+        if not unexplained:
             return False
         delay_s = self._rank_of(key) * RANK_DELAY_S
-        if now_s < suspect.refusal_end_s + delay_s:
+        if now_s < suspect.refusal_end_s(unexplained) + delay_s:
             return True
         return not suspect.try_begin_trial(next(iter(keys)), now_s)
 
-    def _is_explained(
+    def _unexplained(
         self, suspect: Suspect, keys: Collection[SuspectKey]
-    ) -> bool:
-        """Returns whether a key outside the request explains all crashes."""
-        return any(
-            suspect.crashes.keys() <= other.crashes.keys()
+    ) -> set[Crash]:
+        """Returns the crashes that the likeliest other key doesn't explain."""
+        crashes = set(suspect.crashes)
+        rest = (
+            crashes - other.crashes.keys()
             for key, other in self._suspects.items()
-            if key not in keys
+            if key not in keys and other.has_too_many
         )
+        return min(rest, key=len, default=crashes)
 
     def _choose_keys(self, now_s: float) -> Iterator[SuspectKey]:
         """Yields the keys of a report: news, repeated ones, some others."""
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from .crash_log import Crash
     from .crash_reports import SuspectKey
@@ -25,6 +25,11 @@
 """Time without a crash after which another one begins a new round. Upstreams
 that are lost together, as with their failure domain, make one round."""
 
+MAX_UNEXPLAINED = 1
+EXCUSED_REFUSAL_S = 2.0
+"""Time after its last crash for which a key is refused if another key explains
+all but so many of its crashes."""
+
 TRIAL_S = 4.0
 """Time for which a request that is tried keeps other ones out. It is long
 enough for its upstream to crash, and for all nodes to hear of that."""
@@ -90,9 +95,14 @@
         self.ran_at_s = max(self.ran_at_s, ran_at_s)
         return bool(earlier)
 
-    @property
-    def refusal_end_s(self) -> float:
-        """Returns when a request with the key may be tried again."""
+    def refusal_end_s(self, unexplained: Collection[Crash]) -> float:
+        """Returns when a request with the key may be tried again.
+
+        Args:
+            unexplained: Crashes that no other key explains.
+        """
+        if len(unexplained) <= MAX_UNEXPLAINED:
+            return self.last_crash_s + EXCUSED_REFUSAL_S
         doublings = min(self._count_rounds() - 1, 16)
         refusal_s = MIN_REFUSAL_S * float(1 << doublings)
         return self.last_crash_s + min(MAX_REFUSAL_S, refusal_s)
@@ -114,6 +124,7 @@
 
 __all__ = (
     'CRASHES_TO_REFUSE',
+    'EXCUSED_REFUSAL_S',
     'MIN_REFUSAL_S',
     'ROUND_S',
     'TRIAL_S',
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -15,7 +15,7 @@
     CrashSuspects,
     SuspectKey,
 )
-from catkinreach_core.gateway.suspect import TRIAL_S
+from catkinreach_core.gateway.suspect import EXCUSED_REFUSAL_S, TRIAL_S
 
 NOW_S = 5.0
 REQUEST = SuspectKey('request')
@@ -285,3 +285,15 @@
     allowed = [not node.is_quarantined([CRASHING], end_s) for node in nodes]
     assert allowed == [True, False, False]
     assert not nodes[1].is_quarantined([CRASHING], end_s + RANK_DELAY_S)
+
+
+def test_unrelated_crash_ends_the_excuse_of_a_harmless_part() -> None:
+    # A part was excused only if another one was in each of its crashes.
+    suspects = CrashSuspects()
+    _crash_all(suspects, HARMLESS, CRASHING)
+    suspects.record_crash([HARMLESS], CrashSource(99), NOW_S)
+    keys = [OTHER_REQUEST, HARMLESS]
+    assert suspects.is_quarantined(keys, NOW_S)
+    assert not suspects.is_quarantined(keys, NOW_S + EXCUSED_REFUSAL_S)
+    suspects.clear_now(keys, NOW_S + EXCUSED_REFUSAL_S + 1)
+    assert not suspects.is_quarantined([HARMLESS], NOW_S + EXCUSED_REFUSAL_S)
