Send crashes in a message of their own

Found by the review: with 200 upstreams with load and 28 full suspects a node's message had 8,991 bytes, over the bound of 8,000, and the node told no members any more. Every full message carried the suspects as well.

Crashes now have a message of their own, of up to 96 crashes, each told once for all keys that have it; it isn't sent where nothing is known.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -54,6 +54,9 @@
 """Maximum numbers of keys in one report: those that changed lately, those with
 several crashes, and in turn all others."""
 
+MAX_GOSSIP_CRASHES = 96
+"""Number of crashes in one report from which no more keys are added."""
+
 NEWS_S = 5.0
 """Time for which a key counts as changed lately."""
 
@@ -145,6 +148,8 @@
                 if math.isinf(suspect.ran_at_s)
                 else _to_ms(now_s - suspect.ran_at_s),
             )
+            if len(told) >= MAX_GOSSIP_CRASHES:
+                break
         return CrashReport(
             [SeenCrash(one.source, _to_ms(now_s - one.at_s)) for one in told],
             suspects,
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -45,8 +45,6 @@
             orders to engines.
         switching: Remaining downtime, in seconds, of engines that change
             their stage.
-        suspects: Crashes and the requests suspected of them, as the sender
-            knows them; ``None`` in messages that only report a change of load.
     """
 
     node: str
@@ -60,7 +58,18 @@
     waiting: dict[ServiceId, int] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, float] = field(default_factory=dict)
-    suspects: CrashReport | None = None
+
+
+class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
+    """Crashes that a node knows, and the requests suspected of them.
+
+    Attributes:
+        node: Address of the sender.
+        report: What it knows, in part.
+    """
+
+    node: str
+    report: CrashReport
 
 
 class LoadQuery(Struct, array_like=True, kw_only=True, tag='query'):
@@ -144,7 +153,12 @@
 
 
 PeerDatagram: TypeAlias = (
-    GossipMessage | LoadQuery | LoadReply | StoreBeacon | StoreChanges
+    GossipMessage
+    | CrashMessage
+    | LoadQuery
+    | LoadReply
+    | StoreBeacon
+    | StoreChanges
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -169,6 +183,7 @@
 __all__ = (
     'MAX_GOSSIP_BYTES',
     'MAX_GOSSIP_MEMBERS',
+    'CrashMessage',
     'GossipMessage',
     'LoadQuery',
     'LoadReply',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -12,6 +12,7 @@
 from catkinreach_core.gateway.gossip import (
     MAX_GOSSIP_BYTES,
     MAX_GOSSIP_MEMBERS,
+    CrashMessage,
     GossipMessage,
     Phase,
     decode_gossip,
@@ -22,7 +23,7 @@
 from .decision_log import Event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from .node import Node
 
@@ -41,6 +42,7 @@
         self._has_left = False
         self._rotation = HeartbeatRotation()
         node.peer_handlers[GossipMessage] = self._apply_message
+        node.peer_handlers[CrashMessage] = self._apply_crashes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the opened socket."""
@@ -101,36 +103,38 @@
     def send_message(self, *, is_load_change: bool = False) -> None:
         """Sends the node's state to its peers, or in its turn to some of them.
 
-        New crash suspects are sent to all peers at once.
-
         Args:
             is_load_change: Whether to leave out what only full messages carry:
-                members and crash suspects.
+                members, and crashes that aren't news.
         """
         if self._transport is None:
             return
         if not is_load_change:
             self._schedule_full_message()
             self._node.load_queries.choose_aggregators()
-        has_suspects = self._node.crash_suspects.take_news()
+        recipients = self._recipients(is_load_change=is_load_change)
+        if self._node.crash_suspects.take_news():
+            self._send_crashes(self._node.members.contacts)
+        elif not is_load_change:
+            self._send_crashes(recipients)
         message = self._message(is_load_change=is_load_change)
-        if has_suspects or not is_load_change:
-            message.suspects = self._node.crash_suspects.report(
-                self._node.clock()
-            )
         data = encode_gossip(message)
         if len(data) > MAX_GOSSIP_BYTES:
             message.members = []
             data = encode_gossip(message)
-        recipients = (
-            self._node.members.contacts
-            if has_suspects
-            else self._recipients(is_load_change=is_load_change)
-        )
         for host in recipients:
             self._send_to(host, data)
 
-    def _recipients(self, *, is_load_change: bool) -> Iterable[str]:
+    def _send_crashes(self, recipients: Iterable[str]) -> None:
+        report = self._node.crash_suspects.report(self._node.clock())
+        if not report.suspects:
+            return
+        message = CrashMessage(node=self._node.settings.host, report=report)
+        data = encode_gossip(message)
+        for host in recipients:
+            self._send_to(host, data)
+
+    def _recipients(self, *, is_load_change: bool) -> Collection[str]:
         """Returns the peers that get a message.
 
         In a fleet with aggregators only these get changes of load.
@@ -192,8 +196,6 @@
             )
         node.loads.set_peer_loads(peer, message.loads, now_s)
         node.peer_reports.admitted[peer] = message.admitted
-        if message.suspects is not None:
-            node.crash_suspects.merge(message.suspects, now_s)
         for upstream_id in message.down:
             node.checks.check_reported_down(upstream_id)
         node.checks.apply_replaced(message.replaced)
@@ -206,6 +208,9 @@
         if message.phase is Phase.LEFT:
             self._remove_peer(peer, 'left')
 
+    def _apply_crashes(self, message: CrashMessage) -> None:
+        self._node.crash_suspects.merge(message.report, self._node.clock())
+
     def _expire_peers(self) -> None:
         for peer in self._node.members.expire(self._node.clock()):
             self._remove_peer(peer, 'silent')
--- a/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
+++ b/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.crash_suspects import (
     CRASHES_TO_REFUSE,
     MIN_REFUSAL_S,
     CrashSource,
+    SuspectKey,
 )
+from catkinreach_core.gateway.gossip import MAX_GOSSIP_BYTES
+from catkinreach_core.gateway.load_table import UpstreamLoad
+from catkinreach_core.ids import UpstreamId
+from catkinreach_node.gateway.peer_link import PeerLink
 from catkinreach_node.gateway.suspect_keys import _part_key
 from catkinreach_standins.platform.config import MODEL_SERVICE
 from catkinreach_standins.platform.deployment import (
     Deployment,
+    idle_node,
     running_deployment,
 )
 from catkinreach_standins.platform.upstream import UpstreamStandin
@@ -26,6 +33,7 @@
 SHARED_PART = 'a1'
 CRASHING_PART = 'd1'
 CRASHING_KEY = _part_key(CRASHING_PART)
+UPSTREAMS = 200
 
 
 class SlowlyCrashingEngine(UpstreamStandin):
@@ -104,3 +112,44 @@
             assert _arrivals(deployment) == 1
 
     asyncio.run(run())
+
+
+class _SentMessages(asyncio.DatagramTransport):
+    """Keeps what a node sends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sizes_bytes: list[int] = []
+
+    def sendto(
+        self, data: bytes | bytearray | memoryview, addr: object = None
+    ) -> None:
+        """Notes the size of a message."""
+        del addr
+        self.sizes_bytes.append(len(data))
+
+
+def test_crashes_make_messages_too_long() -> None:
+    # They were a part of the message that also holds the loads.
+    node = idle_node()
+    rng = random.Random(1)
+    for _ in range(60):
+        key = SuspectKey(f'{rng.getrandbits(64):016x}')
+        for _ in range(32):
+            crash = CrashSource(rng.getrandbits(32))
+            node.crash_suspects.record_crash([key], crash, node.clock())
+    for number in range(UPSTREAMS):
+        node.loads.begin_work(
+            UpstreamId(f'i-{number:08x}'), UpstreamLoad(8, 9000, 60_000)
+        )
+    node.members.record_message('127.0.0.2', [], node.clock())
+    sent = _SentMessages()
+
+    async def run() -> None:
+        link = PeerLink(node)
+        link.connection_made(sent)
+        link.send_message()
+
+    asyncio.run(run())
+    assert len(sent.sizes_bytes) == 2
+    assert max(sent.sizes_bytes) <= MAX_GOSSIP_BYTES
