Check the engine when a stream ends with its connection

What callers saw: 200 and a stream of one event as if it were complete, when the engine of a stream with neither length nor chunks crashed between two events.

Cause: the end of the connection is the end of such a body, and a crash looks the same. If nobody listens, the stream is lost: it is resumed, and the crash counts.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -275,7 +275,6 @@
     now_s = node.clock()
     after_s = now_s - admitted.arrived_s
     node.health.record_success(upstream_id, now_s)
-    node.crash_suspects.clear_now(admitted.suspect_keys, now_s)
     node.metrics.record(RequestStage.TOTAL, after_s)
     node.log.write(
         Event.ANSWERED,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -128,19 +128,32 @@
             events = self._splitter.feed(data)
         except EventTooLongError as error:
             raise ExchangeError(str(error)) from error
-        if is_last and self._splitter.rest:
-            raise ExchangeError('stream ended inside an event')
-        if (
-            is_last
-            and self.reply.ends_with_connection
-            and not (events or self._last_event_at_s)
-        ):
-            raise ExchangeError('connection ended before the first event')
-        self.is_complete = is_last
         if events:
             self._note_events()
+        if is_last:
+            await self._check_end()
+            self._clear_suspects()
+        self.is_complete = is_last
         return events
 
+    async def _check_end(self) -> None:
+        """Checks that the reply is complete.
+
+        The end of a body without length or chunks is that of the connection; a
+        crash of the engine looks the same.
+
+        Raises:
+            ExchangeError: if it isn't.
+        """
+        if self._splitter.rest:
+            raise ExchangeError('stream ended inside an event')
+        if not self.reply.ends_with_connection:
+            return
+        if math.isinf(self._first_event_at_s):
+            raise ExchangeError('connection ended before the first event')
+        if not await self._node.checks.confirm_reachable(self._upstream):
+            raise ExchangeError('connection ended with its engine')
+
     def _note_events(self) -> None:
         """Clears the request of earlier crashes once its stream has started."""
         now_s = self._node.clock()
@@ -148,9 +161,15 @@
         self._last_event_at_s = now_s
         if self.has_started and not self._has_started:
             self._has_started = True
-            self._node.crash_suspects.clear(
-                self._admitted.suspect_keys, self._first_event_at_s, now_s
-            )
+            self._clear_suspects()
+
+    def _clear_suspects(self) -> None:
+        now_s = self._node.clock()
+        self._node.crash_suspects.clear(
+            self._admitted.suspect_keys,
+            min(self._first_event_at_s, now_s),
+            now_s,
+        )
 
     async def read_failure(self) -> bytes:
         """Returns the body of a reply that isn't an event stream.
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -151,6 +151,9 @@
             reply.status, self._node.dialect.caller_headers(reply.headers), body
         )
         if reply.is_success:
+            self._node.crash_suspects.clear_now(
+                self._admitted.suspect_keys, self._node.clock()
+            )
             record_answer(
                 self._node,
                 self._admitted,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -273,6 +273,9 @@
         body = await engine_stream.read_failure()
         self._whole_response = HttpResponse(reply.status, headers, body)
         if reply.is_success:
+            self._node.crash_suspects.clear_now(
+                self._admitted.suspect_keys, self._node.clock()
+            )
             record_answer(
                 self._node,
                 self._admitted,
--- a/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
+++ b/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.crash_suspects import (
@@ -17,15 +18,19 @@
 from catkinreach_core.ids import UpstreamId
 from catkinreach_node.gateway.peer_link import PeerLink
 from catkinreach_node.gateway.suspect_keys import _part_key
+from catkinreach_node.http.connection import ExchangeError
 from catkinreach_standins.platform.config import MODEL_SERVICE
 from catkinreach_standins.platform.deployment import (
     Deployment,
+    eventually,
     idle_node,
     running_deployment,
 )
 from catkinreach_standins.platform.upstream import UpstreamStandin
+from catkinreach_standins.platform.upstream_replies import StreamFraming
 
 if TYPE_CHECKING:
+    from catkinreach_node.gateway.app import GatewayApp
     from catkinreach_node.http.messages import HttpRequest
     from catkinreach_standins.platform.received_request import ReceivedRequest
     from catkinreach_standins.platform.upstream_behaviour import Behaviour
@@ -34,6 +39,7 @@
 CRASHING_PART = 'd1'
 CRASHING_KEY = _part_key(CRASHING_PART)
 UPSTREAMS = 200
+BORN_MS = 1_700_000_001_000
 
 
 class SlowlyCrashingEngine(UpstreamStandin):
@@ -56,6 +62,27 @@
         return False
 
 
+class OneEventEngine(UpstreamStandin):
+    """Crashes after the first event of a stream without length or chunks."""
+
+    async def _respond_stream(
+        self,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        behaviour: Behaviour,
+    ) -> bool:
+        if CRASHING_PART not in request.headers['prompt-prefix']:
+            return await super()._respond_stream(
+                request, reader, writer, behaviour
+            )
+        self.close()
+        framing = StreamFraming(is_chunked=False)
+        writer.write(framing.head(request, self.upstream_id))
+        writer.write(b'id: 1\ndata: token 1\n\n')
+        return False
+
+
 def _deployment(engine: type[UpstreamStandin], count: int) -> Deployment:
     deployment = Deployment()
     del deployment.upstreams['d'], deployment.upstreams['e']
@@ -114,6 +141,52 @@
     asyncio.run(run())
 
 
+async def _restart_crashed(
+    deployment: Deployment, gateway: GatewayApp, born_ms: int
+) -> None:
+    for upstream in deployment.upstreams.values():
+        if upstream.is_listening:
+            continue
+        await upstream.start()
+        deployment.publish_upstream(upstream, born=born_ms)
+
+        async def is_known(upstream: UpstreamStandin = upstream) -> bool:
+            upstream_id = UpstreamId(upstream.upstream_id)
+            known = gateway._node.view.find_upstream(upstream_id)
+            return (
+                known is not None
+                and str(known.upstream.address) == upstream.address
+                and not gateway._node.health.is_down(upstream_id)
+            )
+
+        await eventually(is_known, within_s=5.0)
+
+
+def test_crash_after_a_whole_event_of_a_stream_without_length() -> None:
+    # It was taken for the end of the stream, which cleared earlier crashes.
+    async def run() -> None:
+        deployment = _deployment(OneEventEngine, 2)
+        async with running_deployment(deployment=deployment) as (_, gateway):
+            node = gateway._node
+            for number in range(CRASHES_TO_REFUSE - 1):
+                node.crash_suspects.record_crash(
+                    [CRASHING_KEY], CrashSource(number), node.clock()
+                )
+            for number in range(4):
+                request = _stream(deployment, f'b{number}')
+                with suppress(ExchangeError):
+                    await deployment.client.call_raw(
+                        deployment.caller_address, request
+                    )
+                await _restart_crashed(deployment, gateway, BORN_MS + number)
+            assert node.crash_suspects.crashes([CRASHING_KEY]) == (
+                CRASHES_TO_REFUSE
+            )
+            assert _arrivals(deployment) == 1
+
+    asyncio.run(run())
+
+
 class _SentMessages(asyncio.DatagramTransport):
     """Keeps what a node sends."""
 
