Let a silent engine get its stream back when its replacement fails

Callers lost a stream midway although its engine was healthy: the engine was silent for 0.75 s, another one got the request, 0.25 s later the first one's stream was closed, and then the other one refused the request (queued, then 503 Not-Executed), was lost or sent nothing.

An engine whose stream was closed for its silence may now get the request once more. Where max-attempts is reached it takes the place of a send that was refused, and only at that engine: the request then reaches no further engine, and no more runs than max-attempts allows. A lost or silent replacement may have run the request, so that its send still counts. The retry budget, the wait for memory and the deadline bind as before; a failed engine keeps its penalty, so that others with room are preferred.

A replacement that accepts and sends nothing is given up after the usual time to the first event, if an attempt is left. With none left the stream waits for it to the deadline: two engines may not run it for over 0.4 s, and nothing tells a replacement that is slow from one that hangs.

Test: test_late_failure_of_the_replacement_ends_the_stream, four cases (late refusal with two and three attempts, loss, silence with three). All four failed before (the body broke off), all pass now; the rest of test_silent_engines.py passes.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -125,6 +125,8 @@
         self._node = node
         self._admitted = admitted
         self._sends = 0
+        self._refused_sends = 0
+        self._readmitted: UpstreamId | None = None
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
         self.may_have_run = False
@@ -142,7 +144,29 @@
         is_retryable = not self._may_crash_upstreams and (
             self._admitted.route.is_retryable or not self.may_have_run
         )
-        return is_retryable and self._sends < self._admitted.route.max_attempts
+        return is_retryable and (self._may_send_anywhere or self._may_return)
+
+    @property
+    def _may_send_anywhere(self) -> bool:
+        return self._sends < self._admitted.route.max_attempts
+
+    @property
+    def _may_return(self) -> bool:
+        """Returns whether the readmitted upstream may get one more send.
+
+        It takes the place of one that an upstream refused. The request has
+        been sent there before, so that it reaches no further upstream.
+        """
+        if self._readmitted is None:
+            return False
+        runs = self._sends - self._refused_sends
+        return runs < self._admitted.route.max_attempts
+
+    def may_use(self, upstream_id: UpstreamId) -> bool:
+        """Returns whether an upstream may get the next send."""
+        if upstream_id in self.excluded:
+            return False
+        return self._may_send_anywhere or upstream_id == self._readmitted
 
     def count_send(self) -> None:
         """Counts a send."""
@@ -183,11 +207,18 @@
         self.may_have_run = True
         self.excluded.add(upstream.upstream_id)
 
+    def readmit(self, upstream: Upstream) -> None:
+        """Lets an upstream that was silent get the request once more."""
+        self.excluded.discard(upstream.upstream_id)
+        self._readmitted = upstream.upstream_id
+
     def record_failed_send(
         self, upstream_id: UpstreamId, failure: SendFailure, **inputs: object
     ) -> None:
         """Logs a failed send and excludes the upstream from further sends."""
         self.excluded.add(upstream_id)
+        if upstream_id == self._readmitted:
+            self._readmitted = None
         self._node.metrics.count_failed_send(failure.value)
         self._node.log.write(
             Event.SEND_FAILED,
@@ -237,6 +268,8 @@
         self._node.record_refusal(reply)
         if reply.metadata.is_misdirected:
             self.uncount_send()
+        else:
+            self._refused_sends += 1
         self.record_failed_send(
             reply.upstream.upstream_id,
             SendFailure.REFUSED,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -128,6 +128,8 @@
         self._attempts.record_failure_after_send(
             upstream, failure, detail=detail
         )
+        if failure is SendFailure.SILENT:
+            self._attempts.readmit(upstream)
         if failure is SendFailure.SILENT or engine_stream.has_started:
             self._node.checks.check_reachable(upstream)
             return
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
@@ -60,9 +60,14 @@
 
     def _candidates(self) -> list[Candidate]:
         service = self._admitted.service
-        return self._node.candidates(
+        candidates = self._node.candidates(
             service.service_id, service, self._attempts.excluded
         )
+        return [
+            candidate
+            for candidate in candidates
+            if self._attempts.may_use(candidate.known.upstream.upstream_id)
+        ]
 
 
 __all__ = ('StreamPlanner',)
--- a/packages/catkinreach-node/tests/gateway/test_silent_engines.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_engines.py
@@ -10,7 +10,12 @@
 
 from catkinreach_core.gateway.retry_budget import SLACK_USE
 from catkinreach_node.gateway.upstream_checks import UpstreamChecks
-from catkinreach_standins.platform.config import MODEL_SERVICE, PLAIN_SERVICE
+from catkinreach_standins.platform.config import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    make_config,
+    make_route,
+)
 from catkinreach_standins.platform.deployment import (
     Deployment,
     eventually,
@@ -20,8 +25,14 @@
     EVENT_COUNT,
     UpstreamStandin,
 )
-from catkinreach_standins.platform.upstream_behaviour import Behaviour
-from catkinreach_standins.platform.upstream_replies import StreamFraming
+from catkinreach_standins.platform.upstream_behaviour import (
+    Behaviour,
+    RawReply,
+)
+from catkinreach_standins.platform.upstream_replies import (
+    StreamFraming,
+    refusal,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -63,6 +74,25 @@
     _retries = 1
 
 
+class _DeploymentWithMoreAttempts(Deployment):
+    def publish(self) -> None:
+        """Publishes a configuration that allows three sends."""
+        super().publish()
+        route = make_route(
+            'stream',
+            'streaming',
+            MODEL_SERVICE,
+            **{'max-attempts': 3, 'resumable': True},
+        )
+        self.store.put('op/config', make_config(6, routes=[route]))
+
+
+LATE_S = 0.5
+"""Time after which an engine fails that got the request of a silent one; the
+silent one's stream is closed by then."""
+
+LATE_REFUSAL = RawReply(refusal('{id}'), delay_s=LATE_S, stays_open=True)
+LATE_LOSS = RawReply(b'', delay_s=LATE_S, is_reset=True)
 WITHOUT_RETRY = [_DeploymentWithoutOthers, _DeploymentWithoutRetries]
 
 
@@ -106,7 +136,7 @@
 
 
 async def _script_in_turn(
-    deployment: Deployment, first: Behaviour, other: Behaviour
+    deployment: Deployment, first: Behaviour, other: Behaviour | RawReply
 ) -> tuple[UpstreamStandin, UpstreamStandin]:
     """Scripts the decode engine that is used first, and then the other one."""
     engines = _decode_engines(deployment)
@@ -323,3 +353,31 @@
         await eventually(are_closed, within_s=0.5)
 
     _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('other_behaviour', 'make_deployment'),
+    [
+        (LATE_REFUSAL, Deployment),
+        (LATE_REFUSAL, _DeploymentWithMoreAttempts),
+        (LATE_LOSS, _DeploymentWithMoreAttempts),
+        (Behaviour.HANG, _DeploymentWithMoreAttempts),
+    ],
+)
+def test_late_failure_of_the_replacement_ends_the_stream(
+    other_behaviour: Behaviour | RawReply,
+    make_deployment: Callable[[], Deployment],
+) -> None:
+    # The paused engine was healthy, but could not get the stream back.
+    async def scenario(deployment: Deployment) -> None:
+        _set_pause(deployment, LONG_PAUSE_S)
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        first, other = await _script_in_turn(
+            deployment, Behaviour.PAUSE, other_behaviour
+        )
+        assert await fetching == (200, WHOLE)
+        assert (len(first.received), len(other.received)) == (2, 1)
+        assert first.received[1].headers['last-event-id'] == '3'
+
+    _run(scenario, make_deployment)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -247,6 +247,7 @@
         reply: RawReply,
     ) -> bool:
         """Sends scripted bytes; returns whether the connection stays open."""
+        await asyncio.sleep(reply.delay_s)
         writer.write(reply.data.replace(b'{id}', request.request_id.encode()))
         await writer.drain()
         if reply.is_reset:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_behaviour.py
@@ -137,11 +137,13 @@
 
     Attributes:
         data: Bytes of the reply; ``{id}`` is replaced by the request id.
+        delay_s: Time before they are sent.
         stays_open: Whether the connection stays open after them.
         is_reset: Whether the connection is reset after them.
     """
 
     data: bytes
+    delay_s: float = 0.0
     stays_open: bool = False
     is_reset: bool = False
 
