Close a stream whose response can't be sent

The server took the stream over only after it had built the head of the response. If that failed, for a header that h11 rejects, the caller got a 500, and the engine's stream was never closed: its connection, its load in the node's table and the memory that the node counts for it stayed until the process ended.

The stream is now owned before its head is built, for responses to HEAD too.

No engine can send such a header today, since h11 checks what it receives; a header of the gateway's own could.

--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -70,20 +70,13 @@
         Raises:
             ConnectionAbortedError: if the client reads too slowly.
         """
-        head = h11.Response(
-            status_code=response.status,
-            headers=encode_headers(self._response_headers(response)),
-        )
-        has_body = response.status not in STATUSES_WITHOUT_BODY
-        if self._requests.is_head_request or not has_body:
-            if response.stream is not None:
-                await response.stream.aclose()
-            await self._send(head, h11.EndOfMessage())
-        elif response.stream is None:
-            data = h11.Data(data=response.body)
-            await self._send(head, data, h11.EndOfMessage())
-        else:
-            await self._send_stream(head, response.stream)
+        if response.stream is not None:
+            await self._send_stream(response, response.stream)
+            return
+        events: list[h11.Event] = [self._head(response)]
+        if self._has_body(response):
+            events.append(h11.Data(data=response.body))
+        await self._send(*events, h11.EndOfMessage())
 
     async def refuse(self, error: CatkinreachError) -> None:
         """Sends an error response unless a response has already started."""
@@ -112,14 +105,27 @@
         self._writer.transport.abort()
 
     async def _send_stream(
-        self, head: h11.Response, stream: BodyStream
+        self, response: HttpResponse, stream: BodyStream
     ) -> None:
+        """Sends a stream; closes it also if its head can't be sent."""
         async with aclosing(stream) as chunks:
-            await self._send(head)
-            async for chunk in chunks:
-                await self._send(h11.Data(data=chunk))
+            await self._send(self._head(response))
+            if self._has_body(response):
+                async for chunk in chunks:
+                    await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
 
+    def _head(self, response: HttpResponse) -> h11.Response:
+        return h11.Response(
+            status_code=response.status,
+            headers=encode_headers(self._response_headers(response)),
+        )
+
+    def _has_body(self, response: HttpResponse) -> bool:
+        if self._requests.is_head_request:
+            return False
+        return response.status not in STATUSES_WITHOUT_BODY
+
     def _response_headers(self, response: HttpResponse) -> Headers:
         headers = [*self._connection_headers(response), *response.headers]
         if response.status in STATUSES_WITHOUT_BODY:
--- a/packages/catkinreach-node/tests/http/test_server_responses.py
+++ b/packages/catkinreach-node/tests/http/test_server_responses.py
@@ -16,7 +16,9 @@
 from catkinreach_standins.bench.ports import LOOPBACK, free_ports
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator, Iterator
+    from collections.abc import AsyncGenerator, AsyncIterator, Iterator
+
+    from catkinreach_node.http.server_connection import RequestHandler
 
 
 async def _events() -> AsyncGenerator[bytes, None]:
@@ -28,6 +30,22 @@
     raise ValueError('malformed event')
 
 
+class _OwningStream:
+    """A stream that holds something until it is closed."""
+
+    def __init__(self) -> None:
+        """Starts open."""
+        self.is_closed = False
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Returns the iterator over the body's chunks."""
+        return _events()
+
+    async def aclose(self) -> None:
+        """Gives up what the stream holds."""
+        self.is_closed = True
+
+
 async def _serve(request: HttpRequest) -> HttpResponse:
     await asyncio.sleep(0)
     status = request.path.strip('/')
@@ -65,16 +83,18 @@
     logger.remove(sink)
 
 
-async def _start_server() -> tuple[HttpServer, Address]:
-    server = HttpServer(_serve, name='test')
+async def _start_server(
+    serve: RequestHandler = _serve,
+) -> tuple[HttpServer, Address]:
+    server = HttpServer(serve, name='test')
     address = Address(LOOPBACK, free_ports(1)[0])
     await server.start(address)
     return server, address
 
 
-async def _send_twice(raw: bytes) -> bytes:
+async def _send_twice(raw: bytes, serve: RequestHandler = _serve) -> bytes:
     """Sends a request and then the same one again on one connection."""
-    server, address = await _start_server()
+    server, address = await _start_server(serve)
     reader, writer = await asyncio.open_connection(address.host, address.port)
     try:
         writer.write(raw + raw)
@@ -157,3 +177,18 @@
     # Without chunks the end of the connection is the end of the body.
     with pytest.raises(ConnectionResetError):
         _exchange('failing-stream', version='1.0')
+
+
+def test_stream_with_malformed_header_is_never_closed() -> None:
+    # The engine kept the stream's connection and load for good.
+    stream = _OwningStream()
+
+    async def serve(request: HttpRequest) -> HttpResponse:
+        del request
+        return HttpResponse(200, [('x-note', 'a\nb')], stream=stream)
+
+    received = asyncio.run(
+        _send_twice(b'GET / HTTP/1.1\r\nhost: edge\r\n\r\n', serve)
+    )
+    assert received.startswith(b'HTTP/1.1 500 ')
+    assert stream.is_closed
