Free the KV cache of a resumption that no engine takes over

A stream that went on at another engine could have its prompt prefilled anew. If the decode engines then refused, or the first engine went on, the KV cache stayed at the prefill engine until it expired: only the first send of a request released its handle. Such memory is priced and is missing for others.

Each opening of a stream now releases what it did not use.

Test: test_kv_handle_of_a_resumption_is_not_released, which failed before (no DELETE within 1 s) and passes now.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -76,12 +76,9 @@
         Raises:
             CatkinreachError: if it can't be served.
         """
-        try:
-            engine_stream = await self._open_stream(
-                self._admitted.metadata.resume_after
-            )
-        finally:
-            self._prefill.release()
+        engine_stream = await self._open_stream(
+            self._admitted.metadata.resume_after
+        )
         if self._whole_response is not None:
             return self._whole_response
         self._has_begun = True
@@ -138,6 +135,12 @@
         )
 
     async def _open_stream(self, resume_after: int | None) -> EngineStream:
+        try:
+            return await self._try_engines(resume_after)
+        finally:
+            self._prefill.release()
+
+    async def _try_engines(self, resume_after: int | None) -> EngineStream:
         while self._attempts.remaining_s > MIN_REMAINING_S:
             plan = await self._memory_wait.wait_for_plan()
             engine_stream = EngineStream(
--- a/packages/catkinreach-node/tests/gateway/test_silent_engines.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_engines.py
@@ -87,6 +87,16 @@
         self.store.put('op/config', make_config(6, routes=[route]))
 
 
+class _DeploymentWithLatePrefill(Deployment):
+    def publish_upstream(
+        self, upstream: UpstreamStandin, **changed: object
+    ) -> None:
+        """Publishes the prefill engine only once decode engines are busy."""
+        is_busy = any(one.received for one in _decode_engines(self))
+        if upstream.stage != 'prefill' or is_busy:
+            super().publish_upstream(upstream, **changed)
+
+
 LATE_S = 0.5
 """Time after which an engine fails that got the request of a silent one; the
 silent one's stream is closed by then."""
@@ -381,3 +391,24 @@
         assert first.received[1].headers['last-event-id'] == '3'
 
     _run(scenario, make_deployment)
+
+
+def test_kv_handle_of_a_resumption_is_not_released() -> None:
+    # Only the handle of a first send was released.
+    async def scenario(deployment: Deployment) -> None:
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        await _script_in_turn(deployment, Behaviour.PAUSE, Behaviour.REFUSE)
+        prefill = deployment.upstreams['p']
+        deployment.publish_upstream(prefill)
+        assert await fetching == (200, WHOLE)
+
+        async def is_released() -> bool:
+            return [one.method for one in prefill.received] == [
+                'POST',
+                'DELETE',
+            ]
+
+        await eventually(is_released, within_s=1.0)
+
+    _run(scenario, _DeploymentWithLatePrefill)
