Refund the quota of a request whose caller leaves the queue

A request is charged to its workspace when it is admitted. A refusal refunds the cost, but not the cancellation of a request whose caller left while it was queued for memory: a caller that left and came back was charged twice, and its workspace met its limit (429) sooner than it should.

The cost is now refunded if nothing was sent to an engine. A non-idempotent plain request goes on without its caller, so it isn't refunded.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -138,6 +138,11 @@
         """Returns the seconds until the request times out."""
         return self._admitted.deadline_s - self._node.clock()
 
+    @property
+    def has_sent(self) -> bool:
+        """Returns whether an upstream may have received the request."""
+        return self._sends > 0
+
     @property
     def can_retry(self) -> bool:
         """Returns whether the route allows one more send."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -75,18 +76,25 @@
         self._node.retry_budget.record_request(
             admitted.service.service_id, arrived_s
         )
+        handler = self._make_handler(admitted)
         try:
-            return await self._run(admitted)
+            return await handler.run()
         except CatkinreachError as error:
             if error.outcome is Outcome.NOT_RUN:
                 self._refund(admitted)
             raise
+        except asyncio.CancelledError:
+            if not handler.may_run:
+                self._refund(admitted)
+            raise
 
-    async def _run(self, admitted: AdmittedRequest) -> HttpResponse:
+    def _make_handler(
+        self, admitted: AdmittedRequest
+    ) -> StreamHandler | PlainHandler:
         traits = admitted.service.engine
         if admitted.route.kind is RouteKind.STREAM and traits is not None:
-            return await StreamHandler(self._node, admitted, traits).run()
-        return await PlainHandler(self._node, admitted).run()
+            return StreamHandler(self._node, admitted, traits)
+        return PlainHandler(self._node, admitted)
 
     def _refund(self, admitted: AdmittedRequest) -> None:
         """Refunds the cost of a request that did not run."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -62,6 +62,12 @@
         running.add_done_callback(_consume_outcome)
         return await asyncio.shield(running)
 
+    @property
+    def may_run(self) -> bool:
+        """Returns whether the request may have run, or still may."""
+        is_detached = self._admitted.route.kind is RouteKind.NON_IDEMPOTENT
+        return is_detached or self._attempts.has_sent
+
     async def _serve(self) -> HttpResponse:
         while self._attempts.remaining_s > MIN_REMAINING_S:
             await self._node.load_queries.refresh(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -87,6 +87,11 @@
         relay = EventRelay(self._node, self._admitted, self, engine_stream)
         return HttpResponse(reply.status, headers, stream=relay)
 
+    @property
+    def may_run(self) -> bool:
+        """Returns whether the request may have run, or still may."""
+        return self._attempts.has_sent
+
     @property
     def can_resume(self) -> bool:
         """Returns whether the stream may be resumed at another engine."""
