Read on for a moment after a response before the connection is closed

A refusal of a request that isn't read whole (too large, malformed, beyond the bound of connections) was followed by a close while bytes of the caller were unread. TCP then resets the connection: a caller that sends everything before it reads got ECONNRESET in place of the 413, 400, 431 or 503, and took the request for lost.

After a whole response the server now ends its output and reads and discards for at most 1 s (0.2 s while it drains) and 32 MiB before it closes. A caller that closes, as most do on 'connection: close', ends the wait at once. An idle connection is closed as before, and a response that broke off is. At most 200 connections beyond the bound are refused in this way at a time.

--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -117,6 +117,12 @@
             self.protocol.receive_data(chunk)
         return not chunk
 
+    async def discard_input(self, max_bytes: int) -> None:
+        """Reads to the end of the input, or up to a number of bytes."""
+        size_bytes = 0
+        while size_bytes < max_bytes and (chunk := await self._input.read()):
+            size_bytes += len(chunk)
+
     async def _wait_for_input(self) -> bool:
         """Returns whether bytes, or the end of the input, arrive in time.
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -27,6 +27,9 @@
 
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
+ENDED_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
+"""States of a connection whose last response is whole."""
+
 _EVENT_STREAM_HEADERS = (
     ('content-type', EVENT_STREAM_TYPE),
     ('cache-control', 'no-store'),
@@ -60,6 +63,13 @@
         else:
             self._writer.close()
 
+    def end_output(self) -> bool:
+        """Ends the output after a whole response; ``False`` without one."""
+        is_ended = self._requests.protocol.our_state in ENDED_STATES
+        if is_ended and self._writer.can_write_eof():
+            self._writer.write_eof()
+        return is_ended
+
     async def send_continue(self) -> None:
         """Tells the client to send the body of its request."""
         await self._send(h11.InformationalResponse(status_code=100, headers=[]))
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -21,6 +21,10 @@
     from .server_connection import RequestHandler
 
 
+MAX_REFUSING = 200
+"""Connections beyond the bound that are refused with a response at a time."""
+
+
 class HttpServer:
     """HTTP server on one listening address."""
 
@@ -38,6 +42,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._request_counter = RequestCounter()
+        self._refusing_count = 0
         self._is_draining = False
         self._all_closed = asyncio.Event()
         self._all_closed.set()
@@ -106,10 +111,7 @@
             logger.warning(
                 '{}: connection refused, max_connections reached.', self._name
             )
-            await connection.refuse(
-                CatkinreachError(ErrorKind.CONNECTIONS_FULL)
-            )
-            writer.close()
+            await self._refuse(connection)
             return
         self._connections.add(connection)
         self._all_closed.clear()
@@ -130,6 +132,18 @@
             connection.close()
             self._discard(connection)
 
+    async def _refuse(self, connection: ServerConnection) -> None:
+        """Refuses a connection; too many at a time are only closed."""
+        self._refusing_count += 1
+        try:
+            if self._refusing_count <= MAX_REFUSING:
+                await connection.refuse(
+                    CatkinreachError(ErrorKind.CONNECTIONS_FULL)
+                )
+        finally:
+            self._refusing_count -= 1
+            connection.close()
+
     def _discard(self, connection: ServerConnection) -> None:
         self._connections.discard(connection)
         if not self._connections:
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -21,6 +21,14 @@
     from .messages import HttpRequest, HttpResponse
     from .server_bounds import RequestCounter, ServerBounds
 
+LINGER_S = 1.0
+"""Longest time for which a client is read that was answered before it had sent
+everything."""
+
+STOP_LINGER_S = 0.2
+"""The same while the server drains, so that it stops soon."""
+
+MAX_LINGER_BYTES = 32 * 1024 * 1024
 RequestHandler: TypeAlias = 'Callable[[HttpRequest], Awaitable[HttpResponse]]'
 
 
@@ -43,6 +51,7 @@
         """Wraps an accepted connection."""
         self._serve = serve
         self._request_counter = request_counter
+        self._is_draining = is_draining
         self._requests = RequestReader(
             reader, read_bounds, is_draining, self._send_continue
         )
@@ -65,21 +74,35 @@
         """
         while await self._serve_next_request():
             if not self._requests.start_next_cycle():
-                return
+                break
+        await self._linger()
 
     async def refuse(self, error: CatkinreachError) -> None:
-        """Sends an error response unless a response has already started."""
+        """Answers with an error, whatever the client sends."""
         await self._responses.refuse(error)
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """Reads what a client sends after the last response, for a time.
+
+        A close with unread bytes resets the connection, and the client may
+        then lose the response.
+        """
+        linger_s = STOP_LINGER_S if self._is_draining() else LINGER_S
+        with suppress(OSError):
+            if self._responses.end_output():
+                async with asyncio.timeout(linger_s):
+                    await self._requests.discard_input(MAX_LINGER_BYTES)
 
     async def _serve_next_request(self) -> bool:
         """Reads and serves a request; returns False to close the connection."""
         try:
             request = await self._requests.read_request()
         except CatkinreachError as error:
-            await self.refuse(error)
+            await self._responses.refuse(error)
             return False
         except h11.RemoteProtocolError as error:
-            await self.refuse(
+            await self._responses.refuse(
                 CatkinreachError(ErrorKind.BAD_REQUEST, str(error))
             )
             return False
@@ -94,7 +117,7 @@
             logger.opt(exception=error).error(
                 'unexpected error while a request was answered'
             )
-            await self.refuse(CatkinreachError(ErrorKind.INTERNAL))
+            await self._responses.refuse(CatkinreachError(ErrorKind.INTERNAL))
             return False
         finally:
             self._request_counter.end()
--- a/packages/catkinreach-node/tests/gateway/test_callers_that_leave.py
+++ b/packages/catkinreach-node/tests/gateway/test_callers_that_leave.py
@@ -37,7 +37,7 @@
         sender.sendto(encode_gossip(message), address)
 
 
-def test_request_whose_caller_left_the_queue_counts_towards_quota(
+def test_request_of_gone_caller_counts_towards_quota(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # A caller that left and came back was charged twice and got a 429.
