Watch for a caller that leaves until its response is sent

While a request is served, the server waits for the caller to disconnect.

The server now reads on, up to 64 KiB beyond the request.

Test: test_client_that_leaves_after_more_bytes_is_served; failed before (no cancellation within 0.5 s), passes now.

--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -17,6 +17,10 @@
 
     from .server_bounds import ServerBounds
 
+MAX_READ_AHEAD_BYTES = 64 * 1024
+"""Bytes of later requests from which a client isn't read further while its
+request is served."""
+
 
 class RequestReader:
     """Reads requests; owns the HTTP state of the connection.
@@ -111,11 +115,16 @@
         )
 
     async def watch_disconnect(self) -> bool:
-        """Returns whether the client disconnects before it sends more data."""
-        chunk = await self._input.read()
-        if chunk:
+        """Returns whether the client disconnects.
+
+        ``False`` if it sends too much beyond its request to be read ahead.
+        """
+        while len(self.protocol.trailing_data[0]) < MAX_READ_AHEAD_BYTES:
+            chunk = await self._input.read()
+            if not chunk:
+                return True
             self.protocol.receive_data(chunk)
-        return not chunk
+        return False
 
     async def discard_input(self, max_bytes: int) -> None:
         """Reads to the end of the input, or up to a number of bytes."""
--- a/packages/catkinreach-node/tests/http/test_server_connections.py
+++ b/packages/catkinreach-node/tests/http/test_server_connections.py
@@ -19,7 +19,10 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from catkinreach_node.http.server_connection import RequestHandler
+
 TIMEOUT_S = 0.2
+CANCEL_WITHIN_S = 0.5
 BOUNDS = ServerBounds(head_timeout_s=TIMEOUT_S, idle_timeout_s=TIMEOUT_S)
 LARGER_BOUNDS = ServerBounds(max_head_bytes=4 * BOUNDS.max_head_bytes)
 ITERATIONS_TO_ANSWER = 3
@@ -58,10 +61,10 @@
 
 @asynccontextmanager
 async def _server(
-    bounds: ServerBounds = BOUNDS,
+    bounds: ServerBounds = BOUNDS, serve: RequestHandler = _serve
 ) -> AsyncIterator[tuple[HttpServer, _Client]]:
     """Runs a server with one accepted connection."""
-    server = HttpServer(_serve, name='test', bounds=bounds)
+    server = HttpServer(serve, name='test', bounds=bounds)
     address = Address(LOOPBACK, free_ports(1)[0])
     await server.start(address)
     client = _Client(address)
@@ -177,3 +180,28 @@
             return await client.receive()
 
     assert b' 200 ' in asyncio.run(run())
+
+
+def test_client_that_leaves_after_more_bytes_is_served() -> None:
+    # Only the first bytes after a request were read until its response.
+    async def run() -> None:
+        is_cancelled = asyncio.Event()
+
+        async def serve(request: HttpRequest) -> HttpResponse:
+            try:
+                await asyncio.sleep(10 * CANCEL_WITHIN_S)
+            except asyncio.CancelledError:
+                is_cancelled.set()
+                raise
+            return await _serve(request)
+
+        async with _server(ServerBounds(), serve) as (_, client):
+            client.send(REQUEST)
+            await asyncio.sleep(TIMEOUT_S)
+            client.send(REQUEST[:3])
+            await asyncio.sleep(TIMEOUT_S)
+            client.close()
+            async with asyncio.timeout(CANCEL_WITHIN_S):
+                await is_cancelled.wait()
+
+    asyncio.run(run())
