Wait for the first request of a new connection while the server stops

2.5 s after SIGTERM the gateway closes its idle connections. A connection that was accepted just before was closed too, though a client that connects is about to send: its request met a reset and got neither an answer nor a refusal.

Such a connection now keeps 0.3 s from when it was accepted. None is accepted after the idle ones are closed, so that the stop is later by 0.3 s at most, and no request is taken later than 3 s after the signal. A kept connection that is idle is closed at once, as before: a stream taken then could be cut by the end of the process.

Test: test_first_request_lost_when_server_stops_before_it_arrives; failed before (no answer), passes now. tests/http pass (51).

--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -21,6 +21,10 @@
 """Bytes of later requests from which a client isn't read further while its
 request is served."""
 
+STOP_FIRST_REQUEST_S = 0.3
+"""Time for the first request of a connection while the server drains: a client
+that has just connected is about to send it."""
+
 
 class RequestReader:
     """Reads requests; owns the HTTP state of the connection.
@@ -163,11 +167,13 @@
         return started_s + self._input_timeout_s() <= now_s
 
     def _input_timeout_s(self) -> float:
-        if self._is_draining():
-            return 0
+        bounds = self._bounds
         if self._is_first_request:
-            return self._bounds.head_timeout_s
-        return self._bounds.idle_timeout_s
+            timeout_s = bounds.head_timeout_s
+            if self._is_draining():
+                timeout_s = min(timeout_s, STOP_FIRST_REQUEST_S)
+            return timeout_s
+        return 0 if self._is_draining() else bounds.idle_timeout_s
 
     def _apply_head_limit(self) -> None:
         """Applies a changed size limit to the head that is read next."""
--- a/packages/catkinreach-node/tests/http/test_server_connections.py
+++ b/packages/catkinreach-node/tests/http/test_server_connections.py
@@ -12,6 +12,7 @@
 
 from catkinreach_core.settings.node import Address
 from catkinreach_node.http.messages import HttpRequest, HttpResponse
+from catkinreach_node.http.request_reader import STOP_FIRST_REQUEST_S
 from catkinreach_node.http.server import HttpServer
 from catkinreach_node.http.server_bounds import ServerBounds
 from catkinreach_standins.bench.ports import LOOPBACK, free_ports
@@ -155,6 +156,32 @@
     assert asyncio.run(run()).count(b' 200 ') == 2
 
 
+def test_first_request_lost_when_server_stops_before_it_arrives() -> None:
+    # A connection was closed right after it was accepted.
+    async def run() -> bytes:
+        async with _server(ServerBounds()) as (server, client):
+            stopping = asyncio.create_task(_stop(server))
+            await asyncio.sleep(STOP_FIRST_REQUEST_S / 2)
+            client.send()
+            answer = await client.receive()
+            await stopping
+            return answer
+
+    answer = asyncio.run(run())
+    assert b' 200 ' in answer
+    assert b'connection: close' in answer.lower()
+
+
+def test_unused_connection_delays_the_stop() -> None:
+    async def run() -> float:
+        async with _server(ServerBounds()) as (server, _):
+            started_s = time.monotonic()
+            await _stop(server)
+            return time.monotonic() - started_s
+
+    assert asyncio.run(run()) < STOP_FIRST_REQUEST_S + TIMEOUT_S
+
+
 def test_open_connection_keeps_shorter_idle_timeout() -> None:
     # Clients reuse a connection for as long as the new bounds allow.
     async def run() -> bytes:
