Keep the answer of an order that ends during a handover

A node that stops hands the ledger of its orders to its successor, and sends the answer of an order that was still running once it ends. If the answer came before the successor's tenure had begun, it was dropped. The order stayed 'running' in the new ledger for good: a caller that sent it again waited for 60 s and was told that its outcome is unknown.

The answer is now stored beside the handover and applied when the tenure begins; a handover of another term discards it.

Test: test_order_that_ends_before_the_tenure_begins_has_no_answer; failed before (no answer within 1 s), passes now.

--- a/packages/catkinreach-node/src/catkinreach_node/orders/service.py
+++ b/packages/catkinreach-node/src/catkinreach_node/orders/service.py
@@ -69,6 +69,7 @@
         self._runner = runner
         self._owned: dict[ShardId, _OwnedLedger] = {}
         self._stored_handovers: dict[ShardId, dict[int, OrderHandover]] = {}
+        self._stored_answers: dict[ShardId, list[OrderFinished]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
         self._counts = {'run': 0, 'replayed': 0, 'refused': 0, 'unknown': 0}
@@ -120,6 +121,7 @@
         parts = self._stored_handovers.setdefault(handover.shard, {})
         if any(part.term != handover.term for part in parts.values()):
             parts.clear()
+            self._stored_answers.pop(handover.shard, None)
         parts[handover.part] = handover
         return OrderHandoverAck()
 
@@ -128,10 +130,19 @@
         sender: VmId,  # noqa: ARG002 - part of the protocol
         finished: OrderFinished,
     ) -> None:
-        """Stores the answer of an order that the predecessor was running."""
+        """Stores the answer of an order that the predecessor was running.
+
+        It may arrive before the tenure begins.
+        """
         owned = self._owned.get(finished.shard)
-        if owned is None:
-            return
+        if owned is not None:
+            self._apply_finished(owned, finished)
+        elif finished.shard in self._stored_handovers:
+            self._stored_answers.setdefault(finished.shard, []).append(finished)
+
+    def _apply_finished(
+        self, owned: _OwnedLedger, finished: OrderFinished
+    ) -> None:
         order = OrderKey(finished.workspace_id, finished.key)
         if finished.answer.outcome == Outcome.NOT_RUN.value:
             owned.ledger.drop_order(order, finished.attempt)
@@ -234,6 +245,8 @@
         if owned is None or owned.term != tenure.term:
             owned = _OwnedLedger(tenure.term, self._new_ledger(tenure))
             self._owned[tenure.shard] = owned
+            for finished in self._stored_answers.pop(tenure.shard, ()):
+                self._apply_finished(owned, finished)
         return owned
 
     def _new_ledger(self, tenure: Tenure) -> OrderLedger:
