--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -76,12 +76,9 @@
         Raises:
             CatkinreachError: if it can't be served.
         """
-        try:
-            engine_stream = await self._open_stream(
-                self._admitted.metadata.resume_after
-            )
-        finally:
-            self._prefill.release()
+        engine_stream = await self._open_stream(
+            self._admitted.metadata.resume_after
+        )
         if self._whole_response is not None:
             return self._whole_response
         self._has_begun = True
@@ -90,6 +87,11 @@
         relay = EventRelay(self._node, self._admitted, self, engine_stream)
         return HttpResponse(reply.status, headers, stream=relay)
 
+    @property
+    def may_run(self) -> bool:
+        """Returns whether the request may have run, or still may."""
+        return self._attempts.has_sent
+
     @property
     def can_resume(self) -> bool:
         """Returns whether the stream may be resumed at another engine."""
@@ -128,6 +130,8 @@
         self._attempts.record_failure_after_send(
             upstream, failure, detail=detail
         )
+        if failure is SendFailure.SILENT:
+            self._attempts.readmit(upstream)
         if failure is SendFailure.SILENT or engine_stream.has_started:
             self._node.checks.check_reachable(upstream)
             return
@@ -136,6 +140,12 @@
         )
 
     async def _open_stream(self, resume_after: int | None) -> EngineStream:
+        try:
+            return await self._try_engines(resume_after)
+        finally:
+            self._prefill.release()
+
+    async def _try_engines(self, resume_after: int | None) -> EngineStream:
         while self._attempts.remaining_s > MIN_REMAINING_S:
             plan = await self._memory_wait.wait_for_plan()
             engine_stream = EngineStream(
--- a/packages/catkinreach-node/tests/http/test_server_connections.py
+++ b/packages/catkinreach-node/tests/http/test_server_connections.py
@@ -12,6 +12,7 @@
 
 from catkinreach_core.settings.node import Address
 from catkinreach_node.http.messages import HttpRequest, HttpResponse
+from catkinreach_node.http.request_reader import STOP_FIRST_REQUEST_S
 from catkinreach_node.http.server import HttpServer
 from catkinreach_node.http.server_bounds import ServerBounds
 from catkinreach_standins.bench.ports import LOOPBACK, free_ports
@@ -19,7 +20,10 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from catkinreach_node.http.server_connection import RequestHandler
+
 TIMEOUT_S = 0.2
+CANCEL_WITHIN_S = 0.5
 BOUNDS = ServerBounds(head_timeout_s=TIMEOUT_S, idle_timeout_s=TIMEOUT_S)
 LARGER_BOUNDS = ServerBounds(max_head_bytes=4 * BOUNDS.max_head_bytes)
 ITERATIONS_TO_ANSWER = 3
@@ -58,10 +62,10 @@
 
 @asynccontextmanager
 async def _server(
-    bounds: ServerBounds = BOUNDS,
+    bounds: ServerBounds = BOUNDS, serve: RequestHandler = _serve
 ) -> AsyncIterator[tuple[HttpServer, _Client]]:
     """Runs a server with one accepted connection."""
-    server = HttpServer(_serve, name='test', bounds=bounds)
+    server = HttpServer(serve, name='test', bounds=bounds)
     address = Address(LOOPBACK, free_ports(1)[0])
     await server.start(address)
     client = _Client(address)
@@ -152,6 +156,32 @@
     assert asyncio.run(run()).count(b' 200 ') == 2
 
 
+def test_first_request_lost_when_server_stops_before_it_arrives() -> None:
+    # A connection was closed right after it was accepted.
+    async def run() -> bytes:
+        async with _server(ServerBounds()) as (server, client):
+            stopping = asyncio.create_task(_stop(server))
+            await asyncio.sleep(STOP_FIRST_REQUEST_S / 2)
+            client.send()
+            answer = await client.receive()
+            await stopping
+            return answer
+
+    answer = asyncio.run(run())
+    assert b' 200 ' in answer
+    assert b'connection: close' in answer.lower()
+
+
+def test_unused_connection_delays_the_stop() -> None:
+    async def run() -> float:
+        async with _server(ServerBounds()) as (server, _):
+            started_s = time.monotonic()
+            await _stop(server)
+            return time.monotonic() - started_s
+
+    assert asyncio.run(run()) < STOP_FIRST_REQUEST_S + TIMEOUT_S
+
+
 def test_open_connection_keeps_shorter_idle_timeout() -> None:
     # Clients reuse a connection for as long as the new bounds allow.
     async def run() -> bytes:
@@ -177,3 +207,28 @@
             return await client.receive()
 
     assert b' 200 ' in asyncio.run(run())
+
+
+def test_client_that_leaves_after_more_bytes_is_served() -> None:
+    # Only the first bytes after a request were read until its response.
+    async def run() -> None:
+        is_cancelled = asyncio.Event()
+
+        async def serve(request: HttpRequest) -> HttpResponse:
+            try:
+                await asyncio.sleep(10 * CANCEL_WITHIN_S)
+            except asyncio.CancelledError:
+                is_cancelled.set()
+                raise
+            return await _serve(request)
+
+        async with _server(ServerBounds(), serve) as (_, client):
+            client.send(REQUEST)
+            await asyncio.sleep(TIMEOUT_S)
+            client.send(REQUEST[:3])
+            await asyncio.sleep(TIMEOUT_S)
+            client.close()
+            async with asyncio.timeout(CANCEL_WITHIN_S):
+                await is_cancelled.wait()
+
+    asyncio.run(run())
