Split the stand-in of an upstream into modules with one job

No change of behaviour: test_upstream.py is as it was.

Two tests of the node reached into the old class. test_crashing_parts.py now overrides UpstreamStandin.run, and test_silent_engines.py patches StreamFraming where it is used; both still fail if the name is gone.

--- a/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
+++ b/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
@@ -18,8 +18,13 @@
 if TYPE_CHECKING:
     from catkinreach_node.gateway.app import GatewayApp
     from catkinreach_node.http.messages import HttpRequest
-    from catkinreach_standins.platform.received_request import ReceivedRequest
-    from catkinreach_standins.platform.upstream_behaviour import Behaviour
+    from catkinreach_standins.platform.upstream_behaviour import (
+        Behaviour,
+        RawReply,
+    )
+    from catkinreach_standins.platform.upstream_exchange import (
+        UpstreamExchange,
+    )
 
 SHARED_PART = 'a1'
 CRASHING_PART = 'd1'
@@ -30,19 +35,14 @@
 class CrashingEngine(UpstreamStandin):
     """Decode engine that crashes when it starts to answer on one part."""
 
-    async def _respond_stream(
-        self,
-        request: ReceivedRequest,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        behaviour: Behaviour,
+    async def run(
+        self, exchange: UpstreamExchange, behaviour: Behaviour | RawReply
     ) -> bool:
-        if CRASHING_PART not in request.headers['prompt-prefix']:
-            return await super()._respond_stream(
-                request, reader, writer, behaviour
-            )
+        """Crashes, or runs a request whose prompt lacks the part."""
+        if CRASHING_PART not in exchange.request.headers['prompt-prefix']:
+            return await super().run(exchange, behaviour)
         self.close()
-        writer.transport.abort()
+        exchange.writer.transport.abort()
         return False
 
 
--- a/packages/catkinreach-node/tests/gateway/test_silent_engines.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_engines.py
@@ -236,7 +236,7 @@
 ) -> None:
     # The end of the closed connection was taken for the end of the body.
     monkeypatch.setattr(
-        'catkinreach_standins.platform.upstream.StreamFraming',
+        'catkinreach_standins.platform.upstream_stream.StreamFraming',
         _framing_without_length,
     )
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_replies.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_replies.py
@@ -51,6 +51,37 @@
     return _encode_head(lines)
 
 
+def response(
+    request: ReceivedRequest,
+    status: int,
+    upstream_id: str,
+    body: bytes,
+    *,
+    is_sealed: bool = True,
+) -> bytes:
+    """Returns a whole response, with ``Response-Seal`` if it is sealed."""
+    lines = [
+        f'HTTP/1.1 {status} status',
+        f'Request-Id: {request.request_id}',
+        f'Instance-Id: {upstream_id}',
+        'Instance-Load: 1,0,6',
+        f'Content-Length: {len(body)}',
+    ]
+    if is_sealed:
+        lines.append(f'Response-Seal: seal-{upstream_id}')
+    return _encode_head(lines) + body
+
+
+def response_without_request_id(upstream_id: str, body: bytes) -> bytes:
+    """Returns a whole response that has no ``Request-Id`` header."""
+    lines = (
+        'HTTP/1.1 200 status',
+        f'Response-Seal: seal-{upstream_id}',
+        f'Content-Length: {len(body)}',
+    )
+    return _encode_head(lines) + body
+
+
 def response_without_length(
     request: ReceivedRequest, upstream_id: str, body: bytes
 ) -> bytes:
@@ -81,5 +112,7 @@
     'StreamFraming',
     'partial_head',
     'refusal',
+    'response',
     'response_without_length',
+    'response_without_request_id',
 )
