Let the soak change limits, signal a draining front and reuse idle connections

Missing were: changed idle and head limits beside open connections, callers that reuse them after up to four fifths of the idle limit, a second signal while a front drains (SIGHUP was held back during the whole restart, SIGTERM and SIGKILL waited for it), a settings file that changes, and a configuration that takes time to decode.

After the recovery each front gets a longer idle limit beside an open connection, which must then stay open for four fifths of the old limit and of the new one. A connection may end without a response only if it was idle for more than four fifths of the shortest limit until then, and the request hasn't run.

Each run writes timeline.jsonl beside the fronts' logs: disruptions, crashes and unanswered calls in the logs' clock. Without it links and engines weren't to be told apart in a trace.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/config.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/config.py
@@ -7,6 +7,7 @@
 OTHER_API_KEY = 'key-two'
 PLAIN_SERVICE = 'plain'
 MODEL_SERVICE = 'model'
+IDLE_TIMEOUT_MS = 2000
 
 
 def make_route(name: str, kind: str, service: str, **changed: object) -> object:
@@ -35,6 +36,21 @@
     return {**document, **changed}
 
 
+def make_limits(**changed: object) -> dict[str, object]:
+    """Returns the limits for callers.
+
+    Args:
+        **changed: Members that replace the defaults.
+    """
+    document: dict[str, object] = {
+        'max-header-bytes': 16_384,
+        'max-body-bytes': 100_000,
+        'header-timeout-ms': 1000,
+        'idle-timeout-ms': IDLE_TIMEOUT_MS,
+    }
+    return {**document, **changed}
+
+
 def make_config(version: int, **changed: object) -> dict[str, object]:
     """Returns a configuration that has routes of every kind.
 
@@ -78,12 +94,7 @@
                 },
             },
         ],
-        'limits': {
-            'max-header-bytes': 16_384,
-            'max-body-bytes': 100_000,
-            'header-timeout-ms': 1000,
-            'idle-timeout-ms': 2000,
-        },
+        'limits': make_limits(),
         'tenants': [
             {
                 'name': 'one',
@@ -102,10 +113,12 @@
 
 __all__ = (
     'HOST',
+    'IDLE_TIMEOUT_MS',
     'KEY',
     'MODEL_SERVICE',
     'OTHER_API_KEY',
     'PLAIN_SERVICE',
     'make_config',
+    'make_limits',
     'make_route',
 )
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -77,6 +77,7 @@
         self.metrics_address = Address(host=host, port=ports.metrics)
         self._process: Process | None = None
         self._client = HttpClient()
+        self._settings_text = settings_text
         self._settings_file.write_text(settings_text)
 
     @property
@@ -145,6 +146,11 @@
         )
         return body.decode()
 
+    def change_settings(self) -> None:
+        """Writes the settings file again, with the seeds in reverse order."""
+        self._settings_text = _reverse_seeds(self._settings_text)
+        self._settings_file.write_text(self._settings_text)
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal if the process runs."""
         if self._process is not None and self.is_running:
@@ -187,6 +193,15 @@
         self.front, self.ready, self.peer, self.metrics = free_ports(4)
 
 
+def _reverse_seeds(settings_text: str) -> str:
+    lines = settings_text.splitlines()
+    for number, line in enumerate(lines):
+        name, _, text = line.partition('=')
+        if name == 'seeds':
+            lines[number] = f'{name}={",".join(reversed(text.split(",")))}'
+    return '\n'.join((*lines, ''))
+
+
 def make_fronts(
     count: int, store_port: int, folder: Path
 ) -> list[FrontProcess]:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
@@ -33,6 +33,9 @@
 MEAN_PAUSE_S: Final = 0.15
 """Mean pause of a caller between two calls."""
 
+MIN_IDLE_SHARE: Final = 0.5
+"""Shortest pause of an idle caller, as a share of the longest allowed one."""
+
 CALL_TIMEOUT_S: Final = 8.0
 """Time after which a caller abandons a call."""
 
@@ -40,6 +43,9 @@
 CANCEL_AFTER_S: Final = 0.1
 """Time after which a caller closes the connection of a cancelled call."""
 
+IDLE_KINDS: Final = (CallKind.READ, CallKind.ORDER)
+"""Routes that idle callers take in turn."""
+
 _MS_PER_S: Final = 1000
 _EVENT_ID: Final = re.compile(rb'id: (\d+)\n')
 _EVENT_END: Final = b'\n\n'
@@ -71,6 +77,7 @@
         history: Where calls are recorded.
         rng: Random number generator for pauses and cancellations.
         prompts: Makes the prompts of streams.
+        idle_rng: Random number generator for the pauses of idle callers.
         is_stopped: Whether callers end after their current call.
     """
 
@@ -78,24 +85,48 @@
     history: History
     rng: random.Random
     prompts: Prompts
+    idle_rng: random.Random
     is_stopped: bool = False
     _request_count: int = 0
 
     async def run(self, count: int) -> None:
-        """Runs ``count`` callers, each with its own client, until stopped."""
+        """Runs ``count`` callers, each with its own client, until stopped.
+
+        There is an idle caller for each front besides.
+        """
         kinds = tuple(CallKind)
         callers = [
             self._run_caller(kinds[number % len(kinds)], number)
             for number in range(count)
         ]
-        await asyncio.gather(*callers)
+        idle_callers = [
+            self._run_caller(
+                IDLE_KINDS[number % len(IDLE_KINDS)], number, is_idle=True
+            )
+            for number in range(len(self.fronts))
+        ]
+        await asyncio.gather(*callers, *idle_callers)
 
     async def call(
-        self, client: HttpClient, kind: CallKind, front: int
+        self,
+        client: HttpClient,
+        kind: CallKind,
+        front: int,
+        *,
+        earlier: CallRecord | None = None,
+        may_cancel: bool = True,
     ) -> CallRecord:
-        """Makes a call and records it."""
+        """Makes a call and records it.
+
+        Args:
+            client: Client that keeps the caller's connections.
+            kind: Route of the call.
+            front: Number of the front to call.
+            earlier: The caller's call before.
+            may_cancel: Whether the caller may leave early.
+        """
         request = self._make_request(kind)
-        is_cancelling = self.rng.random() < CANCEL_PROBABILITY
+        is_cancelling = may_cancel and self.rng.random() < CANCEL_PROBABILITY
         timeout_s = CANCEL_AFTER_S if is_cancelling else CALL_TIMEOUT_S
         partial_response = _PartialResponse()
         sent_s = time.monotonic()
@@ -107,20 +138,33 @@
         record = _make_record(
             request, kind, front, partial_response, end, sent_s
         )
+        if earlier is not None:
+            record = replace(record, idle_s=sent_s - earlier.ended_s)
         self.history.calls.append(record)
         return record
 
-    async def _run_caller(self, kind: CallKind, number: int) -> None:
+    async def _run_caller(
+        self, kind: CallKind, number: int, *, is_idle: bool = False
+    ) -> None:
         """Calls a front until its connection fails, then the next front."""
         client = HttpClient()
         front = number % len(self.fronts)
+        record = None
         while not self.is_stopped:
-            record = await self.call(client, kind, front)
+            record = await self.call(
+                client, kind, front, earlier=record, may_cancel=not is_idle
+            )
             if record.end in {CallEnd.CONNECT_FAILED, CallEnd.NO_RESPONSE}:
                 front = (front + 1) % len(self.fronts)
-            await asyncio.sleep(self.rng.uniform(0, 2 * MEAN_PAUSE_S))
+            await asyncio.sleep(self._draw_pause_s(is_idle=is_idle))
         client.close()
 
+    def _draw_pause_s(self, *, is_idle: bool) -> float:
+        if not is_idle:
+            return self.rng.uniform(0, 2 * MEAN_PAUSE_S)
+        longest_s = self.history.reusable_s
+        return self.idle_rng.uniform(MIN_IDLE_SHARE * longest_s, longest_s)
+
     async def _exchange(
         self,
         client: HttpClient,
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -4,11 +4,14 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+REUSABLE_SHARE: Final = 0.8
+"""Share of the idle limit for which callers may leave a connection idle."""
+
 
 class CallKind(Enum):
     """Route that a call takes; the value is the route's name."""
@@ -58,6 +61,8 @@
         is_crashing: Whether the prompt holds the part that crashes engines.
         body: Body of a response to a plain call; of a stream, the bytes that
             belong to no event.
+        idle_s: Time since the caller's last call, for which its connection, if
+            it was kept, had been idle.
     """
 
     request_id: str
@@ -73,6 +78,7 @@
     has_partial_event: bool = False
     is_crashing: bool = False
     body: bytes = b''
+    idle_s: float = 0.0
 
 
 class DisruptionKind(Enum):
@@ -124,12 +130,39 @@
         disruptions: Disruptions of front processes.
         link_disruptions: Disruptions of links.
         violations: Violations that were found during the run.
+        idle_limits: Limits on the idle time of callers' connections in seconds,
+            each with the monotonic time from which it may be in force.
     """
 
     calls: list[CallRecord] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
     link_disruptions: list[LinkDisruption] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    idle_limits: list[tuple[float, float]] = field(default_factory=list)
+
+    def record_idle_limit(self, from_s: float, limit_s: float) -> None:
+        """Records a limit before it is published."""
+        self.idle_limits.append((from_s, limit_s))
+
+    @property
+    def reusable_s(self) -> float:
+        """Returns the idle time after which callers may reuse a connection."""
+        _, limit_s = self.idle_limits[-1]
+        return REUSABLE_SHARE * limit_s
+
+    def was_idle_too_long(self, call: CallRecord) -> bool:
+        """Returns whether a limit that may be in force lets a front close.
+
+        Any earlier limit may be: faults of the store can delay the newest.
+        """
+        limits_s = [
+            limit_s
+            for from_s, limit_s in self.idle_limits
+            if from_s <= call.ended_s
+        ]
+        if not limits_s:
+            return False
+        return call.idle_s > REUSABLE_SHARE * min(limits_s)
 
     def was_disrupted(self, call: CallRecord, *kinds: DisruptionKind) -> bool:
         """Returns whether a disruption of the call's front overlapped it."""
@@ -163,6 +196,7 @@
 
 
 __all__ = (
+    'REUSABLE_SHARE',
     'CallEnd',
     'CallKind',
     'CallRecord',
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -159,14 +159,15 @@
 
     A killed process loses its requests. A process that stops, or whose idle
     timeout elapses while it is paused, may close a connection while the next
-    request is on its way; that request must not have run.
+    request is on its way; that request must not have run. The same holds for a
+    connection that was idle for too long.
     """
     if history.was_disrupted(call, DisruptionKind.KILLED):
         return True
     is_closing = history.was_disrupted(
         call, DisruptionKind.STOPPING, DisruptionKind.PAUSED
     )
-    return is_closing and not runs
+    return (is_closing or history.was_idle_too_long(call)) and not runs
 
 
 def _check_promise(call: CallRecord, runs: int) -> Iterator[str]:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -18,6 +18,12 @@
 SERIES_PROBABILITY: Final = 0.3
 """Probability that a fault is repeated at its target, as a series."""
 
+MEAN_LATER_INTERVAL_S: Final = 2.0
+"""Like the mean interval above, for the kinds that were added later."""
+
+MAX_DRAIN_DELAY_S: Final = 1.7
+"""Maximum time from SIGTERM to a second signal; a front drains longer."""
+
 MAX_FAULTS_IN_SERIES: Final = 4
 MAX_SERIES_INTERVAL_S: Final = 0.3
 
@@ -84,6 +90,24 @@
     CRASHING_REQUESTS = ('crashing-requests', TargetKind.CALLERS)
     """Some streams hold a part of a prompt that crashes each engine."""
 
+    KILL_DRAINING = ('kill-draining', TargetKind.FRONT)
+    """SIGTERM, SIGKILL while the process drains, then a restart."""
+
+    RELOAD_DRAINING = ('reload-draining', TargetKind.FRONT)
+    """As above with SIGHUP and changed settings instead of SIGKILL."""
+
+    STOP_DRAINING = ('stop-draining', TargetKind.FRONT)
+    """As above with a second SIGTERM."""
+
+    CHANGE_SETTINGS = ('change-settings', TargetKind.FRONT)
+    """The settings file changes, with SIGHUP."""
+
+    CHANGE_LIMITS = ('change-limits', TargetKind.STORE)
+    """A configuration has other limits for callers for a time."""
+
+    LARGE_CONFIG = ('large-config', TargetKind.STORE)
+    """A configuration has thousands of routes for a time."""
+
     @property
     def target_kind(self) -> TargetKind:
         """Returns the kind of component that the fault affects."""
@@ -91,8 +115,29 @@
         return target_kind
 
 
+DRAINING_KINDS: Final = frozenset(
+    {
+        FaultKind.KILL_DRAINING,
+        FaultKind.RELOAD_DRAINING,
+        FaultKind.STOP_DRAINING,
+    }
+)
+"""Kinds that send a second signal; the duration is the time until then."""
+
+LATER_KINDS: Final = (
+    FaultKind.KILL_DRAINING,
+    FaultKind.RELOAD_DRAINING,
+    FaultKind.STOP_DRAINING,
+    FaultKind.CHANGE_SETTINGS,
+    FaultKind.CHANGE_LIMITS,
+    FaultKind.LARGE_CONFIG,
+)
+"""Kinds with a random source of their own: older seeds keep their faults."""
+
 RANDOM_KINDS: Final = tuple(
-    kind for kind in FaultKind if kind is not FaultKind.CRASHING_REQUESTS
+    kind
+    for kind in FaultKind
+    if kind not in {FaultKind.CRASHING_REQUESTS, *LATER_KINDS}
 )
 """Kinds that are drawn for the whole run."""
 
@@ -130,7 +175,12 @@
         has_crashing_requests: Whether there are crashing requests; the other
             faults are the same with and without them.
     """
-    faults = list(_draw_faults(random.Random(seed), duration_s, targets))
+    faults = [
+        *_draw_faults(random.Random(seed), duration_s, targets),
+        *_draw_later_faults(
+            random.Random(f'{seed}/later'), duration_s, targets
+        ),
+    ]
     if has_crashing_requests:
         faults.append(
             _draw_crashing(random.Random(f'{seed}/crashing'), duration_s)
@@ -158,6 +208,24 @@
             start_s += fault_duration_s + rng.uniform(0, MAX_SERIES_INTERVAL_S)
 
 
+def _draw_later_faults(
+    rng: random.Random,
+    duration_s: float,
+    targets: Mapping[TargetKind, Sequence[str]],
+) -> Iterator[Fault]:
+    at_s = 0.0
+    while (
+        at_s := at_s + rng.expovariate(1 / MEAN_LATER_INTERVAL_S)
+    ) < duration_s:
+        kind = rng.choice(LATER_KINDS)
+        target = rng.choice(targets.get(kind.target_kind) or ('',))
+        is_draining = kind in DRAINING_KINDS
+        max_duration_s = MAX_DRAIN_DELAY_S if is_draining else MAX_DURATION_S
+        yield Fault(
+            kind, target, at_s, rng.uniform(MIN_DURATION_S, max_duration_s)
+        )
+
+
 def _draw_crashing(rng: random.Random, duration_s: float) -> Fault:
     start_s = duration_s * rng.uniform(MIN_CRASHING_START, MAX_CRASHING_START)
     fault_duration_s = rng.uniform(
@@ -166,4 +234,11 @@
     return Fault(FaultKind.CRASHING_REQUESTS, '', start_s, fault_duration_s)
 
 
-__all__ = ('Fault', 'FaultKind', 'TargetKind', 'make_plan')
+__all__ = (
+    'DRAINING_KINDS',
+    'LATER_KINDS',
+    'Fault',
+    'FaultKind',
+    'TargetKind',
+    'make_plan',
+)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
@@ -13,12 +13,15 @@
 
 from ..deployment import eventually
 from .callers import Callers
+from .config_faults import ConfigPublisher
 from .fault_injector import FaultInjector
 from .history import CallEnd, CallKind, History, LinkDisruption
 from .invariants import RunRecords, find_violations
+from .kept_connections import check_kept_connections
 from .plan import TargetKind, make_plan
 from .prompts import Prompts
 from .soak_deployment import running_soak_deployment
+from .timeline import write_timeline
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -31,6 +34,7 @@
 """Time from the last fault until every front must serve every route."""
 
 CALLERS_PER_FRONT: Final = 4
+TIMELINE_FILE: Final = 'timeline.jsonl'
 LOG_FLUSH_S: Final = 0.3
 """Time that the fronts have to write their last log lines."""
 
@@ -89,17 +93,29 @@
             },
             has_crashing_requests=options.has_crashing_requests,
         )
+        publisher = ConfigPublisher(
+            deployment.store, history, random.Random(f'{options.seed}/limits')
+        )
         callers = Callers(
-            tuple(deployment.fronts.values()), history, rng, prompts
+            tuple(deployment.fronts.values()),
+            history,
+            rng,
+            prompts,
+            random.Random(f'{options.seed}/idle'),
         )
         count = CALLERS_PER_FRONT * options.front_count
         callers_task = asyncio.ensure_future(callers.run(count))
-        await FaultInjector(deployment, prompts, history, rng).run(plan)
+        injector = FaultInjector(deployment, prompts, history, publisher, rng)
+        await injector.run(plan)
         callers.is_stopped = True
         await callers_task
         await _check_recovery(deployment, callers)
+        await check_kept_connections(
+            deployment.fronts.values(), publisher, history
+        )
         await asyncio.sleep(LOG_FLUSH_S)
         records = _collect_records(deployment, history)
+    write_timeline(options.folder / TIMELINE_FILE, records)
     return SoakResult(
         violations=find_violations(records),
         end_counts=Counter((call.kind, call.end) for call in history.calls),
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
@@ -16,6 +16,7 @@
 from ..processes import make_fronts
 from ..store import StoreStandin
 from ..upstream import UpstreamStandin
+from .config_faults import FIRST_VERSION
 from .prompts import CRASHING_PART
 
 if TYPE_CHECKING:
@@ -88,7 +89,7 @@
             link = self.links[name]
             upstream.on_crash = link.close
             upstream.on_restart = partial(link.start, LOOPBACK)
-        self.store.put('op/config', make_config(5))
+        self.store.put('op/config', make_config(FIRST_VERSION))
         for upstream in self.upstreams.values():
             self.publish_upstream(upstream)
         await asyncio.gather(*(front.start() for front in self.fronts.values()))
--- a/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
@@ -214,3 +214,21 @@
 def test_request_that_crashes_engines_may_be_refused() -> None:
     refused = replace(REFUSED, status=500, code='internal', is_crashing=True)
     assert not _find(refused)
+
+
+@pytest.mark.parametrize(
+    ('idle_s', 'runs', 'is_found'),
+    [(0.8, 0, True), (0.81, 0, False), (0.81, 1, True)],
+)
+def test_only_a_connection_that_was_idle_too_long_may_close(
+    idle_s: float, runs: int, *, is_found: bool
+) -> None:
+    no_response = replace(READ, end=CallEnd.NO_RESPONSE, idle_s=idle_s)
+    history = History(
+        calls=[no_response],
+        idle_limits=[(0.0, 2.0), (5.0, 1.0), (8.0, 3.0), (20.0, 0.1)],
+    )
+    records = RunRecords(
+        history=history, runs={'r': runs}, sends={}, logs={0: EXPLAINED}
+    )
+    assert bool(find_violations(records)) is is_found
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 
 from catkinreach_standins.platform.soak.plan import (
+    LATER_KINDS,
     FaultKind,
     TargetKind,
     make_plan,
@@ -26,6 +27,14 @@
 }
 """Seeds that once violated an invariant, with the cause."""
 
+COUNT_OF_SEED_64 = 42
+START_OF_SEED_64 = [
+    (FaultKind.STORE_RESETS, 'one', 0.291),
+    (FaultKind.STORE_SILENT, 'two', 0.363),
+    (FaultKind.ROLL, 'two', 0.413),
+]
+"""Faults of 12 s with two targets of each kind, before later kinds came."""
+
 
 @pytest.mark.parametrize('seed', [*SHORT_SEEDS, *REGRESSION_SEEDS])
 def test_invariants_hold_under_faults(seed: int, tmp_path: Path) -> None:
@@ -73,3 +82,15 @@
         if fault.kind is not FaultKind.CRASHING_REQUESTS
     )
     assert faults == others
+
+
+def test_later_kinds_leave_the_older_faults_as_they_were() -> None:
+    targets = dict.fromkeys(TargetKind, ('one', 'two'))
+    later = {*LATER_KINDS, FaultKind.CRASHING_REQUESTS}
+    faults = [
+        (fault.kind, fault.target, round(fault.at_s, 3))
+        for fault in make_plan(64, 12.0, targets)
+        if fault.kind not in later
+    ]
+    assert len(faults) == COUNT_OF_SEED_64
+    assert faults[:3] == START_OF_SEED_64
