Show that a silent engine is closed before another one has begun

Trace: placed at e, no event for 0.38 s (send-failed silent), closed and placed at d, whose connection ended after 4 ms (send-failed broken), then 504.

Cause: a stream that has begun is handed over, with the silent engine kept until the other one sends events; before the first event StreamHandler._may_give_up looks only whether another engine can be placed, and closes the first at once.

The invariant stays as strict as it was.

--- /dev/null
+++ b/packages/catkinreach-node/tests/gateway/test_silent_first_events.py
@@ -0,0 +1,49 @@
+"""Healthy engines that are silent before the first event of a stream."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from catkinreach_standins.platform.deployment import (
+    eventually,
+    running_deployment,
+)
+from catkinreach_standins.platform.upstream import EVENT_COUNT
+from catkinreach_standins.platform.upstream_behaviour import Behaviour
+
+ENGINE_IDS = ('d', 'e')
+LAST_EVENT = f'id: {EVENT_COUNT}\n'.encode()
+
+
+@pytest.mark.parametrize('other', [Behaviour.REFUSE, Behaviour.CUT_HEAD])
+def test_silent_engine_is_closed_before_another_one_has_begun(
+    other: Behaviour,
+) -> None:
+    # Soak seed 404: 504 after 0.4 s, while the engine went on.
+    async def run() -> None:
+        async with running_deployment() as (deployment, _):
+            engines = [deployment.upstreams[name] for name in ENGINE_IDS]
+            for engine in engines:
+                engine.script.append(Behaviour.PAUSE_FIRST)
+            request = deployment.make_request(
+                '/stream/', method='POST', body=b'p', token_count='1000,100'
+            )
+            fetching = asyncio.ensure_future(
+                deployment.client.call_raw(deployment.caller_address, request)
+            )
+
+            async def is_sent() -> bool:
+                return any(engine.received for engine in engines)
+
+            await eventually(is_sent, within_s=1.0)
+            for engine in engines:
+                if not engine.received:
+                    engine.script.clear()
+                    engine.script.append(other)
+            status, body = await fetching
+            assert status == 200
+            assert LAST_EVENT in body
+
+    asyncio.run(run())
