Wait for connections that were just accepted before a server ends

Trace: front 4 had SIGTERM at 956.57 (grace 4 s); its event loop was busy with a configuration of 4005 routes until 958.401; the caller connected and sent at 958.355; the linger was over, the server stopped accepting, found no open connection and the process ended at 958.430. An upstream ran the request meanwhile; the front wrote no line about it.

Cause: a connection counts as open when its task begins, some turns of the event loop after it was accepted. A wait that ends in between ends the process with the connection in use; a wait that had ended wasn't taken back either. The wait now goes on until no connection was open for eight turns.

The test sends on a new connection and stops the server after 0 to 7 turns of the event loop. With 2 turns asyncio drops the accepted socket and the request doesn't run; that is allowed and left.

--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -21,6 +21,11 @@
     from .server_connection import RequestHandler
 
 
+ACCEPT_TURNS = 8
+"""Turns of the event loop in which the task of an accepted connection begins;
+asyncio takes four, and a TLS handshake more."""
+
+
 class HttpServer:
     """HTTP server on one listening address."""
 
@@ -81,8 +86,16 @@
             connection.close_if_idle()
 
     async def wait_connections_closed(self) -> None:
-        """Waits until no connection is open."""
-        await self._all_closed.wait()
+        """Waits until no connection is open, nor one that was just accepted.
+
+        An accepted connection counts as open some turns of the event loop
+        later, when its task begins.
+        """
+        turns = 0
+        while turns < ACCEPT_TURNS:
+            await self._all_closed.wait()
+            await asyncio.sleep(0)
+            turns = 0 if self._connections else turns + 1
 
     def close(self) -> None:
         """Closes the listening socket and every connection."""
--- /dev/null
+++ b/packages/catkinreach-node/tests/http/test_server_stop.py
@@ -0,0 +1,65 @@
+"""A server that stops answers the requests of connections it has accepted."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from catkinreach_core.settings.node import Address
+from catkinreach_node.http.messages import HttpRequest, HttpResponse
+from catkinreach_node.http.server import HttpServer
+from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+
+RUN_S = 0.05
+CLOSE_AFTER_S = 0.02
+"""Time from the stop of the server to its close, as in a process that ends."""
+
+TURNS_TO_ACCEPT = 3
+"""Turns of the event loop in which a connection is accepted. With one less,
+asyncio drops a socket that it has taken from the closed listener."""
+
+CLIENT_TIMEOUT_S = 1.0
+
+REQUEST = b'GET /x HTTP/1.1\r\nhost: edge\r\n\r\n'
+
+
+@pytest.mark.parametrize('turns', range(8))
+def test_request_lost_on_a_connection_accepted_while_stopping(
+    turns: int,
+) -> None:
+    # The server counted as idle until the connection's task had begun.
+    runs: list[str] = []
+
+    async def serve(request: HttpRequest) -> HttpResponse:
+        runs.append(request.target)
+        await asyncio.sleep(RUN_S)
+        return HttpResponse.from_json(200, {})
+
+    async def run() -> bytes:
+        server = HttpServer(serve, name='test')
+        address = Address(LOOPBACK, free_ports(1)[0])
+        await server.start(address)
+        with socket.create_connection((address.host, address.port)) as client:
+            client.settimeout(CLIENT_TIMEOUT_S)
+            client.sendall(REQUEST)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await server.stop_accepting()
+            server.close_idle_connections()
+            await server.wait_connections_closed()
+            await asyncio.sleep(CLOSE_AFTER_S)
+            server.close()
+            return await asyncio.to_thread(_receive, client)
+
+    is_answered = b' 200 ' in asyncio.run(run())
+    assert is_answered is bool(runs)
+    assert is_answered or turns < TURNS_TO_ACCEPT
+
+
+def _receive(client: socket.socket) -> bytes:
+    try:
+        return client.recv(65_536)
+    except OSError:
+        return b''
