Give each call on a kept connection a request id of its own

Cause, in the soak: the check of kept connections sent 72 calls as one request id, and all but the first counted as retries of it.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/kept_connections.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/kept_connections.py
@@ -53,7 +53,7 @@
     try:
         for idle_s in (0.0, OLD_IDLE_S, NEW_IDLE_S):
             await asyncio.sleep(idle_s)
-            if not await _call(connection):
+            if not await _call(connection, f'kept-{front.number}-{idle_s}'):
                 history.violations.append(
                     f'{name} closed a connection within {idle_s:.1f} s'
                 )
@@ -62,12 +62,12 @@
         connection.close()
 
 
-async def _call(connection: ClientConnection) -> bool:
+async def _call(connection: ClientConnection, request_id: str) -> bool:
     """Returns whether a call on a connection that was idle gets a response."""
     if not connection.is_reusable:
         return False
     headers = [
-        ('request-id', 'kept'),
+        ('request-id', request_id),
         ('authorization', f'Bearer {OTHER_API_KEY}'),
     ]
     try:
