Let each front of a soak have callers of every kind

The timeline also tells the parts of each prompt, without which wrong refusals can't be traced to a part.

The test fails with four fronts before and passes with three and four now.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
@@ -96,7 +96,9 @@
         """
         kinds = tuple(CallKind)
         callers = [
-            self._run_caller(kinds[number % len(kinds)], number)
+            self._run_caller(
+                kinds[number // len(self.fronts) % len(kinds)], number
+            )
             for number in range(count)
         ]
         idle_callers = [
@@ -236,6 +238,7 @@
     problem = _Problem()
     if end is CallEnd.REFUSED:
         problem = msgspec.json.decode(partial_response.body, type=_Problem)
+    prefix = request.header('prompt-prefix') or ''
     is_stream = kind in {CallKind.STREAM, CallKind.ONCE}
     has_events = is_stream and partial_response.status == HTTPStatus.OK
     events = partial_response.body if has_events else b''
@@ -253,7 +256,8 @@
             int(event_id) for event_id in _EVENT_ID.findall(events)
         ),
         has_partial_event=bool(events) and not events.endswith(_EVENT_END),
-        is_crashing=CRASHING_PART in (request.header('prompt-prefix') or ''),
+        is_crashing=CRASHING_PART in prefix,
+        prefix=prefix,
         body=_EVENT.sub(b'', events) if is_stream else partial_response.body,
     )
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -61,6 +61,7 @@
         is_crashing: Whether the prompt holds the part that crashes engines.
         body: Body of a response to a plain call; of a stream, the bytes that
             belong to no event.
+        prefix: Parts of the prompt, as they were sent.
         idle_s: Time since the caller's last call, for which its connection, if
             it was kept, had been idle.
     """
@@ -78,6 +79,7 @@
     has_partial_event: bool = False
     is_crashing: bool = False
     body: bytes = b''
+    prefix: str = ''
     idle_s: float = 0.0
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/timeline.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/timeline.py
@@ -61,7 +61,7 @@
                 'request': call.request_id,
                 'front': call.front,
                 'status': call.status,
-                'is_crashing': call.is_crashing,
+                'prefix': call.prefix,
                 'lasted_s': round(call.ended_s - call.sent_s, 4),
                 'idle_s': round(call.idle_s, 4),
             },
