Let an engine's stand-in that is down crash only once

Cause, in the stand-in: a connection that was accepted just before the crash was served after it. Now it is reset.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -85,6 +85,7 @@
     _running: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
     _repeats: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
     _restart: asyncio.Task[None] | None = None
+    _is_down: bool = False
 
     @property
     def address(self) -> str:
@@ -116,6 +117,7 @@
 
     async def start(self, port: int = 0) -> None:
         """Listens on a port of the loopback interface; 0 for a free one."""
+        self._is_down = False
         self._server = await asyncio.start_server(
             self._serve_connection, '127.0.0.1', port, backlog=256
         )
@@ -136,6 +138,7 @@
 
     def _crash(self) -> None:
         """Resets all connections; listens again after a time."""
+        self._is_down = True
         self.crashes_s.append(time.monotonic())
         if self._server is not None:
             self._server.close()
@@ -156,6 +159,10 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_down:
+            # It was accepted just before the crash.
+            reset(writer)
+            return
         protocol = h11.Connection(h11.SERVER)
         self._running[writer] = ''
         connection_errors = (
