--- a/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
+++ b/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
@@ -32,8 +32,11 @@
 if TYPE_CHECKING:
     from catkinreach_node.gateway.app import GatewayApp
     from catkinreach_node.http.messages import HttpRequest
-    from catkinreach_standins.platform.received_request import ReceivedRequest
-    from catkinreach_standins.platform.upstream_behaviour import Behaviour
+    from catkinreach_standins.platform.upstream_behaviour import (
+        Behaviour,
+        RawReply,
+    )
+    from catkinreach_standins.platform.upstream_exchange import UpstreamExchange
 
 SHARED_PART = 'a1'
 CRASHING_PART = 'd1'
@@ -45,41 +48,31 @@
 class SlowlyCrashingEngine(UpstreamStandin):
     """Crashes 0.3 s after it got a request with the crashing part."""
 
-    async def _respond_stream(
-        self,
-        request: ReceivedRequest,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        behaviour: Behaviour,
+    async def run(
+        self, exchange: UpstreamExchange, behaviour: Behaviour | RawReply
     ) -> bool:
-        if CRASHING_PART not in request.headers['prompt-prefix']:
-            return await super()._respond_stream(
-                request, reader, writer, behaviour
-            )
+        """Crashes, or runs a request whose prompt lacks the part."""
+        if CRASHING_PART not in exchange.request.headers['prompt-prefix']:
+            return await super().run(exchange, behaviour)
         await asyncio.sleep(0.3)
         self.close()
-        writer.transport.abort()
+        exchange.writer.transport.abort()
         return False
 
 
 class OneEventEngine(UpstreamStandin):
     """Crashes after the first event of a stream without length or chunks."""
 
-    async def _respond_stream(
-        self,
-        request: ReceivedRequest,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        behaviour: Behaviour,
+    async def run(
+        self, exchange: UpstreamExchange, behaviour: Behaviour | RawReply
     ) -> bool:
-        if CRASHING_PART not in request.headers['prompt-prefix']:
-            return await super()._respond_stream(
-                request, reader, writer, behaviour
-            )
+        """Crashes, or runs a request whose prompt lacks the part."""
+        if CRASHING_PART not in exchange.request.headers['prompt-prefix']:
+            return await super().run(exchange, behaviour)
         self.close()
         framing = StreamFraming(is_chunked=False)
-        writer.write(framing.head(request, self.upstream_id))
-        writer.write(b'id: 1\ndata: token 1\n\n')
+        exchange.writer.write(framing.head(exchange.request, self.upstream_id))
+        exchange.writer.write(b'id: 1\ndata: token 1\n\n')
         return False
 
 
