Let a silent upstream that was given up get the request back

Cause: only an engine whose stream had begun could get it back; and the return counted towards the route's max-attempts, so that with two attempts a lost replacement ended the request. The bound is on the number of upstreams that a request reaches, and a return reaches no further one.

Any upstream that was given up for its silence may now be returned to after another one failed, if budget, room and deadline allow. It isn't a reason to give up the replacement: a silent upstream is replaced only while the route allows one more, so that two silent ones don't take turns.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -23,6 +23,7 @@
     )
     from catkinreach_core.gateway.crash_suspects import SuspectKey
     from catkinreach_core.gateway.metadata import KvHandle, RequestMetadata
+    from catkinreach_core.gateway.placement import Candidate
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import UpstreamId, WorkspaceId
 
@@ -125,8 +126,7 @@
         self._node = node
         self._admitted = admitted
         self._sends = 0
-        self._refused_sends = 0
-        self._readmitted: UpstreamId | None = None
+        self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
         self.may_have_run = False
@@ -145,33 +145,39 @@
 
     @property
     def can_retry(self) -> bool:
-        """Returns whether the route allows one more send."""
-        is_retryable = not self._may_crash_upstreams and (
-            self._admitted.route.is_retryable or not self.may_have_run
+        """Returns whether the route allows one more send.
+
+        A return to a readmitted upstream reaches no further one, so that the
+        route's number of attempts doesn't limit it.
+        """
+        return self._is_repeatable and (
+            self._may_send_anywhere or bool(self._readmitted)
         )
-        return is_retryable and (self._may_send_anywhere or self._may_return)
 
     @property
-    def _may_send_anywhere(self) -> bool:
-        return self._sends < self._admitted.route.max_attempts
+    def can_replace(self) -> bool:
+        """Returns whether a silent upstream may be given up for another one."""
+        return self._is_repeatable and self._may_send_anywhere
 
     @property
-    def _may_return(self) -> bool:
-        """Returns whether the readmitted upstream may get one more send.
+    def _is_repeatable(self) -> bool:
+        return not self._may_crash_upstreams and (
+            self._admitted.route.is_retryable or not self.may_have_run
+        )
 
-        It takes the place of one that an upstream refused. The request has
-        been sent there before, so that it reaches no further upstream.
-        """
-        if self._readmitted is None:
-            return False
-        runs = self._sends - self._refused_sends
-        return runs < self._admitted.route.max_attempts
+    @property
+    def _may_send_anywhere(self) -> bool:
+        return self._sends < self._admitted.route.max_attempts
 
-    def may_use(self, upstream_id: UpstreamId) -> bool:
-        """Returns whether an upstream may get the next send."""
-        if upstream_id in self.excluded:
-            return False
-        return self._may_send_anywhere or upstream_id == self._readmitted
+    def usable(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Returns the candidates that may get the next send."""
+        if self._may_send_anywhere:
+            return candidates
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.known.upstream.upstream_id in self._readmitted
+        ]
 
     def count_send(self) -> None:
         """Counts a send."""
@@ -215,15 +221,14 @@
     def readmit(self, upstream: Upstream) -> None:
         """Lets an upstream that was silent get the request once more."""
         self.excluded.discard(upstream.upstream_id)
-        self._readmitted = upstream.upstream_id
+        self._readmitted.add(upstream.upstream_id)
 
     def record_failed_send(
         self, upstream_id: UpstreamId, failure: SendFailure, **inputs: object
     ) -> None:
         """Logs a failed send and excludes the upstream from further sends."""
         self.excluded.add(upstream_id)
-        if upstream_id == self._readmitted:
-            self._readmitted = None
+        self._readmitted.discard(upstream_id)
         self._node.metrics.count_failed_send(failure.value)
         self._node.log.write(
             Event.SEND_FAILED,
@@ -266,6 +271,7 @@
         """Records that the upstream didn't reply in time."""
         self.has_timed_out = True
         self.record_failure_after_send(upstream, SendFailure.SILENT, **inputs)
+        self.readmit(upstream)
         self._node.checks.check_reachable(upstream)
 
     def record_refusal(self, reply: Reply, **inputs: object) -> None:
@@ -273,8 +279,6 @@
         self._node.record_refusal(reply)
         if reply.metadata.is_misdirected:
             self.uncount_send()
-        else:
-            self._refused_sends += 1
         self.record_failed_send(
             reply.upstream.upstream_id,
             SendFailure.REFUSED,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -106,7 +106,7 @@
         return self._admitted.deadline_s - self._node.clock()
 
     def _event_timeout_s(self) -> float:
-        if not self._source.can_resume:
+        if not self._source.can_replace:
             return self._remaining_s
         return min(
             self._remaining_s,
@@ -115,7 +115,7 @@
 
     def _start_handover(self) -> None:
         """Looks for another engine, or aborts the response at its deadline."""
-        if self._remaining_s <= 0 or not self._source.can_resume:
+        if self._remaining_s <= 0 or not self._source.can_replace:
             self._fail_silent()
         self._handover = Handover(self._source, self._stream, self._last_id)
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -28,8 +28,8 @@
     """Reopens a stream at another engine when its engine is lost."""
 
     @property
-    def can_resume(self) -> bool:
-        """Returns whether the stream may be resumed at another engine."""
+    def can_replace(self) -> bool:
+        """Returns whether another engine may replace a silent one."""
 
     def record_lost_engine(
         self, stream: EngineStream, failure: SendFailure, detail: str
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -87,8 +87,10 @@
         self, silent: AbstractSet[UpstreamId] = frozenset()
     ) -> Upstream | None:
         service = self._admitted.service
-        candidates = self._node.candidates(
-            service.service_id, service, self._attempts.excluded | silent
+        candidates = self._attempts.usable(
+            self._node.candidates(
+                service.service_id, service, self._attempts.excluded | silent
+            )
         )
         known = choose_plain_upstream(
             candidates,
@@ -131,6 +133,7 @@
         self._node.checks.check_silent(upstream)
         return (
             self._admitted.route.is_retryable
+            and self._attempts.can_replace
             and self._choose_upstream({upstream.upstream_id}) is not None
             and self._attempts.try_reserve_retry()
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -93,9 +93,9 @@
         return self._attempts.has_sent
 
     @property
-    def can_resume(self) -> bool:
-        """Returns whether the stream may be resumed at another engine."""
-        return self._admitted.route.is_retryable and self._attempts.can_retry
+    def can_replace(self) -> bool:
+        """Returns whether another engine may replace a silent one."""
+        return self._admitted.route.is_retryable and self._attempts.can_replace
 
     async def resume(
         self, last_id: int | None, handover: Handover | None = None
@@ -109,7 +109,7 @@
         """
         if self._crash_check is not None:
             await self._crash_check
-        if not self.can_resume:
+        if not self._can_resume(handover):
             return None
         self._handover = handover
         if handover is not None:
@@ -121,6 +121,11 @@
             handover.give_up()
         return engine_stream
 
+    def _can_resume(self, handover: Handover | None) -> bool:
+        if handover is not None:
+            return self.can_replace
+        return self._admitted.route.is_retryable and self._attempts.can_retry
+
     def record_lost_engine(
         self, engine_stream: EngineStream, failure: SendFailure, detail: str
     ) -> None:
@@ -298,7 +303,7 @@
         """Checks a silent engine; returns whether another one can go on."""
         self._node.checks.check_silent(upstream)
         return (
-            self.can_resume
+            self.can_replace
             and self._memory_wait.can_place_elsewhere(upstream.upstream_id)
             and self._attempts.try_reserve_retry()
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
@@ -63,11 +63,7 @@
         candidates = self._node.candidates(
             service.service_id, service, self._attempts.excluded
         )
-        return [
-            candidate
-            for candidate in candidates
-            if self._attempts.may_use(candidate.known.upstream.upstream_id)
-        ]
+        return self._attempts.usable(candidates)
 
 
 __all__ = ('StreamPlanner',)
--- a/packages/catkinreach-node/tests/gateway/test_silent_first_events.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_first_events.py
@@ -14,6 +14,7 @@
 from catkinreach_standins.platform.upstream_behaviour import Behaviour
 
 ENGINE_IDS = ('d', 'e')
+PLAIN_IDS = ('a', 'b')
 LAST_EVENT = f'id: {EVENT_COUNT}\n'.encode()
 
 
@@ -47,3 +48,33 @@
             assert LAST_EVENT in body
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('other', [Behaviour.REFUSE, Behaviour.CUT_HEAD])
+def test_silent_upstream_is_given_up_for_one_that_fails(
+    other: Behaviour,
+) -> None:
+    # The same for plain requests: 504 or 502 long before the deadline.
+    async def run() -> None:
+        async with running_deployment() as (deployment, _):
+            upstreams = [deployment.upstreams[name] for name in PLAIN_IDS]
+            for upstream in upstreams:
+                upstream.script.append(Behaviour.PAUSE)
+            fetching = asyncio.ensure_future(
+                deployment.client.call_raw(
+                    deployment.caller_address, deployment.make_request('/read/')
+                )
+            )
+
+            async def is_sent() -> bool:
+                return any(upstream.received for upstream in upstreams)
+
+            await eventually(is_sent, within_s=1.0)
+            for upstream in upstreams:
+                if not upstream.received:
+                    upstream.script.clear()
+                    upstream.script.append(other)
+            status, _ = await fetching
+            assert status == 200
+
+    asyncio.run(run())
