Keep the silent engine's stream when it goes on beside a handover

What callers saw: events of two runs joined. The silent engine went on within the 0.25 s in which both engines had the request; its events were passed on, and then those of the other engine, which had been told of an earlier event.

Cause: only ids that the caller had already were dropped at the change; which run the caller's last event came from wasn't asked. A search starts 0.75 s after the last event, so that a silence of about a second falls into the overlap.

The first event of the silent engine ends the handover; the other send is closed.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -134,7 +134,8 @@
             if not handover.is_done:
                 self._fail_silent()
             return await self._end_search(handover)
-        if not handover.may_run_elsewhere and not handover.has_given_up:
+        if events and not handover.has_given_up:
+            # The other engine was told of an earlier event.
             self._end_handover()
             self._log_kept('it went on')
         return events
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -61,7 +61,6 @@
         """Starts to look for another engine."""
         self._source = source
         self._stream = stream
-        self._is_sending = False
         self._is_cancelled = False
         self._has_given_up = False
         self.detail = 'no other engine'
@@ -78,11 +77,6 @@
         """Returns whether the silent engine's stream was closed."""
         return self._has_given_up
 
-    @property
-    def may_run_elsewhere(self) -> bool:
-        """Returns whether another engine may be running the request."""
-        return self._is_sending or self._opening.done()
-
     @property
     def is_done(self) -> bool:
         """Returns whether another engine goes on, or none can."""
@@ -92,11 +86,9 @@
     def overlap(self) -> Iterator[None]:
         """Limits how long the silent engine runs beside a send."""
         timer = asyncio.get_running_loop().call_later(OVERLAP_S, self.give_up)
-        self._is_sending = True
         try:
             yield
         finally:
-            self._is_sending = False
             timer.cancel()
 
     def give_up(
