Send a request back to a silent upstream when the next one refuses

An upstream that sends nothing before its reply, or before the first event of its stream, is given up once another one has room and the budget allows a send. If that one then refused, the caller got a 504 although the first upstream was healthy: it was excluded, and both sends had used up a max-attempts of two.

The silent upstream is now excluded only until the request has been sent to another one. With max-attempts reached it alone may take the place of the send that was refused, as for streams that have begun; a plain request follows the same bound.

Tests: test_refusal_after_a_silent_start_ends_the_request and test_refusal_after_silence_ends_a_plain_request; both failed before (504), both pass now, as does the rest of test_silent_engines.py.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -126,6 +126,7 @@
         self._admitted = admitted
         self._sends = 0
         self._refused_sends = 0
+        self._silent: Upstream | None = None
         self._readmitted: UpstreamId | None = None
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
@@ -174,8 +175,15 @@
         return self._may_send_anywhere or upstream_id == self._readmitted
 
     def count_send(self) -> None:
-        """Counts a send."""
+        """Counts a send.
+
+        An upstream that was given up for it gets the request once more if the
+        send fails.
+        """
         self._sends += 1
+        if self._silent is not None:
+            self.readmit(self._silent)
+            self._silent = None
 
     def uncount_send(self) -> None:
         """Undoes the count of a send that missed the intended upstream."""
@@ -266,6 +274,7 @@
         """Records that the upstream didn't reply in time."""
         self.has_timed_out = True
         self.record_failure_after_send(upstream, SendFailure.SILENT, **inputs)
+        self._silent = upstream
         self._node.checks.check_reachable(upstream)
 
     def record_refusal(self, reply: Reply, **inputs: object) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -91,7 +91,11 @@
             service.service_id, service, self._attempts.excluded | silent
         )
         known = choose_plain_upstream(
-            candidates,
+            [
+                candidate
+                for candidate in candidates
+                if self._attempts.may_use(candidate.known.upstream.upstream_id)
+            ],
             self._node.settings.domain_id,
             lambda: self._node.rng.random() * LOAD_JITTER,
         )
--- a/packages/catkinreach-node/tests/gateway/test_silent_engines.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_engines.py
@@ -140,16 +140,27 @@
     ]
 
 
+def _plain_upstreams(deployment: Deployment) -> list[UpstreamStandin]:
+    return [
+        upstream
+        for upstream in deployment.upstreams.values()
+        if upstream.service == PLAIN_SERVICE
+    ]
+
+
 def _set_pause(deployment: Deployment, pause_s: float) -> None:
     for upstream in deployment.upstreams.values():
         upstream.pause_s = pause_s
 
 
 async def _script_in_turn(
-    deployment: Deployment, first: Behaviour, other: Behaviour | RawReply
+    deployment: Deployment,
+    first: Behaviour,
+    other: Behaviour | RawReply,
+    find: Callable[[Deployment], list[UpstreamStandin]] = _decode_engines,
 ) -> tuple[UpstreamStandin, UpstreamStandin]:
-    """Scripts the decode engine that is used first, and then the other one."""
-    engines = _decode_engines(deployment)
+    """Scripts the engine that is used first, and then the other one."""
+    engines = find(deployment)
     for engine in engines:
         engine.script.append(first)
 
@@ -219,11 +230,7 @@
     make_deployment: Callable[[], Deployment],
 ) -> None:
     async def scenario(deployment: Deployment) -> None:
-        plain_upstreams = [
-            upstream
-            for upstream in deployment.upstreams.values()
-            if upstream.service == PLAIN_SERVICE
-        ]
+        plain_upstreams = _plain_upstreams(deployment)
         for upstream in plain_upstreams:
             upstream.script.append(Behaviour.PAUSE)
         request = deployment.make_request('/read/')
@@ -412,3 +419,33 @@
         await eventually(is_released, within_s=1.0)
 
     _run(scenario, _DeploymentWithLatePrefill)
+
+
+def test_refusal_after_a_silent_start_ends_the_request() -> None:
+    # The silent engine was given up for one that refused, and was excluded.
+    async def scenario(deployment: Deployment) -> None:
+        _set_pause(deployment, LONG_PAUSE_S)
+        request = _stream_request(deployment)
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        first, other = await _script_in_turn(
+            deployment, Behaviour.PAUSE_FIRST, Behaviour.REFUSE
+        )
+        assert await fetching == (200, WHOLE)
+        assert (len(first.received), len(other.received)) == (2, 1)
+
+    _run(scenario)
+
+
+def test_refusal_after_silence_ends_a_plain_request() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        _set_pause(deployment, LONG_PAUSE_S)
+        request = deployment.make_request('/read/')
+        fetching = asyncio.ensure_future(_fetch(deployment, request))
+        first, other = await _script_in_turn(
+            deployment, Behaviour.PAUSE, Behaviour.REFUSE, _plain_upstreams
+        )
+        status, _ = await fetching
+        assert status == 200
+        assert (len(first.received), len(other.received)) == (2, 1)
+
+    _run(scenario)
