Take an address that can't exist for an unreachable upstream

The entry of an upstream in the store may come from another writer. With a port beyond 65535, or a host that can't be encoded, asyncio raises OverflowError or ValueError, not an error of the operating system. Requests that chose the upstream were answered with 500, and it was chosen again and again, since it looked idle and was never marked down.

Such an address now counts as one that can't be connected to: the upstream is marked down, and the request goes to another one.

--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -71,14 +71,16 @@
         """Opens a connection.
 
         Raises:
-            ConnectError: if the connection is refused or times out.
+            ConnectError: if the connection is refused or times out, or there
+                can't be such an address.
         """
         try:
             async with asyncio.timeout(timeout_s):
                 reader, writer = await asyncio.open_connection(
                     address.host, address.port, limit=READ_AHEAD_BYTES
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The latter two are raised for hosts and ports that can't be.
             raise ConnectError(f'cannot connect to {address}') from error
         return cls(reader, writer)
 
