Test the bound of sends that go back to a silent upstream

Guards the rule that max-attempts bounds the upstreams that may have run a request: only the silent upstream takes the place of a refused send, once, and none takes the place of a send that may have run.

--- /dev/null
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -0,0 +1,67 @@
+"""Which upstreams may get a request once more, and how often."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, cast
+
+import pytest
+
+from catkinreach_core.ids import RequestId, UpstreamId
+from catkinreach_node.gateway.admitted_request import Attempts, SendFailure
+from catkinreach_standins.fakes.gateway import make_upstream
+from catkinreach_standins.platform.deployment import idle_node
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_node.gateway.admitted_request import AdmittedRequest
+    from catkinreach_node.gateway.exchange import Reply
+
+MAX_ATTEMPTS = 2
+SILENT, OTHER = (make_upstream(name) for name in ('silent', 'other'))
+THIRD = UpstreamId('third')
+
+
+def _make_attempts() -> Attempts:
+    """Returns the sends of a request that went to a silent upstream."""
+    admitted = SimpleNamespace(
+        route=SimpleNamespace(is_retryable=True, max_attempts=MAX_ATTEMPTS),
+        metadata=SimpleNamespace(request_id=RequestId('one')),
+    )
+    attempts = Attempts(idle_node(), cast('AdmittedRequest', admitted))
+    attempts.count_send()
+    attempts.record_failure_after_send(SILENT, SendFailure.SILENT)
+    attempts.readmit(SILENT)
+    attempts.count_send()
+    return attempts
+
+
+def _refuse(attempts: Attempts, upstream: Upstream) -> None:
+    metadata = SimpleNamespace(
+        is_misdirected=False, is_from_other_upstream=lambda _: False
+    )
+    reply = SimpleNamespace(upstream=upstream, metadata=metadata, status=503)
+    attempts.record_refusal(cast('Reply', reply))
+
+
+def test_only_silent_upstream_replaces_a_refused_send() -> None:
+    attempts = _make_attempts()
+    _refuse(attempts, OTHER)
+    assert attempts.can_retry
+    assert attempts.may_use(SILENT.upstream_id)
+    assert not attempts.may_use(THIRD)
+
+
+@pytest.mark.parametrize('failure', [SendFailure.BROKEN, SendFailure.SILENT])
+def test_send_that_may_have_run_is_not_replaced(failure: SendFailure) -> None:
+    attempts = _make_attempts()
+    attempts.record_failure_after_send(OTHER, failure)
+    assert not attempts.can_retry
+
+
+def test_silent_upstream_gets_one_more_send() -> None:
+    attempts = _make_attempts()
+    _refuse(attempts, OTHER)
+    attempts.count_send()
+    _refuse(attempts, SILENT)
+    assert not attempts.can_retry
