--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -126,6 +126,7 @@
         self._node = node
         self._admitted = admitted
         self._sends = 0
+        self._silent: Upstream | None = None
         self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
@@ -180,8 +181,15 @@
         ]
 
     def count_send(self) -> None:
-        """Counts a send."""
+        """Counts a send.
+
+        An upstream that was given up for it gets the request once more if the
+        send fails.
+        """
         self._sends += 1
+        if self._silent is not None:
+            self.readmit(self._silent)
+            self._silent = None
 
     def uncount_send(self) -> None:
         """Undoes the count of a send that missed the intended upstream."""
@@ -271,7 +279,7 @@
         """Records that the upstream didn't reply in time."""
         self.has_timed_out = True
         self.record_failure_after_send(upstream, SendFailure.SILENT, **inputs)
-        self.readmit(upstream)
+        self._silent = upstream
         self._node.checks.check_reachable(upstream)
 
     def record_refusal(self, reply: Reply, **inputs: object) -> None:
--- /dev/null
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -0,0 +1,86 @@
+"""Which upstreams may get a request once more, and how often."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, cast
+
+import pytest
+
+from catkinreach_core.ids import RequestId
+from catkinreach_node.gateway.admitted_request import Attempts, SendFailure
+from catkinreach_standins.fakes.gateway import make_upstream
+from catkinreach_standins.platform.deployment import idle_node
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.placement import Candidate
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import UpstreamId
+    from catkinreach_node.gateway.admitted_request import AdmittedRequest
+    from catkinreach_node.gateway.exchange import Reply
+
+MAX_ATTEMPTS = 2
+SILENT, OTHER, THIRD = map(make_upstream, ('silent', 'other', 'third'))
+
+
+def _make_attempts() -> Attempts:
+    """Returns the sends of a request that went to a silent upstream."""
+    admitted = SimpleNamespace(
+        route=SimpleNamespace(is_retryable=True, max_attempts=MAX_ATTEMPTS),
+        metadata=SimpleNamespace(request_id=RequestId('one')),
+    )
+    attempts = Attempts(idle_node(), cast('AdmittedRequest', admitted))
+    attempts.count_send()
+    attempts.record_failure_after_send(SILENT, SendFailure.SILENT)
+    attempts.readmit(SILENT)
+    attempts.count_send()
+    return attempts
+
+
+def _refuse(attempts: Attempts, upstream: Upstream) -> None:
+    metadata = SimpleNamespace(
+        is_misdirected=False, is_from_other_upstream=lambda _: False
+    )
+    reply = SimpleNamespace(upstream=upstream, metadata=metadata, status=503)
+    attempts.record_refusal(cast('Reply', reply))
+
+
+def _usable(attempts: Attempts) -> list[UpstreamId]:
+    candidates = [
+        SimpleNamespace(known=SimpleNamespace(upstream=upstream))
+        for upstream in (SILENT, OTHER, THIRD)
+    ]
+    found = attempts.usable(cast('list[Candidate]', candidates))
+    return [one.known.upstream.upstream_id for one in found]
+
+
+def test_only_silent_upstream_replaces_a_refused_send() -> None:
+    attempts = _make_attempts()
+    _refuse(attempts, OTHER)
+    assert attempts.can_retry
+    assert _usable(attempts) == [SILENT.upstream_id]
+
+
+@pytest.mark.parametrize('failure', [SendFailure.BROKEN, SendFailure.FAILED])
+def test_lost_send_reaches_no_further_upstream(failure: SendFailure) -> None:
+    attempts = _make_attempts()
+    attempts.record_failure_after_send(OTHER, failure)
+    assert _usable(attempts) == [SILENT.upstream_id]
+    attempts.count_send()
+    attempts.record_failure_after_send(SILENT, failure)
+    assert not attempts.can_retry
+    assert not _usable(attempts)
+
+
+def test_silent_upstreams_take_turns() -> None:
+    # Each would be given up for the other one, and get the request anew.
+    attempts = _make_attempts()
+    assert not attempts.can_replace
+
+
+def test_silent_upstream_gets_one_more_send() -> None:
+    attempts = _make_attempts()
+    _refuse(attempts, OTHER)
+    attempts.count_send()
+    _refuse(attempts, SILENT)
+    assert not attempts.can_retry
