Show that a paused front names a crash anew; keep three seeds

Trace of 407: engine d crashed at 447.60; front 2 was paused until 450.09, saw its two streams end then, found d unreachable and recorded a crash. crash_id names it by the upstream and the 2 s in which the node looks, so that it got a name that no other part has: had three crashes, one of them unexplained, and was refused.

Trace of 410: the link to e was cut at 511.30 for 0.36 s; soak-86 had run there and its parts got a crash that the crashing part doesn't have. Two real crashes beside the crashing part made three.

--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -27,6 +27,14 @@
 }
 """Seeds that once violated an invariant, with the cause."""
 
+CRASHING_DURATION_S = 12.0
+CRASHING_REGRESSION_SEEDS: dict[int, str] = {
+    404: 'refused: a silent engine was closed before another one had begun',
+    407: 'wrong refusals: a paused front named a crash anew',
+    410: 'wrong refusals: a cut link counted as a crash',
+}
+"""The same with crashing requests."""
+
 COUNT_OF_SEED_64 = 42
 START_OF_SEED_64 = [
     (FaultKind.STORE_RESETS, 'one', 0.291),
@@ -62,6 +70,19 @@
     assert result.crash_count
 
 
+@pytest.mark.parametrize('seed', CRASHING_REGRESSION_SEEDS)
+def test_invariants_hold_with_crashing_requests(
+    seed: int, tmp_path: Path
+) -> None:
+    options = SoakOptions(
+        seed=seed,
+        duration_s=CRASHING_DURATION_S,
+        front_count=3,
+        folder=tmp_path,
+    )
+    assert not asyncio.run(run_soak(options)).violations
+
+
 def test_plan_is_deterministic_and_covers_every_fault() -> None:
     targets = dict.fromkeys(TargetKind, ('one', 'two'))
     assert make_plan(7, 30.0, targets) == make_plan(7, 30.0, targets)
