--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -176,9 +176,19 @@
             faults are the same with and without them.
     """
     faults = [
-        *_draw_faults(random.Random(seed), duration_s, targets),
-        *_draw_later_faults(
-            random.Random(f'{seed}/later'), duration_s, targets
+        *_draw_faults(
+            random.Random(seed),
+            duration_s,
+            targets,
+            RANDOM_KINDS,
+            MEAN_INTERVAL_S,
+        ),
+        *_draw_faults(
+            random.Random(f'{seed}/later'),
+            duration_s,
+            targets,
+            LATER_KINDS,
+            MEAN_LATER_INTERVAL_S,
         ),
     ]
     if has_crashing_requests:
@@ -192,40 +202,27 @@
     rng: random.Random,
     duration_s: float,
     targets: Mapping[TargetKind, Sequence[str]],
+    kinds: Sequence[FaultKind],
+    mean_interval_s: float,
 ) -> Iterator[Fault]:
     at_s = 0.0
-    while (at_s := at_s + rng.expovariate(1 / MEAN_INTERVAL_S)) < duration_s:
-        kind = rng.choice(RANDOM_KINDS)
+    while (at_s := at_s + rng.expovariate(1 / mean_interval_s)) < duration_s:
+        kind = rng.choice(kinds)
         target = rng.choice(targets.get(kind.target_kind) or ('',))
         is_series = rng.random() < SERIES_PROBABILITY
         count = rng.randint(2, MAX_FAULTS_IN_SERIES) if is_series else 1
+        max_duration_s = (
+            MAX_DRAIN_DELAY_S if kind in DRAINING_KINDS else MAX_DURATION_S
+        )
         start_s = at_s
         for _ in range(count):
             fault_duration_s = (
-                rng.uniform(MIN_DURATION_S, MAX_DURATION_S) / count
+                rng.uniform(MIN_DURATION_S, max_duration_s) / count
             )
             yield Fault(kind, target, start_s, fault_duration_s)
             start_s += fault_duration_s + rng.uniform(0, MAX_SERIES_INTERVAL_S)
 
 
-def _draw_later_faults(
-    rng: random.Random,
-    duration_s: float,
-    targets: Mapping[TargetKind, Sequence[str]],
-) -> Iterator[Fault]:
-    at_s = 0.0
-    while (
-        at_s := at_s + rng.expovariate(1 / MEAN_LATER_INTERVAL_S)
-    ) < duration_s:
-        kind = rng.choice(LATER_KINDS)
-        target = rng.choice(targets.get(kind.target_kind) or ('',))
-        is_draining = kind in DRAINING_KINDS
-        max_duration_s = MAX_DRAIN_DELAY_S if is_draining else MAX_DURATION_S
-        yield Fault(
-            kind, target, at_s, rng.uniform(MIN_DURATION_S, max_duration_s)
-        )
-
-
 def _draw_crashing(rng: random.Random, duration_s: float) -> Fault:
     start_s = duration_s * rng.uniform(MIN_CRASHING_START, MAX_CRASHING_START)
     fault_duration_s = rng.uniform(
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
 import pytest
@@ -115,3 +116,24 @@
     ]
     assert len(faults) == COUNT_OF_SEED_64
     assert faults[:3] == START_OF_SEED_64
+
+
+def test_later_kinds_come_in_series_and_overlap() -> None:
+    targets = dict.fromkeys(TargetKind, ('one', 'two', 'three'))
+    faults = [
+        fault
+        for seed in range(20)
+        for fault in make_plan(seed, 30.0, targets)
+        if fault.kind in LATER_KINDS
+    ]
+    pairs = list(pairwise(faults))
+    for kind in LATER_KINDS:
+        assert any(
+            first.kind is second.kind is kind and first.target == second.target
+            for first, second in pairs
+        )
+    assert any(
+        first.kind is not second.kind
+        and first.at_s < second.at_s < first.at_s + first.duration_s
+        for first, second in pairs
+    )
