--- a/packages/catkinreach-node/tests/gateway/test_crash_names.py
+++ b/packages/catkinreach-node/tests/gateway/test_crash_names.py
@@ -10,19 +10,22 @@
 
 CRASHING = SuspectKey('crashing')
 SOUND = SuspectKey('sound')
-CRASHES_S = (101.0, 105.0, 109.0)
+EARLIER_CRASHES_S = (101.0, 105.0)
 REFUSAL_S = 112.0
 
 
-@pytest.mark.parametrize('late_s', [0.0, 1.2, 2.5])
-def test_node_that_was_paused_names_a_crash_anew(late_s: float) -> None:
-    # Soak seeds 407 and 471: sound parts of prompts were refused.
+@pytest.mark.parametrize(
+    ('seen_s', 'also_seen_s'),
+    [(109.0, 109.0), (109.995, 110.005), (109.0, 110.2), (109.0, 111.5)],
+)
+def test_crash_that_is_seen_twice_gets_two_names(
+    seen_s: float, also_seen_s: float
+) -> None:
+    # Soak seeds 407, 458 and 471: sound parts of prompts were refused.
     upstream = make_upstream('d')
     suspects = CrashSuspects()
-    for crash_s in CRASHES_S:
-        suspects.record_crash([CRASHING], crash_id(upstream, crash_s), crash_s)
-    *others_s, last_s = CRASHES_S
-    for crash_s in (*others_s, last_s + late_s):
-        suspects.record_crash([SOUND], crash_id(upstream, crash_s), crash_s)
+    for key, last_s in ((CRASHING, seen_s), (SOUND, also_seen_s)):
+        for crash_s in (*EARLIER_CRASHES_S, last_s):
+            suspects.record_crash([key], crash_id(upstream, crash_s), crash_s)
     assert not suspects.is_quarantined([SOUND], REFUSAL_S)
     assert suspects.is_quarantined([SOUND, CRASHING], REFUSAL_S)
