Keep soak seed 458; list seed 64 as known red

Trace: placed at e, silent for 0.39 s, closed; d refused with 503 after 3 ms; 504. It is the fault of test_silent_first_events.py, which shows it each time; in the soak it depends on the callers' times. The test isn't touched.

--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -23,7 +23,8 @@
 SHORT_SEEDS = (101, 103)
 CRASHING_SEED = 301
 REGRESSION_SEEDS: dict[int, str] = {
-    64: 'no response: deadline of a request after SIGTERM past the grace',
+    64: 'no response: deadline of a request after SIGTERM past the grace;'
+    ' later a refusal, see 404',
     102: 'the same, of a request placed 1.41 s after SIGTERM',
 }
 """Seeds that once violated an invariant, with the cause."""
@@ -33,6 +34,7 @@
     404: 'refused: a silent engine was closed before another one had begun',
     407: 'wrong refusals: a paused front named a crash anew',
     410: 'wrong refusals: a cut link counted as a crash',
+    458: 'wrong refusals: a crash had two names at a step of 2 s',
 }
 """The same with crashing requests."""
 
