Take a paused node's late sighting for the crash that others saw

Cause: sightings of one crash were told apart from 1.5 s on. Now they are the same within 3 s, about the time that an engine needs to start and crash again; if it is faster, two crashes count as one and the refusal comes one crash later.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_log.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_log.py
@@ -9,9 +9,9 @@
 if TYPE_CHECKING:
     from .crash_reports import CrashSource
 
-SAME_CRASH_S = 1.5
-"""Time within which sightings of one source are of the same crash; what crashed
-needs longer to start again."""
+SAME_CRASH_S = 3.0
+"""Time within which sightings of one source are of the same crash. A node that
+was paused sees it late; what crashed needs about as long to start again."""
 
 MAX_CRASHES = 1_000
 
