Try one of the parts that were in the same crashes, not all of them

Cause: a part was excused if another one was in all of its crashes. Under such load all parts run at each crash, so that each excused the others, the crashing one too, and nothing ran long enough to clear the others.

A part is now excused freely only by one with more crashes. Parts with the same crashes are tried: a node lets one request at a time run, for all keys together, and nodes begin 1 s apart. If it runs, its parts are cleared; if it crashes an engine while the others wait, its parts have a crash more, and the others are excused. The trial ends with either.

That a harmless part may run beside a crashing one stays tested (test_harmless_part_may_run_without_the_crashing_one).

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -9,14 +9,15 @@
 disconnects while requests start on it, and is unreachable afterwards, is one
 crash of each of their keys. A request that runs clears its keys of earlier
 crashes. A request is refused if one of its keys has too many crashes, unless
-another key, which the request doesn't have, was part of the same crashes: then
-one of the two is innocent, and only requests that have just one of them can
-show which.
-
-A refusal doesn't end for all requests at once: one request of one node is
-tried, and if it runs, its keys are cleared. Nodes exchange the crashes
-themselves, not counts of them. A crash that several nodes saw counts once, and
-what a node knew survives its end.
+another key, which the request doesn't have, was part of all of them and more.
+
+If several keys have the same crashes, or nearly, one of them is the cause, and
+only requests that have just one can show which: one request of one node at a
+time is tried. If it runs, its keys are cleared; if not, they have a crash more
+than the others. A refusal ends with such a trial, too, not for all requests.
+
+Nodes exchange the crashes themselves, not counts of them. A crash that several
+nodes saw counts once, and what a node knew survives its end.
 """
 
 from __future__ import annotations
@@ -34,6 +35,7 @@
     SuspectReport,
 )
 from .suspect import CRASHES_TO_REFUSE, MIN_REFUSAL_S, Suspect
+from .trial import Trial
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Iterator
@@ -78,6 +80,7 @@
         self._rank_of = rank_of
         self._log = CrashLog()
         self._suspects: OrderedDict[SuspectKey, Suspect] = OrderedDict()
+        self._trial = Trial()
         self._has_news = False
         self._next_other = 0
 
@@ -86,6 +89,7 @@
     ) -> int:
         """Records a crash; returns the most crashes that one key has."""
         crash = self._log.identify(source, now_s)
+        self._trial.end(keys)
         for key in keys:
             self._has_news |= self._touch(key).add((crash,), now_s)
         self._drop_oldest()
@@ -95,6 +99,8 @@
         self, keys: Iterable[SuspectKey], ran_at_s: float, now_s: float
     ) -> None:
         """Clears the keys of a request that began to run at a time."""
+        keys = tuple(keys)
+        self._trial.end(keys)
         for key in keys:
             suspect = self._suspects.get(key)
             if suspect is not None and suspect.clear(ran_at_s, now_s):
@@ -167,24 +173,30 @@
         if suspect is None or not suspect.has_too_many:
             return False
         unexplained = self._unexplained(suspect, keys)
-        if not unexplained:
+        if unexplained is None:
             return False
         delay_s = self._rank_of(key) * RANK_DELAY_S
         if now_s < suspect.refusal_end_s(unexplained) + delay_s:
             return True
-        return not suspect.try_begin_trial(next(iter(keys)), now_s)
+        return not self._trial.try_begin(next(iter(keys)), now_s)
 
     def _unexplained(
         self, suspect: Suspect, keys: Collection[SuspectKey]
-    ) -> set[Crash]:
-        """Returns the crashes that the likeliest other key doesn't explain."""
-        crashes = set(suspect.crashes)
-        rest = (
-            crashes - other.crashes.keys()
-            for key, other in self._suspects.items()
-            if key not in keys and other.has_too_many
-        )
-        return min(rest, key=len, default=crashes)
+    ) -> set[Crash] | None:
+        """Returns the crashes that the likeliest other key doesn't explain.
+
+        ``None`` if another key has all of them and more. If both have the same
+        ones, each may be the cause, so that one is tried.
+        """
+        crashes = suspect.crashes.keys()
+        rest = set(crashes)
+        for key, other in self._suspects.items():
+            if key in keys or not other.has_too_many:
+                continue
+            if crashes < other.crashes.keys():
+                return None
+            rest = min(rest, crashes - other.crashes.keys(), key=len)
+        return rest
 
     def _choose_keys(self, now_s: float) -> Iterator[SuspectKey]:
         """Yields the keys of a report: news, repeated ones, some others."""
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
@@ -11,7 +11,6 @@
     from collections.abc import Collection, Iterable
 
     from .crash_log import Crash
-    from .crash_reports import SuspectKey
 
 CRASHES_TO_REFUSE = 3
 
@@ -30,10 +29,6 @@
 """Time after its last crash for which a key is refused if another key explains
 all but so many of its crashes."""
 
-TRIAL_S = 4.0
-"""Time for which a request that is tried keeps other ones out. It is long
-enough for its upstream to crash, and for all nodes to hear of that."""
-
 MAX_CRASHES = 16
 """Maximum number of crashes of one key that are remembered, the newest."""
 
@@ -53,8 +48,6 @@
     crashes: dict[Crash, None] = field(default_factory=dict)
     ran_at_s: float = -math.inf
     changed_s: float = 0.0
-    _trial_owner: SuspectKey | None = None
-    _trial_until_s: float = -math.inf
 
     @property
     def last_crash_s(self) -> float:
@@ -101,19 +94,14 @@
         Args:
             unexplained: Crashes that no other key explains.
         """
+        if not unexplained:
+            return self.last_crash_s
         if len(unexplained) <= MAX_UNEXPLAINED:
             return self.last_crash_s + EXCUSED_REFUSAL_S
         doublings = min(self._count_rounds() - 1, 16)
         refusal_s = MIN_REFUSAL_S * float(1 << doublings)
         return self.last_crash_s + min(MAX_REFUSAL_S, refusal_s)
 
-    def try_begin_trial(self, owner: SuspectKey, now_s: float) -> bool:
-        """Returns whether a request is the one that is tried now."""
-        if now_s >= self._trial_until_s:
-            self._trial_owner = owner
-            self._trial_until_s = now_s + TRIAL_S
-        return owner == self._trial_owner
-
     def _count_rounds(self) -> int:
         times_s = sorted(crash.at_s for crash in self.crashes)
         return 1 + sum(
@@ -127,6 +115,5 @@
     'EXCUSED_REFUSAL_S',
     'MIN_REFUSAL_S',
     'ROUND_S',
-    'TRIAL_S',
     'Suspect',
 )
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/trial.py
@@ -0,0 +1,39 @@
+"""The one request of a node that is tried while others like it are refused."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+
+    from .crash_reports import SuspectKey
+
+TRIAL_S = 4.0
+"""Time for which a request that is tried keeps other ones out. It is long
+enough for its upstream to crash, and for all nodes to hear of that."""
+
+
+class Trial:
+    """Lets one request at a time run."""
+
+    def __init__(self) -> None:
+        """Starts without a request."""
+        self._owner: SuspectKey | None = None
+        self._until_s = -math.inf
+
+    def try_begin(self, owner: SuspectKey, now_s: float) -> bool:
+        """Returns whether a request is the one that is tried now."""
+        if now_s >= self._until_s:
+            self._owner = owner
+            self._until_s = now_s + TRIAL_S
+        return owner == self._owner
+
+    def end(self, keys: Container[SuspectKey]) -> None:
+        """Ends the trial if the request with these keys was tried."""
+        if self._owner in keys:
+            self._until_s = -math.inf
+
+
+__all__ = ('TRIAL_S', 'Trial')
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -15,7 +15,8 @@
     CrashSuspects,
     SuspectKey,
 )
-from catkinreach_core.gateway.suspect import EXCUSED_REFUSAL_S, TRIAL_S
+from catkinreach_core.gateway.suspect import EXCUSED_REFUSAL_S
+from catkinreach_core.gateway.trial import TRIAL_S
 
 NOW_S = 5.0
 REQUEST = SuspectKey('request')
