Lose the end of a connection after lost bytes in the fault proxy

Cause, in the stand-ins: engine e was scripted to send streams without a length (closed-end may be drawn), and its link began to lose bytes towards the nodes (plan: lose-down on e at 11.26 s). The front wrote 'answered' with last_event 3 after 0.31 s, which is the time that the engine's six events take. The link dropped the last three and then passed the engine's end on in an orderly way. TCP can't do that: no end arrives before the bytes ahead of it. For a reply that ends with its connection nothing tells the front that bytes are missing.

The pump now loses the end too, once bytes were lost or while they are; the connection stays open until it is reset, as the link does when it is healed.

Evidence: the new test fails without the change in both cases (an orderly end arrives during the loss) and passes 3 of 3 times with it; the tests of the stand-ins pass (126).

--- a/packages/catkinreach-standins/src/catkinreach_standins/faultproxy/pump.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/faultproxy/pump.py
@@ -39,7 +39,7 @@
     """Forwards the bytes of a direction and applies the current faults.
 
     Attributes:
-        has_lost_bytes: Whether bytes were dropped.
+        has_lost_bytes: Whether bytes, or the end after them, were dropped.
     """
 
     def __init__(
@@ -74,6 +74,9 @@
     async def run(self) -> None:
         """Forwards until the reader ends, then half-closes the writer.
 
+        After lost bytes the end is lost as well, as with TCP; the connection
+        then stays open until it is reset.
+
         Raises:
             ConnectionResetError: if the reader ended by a reset.
         """
@@ -114,7 +117,7 @@
             if chunk.is_reset:
                 raise ConnectionResetError('reset by the source')
             if not chunk.content:
-                self.half_close()
+                await self._forward_end()
                 return
             await self._forward(chunk.content)
 
@@ -122,6 +125,15 @@
         while self._faults().stall:  # noqa: ASYNC110 - faults have no event
             await asyncio.sleep(FAULT_POLL_INTERVAL_S)
 
+    async def _forward_end(self) -> None:
+        if self._faults().vanish:
+            self.has_lost_bytes = True
+        if not self.has_lost_bytes:
+            self.half_close()
+            return
+        while not self._writer.is_closing():  # noqa: ASYNC110 - as above
+            await asyncio.sleep(FAULT_POLL_INTERVAL_S)
+
     async def _forward(self, content: bytes) -> None:
         faults = self._faults()
         if faults.vanish:
--- a/packages/catkinreach-standins/tests/test_faultproxy.py
+++ b/packages/catkinreach-standins/tests/test_faultproxy.py
@@ -256,6 +256,28 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('sent', [b'lost', b''])
+def test_end_after_lost_bytes_does_not_arrive_as_an_orderly_end(
+    sent: bytes,
+) -> None:
+    # A body without length looked complete though its last bytes were lost.
+    async def scenario() -> None:
+        async with running_testbed() as testbed:
+            reader, writer = await testbed.connect()
+            writer.write(b'a')
+            await _read_exactly(reader, 1)
+            lossy = LinkFaults(down=DirectionFaults(vanish=True))
+            await testbed.set_faults(lossy)
+            writer.write(sent)
+            writer.write_eof()
+            assert await _is_silent(reader)
+            await testbed.heal()
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(reader.read(), REPLY_TIMEOUT_S)
+
+    asyncio.run(scenario())
+
+
 def test_source_of_a_peer_comes_from_its_first_frame() -> None:
     def encode_hello(vm: str) -> bytes:
         message = Hello(vm_id=VmId(vm), incarnation=Incarnation('i'))
