Use a kept connection again only if nothing has arrived on it

What callers saw: the node took a response that an upstream had written on an idle connection for the reply to its next request there: a wrong answer of a plain service, another request's export, or a poll that says what isn't so.

Cause: ClientConnection.is_reusable looks at the bytes that h11 holds. Bytes that arrive while the connection is idle lie in the buffer of the stream or of the socket, and nobody reads them before the next request is sent.

The client now reads once from an idle connection before it uses it, without waiting: anything that has arrived, or a close, closes it.

--- a/packages/catkinreach-node/src/catkinreach_node/http/client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -168,9 +168,8 @@
         idle = self._idle[address]
         while idle and not is_new_connection:
             connection = idle.pop()
-            if connection.is_reusable:
+            if await _can_be_reused(connection):
                 return connection
-            connection.close()
         return await ClientConnection.open(address)
 
     def _release(
@@ -191,4 +190,17 @@
             connection.close()
 
 
+async def _can_be_reused(connection: ClientConnection) -> bool:
+    """Returns whether another request may be sent; closes it otherwise."""
+    is_reusable = False
+    try:
+        is_reusable = (
+            connection.is_reusable and not await connection.has_input_or_close()
+        )
+    finally:
+        if not is_reusable:
+            connection.close()
+    return is_reusable
+
+
 __all__ = ('ClientResponse', 'HttpClient')
--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -138,6 +138,19 @@
         with suppress(OSError):
             await self._reader.read(READ_SIZE_BYTES)
 
+    async def has_input_or_close(self) -> bool:
+        """Returns whether an idle connection was closed or has received data.
+
+        The data belongs to no request that is still waiting.
+        """
+        wait = asyncio.ensure_future(self.wait_for_input_or_close())
+        try:
+            await asyncio.wait({wait}, timeout=0)
+        finally:
+            wait.cancel()
+        await asyncio.wait({wait})
+        return not wait.cancelled()
+
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Returns the next event of the response."""
         while True:
