Give each request to an engine or plain upstream its own connection

What callers saw: an answer to another request (of any workspace), or the refusal of an earlier one, when a faulty upstream wrote an earlier response once more on a kept connection before the reply. With engines an export, an import or a whole stream of another request was taken, or an attempt failed for nothing.

Cause: responses of this protocol name no request, so on a kept connection an earlier response can't be told from the reply. Orders already had connections of their own.

A new connection has no earlier request whose response could be repeated, so the fix holds for whatever the upstream writes on the old ones. Polls keep their connections: the next one corrects a wrong one.

--- a/packages/catkinreach-node/src/catkinreach_node/http/client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -102,9 +102,12 @@
         Args:
             address: Address of the upstream.
             request: The whole request.
-            is_new_connection: Whether to open a new connection. A request on
-                an idle connection also fails if the upstream is just closing
-                the connection, which looks like a lost request.
+            is_new_connection: Whether to use a new connection, for this
+                request only. A response names no request, so on a kept
+                connection a faulty upstream's earlier response can't be told
+                from the reply. A request on an idle connection also fails if
+                the upstream is just closing the connection, which looks like
+                a lost request.
 
         Raises:
             ConnectError: if nothing was sent.
@@ -113,7 +116,7 @@
         connection = await self._connect(
             address, is_new_connection=is_new_connection
         )
-        is_complete = False
+        may_keep = False
         try:
             try:
                 await connection.send(request, str(address))
@@ -125,9 +128,9 @@
             if not isinstance(head, h11.Response):
                 raise ExchangeError(f'no valid response from {address}')
             yield ClientResponse(connection, head)
-            is_complete = True
+            may_keep = not is_new_connection
         finally:
-            self._release(address, connection, is_complete=is_complete)
+            self._release(address, connection, may_keep=may_keep)
 
     async def call_json(
         self,
@@ -177,9 +180,9 @@
         address: Address,
         connection: ClientConnection,
         *,
-        is_complete: bool,
+        may_keep: bool,
     ) -> None:
-        if is_complete:
+        if may_keep:
             connection.finish()
         else:
             connection.close()
--- a/packages/catkinreach-node/src/catkinreach_node/orders/runner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/orders/runner.py
@@ -65,9 +65,7 @@
             if not is_owner():
                 raise CatkinreachError(ErrorKind.NO_OWNER)
             try:
-                return await self._forwarder.forward(
-                    session, upstream, is_new_connection=True
-                )
+                return await self._forwarder.forward(session, upstream)
             except CatkinreachError as error:
                 if error.outcome is not Outcome.NOT_RUN:
                     raise
--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -52,7 +52,11 @@
 
 
 class EngineClient:
-    """Calls engines on behalf of one incarnation of a node."""
+    """Calls engines on behalf of one incarnation of a node.
+
+    Each call has a connection of its own: an engine's response doesn't name the
+    call, and another request's export or stream must not reach the caller.
+    """
 
     def __init__(self, client: HttpClient, holder: Holder) -> None:
         """Sends calls through ``client``; ``holder`` identifies this node."""
@@ -168,7 +172,7 @@
         )
         try:
             async with self._client.exchange(
-                upstream_address(upstream), request
+                upstream_address(upstream), request, is_new_connection=True
             ) as response:
                 if response.status != _HTTP_OK:
                     raise EngineError(
@@ -203,7 +207,7 @@
             async with (
                 asyncio.timeout(timeout_s),
                 self._client.exchange(
-                    upstream_address(upstream), request
+                    upstream_address(upstream), request, is_new_connection=True
                 ) as response,
             ):
                 body = await response.read()
--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -96,14 +96,13 @@
         return chosen
 
     async def forward(
-        self,
-        session: SessionContext,
-        upstream: Upstream,
-        *,
-        is_new_connection: bool,
+        self, session: SessionContext, upstream: Upstream
     ) -> HttpResponse:
         """Sends the request to an upstream once and returns its response.
 
+        It has a connection of its own, since responses don't name their
+        request.
+
         Raises:
             CatkinreachError: ``NO_UPSTREAM`` if nothing was sent,
                 ``UPSTREAM_FAILED`` if the upstream may have received
@@ -119,24 +118,17 @@
                     body=session.request.body,
                 ),
                 upstream,
-                is_new_connection=is_new_connection,
             )
 
     async def _exchange(
-        self,
-        request: HttpRequest,
-        upstream: Upstream,
-        *,
-        is_new_connection: bool,
+        self, request: HttpRequest, upstream: Upstream
     ) -> HttpResponse:
         upstream_id = upstream.upstream_id
         is_complete = False
         self._balancer.start_request(upstream_id)
         try:
             async with self._client.exchange(
-                upstream_address(upstream),
-                request,
-                is_new_connection=is_new_connection,
+                upstream_address(upstream), request, is_new_connection=True
             ) as response:
                 caller_response = HttpResponse(
                     status=response.status,
@@ -211,15 +203,11 @@
     async def _serve_admitted(self, session: SessionContext) -> HttpResponse:
         try:
             return await self._forwarder.forward(
-                session,
-                self._forwarder.choose_upstream(session),
-                is_new_connection=False,
+                session, self._forwarder.choose_upstream(session)
             )
         except CatkinreachError:
             return await self._forwarder.forward(
-                session,
-                self._forwarder.choose_upstream(session),
-                is_new_connection=True,
+                session, self._forwarder.choose_upstream(session)
             )
 
 
--- /dev/null
+++ b/packages/catkinreach-node/tests/session/test_stale_responses.py
@@ -0,0 +1,201 @@
+"""A response that an upstream writes once more answers no other request."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import re
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from opentelemetry.trace import INVALID_SPAN
+
+from catkinreach_core.ids import (
+    FailureDomainId,
+    Incarnation,
+    PoolId,
+    RequestId,
+    Revision,
+    RouteId,
+    UpstreamId,
+    VmId,
+    WorkspaceId,
+)
+from catkinreach_core.messages.orders import OrderCall
+from catkinreach_core.settings import load_fleet
+from catkinreach_core.settings.fleet import FleetSettings, Upstream
+from catkinreach_node.config.state import FleetState
+from catkinreach_node.http.client import HttpClient
+from catkinreach_node.http.messages import HttpRequest
+from catkinreach_node.orders.runner import OrderRunner
+from catkinreach_node.session.context import SessionContext
+from catkinreach_node.session.engine_answers import Holder
+from catkinreach_node.session.engine_client import EngineClient
+from catkinreach_node.session.interfaces import UnlimitedGrant
+from catkinreach_node.session.plain import PlainForwarder, PlainStage
+from catkinreach_node.telemetry.hop_recorder import HopRecorder, TraceScope
+from catkinreach_standins.fakes.scripted_upstream import (
+    Step,
+    encode_response,
+    scripted_upstream,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from catkinreach_core.settings.node import Address
+
+EXAMPLES = Path(__file__).resolve().parents[4] / 'examples'
+REFUSAL = encode_response(b'{"error":"full"}', status=503)
+PREFILL_BODY = (
+    b'{"export_id":"%d","prompt_tokens":1,"cached_tokens":0,'
+    b'"kv_pieces":1,"expires_in_s":1}'
+)
+IMPORT_BODY = b'{"import_id":"%d","kv_pieces":1}'
+DECODE_BODY = (
+    b'data: {"index":0,"token":"%d"}\n\n'
+    b'data: {"done":true,"finish":"length","completion_tokens":1}\n\n'
+)
+BODIES = {
+    '/v1/prefill': PREFILL_BODY,
+    '/v1/import': IMPORT_BODY,
+    '/v1/decode': DECODE_BODY,
+    '/bee/status': b'%d',
+    '/bee/claims': b'%d',
+}
+
+
+class RepeatingScript:
+    """Numbers its responses; writes an earlier one before a later one."""
+
+    def __init__(self, *, repeats_refusal: bool) -> None:
+        """Repeats a refusal, or the response before."""
+        self._repeats_refusal = repeats_refusal
+        self._numbers = itertools.count()
+
+    def __call__(self, path: str, earlier_count: int) -> Sequence[Step]:
+        """Returns the response, after an earlier one on a kept connection."""
+        number = next(self._numbers)
+        response = encode_response(BODIES[path] % number)
+        if not earlier_count:
+            return (response,)
+        if self._repeats_refusal:
+            return (REFUSAL, response)
+        return (encode_response(BODIES[path] % (number - 1)), response)
+
+
+def _engine(address: Address) -> Upstream:
+    return Upstream(
+        upstream_id=UpstreamId('engine'),
+        pool_id=PoolId('pool'),
+        host=address.host,
+        port=address.port,
+        domain_id=FailureDomainId('a'),
+        places=4,
+    )
+
+
+def _engine_client(client: HttpClient) -> EngineClient:
+    return EngineClient(client, Holder(VmId('vm-1'), Incarnation('i')))
+
+
+async def _prefill(client: HttpClient, address: Address) -> str:
+    prefilled = await _engine_client(client).prefill(
+        _engine(address), RequestId('r'), 'model', (1,)
+    )
+    return prefilled.export_id
+
+
+async def _import(client: HttpClient, address: Address) -> str:
+    engine = _engine(address)
+    imported = await _engine_client(client).import_kv(
+        engine, RequestId('r'), engine, 'export'
+    )
+    return imported.import_id
+
+
+async def _decode(client: HttpClient, address: Address) -> str:
+    async with _engine_client(client).decode(
+        _engine(address), RequestId('r'), 'model', 'import', max_tokens=1
+    ) as batches:
+        return ''.join(
+            [event.token async for events in batches for event in events]
+        )
+
+
+def _fleet(address: Address) -> tuple[str, FleetSettings]:
+    """Returns the text and settings of a fleet with one plain upstream."""
+    text = (EXAMPLES / 'ninepatch' / 'fleet.ini').read_text()
+    text = re.sub(r'\[upstream bee-app-[23]\]\n(.+\n)+', '', text)
+    text = text.replace('127.0.0.1:19101', str(address))
+    return text, load_fleet(text, revision=Revision(1), source='fleet')
+
+
+class UnlimitedLimiter:
+    """Admits each request."""
+
+    async def admit(self, *_: object) -> UnlimitedGrant:
+        """Admits a request."""
+        return UnlimitedGrant()
+
+
+async def _read(client: HttpClient, address: Address) -> str:
+    _, settings = _fleet(address)
+    route = settings.routes[RouteId('status')]
+    session = SessionContext(
+        request=HttpRequest('GET', '/bee/status'),
+        request_id=RequestId('r'),
+        accepted_at_s=time.monotonic(),
+        settings=settings,
+        route=route,
+        service=settings.services[route.service_id],
+        workspace_id=WorkspaceId('w'),
+        trace=TraceScope(INVALID_SPAN),
+    )
+    forwarder = PlainForwarder(client, HopRecorder.untraced())
+    no_orders: Any = None
+    response = await PlainStage(forwarder, UnlimitedLimiter(), no_orders).serve(
+        session
+    )
+    return response.body.decode()
+
+
+async def _order(client: HttpClient, address: Address) -> str:
+    text, settings = _fleet(address)
+    state = FleetState()
+    state.accept_settings(settings, text)
+    forwarder = PlainForwarder(client, HopRecorder.untraced())
+    runner = OrderRunner(state, forwarder, UnlimitedLimiter())
+    call = OrderCall(
+        workspace_id=WorkspaceId('w'),
+        key='key',
+        attempt=RequestId('r'),
+        route_id=RouteId('claims'),
+        method='POST',
+        target='/bee/claims',
+        headers=(),
+        body=b'{}',
+    )
+    answer = await runner.run(call, lambda: True)
+    return answer.body.decode()
+
+
+@pytest.mark.parametrize('repeats_refusal', [True, False])
+@pytest.mark.parametrize('call', [_prefill, _import, _decode, _read, _order])
+def test_repeated_response_answers_the_next_request(
+    call: Callable[[HttpClient, Address], Awaitable[str]],
+    *,
+    repeats_refusal: bool,
+) -> None:
+    # Responses name no request; an earlier one on a kept connection was taken.
+    async def scenario() -> list[str]:
+        script = RepeatingScript(repeats_refusal=repeats_refusal)
+        client = HttpClient()
+        async with scripted_upstream(script) as (_, address):
+            answers = [await call(client, address) for _ in range(3)]
+            client.close()
+        return answers
+
+    assert asyncio.run(scenario()) == ['0', '1', '2']
