Give a silent engine's stream up only when others are reserved

What callers saw: a stream that ended midway, or 502 after a wait, because a healthy decode engine was silent for over 1.5 s and went on later.

Cause: session/attempt.py closed the stream 1.5 s after its last token and looked for other engines only then. With no other engine, with all of them full, or without retry budget nothing took the request.

Evidence: test_silent_decodes.py, an engine of scripted bytes that is silent at first or midway, limits shortened: all nine cases with a healthy engine failed before (QUEUE_TIMEOUT and UPSTREAM_FAILED), and the two of a stalled stream without another engine, which now end after MAX_SILENCE_S and not before. The resumption on another engine passed before and after. 12 of 12 pass now.

The node now reserves other engines while the stream stays open (Takeover) and gives the silent engine up once it has them; a token that comes first withdraws the search. The owner drops an attempt's reservation when the same request asks again, so a kept attempt is listed again (report_kept), and the end of the silent attempt no longer drops the reservation of the next (test_kept_reservations.py).

--- a/packages/catkinreach-node/src/catkinreach_node/cell/cell_scheduler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/cell_scheduler.py
@@ -66,6 +66,10 @@
         """Reports the first token."""
         self._link.report_first_token(self._granted)
 
+    def report_kept(self) -> None:
+        """Lets the owner learn of the reservation again."""
+        self._link.report_kept(self._granted)
+
     def report_end(self, result: AttemptResult) -> None:
         """Reports the end of the attempt; later calls do nothing."""
         if self._is_ended:
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owner_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owner_link.py
@@ -120,11 +120,14 @@
     ) -> Granted:
         """Returns the engines granted to a request once it leaves the queue.
 
+        The owner drops what an earlier attempt holds; see ``report_kept``.
+
         Raises:
             CatkinreachError: a refusal before this attempt ran.
         """
         if self._quarantined.get(request.digest, 0.0) > time.monotonic():
             raise CatkinreachError(ErrorKind.REQUEST_QUARANTINED)
+        self._held.pop(request.request_id, None)
         granted = await self._place_with_retries(request, accepted_at_s)
         self._held[request.request_id] = HeldReservation(granted)
         return granted
@@ -153,9 +156,20 @@
             )
         )
 
+    def report_kept(self, granted: Granted) -> None:
+        """Holds an attempt in its decode that goes on beside a withdrawn one.
+
+        The next renewal tells the owner.
+        """
+        self._held[granted.request.request_id] = HeldReservation(
+            granted, Stage.DECODE
+        )
+
     def report_end(self, message: AttemptEnded) -> None:
         """Reports the end of an attempt to the owner."""
-        self._held.pop(message.request_id, None)
+        entry = self._held.get(message.request_id)
+        if entry and entry.granted.request.attempt == message.attempt:
+            del self._held[message.request_id]
         self._report(message)
 
     def make_end_report(
--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -31,11 +31,12 @@
     from .engine_client import EngineClient
     from .interfaces import Reservation
     from .progress import AnswerProgress
+    from .takeover import Takeover
 
 TOKEN_STALL_S = 1.5
-"""Time without a token after which the decode counts as stalled.
+"""Time without a token after which other engines are sought.
 
-The request is then resumed on other engines.
+The request is resumed there once they are reserved.
 """
 
 MAX_CANCEL_ATTEMPTS = 3
@@ -68,8 +69,19 @@
         progress: AnswerProgress,
         engines: EngineClient,
         hops: HopRecorder,
+        takeover: Takeover,
     ) -> None:
-        """Takes the reserved engines and the progress of earlier attempts."""
+        """Takes the reserved engines and the progress of earlier attempts.
+
+        Args:
+            session: The caller's request.
+            completion: Its validated body.
+            reservation: The engines reserved for the attempt.
+            progress: Tokens of earlier attempts.
+            engines: Client for the engines.
+            hops: Measures the phases.
+            takeover: Seeks other engines while the decode engine is silent.
+        """
         upstreams = session.settings.upstreams
         self._session = session
         self._completion = completion
@@ -77,6 +89,7 @@
         self._progress = progress
         self._engines = engines
         self._hops = hops
+        self._takeover = takeover
         self._prefill_upstream = upstreams[reservation.placement.prefill]
         self._decode_upstream = upstreams[reservation.placement.decode]
         self._first_new_index = len(progress.tokens)
@@ -123,11 +136,45 @@
                     priority=self._priority,
                     trace=scope.traceparent,
                 ) as batches,
-                aclosing(_fail_on_stall(batches)) as guarded_batches,
+                aclosing(self._fail_on_stall(batches)) as guarded_batches,
             ):
                 async for events in guarded_batches:
                     yield self._collect_tokens(events)
 
+    async def _fail_on_stall(
+        self, batches: AsyncIterator[list[DecodeEvent]]
+    ) -> AsyncGenerator[list[DecodeEvent], None]:
+        """Yields the batches.
+
+        Raises:
+            EngineError: no token arrives in time, and other engines can go on.
+        """
+        guard = StallGuard(TOKEN_STALL_S, self._may_give_up)
+        try:
+            while True:
+                with guard.wait():
+                    batch = await anext(batches, None)
+                if batch is None:
+                    return
+                await self._keep_engine()
+                yield batch
+        except TimeoutError as error:
+            raise EngineError(
+                0, 'decode produced no token in time', FailureKind.STALLED
+            ) from error
+        finally:
+            guard.close()
+
+    def _may_give_up(self, silence_s: float) -> bool:
+        silent = self._decode_upstream.upstream_id
+        return self._takeover.may_give_up(silent, silence_s)
+
+    async def _keep_engine(self) -> None:
+        """Withdraws the search for others when the engine goes on."""
+        if self._takeover.has_started:
+            await self._takeover.withdraw()
+            self._reservation.report_kept()
+
     async def _prefill_and_transfer(self) -> str:
         request_id = self._reservation.engine_request_id
         with self._hops.measure(Hop.PREFILL, self._session.trace) as scope:
@@ -215,26 +262,4 @@
 """Strong references to running tasks; the event loop keeps only weak ones."""
 
 
-async def _fail_on_stall(
-    batches: AsyncIterator[list[DecodeEvent]],
-) -> AsyncGenerator[list[DecodeEvent], None]:
-    """Yields the batches; raises EngineError when no token arrives in time."""
-    guard = StallGuard(TOKEN_STALL_S)
-    try:
-        while True:
-            with guard.wait():
-                batch = await anext(batches, None)
-            if batch is None:
-                return
-            yield batch
-    except TimeoutError as error:
-        raise EngineError(
-            0,
-            f'decode produced no token for {TOKEN_STALL_S} s',
-            FailureKind.STALLED,
-        ) from error
-    finally:
-        guard.close()
-
-
 __all__ = ('Attempt', 'AttemptError')
--- a/packages/catkinreach-node/src/catkinreach_node/session/interfaces.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/interfaces.py
@@ -32,6 +32,9 @@
     def report_first_token(self) -> None:
         """Reports that the first token of the attempt has arrived."""
 
+    def report_kept(self) -> None:
+        """Reports that the attempt goes on after others were reserved for."""
+
     def report_end(self, result: AttemptResult) -> None:
         """Reports the result of the attempt; later reports are ignored."""
 
@@ -112,6 +115,9 @@
     def report_first_token(self) -> None:
         """Does nothing."""
 
+    def report_kept(self) -> None:
+        """Does nothing."""
+
     def report_end(self, result: AttemptResult) -> None:
         """Does nothing."""
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -21,9 +21,11 @@
 from .attempt import Attempt, AttemptError
 from .completion import AnswerFormat, parse_completion
 from .progress import AnswerProgress
+from .takeover import Takeover
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
+    from contextlib import AbstractAsyncContextManager
 
     from catkinreach_core.ids import UpstreamId
 
@@ -105,6 +107,7 @@
         self._blocks = prefix_blocks(completion.prompt)
         self._digest = prompt_digest(completion.prompt)
         self._excluded: tuple[UpstreamId, ...] = ()
+        self._takeover = self._new_takeover(0)
         self.progress = AnswerProgress()
         self.answer_format = AnswerFormat(session.request_id, completion)
 
@@ -117,7 +120,7 @@
         try:
             self._budget.record_first_attempt()
             for attempt in range(MAX_ATTEMPTS):
-                if attempt:
+                if attempt and not self._takeover.is_due:
                     await self._wait_for_budget()
                 async with aclosing(self._run_attempt(attempt)) as batches:
                     async for batch in batches:
@@ -127,6 +130,7 @@
                     return
             raise CatkinreachError(ErrorKind.UPSTREAM_FAILED)
         finally:
+            await self._takeover.withdraw()
             self._grant.settle(
                 len(self._completion.prompt) + len(self.progress.tokens)
             )
@@ -144,6 +148,7 @@
                 self.progress,
                 self._engines,
                 self._hops,
+                self._takeover,
             )
             try:
                 async with aclosing(attempt.run()) as batches:
@@ -157,6 +162,8 @@
                     error,
                 )
                 self._excluded = (error.failure.upstream_id,)
+                if not self._takeover.is_due:
+                    await self._takeover.withdraw()
 
     async def _reserve(
         self, stack: AsyncExitStack, attempt_number: int
@@ -166,9 +173,13 @@
         After the first attempt the request may have run, so a refusal no
         longer carries the outcome ``not-run``.
         """
+        takeover = self._takeover
+        self._takeover = self._new_takeover(attempt_number + 1)
+        if takeover.is_due:
+            return await takeover.hand_over(stack)
         pending_reservation = self._scheduler.reserve(
             self._session,
-            self._work_item(attempt_number),
+            self._work_item(attempt_number, self._excluded),
             is_resume=attempt_number > 0,
         )
         try:
@@ -183,7 +194,33 @@
                 kind, error.detail, outcome=Outcome.UNKNOWN
             ) from error
 
-    def _work_item(self, attempt_number: int) -> WorkItem:
+    def _new_takeover(self, attempt_number: int) -> Takeover:
+        def reserve(
+            silent: UpstreamId,
+        ) -> AbstractAsyncContextManager[Reservation]:
+            work = self._work_item(attempt_number, (silent,))
+            return self._scheduler.reserve(self._session, work, is_resume=True)
+
+        return Takeover(
+            reserve,
+            self._budget,
+            is_possible=lambda silent: (
+                attempt_number < MAX_ATTEMPTS and self._has_other_engine(silent)
+            ),
+        )
+
+    def _has_other_engine(self, silent: UpstreamId) -> bool:
+        settings = self._session.settings
+        return any(
+            upstream.upstream_id != silent and settings.is_in_service(upstream)
+            for upstream in settings.upstreams_of(
+                self._session.service.decode_pool
+            )
+        )
+
+    def _work_item(
+        self, attempt_number: int, excluded: tuple[UpstreamId, ...]
+    ) -> WorkItem:
         prompt = self._completion.prompt
         return WorkItem(
             request_id=self._session.request_id,
@@ -193,7 +230,7 @@
             blocks=self._blocks,
             digest=self._digest,
             attempt=attempt_number,
-            excluded=self._excluded,
+            excluded=excluded,
         )
 
     async def _wait_for_budget(self) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/session/stall.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/stall.py
@@ -7,23 +7,34 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
 CHECKS_PER_LIMIT = 6
 
 
 class StallGuard:
-    """Cancels a wait that takes longer than the limit.
+    """Cancels a wait that takes longer than the limit, if it may be given up.
 
     A timer for each token would cost more than reading the token, so one
     periodic timer checks how long the current wait has lasted. A stall is
     detected up to a sixth of the limit late.
     """
 
-    def __init__(self, limit_s: float) -> None:
-        """Starts the timer; no wait is guarded yet."""
+    def __init__(
+        self,
+        limit_s: float,
+        may_give_up: Callable[[float], bool] = lambda _: True,
+    ) -> None:
+        """Starts the timer; no wait is guarded yet.
+
+        Args:
+            limit_s: Time after which a wait may be cancelled.
+            may_give_up: Whether to cancel a wait that has lasted so many
+                seconds; asked again at each check.
+        """
         self._loop = asyncio.get_running_loop()
         self._limit_s = limit_s
+        self._may_give_up = may_give_up
         self._wait_started_at_s = 0.0
         self._waiting_task: asyncio.Task[object] | None = None
         self._has_fired = False
@@ -68,9 +79,14 @@
 
     def _check(self) -> None:
         elapsed_s = self._loop.time() - self._wait_started_at_s
-        if self._waiting_task is not None and elapsed_s >= self._limit_s:
+        task = self._waiting_task
+        if (
+            task is not None
+            and elapsed_s >= self._limit_s
+            and self._may_give_up(elapsed_s)
+        ):
             self._has_fired = True
-            self._waiting_task.cancel()
+            task.cancel()
             return
         self._timer = self._schedule_check()
 
