Know a crashing prompt by its prefix blocks too

What callers saw: engine after engine crashed, and with them the streams of others, while prompts came that were all different but began with the same crashing part.

Cause: SuspectList knows a prompt by the digest of the whole prompt. Prompts that differ in one token never add up; each may crash two engines.

A crash now accuses each prefix block of the prompts that may have caused it, as the gateway does with shared parts. A first token clears the blocks of its prompt. Three crashes refuse prompts with the block for 20 s, doubled with each further crash; a prompt without another block of the same crashes runs, so that a harmless common block is found to be harmless. Crashes by the loss of a failure domain accuse no block.

Not covered: crashing parts below 256 tokens or behind differing tokens (the blocks are hashes of prefixes), and crashes after the first token.

--- a/packages/catkinreach-core/src/catkinreach_core/cell/cell.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/cell.py
@@ -235,8 +235,7 @@
     def _refuse_if_quarantined(
         self, queued: QueuedRequest, now_s: float
     ) -> bool:
-        suspects = self.crashes.suspects
-        if not suspects.is_quarantined(queued.request.digest, now_s):
+        if not self.crashes.must_refuse(queued.request, now_s):
             return False
         self.queue.remove(queued)
         self._refuse(queued, ErrorKind.REQUEST_QUARANTINED, now_s)
--- a/packages/catkinreach-core/src/catkinreach_core/cell/crash_watch.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/crash_watch.py
@@ -10,12 +10,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .suspect_blocks import SuspectBlocks
 from .suspects import CRASHES_TO_QUARANTINE, Crash, SuspectList
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..ids import FailureDomainId, UpstreamId
+    from .placement_request import PlacementRequest
 
 RESOLVE_TIMEOUT_S = 2.0
 """Time after a disconnect for which the prompts of the engine must wait.
@@ -35,6 +37,21 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class RunningPrompt:
+    """A prompt that ran on an engine when the connection was lost.
+
+    Attributes:
+        digest: Digest of the whole prompt.
+        blocks: Keys of its prefix blocks.
+        was_alone: Whether it ran alone as a suspect.
+    """
+
+    digest: str
+    blocks: tuple[int, ...]
+    was_alone: bool
+
+
 @dataclass(slots=True)
 class _Disconnect:
     """Lost connection to an engine.
@@ -43,13 +60,13 @@
         domain_id: Failure domain of the engine.
         crash: The crash to record if the engine turns out to have crashed.
         at_s: When the connection was lost.
-        prompts: Whether each prompt ran alone, by its digest.
+        prompts: The prompts that ran on the engine, by digest.
     """
 
     domain_id: FailureDomainId
     crash: Crash
     at_s: float
-    prompts: dict[str, bool] = field(default_factory=dict)
+    prompts: dict[str, RunningPrompt] = field(default_factory=dict)
 
 
 class CrashWatch:
@@ -58,6 +75,7 @@
     def __init__(self) -> None:
         """Starts without disconnects."""
         self.suspects = SuspectList()
+        self.blocks = SuspectBlocks()
         self._disconnects: dict[UpstreamId, _Disconnect] = {}
         self._recent_losses: list[_Disconnect] = []
 
@@ -66,6 +84,17 @@
         """Returns the engines that disconnected and haven't answered since."""
         return tuple(self._disconnects)
 
+    def must_refuse(self, request: PlacementRequest, now_s: float) -> bool:
+        """Returns whether a prompt, or one of its blocks, crashes engines."""
+        return self.suspects.is_quarantined(
+            request.digest, now_s
+        ) or self.blocks.must_refuse(request.blocks, now_s)
+
+    def record_first_token(self, request: PlacementRequest) -> None:
+        """Clears a prompt that reached its first token, and its blocks."""
+        self.suspects.mark_proven(request.digest)
+        self.blocks.clear(request.blocks)
+
     def must_wait(self, digest: str, now_s: float) -> bool:
         """Returns whether a prompt must wait until a disconnect is resolved.
 
@@ -96,7 +125,7 @@
         self,
         crash: Crash,
         domain_id: FailureDomainId,
-        prompts: Iterable[tuple[str, bool]],
+        prompts: Iterable[RunningPrompt],
         now_s: float,
     ) -> None:
         """Records a lost connection to an engine.
@@ -104,15 +133,14 @@
         Args:
             crash: The engine and its boot id before the disconnect.
             domain_id: The engine's failure domain.
-            prompts: Digests of the prompts that ran on the engine, each with
-                whether it ran alone as a suspect.
+            prompts: The prompts that ran on the engine.
             now_s: Monotonic clock.
         """
         disconnect = self._disconnects.setdefault(
             crash.upstream_id, _Disconnect(domain_id, crash, now_s)
         )
-        for digest, was_alone in prompts:
-            disconnect.prompts.setdefault(digest, was_alone)
+        for prompt in prompts:
+            disconnect.prompts.setdefault(prompt.digest, prompt)
 
     def record_poll_answer(
         self, upstream_id: UpstreamId, boot: str, now_s: float
@@ -139,18 +167,16 @@
     def _record_crash(self, disconnect: _Disconnect, now_s: float) -> None:
         if self._is_domain_loss(disconnect, now_s):
             return
-        alone_digests = {
-            digest
-            for digest, ran_alone in disconnect.prompts.items()
-            if ran_alone
-        }
-        for digest in alone_digests or set(disconnect.prompts):
+        prompts = tuple(disconnect.prompts.values())
+        alone = tuple(prompt for prompt in prompts if prompt.was_alone)
+        for prompt in alone or prompts:
             self.suspects.record_crash(
-                digest,
+                prompt.digest,
                 disconnect.crash,
-                was_alone=digest in alone_digests,
+                was_alone=prompt.was_alone,
                 now_s=now_s,
             )
+            self.blocks.record_crash(prompt.blocks, disconnect.crash, now_s)
 
     def _is_domain_loss(self, disconnect: _Disconnect, now_s: float) -> bool:
         """Returns whether the loss is part of a failure of its domain.
@@ -173,7 +199,13 @@
         self._recent_losses.append(disconnect)
         for earlier in others:
             self.suspects.remove_crash(earlier.crash)
+            self.blocks.remove_crash(earlier.crash)
         return bool(others)
 
 
-__all__ = ('DOMAIN_LOSS_WINDOW_S', 'RESOLVE_TIMEOUT_S', 'CrashWatch')
+__all__ = (
+    'DOMAIN_LOSS_WINDOW_S',
+    'RESOLVE_TIMEOUT_S',
+    'CrashWatch',
+    'RunningPrompt',
+)
--- a/packages/catkinreach-core/src/catkinreach_core/cell/reservation_table.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/reservation_table.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .crash_watch import RunningPrompt
 from .engine_view import Health, Occupancy
 from .first_token_margin import FirstTokenMargin
 from .placement_request import Stage
@@ -136,7 +137,7 @@
             )
         view.finish_work(request_id, now_s)
         view.end_exclusive_use(request_id)
-        self._crashes.suspects.mark_proven(reservation.granted.request.digest)
+        self._crashes.record_first_token(reservation.granted.request)
 
     def end_attempt(
         self,
@@ -212,7 +213,11 @@
             Crash(view.upstream_id, view.boot),
             view.upstream.domain_id,
             [
-                (other.granted.request.digest, view.is_alone(other.request_id))
+                RunningPrompt(
+                    other.granted.request.digest,
+                    other.granted.request.blocks,
+                    view.is_alone(other.request_id),
+                )
                 for other in self._reserved.values()
                 if other.is_on(view) and other.granted.request.digest
             ],
--- /dev/null
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/suspect_blocks.py
@@ -0,0 +1,130 @@
+"""Tracks prefix blocks whose prompts crash the engines that run them.
+
+Load pattern: requests that are all different begin with the same crashing part,
+so that no whole prompt is seen twice. Harmless requests share other blocks with
+them, such as a common prompt of a service.
+
+A crash accuses each block of the prompts that may have caused it. A prompt that
+reaches its first token clears its blocks. A prompt is refused if one of its
+blocks has too many crashes, unless a block that it doesn't have was part of the
+same crashes: then one of the two is harmless, and only prompts that have just
+one of them can show which.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .suspects import QUARANTINE_S
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Iterator
+
+    from .suspects import Crash
+
+CRASHES_TO_REFUSE = 3
+CRASHES_TO_SHARE = 2
+"""Crashes of a block from which the next owner is told of it."""
+
+MIN_REFUSAL_S = 20.0
+"""Time for which a block is refused after its third crash.
+
+It doubles with each further crash: a harmless block is soon found to be so, and
+a crashing one crashes engines rarely.
+"""
+
+MAX_BLOCKS = 20_000
+"""Largest number of blocks stored; the oldest are dropped."""
+
+_MAX_DOUBLINGS = 16
+
+
+@dataclass(slots=True)
+class _Accusation:
+    """Crashes that a block may have caused, and the time of the last one."""
+
+    last_crash_at_s: float
+    crashes: set[Crash] = field(default_factory=set)
+
+    @property
+    def refused_until_s(self) -> float:
+        """Returns until when prompts with the block are refused."""
+        excess = len(self.crashes) - CRASHES_TO_REFUSE
+        if excess < 0:
+            return -math.inf
+        refusal_s = MIN_REFUSAL_S * (1 << min(excess, _MAX_DOUBLINGS))
+        return self.last_crash_at_s + min(QUARANTINE_S, refusal_s)
+
+
+class SuspectBlocks:
+    """Accused prefix blocks of one cell, by their keys."""
+
+    def __init__(self) -> None:
+        """Starts without accused blocks."""
+        self._accused: OrderedDict[int, _Accusation] = OrderedDict()
+
+    def record_crash(
+        self, blocks: Iterable[int], crash: Crash, now_s: float
+    ) -> None:
+        """Accuses blocks of a crash; one that they have counts once."""
+        for block in blocks:
+            accusation = self._accused.setdefault(block, _Accusation(now_s))
+            if crash not in accusation.crashes:
+                accusation.crashes.add(crash)
+                accusation.last_crash_at_s = now_s
+                self._accused.move_to_end(block)
+        while len(self._accused) > MAX_BLOCKS:
+            self._accused.popitem(last=False)
+
+    def remove_crash(self, crash: Crash) -> None:
+        """Removes a crash that has another cause from all blocks."""
+        for block, accusation in tuple(self._accused.items()):
+            accusation.crashes.discard(crash)
+            if not accusation.crashes:
+                del self._accused[block]
+
+    def clear(self, blocks: Iterable[int]) -> None:
+        """Clears the blocks of a prompt that reached its first token."""
+        for block in blocks:
+            self._accused.pop(block, None)
+
+    def must_refuse(self, blocks: Collection[int], now_s: float) -> bool:
+        """Returns whether a prompt with these blocks must not run."""
+        refused = [
+            self._accused[block].crashes
+            for block in blocks
+            if self._is_refused(block, now_s)
+        ]
+        if not refused:
+            return False
+        explanations = self._explanations(blocks)
+        return not all(
+            any(crashes <= explanation for explanation in explanations)
+            for crashes in refused
+        )
+
+    def accusations(self) -> Iterator[tuple[int, Crash]]:
+        """Yields each repeatedly accused block once for each of its crashes."""
+        for block, accusation in self._accused.items():
+            if len(accusation.crashes) >= CRASHES_TO_SHARE:
+                for crash in accusation.crashes:
+                    yield block, crash
+
+    def _is_refused(self, block: int, now_s: float) -> bool:
+        accusation = self._accused.get(block)
+        return accusation is not None and now_s < accusation.refused_until_s
+
+    def _explanations(self, blocks: Collection[int]) -> list[set[Crash]]:
+        """Returns the crashes of each other block that has too many."""
+        return [
+            accusation.crashes
+            for block, accusation in self._accused.items()
+            if len(accusation.crashes) >= CRASHES_TO_REFUSE
+            and block not in blocks
+        ]
+
+
+__all__ = ('CRASHES_TO_REFUSE', 'MIN_REFUSAL_S', 'SuspectBlocks')
--- a/packages/catkinreach-node/tests/cell/test_cell_failures.py
+++ b/packages/catkinreach-node/tests/cell/test_cell_failures.py
@@ -232,6 +232,23 @@
     assert 1 <= crashes <= 2
 
 
+def test_prompts_with_a_crashing_block_crash_engines_without_end(
+    deployment: Deployment,
+) -> None:
+    # Crashes were counted by the digest of the whole prompt only.
+    crashing_block = [*range(5000, 5255), POISON_TOKEN]
+    crashes = 0
+    codes = []
+    for number in range(6):
+        caller = _start_call(deployment, [*crashing_block, number], 5)
+        while caller.is_alive():
+            crashes += _restart_dead_engines(deployment)
+            caller.join(0.1)
+        codes.append(caller.document.get('code', ''))
+    assert codes[1:] == ['request-quarantined'] * 5
+    assert 1 <= crashes <= 3
+
+
 def test_failure_domain_out_of_service_gets_no_requests(
     deployment: Deployment,
 ) -> None:
