Tell the next owner of a cell which blocks crashed engines

What callers saw: nothing yet; without this a new owner lets a crashing part of prompts crash three engines again.

The reply to a renewal now names the newest 200 blocks with two crashes or more, each with its crashes; nodes bring them to the next owner. Blocks with one crash stay out, since a crash accuses up to a few hundred of them. Evidence: test_new_owner_forgets_crashing_blocks; it passes a block at the end of 64 bits. Tests of the core and of owned cells pass.

--- a/packages/catkinreach-core/src/catkinreach_core/cell/suspect_blocks.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/suspect_blocks.py
@@ -16,6 +16,7 @@
 import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from .suspects import QUARANTINE_S
@@ -36,6 +37,9 @@
 a crashing one crashes engines rarely.
 """
 
+MAX_SHARED_BLOCKS = 200
+"""Largest number of blocks that the next owner is told of; the newest."""
+
 MAX_BLOCKS = 20_000
 """Largest number of blocks stored; the oldest are dropped."""
 
@@ -107,11 +111,15 @@
         )
 
     def accusations(self) -> Iterator[tuple[int, Crash]]:
-        """Yields each repeatedly accused block once for each of its crashes."""
-        for block, accusation in self._accused.items():
-            if len(accusation.crashes) >= CRASHES_TO_SHARE:
-                for crash in accusation.crashes:
-                    yield block, crash
+        """Yields the newest repeatedly accused blocks with each crash."""
+        repeated = (
+            (block, accusation.crashes)
+            for block, accusation in reversed(self._accused.items())
+            if len(accusation.crashes) >= CRASHES_TO_SHARE
+        )
+        for block, crashes in islice(repeated, MAX_SHARED_BLOCKS):
+            for crash in crashes:
+                yield block, crash
 
     def _is_refused(self, block: int, now_s: float) -> bool:
         accusation = self._accused.get(block)
--- a/packages/catkinreach-core/src/catkinreach_core/messages/cell.py
+++ b/packages/catkinreach-core/src/catkinreach_core/messages/cell.py
@@ -191,6 +191,20 @@
     boot: str
 
 
+class SuspectedBlock(Struct, frozen=True, kw_only=True):
+    """A prefix block of a prompt that ran on an engine that crashed.
+
+    Attributes:
+        block: Key of the block.
+        upstream_id: The engine.
+        boot: Boot id of the engine before the crash.
+    """
+
+    block: int
+    upstream_id: UpstreamId
+    boot: str
+
+
 @wire_tag('cell-renew')
 class ReservationRenewal(PeerMessage, frozen=True, kw_only=True):
     """Call by which an entry node reports and renews its reservations.
@@ -206,6 +220,7 @@
         warm: Warm-up progress of engines; a new owner starts from it.
         quarantined: Quarantined prompts; a new owner starts from them.
         suspected: Suspected prompts; a new owner starts from them.
+        suspected_blocks: Blocks with several crashes; likewise.
     """
 
     shard: ShardId
@@ -216,15 +231,16 @@
     warm: tuple[WarmupProgress, ...] = ()
     quarantined: tuple[QuarantinedPrompt, ...] = ()
     suspected: tuple[SuspectedPrompt, ...] = ()
+    suspected_blocks: tuple[SuspectedBlock, ...] = ()
 
 
 @wire_tag('cell-renewed')
 class ReservationRenewalReply(PeerMessage, frozen=True, kw_only=True):
     """Reply to ``ReservationRenewal``, with the state that nodes replicate.
 
-    The nodes keep ``warm``, ``quarantined`` and ``suspected`` for the next
-    owner. These fields are sent, and valid, only if ``version`` differs from
-    the version that the node has seen.
+    The nodes keep the fields after ``unknown`` for the next owner. These are
+    sent, and valid, only if ``version`` differs from the version that the node
+    has seen.
 
     Attributes:
         term: Term of the owner's tenure.
@@ -233,6 +249,7 @@
         warm: Warm-up progress of engines.
         quarantined: Quarantined prompts.
         suspected: Suspected prompts.
+        suspected_blocks: Blocks with several crashes.
     """
 
     term: int
@@ -241,6 +258,7 @@
     warm: tuple[WarmupProgress, ...] = ()
     quarantined: tuple[QuarantinedPrompt, ...] = ()
     suspected: tuple[SuspectedPrompt, ...] = ()
+    suspected_blocks: tuple[SuspectedBlock, ...] = ()
 
 
 @wire_tag('cell-holdings')
@@ -279,6 +297,7 @@
     'RequestWithdrawn',
     'ReservationRenewal',
     'ReservationRenewalReply',
+    'SuspectedBlock',
     'SuspectedPrompt',
     'WarmupProgress',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owned_cell.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owned_cell.py
@@ -17,6 +17,7 @@
     PrefillFinished,
     QuarantinedPrompt,
     ReservationRenewalReply,
+    SuspectedBlock,
     SuspectedPrompt,
     WarmupProgress,
 )
@@ -213,6 +214,12 @@
                 was_alone=False,
                 now_s=now_s,
             )
+        for accused in message.suspected_blocks:
+            self.cell.crashes.blocks.record_crash(
+                (accused.block,),
+                Crash(accused.upstream_id, accused.boot),
+                now_s,
+            )
         for engine in message.warm:
             view = self.cell.view(engine.upstream_id)
             if view is not None and view.boot in {'', engine.boot}:
@@ -228,6 +235,7 @@
             shared_state.warm,
             tuple(prompt.digest for prompt in shared_state.quarantined),
             shared_state.suspected,
+            shared_state.suspected_blocks,
         )
         if comparable_state != self._last_comparable_state:
             self._last_comparable_state = comparable_state
@@ -265,6 +273,14 @@
                 )
                 for digest, crash in suspects.suspicions()
             ),
+            suspected_blocks=tuple(
+                SuspectedBlock(
+                    block=block,
+                    upstream_id=crash.upstream_id,
+                    boot=crash.boot,
+                )
+                for block, crash in self.cell.crashes.blocks.accusations()
+            ),
         )
 
     def _complete_call(
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owner_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owner_link.py
@@ -26,6 +26,7 @@
     RequestWithdrawn,
     ReservationRenewal,
     ReservationRenewalReply,
+    SuspectedBlock,
     SuspectedPrompt,
     WarmupProgress,
 )
@@ -103,6 +104,7 @@
         self._warm_engines: dict[UpstreamId, WarmupProgress] = {}
         self._quarantined: dict[str, float] = {}
         self._suspected: tuple[SuspectedPrompt, ...] = ()
+        self._suspected_blocks: tuple[SuspectedBlock, ...] = ()
         self.placed_locally = 0
 
     @property
@@ -371,6 +373,7 @@
                 if until_s > now_s
             ),
             suspected=self._suspected,
+            suspected_blocks=self._suspected_blocks,
         )
 
     def _make_short_renewal(
@@ -401,6 +404,7 @@
             engine.upstream_id: engine for engine in reply.warm
         }
         self._suspected = reply.suspected
+        self._suspected_blocks = reply.suspected_blocks
         for prompt in reply.quarantined:
             self._quarantined[prompt.digest] = now_s + prompt.left_s
         for digest, until_s in tuple(self._quarantined.items()):
--- a/packages/catkinreach-node/tests/cell/test_owned_cell.py
+++ b/packages/catkinreach-node/tests/cell/test_owned_cell.py
@@ -9,6 +9,8 @@
 import pytest
 
 from catkinreach_core.cell.configured_cell import ConfiguredCell
+from catkinreach_core.cell.suspect_blocks import CRASHES_TO_REFUSE
+from catkinreach_core.cell.suspects import Crash
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.ids import (
     Incarnation,
@@ -21,6 +23,7 @@
     LiveReservation,
     QuarantinedPrompt,
     ReservationRenewal,
+    ReservationRenewalReply,
     WarmupProgress,
 )
 from catkinreach_core.ownership.shards import cell_shard
@@ -36,6 +39,7 @@
 PREFILL = UpstreamId('pattern-prefill-1')
 DECODE = UpstreamId('pattern-decode-1')
 VM = VmId('vm-1')
+CRASHING_BLOCK = 2**64 - 1
 
 
 def _owned_cell(*, is_still_owner: bool = True) -> OwnedCell:
@@ -100,6 +104,29 @@
     assert view.places == 2
 
 
+def test_new_owner_forgets_crashing_blocks() -> None:
+    # A part of prompts crashed as many engines again under each new owner.
+    async def refused_kind(reply: ReservationRenewalReply) -> ErrorKind:
+        next_owned = _owned_cell()
+        next_owned.handle_renewal(
+            VM, _renewal(suspected_blocks=reply.suspected_blocks)
+        )
+        next_owned.cell.placement_starts_at_s = 0.0
+        with pytest.raises(CatkinreachError) as refusal:
+            await next_owned.place(make_request(1, blocks=(CRASHING_BLOCK,)))
+        return refusal.value.kind
+
+    owned = _owned_cell()
+    for number in range(CRASHES_TO_REFUSE):
+        owned.cell.crashes.blocks.record_crash(
+            (CRASHING_BLOCK, number), Crash(PREFILL, f'b{number}'), 0.0
+        )
+    reply = owned.handle_renewal(VM, _renewal())
+    assert {item.block for item in reply.suspected_blocks} == {CRASHING_BLOCK}
+    kind = asyncio.run(refused_kind(reply))
+    assert kind is ErrorKind.REQUEST_QUARANTINED
+
+
 def test_closed_cell_refuses_queued_requests() -> None:
     async def run() -> ErrorKind:
         owned = _owned_cell()
