Pass on the tokens that came before a broken event

What callers saw: a stream without some of its tokens that ended as complete, or one with a token more than its answer has.

Cause: the tokens of one read were noted as received and then dropped if a later event of the same read was an error (a missing token, a wrong count). The next attempt skipped them. A token after the end of an answer was appended to it.

The error is raised after the tokens before it were passed on; an answer that is complete takes no more events.

--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -139,7 +139,10 @@
                 aclosing(self._fail_on_stall(batches)) as guarded_batches,
             ):
                 async for events in guarded_batches:
-                    yield self._collect_tokens(events)
+                    batch, error = self._collect_tokens(events)
+                    yield batch
+                    if error is not None:
+                        raise error
 
     async def _fail_on_stall(
         self, batches: AsyncIterator[list[DecodeEvent]]
@@ -209,16 +212,21 @@
     def _priority(self) -> int:
         return RESUME_PRIORITY if self._first_new_index else 0
 
-    def _collect_tokens(self, events: list[DecodeEvent]) -> list[str]:
-        batch = [
-            token
-            for token in map(self._progress.add_event, events)
-            if token is not None
-        ]
+    def _collect_tokens(
+        self, events: list[DecodeEvent]
+    ) -> tuple[list[str], EngineError | None]:
+        """Returns the new tokens up to an event that is an error, if any is."""
+        batch: list[str] = []
+        error: EngineError | None = None
+        try:
+            for event in events:
+                batch += self._progress.add_event(event)
+        except EngineError as caught:
+            error = caught
         if batch and not self._first_token_at_s:
             self._first_token_at_s = time.monotonic()
             self._reservation.report_first_token()
-        return batch
+        return batch, error
 
     def _build_result(self, failure: Failure | None) -> AttemptResult:
         tokens = len(self._progress.tokens) - self._first_new_index
--- a/packages/catkinreach-node/src/catkinreach_node/session/progress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/progress.py
@@ -25,26 +25,28 @@
         """Returns whether an engine has completed the answer."""
         return bool(self.finish_reason)
 
-    def add_event(self, event: DecodeEvent) -> str | None:
+    def add_event(self, event: DecodeEvent) -> tuple[str, ...]:
         """Appends the event's token and returns it if it is the next one.
 
-        A token whose index was received before is dropped, so that a late or
-        duplicate event adds nothing.
+        A token whose index was received before, or that follows the end, is
+        dropped, so that a late or duplicate event adds nothing.
 
         Raises:
             EngineError: if a token before this event is missing.
         """
+        if self.is_complete:
+            return ()
         if event.done:
             if event.completion_tokens != len(self.tokens):
                 raise _missing_token_error(len(self.tokens))
             self.finish_reason = event.finish
-            return None
+            return ()
         if event.index < len(self.tokens):
-            return None
+            return ()
         if event.index > len(self.tokens):
             raise _missing_token_error(len(self.tokens))
         self.tokens.append(event.token)
-        return event.token
+        return (event.token,)
 
 
 def _missing_token_error(index: int) -> EngineError:
