Go on at other engines after a malformed answer of one

What callers saw: 500 internal, or a stream that was cut, when an engine sent a prefill or import answer or an event that is no valid JSON of its kind.

Cause: the error of the decoder isn't an EngineError, so no other engine was tried and the attempt's end was not a failure of the engine.

--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 
@@ -43,6 +43,8 @@
 _DATA_PREFIX = b'data: '
 
 
+AnswerT = TypeVar('AnswerT', PrefillAnswer, ImportAnswer)
+
 _event_decoder = msgspec.json.Decoder(DecodeEvent)
 
 
@@ -88,7 +90,7 @@
             + PREFILL_TIMEOUT_PER_TOKEN_S * len(prompt),
             trace=trace,
         )
-        return msgspec.json.decode(body, type=PrefillAnswer)
+        return _decode_answer(body, PrefillAnswer)
 
     async def import_kv(
         self,
@@ -126,7 +128,7 @@
             + IMPORT_TIMEOUT_PER_PIECE_S * kv_pieces,
             trace=trace,
         )
-        return msgspec.json.decode(body, type=ImportAnswer)
+        return _decode_answer(body, ImportAnswer)
 
     @asynccontextmanager
     async def decode(
@@ -224,6 +226,13 @@
         return body
 
 
+def _decode_answer(body: bytes, answer_type: type[AnswerT]) -> AnswerT:
+    try:
+        return msgspec.json.decode(body, type=answer_type)
+    except msgspec.MsgspecError as error:
+        raise EngineError(0, f'malformed response: {error}') from error
+
+
 def _json_request(target: str, document: object, trace: str) -> HttpRequest:
     headers = [('content-type', JSON_TYPE)]
     if trace:
@@ -256,10 +265,14 @@
         pending += chunk
         *complete, pending = pending.split(_EVENT_END)
         if complete:
-            yield [
-                _event_decoder.decode(event[len(_DATA_PREFIX) :])
-                for event in complete
-            ]
+            yield [_decode_event(event) for event in complete]
+
+
+def _decode_event(event: bytes) -> DecodeEvent:
+    try:
+        return _event_decoder.decode(event.removeprefix(_DATA_PREFIX))
+    except msgspec.MsgspecError as error:
+        raise EngineError(0, f'malformed event: {error}') from error
 
 
 __all__ = ('EngineClient', 'upstream_address')
--- a/packages/catkinreach-node/tests/session/test_broken_answers.py
+++ b/packages/catkinreach-node/tests/session/test_broken_answers.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
 
 from catkinreach_core.errors import ErrorKind
+from catkinreach_core.ids import (
+    FailureDomainId,
+    Incarnation,
+    PoolId,
+    RequestId,
+    UpstreamId,
+    VmId,
+)
+from catkinreach_core.settings.fleet import Upstream
+from catkinreach_node.http.client import HttpClient
+from catkinreach_node.session.engine_answers import EngineError, Holder
+from catkinreach_node.session.engine_client import EngineClient
 from catkinreach_standins.fakes.model_runs import (
     END_CHUNKS,
     OTHER,
@@ -21,6 +34,7 @@
 from catkinreach_standins.fakes.scripted_upstream import (
     End,
     encode_response,
+    scripted_upstream,
 )
 
 if TYPE_CHECKING:
@@ -30,6 +44,7 @@
 BEGUN = token_chunks(0, 2)
 CUT_EVENT = token_chunks(2, 3)[:-9]
 AFTER_GAP = token_chunks(3, 4)
+MALFORMED = event_chunk('{"index":')
 NO_EVENT = b'5\r\noops!\r\n' + LAST_CHUNK
 WHOLE = token_chunks(0, 4) + END_CHUNKS
 WITH_TOKEN_AFTER_END = (
@@ -50,6 +65,8 @@
         (BEGUN + CUT_EVENT, End.CLOSE),
         (BEGUN, LAST_CHUNK),
         (BEGUN, NO_EVENT),
+        (BEGUN, MALFORMED),
+        (BEGUN + MALFORMED,),
         (BEGUN, AFTER_GAP),
         (BEGUN + AFTER_GAP,),
         (BEGUN + END_CHUNKS,),
@@ -92,3 +109,26 @@
     assert outcome.error is None
     assert outcome.tokens == list(TOKENS)
     assert len(scheduler.granted) == 1
+
+
+@pytest.mark.parametrize('body', [b'', b'{"export_id":"e', b'{}', b'[1]'])
+def test_malformed_prefill_answer_ends_the_request(body: bytes) -> None:
+    # The error of the decoder ended the request; no other engine was tried.
+    async def scenario() -> None:
+        client = HttpClient()
+        engines = EngineClient(client, Holder(VmId('vm-1'), Incarnation('i')))
+        async with scripted_upstream(lambda *_: (encode_response(body),)) as (
+            _,
+            address,
+        ):
+            engine = Upstream(
+                upstream_id=UpstreamId('engine'),
+                pool_id=PoolId('pool'),
+                host=address.host,
+                port=address.port,
+                domain_id=FailureDomainId('a'),
+            )
+            await engines.prefill(engine, RequestId('r'), 'm', (1,))
+
+    with pytest.raises(EngineError):
+        asyncio.run(scenario())
