Seek no other engines for an answer that is complete

An engine that sends the end of an answer and leaves the stream open made the node reserve other engines, and without any the answer's end came after 10 s in place of 1.5 s.

--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -169,6 +169,8 @@
             guard.close()
 
     def _may_give_up(self, silence_s: float) -> bool:
+        if self._progress.is_complete:
+            return True
         silent = self._decode_upstream.upstream_id
         return self._takeover.may_give_up(silent, silence_s)
 
--- a/packages/catkinreach-node/tests/session/test_silent_decodes.py
+++ b/packages/catkinreach-node/tests/session/test_silent_decodes.py
@@ -32,6 +32,9 @@
 SILENT_MIDWAY = engine_script(
     token_chunks(0, 2), SILENCE_S, token_chunks(2, 4), END_CHUNKS
 )
+NOT_CLOSED = engine_script(
+    token_chunks(0, 4), END_CHUNKS.removesuffix(b'0\r\n\r\n'), TEST_LIMIT_S
+)
 STALLED = engine_script(token_chunks(0, 2), TEST_LIMIT_S)
 
 
@@ -87,6 +90,16 @@
     assert not outcome.scheduler.live
 
 
+def test_whole_answer_waits_for_the_end_of_its_stream() -> None:
+    # Other engines were sought, though nothing was missing.
+    scheduler = ScriptedScheduler(OTHER, SILENCE_S)
+    outcome = run_model(scheduler, NOT_CLOSED)
+    assert outcome.error is None
+    assert outcome.tokens == list(TOKENS)
+    assert outcome.took_s < SILENCE_S
+    assert len(scheduler.granted) == 1
+
+
 @pytest.mark.parametrize('has_other', [True, False])
 def test_stalled_stream_without_another_engine_ends(*, has_other: bool) -> None:
     outcome = run_model(ScriptedScheduler(None), STALLED, has_other=has_other)
