--- a/packages/catkinreach-node/tests/session/test_stale_responses.py
+++ b/packages/catkinreach-node/tests/session/test_stale_responses.py
@@ -4,38 +4,28 @@
 
 import asyncio
 import itertools
-import re
-import time
-from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import pytest
-from opentelemetry.trace import INVALID_SPAN
 
 from catkinreach_core.ids import (
     FailureDomainId,
     Incarnation,
     PoolId,
     RequestId,
-    Revision,
-    RouteId,
     UpstreamId,
     VmId,
-    WorkspaceId,
 )
-from catkinreach_core.messages.orders import OrderCall
-from catkinreach_core.settings import load_fleet
-from catkinreach_core.settings.fleet import FleetSettings, Upstream
-from catkinreach_node.config.state import FleetState
+from catkinreach_core.settings.fleet import Upstream
 from catkinreach_node.http.client import HttpClient
-from catkinreach_node.http.messages import HttpRequest
-from catkinreach_node.orders.runner import OrderRunner
-from catkinreach_node.session.context import SessionContext
 from catkinreach_node.session.engine_answers import Holder
 from catkinreach_node.session.engine_client import EngineClient
-from catkinreach_node.session.interfaces import UnlimitedGrant
-from catkinreach_node.session.plain import PlainForwarder, PlainStage
-from catkinreach_node.telemetry.hop_recorder import HopRecorder, TraceScope
+from catkinreach_standins.fakes.plain_calls import (
+    ORDER_PATH,
+    READ_PATH,
+    read_plain,
+    run_order,
+)
 from catkinreach_standins.fakes.scripted_upstream import (
     Step,
     encode_response,
@@ -47,7 +37,6 @@
 
     from catkinreach_core.settings.node import Address
 
-EXAMPLES = Path(__file__).resolve().parents[4] / 'examples'
 REFUSAL = encode_response(b'{"error":"full"}', status=503)
 PREFILL_BODY = (
     b'{"export_id":"%d","prompt_tokens":1,"cached_tokens":0,'
@@ -62,8 +51,8 @@
     '/v1/prefill': PREFILL_BODY,
     '/v1/import': IMPORT_BODY,
     '/v1/decode': DECODE_BODY,
-    '/bee/status': b'%d',
-    '/bee/claims': b'%d',
+    READ_PATH: b'%d',
+    ORDER_PATH: b'%d',
 }
 
 
@@ -125,65 +114,10 @@
         )
 
 
-def _fleet(address: Address) -> tuple[str, FleetSettings]:
-    """Returns the text and settings of a fleet with one plain upstream."""
-    text = (EXAMPLES / 'ninepatch' / 'fleet.ini').read_text()
-    text = re.sub(r'\[upstream bee-app-[23]\]\n(.+\n)+', '', text)
-    text = text.replace('127.0.0.1:19101', str(address))
-    return text, load_fleet(text, revision=Revision(1), source='fleet')
-
-
-class UnlimitedLimiter:
-    """Admits each request."""
-
-    async def admit(self, *_: object) -> UnlimitedGrant:
-        """Admits a request."""
-        return UnlimitedGrant()
-
-
-async def _read(client: HttpClient, address: Address) -> str:
-    _, settings = _fleet(address)
-    route = settings.routes[RouteId('status')]
-    session = SessionContext(
-        request=HttpRequest('GET', '/bee/status'),
-        request_id=RequestId('r'),
-        accepted_at_s=time.monotonic(),
-        settings=settings,
-        route=route,
-        service=settings.services[route.service_id],
-        workspace_id=WorkspaceId('w'),
-        trace=TraceScope(INVALID_SPAN),
-    )
-    forwarder = PlainForwarder(client, HopRecorder.untraced())
-    no_orders: Any = None
-    response = await PlainStage(forwarder, UnlimitedLimiter(), no_orders).serve(
-        session
-    )
-    return response.body.decode()
-
-
-async def _order(client: HttpClient, address: Address) -> str:
-    text, settings = _fleet(address)
-    state = FleetState()
-    state.accept_settings(settings, text)
-    forwarder = PlainForwarder(client, HopRecorder.untraced())
-    runner = OrderRunner(state, forwarder, UnlimitedLimiter())
-    call = OrderCall(
-        workspace_id=WorkspaceId('w'),
-        key='key',
-        attempt=RequestId('r'),
-        route_id=RouteId('claims'),
-        method='POST',
-        target='/bee/claims',
-        headers=(),
-        body=b'{}',
-    )
-    answer = await runner.run(call, lambda: True)
-    return answer.body.decode()
-
-
 @pytest.mark.parametrize('repeats_refusal', [True, False])
-@pytest.mark.parametrize('call', [_prefill, _import, _decode, _read, _order])
+@pytest.mark.parametrize(
+    'call', [_prefill, _import, _decode, read_plain, run_order]
+)
 def test_repeated_response_answers_the_next_request(
     call: Callable[[HttpClient, Address], Awaitable[str]],
     *,
--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/scripted_upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/scripted_upstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from enum import Enum
@@ -28,6 +30,8 @@
 connection."""
 
 _LENGTH_HEADER = b'content-length:'
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+"""A linger time of zero seconds: the close sends a reset."""
 
 
 def encode_response(
@@ -94,6 +98,10 @@
 
 def _end_connection(writer: asyncio.StreamWriter, end: End) -> None:
     if end is End.RESET:
+        connection = writer.get_extra_info('socket')
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
         writer.transport.abort()
     else:
         writer.close()
