Look for other engines at most every 0.3 s, and check a silent one once a second

A route that declares no gap target, or 1 ms, had 943 and 275 searches for another engine in one pause of 1.2 s, each with a connection to the silent engine and log lines.

Cause: the time without an event was a multiple of the gap target alone. It is now 0.3 s at least.

They now go through the check that is limited to one a second for each engine.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -27,6 +27,9 @@
 """Time without an event, in gap targets, after which another engine is tried
 for the stream."""
 
+MIN_STALL_S = 0.3
+"""The least such time; a route may declare no gap target."""
+
 
 class EventRelay:
     """Response body that yields a stream's events."""
@@ -108,10 +111,8 @@
     def _event_timeout_s(self) -> float:
         if not self._source.can_replace:
             return self._remaining_s
-        return min(
-            self._remaining_s,
-            self._admitted.route.gap_target_s * STALL_GAP_TARGETS,
-        )
+        stall_s = self._admitted.route.gap_target_s * STALL_GAP_TARGETS
+        return min(self._remaining_s, max(MIN_STALL_S, stall_s))
 
     def _start_handover(self) -> None:
         """Looks for another engine, or aborts the response at its deadline."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -114,7 +114,7 @@
         self._handover = handover
         if handover is not None:
             self._attempts.set_aside(handover.silent_upstream)
-            self._node.checks.check_reachable(handover.silent_upstream)
+            self._node.checks.check_silent(handover.silent_upstream)
         self._memory_wait.restart_timeout()
         engine_stream = await self._open_stream(last_id)
         if handover is not None:
