Take a connection that opened while the event loop was busy

Cause: the timeout of a connect expired in the same turn of the event loop in which the connection was found open, and won. An opening that isn't done then gets 20 ms more, in which what has arrived is noticed. If the request is cancelled meanwhile, a connection that opens later is closed.

--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import suppress
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import h11
 
@@ -21,6 +21,10 @@
 
 _CHUNK_LINE_END = b'\r\n'
 CONNECT_TIMEOUT_S = 1.0
+BUSY_LOOP_S = 0.02
+"""Time beyond its timeout for a connection that is open already."""
+
+_Streams: TypeAlias = 'tuple[asyncio.StreamReader, asyncio.StreamWriter]'
 
 
 class ConnectError(Exception):
@@ -74,14 +78,22 @@
             ConnectError: if the connection is refused or times out, or there
                 can't be such an address.
         """
+        opening = asyncio.ensure_future(
+            asyncio.open_connection(
+                address.host, address.port, limit=READ_AHEAD_BYTES
+            )
+        )
         try:
-            async with asyncio.timeout(timeout_s):
-                reader, writer = await asyncio.open_connection(
-                    address.host, address.port, limit=READ_AHEAD_BYTES
-                )
+            await _wait_opened(opening, timeout_s)
+            reader, writer = opening.result()
         except (OSError, ValueError, OverflowError) as error:
             # The latter two are raised for hosts and ports that can't be.
             raise ConnectError(f'cannot connect to {address}') from error
+        except asyncio.CancelledError:
+            opening.add_done_callback(_close_opened)
+            raise
+        finally:
+            opening.cancel()
         return cls(reader, writer)
 
     def buffer_requests(self, size_bytes: int) -> None:
@@ -211,4 +223,29 @@
         self._writer.close()
 
 
+async def _wait_opened(
+    opening: asyncio.Future[_Streams], timeout_s: float
+) -> None:
+    """Waits for a connection to open.
+
+    A busy event loop may notice the end of the time before it notices that the
+    connection is open, so it gets a moment more.
+
+    Raises:
+        TimeoutError: if it doesn't open in time.
+    """
+    for limit_s in (timeout_s, BUSY_LOOP_S):
+        await asyncio.wait({opening}, timeout=limit_s)
+        if opening.done():
+            return
+    raise TimeoutError
+
+
+def _close_opened(opening: asyncio.Future[_Streams]) -> None:
+    """Closes a connection that nobody waits for any more."""
+    if not opening.cancelled() and opening.exception() is None:
+        _, writer = opening.result()
+        writer.close()
+
+
 __all__ = ('ClientConnection', 'ConnectError', 'ExchangeError')
--- a/packages/catkinreach-node/tests/gateway/test_upstream_pool.py
+++ b/packages/catkinreach-node/tests/gateway/test_upstream_pool.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 from catkinreach_core.settings.node import Address
-from catkinreach_node.gateway.upstream_pool import UpstreamPool
+from catkinreach_node.gateway.upstream_pool import (
+    CONNECT_TIMEOUT_S,
+    UpstreamPool,
+)
 from catkinreach_standins.fakes.gateway import make_upstream
 from catkinreach_standins.platform.deployment import LOOPBACK
 
@@ -48,3 +52,24 @@
             data = await received
         assert not connection.is_reusable
         return data
+
+
+def test_open_connection_counts_as_failed_in_a_busy_event_loop() -> None:
+    # The timeout expired in the same turn in which the connection opened.
+    async def run() -> None:
+        with socket.create_server((LOOPBACK, 0)) as listening:
+            port = listening.getsockname()[1]
+            upstream = make_upstream(
+                'one', address=Address(host=LOOPBACK, port=port)
+            )
+            pool = UpstreamPool(time.monotonic)
+            probing = asyncio.ensure_future(pool.probe(upstream))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            time.sleep(2 * CONNECT_TIMEOUT_S)  # noqa: ASYNC251
+            try:
+                await probing
+            finally:
+                pool.close()
+
+    asyncio.run(run())
