--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -126,6 +126,7 @@
         self._node = node
         self._admitted = admitted
         self._sends = 0
+        self._refused_sends = 0
         self._silent: Upstream | None = None
         self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
@@ -146,13 +147,9 @@
 
     @property
     def can_retry(self) -> bool:
-        """Returns whether the route allows one more send.
-
-        A return to a readmitted upstream reaches no further one, so that the
-        route's number of attempts doesn't limit it.
-        """
+        """Returns whether the route allows one more send."""
         return self._is_repeatable and (
-            self._may_send_anywhere or bool(self._readmitted)
+            self._may_send_anywhere or self._may_return
         )
 
     @property
@@ -170,6 +167,18 @@
     def _may_send_anywhere(self) -> bool:
         return self._sends < self._admitted.route.max_attempts
 
+    @property
+    def _may_return(self) -> bool:
+        """Returns whether a readmitted upstream may get one more send.
+
+        It takes the place of one that an upstream refused, and reaches no
+        further upstream.
+        """
+        runs = self._sends - self._refused_sends
+        return bool(self._readmitted) and (
+            runs < self._admitted.route.max_attempts
+        )
+
     def usable(self, candidates: list[Candidate]) -> list[Candidate]:
         """Returns the candidates that may get the next send."""
         if self._may_send_anywhere:
@@ -287,6 +296,8 @@
         self._node.record_refusal(reply)
         if reply.metadata.is_misdirected:
             self.uncount_send()
+        else:
+            self._refused_sends += 1
         self.record_failed_send(
             reply.upstream.upstream_id,
             SendFailure.REFUSED,
