--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -35,6 +35,7 @@
     407: 'wrong refusals: a paused front named a crash anew',
     410: 'wrong refusals: a cut link counted as a crash',
     458: 'wrong refusals: a crash had two names at a step of 2 s',
+    473: 'late crashing requests: parts that crash together excused each other',
 }
 """The same with crashing requests."""
 
