--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -23,7 +23,7 @@
 
 ACCEPT_TURNS = 8
 """Turns of the event loop in which the task of an accepted connection begins;
-asyncio takes four, and a TLS handshake more."""
+without TLS it took five at most."""
 
 
 class HttpServer:
