Let a part run that a likelier one leaves with few crashes

Cause: a part ran freely only if another one was in all of its crashes and more. What the likelier one leaves unexplained is now weighed as for any part: with fewer than three such crashes it runs, as a part with so few would. A part with as many crashes as the other, all but one of them the same, is tried at once.

The new test has a part with three crashes, two of them with a part that has five: refused before, not now; the crashing part stays refused.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -9,12 +9,14 @@
 disconnects while requests start on it, and is unreachable afterwards, is one
 crash of each of their keys. A request that runs clears its keys of earlier
 crashes. A request is refused if one of its keys has too many crashes, unless
-another key, which the request doesn't have, was part of all of them and more.
+another key, which the request doesn't have, explains them: it has more crashes
+and was part of all but a few of these.
 
-If several keys have the same crashes, or nearly, one of them is the cause, and
-only requests that have just one can show which: one request of one node at a
-time is tried. If it runs, its keys are cleared; if not, they have a crash more
-than the others. A refusal ends with such a trial, too, not for all requests.
+If several keys have as many crashes, and nearly the same ones, one of them is
+the cause, and only requests that have just one can show which: one request of
+one node at a time is tried. If it runs, its keys are cleared; if not, they have
+a crash more than the others. A refusal ends with such a trial, too, not for all
+requests.
 
 Nodes exchange the crashes themselves, not counts of them. A crash that several
 nodes saw counts once, and what a node knew survives its end.
@@ -172,32 +174,18 @@
         suspect = self._suspects.get(key)
         if suspect is None or not suspect.has_too_many:
             return False
-        unexplained = self._unexplained(suspect, keys)
-        if unexplained is None:
+        others = [
+            other
+            for other_key, other in self._suspects.items()
+            if other_key not in keys and other.has_too_many
+        ]
+        if any(map(suspect.is_explained_by, others)):
             return False
         delay_s = self._rank_of(key) * RANK_DELAY_S
-        if now_s < suspect.refusal_end_s(unexplained) + delay_s:
+        if now_s < suspect.refusal_end_s(others) + delay_s:
             return True
         return not self._trial.try_begin(next(iter(keys)), now_s)
 
-    def _unexplained(
-        self, suspect: Suspect, keys: Collection[SuspectKey]
-    ) -> set[Crash] | None:
-        """Returns the crashes that the likeliest other key doesn't explain.
-
-        ``None`` if another key has all of them and more. If both have the same
-        ones, each may be the cause, so that one is tried.
-        """
-        crashes = suspect.crashes.keys()
-        rest = set(crashes)
-        for key, other in self._suspects.items():
-            if key in keys or not other.has_too_many:
-                continue
-            if crashes < other.crashes.keys():
-                return None
-            rest = min(rest, crashes - other.crashes.keys(), key=len)
-        return rest
-
     def _choose_keys(self, now_s: float) -> Iterator[SuspectKey]:
         """Yields the keys of a report: news, repeated ones, some others."""
         new: list[SuspectKey] = []
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
 
     from .crash_log import Crash
 
@@ -88,20 +88,40 @@
         self.ran_at_s = max(self.ran_at_s, ran_at_s)
         return bool(earlier)
 
-    def refusal_end_s(self, unexplained: Collection[Crash]) -> float:
+    def is_explained_by(self, other: Suspect) -> bool:
+        """Returns whether another key is the likelier cause.
+
+        The crashes that it wasn't part of are too few for a refusal.
+        """
+        return (
+            len(other.crashes) > len(self.crashes)
+            and len(self._unexplained_by(other)) < CRASHES_TO_REFUSE
+        )
+
+    def refusal_end_s(self, others: Iterable[Suspect]) -> float:
         """Returns when a request with the key may be tried again.
 
         Args:
-            unexplained: Crashes that no other key explains.
+            others: Keys with too many crashes, which the request doesn't have.
         """
-        if not unexplained:
+        rest = [
+            (len(self._unexplained_by(other)), len(other.crashes))
+            for other in others
+        ]
+        if any(
+            unexplained <= MAX_UNEXPLAINED and count >= len(self.crashes)
+            for unexplained, count in rest
+        ):
             return self.last_crash_s
-        if len(unexplained) <= MAX_UNEXPLAINED:
+        if any(unexplained <= MAX_UNEXPLAINED for unexplained, _ in rest):
             return self.last_crash_s + EXCUSED_REFUSAL_S
         doublings = min(self._count_rounds() - 1, 16)
         refusal_s = MIN_REFUSAL_S * float(1 << doublings)
         return self.last_crash_s + min(MAX_REFUSAL_S, refusal_s)
 
+    def _unexplained_by(self, other: Suspect) -> set[Crash]:
+        return self.crashes.keys() - other.crashes.keys()
+
     def _count_rounds(self) -> int:
         times_s = sorted(crash.at_s for crash in self.crashes)
         return 1 + sum(
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -298,3 +298,14 @@
     assert not suspects.is_quarantined(keys, NOW_S + EXCUSED_REFUSAL_S)
     suspects.clear_now(keys, NOW_S + EXCUSED_REFUSAL_S + 1)
     assert not suspects.is_quarantined([HARMLESS], NOW_S + EXCUSED_REFUSAL_S)
+
+
+def test_harmless_part_with_a_crash_of_its_own_is_refused() -> None:
+    # Soak seed 516: it was refused beside a part that explained the others.
+    suspects = CrashSuspects()
+    _crash_all(suspects, CRASHING)
+    suspects.record_crash([HARMLESS, CRASHING], CrashSource(50), 10.0)
+    suspects.record_crash([HARMLESS, CRASHING], CrashSource(51), 14.0)
+    suspects.record_crash([HARMLESS], CrashSource(52), 18.0)
+    assert not suspects.is_quarantined([OTHER_REQUEST, HARMLESS], 18.0)
+    assert suspects.is_quarantined([OTHER_REQUEST, CRASHING], 18.0)
