Announce the close of a connection only where requests are read

What callers saw: the second of two requests that arrive together while a gateway stops got no answer: the first one's response said 'connection: close', and what followed was dropped, since read and dropped.

Cause: the gateway added the header to each response from SIGTERM on. Only the connection knows whether another request has arrived, and leaves the header out then. The gateway now tells its server that it stops, and the server's connections add the header.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -86,6 +86,7 @@
         """Starts a graceful shutdown; a second signal changes nothing."""
         if not self._node.is_stopping:
             self._node.begin_stop(self._drain_s - ANSWER_MARGIN_S)
+            self._ingress.announce_stop()
         self._stop_requested.set()
 
     @property
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -65,8 +65,6 @@
             )
             failure = CatkinreachError(ErrorKind.INTERNAL)
             response = self._error_response(metadata, failure, arrived_s)
-        if self._node.is_stopping:
-            response.headers.append(('connection', 'close'))
         return response
 
     async def _serve(
--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -44,13 +44,13 @@
         writer: asyncio.StreamWriter,
         requests: RequestReader,
         read_bounds: Callable[[], ServerBounds],
-        is_draining: Callable[[], bool],
+        is_stopping: Callable[[], bool],
     ) -> None:
         """Wraps the output of an accepted connection."""
         self._writer = writer
         self._requests = requests
         self._read_bounds = read_bounds
-        self._is_draining = is_draining
+        self._is_stopping = is_stopping
 
     def close(self) -> None:
         """Closes the socket.
@@ -154,7 +154,7 @@
         """
         is_announced = any(name == 'connection' for name, _ in response.headers)
         has_input = self._requests.has_input
-        if is_announced or has_input or not self._is_draining():
+        if is_announced or has_input or not self._is_stopping():
             return []
         return [('connection', 'close')]
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -48,6 +48,7 @@
         self._request_counter = RequestCounter()
         self._refusing_count = 0
         self._is_draining = False
+        self._is_stopping = False
         self._all_closed = asyncio.Event()
         self._all_closed.set()
 
@@ -79,6 +80,10 @@
         """Sets the bounds; open connections follow them, too."""
         self._bounds = bounds
 
+    def announce_stop(self) -> None:
+        """Lets responses tell that their connection closes, and closes it."""
+        self._is_stopping = True
+
     def close_idle_connections(self) -> None:
         """Closes idle connections now, the others after their response.
 
@@ -86,6 +91,7 @@
         ``wait_connections_closed`` before ``close``.
         """
         self._is_draining = True
+        self._is_stopping = True
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
@@ -117,7 +123,8 @@
             self._serve,
             lambda: self._bounds,
             self._request_counter,
-            lambda: self._is_draining,
+            is_draining=lambda: self._is_draining,
+            is_stopping=lambda: self._is_stopping,
         )
         if len(self._connections) >= self._bounds.max_connections:
             logger.warning(
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -46,9 +46,21 @@
         serve: RequestHandler,
         read_bounds: Callable[[], ServerBounds],
         request_counter: RequestCounter,
+        *,
         is_draining: Callable[[], bool],
+        is_stopping: Callable[[], bool],
     ) -> None:
-        """Wraps an accepted connection."""
+        """Wraps an accepted connection.
+
+        Args:
+            reader: Input of the connection.
+            writer: Output of the connection.
+            serve: Handler of its requests.
+            read_bounds: Returns the current bounds; they may change.
+            request_counter: Counts the requests in flight.
+            is_draining: Whether the connection closes when it is idle.
+            is_stopping: Whether it closes after its next response.
+        """
         self._serve = serve
         self._request_counter = request_counter
         self._is_draining = is_draining
@@ -56,7 +68,7 @@
             reader, read_bounds, is_draining, self._send_continue
         )
         self._responses = ResponseSender(
-            writer, self._requests, read_bounds, is_draining
+            writer, self._requests, read_bounds, is_stopping
         )
 
     def close_if_idle(self) -> None:
