Begin a trial only with a send, and end it if nothing was sent

A request now begins its trial when it is about to be sent, and one that isn't sent, or is refused, ends it. Nodes begin 0.1 s apart: in a fleet of 200 all may try after 20 s instead of 200, and a trial whose request crashes its engine is known to all within about half a second, before many others have begun.

The new test has a request that is tried and doesn't run; before, the next one was refused.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -26,6 +26,7 @@
 
 import math
 from collections import OrderedDict
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from .crash_log import CrashLog
@@ -48,7 +49,7 @@
 """Crashes of one of its keys after which a request that crashed an upstream
 isn't sent to another one."""
 
-RANK_DELAY_S = 1.0
+RANK_DELAY_S = 0.1
 """Time by which each node tries a refused key later than the one before it."""
 
 MAX_SUSPECTS = 2_000
@@ -67,6 +68,14 @@
 MS_PER_S = 1000
 
 
+class _Permit(Enum):
+    """Whether a request with a key may run."""
+
+    FREE = 'free'
+    TRIAL = 'trial'
+    REFUSED = 'refused'
+
+
 class CrashSuspects:
     """Crashes by suspect key, as this node and its peers saw them."""
 
@@ -119,13 +128,33 @@
         return max((len(one.crashes) for one in found if one), default=0)
 
     def is_quarantined(
-        self, keys: Collection[SuspectKey], now_s: float
+        self,
+        keys: Collection[SuspectKey],
+        now_s: float,
+        *,
+        begins_run: bool = True,
     ) -> bool:
         """Returns whether a request with these keys must not run now.
 
-        A request that may run as a trial keeps others out for a while.
+        Args:
+            keys: Keys of the request, its own one first.
+            now_s: The current time.
+            begins_run: Whether the request runs next. If it may only be tried,
+                it then keeps others like it out.
         """
-        return any(self._is_refused(key, keys, now_s) for key in keys)
+        owner = next(iter(keys))
+        permits = {self._permit(key, keys, now_s) for key in keys}
+        if _Permit.REFUSED in permits:
+            return True
+        if _Permit.TRIAL not in permits:
+            return False
+        if begins_run:
+            return not self._trial.try_begin(owner, now_s)
+        return not self._trial.is_open_to(owner, now_s)
+
+    def end_trial(self, keys: Collection[SuspectKey]) -> None:
+        """Ends the trial of a request that didn't run after all."""
+        self._trial.end(keys)
 
     def merge(self, report: CrashReport, now_s: float) -> None:
         """Adds what a peer reported."""
@@ -168,23 +197,23 @@
         has_news, self._has_news = self._has_news, False
         return has_news
 
-    def _is_refused(
+    def _permit(
         self, key: SuspectKey, keys: Collection[SuspectKey], now_s: float
-    ) -> bool:
+    ) -> _Permit:
         suspect = self._suspects.get(key)
         if suspect is None or not suspect.has_too_many:
-            return False
+            return _Permit.FREE
         others = [
             other
             for other_key, other in self._suspects.items()
             if other_key not in keys and other.has_too_many
         ]
         if any(map(suspect.is_explained_by, others)):
-            return False
+            return _Permit.FREE
         delay_s = self._rank_of(key) * RANK_DELAY_S
         if now_s < suspect.refusal_end_s(others) + delay_s:
-            return True
-        return not self._trial.try_begin(next(iter(keys)), now_s)
+            return _Permit.REFUSED
+        return _Permit.TRIAL
 
     def _choose_keys(self, now_s: float) -> Iterator[SuspectKey]:
         """Yields the keys of a report: news, repeated ones, some others."""
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/trial.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/trial.py
@@ -25,10 +25,16 @@
 
     def try_begin(self, owner: SuspectKey, now_s: float) -> bool:
         """Returns whether a request is the one that is tried now."""
+        if not self.is_open_to(owner, now_s):
+            return False
         if now_s >= self._until_s:
             self._owner = owner
             self._until_s = now_s + TRIAL_S
-        return owner == self._owner
+        return True
+
+    def is_open_to(self, owner: SuspectKey, now_s: float) -> bool:
+        """Returns whether a request could begin, or is tried already."""
+        return now_s >= self._until_s or owner == self._owner
 
     def end(self, keys: Container[SuspectKey]) -> None:
         """Ends the trial if the request with these keys was tried."""
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -309,3 +309,18 @@
     suspects.record_crash([HARMLESS], CrashSource(52), 18.0)
     assert not suspects.is_quarantined([OTHER_REQUEST, HARMLESS], 18.0)
     assert suspects.is_quarantined([OTHER_REQUEST, CRASHING], 18.0)
+
+
+def test_request_that_does_not_run_keeps_others_out() -> None:
+    # Soak seed 532: the one that was tried found no engine.
+    suspects = CrashSuspects()
+    _crash_all(suspects, CRASHING)
+    end_s = CRASHES[-1] + MIN_REFUSAL_S
+    waiting = [SuspectKey('waiting'), CRASHING]
+    tried = [SuspectKey('tried'), CRASHING]
+    other = [OTHER_REQUEST, CRASHING]
+    assert not suspects.is_quarantined(waiting, end_s, begins_run=False)
+    assert not suspects.is_quarantined(tried, end_s)
+    assert suspects.is_quarantined(waiting, end_s, begins_run=False)
+    suspects.end_trial(tried)
+    assert not suspects.is_quarantined(other, end_s)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -116,7 +116,7 @@
         workspace = _workspace(catalog, route, metadata)
         service_id = route.choose_service(self._node.rng)
         keys = suspect_keys(request, metadata)
-        refuse_if_quarantined(self._node, keys)
+        refuse_if_quarantined(self._node, keys, begins_run=False)
         await self._node.load_queries.refresh(
             service_id, None if workspace is None else workspace.workspace_id
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -194,6 +194,7 @@
         finally:
             if not is_open:
                 engine_stream.close()
+                self._node.crash_suspects.end_trial(self._admitted.suspect_keys)
         return is_open
 
     def _filled_up_during_prefill(self, plan: StreamPlan) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/suspect_keys.py
@@ -43,13 +43,22 @@
     return _source(f'{upstream.service_id}/{upstream.domain_id}')
 
 
-def refuse_if_quarantined(node: Node, keys: Collection[SuspectKey]) -> None:
+def refuse_if_quarantined(
+    node: Node, keys: Collection[SuspectKey], *, begins_run: bool = True
+) -> None:
     """Refuses a request that would crash its upstream.
 
+    Args:
+        node: State of the gateway process.
+        keys: Keys of the request.
+        begins_run: Whether the request is sent next.
+
     Raises:
         CatkinreachError: the refusal.
     """
-    if node.crash_suspects.is_quarantined(keys, node.clock()):
+    if node.crash_suspects.is_quarantined(
+        keys, node.clock(), begins_run=begins_run
+    ):
         raise CatkinreachError(
             ErrorKind.INTERNAL,
             'earlier requests like this one crashed upstreams',
