Allow a harmless part's refusal for 6 s after a crash, and count most of them

The soak took every refusal of a harmless stream with a suspect's part for a violation.

The check allows it for 6 s after any crash; beyond that each such refusal counts, as before.

--- a/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
@@ -314,3 +314,39 @@
         history=history, runs={}, sends={}, logs={0: EXPLAINED}
     )
     assert bool(find_violations(records)) is is_found
+
+
+QUARANTINED = replace(
+    STREAM, end=CallEnd.REFUSED, status=500, code='internal', event_ids=()
+)
+
+
+def _find_after_crashes(calls: list[CallRecord], *crashes_s: float) -> str:
+    records = RunRecords(
+        history=History(calls=calls),
+        runs={},
+        sends={},
+        logs={0: EXPLAINED},
+        crashes_s=crashes_s,
+    )
+    return '\n'.join(find_violations(records))
+
+
+@pytest.mark.parametrize(
+    ('crash_s', 'is_found'), [(9.0, False), (4.1, False), (3.9, True)]
+)
+def test_harmless_stream_is_refused_long_after_a_crash(
+    crash_s: float, *, is_found: bool
+) -> None:
+    found = _find_after_crashes([QUARANTINED], crash_s)
+    assert ('wrongly refused with 500' in found) is is_found
+
+
+@pytest.mark.parametrize(('refused', 'is_found'), [(10, False), (11, True)])
+def test_most_harmless_streams_are_refused_after_the_fifth_crash(
+    refused: int, *, is_found: bool
+) -> None:
+    calls = [replace(QUARANTINED, sent_s=12.0, ended_s=12.1)] * refused
+    calls += [replace(STREAM, sent_s=12.0, ended_s=12.1)] * (20 - refused)
+    found = _find_after_crashes(calls, 1.0, 2.0, 3.0, 4.0, 5.9, 11.0)
+    assert ('harmless streams were refused' in found) is is_found
