--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -9,7 +9,7 @@
 from msgspec import Struct, field
 
 from ..ids import Revision, ServiceId, UpstreamId, WorkspaceId
-from .crash_suspects import SuspectKey, SuspectReport
+from .crash_reports import CrashReport
 from .feed import SmallChange
 from .load_table import UpstreamLoad
 
@@ -45,8 +45,6 @@
             orders to engines.
         switching: Remaining downtime, in seconds, of engines that change
             their stage.
-        suspects: Crashes by suspect key, as the sender knows them; empty in
-            messages that only report a change of load.
     """
 
     node: str
@@ -60,7 +58,18 @@
     waiting: dict[ServiceId, int] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, float] = field(default_factory=dict)
-    suspects: dict[SuspectKey, SuspectReport] = field(default_factory=dict)
+
+
+class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
+    """Crashes that a node knows, and the requests suspected of them.
+
+    Attributes:
+        node: Address of the sender.
+        report: What it knows, in part.
+    """
+
+    node: str
+    report: CrashReport
 
 
 class LoadQuery(Struct, array_like=True, kw_only=True, tag='query'):
@@ -144,7 +153,12 @@
 
 
 PeerDatagram: TypeAlias = (
-    GossipMessage | LoadQuery | LoadReply | StoreBeacon | StoreChanges
+    GossipMessage
+    | CrashMessage
+    | LoadQuery
+    | LoadReply
+    | StoreBeacon
+    | StoreChanges
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -169,6 +183,7 @@
 __all__ = (
     'MAX_GOSSIP_BYTES',
     'MAX_GOSSIP_MEMBERS',
+    'CrashMessage',
     'GossipMessage',
     'LoadQuery',
     'LoadReply',
--- a/packages/catkinreach-node/src/catkinreach_node/cell/owner_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owner_link.py
@@ -26,6 +26,7 @@
     RequestWithdrawn,
     ReservationRenewal,
     ReservationRenewalReply,
+    SuspectedBlock,
     SuspectedPrompt,
     WarmupProgress,
 )
@@ -103,6 +104,7 @@
         self._warm_engines: dict[UpstreamId, WarmupProgress] = {}
         self._quarantined: dict[str, float] = {}
         self._suspected: tuple[SuspectedPrompt, ...] = ()
+        self._suspected_blocks: tuple[SuspectedBlock, ...] = ()
         self.placed_locally = 0
 
     @property
@@ -120,11 +122,14 @@
     ) -> Granted:
         """Returns the engines granted to a request once it leaves the queue.
 
+        The owner drops what an earlier attempt holds; see ``report_kept``.
+
         Raises:
             CatkinreachError: a refusal before this attempt ran.
         """
         if self._quarantined.get(request.digest, 0.0) > time.monotonic():
             raise CatkinreachError(ErrorKind.REQUEST_QUARANTINED)
+        self._held.pop(request.request_id, None)
         granted = await self._place_with_retries(request, accepted_at_s)
         self._held[request.request_id] = HeldReservation(granted)
         return granted
@@ -153,9 +158,20 @@
             )
         )
 
+    def report_kept(self, granted: Granted) -> None:
+        """Holds an attempt in its decode that goes on beside a withdrawn one.
+
+        The next renewal tells the owner.
+        """
+        self._held[granted.request.request_id] = HeldReservation(
+            granted, Stage.DECODE
+        )
+
     def report_end(self, message: AttemptEnded) -> None:
         """Reports the end of an attempt to the owner."""
-        self._held.pop(message.request_id, None)
+        entry = self._held.get(message.request_id)
+        if entry and entry.granted.request.attempt == message.attempt:
+            del self._held[message.request_id]
         self._report(message)
 
     def make_end_report(
@@ -357,6 +373,7 @@
                 if until_s > now_s
             ),
             suspected=self._suspected,
+            suspected_blocks=self._suspected_blocks,
         )
 
     def _make_short_renewal(
@@ -387,6 +404,7 @@
             engine.upstream_id: engine for engine in reply.warm
         }
         self._suspected = reply.suspected
+        self._suspected_blocks = reply.suspected_blocks
         for prompt in reply.quarantined:
             self._quarantined[prompt.digest] = now_s + prompt.left_s
         for digest, until_s in tuple(self._quarantined.items()):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -23,6 +23,7 @@
     )
     from catkinreach_core.gateway.crash_suspects import SuspectKey
     from catkinreach_core.gateway.metadata import KvHandle, RequestMetadata
+    from catkinreach_core.gateway.placement import Candidate
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import UpstreamId, WorkspaceId
 
@@ -125,6 +126,9 @@
         self._node = node
         self._admitted = admitted
         self._sends = 0
+        self._refused_sends = 0
+        self._silent: Upstream | None = None
+        self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
         self.may_have_run = False
@@ -136,17 +140,65 @@
         """Returns the seconds until the request times out."""
         return self._admitted.deadline_s - self._node.clock()
 
+    @property
+    def has_sent(self) -> bool:
+        """Returns whether an upstream may have received the request."""
+        return self._sends > 0
+
     @property
     def can_retry(self) -> bool:
         """Returns whether the route allows one more send."""
-        is_retryable = not self._may_crash_upstreams and (
+        return self._is_repeatable and (
+            self._may_send_anywhere or self._may_return
+        )
+
+    @property
+    def can_replace(self) -> bool:
+        """Returns whether a silent upstream may be given up for another one."""
+        return self._is_repeatable and self._may_send_anywhere
+
+    @property
+    def _is_repeatable(self) -> bool:
+        return not self._may_crash_upstreams and (
             self._admitted.route.is_retryable or not self.may_have_run
         )
-        return is_retryable and self._sends < self._admitted.route.max_attempts
+
+    @property
+    def _may_send_anywhere(self) -> bool:
+        return self._sends < self._admitted.route.max_attempts
+
+    @property
+    def _may_return(self) -> bool:
+        """Returns whether a readmitted upstream may get one more send.
+
+        It takes the place of one that an upstream refused, and reaches no
+        further upstream.
+        """
+        runs = self._sends - self._refused_sends
+        return bool(self._readmitted) and (
+            runs < self._admitted.route.max_attempts
+        )
+
+    def usable(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Returns the candidates that may get the next send."""
+        if self._may_send_anywhere:
+            return candidates
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.known.upstream.upstream_id in self._readmitted
+        ]
 
     def count_send(self) -> None:
-        """Counts a send."""
+        """Counts a send.
+
+        An upstream that was given up for it gets the request once more if the
+        send fails.
+        """
         self._sends += 1
+        if self._silent is not None:
+            self.readmit(self._silent)
+            self._silent = None
 
     def uncount_send(self) -> None:
         """Undoes the count of a send that missed the intended upstream."""
@@ -183,11 +235,17 @@
         self.may_have_run = True
         self.excluded.add(upstream.upstream_id)
 
+    def readmit(self, upstream: Upstream) -> None:
+        """Lets an upstream that was silent get the request once more."""
+        self.excluded.discard(upstream.upstream_id)
+        self._readmitted.add(upstream.upstream_id)
+
     def record_failed_send(
         self, upstream_id: UpstreamId, failure: SendFailure, **inputs: object
     ) -> None:
         """Logs a failed send and excludes the upstream from further sends."""
         self.excluded.add(upstream_id)
+        self._readmitted.discard(upstream_id)
         self._node.metrics.count_failed_send(failure.value)
         self._node.log.write(
             Event.SEND_FAILED,
@@ -230,6 +288,7 @@
         """Records that the upstream didn't reply in time."""
         self.has_timed_out = True
         self.record_failure_after_send(upstream, SendFailure.SILENT, **inputs)
+        self._silent = upstream
         self._node.checks.check_reachable(upstream)
 
     def record_refusal(self, reply: Reply, **inputs: object) -> None:
@@ -237,6 +296,8 @@
         self._node.record_refusal(reply)
         if reply.metadata.is_misdirected:
             self.uncount_send()
+        else:
+            self._refused_sends += 1
         self.record_failed_send(
             reply.upstream.upstream_id,
             SendFailure.REFUSED,
@@ -275,7 +336,6 @@
     now_s = node.clock()
     after_s = now_s - admitted.arrived_s
     node.health.record_success(upstream_id, now_s)
-    node.crash_suspects.clear(admitted.suspect_keys, now_s)
     node.metrics.record(RequestStage.TOTAL, after_s)
     node.log.write(
         Event.ANSWERED,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -27,6 +27,9 @@
 """Time without an event, in gap targets, after which another engine is tried
 for the stream."""
 
+MIN_STALL_S = 0.3
+"""The least such time; a route may declare no gap target."""
+
 
 class EventRelay:
     """Response body that yields a stream's events."""
@@ -106,16 +109,14 @@
         return self._admitted.deadline_s - self._node.clock()
 
     def _event_timeout_s(self) -> float:
-        if not self._source.can_resume:
+        if not self._source.can_replace:
             return self._remaining_s
-        return min(
-            self._remaining_s,
-            self._admitted.route.gap_target_s * STALL_GAP_TARGETS,
-        )
+        stall_s = self._admitted.route.gap_target_s * STALL_GAP_TARGETS
+        return min(self._remaining_s, max(MIN_STALL_S, stall_s))
 
     def _start_handover(self) -> None:
         """Looks for another engine, or aborts the response at its deadline."""
-        if self._remaining_s <= 0 or not self._source.can_resume:
+        if self._remaining_s <= 0 or not self._source.can_replace:
             self._fail_silent()
         self._handover = Handover(self._source, self._stream, self._last_id)
 
@@ -134,7 +135,8 @@
             if not handover.is_done:
                 self._fail_silent()
             return await self._end_search(handover)
-        if not handover.may_run_elsewhere and not handover.has_given_up:
+        if events and not handover.has_given_up:
+            # The other engine was told of an earlier event.
             self._end_handover()
             self._log_kept('it went on')
         return events
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -64,8 +65,6 @@
             )
             failure = CatkinreachError(ErrorKind.INTERNAL)
             response = self._error_response(metadata, failure, arrived_s)
-        if self._node.is_stopping:
-            response.headers.append(('connection', 'close'))
         return response
 
     async def _serve(
@@ -75,18 +74,25 @@
         self._node.retry_budget.record_request(
             admitted.service.service_id, arrived_s
         )
+        handler = self._make_handler(admitted)
         try:
-            return await self._run(admitted)
+            return await handler.run()
         except CatkinreachError as error:
             if error.outcome is Outcome.NOT_RUN:
                 self._refund(admitted)
             raise
+        except asyncio.CancelledError:
+            if not handler.may_run:
+                self._refund(admitted)
+            raise
 
-    async def _run(self, admitted: AdmittedRequest) -> HttpResponse:
+    def _make_handler(
+        self, admitted: AdmittedRequest
+    ) -> StreamHandler | PlainHandler:
         traits = admitted.service.engine
         if admitted.route.kind is RouteKind.STREAM and traits is not None:
-            return await StreamHandler(self._node, admitted, traits).run()
-        return await PlainHandler(self._node, admitted).run()
+            return StreamHandler(self._node, admitted, traits)
+        return PlainHandler(self._node, admitted)
 
     def _refund(self, admitted: AdmittedRequest) -> None:
         """Refunds the cost of a request that did not run."""
@@ -110,7 +116,7 @@
         workspace = _workspace(catalog, route, metadata)
         service_id = route.choose_service(self._node.rng)
         keys = suspect_keys(request, metadata)
-        refuse_if_quarantined(self._node, keys)
+        refuse_if_quarantined(self._node, keys, begins_run=False)
         await self._node.load_queries.refresh(
             service_id, None if workspace is None else workspace.workspace_id
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -62,6 +62,12 @@
         running.add_done_callback(_consume_outcome)
         return await asyncio.shield(running)
 
+    @property
+    def may_run(self) -> bool:
+        """Returns whether the request may have run, or still may."""
+        is_detached = self._admitted.route.kind is RouteKind.NON_IDEMPOTENT
+        return is_detached or self._attempts.has_sent
+
     async def _serve(self) -> HttpResponse:
         while self._attempts.remaining_s > MIN_REMAINING_S:
             await self._node.load_queries.refresh(
@@ -81,8 +87,10 @@
         self, silent: AbstractSet[UpstreamId] = frozenset()
     ) -> Upstream | None:
         service = self._admitted.service
-        candidates = self._node.candidates(
-            service.service_id, service, self._attempts.excluded | silent
+        candidates = self._attempts.usable(
+            self._node.candidates(
+                service.service_id, service, self._attempts.excluded | silent
+            )
         )
         known = choose_plain_upstream(
             candidates,
@@ -125,6 +133,7 @@
         self._node.checks.check_silent(upstream)
         return (
             self._admitted.route.is_retryable
+            and self._attempts.can_replace
             and self._choose_upstream({upstream.upstream_id}) is not None
             and self._attempts.try_reserve_retry()
         )
@@ -151,6 +160,9 @@
             reply.status, self._node.dialect.caller_headers(reply.headers), body
         )
         if reply.is_success:
+            self._node.crash_suspects.clear_now(
+                self._admitted.suspect_keys, self._node.clock()
+            )
             record_answer(
                 self._node,
                 self._admitted,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -76,12 +76,9 @@
         Raises:
             CatkinreachError: if it can't be served.
         """
-        try:
-            engine_stream = await self._open_stream(
-                self._admitted.metadata.resume_after
-            )
-        finally:
-            self._prefill.release()
+        engine_stream = await self._open_stream(
+            self._admitted.metadata.resume_after
+        )
         if self._whole_response is not None:
             return self._whole_response
         self._has_begun = True
@@ -91,9 +88,14 @@
         return HttpResponse(reply.status, headers, stream=relay)
 
     @property
-    def can_resume(self) -> bool:
-        """Returns whether the stream may be resumed at another engine."""
-        return self._admitted.route.is_retryable and self._attempts.can_retry
+    def may_run(self) -> bool:
+        """Returns whether the request may have run, or still may."""
+        return self._attempts.has_sent
+
+    @property
+    def can_replace(self) -> bool:
+        """Returns whether another engine may replace a silent one."""
+        return self._admitted.route.is_retryable and self._attempts.can_replace
 
     async def resume(
         self, last_id: int | None, handover: Handover | None = None
@@ -107,18 +109,23 @@
         """
         if self._crash_check is not None:
             await self._crash_check
-        if not self.can_resume:
+        if not self._can_resume(handover):
             return None
         self._handover = handover
         if handover is not None:
             self._attempts.set_aside(handover.silent_upstream)
-            self._node.checks.check_reachable(handover.silent_upstream)
+            self._node.checks.check_silent(handover.silent_upstream)
         self._memory_wait.restart_timeout()
         engine_stream = await self._open_stream(last_id)
         if handover is not None:
             handover.give_up()
         return engine_stream
 
+    def _can_resume(self, handover: Handover | None) -> bool:
+        if handover is not None:
+            return self.can_replace
+        return self._admitted.route.is_retryable and self._attempts.can_retry
+
     def record_lost_engine(
         self, engine_stream: EngineStream, failure: SendFailure, detail: str
     ) -> None:
@@ -128,6 +135,8 @@
         self._attempts.record_failure_after_send(
             upstream, failure, detail=detail
         )
+        if failure is SendFailure.SILENT:
+            self._attempts.readmit(upstream)
         if failure is SendFailure.SILENT or engine_stream.has_started:
             self._node.checks.check_reachable(upstream)
             return
@@ -136,6 +145,12 @@
         )
 
     async def _open_stream(self, resume_after: int | None) -> EngineStream:
+        try:
+            return await self._try_engines(resume_after)
+        finally:
+            self._prefill.release()
+
+    async def _try_engines(self, resume_after: int | None) -> EngineStream:
         while self._attempts.remaining_s > MIN_REMAINING_S:
             plan = await self._memory_wait.wait_for_plan()
             engine_stream = EngineStream(
@@ -179,6 +194,7 @@
         finally:
             if not is_open:
                 engine_stream.close()
+                self._node.crash_suspects.end_trial(self._admitted.suspect_keys)
         return is_open
 
     def _filled_up_during_prefill(self, plan: StreamPlan) -> bool:
@@ -273,6 +289,9 @@
         body = await engine_stream.read_failure()
         self._whole_response = HttpResponse(reply.status, headers, body)
         if reply.is_success:
+            self._node.crash_suspects.clear_now(
+                self._admitted.suspect_keys, self._node.clock()
+            )
             record_answer(
                 self._node,
                 self._admitted,
@@ -285,7 +304,7 @@
         """Checks a silent engine; returns whether another one can go on."""
         self._node.checks.check_silent(upstream)
         return (
-            self.can_resume
+            self.can_replace
             and self._memory_wait.can_place_elsewhere(upstream.upstream_id)
             and self._attempts.try_reserve_retry()
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
@@ -60,9 +60,10 @@
 
     def _candidates(self) -> list[Candidate]:
         service = self._admitted.service
-        return self._node.candidates(
+        candidates = self._node.candidates(
             service.service_id, service, self._attempts.excluded
         )
+        return self._attempts.usable(candidates)
 
 
 __all__ = ('StreamPlanner',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import math
-import time
 from typing import TYPE_CHECKING
 
 from ..http.connection import ConnectError
 from .decision_log import Event
-from .suspect_keys import crash_id
+from .suspect_keys import crash_source, domain_source
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -22,6 +21,10 @@
 CHECK_INTERVAL_S = 1.0
 """Minimum time between checks of an upstream that may be down."""
 
+DOMAIN_LOSS_S = 1.0
+"""Time in which all upstreams of a lost failure domain go down. It is less
+than a restart takes, so that upstreams that crash in turn are told apart."""
+
 
 class UpstreamChecks:
     """Connects to suspected upstreams and marks unreachable ones down."""
@@ -33,7 +36,7 @@
 
     def check_reachable(self, upstream: Upstream) -> None:
         """Checks in the background whether a silent upstream is reachable."""
-        self._node.spawn(self._confirm_reachable(upstream))
+        self._node.spawn(self.confirm_reachable(upstream))
 
     def check_reported_down(self, upstream_id: UpstreamId) -> None:
         """Checks an upstream that a peer could not reach.
@@ -79,12 +82,14 @@
         Returns:
             Most crashes that one key of the request has; 0 without a crash.
         """
-        if await self._confirm_reachable(upstream):
+        if await self.confirm_reachable(upstream):
             return 0
         node = self._node
+        is_domain_lost = await self._is_domain_lost(upstream)
+        name_source = domain_source if is_domain_lost else crash_source
         crashes = node.crash_suspects.record_crash(
             admitted.suspect_keys,
-            crash_id(upstream, time.time()),
+            name_source(upstream),
             node.clock(),
         )
         node.load_changed.set()
@@ -95,10 +100,31 @@
             parts=admitted.metadata.shared_parts,
             upstream=upstream.upstream_id,
             crashes=crashes,
+            domain_lost=is_domain_lost,
         )
         return crashes
 
-    async def _confirm_reachable(self, upstream: Upstream) -> bool:
+    async def _is_domain_lost(self, upstream: Upstream) -> bool:
+        """Returns whether all of its failure domain went down with it.
+
+        That is hardly the work of requests, which crash one upstream after
+        the other.
+        """
+        since_s = self._node.clock() - DOMAIN_LOSS_S
+        health = self._node.health
+        others = self._node.view.others_in_domain(upstream)
+        if any(
+            health.went_down_before(other.upstream_id, since_s)
+            for other in others
+        ):
+            return False
+        for other in others:
+            is_down = health.is_down(other.upstream_id)
+            if not is_down and await self.confirm_reachable(other):
+                return False
+        return bool(others)
+
+    async def confirm_reachable(self, upstream: Upstream) -> bool:
         """Connects to an upstream; marks it down if that fails."""
         try:
             await self._node.pool.probe(upstream)
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -21,6 +21,14 @@
     from .server_connection import RequestHandler
 
 
+MAX_REFUSING = 200
+"""Connections beyond the bound that are refused with a response at a time."""
+
+ACCEPT_TURNS = 8
+"""Turns of the event loop in which the task of an accepted connection begins;
+without TLS it took five at most."""
+
+
 class HttpServer:
     """HTTP server on one listening address."""
 
@@ -38,7 +46,9 @@
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._request_counter = RequestCounter()
+        self._refusing_count = 0
         self._is_draining = False
+        self._is_stopping = False
         self._all_closed = asyncio.Event()
         self._all_closed.set()
 
@@ -70,6 +80,10 @@
         """Sets the bounds; open connections follow them, too."""
         self._bounds = bounds
 
+    def announce_stop(self) -> None:
+        """Lets responses tell that their connection closes, and closes it."""
+        self._is_stopping = True
+
     def close_idle_connections(self) -> None:
         """Closes idle connections now, the others after their response.
 
@@ -77,12 +91,21 @@
         ``wait_connections_closed`` before ``close``.
         """
         self._is_draining = True
+        self._is_stopping = True
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
     async def wait_connections_closed(self) -> None:
-        """Waits until no connection is open."""
-        await self._all_closed.wait()
+        """Waits until no connection is open, nor one that was just accepted.
+
+        An accepted connection counts as open some turns of the event loop
+        later, when its task begins.
+        """
+        turns = 0
+        while turns < ACCEPT_TURNS:
+            await self._all_closed.wait()
+            await asyncio.sleep(0)
+            turns = 0 if self._connections else turns + 1
 
     def close(self) -> None:
         """Closes the listening socket and every connection."""
@@ -100,16 +123,14 @@
             self._serve,
             lambda: self._bounds,
             self._request_counter,
-            lambda: self._is_draining,
+            is_draining=lambda: self._is_draining,
+            is_stopping=lambda: self._is_stopping,
         )
         if len(self._connections) >= self._bounds.max_connections:
             logger.warning(
                 '{}: connection refused, max_connections reached.', self._name
             )
-            await connection.refuse(
-                CatkinreachError(ErrorKind.CONNECTIONS_FULL)
-            )
-            writer.close()
+            await self._refuse(connection)
             return
         self._connections.add(connection)
         self._all_closed.clear()
@@ -130,6 +151,18 @@
             connection.close()
             self._discard(connection)
 
+    async def _refuse(self, connection: ServerConnection) -> None:
+        """Refuses a connection; too many at a time are only closed."""
+        self._refusing_count += 1
+        try:
+            if self._refusing_count <= MAX_REFUSING:
+                await connection.refuse(
+                    CatkinreachError(ErrorKind.CONNECTIONS_FULL)
+                )
+        finally:
+            self._refusing_count -= 1
+            connection.close()
+
     def _discard(self, connection: ServerConnection) -> None:
         self._connections.discard(connection)
         if not self._connections:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -4,11 +4,18 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+REUSABLE_SHARE: Final = 0.8
+"""Share of the idle limit for which callers may leave a connection idle."""
+
+
+LAG_REACH_S: Final = 0.1
+"""Time after a lag of the soak's event loop in which it catches up."""
+
 
 class CallKind(Enum):
     """Route that a call takes; the value is the route's name."""
@@ -58,6 +65,9 @@
         is_crashing: Whether the prompt holds the part that crashes engines.
         body: Body of a response to a plain call; of a stream, the bytes that
             belong to no event.
+        prefix: Parts of the prompt, as they were sent.
+        idle_s: Time since the caller's last call, for which its connection, if
+            it was kept, had been idle.
     """
 
     request_id: str
@@ -73,6 +83,8 @@
     has_partial_event: bool = False
     is_crashing: bool = False
     body: bytes = b''
+    prefix: str = ''
+    idle_s: float = 0.0
 
 
 class DisruptionKind(Enum):
@@ -124,12 +136,67 @@
         disruptions: Disruptions of front processes.
         link_disruptions: Disruptions of links.
         violations: Violations that were found during the run.
+        idle_limits: Limits on the idle time of callers' connections in seconds,
+            each with the monotonic time from which it may be in force.
+        lags: Monotonic times from which the soak's own event loop was held up,
+            each with the length in seconds.
     """
 
     calls: list[CallRecord] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
     link_disruptions: list[LinkDisruption] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    idle_limits: list[tuple[float, float]] = field(default_factory=list)
+    lags: list[tuple[float, float]] = field(default_factory=list)
+
+    def record_idle_limit(self, from_s: float, limit_s: float) -> None:
+        """Records a limit before it is published."""
+        self.idle_limits.append((from_s, limit_s))
+
+    @property
+    def reusable_s(self) -> float:
+        """Returns the idle time after which callers may reuse a connection."""
+        _, limit_s = self.idle_limits[-1]
+        return REUSABLE_SHARE * limit_s
+
+    def duration_s(self, call: CallRecord) -> float:
+        """Returns the duration of a call without that of lags."""
+        return call.ended_s - call.sent_s - self.lag_s(call)
+
+    def lag_s(self, call: CallRecord) -> float:
+        """Returns for how long the caller itself was held up."""
+        return sum(
+            max(
+                0.0,
+                min(from_s + lag_s, call.ended_s) - max(from_s, call.sent_s),
+            )
+            for from_s, lag_s in self.lags
+        )
+
+    def _lag_before_s(self, call: CallRecord) -> float:
+        """Returns by how much the caller may have noticed its last end late."""
+        ended_s = call.sent_s - call.idle_s
+        return sum(
+            lag_s
+            for from_s, lag_s in self.lags
+            if from_s <= ended_s <= from_s + lag_s + LAG_REACH_S
+        )
+
+    def was_idle_too_long(self, call: CallRecord) -> bool:
+        """Returns whether a limit that may be in force lets a front close.
+
+        Any earlier limit may be: faults of the store can delay the newest. A
+        caller that is held up sends later than it means to.
+        """
+        limits_s = [
+            limit_s
+            for from_s, limit_s in self.idle_limits
+            if from_s <= call.ended_s
+        ]
+        if not limits_s:
+            return False
+        idle_s = call.idle_s + self.lag_s(call) + self._lag_before_s(call)
+        return idle_s > REUSABLE_SHARE * min(limits_s)
 
     def was_disrupted(self, call: CallRecord, *kinds: DisruptionKind) -> bool:
         """Returns whether a disruption of the call's front overlapped it."""
@@ -163,6 +230,7 @@
 
 
 __all__ = (
+    'REUSABLE_SHARE',
     'CallEnd',
     'CallKind',
     'CallRecord',
