Keep a silent upstream's request until another upstream has replied

What callers saw: 504 after 0.4 s of a deadline of 3 s, though their engine was healthy. Plain requests met the same.

Cause: a stream that has begun is handed over while its silent engine goes on; before the first event, and for plain requests, the silent upstream was closed as soon as another one could be placed, before anything was known of that one.

No other test was changed but for a type comment.

Why this works: ReplyWait keeps the silent send and tries the other upstream beside it with the handover that begun streams have. The first reply wins. The silent send is closed 0.25 s after the other one was sent, unless that one has failed by then, so two engines run a stream for no longer than before. If the other one failed and the silent upstream stays silent, it gets the request anew on another connection within the bounds that held before (its channel may be what is silent).

The check of a crash and the record of a lost upstream are now the same for streams and plain requests. A send that fails while another one waits for memory keeps that from being sent until the crash check is done.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -127,10 +127,10 @@
         self._admitted = admitted
         self._sends = 0
         self._refused_sends = 0
-        self._silent: Upstream | None = None
         self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
+        self._crash_check: asyncio.Future[None] | None = None
         self.may_have_run = False
         self.has_timed_out = False
         self.excluded: set[UpstreamId] = set()
@@ -190,15 +190,8 @@
         ]
 
     def count_send(self) -> None:
-        """Counts a send.
-
-        An upstream that was given up for it gets the request once more if the
-        send fails.
-        """
+        """Counts a send."""
         self._sends += 1
-        if self._silent is not None:
-            self.readmit(self._silent)
-            self._silent = None
 
     def uncount_send(self) -> None:
         """Undoes the count of a send that missed the intended upstream."""
@@ -234,12 +227,24 @@
         """Excludes an upstream that is silent but may go on."""
         self.may_have_run = True
         self.excluded.add(upstream.upstream_id)
+        self._readmitted.discard(upstream.upstream_id)
 
     def readmit(self, upstream: Upstream) -> None:
         """Lets an upstream that was silent get the request once more."""
         self.excluded.discard(upstream.upstream_id)
         self._readmitted.add(upstream.upstream_id)
 
+    def try_reserve_return(self, upstream: Upstream) -> bool:
+        """Returns whether a silent upstream may get the request anew.
+
+        It is one that was set aside. Like a retry this spends budget now.
+        """
+        self.readmit(upstream)
+        is_allowed = self.try_reserve_retry()
+        if not is_allowed:
+            self.set_aside(upstream)
+        return is_allowed
+
     def record_failed_send(
         self, upstream_id: UpstreamId, failure: SendFailure, **inputs: object
     ) -> None:
@@ -265,12 +270,40 @@
         self._node.mark_unreachable(upstream.upstream_id, str(error))
         self.record_failed_send(upstream.upstream_id, SendFailure.UNREACHABLE)
 
-    async def record_disconnect(self, upstream: Upstream, reason: str) -> None:
-        """Records a disconnect; the request may have crashed the upstream."""
-        self.record_failure_after_send(
-            upstream, SendFailure.BROKEN, detail=reason
-        )
-        await self.check_crash(upstream)
+    def record_lost(
+        self,
+        upstream: Upstream,
+        failure: SendFailure,
+        detail: str,
+        *,
+        has_started: bool = False,
+    ) -> None:
+        """Records that an upstream disconnected, or was given up as silent.
+
+        A silent upstream may get the request once more. The request may have
+        crashed one that disconnected, which is checked in the background.
+
+        Args:
+            upstream: Upstream that is lost.
+            failure: Whether it disconnected or was silent.
+            detail: What was seen.
+            has_started: Whether the request had been running for a while.
+        """
+        self.record_failure_after_send(upstream, failure, detail=detail)
+        is_silent = failure is SendFailure.SILENT
+        if is_silent:
+            self.has_timed_out = True
+            self.readmit(upstream)
+        if is_silent or has_started:
+            self._node.checks.check_reachable(upstream)
+            return
+        self._crash_check = asyncio.ensure_future(self.check_crash(upstream))
+
+    async def finish_crash_check(self) -> None:
+        """Waits until it is known whether the request crashed its upstream."""
+        if self._crash_check is not None:
+            # Other waits go on if this one is cancelled.
+            await asyncio.shield(self._crash_check)
 
     async def check_crash(self, upstream: Upstream) -> None:
         """Checks whether the request, as it started, crashed the upstream.
@@ -285,10 +318,9 @@
         self._may_crash_upstreams |= crashes >= CRASHES_TO_STOP_RETRY
 
     def record_timeout(self, upstream: Upstream, **inputs: object) -> None:
-        """Records that the upstream didn't reply in time."""
+        """Records that an upstream didn't reply before the deadline."""
         self.has_timed_out = True
         self.record_failure_after_send(upstream, SendFailure.SILENT, **inputs)
-        self._silent = upstream
         self._node.checks.check_reachable(upstream)
 
     def record_refusal(self, reply: Reply, **inputs: object) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -10,8 +10,11 @@
 
 from ..http.connection import ExchangeError
 from .exchange import Reply, exchange
+from .reply_wait import start_reply
 
 if TYPE_CHECKING:
+    import asyncio
+
     from catkinreach_core.gateway.events import StreamEvent
     from catkinreach_core.gateway.metadata import KvHandle
     from catkinreach_core.gateway.placement import StreamNeed
@@ -63,6 +66,7 @@
         self._reply: Reply | None = None
         self._splitter = EventSplitter()
         self._is_closed = False
+        self._opening: asyncio.Future[None] | None = None
         self._prefill_load = UpstreamLoad(
             prefill_tokens=need.prompt_tokens if prefills_prompt else 0
         )
@@ -77,6 +81,11 @@
         node.begin_work(upstream.upstream_id, self._decode_load)
         node.begin_work(upstream.upstream_id, self._prefill_load)
 
+    @property
+    def upstream(self) -> Upstream:
+        """Returns the engine."""
+        return self._upstream
+
     @property
     def reply(self) -> Reply:
         """Returns the head of the reply; valid after ``open``."""
@@ -88,13 +97,17 @@
         """Returns whether the engine has sent events for a while."""
         return self._last_event_at_s - self._first_event_at_s >= STARTED_S
 
-    async def open(self, resume_after: int | None) -> None:
-        """Sends the request and waits for the first event or a failure.
+    def start(self, resume_after: int | None) -> asyncio.Future[None]:
+        """Sends the request; returns the wait for its first event or a failure.
 
-        Raises:
-            ConnectError: nothing was sent.
-            ExchangeError: the request may have run.
+        The wait ends with a ``ConnectError`` if nothing was sent, and with an
+        ``ExchangeError`` if the request may have run. It is cancelled if the
+        stream is closed.
         """
+        self._opening = start_reply(self._open(resume_after))
+        return self._opening
+
+    async def _open(self, resume_after: int | None) -> None:
         admitted = self._admitted
         metadata = admitted.forward_metadata(
             self._upstream,
@@ -189,6 +202,8 @@
         if self._is_closed:
             return
         self._is_closed = True
+        if self._opening is not None:
+            self._opening.cancel()
         self._end_prefill()
         self._node.end_work(self._upstream.upstream_id, self._decode_load)
         if self._reply is None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -20,7 +20,7 @@
 
     from .admitted_request import AdmittedRequest
     from .engine_stream import EngineStream
-    from .handover import StreamSource
+    from .handover import SendSource
     from .node import Node
 
 STALL_GAP_TARGETS = 2.5
@@ -38,7 +38,7 @@
         self,
         node: Node,
         admitted: AdmittedRequest,
-        source: StreamSource,
+        source: SendSource[EngineStream],
         stream: EngineStream,
     ) -> None:
         """Takes over an engine stream that has its first events."""
@@ -46,7 +46,7 @@
         self._admitted = admitted
         self._source = source
         self._stream = stream
-        self._handover: Handover | None = None
+        self._handover: Handover[EngineStream] | None = None
         self._last_id = admitted.metadata.resume_after
         self._first_event_s = 0.0
         self._has_failed = False
@@ -121,7 +121,7 @@
         self._handover = Handover(self._source, self._stream, self._last_id)
 
     async def _next_during_handover(
-        self, handover: Handover
+        self, handover: Handover[EngineStream]
     ) -> list[StreamEvent]:
         """Returns the next events of whichever engine sends them."""
         if handover.is_done:
@@ -141,9 +141,11 @@
             self._log_kept('it went on')
         return events
 
-    async def _end_search(self, handover: Handover) -> list[StreamEvent]:
+    async def _end_search(
+        self, handover: Handover[EngineStream]
+    ) -> list[StreamEvent]:
         """Goes on at the other engine, or at the silent one if there's none."""
-        other = await handover.other_stream()
+        other = await handover.other_send()
         self._handover = None
         if other is not None:
             return self._switch(other, SILENT_DETAIL)
@@ -153,13 +155,13 @@
         return []
 
     async def _replace_lost(
-        self, handover: Handover, reason: str
+        self, handover: Handover[EngineStream], reason: str
     ) -> list[StreamEvent]:
         """Waits for the other engine once the silent one is lost."""
         if handover.has_given_up:
             reason = SILENT_DETAIL
         handover.give_up(SendFailure.BROKEN, reason)
-        other = await handover.other_stream()
+        other = await handover.other_send()
         self._handover = None
         if other is None:
             self._fail(f'{reason}; {handover.detail}')
@@ -172,9 +174,7 @@
 
     async def _resume(self, reason: str) -> list[StreamEvent]:
         """Resumes at another engine, or aborts the response."""
-        self._source.record_lost_engine(
-            self._stream, SendFailure.BROKEN, reason
-        )
+        self._source.record_lost(self._stream, SendFailure.BROKEN, reason)
         try:
             stream = await self._source.resume(self._last_id)
         except CatkinreachError as error:
@@ -190,7 +190,7 @@
         self._node.log.write(
             Event.RESUMED,
             request=self._admitted.metadata.request_id,
-            upstream=stream.reply.upstream.upstream_id,
+            upstream=stream.upstream.upstream_id,
             reason=reason,
             after_event=self._last_id,
         )
@@ -200,13 +200,13 @@
         self._node.log.write(
             Event.SILENT_KEPT,
             request=self._admitted.metadata.request_id,
-            upstream=self._stream.reply.upstream.upstream_id,
+            upstream=self._stream.upstream.upstream_id,
             reason=reason,
             after_event=self._last_id,
         )
 
     def _fail_silent(self) -> NoReturn:
-        self._source.record_lost_engine(
+        self._source.record_lost(
             self._stream, SendFailure.SILENT, SILENT_DETAIL
         )
         self._fail(SILENT_DETAIL)
@@ -231,7 +231,7 @@
         record_answer(
             self._node,
             self._admitted,
-            self._stream.reply.upstream.upstream_id,
+            self._stream.upstream.upstream_id,
             last_event=self._last_id,
             first_event_s=self._first_event_s,
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -1,10 +1,10 @@
-"""Keeps a silent engine's stream while another engine is tried."""
+"""Keeps what a silent upstream runs while another upstream is tried."""
 
 from __future__ import annotations
 
 import asyncio
 from contextlib import asynccontextmanager, contextmanager
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Generic, Protocol, TypeVar
 
 from catkinreach_core.errors import CatkinreachError
 
@@ -15,76 +15,94 @@
 
     from catkinreach_core.gateway.upstream import Upstream
 
-    from .engine_stream import EngineStream
-
 OVERLAP_S = 0.25
-"""Time that another engine has to refuse a request before the silent engine's
-stream is closed; two engines may run it at once for 0.4 s."""
+"""Time that another upstream has to refuse a request before the silent one's
+send is closed; two engines may run a stream at once for 0.4 s."""
 
 SILENT_DETAIL = 'no event in time'
 
 
-class StreamSource(Protocol):
-    """Reopens a stream at another engine when its engine is lost."""
+class Send(Protocol):
+    """A request at one upstream."""
+
+    @property
+    def upstream(self) -> Upstream:
+        """Returns the upstream."""
+
+    def close(self) -> None:
+        """Ends the send; one that isn't complete closes its connection."""
+
+
+_SendT = TypeVar('_SendT', bound=Send)
+
+
+class SendSource(Protocol[_SendT]):
+    """Sends a request to another upstream when its upstream is lost."""
 
     @property
     def can_replace(self) -> bool:
-        """Returns whether another engine may replace a silent one."""
+        """Returns whether another upstream may replace a silent one."""
+
+    def may_return(self, send: _SendT) -> bool:
+        """Returns whether a silent upstream may get the request anew.
+
+        That ends its first send; its connection may be what is silent.
+        """
 
-    def record_lost_engine(
-        self, stream: EngineStream, failure: SendFailure, detail: str
+    def record_lost(
+        self, send: _SendT, failure: SendFailure, detail: str
     ) -> None:
-        """Records that an engine disconnected or sends no events."""
+        """Closes the send of an upstream that disconnected or is silent."""
 
     async def resume(
-        self, last_id: int | None, handover: Handover | None = None
-    ) -> EngineStream | None:
-        """Reopens the stream after an event; ``None`` if that isn't allowed.
+        self, last_id: int | None, handover: Handover[_SendT] | None = None
+    ) -> _SendT | None:
+        """Sends the request to another upstream; ``None`` if it may not.
 
         Args:
-            last_id: Last event that the caller has.
-            handover: Handover from a silent engine; ``None`` if the engine is
-                lost.
+            last_id: Last event of a stream that the caller has.
+            handover: Handover from a silent upstream; ``None`` if the upstream
+                is lost.
         """
 
 
-class Handover:
-    """Opens a stream at another engine beside that of a silent one.
+class Handover(Generic[_SendT]):
+    """Sends a request to another upstream beside that of a silent one.
 
-    The silent engine's stream is closed when the other engine sends events, or
+    The silent upstream's send is closed when the other upstream replies, or
     doesn't refuse the request soon after it was sent. Otherwise it stays open.
     """
 
     def __init__(
-        self, source: StreamSource, stream: EngineStream, last_id: int | None
+        self, source: SendSource[_SendT], send: _SendT, last_id: int | None
     ) -> None:
-        """Starts to look for another engine."""
+        """Starts to look for another upstream."""
         self._source = source
-        self._stream = stream
+        self._send = send
         self._is_cancelled = False
         self._has_given_up = False
-        self.detail = 'no other engine'
-        self._opening = asyncio.ensure_future(source.resume(last_id, self))
-        self._opening.add_done_callback(self._close_unused)
+        self.detail = 'no other upstream'
+        self._resuming = asyncio.ensure_future(source.resume(last_id, self))
+        self._resuming.add_done_callback(self._close_unused)
 
     @property
     def silent_upstream(self) -> Upstream:
-        """Returns the silent engine."""
-        return self._stream.reply.upstream
+        """Returns the silent upstream."""
+        return self._send.upstream
 
     @property
     def has_given_up(self) -> bool:
-        """Returns whether the silent engine's stream was closed."""
+        """Returns whether the silent upstream's send has ended."""
         return self._has_given_up
 
     @property
     def is_done(self) -> bool:
-        """Returns whether another engine goes on, or none can."""
-        return self._opening.done()
+        """Returns whether another upstream goes on, or none can."""
+        return self._resuming.done()
 
     @contextmanager
     def overlap(self) -> Iterator[None]:
-        """Limits how long the silent engine runs beside a send."""
+        """Limits how long the silent upstream runs beside a send."""
         timer = asyncio.get_running_loop().call_later(OVERLAP_S, self.give_up)
         try:
             yield
@@ -96,16 +114,20 @@
         failure: SendFailure = SendFailure.SILENT,
         detail: str = SILENT_DETAIL,
     ) -> None:
-        """Closes the silent engine's stream, unless that is done."""
+        """Closes the silent upstream's send, unless it has ended."""
         if not self._has_given_up:
             self._has_given_up = True
-            self._source.record_lost_engine(self._stream, failure, detail)
+            self._source.record_lost(self._send, failure, detail)
+
+    def note_silent_ended(self) -> None:
+        """Notes that the silent upstream's send has ended by itself."""
+        self._has_given_up = True
 
     @asynccontextmanager
     async def interrupt_when_done(
         self, timeout_s: float
     ) -> AsyncIterator[None]:
-        """Ends a wait for the silent engine once the handover is done.
+        """Ends a wait for the silent upstream once the handover is done.
 
         Raises:
             TimeoutError: if the handover is done, or the time is over.
@@ -118,35 +140,38 @@
                 wait.reschedule(loop.time())
 
         async with asyncio.timeout(timeout_s) as wait:
-            self._opening.add_done_callback(interrupt)
+            self._resuming.add_done_callback(interrupt)
             try:
                 yield
             finally:
                 is_waiting = False
-                self._opening.remove_done_callback(interrupt)
+                self._resuming.remove_done_callback(interrupt)
+
+    async def wait_beside(self, replying: asyncio.Future[None]) -> None:
+        """Waits until the silent upstream replies, or the handover is done."""
+        waits: set[asyncio.Future[Any]] = {replying, self._resuming}
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
 
-    async def other_stream(self) -> EngineStream | None:
-        """Returns the stream at another engine; ``None`` if none runs it."""
+    async def other_send(self) -> _SendT | None:
+        """Returns the send to another upstream; ``None`` if none runs it."""
         try:
-            return await self._opening
+            return await self._resuming
         except CatkinreachError as error:
             self.detail = str(error)
         return None
 
     def cancel(self) -> None:
-        """Stops; a stream that another engine has begun is closed."""
+        """Stops; a send that another upstream has begun is closed."""
         self._is_cancelled = True
-        if not self._opening.cancel():
-            self._close_unused(self._opening)
+        if not self._resuming.cancel():
+            self._close_unused(self._resuming)
 
-    def _close_unused(
-        self, opening: asyncio.Future[EngineStream | None]
-    ) -> None:
-        if not self._is_cancelled or opening.cancelled():
+    def _close_unused(self, resuming: asyncio.Future[_SendT | None]) -> None:
+        if not self._is_cancelled or resuming.cancelled():
             return
-        stream = None if opening.exception() else opening.result()
-        if stream is not None:
-            stream.close()
+        send = None if resuming.exception() else resuming.result()
+        if send is not None:
+            send.close()
 
 
-__all__ = ('SILENT_DETAIL', 'Handover', 'StreamSource')
+__all__ = ('SILENT_DETAIL', 'Handover', 'Send', 'SendSource')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
@@ -46,6 +46,12 @@
         self._has_progress = False
         self.waited_s = 0.0
 
+    @property
+    def is_queue_empty(self) -> bool:
+        """Returns whether no stream of the service waits at this node."""
+        service_id = self._admitted.service.service_id
+        return not self._node.wait_queue(service_id).count
+
     def restart_timeout(self) -> None:
         """Restarts the queue timeout of a stream that is resumed."""
         self._has_progress = True
@@ -57,8 +63,9 @@
 
     def can_place_elsewhere(self, silent_id: UpstreamId) -> bool:
         """Returns whether another engine has memory and no stream waits."""
-        queue = self._node.wait_queue(self._admitted.service.service_id)
-        return not queue.count and self._planner.has_room_elsewhere(silent_id)
+        return self.is_queue_empty and self._planner.has_room_elsewhere(
+            silent_id
+        )
 
     async def wait_for_plan(self) -> StreamPlan:
         """Waits until an engine has memory; returns the plan of the stream.
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.catalog import RouteKind
-from catkinreach_core.gateway.load_table import UpstreamLoad
 from catkinreach_core.gateway.placement import choose_plain_upstream
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
 from .admitted_request import Attempts, SendFailure, record_answer
-from .exchange import exchange
-from .send_timeout import send_timeout
+from .plain_send import PlainSend
+from .reply_wait import ReplyWait
 
 if TYPE_CHECKING:
     from collections.abc import Set as AbstractSet
@@ -22,7 +22,7 @@
     from catkinreach_core.ids import UpstreamId
 
     from .admitted_request import AdmittedRequest
-    from .exchange import Reply
+    from .handover import Handover
     from .node import Node
 
 REPLY_TIMEOUT_RATIO = 0.6
@@ -45,6 +45,7 @@
         self._node = node
         self._admitted = admitted
         self._attempts = Attempts(node, admitted)
+        self._handover: Handover[PlainSend] | None = None
         self._failure_response: HttpResponse | None = None
 
     async def run(self) -> HttpResponse:
@@ -68,20 +69,65 @@
         is_detached = self._admitted.route.kind is RouteKind.NON_IDEMPOTENT
         return is_detached or self._attempts.has_sent
 
+    @property
+    def can_replace(self) -> bool:
+        """Returns whether another upstream may replace a silent one."""
+        return self._admitted.route.is_retryable and self._attempts.can_replace
+
+    async def resume(
+        self,
+        last_id: int | None,
+        handover: Handover[PlainSend] | None = None,
+    ) -> PlainSend | None:
+        """Sends the request to another upstream; ``None`` if none serves it.
+
+        Args:
+            last_id: Unused; only streams have events.
+            handover: Handover from a silent upstream.
+        """
+        del last_id
+        if handover is None or not self.can_replace:
+            return None
+        self._handover = handover
+        self._attempts.set_aside(handover.silent_upstream)
+        send = await self._try_upstreams()
+        if send is not None:
+            handover.give_up()
+        return send
+
+    def may_return(self, send: PlainSend) -> bool:
+        """Returns whether a silent upstream may get the request anew."""
+        return self._attempts.try_reserve_return(send.upstream)
+
+    def record_lost(
+        self, send: PlainSend, failure: SendFailure, detail: str
+    ) -> None:
+        """Closes the send of an upstream that disconnected or is silent."""
+        send.close()
+        self._attempts.record_lost(send.upstream, failure, detail)
+
     async def _serve(self) -> HttpResponse:
+        send = await self._try_upstreams()
+        if send is not None:
+            return self._response(send)
+        if self._failure_response is not None:
+            return self._failure_response
+        raise self._attempts.error()
+
+    async def _try_upstreams(self) -> PlainSend | None:
+        """Returns the send that succeeded; ``None`` if none may follow."""
         while self._attempts.remaining_s > MIN_REMAINING_S:
             await self._node.load_queries.refresh(
                 self._admitted.service.service_id, self._admitted.workspace_id
             )
+            await self._attempts.finish_crash_check()
             upstream = self._choose_upstream()
             if upstream is None or not self._attempts.try_acquire_send():
                 break
-            answer = await self._send(upstream)
-            if answer is not None:
-                return answer
-        if self._failure_response is not None:
-            return self._failure_response
-        raise self._attempts.error()
+            send = await self._send(upstream)
+            if send is not None:
+                return send
+        return None
 
     def _choose_upstream(
         self, silent: AbstractSet[UpstreamId] = frozenset()
@@ -99,66 +145,58 @@
         )
         return known.upstream if known else None
 
-    async def _send(self, upstream: Upstream) -> HttpResponse | None:
-        work = UpstreamLoad(running=1)
-        upstream_id = upstream.upstream_id
-        self._node.loads.begin_work(upstream_id, work)
-        self._node.report_change()
-        self._node.cold_rate_limiter.spend(upstream_id)
+    async def _send(self, upstream: Upstream) -> PlainSend | None:
+        """Returns the first successful send of this one and its replacement."""
+        self._node.cold_rate_limiter.spend(upstream.upstream_id)
         self._attempts.count_send()
-        disconnect_reason = None
+        send = PlainSend(self._node, self._admitted, upstream)
+        reply_wait = ReplyWait(self, send, send.start())
+        with self._handover.overlap() if self._handover else nullcontext():
+            try:
+                return await self._take_first_reply(send, reply_wait)
+            finally:
+                reply_wait.close()
+                send.close()
+
+    async def _take_first_reply(
+        self, send: PlainSend, reply_wait: ReplyWait[PlainSend]
+    ) -> PlainSend | None:
         try:
-            async with send_timeout(
+            first = await reply_wait.first_reply(
                 self._attempts.remaining_s,
                 self._admitted.route.target_s * REPLY_TIMEOUT_RATIO,
-                lambda: self._may_give_up(upstream),
-            ):
-                return await self._exchange(upstream)
+                lambda: self._may_replace(send.upstream),
+            )
+            if first is not send or self._is_success(send):
+                return first
         except ConnectError as error:
-            self._attempts.record_unreachable(upstream, error)
+            self._attempts.record_unreachable(send.upstream, error)
         except ExchangeError as error:
-            disconnect_reason = str(error)
+            self.record_lost(send, SendFailure.BROKEN, str(error))
         except TimeoutError:
-            self._attempts.record_timeout(upstream)
-        finally:
-            self._node.loads.end_work(upstream_id, work)
-            self._node.report_change()
-        if disconnect_reason is not None:
-            # Outside of the handler, since the error keeps the partial reply.
-            await self._attempts.record_disconnect(upstream, disconnect_reason)
-        return None
+            self._attempts.record_timeout(send.upstream)
+            return None
+        reply_wait.note_failed()
+        await self._attempts.finish_crash_check()
+        return await reply_wait.other_send()
 
-    def _may_give_up(self, upstream: Upstream) -> bool:
+    def _may_replace(self, upstream: Upstream) -> bool:
         """Checks a silent upstream; returns whether another can be sent to."""
         self._node.checks.check_silent(upstream)
         return (
-            self._admitted.route.is_retryable
-            and self._attempts.can_replace
+            self.can_replace
             and self._choose_upstream({upstream.upstream_id}) is not None
             and self._attempts.try_reserve_retry()
         )
 
-    async def _exchange(self, upstream: Upstream) -> HttpResponse | None:
-        admitted = self._admitted
-        request = self._node.dialect.upstream_request(
-            admitted.request,
-            admitted.forward_metadata(upstream, self._node.clock()),
-        )
-        reply = await exchange(
-            self._node, upstream, request, admitted.metadata.request_id
-        )
-        body = await reply.read_all()
-        return self._handle_reply(reply, body)
-
-    def _handle_reply(self, reply: Reply, body: bytes) -> HttpResponse | None:
+    def _is_success(self, send: PlainSend) -> bool:
+        """Records a reply; returns whether it is the answer."""
+        reply = send.reply
         if reply.metadata.has_not_run:
             self._attempts.record_refusal(reply)
-            return None
+            return False
         if not reply.metadata.is_sealed:
             raise ExchangeError('reply without the seal of its upstream')
-        answer = HttpResponse(
-            reply.status, self._node.dialect.caller_headers(reply.headers), body
-        )
         if reply.is_success:
             self._node.crash_suspects.clear_now(
                 self._admitted.suspect_keys, self._node.clock()
@@ -166,15 +204,20 @@
             record_answer(
                 self._node,
                 self._admitted,
-                reply.upstream.upstream_id,
+                send.upstream.upstream_id,
                 status=reply.status,
             )
-            return answer
-        self._failure_response = answer
+            return True
+        self._failure_response = self._response(send)
         self._attempts.record_failure_after_send(
-            reply.upstream, SendFailure.FAILED, status=reply.status
+            send.upstream, SendFailure.FAILED, status=reply.status
         )
-        return None
+        return False
+
+    def _response(self, send: PlainSend) -> HttpResponse:
+        reply = send.reply
+        headers = self._node.dialect.caller_headers(reply.headers)
+        return HttpResponse(reply.status, headers, send.body)
 
 
 def _consume_outcome(running: asyncio.Future[HttpResponse]) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
@@ -15,7 +14,7 @@
 from .engine_stream import EngineStream
 from .event_relay import EventRelay
 from .memory_wait import MIN_REMAINING_S, MemoryWait
-from .send_timeout import send_timeout
+from .reply_wait import ReplyWait
 from .stream_context import StreamContext
 from .stream_planner import StreamPlanner
 from .stream_prefill import StreamPrefill
@@ -48,8 +47,7 @@
         self._node = node
         self._admitted = admitted
         self._attempts = Attempts(node, admitted)
-        self._handover: Handover | None = None
-        self._crash_check: asyncio.Future[None] | None = None
+        self._handover: Handover[EngineStream] | None = None
         self._has_begun = False
         self._whole_response: HttpResponse | None = None
         prompt = admitted.metadata.prompt_tokens
@@ -98,7 +96,9 @@
         return self._admitted.route.is_retryable and self._attempts.can_replace
 
     async def resume(
-        self, last_id: int | None, handover: Handover | None = None
+        self,
+        last_id: int | None,
+        handover: Handover[EngineStream] | None = None,
     ) -> EngineStream | None:
         """Reopens the stream after an event; ``None`` if that isn't allowed.
 
@@ -107,41 +107,41 @@
             handover: Handover from a silent engine; ``None`` if the engine is
                 lost.
         """
-        if self._crash_check is not None:
-            await self._crash_check
+        await self._attempts.finish_crash_check()
         if not self._can_resume(handover):
             return None
         self._handover = handover
         if handover is not None:
             self._attempts.set_aside(handover.silent_upstream)
             self._node.checks.check_silent(handover.silent_upstream)
-        self._memory_wait.restart_timeout()
+        if self._has_begun:
+            self._memory_wait.restart_timeout()
         engine_stream = await self._open_stream(last_id)
         if handover is not None:
             handover.give_up()
         return engine_stream
 
-    def _can_resume(self, handover: Handover | None) -> bool:
+    def _can_resume(self, handover: Handover[EngineStream] | None) -> bool:
         if handover is not None:
             return self.can_replace
         return self._admitted.route.is_retryable and self._attempts.can_retry
 
-    def record_lost_engine(
+    def may_return(self, engine_stream: EngineStream) -> bool:
+        """Returns whether a silent engine may get the request anew."""
+        return self._memory_wait.is_queue_empty and (
+            self._attempts.try_reserve_return(engine_stream.upstream)
+        )
+
+    def record_lost(
         self, engine_stream: EngineStream, failure: SendFailure, detail: str
     ) -> None:
         """Records that an engine disconnected or sends no events."""
         engine_stream.close()
-        upstream = engine_stream.reply.upstream
-        self._attempts.record_failure_after_send(
-            upstream, failure, detail=detail
-        )
-        if failure is SendFailure.SILENT:
-            self._attempts.readmit(upstream)
-        if failure is SendFailure.SILENT or engine_stream.has_started:
-            self._node.checks.check_reachable(upstream)
-            return
-        self._crash_check = asyncio.ensure_future(
-            self._attempts.check_crash(upstream)
+        self._attempts.record_lost(
+            engine_stream.upstream,
+            failure,
+            detail,
+            has_started=engine_stream.has_started,
         )
 
     async def _open_stream(self, resume_after: int | None) -> EngineStream:
@@ -160,8 +160,9 @@
                 self._need,
                 prefills_prompt=plan.prefill is None,
             )
-            if await self._start_stream(plan, engine_stream, resume_after):
-                return engine_stream
+            opened = await self._start_stream(plan, engine_stream, resume_after)
+            if opened is not None:
+                return opened
         raise self._attempts.error()
 
     async def _start_stream(
@@ -169,33 +170,38 @@
         plan: StreamPlan,
         engine_stream: EngineStream,
         resume_after: int | None,
-    ) -> bool:
+    ) -> EngineStream | None:
         """Runs the planned prefill, if any, and opens the stream.
 
+        Returns:
+            The stream at this engine, or at one that went on for it.
+
         Raises:
             CatkinreachError: if it may not be sent.
         """
-        is_open = False
+        opened = None
         prefill = plan.prefill
         try:
             refuse_if_quarantined(self._node, self._admitted.suspect_keys)
             if prefill is not None and not await self._prefill.run(
                 prefill.upstream, plan.first_token_s
             ):
-                return False
+                return None
             if self._filled_up_during_prefill(plan):
-                return False
+                return None
+            await self._attempts.finish_crash_check()
             if not self._attempts.try_acquire_send():
                 raise self._attempts.error()
             engine_stream.source = self._prefill.handle
-            is_open = await self._decode_stream(
+            opened = await self._decode_stream(
                 plan, engine_stream, resume_after
             )
         finally:
-            if not is_open:
+            if opened is not engine_stream:
                 engine_stream.close()
+            if opened is None:
                 self._node.crash_suspects.end_trial(self._admitted.suspect_keys)
-        return is_open
+        return opened
 
     def _filled_up_during_prefill(self, plan: StreamPlan) -> bool:
         """Returns whether the decode engine filled up during the prefill.
@@ -221,37 +227,58 @@
         plan: StreamPlan,
         engine_stream: EngineStream,
         resume_after: int | None,
-    ) -> bool:
+    ) -> EngineStream | None:
         upstream = plan.decode.upstream
         self._log_placement(plan, resume_after)
         self._attempts.count_send()
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
+        reply_wait = ReplyWait(
+            self, engine_stream, engine_stream.start(resume_after), resume_after
+        )
+        with self._handover.overlap() if self._handover else nullcontext():
+            try:
+                return await self._take_first_reply(
+                    plan, engine_stream, reply_wait
+                )
+            finally:
+                reply_wait.close()
+
+    async def _take_first_reply(
+        self,
+        plan: StreamPlan,
+        engine_stream: EngineStream,
+        reply_wait: ReplyWait[EngineStream],
+    ) -> EngineStream | None:
+        """Returns the first stream of this engine and one that replaces it."""
+        upstream = plan.decode.upstream
         sent_s = self._node.clock()
         wait_s = FIRST_EVENT_SLACK_S
         wait_s += plan.first_token_s * FIRST_EVENT_SLACK_FACTOR
-        disconnect_reason = None
         try:
-            with self._handover.overlap() if self._handover else nullcontext():
-                async with send_timeout(
-                    self._attempts.remaining_s,
-                    wait_s,
-                    lambda: self._may_give_up(upstream),
-                ):
-                    await engine_stream.open(resume_after)
-            return await self._check_reply(engine_stream)
+            first = await reply_wait.first_reply(
+                self._attempts.remaining_s,
+                wait_s,
+                lambda: self._may_replace(upstream),
+            )
+            if first is not engine_stream:
+                return first
+            if await self._check_reply(engine_stream):
+                if reply_wait.is_replacing:
+                    self._log_kept(upstream)
+                return engine_stream
         except ConnectError as error:
             self._attempts.record_unreachable(upstream, error)
         except ExchangeError as error:
             self._prefill.forget_handle()
-            disconnect_reason = str(error)
+            self.record_lost(engine_stream, SendFailure.BROKEN, str(error))
         except TimeoutError:
             self._prefill.forget_handle()
             waited_s = round(self._node.clock() - sent_s, 4)
             self._attempts.record_timeout(upstream, waited_s=waited_s)
-        if disconnect_reason is not None:
-            # Outside of the handler, since the error keeps the partial reply.
-            await self._attempts.record_disconnect(upstream, disconnect_reason)
-        return False
+            return None
+        reply_wait.note_failed()
+        await self._attempts.finish_crash_check()
+        return await reply_wait.other_send()
 
     async def _check_reply(self, engine_stream: EngineStream) -> bool:
         reply = engine_stream.reply
@@ -274,13 +301,17 @@
         return await self._accept_whole_reply(engine_stream)
 
     async def _accept_whole_reply(self, engine_stream: EngineStream) -> bool:
-        """Reads a reply that is no stream, unless a stream has begun.
+        """Reads a reply that is no stream, unless a stream may still come.
 
-        A stream can't go on with it, so on resumption the send has failed.
+        A stream that has begun can't go on with it. An engine's failure isn't
+        the answer while a silent engine, which it should replace, may go on.
         """
         reply = engine_stream.reply
         upstream = reply.upstream
-        if self._has_begun:
+        may_go_on = self._handover is not None and (
+            not self._handover.has_given_up
+        )
+        if self._has_begun or (may_go_on and not reply.is_success):
             self._attempts.record_failure_after_send(
                 upstream, SendFailure.FAILED, status=reply.status
             )
@@ -300,14 +331,27 @@
             )
         return True
 
-    def _may_give_up(self, upstream: Upstream) -> bool:
+    def _may_replace(self, upstream: Upstream) -> bool:
         """Checks a silent engine; returns whether another one can go on."""
         self._node.checks.check_silent(upstream)
-        return (
+        may_replace = (
             self.can_replace
             and self._memory_wait.can_place_elsewhere(upstream.upstream_id)
             and self._attempts.try_reserve_retry()
         )
+        if may_replace:
+            # The silent engine may have imported the KV cache.
+            self._prefill.forget_handle()
+        return may_replace
+
+    def _log_kept(self, upstream: Upstream) -> None:
+        self._node.log.write(
+            Event.SILENT_KEPT,
+            request=self._admitted.metadata.request_id,
+            upstream=upstream.upstream_id,
+            reason='it replied first',
+            after_event=None,
+        )
 
     def _log_placement(
         self, plan: StreamPlan, resume_after: int | None
--- a/packages/catkinreach-node/tests/gateway/test_silent_first_events.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_first_events.py
@@ -11,16 +11,25 @@
     running_deployment,
 )
 from catkinreach_standins.platform.upstream import EVENT_COUNT
-from catkinreach_standins.platform.upstream_behaviour import Behaviour
+from catkinreach_standins.platform.upstream_behaviour import (
+    Behaviour,
+    RawReply,
+)
 
+ENGINE_FAILURE = RawReply(
+    b'HTTP/1.1 500 Internal Server Error\r\nRequest-Id: {id}\r\n'
+    b'Response-Seal: seal\r\nContent-Length: 5\r\n\r\nerror'
+)
 ENGINE_IDS = ('d', 'e')
 PLAIN_IDS = ('a', 'b')
 LAST_EVENT = f'id: {EVENT_COUNT}\n'.encode()
 
 
-@pytest.mark.parametrize('other', [Behaviour.REFUSE, Behaviour.CUT_HEAD])
+@pytest.mark.parametrize(
+    'other', [Behaviour.REFUSE, Behaviour.CUT_HEAD, ENGINE_FAILURE]
+)
 def test_silent_engine_is_closed_before_another_one_has_begun(
-    other: Behaviour,
+    other: Behaviour | RawReply,
 ) -> None:
     # Soak seed 404: 504 after 0.4 s, while the engine went on.
     async def run() -> None:
@@ -50,7 +59,9 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize('other', [Behaviour.REFUSE, Behaviour.CUT_HEAD])
+@pytest.mark.parametrize(
+    'other', [Behaviour.REFUSE, Behaviour.CUT_HEAD, Behaviour.FAIL]
+)
 def test_silent_upstream_is_given_up_for_one_that_fails(
     other: Behaviour,
 ) -> None:
--- a/packages/catkinreach-node/tests/gateway/test_silent_searches.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_searches.py
@@ -56,7 +56,7 @@
 
     def count(*inputs: object) -> object:
         searches.append(inputs)
-        return real_handover(*inputs)  # type: ignore[arg-type]
+        return real_handover(*inputs)  # type: ignore[arg-type, type-var]
 
     monkeypatch.setattr(event_relay, 'Handover', count)
 
