Take no reply that a crash cut short for a whole one

Cause: a body with neither length nor chunks ends with its connection. A crash of the upstream closes the connection, too. For streams that end was checked (EngineStream._check_end), for replies that are read whole it wasn't: the end of the connection was taken for the end of the body.

The upstream is now connected to at such an end, as for streams; if that fails, the send has failed (502, or another upstream where that is allowed). A refusal is left out: its head says all. An upstream that exits just after such a reply looks the same as one that crashes, so a whole reply may then be answered with 502.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -139,20 +139,15 @@
     async def _check_end(self) -> None:
         """Checks that the reply is complete.
 
-        The end of a body without length or chunks is that of the connection; a
-        crash of the engine looks the same.
-
         Raises:
             ExchangeError: if it isn't.
         """
         if self._splitter.rest:
             raise ExchangeError('stream ended inside an event')
-        if not self.reply.ends_with_connection:
-            return
-        if math.isinf(self._first_event_at_s):
+        has_events = not math.isinf(self._first_event_at_s)
+        if self.reply.ends_with_connection and not has_events:
             raise ExchangeError('connection ended before the first event')
-        if not await self._node.checks.confirm_reachable(self._upstream):
-            raise ExchangeError('connection ended with its engine')
+        await self.reply.check_end()
 
     def _note_events(self) -> None:
         """Clears the request of earlier crashes once its stream has started."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -24,6 +24,7 @@
 
 STREAM_STATUS = 200
 MIN_FAILURE_STATUS = 500
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MAX_SKIPPED_REPLIES = 4
 
 MAX_INTERIM_HEADS = 8
@@ -66,7 +67,24 @@
     def ends_with_connection(self) -> bool:
         """Returns whether the end of the body is that of the connection."""
         names = {name for name, _ in self.headers}
-        return names.isdisjoint({'content-length', 'transfer-encoding'})
+        return (
+            names.isdisjoint({'content-length', 'transfer-encoding'})
+            and self.status not in STATUSES_WITHOUT_BODY
+        )
+
+    async def check_end(self) -> None:
+        """Checks that the body ended with its connection only.
+
+        A crash of the upstream looks the same if the end of the body is that of
+        the connection.
+
+        Raises:
+            ExchangeError: if the upstream is unreachable.
+        """
+        if not self.ends_with_connection:
+            return
+        if not await self.node.checks.confirm_reachable(self.upstream):
+            raise ExchangeError('connection ended with its upstream')
 
     async def next_data(self) -> tuple[bytes, bool]:
         """Returns the next data of the body, and whether the body is complete.
@@ -82,12 +100,16 @@
     async def read_all(self, max_bytes: int = MAX_REPLY_BYTES) -> bytes:
         """Returns the whole body and releases the connection.
 
+        A refusal needs no whole body: its head says that the request didn't
+        run.
+
         Args:
             max_bytes: Longest body that is accepted. All replies that are
                 being read also share the node's reply buffer.
 
         Raises:
-            ExchangeError: if the connection is lost, or the body too long.
+            ExchangeError: if the connection or the upstream is lost, or the
+                body too long.
         """
         is_complete = False
         with self.node.reply_buffer.open_part(max_bytes) as part:
@@ -101,6 +123,8 @@
                 if not is_complete:
                     self.abort()
             self.release()
+            if not self.metadata.has_not_run:
+                await self.check_end()
             return part.content()
 
     def release(self) -> None:
