Keep the outcome of a lost plain request when the retry is refused

Callers of the product's own router got 503 with the outcome "not-run" for a repeatable plain request that an upstream may have run.

Cause: after the first send had failed with an unknown outcome, the second one found no upstream, and its refusal was taken for that of the whole request.

A refusal of the second send now ends the request with the error of the first.

--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -201,14 +201,24 @@
             grant.settle(0)
 
     async def _serve_admitted(self, session: SessionContext) -> HttpResponse:
+        """Forwards a request, once more after a failure.
+
+        A refusal of the second send says nothing about the first one.
+        """
         try:
-            return await self._forwarder.forward(
-                session, self._forwarder.choose_upstream(session)
-            )
-        except CatkinreachError:
-            return await self._forwarder.forward(
-                session, self._forwarder.choose_upstream(session)
-            )
+            return await self._forward(session)
+        except CatkinreachError as error:
+            first_error = error
+        try:
+            return await self._forward(session)
+        except CatkinreachError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                raise first_error from error
+            raise
+
+    async def _forward(self, session: SessionContext) -> HttpResponse:
+        upstream = self._forwarder.choose_upstream(session)
+        return await self._forwarder.forward(session, upstream)
 
 
 __all__ = ('PlainForwarder', 'PlainStage', 'forwarded_headers')
