Go on with a stream only at the event after the last one

Cause: any sealed 200 that is or may be an event stream was taken for the rest of a stream that had broken off: an empty one (no events, complete), one without numbered events, one that skips events, and one that starts again at event 1, whose first events were dropped as known.

A reply to a resumption that doesn't go on is now a failed send, with the usual next engine or the end of the response. An empty one stays valid if its head declares an event stream without a length: all events may have been sent before the first engine was lost. Such a reply of a faulty engine can't be told apart. Callers that resume by themselves get the engine's reply as before.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -25,6 +25,9 @@
 """Time after its first event from which a stream has started: a crash of its
 engine is then no longer ascribed to it."""
 
+MAX_UNNUMBERED_EVENTS = 16
+"""Events without a number that may come first in a resumed stream."""
+
 
 class EngineStream:
     """Runs a stream at one engine.
@@ -111,8 +114,34 @@
         if self._reply.is_event_stream:
             while not self.first_events and not self.is_complete:
                 self.first_events = await self.next_events()
+            if resume_after not in {None, admitted.metadata.resume_after}:
+                await self._check_goes_on(resume_after)
         self._end_prefill()
 
+    async def _check_goes_on(self, resume_after: int | None) -> None:
+        """Checks that a stream which the node resumes goes on where it ended.
+
+        Events are numbered one by one. Only a stream that says that it is one
+        may be without events: all had been sent before.
+
+        Raises:
+            ExchangeError: if it doesn't.
+        """
+        first_id = _first_id(self.first_events)
+        while first_id is None and not self.is_complete:
+            if len(self.first_events) >= MAX_UNNUMBERED_EVENTS:
+                break
+            self.first_events += await self.next_events()
+            first_id = _first_id(self.first_events)
+        if first_id is None and not self.first_events:
+            if self.reply.is_declared_stream:
+                return
+            raise ExchangeError('the resumed stream is empty')
+        if resume_after is None or first_id != resume_after + 1:
+            raise ExchangeError(
+                f'the resumed stream goes on with event {first_id}'
+            )
+
     async def next_events(self) -> list[StreamEvent]:
         """Returns the events completed by the next bytes.
 
@@ -199,4 +228,10 @@
             self._node.end_work(self._upstream.upstream_id, prefill_load)
 
 
+def _first_id(events: list[StreamEvent]) -> int | None:
+    """Returns the first number of an event, if any event has one."""
+    numbers = (event.event_id for event in events)
+    return next((one for one in numbers if one is not None), None)
+
+
 __all__ = ('EngineStream',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -63,6 +63,16 @@
             and content_type.lower().startswith(EVENT_STREAM_TYPE)
         )
 
+    @property
+    def is_declared_stream(self) -> bool:
+        """Returns whether the head says that the body is a stream."""
+        names = {name for name, _ in self.headers}
+        return (
+            self.is_event_stream
+            and 'content-type' in names
+            and 'content-length' not in names
+        )
+
     @property
     def ends_with_connection(self) -> bool:
         """Returns whether the end of the body is that of the connection."""
