Refuse repeats of a request that is being tried

Engines crashed in a row when a refusal for crashes ended (BUDGET): the request that was tried and all its repeats were sent at once.

Cause: the trial's owner was known by the hash of the whole request. A repeat, which callers of crashing requests do send, has the same hash and passed as the request that is tried already.

The owner is now the request's own collection of keys, by identity; it's made once at admission and handed on with the request. A repeat can't end the trial of another one either.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -107,10 +107,9 @@
         return self.crashes(keys)
 
     def clear(
-        self, keys: Iterable[SuspectKey], ran_at_s: float, now_s: float
+        self, keys: Collection[SuspectKey], ran_at_s: float, now_s: float
     ) -> None:
         """Clears the keys of a request that began to run at a time."""
-        keys = tuple(keys)
         self._trial.end(keys)
         for key in keys:
             suspect = self._suspects.get(key)
@@ -118,7 +117,7 @@
                 self._suspects.move_to_end(key)
                 self._has_news = True
 
-    def clear_now(self, keys: Iterable[SuspectKey], now_s: float) -> None:
+    def clear_now(self, keys: Collection[SuspectKey], now_s: float) -> None:
         """Clears the keys of a request that has run."""
         self.clear(keys, now_s, now_s)
 
@@ -137,20 +136,19 @@
         """Returns whether a request with these keys must not run now.
 
         Args:
-            keys: Keys of the request, its own one first.
+            keys: Keys of the request, the same object at each call for it.
             now_s: The current time.
             begins_run: Whether the request runs next. If it may only be tried,
                 it then keeps others like it out.
         """
-        owner = next(iter(keys))
         permits = {self._permit(key, keys, now_s) for key in keys}
         if _Permit.REFUSED in permits:
             return True
         if _Permit.TRIAL not in permits:
             return False
         if begins_run:
-            return not self._trial.try_begin(owner, now_s)
-        return not self._trial.is_open_to(owner, now_s)
+            return not self._trial.try_begin(keys, now_s)
+        return not self._trial.is_open_to(keys, now_s)
 
     def end_trial(self, keys: Collection[SuspectKey]) -> None:
         """Ends the trial of a request that didn't run after all."""
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/trial.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/trial.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Iterable
 
     from .crash_reports import SuspectKey
 
@@ -16,29 +16,33 @@
 
 
 class Trial:
-    """Lets one request at a time run."""
+    """Lets one request at a time run.
+
+    A request is known by its own collection of keys, the object: a repeat of it
+    has equal ones.
+    """
 
     def __init__(self) -> None:
         """Starts without a request."""
-        self._owner: SuspectKey | None = None
+        self._owner: Iterable[SuspectKey] | None = None
         self._until_s = -math.inf
 
-    def try_begin(self, owner: SuspectKey, now_s: float) -> bool:
+    def try_begin(self, keys: Iterable[SuspectKey], now_s: float) -> bool:
         """Returns whether a request is the one that is tried now."""
-        if not self.is_open_to(owner, now_s):
+        if not self.is_open_to(keys, now_s):
             return False
         if now_s >= self._until_s:
-            self._owner = owner
+            self._owner = keys
             self._until_s = now_s + TRIAL_S
         return True
 
-    def is_open_to(self, owner: SuspectKey, now_s: float) -> bool:
+    def is_open_to(self, keys: Iterable[SuspectKey], now_s: float) -> bool:
         """Returns whether a request could begin, or is tried already."""
-        return now_s >= self._until_s or owner == self._owner
+        return now_s >= self._until_s or keys is self._owner
 
-    def end(self, keys: Container[SuspectKey]) -> None:
+    def end(self, keys: Iterable[SuspectKey]) -> None:
         """Ends the trial if the request with these keys was tried."""
-        if self._owner in keys:
+        if keys is self._owner:
             self._until_s = -math.inf
 
 
