Count a crash only if nothing listens at the engine

A crash of an engine is known by its connects, and any connect that failed counted: also one that the network reset or that timed out.

A disconnect now counts as a crash only if a connect is then refused, which means that nothing listens. An engine that can't be connected to is marked down as before. A process that ends may reset connects for a moment, so an engine that does is connected to again for 0.1 s. The log line of an upstream that is down names the error.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from typing import TYPE_CHECKING
 
-from ..http.connection import ConnectError
+from ..http.connection import ConnectError, RefusedError
 from .decision_log import Event
 from .suspect_keys import crash_source, domain_source
 
@@ -25,6 +26,12 @@
 """Time in which all upstreams of a lost failure domain go down. It is less
 than a restart takes, so that upstreams that crash in turn are told apart."""
 
+CRASH_CHECK_S = 0.1
+CRASH_CHECK_GAP_S = 0.02
+"""Time for which an upstream that resets connects is checked for a crash, and
+the pause between two connects. A process that ends may do so just before
+nothing listens any more."""
+
 
 class UpstreamChecks:
     """Connects to suspected upstreams and marks unreachable ones down."""
@@ -77,12 +84,12 @@
     async def confirm_crash(
         self, upstream: Upstream, admitted: AdmittedRequest
     ) -> int:
-        """Records a crash if an upstream that disconnected is unreachable.
+        """Records a crash if nothing listens at an upstream that disconnected.
 
         Returns:
             Most crashes that one key of the request has; 0 without a crash.
         """
-        if await self.confirm_reachable(upstream):
+        if not await self._has_crashed(upstream):
             return 0
         node = self._node
         is_domain_lost = await self._is_domain_lost(upstream)
@@ -104,6 +111,30 @@
         )
         return crashes
 
+    async def _has_crashed(self, upstream: Upstream) -> bool:
+        """Returns whether nothing listens at an upstream.
+
+        Connects that time out or are reset may be the work of the network; an
+        upstream that can't be connected to is marked down all the same.
+        """
+        node = self._node
+        until_s = node.clock() + CRASH_CHECK_S
+        is_marked = False
+        while True:
+            try:
+                await node.pool.probe(upstream)
+            except ConnectError as error:
+                if not is_marked:
+                    node.mark_unreachable(upstream.upstream_id, str(error))
+                is_marked = True
+                if isinstance(error, RefusedError):
+                    return True
+            else:
+                return False
+            if node.clock() >= until_s:
+                return False
+            await asyncio.sleep(CRASH_CHECK_GAP_S)
+
     async def _is_domain_lost(self, upstream: Upstream) -> bool:
         """Returns whether all of its failure domain went down with it.
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from contextlib import suppress
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -31,6 +32,10 @@
     """The connection could not be opened; nothing was sent."""
 
 
+class RefusedError(ConnectError):
+    """Nothing listens at the address."""
+
+
 class ExchangeError(Exception):
     """The exchange failed after a part of the request may have been sent."""
 
@@ -75,8 +80,8 @@
         """Opens a connection.
 
         Raises:
-            ConnectError: if the connection is refused or times out, or there
-                can't be such an address.
+            ConnectError: if the connection times out or fails, or there can't
+                be such an address; a ``RefusedError`` if nothing listens there.
         """
         opening = asyncio.ensure_future(
             asyncio.open_connection(
@@ -88,7 +93,10 @@
             reader, writer = opening.result()
         except (OSError, ValueError, OverflowError) as error:
             # The latter two are raised for hosts and ports that can't be.
-            raise ConnectError(f'cannot connect to {address}') from error
+            kind = RefusedError if _is_refusal(error) else ConnectError
+            raise kind(
+                f'cannot connect to {address}: {type(error).__name__}'
+            ) from error
         except asyncio.CancelledError:
             opening.add_done_callback(_close_opened)
             raise
@@ -241,6 +249,18 @@
     raise TimeoutError
 
 
+def _is_refusal(error: Exception) -> bool:
+    """Returns whether an error says that nothing listens.
+
+    With several addresses of a host asyncio raises one error for all, which
+    names the number of each only in its text.
+    """
+    is_joined = isinstance(error, OSError) and error.errno is None
+    return isinstance(error, ConnectionRefusedError) or (
+        is_joined and f'[Errno {errno.ECONNREFUSED}]' in str(error)
+    )
+
+
 def _close_opened(opening: asyncio.Future[_Streams]) -> None:
     """Closes a connection that nobody waits for any more."""
     if not opening.cancelled() and opening.exception() is None:
@@ -248,4 +268,4 @@
         writer.close()
 
 
-__all__ = ('ClientConnection', 'ConnectError', 'ExchangeError')
+__all__ = ('ClientConnection', 'ConnectError', 'ExchangeError', 'RefusedError')
