Count crashes of an engine that restarts within 3 s

Sightings of one engine within 3 s are taken for the same crash, since a node that was paused sees it late; but an engine may restart sooner.

A node that connected to the engine again in between now counts the later crash as another one: a connect is refused only if the engine went down once more. All crashes of one report differ, so that peers which weren't there count them, too; each is matched to the known crash of the engine that is nearest in time. A node that saw no restart still takes a late sighting for the crash that it knows.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -106,6 +106,10 @@
         self._drop_oldest()
         return self.crashes(keys)
 
+    def record_up(self, source: CrashSource, now_s: float) -> None:
+        """Records that what crashed accepts connections again."""
+        self._log.record_up(source, now_s)
+
     def clear(
         self, keys: Iterable[SuspectKey], ran_at_s: float, now_s: float
     ) -> None:
@@ -158,10 +162,12 @@
 
     def merge(self, report: CrashReport, now_s: float) -> None:
         """Adds what a peer reported."""
-        crashes = [
-            self._log.identify(seen.source, now_s - seen.age_ms / MS_PER_S)
-            for seen in report.crashes
-        ]
+        crashes = self._log.identify_reported(
+            [
+                (seen.source, now_s - seen.age_ms / MS_PER_S)
+                for seen in report.crashes
+            ]
+        )
         for key, told in report.suspects.items():
             suspect = self._suspects.setdefault(key, Suspect())
             if told.ran_ms_ago is not None:
--- a/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
+++ b/packages/catkinreach-core/tests/gateway/test_crash_suspects.py
@@ -236,6 +236,22 @@
     assert suspects.crashes([CRASHING]) == CRASHES_TO_REFUSE
 
 
+def test_crash_soon_after_a_restart_is_taken_for_the_one_before() -> None:
+    # Soak seed 481, 40 fronts: crashes of an engine 2 s apart counted as one.
+    node, peer = CrashSuspects(), CrashSuspects()
+    for number in range(CRASHES_TO_REFUSE):
+        node.record_up(CRASHES[0], 2.0 * number - 0.1)
+        node.record_crash([CRASHING], CRASHES[0], 2.0 * number)
+    assert node.crashes([CRASHING]) == CRASHES_TO_REFUSE
+    peer.record_crash([HARMLESS], CRASHES[0], 2.1)
+    peer.merge(node.report(NOW_S), NOW_S)
+    peer.merge(node.report(NOW_S), NOW_S)
+    assert peer.crashes([CRASHING]) == CRASHES_TO_REFUSE
+    assert peer.crashes([HARMLESS]) == 1
+    node.merge(peer.report(NOW_S), NOW_S)
+    assert node.crashes([CRASHING]) == CRASHES_TO_REFUSE
+
+
 def test_clear_of_more_crashes_than_a_report_holds_reaches_peers() -> None:
     # A report named the newest cleared crashes only.
     node, peer = CrashSuspects(), CrashSuspects()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/probe_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/probe_task.py
@@ -7,6 +7,7 @@
 
 from ..http.connection import ConnectError
 from .decision_log import Event
+from .suspect_keys import crash_source
 
 if TYPE_CHECKING:
     from catkinreach_core.ids import UpstreamId
@@ -48,6 +49,9 @@
             self._node.mark_unreachable(upstream_id, str(error))
             return
         self._node.health.record_reachable(upstream_id)
+        self._node.crash_suspects.record_up(
+            crash_source(known.upstream), self._node.clock()
+        )
         self._node.log.write(Event.UPSTREAM_UP, upstream=upstream_id)
 
 
--- a/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
+++ b/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
@@ -190,6 +190,38 @@
     asyncio.run(run())
 
 
+async def _restart_at_once(deployment: Deployment, gateway: GatewayApp) -> None:
+    """Restarts crashed engines at their addresses; the store isn't told."""
+    for upstream in deployment.upstreams.values():
+        if not upstream.is_listening:
+            await upstream.start(upstream._port)
+
+    async def are_up() -> bool:
+        health = gateway._node.health
+        return not any(
+            health.is_down(UpstreamId(upstream_id))
+            for upstream_id in deployment.upstreams
+        )
+
+    await eventually(are_up, within_s=5.0)
+
+
+def test_engine_that_restarts_at_once_crashes_on_and_on() -> None:
+    # Its crashes counted as one until 3 s had passed.
+    async def run() -> None:
+        deployment = _deployment()
+        async with running_deployment(deployment=deployment) as (_, gateway):
+            for _ in range(CRASHING_REQUESTS):
+                await deployment.client.call_raw(
+                    deployment.caller_address,
+                    _stream(deployment, SHARED_PART, CRASHING_PART),
+                )
+                await _restart_at_once(deployment, gateway)
+            assert _count_crashing(deployment) == CRASHES_TO_REFUSE
+
+    asyncio.run(run())
+
+
 def _add_lost_domain(
     deployment: Deployment, upstream_ids: str
 ) -> list[EngineOfLostDomain]:
