Answer requests that were taken before a stop within the grace

What callers saw: a request that a gateway had taken before SIGTERM, with a deadline beyond the grace, met a closed connection at the end of the grace. It got neither an answer nor a refusal, not even if it was still queued and in no engine.

Cause: the deadline of a request is set when it is admitted, and the stop limits only those that are admitted later. The process then ended under the others.

A limit now applies to all requests without a response from the signal on. At its end a request that was sent to an upstream gets 504, one that wasn't gets 503.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -76,7 +76,7 @@
         )
         handler = self._make_handler(admitted)
         try:
-            return await handler.run()
+            return await self._run_until_stopped(handler)
         except CatkinreachError as error:
             if error.outcome is Outcome.NOT_RUN:
                 self._refund(admitted)
@@ -86,6 +86,24 @@
                 self._refund(admitted)
             raise
 
+    async def _run_until_stopped(
+        self, handler: StreamHandler | PlainHandler
+    ) -> HttpResponse:
+        """Returns the handler's response, unless the process ends first.
+
+        Raises:
+            CatkinreachError: if it can't be served.
+        """
+        try:
+            async with self._node.stop_limit.applied() as limit:
+                return await handler.run()
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            if handler.may_run:
+                raise CatkinreachError(ErrorKind.UPSTREAM_TIMEOUT) from error
+            raise refusal(self._node, ErrorKind.DRAINING) from error
+
     def _make_handler(
         self, admitted: AdmittedRequest
     ) -> StreamHandler | PlainHandler:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -33,6 +33,7 @@
 from .gateway_metrics import GatewayMetrics
 from .load_queries import LoadQueries
 from .reply_buffer import ReplyBuffer
+from .stop_limit import StopLimit
 from .upstream_checks import UpstreamChecks
 from .upstream_pool import UpstreamPool
 
@@ -105,12 +106,14 @@
         self.load_changed = asyncio.Event()
         self.is_stopping = False
         self.answer_until_s = math.inf
+        self.stop_limit = StopLimit()
         self.revision = Revision(0)
 
     def begin_stop(self, answer_within_s: float) -> None:
-        """Starts the shutdown; new requests must end within this time."""
+        """Starts the shutdown; all requests must be answered in this time."""
         self.is_stopping = True
         self.answer_until_s = self.clock() + answer_within_s
+        self.stop_limit.begin(answer_within_s)
 
     def _add_gauges(self) -> None:
         """Adds gauges of the state that decisions depend on."""
