Close connections of calls that end after their client was closed

Callers met nothing.

Cause: the gateway closes its pool and its clients last, but calls in the background and requests past the grace may still end after that, in the last turns of the event loop. Their connections went back to the pool as idle ones. Nothing closed them, so they were collected after the event loop had closed.

A pool or client that was closed now closes what is given back.

test_call_that_ends_after_the_close_keeps_its_connection and test_probe_that_ends_after_the_close_keeps_its_connection failed before in 3 of 3 runs ("Event loop is closed") and pass now, 3 of 3.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -42,6 +42,7 @@
         """Starts without connections."""
         self._clock = clock
         self._idle: dict[UpstreamId, list[_IdleConnection]] = {}
+        self._is_closed = False
         self.opened_count = 0
 
     async def acquire(self, upstream: Upstream) -> ClientConnection:
@@ -83,7 +84,8 @@
             entry.connection.close()
 
     def close(self) -> None:
-        """Closes every idle connection."""
+        """Closes every idle connection, and the others after their use."""
+        self._is_closed = True
         for upstream_id in tuple(self._idle):
             self.drop(upstream_id)
 
@@ -118,7 +120,8 @@
         idle_timeout_s: float | None,
     ) -> None:
         idle = self._idle.setdefault(upstream_id, [])
-        if not connection.is_reusable or len(idle) >= MAX_IDLE_CONNECTIONS:
+        has_room = not self._is_closed and len(idle) < MAX_IDLE_CONNECTIONS
+        if not has_room or not connection.is_reusable:
             connection.close()
             return
         lifetime_s = DEFAULT_IDLE_S
--- a/packages/catkinreach-node/src/catkinreach_node/http/client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -88,6 +88,7 @@
         self._idle: defaultdict[Address, deque[ClientConnection]] = defaultdict(
             deque
         )
+        self._is_closed = False
 
     @asynccontextmanager
     async def exchange(
@@ -159,7 +160,8 @@
             return response.status, await response.read()
 
     def close(self) -> None:
-        """Closes every idle connection."""
+        """Closes every idle connection, and the others after their calls."""
+        self._is_closed = True
         for connections in self._idle.values():
             for connection in connections:
                 connection.close()
@@ -187,7 +189,8 @@
         else:
             connection.close()
         idle = self._idle[address]
-        if connection.is_reusable and len(idle) < MAX_IDLE_CONNECTIONS:
+        has_room = not self._is_closed and len(idle) < MAX_IDLE_CONNECTIONS
+        if has_room and connection.is_reusable:
             idle.append(connection)
         else:
             connection.close()
