Make the sessions of scripted calls in one place

fakes/model_runs.py and fakes/plain_calls.py each built a SessionContext and each found, read and loaded the example fleet. Both now call make_session, read_example_fleet and load_example_fleet of the new fakes/sessions.py. No behaviour changes.

--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
@@ -5,29 +5,21 @@
 import asyncio
 import time
 from contextlib import asynccontextmanager
-from pathlib import Path
 from typing import TYPE_CHECKING
 
-from opentelemetry.trace import INVALID_SPAN
-
 from catkinreach_core.cell.retry_budget import RetryBudget
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.ids import (
     Incarnation,
-    RequestId,
-    Revision,
     RouteId,
     UpstreamId,
     VmId,
-    WorkspaceId,
     attempt_id,
 )
 from catkinreach_core.placement.policy import Placement, WorkItem
-from catkinreach_core.settings import load_fleet
 from catkinreach_node.http.client import HttpClient
 from catkinreach_node.http.messages import EVENT_STREAM_TYPE, HttpRequest
 from catkinreach_node.session.completion import Completion
-from catkinreach_node.session.context import SessionContext
 from catkinreach_node.session.engine_answers import Holder
 from catkinreach_node.session.engine_client import EngineClient
 from catkinreach_node.session.interfaces import (
@@ -36,7 +28,7 @@
     UntrackedReservation,
 )
 from catkinreach_node.session.model import ModelRun
-from catkinreach_node.telemetry.hop_recorder import HopRecorder, TraceScope
+from catkinreach_node.telemetry.hop_recorder import HopRecorder
 
 from .scripted_upstream import (
     Script,
@@ -44,14 +36,15 @@
     encode_response,
     scripted_upstream,
 )
+from .sessions import load_example_fleet, make_session, read_example_fleet
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
     from catkinreach_core.settings.fleet import FleetSettings
     from catkinreach_core.settings.node import Address
+    from catkinreach_node.session.context import SessionContext
 
-EXAMPLES = Path(__file__).resolve().parents[5] / 'examples'
 TEST_LIMIT_S = 10.0
 CANCEL_S = 0.12
 """Time in which engines are sent the cancels of attempts that ended."""
@@ -163,7 +156,7 @@
 def _fleet(
     prefill: Address, first: Address, other: Address, *, has_other: bool
 ) -> FleetSettings:
-    text = (EXAMPLES / 'ninepatch' / 'fleet.ini').read_text()
+    text = read_example_fleet()
     if not has_other:
         for name in ('2', '3'):
             section = text.index(f'[upstream pattern-decode-{name}]')
@@ -171,7 +164,7 @@
     text = text.replace('127.0.0.1:19001', str(prefill))
     text = text.replace('127.0.0.1:19003', str(first))
     text = text.replace('127.0.0.1:19004', str(other))
-    return load_fleet(text, revision=Revision(1), source='fleet')
+    return load_example_fleet(text)
 
 
 class ModelOutcome:
@@ -241,16 +234,10 @@
     client: HttpClient,
     budget: RetryBudget | None,
 ) -> ModelRun:
-    route = settings.routes[RouteId('completions')]
-    session = SessionContext(
-        request=HttpRequest('POST', '/v1/completions'),
-        request_id=RequestId('r'),
-        accepted_at_s=time.monotonic(),
-        settings=settings,
-        route=route,
-        service=settings.services[route.service_id],
-        workspace_id=WorkspaceId('w'),
-        trace=TraceScope(INVALID_SPAN),
+    session = make_session(
+        settings,
+        RouteId('completions'),
+        HttpRequest('POST', '/v1/completions'),
     )
     return ModelRun(
         session,
