Share the engine and its client between tests of its answers

test_broken_answers and test_stale_responses each built the settings of an engine and an EngineClient. Both use make_engine_at and make_engine_client of the new fakes/engine_calls.py. The engine of test_stale_responses had 4 places instead of the default; an EngineClient doesn't read them. No assertion changes.

--- a/packages/catkinreach-node/tests/session/test_broken_answers.py
+++ b/packages/catkinreach-node/tests/session/test_broken_answers.py
@@ -8,18 +8,13 @@
 import pytest
 
 from catkinreach_core.errors import ErrorKind
-from catkinreach_core.ids import (
-    FailureDomainId,
-    Incarnation,
-    PoolId,
-    RequestId,
-    UpstreamId,
-    VmId,
-)
-from catkinreach_core.settings.fleet import Upstream
+from catkinreach_core.ids import RequestId
 from catkinreach_node.http.client import HttpClient
-from catkinreach_node.session.engine_answers import EngineError, Holder
-from catkinreach_node.session.engine_client import EngineClient
+from catkinreach_node.session.engine_answers import EngineError
+from catkinreach_standins.fakes.engine_calls import (
+    make_engine_at,
+    make_engine_client,
+)
 from catkinreach_standins.fakes.model_runs import (
     END_CHUNKS,
     OTHER,
@@ -115,19 +110,12 @@
 def test_malformed_prefill_answer_ends_the_request(body: bytes) -> None:
     # The error of the decoder ended the request; no other engine was tried.
     async def scenario() -> None:
-        client = HttpClient()
-        engines = EngineClient(client, Holder(VmId('vm-1'), Incarnation('i')))
+        engines = make_engine_client(HttpClient())
         async with scripted_upstream(lambda *_: (encode_response(body),)) as (
             _,
             address,
         ):
-            engine = Upstream(
-                upstream_id=UpstreamId('engine'),
-                pool_id=PoolId('pool'),
-                host=address.host,
-                port=address.port,
-                domain_id=FailureDomainId('a'),
-            )
+            engine = make_engine_at(address)
             await engines.prefill(engine, RequestId('r'), 'm', (1,))
 
     with pytest.raises(EngineError):
--- a/packages/catkinreach-node/tests/session/test_stale_responses.py
+++ b/packages/catkinreach-node/tests/session/test_stale_responses.py
@@ -8,18 +8,12 @@
 
 import pytest
 
-from catkinreach_core.ids import (
-    FailureDomainId,
-    Incarnation,
-    PoolId,
-    RequestId,
-    UpstreamId,
-    VmId,
-)
-from catkinreach_core.settings.fleet import Upstream
+from catkinreach_core.ids import RequestId
 from catkinreach_node.http.client import HttpClient
-from catkinreach_node.session.engine_answers import Holder
-from catkinreach_node.session.engine_client import EngineClient
+from catkinreach_standins.fakes.engine_calls import (
+    make_engine_at,
+    make_engine_client,
+)
 from catkinreach_standins.fakes.plain_calls import (
     ORDER_PATH,
     READ_PATH,
@@ -75,39 +69,24 @@
         return (encode_response(BODIES[path] % (number - 1)), response)
 
 
-def _engine(address: Address) -> Upstream:
-    return Upstream(
-        upstream_id=UpstreamId('engine'),
-        pool_id=PoolId('pool'),
-        host=address.host,
-        port=address.port,
-        domain_id=FailureDomainId('a'),
-        places=4,
-    )
-
-
-def _engine_client(client: HttpClient) -> EngineClient:
-    return EngineClient(client, Holder(VmId('vm-1'), Incarnation('i')))
-
-
 async def _prefill(client: HttpClient, address: Address) -> str:
-    prefilled = await _engine_client(client).prefill(
-        _engine(address), RequestId('r'), 'model', (1,)
+    prefilled = await make_engine_client(client).prefill(
+        make_engine_at(address), RequestId('r'), 'model', (1,)
     )
     return prefilled.export_id
 
 
 async def _import(client: HttpClient, address: Address) -> str:
-    engine = _engine(address)
-    imported = await _engine_client(client).import_kv(
+    engine = make_engine_at(address)
+    imported = await make_engine_client(client).import_kv(
         engine, RequestId('r'), engine, 'export'
     )
     return imported.import_id
 
 
 async def _decode(client: HttpClient, address: Address) -> str:
-    async with _engine_client(client).decode(
-        _engine(address), RequestId('r'), 'model', 'import', max_tokens=1
+    async with make_engine_client(client).decode(
+        make_engine_at(address), RequestId('r'), 'model', 'import', max_tokens=1
     ) as batches:
         return ''.join(
             [event.token async for events in batches for event in events]
