Go on at any later event where numbers don't increase one by one

What callers would have seen: a stream that broke off although the next engine went on with it, if events are numbered by tokens, say.

The numbers of the events so far tell: if they increased one by one, the next one must follow; else any later one goes on. Events with earlier numbers are refused in both cases.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from catkinreach_core.gateway.event_numbering import EventNumbering
     from catkinreach_core.gateway.events import StreamEvent
     from catkinreach_core.gateway.metadata import KvHandle
     from catkinreach_core.gateway.placement import StreamNeed
@@ -50,6 +51,7 @@
         admitted: AdmittedRequest,
         upstream: Upstream,
         need: StreamNeed,
+        numbering: EventNumbering,
         *,
         prefills_prompt: bool,
     ) -> None:
@@ -60,11 +62,13 @@
             admitted: Request to serve.
             upstream: Engine that runs the stream.
             need: Memory and prefill work of the stream.
+            numbering: Numbers of the events that the caller has.
             prefills_prompt: Whether the engine also prefills the prompt.
         """
         self._node = node
         self._admitted = admitted
         self._upstream = upstream
+        self._numbering = numbering
         self.source: KvHandle | None = None
         self._reply: Reply | None = None
         self._splitter = EventSplitter()
@@ -134,8 +138,8 @@
     async def _check_goes_on(self, resume_after: int | None) -> None:
         """Checks that a stream which the node resumes goes on where it ended.
 
-        Events are numbered one by one. Only a stream that says that it is one
-        may be without events: all had been sent before.
+        Only a stream that says that it is one may be without events: all had
+        been sent before.
 
         Raises:
             ExchangeError: if it doesn't.
@@ -150,7 +154,11 @@
             if self.reply.is_declared_stream:
                 return
             raise ExchangeError('the resumed stream is empty')
-        if resume_after is None or first_id != resume_after + 1:
+        if (
+            resume_after is None
+            or first_id is None
+            or not self._numbering.goes_on_at(first_id, resume_after)
+        ):
             raise ExchangeError(
                 f'the resumed stream goes on with event {first_id}'
             )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from catkinreach_core.gateway.event_numbering import EventNumbering
     from catkinreach_core.gateway.events import StreamEvent
 
     from .admitted_request import AdmittedRequest
@@ -40,12 +41,14 @@
         admitted: AdmittedRequest,
         source: SendSource[EngineStream],
         stream: EngineStream,
+        numbering: EventNumbering,
     ) -> None:
         """Takes over an engine stream that has its first events."""
         self._node = node
         self._admitted = admitted
         self._source = source
         self._stream = stream
+        self._numbering = numbering
         self._handover: Handover[EngineStream] | None = None
         self._last_id = admitted.metadata.resume_after
         self._first_event_s = 0.0
@@ -89,6 +92,7 @@
                 ):
                     continue
                 self._last_id = event.event_id
+                self._numbering.note(event.event_id)
             parts.append(event.data)
         return b''.join(parts)
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -5,6 +5,7 @@
 from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
+from catkinreach_core.gateway.event_numbering import EventNumbering
 from catkinreach_core.gateway.placement import StreamNeed, is_overbooked
 
 from ..http.connection import ConnectError, ExchangeError
@@ -60,6 +61,7 @@
             ),
         )
         self._traits = traits
+        self._numbering = EventNumbering(admitted.metadata.resume_after)
         context = StreamContext(
             node, admitted, self._attempts, self._need, traits
         )
@@ -82,7 +84,9 @@
         self._has_begun = True
         reply = engine_stream.reply
         headers = self._node.dialect.caller_headers(reply.headers)
-        relay = EventRelay(self._node, self._admitted, self, engine_stream)
+        relay = EventRelay(
+            self._node, self._admitted, self, engine_stream, self._numbering
+        )
         return HttpResponse(reply.status, headers, stream=relay)
 
     @property
@@ -158,6 +162,7 @@
                 self._admitted,
                 plan.decode.upstream,
                 self._need,
+                self._numbering,
                 prefills_prompt=plan.prefill is None,
             )
             opened = await self._start_stream(plan, engine_stream, resume_after)
--- a/packages/catkinreach-node/tests/gateway/test_resumed_replies.py
+++ b/packages/catkinreach-node/tests/gateway/test_resumed_replies.py
@@ -94,6 +94,31 @@
     asyncio.run(run())
 
 
+def test_stream_numbered_by_tokens_can_not_be_resumed() -> None:
+    # Each event was expected at the number after the last one.
+    events = [event.replace(b'id: ', b'id: 1') for event in EVENTS]
+    script: deque[Behaviour | RawReply] = deque(
+        (
+            RawReply(
+                SEALED_HEAD
+                + STREAM_TYPE
+                + CHUNKED
+                + encode_chunk(events[0] + events[2])
+            ),
+            _chunked(events[4] + events[5]),
+        )
+    )
+
+    async def run() -> None:
+        async with running_deployment() as (deployment, _):
+            for name in 'de':
+                deployment.upstreams[name].script = script
+            body = await _fetch(deployment)
+            assert body == events[0] + events[2] + events[4] + events[5]
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(('event_count', 'resumed'), GOING_ON)
 def test_reply_that_goes_on_is_refused(
     event_count: int, resumed: RawReply
