--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -8,10 +8,11 @@
 from catkinreach_core.errors import CatkinreachError
 
 from ..http.connection import ExchangeError
-from .admitted_request import SendFailure, record_answer
+from .attempts import SendFailure
 from .decision_log import Event
 from .gateway_metrics import RequestStage
 from .handover import SILENT_DETAIL, Handover
+from .outcomes import record_answer
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -17,8 +17,9 @@
 
 from ..http.connection import ExchangeError
 from ..http.problem import problem_response
-from .admitted_request import AdmittedRequest, refusal
+from .admitted_request import AdmittedRequest
 from .decision_log import Event
+from .outcomes import refusal
 from .plain_handler import PlainHandler
 from .stream_handler import StreamHandler
 from .suspect_keys import refuse_if_quarantined, suspect_keys
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -11,7 +11,8 @@
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .admitted_request import Attempts, SendFailure, record_answer
+from .attempts import Attempts, SendFailure
+from .outcomes import record_answer
 from .plain_send import PlainSend
 from .reply_wait import ReplyWait
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/reply_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/reply_wait.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Generic, TypeVar
 
-from .admitted_request import SendFailure
+from .attempts import SendFailure
 from .handover import SILENT_DETAIL, Handover, Send
 
 if TYPE_CHECKING:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_context.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_context.py
@@ -9,7 +9,8 @@
     from catkinreach_core.gateway.catalog import EngineTraits
     from catkinreach_core.gateway.placement import StreamNeed
 
-    from .admitted_request import AdmittedRequest, Attempts
+    from .admitted_request import AdmittedRequest
+    from .attempts import Attempts
     from .node import Node
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -10,11 +10,12 @@
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .admitted_request import Attempts, SendFailure, record_answer
+from .attempts import Attempts, SendFailure
 from .decision_log import Event
 from .engine_stream import EngineStream
 from .event_relay import EventRelay
 from .memory_wait import MIN_REMAINING_S, MemoryWait
+from .outcomes import record_answer
 from .reply_wait import ReplyWait
 from .stream_context import StreamContext
 from .stream_planner import StreamPlanner
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
@@ -13,7 +13,7 @@
 from catkinreach_core.gateway.load_table import UpstreamLoad
 
 from ..http.connection import ConnectError, ExchangeError
-from .admitted_request import SendFailure
+from .attempts import SendFailure
 from .exchange import exchange
 from .gateway_metrics import RequestStage
 
--- a/packages/catkinreach-node/tests/gateway/test_attempts.py
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -8,7 +8,7 @@
 import pytest
 
 from catkinreach_core.ids import RequestId
-from catkinreach_node.gateway.admitted_request import Attempts, SendFailure
+from catkinreach_node.gateway.attempts import Attempts, SendFailure
 from catkinreach_standins.fakes.gateway import make_upstream
 from catkinreach_standins.platform.deployment import idle_node
 
