Split what replies mean and what is logged from the stream handler

A handover that is over is no longer taken for one that goes on: a later failure of the engine that kept the request is passed on as its answer (found by reading; the handover is set for the time of its sends only).

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -89,9 +89,12 @@
         del last_id
         if handover is None or not self.can_replace:
             return None
-        self._handover = handover
         self._attempts.set_aside(handover.silent_upstream)
-        send = await self._try_upstreams()
+        earlier, self._handover = self._handover, handover
+        try:
+            send = await self._try_upstreams()
+        finally:
+            self._handover = earlier
         if send is not None:
             handover.give_up()
         return send
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -15,11 +15,12 @@
 from .engine_stream import EngineStream
 from .event_relay import EventRelay
 from .memory_wait import MIN_REMAINING_S, MemoryWait
-from .outcomes import record_answer
 from .reply_wait import ReplyWait
 from .stream_context import StreamContext
+from .stream_log import StreamLog
 from .stream_planner import StreamPlanner
 from .stream_prefill import StreamPrefill
+from .stream_replies import StreamReplies
 from .suspect_keys import refuse_if_quarantined
 
 if TYPE_CHECKING:
@@ -51,7 +52,6 @@
         self._attempts = Attempts(node, admitted)
         self._handover: Handover[EngineStream] | None = None
         self._has_begun = False
-        self._whole_response: HttpResponse | None = None
         prompt = admitted.metadata.prompt_tokens
         if prompt is None:
             prompt = DEFAULT_PROMPT_TOKENS
@@ -67,6 +67,8 @@
             node, admitted, self._attempts, self._need, traits
         )
         self._prefill = StreamPrefill(context)
+        self._replies = StreamReplies(context, self._prefill)
+        self._log = StreamLog(context)
         self._memory_wait = MemoryWait(
             context, StreamPlanner(context, self._prefill)
         )
@@ -80,8 +82,8 @@
         engine_stream = await self._open_stream(
             self._admitted.metadata.resume_after
         )
-        if self._whole_response is not None:
-            return self._whole_response
+        if self._replies.whole_response is not None:
+            return self._replies.whole_response
         self._has_begun = True
         reply = engine_stream.reply
         headers = self._node.dialect.caller_headers(reply.headers)
@@ -115,13 +117,16 @@
         await self._attempts.finish_crash_check()
         if not self._can_resume(handover):
             return None
-        self._handover = handover
         if handover is not None:
             self._attempts.set_aside(handover.silent_upstream)
             self._node.checks.check_silent(handover.silent_upstream)
         if self._has_begun:
             self._memory_wait.restart_timeout()
-        engine_stream = await self._open_stream(last_id)
+        earlier, self._handover = self._handover, handover
+        try:
+            engine_stream = await self._open_stream(last_id)
+        finally:
+            self._handover = earlier
         if handover is not None:
             handover.give_up()
         return engine_stream
@@ -235,7 +240,7 @@
         resume_after: int | None,
     ) -> EngineStream | None:
         upstream = plan.decode.upstream
-        self._log_placement(plan, resume_after)
+        self._log.write_placed(plan, resume_after, self._memory_wait.waited_s)
         self._attempts.count_send()
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
         reply_wait = ReplyWait(
@@ -268,9 +273,13 @@
             )
             if first is not engine_stream:
                 return first
-            if await self._check_reply(engine_stream):
+            if await self._replies.accept(
+                engine_stream,
+                has_begun=self._has_begun,
+                replaces_silent=self._replaces_silent,
+            ):
                 if reply_wait.is_replacing:
-                    self._log_kept(upstream)
+                    self._log.write_kept(upstream)
                 return engine_stream
         except ConnectError as error:
             self._attempts.record_unreachable(upstream, error)
@@ -286,56 +295,10 @@
         await self._attempts.finish_crash_check()
         return await reply_wait.other_send()
 
-    async def _check_reply(self, engine_stream: EngineStream) -> bool:
-        reply = engine_stream.reply
-        if reply.metadata.has_not_run:
-            await engine_stream.read_failure()
-            if not reply.metadata.is_misdirected:
-                self._prefill.record_handle_refusal()
-            load = self._node.loads.total_load(
-                reply.upstream.upstream_id, self._node.clock()
-            )
-            self._attempts.record_refusal(
-                reply, running=load.running, memory_tokens=load.memory_tokens
-            )
-            return False
-        self._prefill.forget_handle()
-        if not reply.metadata.is_sealed:
-            raise ExchangeError('reply without the seal of its upstream')
-        if reply.is_event_stream:
-            return True
-        return await self._accept_whole_reply(engine_stream)
-
-    async def _accept_whole_reply(self, engine_stream: EngineStream) -> bool:
-        """Reads a reply that is no stream, unless a stream may still come.
-
-        A stream that has begun can't go on with it. An engine's failure isn't
-        the answer while a silent engine, which it should replace, may go on.
-        """
-        reply = engine_stream.reply
-        upstream = reply.upstream
-        may_go_on = self._handover is not None and (
-            not self._handover.has_given_up
-        )
-        if self._has_begun or (may_go_on and not reply.is_success):
-            self._attempts.record_failure_after_send(
-                upstream, SendFailure.FAILED, status=reply.status
-            )
-            return False
-        headers = self._node.dialect.caller_headers(reply.headers)
-        body = await engine_stream.read_failure()
-        self._whole_response = HttpResponse(reply.status, headers, body)
-        if reply.is_success:
-            self._node.crash_suspects.clear_now(
-                self._admitted.suspect_keys, self._node.clock()
-            )
-            record_answer(
-                self._node,
-                self._admitted,
-                upstream.upstream_id,
-                status=reply.status,
-            )
-        return True
+    @property
+    def _replaces_silent(self) -> bool:
+        """Returns whether a silent engine has the request beside a send."""
+        return self._handover is not None and not self._handover.has_given_up
 
     def _may_replace(self, upstream: Upstream) -> bool:
         """Checks a silent engine; returns whether another one can go on."""
@@ -350,35 +313,5 @@
             self._prefill.forget_handle()
         return may_replace
 
-    def _log_kept(self, upstream: Upstream) -> None:
-        self._node.log.write(
-            Event.SILENT_KEPT,
-            request=self._admitted.metadata.request_id,
-            upstream=upstream.upstream_id,
-            reason='it replied first',
-            after_event=None,
-        )
-
-    def _log_placement(
-        self, plan: StreamPlan, resume_after: int | None
-    ) -> None:
-        prefill = plan.prefill
-        self._node.log.write(
-            Event.PLACED,
-            request=self._admitted.metadata.request_id,
-            workspace=self._admitted.workspace_id,
-            version=self._admitted.version,
-            decode=plan.decode.upstream.upstream_id,
-            prefill=prefill and prefill.upstream.upstream_id,
-            prompt_tokens=self._need.prompt_tokens,
-            output_tokens=self._admitted.metadata.output_tokens,
-            first_token_s=round(plan.first_token_s, 4),
-            elapsed_s=round(self._node.clock() - self._admitted.arrived_s, 4),
-            waited_s=round(self._memory_wait.waited_s, 4),
-            members=self._node.members.count,
-            silent=self._node.members.silent_count(self._node.clock()),
-            resume_after=resume_after,
-        )
-
 
 __all__ = ('StreamHandler',)
