End a trial with the stream that was tried

A key that is refused is tried with one stream at a time, for at most 4 s. A stream that began and then broke off, or whose caller left, neither ran to its end nor crashed its engine, and its trial went on: all others with such a part were refused until the 4 s were over.

The relay of a stream now ends the trial when it closes; the check whether the engine crashed has been made by then, and a stream that resumes elsewhere goes on being tried.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -63,6 +63,7 @@
             )
         self._end_handover()
         self._stream.close()
+        self._node.crash_suspects.end_trial(self._admitted.suspect_keys)
 
     async def _chunks(self) -> AsyncIterator[bytes]:
         events = self._stream.first_events
--- a/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
+++ b/packages/catkinreach-node/tests/gateway/test_crash_evidence.py
@@ -7,6 +7,8 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+import pytest
+
 from catkinreach_core.gateway.crash_suspects import (
     CRASHES_TO_REFUSE,
     MIN_REFUSAL_S,
@@ -27,20 +29,20 @@
     running_deployment,
 )
 from catkinreach_standins.platform.upstream import UpstreamStandin
+from catkinreach_standins.platform.upstream_behaviour import Behaviour
 from catkinreach_standins.platform.upstream_replies import StreamFraming
 
 if TYPE_CHECKING:
     from catkinreach_node.gateway.app import GatewayApp
     from catkinreach_node.http.messages import HttpRequest
-    from catkinreach_standins.platform.upstream_behaviour import (
-        Behaviour,
-        RawReply,
-    )
+    from catkinreach_standins.platform.upstream_behaviour import RawReply
     from catkinreach_standins.platform.upstream_exchange import UpstreamExchange
 
 SHARED_PART = 'a1'
 CRASHING_PART = 'd1'
 CRASHING_KEY = _part_key(CRASHING_PART)
+SHARED_KEY = _part_key(SHARED_PART)
+EVENT_GAP_S = 0.02
 UPSTREAMS = 200
 BORN_MS = 1_700_000_001_000
 
@@ -87,9 +89,11 @@
     return deployment
 
 
-def _stream(deployment: Deployment, own: str) -> HttpRequest:
+def _stream(
+    deployment: Deployment, own: str, path: str = '/stream/'
+) -> HttpRequest:
     return deployment.make_request(
-        '/stream/',
+        path,
         method='POST',
         body=own.encode(),
         token_count='300,100',
@@ -134,6 +138,32 @@
     asyncio.run(run())
 
 
+def test_stream_that_broke_off_keeps_others_out() -> None:
+    # Soak seed 458: the one that was tried had ended, and the harmless part
+    # was refused for four more seconds.
+    async def run() -> None:
+        deployment = _deployment(UpstreamStandin, 1)
+        engine = deployment.upstreams['d0']
+        engine.event_gap_s = EVENT_GAP_S
+        engine.script.append(Behaviour.DISCONNECT)
+        async with running_deployment(deployment=deployment) as (_, gateway):
+            node = gateway._node
+            crashed_s = node.clock() - MIN_REFUSAL_S - 1
+            for number in range(CRASHES_TO_REFUSE):
+                node.crash_suspects.record_crash(
+                    [SHARED_KEY], CrashSource(number), crashed_s
+                )
+            address = deployment.caller_address
+            tried = _stream(deployment, 'b0', path='/once/')
+            with pytest.raises(ExchangeError):
+                await deployment.client.call_raw(address, tried)
+            other = _stream(deployment, 'b1', path='/once/')
+            status, _ = await deployment.client.call_raw(address, other)
+            assert status == 200
+
+    asyncio.run(run())
+
+
 async def _restart_crashed(
     deployment: Deployment, gateway: GatewayApp, born_ms: int
 ) -> None:
