Start the HTTP server of tests in one place

Four of the tests under tests/http each chose a port, started an HttpServer and closed it, and three had the same request handler. running_server and count_body_bytes of the new fakes/http_servers.py stand for these. test_server_stop keeps its own start, since its steps close the server in between. The order in which clients and servers close is kept; no assertion changes.

--- a/packages/catkinreach-node/tests/http/test_lingering_close.py
+++ b/packages/catkinreach-node/tests/http/test_lingering_close.py
@@ -5,18 +5,14 @@
 import asyncio
 import socket
 import time
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from catkinreach_core.settings.node import Address
-from catkinreach_node.http.messages import HttpRequest, HttpResponse
-from catkinreach_node.http.server import HttpServer
 from catkinreach_node.http.server_bounds import ServerBounds
 from catkinreach_node.http.server_connection import LINGER_S, STOP_LINGER_S
-from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+from catkinreach_standins.fakes.http_servers import running_server
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from catkinreach_core.settings.node import Address
 
 BODY_BYTES = 8 * 1024 * 1024
 """More than the sockets of both ends hold."""
@@ -26,23 +22,6 @@
 BOUNDS = ServerBounds(max_body_bytes=1000, max_head_bytes=2000)
 
 
-async def _serve(request: HttpRequest) -> HttpResponse:
-    return HttpResponse.from_json(200, {'bytes': len(request.body)})
-
-
-@asynccontextmanager
-async def _server(
-    bounds: ServerBounds = BOUNDS,
-) -> AsyncIterator[tuple[HttpServer, Address]]:
-    server = HttpServer(_serve, name='test', bounds=bounds)
-    address = Address(LOOPBACK, free_ports(1)[0])
-    await server.start(address)
-    try:
-        yield server, address
-    finally:
-        server.close()
-
-
 def _request(body_bytes: int, length: int) -> bytes:
     head = f'POST /x HTTP/1.1\r\nhost: edge\r\ncontent-length: {length}'
     return f'{head}\r\n\r\n'.encode() + b'x' * body_bytes
@@ -62,7 +41,7 @@
 
 def _exchange(raw: bytes, bounds: ServerBounds = BOUNDS) -> bytes:
     async def run() -> bytes:
-        async with _server(bounds) as (_, address):
+        async with running_server(bounds=bounds) as (_, address):
             return await asyncio.to_thread(_send_all_then_read, address, raw)
 
     return asyncio.run(run())
@@ -93,7 +72,7 @@
 
 def test_refused_client_that_stays_delays_the_stop() -> None:
     async def run() -> float:
-        async with _server() as (server, address):
+        async with running_server(bounds=BOUNDS) as (server, address):
             reader, writer = await asyncio.open_connection(
                 address.host, address.port
             )
@@ -111,7 +90,7 @@
 
 def test_answered_client_that_stays_delays_the_stop() -> None:
     async def run() -> float:
-        async with _server() as (server, address):
+        async with running_server(bounds=BOUNDS) as (server, address):
             reader, writer = await asyncio.open_connection(
                 address.host, address.port
             )
@@ -130,7 +109,7 @@
 
 def test_refused_client_that_sends_on_is_read_without_end() -> None:
     async def run() -> float:
-        async with _server() as (_, address):
+        async with running_server(bounds=BOUNDS) as (_, address):
             _, writer = await asyncio.open_connection(
                 address.host, address.port
             )
--- a/packages/catkinreach-node/tests/http/test_server_bad_input.py
+++ b/packages/catkinreach-node/tests/http/test_server_bad_input.py
@@ -7,21 +7,21 @@
 
 import asyncio
 import json
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catkinreach_core.settings.node import Address
 from catkinreach_node.http.messages import HttpRequest, HttpResponse
-from catkinreach_node.http.server import HttpServer
 from catkinreach_node.http.server_bounds import ServerBounds
-from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+from catkinreach_standins.fakes.http_servers import (
+    count_body_bytes,
+    running_server,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from catkinreach_core.settings.node import Address
 
 BOUNDS = ServerBounds(
     head_timeout_s=0.2,
@@ -39,18 +39,7 @@
 async def _serve(request: HttpRequest) -> HttpResponse:
     if request.path == '/flood':
         return HttpResponse(status=200, body=b'x' * FLOOD_BYTES)
-    return HttpResponse.from_json(200, {'bytes': len(request.body)})
-
-
-@asynccontextmanager
-async def _server() -> AsyncIterator[tuple[HttpServer, Address]]:
-    server = HttpServer(_serve, name='test', bounds=BOUNDS)
-    address = Address(LOOPBACK, free_ports(1)[0])
-    await server.start(address)
-    try:
-        yield server, address
-    finally:
-        server.close()
+    return await count_body_bytes(request)
 
 
 async def _send(
@@ -78,7 +67,7 @@
     """
 
     async def run() -> bytes:
-        async with _server() as (_, address):
+        async with running_server(_serve, BOUNDS) as (_, address):
             answer = await _send(address, raw, half_close=half_close)
             assert b' 200 ' in await _send(address, VALID_REQUEST)
         return answer
@@ -166,7 +155,7 @@
 
 def test_idle_connections_are_limited_and_time_out() -> None:
     async def run() -> tuple[bytes, int, bytes]:
-        async with _server() as (server, address):
+        async with running_server(_serve, BOUNDS) as (server, address):
             idle = [
                 await asyncio.open_connection(address.host, address.port)
                 for _ in range(BOUNDS.max_connections)
@@ -190,7 +179,7 @@
 
 def test_client_that_does_not_read_is_disconnected() -> None:
     async def run() -> bytes:
-        async with _server() as (server, address):
+        async with running_server(_serve, BOUNDS) as (server, address):
             reader, writer = await asyncio.open_connection(
                 address.host, address.port, limit=1
             )
@@ -231,7 +220,7 @@
 @given(fragments=FRAGMENTS)
 def test_server_survives_arbitrary_input(fragments: list[bytes]) -> None:
     async def run() -> bytes:
-        async with _server() as (_, address):
+        async with running_server(_serve, BOUNDS) as (_, address):
             await _send(address, b''.join(fragments), half_close=True)
             return await _send(address, VALID_REQUEST)
 
--- a/packages/catkinreach-node/tests/http/test_server_connections.py
+++ b/packages/catkinreach-node/tests/http/test_server_connections.py
@@ -10,16 +10,19 @@
 
 import pytest
 
-from catkinreach_core.settings.node import Address
-from catkinreach_node.http.messages import HttpRequest, HttpResponse
 from catkinreach_node.http.request_reader import STOP_FIRST_REQUEST_S
-from catkinreach_node.http.server import HttpServer
 from catkinreach_node.http.server_bounds import ServerBounds
-from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+from catkinreach_standins.fakes.http_servers import (
+    count_body_bytes,
+    running_server,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from catkinreach_core.settings.node import Address
+    from catkinreach_node.http.messages import HttpRequest, HttpResponse
+    from catkinreach_node.http.server import HttpServer
     from catkinreach_node.http.server_connection import RequestHandler
 
 TIMEOUT_S = 0.2
@@ -32,10 +35,6 @@
 REQUEST = b'GET /x HTTP/1.1\r\nhost: edge\r\n\r\n'
 
 
-async def _serve(request: HttpRequest) -> HttpResponse:
-    return HttpResponse.from_json(200, {'bytes': len(request.body)})
-
-
 class _Client:
     """Client whose bytes are sent without the event loop."""
 
@@ -62,20 +61,17 @@
 
 @asynccontextmanager
 async def _server(
-    bounds: ServerBounds = BOUNDS, serve: RequestHandler = _serve
+    bounds: ServerBounds = BOUNDS, serve: RequestHandler = count_body_bytes
 ) -> AsyncIterator[tuple[HttpServer, _Client]]:
     """Runs a server with one accepted connection."""
-    server = HttpServer(serve, name='test', bounds=bounds)
-    address = Address(LOOPBACK, free_ports(1)[0])
-    await server.start(address)
-    client = _Client(address)
-    while not server.connection_count:  # noqa: ASYNC110
-        await asyncio.sleep(0.001)
-    try:
-        yield server, client
-    finally:
-        client.close()
-        server.close()
+    async with running_server(serve, bounds) as (server, address):
+        client = _Client(address)
+        while not server.connection_count:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+        try:
+            yield server, client
+        finally:
+            client.close()
 
 
 def _request_with_head(size_bytes: int) -> bytes:
@@ -220,7 +216,7 @@
             except asyncio.CancelledError:
                 is_cancelled.set()
                 raise
-            return await _serve(request)
+            return await count_body_bytes(request)
 
         async with _server(ServerBounds(), serve) as (_, client):
             client.send(REQUEST)
--- a/packages/catkinreach-node/tests/http/test_server_responses.py
+++ b/packages/catkinreach-node/tests/http/test_server_responses.py
@@ -9,11 +9,9 @@
 from loguru import logger
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
-from catkinreach_core.settings.node import Address
 from catkinreach_node.http.client import HttpClient
 from catkinreach_node.http.messages import HttpRequest, HttpResponse
-from catkinreach_node.http.server import HttpServer
-from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+from catkinreach_standins.fakes.http_servers import running_server
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator, Iterator
@@ -83,27 +81,19 @@
     logger.remove(sink)
 
 
-async def _start_server(
-    serve: RequestHandler = _serve,
-) -> tuple[HttpServer, Address]:
-    server = HttpServer(serve, name='test')
-    address = Address(LOOPBACK, free_ports(1)[0])
-    await server.start(address)
-    return server, address
-
-
 async def _send_twice(raw: bytes, serve: RequestHandler = _serve) -> bytes:
     """Sends a request and then the same one again on one connection."""
-    server, address = await _start_server(serve)
-    reader, writer = await asyncio.open_connection(address.host, address.port)
-    try:
-        writer.write(raw + raw)
-        writer.write(b'GET /200 HTTP/1.1\r\nhost: edge\r\n')
-        writer.write(b'connection: close\r\n\r\n')
-        return await asyncio.wait_for(reader.read(), 10)
-    finally:
-        writer.close()
-        server.close()
+    async with running_server(serve) as (_, address):
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        try:
+            writer.write(raw + raw)
+            writer.write(b'GET /200 HTTP/1.1\r\nhost: edge\r\n')
+            writer.write(b'connection: close\r\n\r\n')
+            return await asyncio.wait_for(reader.read(), 10)
+        finally:
+            writer.close()
 
 
 @pytest.mark.parametrize(
@@ -137,15 +127,13 @@
 def test_header_outside_ascii_is_not_forwarded() -> None:
     # A header of a caller's request could not be encoded as ASCII.
     async def run() -> int:
-        server, address = await _start_server()
+        request = HttpRequest('GET', '/latin', [('x-note', 'caf\xe9')])
         client = HttpClient()
-        try:
-            status, _ = await client.call_raw(
-                address, HttpRequest('GET', '/latin', [('x-note', 'caf\xe9')])
-            )
-        finally:
-            client.close()
-            server.close()
+        async with running_server(_serve) as (_, address):
+            try:
+                status, _ = await client.call_raw(address, request)
+            finally:
+                client.close()
         return status
 
     assert asyncio.run(run()) == 200
