Keep a silent send whose reply comes with the end of the overlap

What callers would have seen: a stream that goes on at another engine, or 504, though the silent engine's first event had just arrived.

Cause: the timer that ends the overlap closed a send whose reply had arrived in the same turn of the event loop, and that send was then returned as the answer: again the end of a wait that won against what had arrived.

A handover knows the wait for the first reply and closes nothing that has replied.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -74,11 +74,24 @@
     """
 
     def __init__(
-        self, source: SendSource[_SendT], send: _SendT, last_id: int | None
+        self,
+        source: SendSource[_SendT],
+        send: _SendT,
+        last_id: int | None,
+        replying: asyncio.Future[None] | None = None,
     ) -> None:
-        """Starts to look for another upstream."""
+        """Starts to look for another upstream.
+
+        Args:
+            source: Sends the request to the other upstream.
+            send: Send to the silent upstream.
+            last_id: Last event of a stream that the caller has.
+            replying: Ends with the silent upstream's first reply, which its
+                send is then kept for; ``None`` if that came before.
+        """
         self._source = source
         self._send = send
+        self._replying = replying
         self._is_cancelled = False
         self._has_given_up = False
         self.detail = 'no other upstream'
@@ -114,8 +127,9 @@
         failure: SendFailure = SendFailure.SILENT,
         detail: str = SILENT_DETAIL,
     ) -> None:
-        """Closes the silent upstream's send, unless it has ended."""
-        if not self._has_given_up:
+        """Closes the silent upstream's send, unless it replied or ended."""
+        has_replied = self._replying is not None and self._replying.done()
+        if not (self._has_given_up or has_replied):
             self._has_given_up = True
             self._source.record_lost(self._send, failure, detail)
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/reply_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/reply_wait.py
@@ -124,7 +124,7 @@
             return
         if may_replace():
             self._handover = Handover(
-                self._source, self._send, self._resume_after
+                self._source, self._send, self._resume_after, self._replying
             )
         elif self._has_tried_other and self._source.may_return(self._send):
             self._source.record_lost(
--- a/packages/catkinreach-node/tests/gateway/test_replaced_sends.py
+++ b/packages/catkinreach-node/tests/gateway/test_replaced_sends.py
@@ -25,7 +25,7 @@
     from collections.abc import Sequence
 
     from catkinreach_core.gateway.upstream import Upstream
-    from catkinreach_node.gateway.admitted_request import SendFailure
+    from catkinreach_node.gateway.attempts import SendFailure
     from catkinreach_node.gateway.handover import Handover
     from catkinreach_node.http.messages import HttpRequest
     from catkinreach_standins.platform.deployment import Deployment
