Keep the trial of a request that its silent engine still runs

What callers would have seen: a second crashing request at an engine beside the one that is tried (BUDGET).

Cause: a send that isn't opened ends the trial of its request. One that should only replace a silent engine ended it too, while that engine still had the request.

The trial ends with the send to the engine that still has the request.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -210,7 +210,7 @@
         finally:
             if opened is not engine_stream:
                 engine_stream.close()
-            if opened is None:
+            if opened is None and not self._replaces_silent:
                 self._node.crash_suspects.end_trial(self._admitted.suspect_keys)
         return opened
 
