Let a silent plain upstream go on until another one has replied

What callers saw: 504 long before the deadline, while their upstream went on: the silent one was closed 0.25 s after the other one was sent the request, which then broke off; and a slow upstream was closed to get the request anew after the other one had refused, and ended its second run too late.

Cause: the bounds of begun streams, of which two engines may run one for 0.4 s only, were applied to repeatable plain requests, which may run beside each other.

A silent plain upstream keeps the request until another upstream, or the same one on a new connection, has replied. The first reply ends the other send.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -46,7 +46,7 @@
     def may_return(self, send: _SendT) -> bool:
         """Returns whether a silent upstream may get the request anew.
 
-        That ends its first send; its connection may be what is silent.
+        Its connection may be what is silent.
         """
 
     def record_lost(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.catalog import RouteKind
@@ -46,7 +45,7 @@
         self._node = node
         self._admitted = admitted
         self._attempts = Attempts(node, admitted)
-        self._handover: Handover[PlainSend] | None = None
+        self._has_returned = False
         self._failure_response: HttpResponse | None = None
 
     async def run(self) -> HttpResponse:
@@ -87,21 +86,21 @@
             handover: Handover from a silent upstream.
         """
         del last_id
-        if handover is None or not self.can_replace:
+        if handover is None:
             return None
-        self._attempts.set_aside(handover.silent_upstream)
-        earlier, self._handover = self._handover, handover
-        try:
-            send = await self._try_upstreams()
-        finally:
-            self._handover = earlier
+        if not self._has_returned:
+            self._attempts.set_aside(handover.silent_upstream)
+        send = await self._try_upstreams()
         if send is not None:
             handover.give_up()
         return send
 
     def may_return(self, send: PlainSend) -> bool:
         """Returns whether a silent upstream may get the request anew."""
-        return self._attempts.try_reserve_return(send.upstream)
+        if self._has_returned:
+            return False
+        self._has_returned = self._attempts.try_reserve_return(send.upstream)
+        return self._has_returned
 
     def record_lost(
         self, send: PlainSend, failure: SendFailure, detail: str
@@ -154,13 +153,12 @@
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
         self._attempts.count_send()
         send = PlainSend(self._node, self._admitted, upstream)
-        reply_wait = ReplyWait(self, send, send.start())
-        with self._handover.overlap() if self._handover else nullcontext():
-            try:
-                return await self._take_first_reply(send, reply_wait)
-            finally:
-                reply_wait.close()
-                send.close()
+        reply_wait = ReplyWait(self, send, send.start(), may_run_twice=True)
+        try:
+            return await self._take_first_reply(send, reply_wait)
+        finally:
+            reply_wait.close()
+            send.close()
 
     async def _take_first_reply(
         self, send: PlainSend, reply_wait: ReplyWait[PlainSend]
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/reply_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/reply_wait.py
@@ -31,6 +31,8 @@
         send: _SendT,
         replying: asyncio.Future[None],
         resume_after: int | None = None,
+        *,
+        may_run_twice: bool = False,
     ) -> None:
         """Takes over a send that was started.
 
@@ -40,11 +42,14 @@
             replying: Ends with the reply, or with the failure of the send;
                 cancelled if the send is closed.
             resume_after: Last event of a stream that the caller has.
+            may_run_twice: Whether a silent upstream that gets the request anew
+                may go on with the first send beside it.
         """
         self._source = source
         self._send = send
         self._replying = replying
         self._resume_after = resume_after
+        self._may_run_twice = may_run_twice
         self._handover: Handover[_SendT] | None = None
         self._other: _SendT | None = None
         self._has_tried_other = False
@@ -123,14 +128,22 @@
         if self._replying.done():
             return
         if may_replace():
-            self._handover = Handover(
-                self._source, self._send, self._resume_after, self._replying
-            )
+            self._start_handover()
         elif self._has_tried_other and self._source.may_return(self._send):
-            self._source.record_lost(
-                self._send, SendFailure.SILENT, SILENT_DETAIL
-            )
-            self._has_switched = True
+            self._return_to_silent()
+
+    def _start_handover(self) -> None:
+        self._handover = Handover(
+            self._source, self._send, self._resume_after, self._replying
+        )
+
+    def _return_to_silent(self) -> None:
+        """Sends the request to the silent upstream anew."""
+        if self._may_run_twice:
+            self._start_handover()
+            return
+        self._source.record_lost(self._send, SendFailure.SILENT, SILENT_DETAIL)
+        self._has_switched = True
 
     async def _wait_for_either(self, handover: Handover[_SendT]) -> None:
         """Waits for the upstream and for the one that may replace it."""
