--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -10,8 +10,12 @@
 
 from ..http.connection import ExchangeError
 from .exchange import Reply, exchange
+from .reply_wait import start_reply
 
 if TYPE_CHECKING:
+    import asyncio
+
+    from catkinreach_core.gateway.event_numbering import EventNumbering
     from catkinreach_core.gateway.events import StreamEvent
     from catkinreach_core.gateway.metadata import KvHandle
     from catkinreach_core.gateway.placement import StreamNeed
@@ -25,6 +29,9 @@
 """Time after its first event from which a stream has started: a crash of its
 engine is then no longer ascribed to it."""
 
+MAX_UNNUMBERED_EVENTS = 16
+"""Events without a number that may come first in a resumed stream."""
+
 
 class EngineStream:
     """Runs a stream at one engine.
@@ -44,6 +51,7 @@
         admitted: AdmittedRequest,
         upstream: Upstream,
         need: StreamNeed,
+        numbering: EventNumbering,
         *,
         prefills_prompt: bool,
     ) -> None:
@@ -54,15 +62,18 @@
             admitted: Request to serve.
             upstream: Engine that runs the stream.
             need: Memory and prefill work of the stream.
+            numbering: Numbers of the events that the caller has.
             prefills_prompt: Whether the engine also prefills the prompt.
         """
         self._node = node
         self._admitted = admitted
         self._upstream = upstream
+        self._numbering = numbering
         self.source: KvHandle | None = None
         self._reply: Reply | None = None
         self._splitter = EventSplitter()
         self._is_closed = False
+        self._opening: asyncio.Future[None] | None = None
         self._prefill_load = UpstreamLoad(
             prefill_tokens=need.prompt_tokens if prefills_prompt else 0
         )
@@ -77,6 +88,11 @@
         node.begin_work(upstream.upstream_id, self._decode_load)
         node.begin_work(upstream.upstream_id, self._prefill_load)
 
+    @property
+    def upstream(self) -> Upstream:
+        """Returns the engine."""
+        return self._upstream
+
     @property
     def reply(self) -> Reply:
         """Returns the head of the reply; valid after ``open``."""
@@ -88,13 +104,17 @@
         """Returns whether the engine has sent events for a while."""
         return self._last_event_at_s - self._first_event_at_s >= STARTED_S
 
-    async def open(self, resume_after: int | None) -> None:
-        """Sends the request and waits for the first event or a failure.
+    def start(self, resume_after: int | None) -> asyncio.Future[None]:
+        """Sends the request; returns the wait for its first event or a failure.
 
-        Raises:
-            ConnectError: nothing was sent.
-            ExchangeError: the request may have run.
+        The wait ends with a ``ConnectError`` if nothing was sent, and with an
+        ``ExchangeError`` if the request may have run. It is cancelled if the
+        stream is closed.
         """
+        self._opening = start_reply(self._open(resume_after))
+        return self._opening
+
+    async def _open(self, resume_after: int | None) -> None:
         admitted = self._admitted
         metadata = admitted.forward_metadata(
             self._upstream,
@@ -111,8 +131,38 @@
         if self._reply.is_event_stream:
             while not self.first_events and not self.is_complete:
                 self.first_events = await self.next_events()
+            if resume_after not in {None, admitted.metadata.resume_after}:
+                await self._check_goes_on(resume_after)
         self._end_prefill()
 
+    async def _check_goes_on(self, resume_after: int | None) -> None:
+        """Checks that a stream which the node resumes goes on where it ended.
+
+        Only a stream that says that it is one may be without events: all had
+        been sent before.
+
+        Raises:
+            ExchangeError: if it doesn't.
+        """
+        first_id = _first_id(self.first_events)
+        while first_id is None and not self.is_complete:
+            if len(self.first_events) >= MAX_UNNUMBERED_EVENTS:
+                break
+            self.first_events += await self.next_events()
+            first_id = _first_id(self.first_events)
+        if first_id is None and not self.first_events:
+            if self.reply.is_declared_stream:
+                return
+            raise ExchangeError('the resumed stream is empty')
+        if (
+            resume_after is None
+            or first_id is None
+            or not self._numbering.goes_on_at(first_id, resume_after)
+        ):
+            raise ExchangeError(
+                f'the resumed stream goes on with event {first_id}'
+            )
+
     async def next_events(self) -> list[StreamEvent]:
         """Returns the events completed by the next bytes.
 
@@ -139,20 +189,15 @@
     async def _check_end(self) -> None:
         """Checks that the reply is complete.
 
-        The end of a body without length or chunks is that of the connection; a
-        crash of the engine looks the same.
-
         Raises:
             ExchangeError: if it isn't.
         """
         if self._splitter.rest:
             raise ExchangeError('stream ended inside an event')
-        if not self.reply.ends_with_connection:
-            return
-        if math.isinf(self._first_event_at_s):
+        has_events = not math.isinf(self._first_event_at_s)
+        if self.reply.ends_with_connection and not has_events:
             raise ExchangeError('connection ended before the first event')
-        if not await self._node.checks.confirm_reachable(self._upstream):
-            raise ExchangeError('connection ended with its engine')
+        await self.reply.check_end()
 
     def _note_events(self) -> None:
         """Clears the request of earlier crashes once its stream has started."""
@@ -189,6 +234,8 @@
         if self._is_closed:
             return
         self._is_closed = True
+        if self._opening is not None:
+            self._opening.cancel()
         self._end_prefill()
         self._node.end_work(self._upstream.upstream_id, self._decode_load)
         if self._reply is None:
@@ -204,4 +251,10 @@
             self._node.end_work(self._upstream.upstream_id, prefill_load)
 
 
+def _first_id(events: list[StreamEvent]) -> int | None:
+    """Returns the first number of an event, if any event has one."""
+    numbers = (event.event_id for event in events)
+    return next((one for one in numbers if one is not None), None)
+
+
 __all__ = ('EngineStream',)
