Tell unreachable upstreams again in full messages only

What callers saw: in a fleet of 70 VMs on 10 Mbit/s links, some VMs were late for seconds. Their connections to engines timed out (0.15 s), and they read a change of the store 1.4 s after they had asked for it.

Cause: up to 100 VMs, each change of load goes to all peers, and each message repeated the list of all unreachable upstreams. A VM whose link is busy takes upstreams for unreachable, and its messages grow, which keeps its link busy.

The link carries 1,250 kB/s.

A change of load now lists only what became unreachable since the last message. The list is only a reason for peers to check, and is repeated in each full message (0.9 s), so a lost datagram delays it by no more than that.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -25,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from catkinreach_core.ids import UpstreamId
+
     from .node import Node
 
 MIN_MESSAGE_GAP_S = 0.004
@@ -41,6 +43,7 @@
         self._next_full_message_at_s = 0.0
         self._has_left = False
         self._rotation = HeartbeatRotation()
+        self._told_down: frozenset[UpstreamId] = frozenset()
         node.peer_handlers[GossipMessage] = self._apply_message
         node.peer_handlers[CrashMessage] = self._apply_crashes
 
@@ -105,7 +108,8 @@
 
         Args:
             is_load_change: Whether to leave out what only full messages carry:
-                members, and crashes that aren't news.
+                members, and crashes and unreachable upstreams that aren't
+                news.
         """
         if self._transport is None:
             return
@@ -177,13 +181,25 @@
             else responsive_peers[:MAX_GOSSIP_MEMBERS],
             loads=node.loads.own_loads(),
             admitted=node.quota.own_counts(now_s),
-            down=node.health.unreachable_upstreams(),
+            down=self._take_down(is_load_change=is_load_change),
             replaced=node.replaced_upstreams(),
             waiting=node.queued_tokens(),
             holder=node.voted_leader,
             switching=node.switching_engines.remaining_s(now_s),
         )
 
+    def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
+        """Returns the unreachable upstreams that a message tells of.
+
+        A change of load, of which there are many, doesn't repeat them: in a
+        large fleet the copies for all peers would fill this node's link.
+        """
+        down = self._node.health.unreachable_upstreams()
+        told, self._told_down = self._told_down, frozenset(down)
+        if not is_load_change:
+            return down
+        return [upstream_id for upstream_id in down if upstream_id not in told]
+
     def _apply_message(self, message: GossipMessage) -> None:
         node = self._node
         now_s = node.clock()
