Bound the part of a VM's link that messages to peers fill

The VM sent requests to engines whose leaving or evacuation it hadn't read, and engines worked on for callers that had left.

Cause: the copies of one message for 69 peers take 20 to 80 ms of a link of 10 Mbit/s, and a VM sent one for each change of load, up to 250 a second.

After a message a VM now pauses until its copies take no more than a quarter of the link's bandwidth, 0.3 s at most. The bandwidth comes from the settings file; where it isn't known, nothing changes. Full messages, which are what tells that a VM lives, are 0.9 s apart in such a fleet.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -32,6 +32,13 @@
 MIN_MESSAGE_GAP_S = 0.004
 """Changes of load within this time are sent in one message."""
 
+MAX_MESSAGE_GAP_S = 0.3
+"""The same where the copies of a message for all peers take up a slow link."""
+
+MAX_LINK_SHARE = 0.25
+"""Part of the link that messages to peers may fill: what waits behind them is
+late, requests and the ends of connections, too."""
+
 
 class PeerLink(asyncio.DatagramProtocol):
     """Sends this node's state to its peers and applies theirs."""
@@ -43,6 +50,7 @@
         self._next_full_message_at_s = 0.0
         self._has_left = False
         self._rotation = HeartbeatRotation()
+        self._sent_bytes = 0
         self._told_down: frozenset[UpstreamId] = frozenset()
         node.peer_handlers[GossipMessage] = self._apply_message
         node.peer_handlers[CrashMessage] = self._apply_crashes
@@ -71,13 +79,23 @@
             lambda: self, local_addr=(address.host, address.port)
         )
         self._node.send_datagram = self._send_to
+        await self._send_messages()
+
+    async def _send_messages(self) -> None:
         is_load_change = False
         while True:
+            self._sent_bytes = 0
             self.send_message(is_load_change=is_load_change)
             self._expire_peers()
-            await asyncio.sleep(MIN_MESSAGE_GAP_S)
+            await asyncio.sleep(self._message_gap_s())
             is_load_change = await self._wait_for_load_change()
 
+    def _message_gap_s(self) -> float:
+        """Returns the time after a message in which none is sent."""
+        bytes_per_s = self._node.settings.link_bytes_per_s * MAX_LINK_SHARE
+        gap_s = self._sent_bytes / bytes_per_s
+        return min(MAX_MESSAGE_GAP_S, max(MIN_MESSAGE_GAP_S, gap_s))
+
     async def _wait_for_load_change(self) -> bool:
         """Waits for a change of load; ``False`` if a full message is due."""
         loop = asyncio.get_running_loop()
@@ -153,6 +171,7 @@
 
     def _send_to(self, host: str, data: bytes) -> None:
         if self._transport is not None:
+            self._sent_bytes += len(data)
             port = self._node.settings.peer_address.port
             self._transport.sendto(data, (host, port))
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/settings.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from msgspec import Struct
 
 from catkinreach_core.ids import FailureDomainId, VmId
@@ -47,6 +49,7 @@
         store_address: Address of the configuration store.
         peer_hosts: IP addresses of some peers.
         bounds: Bounds that apply to all nodes together.
+        link_bytes_per_s: Bandwidth of the VM's link; infinite if not known.
     """
 
     vm_id: VmId
@@ -59,6 +62,7 @@
     store_address: Address
     peer_hosts: tuple[str, ...]
     bounds: SharedBounds
+    link_bytes_per_s: float = math.inf
 
 
 __all__ = ('GatewaySettings', 'SharedBounds')
--- a/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from pathlib import Path
 from typing import Final
@@ -14,6 +15,7 @@
 
 BOOT_VARIABLE: Final = 'CATKINREACH_BOOT'
 MS_PER_S: Final = 1000.0
+BYTES_PER_MEGABIT: Final = 125_000.0
 
 
 class BootFile:
@@ -79,9 +81,16 @@
         # The seeds' ports belong to another service; only the host is used.
         peer_hosts=tuple(Address.from_text(seed).host for seed in seeds),
         bounds=_bounds(fields),
+        link_bytes_per_s=_link_bytes_per_s(fields),
     )
 
 
+def _link_bytes_per_s(fields: dict[str, str]) -> float:
+    """Returns the bandwidth of the link; infinite if it isn't known."""
+    megabits_per_s = float(fields.get('limits.link-mbps', 0))
+    return megabits_per_s * BYTES_PER_MEGABIT or math.inf
+
+
 def _bounds(fields: dict[str, str]) -> SharedBounds:
     return SharedBounds(
         stop_grace_s=float(fields['bounds.grace-s']),
--- a/packages/catkinreach-node/tests/platform/test_boot.py
+++ b/packages/catkinreach-node/tests/platform/test_boot.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import pytest
@@ -30,6 +31,7 @@
 bounds.config-apply-ms=2000
 bounds.quota-over=0.25
 bounds.quota-slack=190000
+limits.link-mbps=10.0
 unknown.field=some other text
 """
 METRICS_PORT = 9464
@@ -42,6 +44,14 @@
     assert settings.peer_address.port == 7600
     assert settings.peer_hosts == ('10.1.0.25', '10.2.0.17')
     assert settings.bounds.stop_grace_s == 8
+    assert settings.link_bytes_per_s == 1_250_000
+
+
+def test_bandwidth_of_the_link_may_be_unknown() -> None:
+    settings = read_settings(
+        TEXT.replace('limits.link-mbps=10.0\n', ''), METRICS_PORT
+    )
+    assert math.isinf(settings.link_bytes_per_s)
 
 
 @pytest.mark.parametrize(
