--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -25,11 +25,20 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from catkinreach_core.ids import UpstreamId
+
     from .node import Node
 
 MIN_MESSAGE_GAP_S = 0.004
 """Changes of load within this time are sent in one message."""
 
+MAX_MESSAGE_GAP_S = 0.3
+"""The same where the copies of a message for all peers take up a slow link."""
+
+MAX_LINK_SHARE = 0.25
+"""Part of the link that messages to peers may fill: what waits behind them is
+late, requests and the ends of connections, too."""
+
 
 class PeerLink(asyncio.DatagramProtocol):
     """Sends this node's state to its peers and applies theirs."""
@@ -41,6 +50,8 @@
         self._next_full_message_at_s = 0.0
         self._has_left = False
         self._rotation = HeartbeatRotation()
+        self._sent_bytes = 0
+        self._told_down: frozenset[UpstreamId] = frozenset()
         node.peer_handlers[GossipMessage] = self._apply_message
         node.peer_handlers[CrashMessage] = self._apply_crashes
 
@@ -68,13 +79,23 @@
             lambda: self, local_addr=(address.host, address.port)
         )
         self._node.send_datagram = self._send_to
+        await self._send_messages()
+
+    async def _send_messages(self) -> None:
         is_load_change = False
         while True:
+            self._sent_bytes = 0
             self.send_message(is_load_change=is_load_change)
             self._expire_peers()
-            await asyncio.sleep(MIN_MESSAGE_GAP_S)
+            await asyncio.sleep(self._message_gap_s())
             is_load_change = await self._wait_for_load_change()
 
+    def _message_gap_s(self) -> float:
+        """Returns the time after a message in which none is sent."""
+        bytes_per_s = self._node.settings.link_bytes_per_s * MAX_LINK_SHARE
+        gap_s = self._sent_bytes / bytes_per_s
+        return min(MAX_MESSAGE_GAP_S, max(MIN_MESSAGE_GAP_S, gap_s))
+
     async def _wait_for_load_change(self) -> bool:
         """Waits for a change of load; ``False`` if a full message is due."""
         loop = asyncio.get_running_loop()
@@ -105,7 +126,8 @@
 
         Args:
             is_load_change: Whether to leave out what only full messages carry:
-                members, and crashes that aren't news.
+                members, and crashes and unreachable upstreams that aren't
+                news.
         """
         if self._transport is None:
             return
@@ -149,6 +171,7 @@
 
     def _send_to(self, host: str, data: bytes) -> None:
         if self._transport is not None:
+            self._sent_bytes += len(data)
             port = self._node.settings.peer_address.port
             self._transport.sendto(data, (host, port))
 
@@ -177,13 +200,25 @@
             else responsive_peers[:MAX_GOSSIP_MEMBERS],
             loads=node.loads.own_loads(),
             admitted=node.quota.own_counts(now_s),
-            down=node.health.unreachable_upstreams(),
+            down=self._take_down(is_load_change=is_load_change),
             replaced=node.replaced_upstreams(),
             waiting=node.queued_tokens(),
             holder=node.voted_leader,
             switching=node.switching_engines.remaining_s(now_s),
         )
 
+    def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
+        """Returns the unreachable upstreams that a message tells of.
+
+        A change of load, of which there are many, doesn't repeat them: in a
+        large fleet the copies for all peers would fill this node's link.
+        """
+        down = self._node.health.unreachable_upstreams()
+        told, self._told_down = self._told_down, frozenset(down)
+        if not is_load_change:
+            return down
+        return [upstream_id for upstream_id in down if upstream_id not in told]
+
     def _apply_message(self, message: GossipMessage) -> None:
         node = self._node
         now_s = node.clock()
