Build the head without a length of a stand-in's replies once

partial_head in platform/upstream_replies.py repeated the lines of response_without_length. It now removes the last line from that head; the bytes are the same.

Tests: pytest packages/catkinreach-node/tests/gateway/ test_broken_replies.py packages/catkinreach-standins/tests/platform/ test_upstream.py test_upstream_crashes.py: 54 passed before, 54 passed after. make format lint names types: clean.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_replies.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_replies.py
@@ -96,12 +96,8 @@
 
 def partial_head(request: ReceivedRequest, upstream_id: str) -> bytes:
     """Returns whole lines of a head that has no end."""
-    lines = (
-        'HTTP/1.1 200 OK',
-        f'Request-Id: {request.request_id}',
-        f'Response-Seal: seal-{upstream_id}',
-    )
-    return _encode_head(lines).removesuffix(b'\r\n')
+    head = response_without_length(request, upstream_id, b'')
+    return head.removesuffix(b'\r\n')
 
 
 def _encode_head(lines: list[str] | tuple[str, ...]) -> bytes:
