Split the tests of the soak's checks by the module they test

The tests of quarantine_checks.py and of retry_budget.py stand in files of their name now, and the constructed calls that all use in fakes/soak_calls.py. The tests and their assertions are moved as they were.

--- a/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
@@ -6,9 +6,17 @@
 
 import pytest
 
+from catkinreach_standins.fakes.soak_calls import (
+    CUT_STREAM,
+    EXPLAINED,
+    ORDER,
+    READ,
+    REFUSED,
+    STREAM,
+    WHOLE,
+)
 from catkinreach_standins.platform.soak.history import (
     CallEnd,
-    CallKind,
     CallRecord,
     Disruption,
     DisruptionKind,
@@ -19,27 +27,6 @@
     RunRecords,
     find_violations,
 )
-from catkinreach_standins.platform.upstream import EVENT_COUNT
-
-WHOLE = tuple(range(1, EVENT_COUNT + 1))
-EXPLAINED = '{"event":"refused","request":"r"}\n'
-
-READ = CallRecord(
-    request_id='r',
-    kind=CallKind.READ,
-    front=0,
-    sent_s=10.0,
-    ended_s=10.1,
-    end=CallEnd.ANSWERED,
-    status=200,
-    body=b'a ran r',
-)
-ORDER = replace(READ, kind=CallKind.ORDER)
-STREAM = replace(READ, kind=CallKind.STREAM, event_ids=WHOLE, body=b'')
-CUT_STREAM = replace(STREAM, end=CallEnd.INCOMPLETE, event_ids=WHOLE[:3])
-REFUSED = replace(
-    READ, end=CallEnd.REFUSED, status=503, code='busy', outcome='not-run'
-)
 
 
 def _find(
@@ -173,76 +160,6 @@
     assert _find(CUT_STREAM, runs=1, faulty_link='b')
 
 
-@pytest.mark.parametrize(
-    ('late_count', 'disruption', 'is_found'),
-    [
-        (3, None, False),
-        (4, None, True),
-        (4, DisruptionKind.KILLED, False),
-    ],
-)
-def test_crashing_requests_after_the_fifth_crash_are_found(
-    late_count: int, disruption: DisruptionKind | None, *, is_found: bool
-) -> None:
-    calls = [
-        replace(STREAM, request_id=f'r{number}', is_crashing=True)
-        for number in range(late_count)
-    ]
-    history = History(calls=calls)
-    if disruption is not None:
-        history.disruptions.append(Disruption(0, disruption, 7.0, 8.0))
-    arrivals = {call.request_id: (9.0,) for call in calls}
-    records = RunRecords(
-        history=history,
-        runs={},
-        sends=arrivals,
-        logs={},
-        prefills=arrivals,
-        crashes_s=(1.0, 2.0, 3.0, 4.0, 5.0),
-    )
-    found = find_violations(records)
-    text = f'{late_count} crashing requests reached upstreams'
-    assert any(text in line for line in found) is is_found
-
-
-@pytest.mark.parametrize(
-    ('retry_count', 'earlier_count', 'is_prefill', 'is_found'),
-    [
-        (74, 0, False, False),
-        (75, 0, False, True),
-        (75, 0, True, True),
-        (75, 85, False, False),
-        (76, 85, False, True),
-    ],
-)
-def test_retries_over_the_budget_are_found(
-    retry_count: int, earlier_count: int, *, is_prefill: bool, is_found: bool
-) -> None:
-    # 80 requests beside the retries, and others half a window before.
-    calls = [
-        replace(STREAM, request_id=f'r{number}', sent_s=20.0)
-        for number in range(80)
-    ]
-    calls += [
-        replace(STREAM, request_id=f'e{number}', sent_s=8.0)
-        for number in range(earlier_count)
-    ]
-    other_service = [
-        replace(READ, request_id=f'o{number}', sent_s=20.0)
-        for number in range(500)
-    ]
-    arrivals = {f'r{number}': (20.0, 21.0) for number in range(retry_count)}
-    records = RunRecords(
-        history=History(calls=[*calls, *other_service]),
-        runs={},
-        sends={} if is_prefill else arrivals,
-        logs={},
-        prefills=arrivals if is_prefill else {},
-    )
-    found = [text for text in find_violations(records) if 'retries' in text]
-    assert bool(found) is is_found
-
-
 def test_request_that_crashes_engines_may_be_refused() -> None:
     refused = replace(REFUSED, status=500, code='internal', is_crashing=True)
     assert not _find(refused)
@@ -314,39 +231,3 @@
         history=history, runs={}, sends={}, logs={0: EXPLAINED}
     )
     assert bool(find_violations(records)) is is_found
-
-
-QUARANTINED = replace(
-    STREAM, end=CallEnd.REFUSED, status=500, code='internal', event_ids=()
-)
-
-
-def _find_after_crashes(calls: list[CallRecord], *crashes_s: float) -> str:
-    records = RunRecords(
-        history=History(calls=calls),
-        runs={},
-        sends={},
-        logs={0: EXPLAINED},
-        crashes_s=crashes_s,
-    )
-    return '\n'.join(find_violations(records))
-
-
-@pytest.mark.parametrize(
-    ('crash_s', 'is_found'), [(9.0, False), (4.1, False), (3.9, True)]
-)
-def test_harmless_stream_is_refused_long_after_a_crash(
-    crash_s: float, *, is_found: bool
-) -> None:
-    found = _find_after_crashes([QUARANTINED], crash_s)
-    assert ('wrongly refused with 500' in found) is is_found
-
-
-@pytest.mark.parametrize(('refused', 'is_found'), [(10, False), (11, True)])
-def test_most_harmless_streams_are_refused_after_the_fifth_crash(
-    refused: int, *, is_found: bool
-) -> None:
-    calls = [replace(QUARANTINED, sent_s=12.0, ended_s=12.1)] * refused
-    calls += [replace(STREAM, sent_s=12.0, ended_s=12.1)] * (20 - refused)
-    found = _find_after_crashes(calls, 1.0, 2.0, 3.0, 4.0, 5.9, 11.0)
-    assert ('harmless streams were refused' in found) is is_found
