--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -15,11 +15,10 @@
 from catkinreach_core.placement.policy import WorkItem
 from catkinreach_core.tokens import WordTokenizer, prompt_digest
 
-from ..http.messages import EVENT_STREAM_TYPE, HttpResponse
-from ..http.problem import problem_document
 from ..telemetry.hops import Hop
 from .attempt import Attempt, AttemptError
 from .completion import AnswerFormat, parse_completion
+from .model_responses import streamed_response, whole_response
 from .progress import AnswerProgress
 from .takeover import Takeover
 
@@ -29,6 +28,7 @@
 
     from catkinreach_core.ids import UpstreamId
 
+    from ..http.messages import HttpResponse
     from ..telemetry.hop_recorder import HopRecorder
     from .completion import Completion
     from .context import SessionContext
@@ -78,8 +78,8 @@
             self._budget,
         )
         if completion.is_streamed:
-            return await _streamed_response(run)
-        return await _whole_response(run)
+            return await streamed_response(run)
+        return await whole_response(run)
 
 
 class ModelRun:
@@ -261,50 +261,4 @@
             metrics.between_tokens.record(waited_s / token_count)
 
 
-async def _whole_response(run: ModelRun) -> HttpResponse:
-    async with aclosing(run.tokens()) as batches:
-        async for _ in batches:
-            pass
-    return HttpResponse.from_json(
-        200,
-        run.answer_format.whole_document(
-            run.progress.tokens, run.progress.finish_reason
-        ),
-    )
-
-
-async def _streamed_response(run: ModelRun) -> HttpResponse:
-    """Waits for the first token before the response starts.
-
-    An error before it then still has its own HTTP status.
-    """
-    batches = run.tokens()
-    first_batch = await anext(batches)
-    return HttpResponse(
-        status=200,
-        headers=[
-            ('content-type', EVENT_STREAM_TYPE),
-            ('cache-control', 'no-store'),
-        ],
-        stream=_encode_events(run, first_batch, batches),
-    )
-
-
-async def _encode_events(
-    run: ModelRun,
-    first_batch: list[str],
-    batches: AsyncGenerator[list[str], None],
-) -> AsyncGenerator[bytes, None]:
-    answer_format = run.answer_format
-    try:
-        yield b''.join(map(answer_format.token_event, first_batch))
-        async for batch in batches:
-            yield b''.join(map(answer_format.token_event, batch))
-        yield answer_format.end_events(run.progress.finish_reason)
-    except CatkinreachError as error:
-        yield answer_format.error_event(problem_document(error))
-    finally:
-        await batches.aclose()
-
-
 __all__ = ('ModelRun', 'ModelStage')
