Move the shared state of an owned cell into its own module

No behaviour changes.

Tests: pytest packages/catkinreach-node/tests/cell: 20 passed before, 20 passed after. make format lint names types: clean.

--- a/packages/catkinreach-node/src/catkinreach_node/cell/owned_cell.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/owned_cell.py
@@ -10,19 +10,14 @@
 from loguru import logger
 
 from catkinreach_core.cell.placement_request import Granted
-from catkinreach_core.cell.suspects import Crash
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.messages.cell import (
     FirstTokenReceived,
     PrefillFinished,
-    QuarantinedPrompt,
-    ReservationRenewalReply,
-    SuspectedBlock,
-    SuspectedPrompt,
-    WarmupProgress,
 )
 
 from .message_conversion import to_attempt_result, to_reservation
+from .shared_state import SharedState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +25,11 @@
     from catkinreach_core.cell.configured_cell import ConfiguredCell
     from catkinreach_core.cell.placement_request import PlacementRequest
     from catkinreach_core.ids import RequestId, VmId
-    from catkinreach_core.messages.cell import AttemptEnded, ReservationRenewal
+    from catkinreach_core.messages.cell import (
+        AttemptEnded,
+        ReservationRenewal,
+        ReservationRenewalReply,
+    )
     from catkinreach_core.ownership.tenure import Tenure
 
 QUEUE_CHECK_INTERVAL_S = 0.02
@@ -80,8 +79,7 @@
         self.cell.placement_starts_at_s = time.monotonic() + REPORT_WAIT_S
         self._waiters: dict[RequestId, asyncio.Future[Granted]] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._last_comparable_state: object = None
-        self._version = 0
+        self._shared_state = SharedState(self.cell, tenure.term)
         self._reported_vms: set[VmId] = set()
         self.placed = 0
         self.refused = 0
@@ -175,7 +173,7 @@
             granted, stage = to_reservation(live)
             cell.reservations.restore(granted, stage, now_s)
         cell.reservations.confirm_live(sender, frozenset(message.live), now_s)
-        self._merge_shared_state(message, now_s)
+        self._shared_state.merge(message, now_s)
         unknown = tuple(
             request_id
             for request_id in message.live
@@ -184,7 +182,8 @@
         if not unknown:
             self._reported_vms.add(sender)
         self.process_decisions()
-        return self._make_reply(message.seen, unknown, now_s)
+        reply = self._shared_state.make_reply(message.seen, now_s)
+        return msgspec.structs.replace(reply, unknown=unknown)
 
     def place_if_all_reported(self, vms: set[VmId]) -> None:
         """Starts to place once all of ``vms`` have reported reservations."""
@@ -201,88 +200,6 @@
                 request_id, CatkinreachError(ErrorKind.NO_OWNER)
             )
 
-    def _merge_shared_state(
-        self, message: ReservationRenewal, now_s: float
-    ) -> None:
-        suspects = self.cell.crashes.suspects
-        for prompt in message.quarantined:
-            suspects.quarantine(prompt.digest, prompt.left_s, now_s)
-        for suspected in message.suspected:
-            suspects.record_crash(
-                suspected.digest,
-                Crash(suspected.upstream_id, suspected.boot),
-                was_alone=False,
-                now_s=now_s,
-            )
-        for accused in message.suspected_blocks:
-            self.cell.crashes.blocks.record_crash(
-                (accused.block,),
-                Crash(accused.upstream_id, accused.boot),
-                now_s,
-            )
-        for engine in message.warm:
-            view = self.cell.view(engine.upstream_id)
-            if view is not None and view.boot in {'', engine.boot}:
-                view.boot = engine.boot
-                view.ramp.merge_completed(engine.completed)
-
-    def _make_reply(
-        self, seen: int, unknown: tuple[RequestId, ...], now_s: float
-    ) -> ReservationRenewalReply:
-        shared_state = self._shared_state(now_s)
-        # Compared without the remaining times, which change on every call.
-        comparable_state = (
-            shared_state.warm,
-            tuple(prompt.digest for prompt in shared_state.quarantined),
-            shared_state.suspected,
-            shared_state.suspected_blocks,
-        )
-        if comparable_state != self._last_comparable_state:
-            self._last_comparable_state = comparable_state
-            self._version += 1
-        if seen == self._version:
-            return ReservationRenewalReply(
-                term=self.tenure.term, version=self._version, unknown=unknown
-            )
-        return msgspec.structs.replace(
-            shared_state, version=self._version, unknown=unknown
-        )
-
-    def _shared_state(self, now_s: float) -> ReservationRenewalReply:
-        suspects = self.cell.crashes.suspects
-        return ReservationRenewalReply(
-            term=self.tenure.term,
-            warm=tuple(
-                WarmupProgress(
-                    upstream_id=view.upstream_id,
-                    boot=view.boot,
-                    completed=view.ramp.completed_up_to(view.upstream.places),
-                )
-                for view in self.cell.views
-                if view.boot and view.ramp.completed
-            ),
-            quarantined=tuple(
-                QuarantinedPrompt(digest=digest, left_s=left_s)
-                for digest, left_s in suspects.quarantined(now_s).items()
-            ),
-            suspected=tuple(
-                SuspectedPrompt(
-                    digest=digest,
-                    upstream_id=crash.upstream_id,
-                    boot=crash.boot,
-                )
-                for digest, crash in suspects.suspicions()
-            ),
-            suspected_blocks=tuple(
-                SuspectedBlock(
-                    block=block,
-                    upstream_id=crash.upstream_id,
-                    boot=crash.boot,
-                )
-                for block, crash in self.cell.crashes.blocks.accusations()
-            ),
-        )
-
     def _complete_call(
         self, request_id: RequestId, answer: Granted | CatkinreachError
     ) -> None:
