Keep a request at an engine that is late with its import

Callers of the product's own router got 502 for a request whose decode engine was healthy: it was silent for a while during the import, and no other engine could take the request.

Cause: the end of the wait for an import (1.2 s and 0.05 s for each piece) was taken for the loss of its engine. The call was ended and the engine left out before another one was reserved.

An engine whose import never ends is still left for another one, or after MAX_SILENCE_S.

A late import is now treated like a late token: others are sought, and it is given up once they are reserved, or when it has been silent for too long.

--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -17,7 +17,9 @@
 
 from ..telemetry.hops import Hop
 from .engine_answers import EngineError
+from .engine_client import import_timeout_s
 from .stall import StallGuard
+from .takeover import MAX_SILENCE_S
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
@@ -27,7 +29,7 @@
     from ..telemetry.hop_recorder import HopRecorder
     from .completion import Completion
     from .context import SessionContext
-    from .engine_answers import DecodeEvent
+    from .engine_answers import DecodeEvent, PrefillAnswer
     from .engine_client import EngineClient
     from .interfaces import Reservation
     from .progress import AnswerProgress
@@ -200,14 +202,33 @@
         self._current_upstream = self._decode_upstream
         with self._hops.measure(Hop.TRANSFER, self._session.trace) as scope:
             scope.set_attribute('upstream', self._decode_upstream.upstream_id)
-            imported = await self._engines.import_kv(
-                self._decode_upstream,
-                request_id,
-                self._prefill_upstream,
-                prefilled.export_id,
-                kv_pieces=prefilled.kv_pieces,
-                trace=scope.traceparent,
-            )
+            return await self._import(prefilled, scope.traceparent)
+
+    async def _import(self, prefilled: PrefillAnswer, trace: str) -> str:
+        """Returns the import, once the decode engine has it.
+
+        Raises:
+            EngineError: if it fails, or is late and other engines can go on.
+        """
+        late_s = import_timeout_s(prefilled.kv_pieces)
+        guard = StallGuard(late_s, self._may_give_up)
+        try:
+            with guard.wait():
+                imported = await self._engines.import_kv(
+                    self._decode_upstream,
+                    self._reservation.engine_request_id,
+                    self._prefill_upstream,
+                    prefilled.export_id,
+                    timeout_s=late_s + MAX_SILENCE_S,
+                    trace=trace,
+                )
+        except TimeoutError as error:
+            raise EngineError(
+                0, 'import did not end in time', FailureKind.STALLED
+            ) from error
+        finally:
+            guard.close()
+        await self._keep_engine()
         return imported.import_id
 
     @property
--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -36,6 +36,8 @@
 PREFILL_BASE_TIMEOUT_S = 3.0
 PREFILL_TIMEOUT_PER_TOKEN_S = 0.001
 IMPORT_BASE_TIMEOUT_S = 1.2
+"""Time, with that for the pieces, after which an import is late."""
+
 IMPORT_TIMEOUT_PER_PIECE_S = 0.05
 CANCEL_TIMEOUT_S = 2.0
 _HTTP_OK = 200
@@ -43,6 +45,11 @@
 _DATA_PREFIX = b'data: '
 
 
+def import_timeout_s(kv_pieces: int) -> float:
+    """Returns the time in which an export of a size is usually imported."""
+    return IMPORT_BASE_TIMEOUT_S + IMPORT_TIMEOUT_PER_PIECE_S * kv_pieces
+
+
 AnswerT = TypeVar('AnswerT', PrefillAnswer, ImportAnswer)
 
 _event_decoder = msgspec.json.Decoder(DecodeEvent)
@@ -99,7 +106,7 @@
         source: Upstream,
         export_id: str,
         *,
-        kv_pieces: int = 1,
+        timeout_s: float = IMPORT_BASE_TIMEOUT_S,
         trace: str = '',
     ) -> ImportAnswer:
         """Transfers an export to a decode engine and returns the import.
@@ -109,7 +116,7 @@
             request_id: Id under which the engines know the attempt.
             source: The prefill engine that holds the export.
             export_id: Id of the export on the prefill engine.
-            kv_pieces: Size of the export, which extends the timeout.
+            timeout_s: Time after which the call fails.
             trace: ``traceparent`` header, ``''`` without a trace.
 
         Raises:
@@ -124,8 +131,7 @@
                 'source': str(upstream_address(source)),
                 'export_id': export_id,
             },
-            timeout_s=IMPORT_BASE_TIMEOUT_S
-            + IMPORT_TIMEOUT_PER_PIECE_S * kv_pieces,
+            timeout_s=timeout_s,
             trace=trace,
         )
         return _decode_answer(body, ImportAnswer)
@@ -275,4 +281,4 @@
         raise EngineError(0, f'malformed event: {error}') from error
 
 
-__all__ = ('EngineClient', 'upstream_address')
+__all__ = ('EngineClient', 'import_timeout_s', 'upstream_address')
--- a/packages/catkinreach-standins/src/catkinreach_standins/bench/path_calls.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/bench/path_calls.py
@@ -12,7 +12,10 @@
 from catkinreach_core.ids import RequestId
 from catkinreach_core.settings.fleet import PoolRole
 from catkinreach_node.http.messages import JSON_TYPE, HttpRequest
-from catkinreach_node.session.engine_client import upstream_address
+from catkinreach_node.session.engine_client import (
+    import_timeout_s,
+    upstream_address,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -163,7 +166,11 @@
             prefill, request_id, MODEL, prompt
         )
         imported = await self._engines.import_kv(
-            decode, request_id, prefill, exported.export_id
+            decode,
+            request_id,
+            prefill,
+            exported.export_id,
+            timeout_s=import_timeout_s(exported.kv_pieces),
         )
         async with self._engines.decode(
             decode, request_id, MODEL, imported.import_id, max_tokens=tokens
