Call suspected blocks suspected throughout

Prefix blocks that may have caused a crash were "suspected" in messages and in the name of their class, but "accused" in its methods, although SuspectList beside it says suspicion for prompts. SuspectBlocks now uses its words: suspicions() stands for accusations(). One test is renamed and calls the method by its new name.

--- a/packages/catkinreach-core/src/catkinreach_core/cell/suspect_blocks.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/suspect_blocks.py
@@ -4,11 +4,11 @@
 so that no whole prompt is seen twice. Harmless requests share other blocks with
 them, such as a common prompt of a service.
 
-A crash accuses each block of the prompts that may have caused it. A prompt that
-reaches its first token clears its blocks. A prompt is refused if one of its
-blocks has too many crashes, unless a block that it doesn't have was part of the
-same crashes: then one of the two is harmless, and only prompts that have just
-one of them can show which.
+Each block of the prompts that may have caused a crash is suspected of it. A
+prompt that reaches its first token clears its blocks. A prompt is refused if
+one of its blocks has too many crashes, unless a block that it doesn't have was
+part of the same crashes: then one of the two is harmless, and only prompts that
+have just one of them can show which.
 """
 
 from __future__ import annotations
@@ -47,7 +47,7 @@
 
 
 @dataclass(slots=True)
-class _Accusation:
+class _Suspicion:
     """Crashes that a block may have caused, and the time of the last one."""
 
     last_crash_at_s: float
@@ -64,41 +64,41 @@
 
 
 class SuspectBlocks:
-    """Accused prefix blocks of one cell, by their keys."""
+    """Suspected prefix blocks of one cell, by their keys."""
 
     def __init__(self) -> None:
-        """Starts without accused blocks."""
-        self._accused: OrderedDict[int, _Accusation] = OrderedDict()
+        """Starts without suspected blocks."""
+        self._suspects: OrderedDict[int, _Suspicion] = OrderedDict()
 
     def record_crash(
         self, blocks: Iterable[int], crash: Crash, now_s: float
     ) -> None:
-        """Accuses blocks of a crash; one that they have counts once."""
+        """Suspects blocks of a crash; one that they have counts once."""
         for block in blocks:
-            accusation = self._accused.setdefault(block, _Accusation(now_s))
-            if crash not in accusation.crashes:
-                accusation.crashes.add(crash)
-                accusation.last_crash_at_s = now_s
-                self._accused.move_to_end(block)
-        while len(self._accused) > MAX_BLOCKS:
-            self._accused.popitem(last=False)
+            suspicion = self._suspects.setdefault(block, _Suspicion(now_s))
+            if crash not in suspicion.crashes:
+                suspicion.crashes.add(crash)
+                suspicion.last_crash_at_s = now_s
+                self._suspects.move_to_end(block)
+        while len(self._suspects) > MAX_BLOCKS:
+            self._suspects.popitem(last=False)
 
     def remove_crash(self, crash: Crash) -> None:
         """Removes a crash that has another cause from all blocks."""
-        for block, accusation in tuple(self._accused.items()):
-            accusation.crashes.discard(crash)
-            if not accusation.crashes:
-                del self._accused[block]
+        for block, suspicion in tuple(self._suspects.items()):
+            suspicion.crashes.discard(crash)
+            if not suspicion.crashes:
+                del self._suspects[block]
 
     def clear(self, blocks: Iterable[int]) -> None:
         """Clears the blocks of a prompt that reached its first token."""
         for block in blocks:
-            self._accused.pop(block, None)
+            self._suspects.pop(block, None)
 
     def must_refuse(self, blocks: Collection[int], now_s: float) -> bool:
         """Returns whether a prompt with these blocks must not run."""
         refused = [
-            self._accused[block].crashes
+            self._suspects[block].crashes
             for block in blocks
             if self._is_refused(block, now_s)
         ]
@@ -110,27 +110,27 @@
             for crashes in refused
         )
 
-    def accusations(self) -> Iterator[tuple[int, Crash]]:
-        """Yields the newest repeatedly accused blocks with each crash."""
+    def suspicions(self) -> Iterator[tuple[int, Crash]]:
+        """Yields the newest blocks with several crashes, with each of them."""
         repeated = (
-            (block, accusation.crashes)
-            for block, accusation in reversed(self._accused.items())
-            if len(accusation.crashes) >= CRASHES_TO_SHARE
+            (block, suspicion.crashes)
+            for block, suspicion in reversed(self._suspects.items())
+            if len(suspicion.crashes) >= CRASHES_TO_SHARE
         )
         for block, crashes in islice(repeated, MAX_SHARED_BLOCKS):
             for crash in crashes:
                 yield block, crash
 
     def _is_refused(self, block: int, now_s: float) -> bool:
-        accusation = self._accused.get(block)
-        return accusation is not None and now_s < accusation.refused_until_s
+        suspicion = self._suspects.get(block)
+        return suspicion is not None and now_s < suspicion.refused_until_s
 
     def _explanations(self, blocks: Collection[int]) -> list[set[Crash]]:
         """Returns the crashes of each other block that has too many."""
         return [
-            accusation.crashes
-            for block, accusation in self._accused.items()
-            if len(accusation.crashes) >= CRASHES_TO_REFUSE
+            suspicion.crashes
+            for block, suspicion in self._suspects.items()
+            if len(suspicion.crashes) >= CRASHES_TO_REFUSE
             and block not in blocks
         ]
 
--- a/packages/catkinreach-core/tests/cell/test_crashing_blocks.py
+++ b/packages/catkinreach-core/tests/cell/test_crashing_blocks.py
@@ -178,7 +178,7 @@
     assert _may_run(cell, _request(31, CRASHING), 4.0)
 
 
-def test_loss_of_a_failure_domain_accuses_no_block() -> None:
+def test_loss_of_a_failure_domain_makes_no_block_suspect() -> None:
     cell = make_cell(
         [make_engine('p1', places=8), make_engine('p2', places=8)],
         [make_engine('d1'), make_engine('d2')],
@@ -196,4 +196,4 @@
         )
     for view in cell.placer.prefill:
         cell.record_poll_failure(view, 0.2, is_refused=True)
-    assert not tuple(cell.crashes.blocks.accusations())
+    assert not tuple(cell.crashes.blocks.suspicions())
--- a/packages/catkinreach-node/src/catkinreach_node/cell/shared_state.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/shared_state.py
@@ -46,10 +46,10 @@
                 was_alone=False,
                 now_s=now_s,
             )
-        for accused in message.suspected_blocks:
+        for suspected_block in message.suspected_blocks:
             crashes.blocks.record_crash(
-                (accused.block,),
-                Crash(accused.upstream_id, accused.boot),
+                (suspected_block.block,),
+                Crash(suspected_block.upstream_id, suspected_block.boot),
                 now_s,
             )
         for engine in message.warm:
@@ -108,7 +108,7 @@
                     upstream_id=crash.upstream_id,
                     boot=crash.boot,
                 )
-                for block, crash in self._cell.crashes.blocks.accusations()
+                for block, crash in self._cell.crashes.blocks.suspicions()
             ),
         )
 
