Send the rest of a response before the process ends

What callers saw: a caller that reads slowly lost the end of a response when the gateway stopped; the connection ended within it.

Cause: a response counts as sent when at most 64 KiB of it are left in the process. A stop waits for its connections, and these closed at once, or 0.2 s after an announced end. The rest would have been sent after the close, but the event loop had ended.

A connection now waits until what was sent has left the process before it closes, within the timeout for slow clients.

--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -63,9 +63,19 @@
         else:
             self._writer.close()
 
-    def end_output(self) -> bool:
-        """Ends the output after a whole response; ``False`` without one."""
-        is_ended = self._requests.protocol.our_state in ENDED_STATES
+    async def end_output(self) -> bool:
+        """Ends the output after a whole response; ``False`` without one.
+
+        Waits until responses have left the process, which may end next.
+
+        Raises:
+            ConnectionAbortedError: if the client reads too slowly.
+        """
+        state = self._requests.protocol.our_state
+        is_ended = state in ENDED_STATES
+        if is_ended or state is h11.IDLE:
+            self._writer.transport.set_write_buffer_limits(high=0)
+            await self._flush()
         if is_ended and self._writer.can_write_eof():
             self._writer.write_eof()
         return is_ended
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -102,7 +102,7 @@
         """
         linger_s = STOP_LINGER_S if self._is_draining() else LINGER_S
         with suppress(OSError):
-            if self._responses.end_output():
+            if await self._responses.end_output():
                 async with asyncio.timeout(linger_s):
                     await self._requests.discard_input(MAX_LINGER_BYTES)
 
