Ignore the reload signal while the process of a front VM starts

What callers saw: nothing that was answered; the process that should take their connections was missing. Found by reading.

Cause: SIGHUP ends a process by default, and its handler is installed only after all imports and the settings. A change of the settings soon after a start ended it.

The script now ignores the signal before it imports the rest. The time before its first line, in which Python itself starts, remains.

--- a/deploy/front.py
+++ b/deploy/front.py
@@ -7,9 +7,13 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 
+# The default action would end the process while it imports the rest.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 PACKAGES = Path(__file__).resolve().parent.parent / 'packages'
 
 for name in ('core', 'node'):
