Take numbers of events from 0 for one by one, too

What callers would have seen: a gap in a resumed stream whose events are numbered from 0 (ORDER).

Cause: the numbering began at 0, so that a first event 0 counted as out of step, and any later number was then taken for the next one.

Evidence: of the cases of test_gap_in_numbers_that_begin_at_zero_is_taken_for_none the one from 0 failed before and passes now.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/event_numbering.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/event_numbering.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+FIRST_NUMBERS = frozenset({0, 1})
+"""Numbers of a first event from which others may follow one by one."""
+
 
 class EventNumbering:
     """Numbers of a stream's events, which increase.
@@ -16,12 +19,15 @@
         Args:
             resume_after: Last event that the caller had before the request.
         """
-        self._last_id = resume_after or 0
+        self._last_id = resume_after
         self._is_one_by_one = True
 
     def note(self, event_id: int) -> None:
         """Notes the number of the next event."""
-        self._is_one_by_one &= event_id == self._last_id + 1
+        if self._last_id is None:
+            self._is_one_by_one = event_id in FIRST_NUMBERS
+        else:
+            self._is_one_by_one &= event_id == self._last_id + 1
         self._last_id = event_id
 
     def goes_on_at(self, event_id: int, resume_after: int) -> bool:
