Wait for the crash checks of all upstreams that a request lost

Cause: a request kept its last check only.

Evidence: test_crash_check_of_one_of_two_lost_upstreams_is_not_waited_for failed before and passes now; the tests of crashing parts and of crash evidence pass.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -59,7 +59,7 @@
         self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
-        self._crash_check: asyncio.Future[None] | None = None
+        self._crash_checks: set[asyncio.Future[None]] = set()
         self.may_have_run = False
         self.has_timed_out = False
         self.excluded: set[UpstreamId] = set()
@@ -226,13 +226,15 @@
         if is_silent or has_started:
             self._node.checks.check_reachable(upstream)
             return
-        self._crash_check = asyncio.ensure_future(self.check_crash(upstream))
+        check = asyncio.ensure_future(self.check_crash(upstream))
+        self._crash_checks.add(check)
+        check.add_done_callback(self._crash_checks.discard)
 
     async def finish_crash_check(self) -> None:
-        """Waits until it is known whether the request crashed its upstream."""
-        if self._crash_check is not None:
+        """Waits until it is known whether the request crashed upstreams."""
+        while self._crash_checks:
             # Other waits go on if this one is cancelled.
-            await asyncio.shield(self._crash_check)
+            await asyncio.shield(asyncio.gather(*self._crash_checks))
 
     async def check_crash(self, upstream: Upstream) -> None:
         """Checks whether the request, as it started, crashed the upstream.
--- a/packages/catkinreach-node/tests/gateway/test_attempts.py
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, cast
 
@@ -18,7 +19,9 @@
     from catkinreach_core.ids import UpstreamId
     from catkinreach_node.gateway.admitted_request import AdmittedRequest
     from catkinreach_node.gateway.exchange import Reply
+    from catkinreach_node.gateway.upstream_checks import UpstreamChecks
 
+CHECK_S = 0.02
 MAX_ATTEMPTS = 2
 SILENT, OTHER, THIRD = map(make_upstream, ('silent', 'other', 'third'))
 
@@ -74,6 +77,30 @@
     assert not attempts.can_replace
 
 
+def test_crash_check_of_one_of_two_lost_upstreams_is_not_waited_for() -> None:
+    # Only the last check was kept, and the request was sent again meanwhile.
+    async def run() -> None:
+        attempts = _make_attempts()
+        gates = {one.upstream_id: asyncio.Event() for one in (SILENT, OTHER)}
+
+        async def confirm_crash(upstream: Upstream, _: object) -> int:
+            await gates[upstream.upstream_id].wait()
+            return 0
+
+        checks = SimpleNamespace(confirm_crash=confirm_crash)
+        attempts._node.checks = cast('UpstreamChecks', checks)
+        for upstream in (SILENT, OTHER):
+            attempts.record_lost(upstream, SendFailure.BROKEN, 'lost')
+        finishing = asyncio.ensure_future(attempts.finish_crash_check())
+        gates[OTHER.upstream_id].set()
+        await asyncio.sleep(CHECK_S)
+        assert not finishing.done()
+        gates[SILENT.upstream_id].set()
+        await finishing
+
+    asyncio.run(run())
+
+
 def test_silent_upstream_gets_one_more_send() -> None:
     attempts = _make_attempts()
     _refuse(attempts, OTHER)
