End the trial of a request whose caller leaves a handover

What callers saw: harmless requests with a part that is tried again were refused with 500 for four more seconds.

Cause: neither of two sends ended the trial of their request while each stood for the other one; a caller that leaves, or the deadline, ends both.

Evidence: test_trial_goes_on_after_its_caller_left_a_handover failed before (500 == 200) and passes now. Whatever ends the wait for the first event now ends the trial.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -79,9 +79,7 @@
         Raises:
             CatkinreachError: if it can't be served.
         """
-        engine_stream = await self._open_stream(
-            self._admitted.metadata.resume_after
-        )
+        engine_stream = await self._open_first()
         if self._replies.whole_response is not None:
             return self._replies.whole_response
         self._has_begun = True
@@ -154,6 +152,22 @@
             has_started=engine_stream.has_started,
         )
 
+    async def _open_first(self) -> EngineStream:
+        """Opens the stream; whatever ends that ends the request's trial."""
+        is_open = False
+        try:
+            engine_stream = await self._open_stream(
+                self._admitted.metadata.resume_after
+            )
+            is_open = True
+        finally:
+            if not is_open:
+                self._end_trial()
+        return engine_stream
+
+    def _end_trial(self) -> None:
+        self._node.crash_suspects.end_trial(self._admitted.suspect_keys)
+
     async def _open_stream(self, resume_after: int | None) -> EngineStream:
         try:
             return await self._try_engines(resume_after)
@@ -211,7 +225,7 @@
             if opened is not engine_stream:
                 engine_stream.close()
             if opened is None and not self._replaces_silent:
-                self._node.crash_suspects.end_trial(self._admitted.suspect_keys)
+                self._end_trial()
         return opened
 
     def _filled_up_during_prefill(self, plan: StreamPlan) -> bool:
--- a/packages/catkinreach-node/tests/gateway/test_replaced_sends.py
+++ b/packages/catkinreach-node/tests/gateway/test_replaced_sends.py
@@ -25,6 +25,7 @@
     from collections.abc import Sequence
 
     from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_node.gateway.app import GatewayApp
     from catkinreach_node.gateway.attempts import SendFailure
     from catkinreach_node.gateway.handover import Handover
     from catkinreach_node.http.messages import HttpRequest
@@ -90,12 +91,7 @@
     # Another crashing request ran beside the one that was tried.
     async def run() -> None:
         async with running_deployment() as (deployment, gateway):
-            node = gateway._node
-            crashed_s = node.clock() - MIN_REFUSAL_S - 1
-            for number in range(CRASHES_TO_REFUSE):
-                node.crash_suspects.record_crash(
-                    [_part_key(CRASHING_PART)], CrashSource(number), crashed_s
-                )
+            _refuse_crashing_part(gateway)
             engines = [deployment.upstreams[name] for name in 'de']
             for engine in engines:
                 engine.pause_s = LONG_PAUSE_S
@@ -123,6 +119,48 @@
     asyncio.run(run())
 
 
+def test_trial_goes_on_after_its_caller_left_a_handover() -> None:
+    # Harmless requests with the part were refused for four more seconds.
+    async def run() -> None:
+        async with running_deployment() as (deployment, gateway):
+            _refuse_crashing_part(gateway)
+            engines = [deployment.upstreams[name] for name in 'de']
+            for engine in engines:
+                engine.pause_s = LONG_PAUSE_S
+                engine.script.append(Behaviour.PAUSE_FIRST)
+            trying = asyncio.ensure_future(
+                deployment.client.call_raw(
+                    deployment.caller_address, _crashing(deployment, 'b1')
+                )
+            )
+
+            async def are_sent() -> bool:
+                return all(engine.received for engine in engines)
+
+            async def are_left() -> bool:
+                return all(engine.abandoned_ids for engine in engines)
+
+            await eventually(are_sent, within_s=2.0)
+            trying.cancel()
+            await eventually(are_left, within_s=1.0)
+            status, _ = await deployment.client.call_raw(
+                deployment.caller_address, _crashing(deployment, 'b2')
+            )
+            assert status == 200
+
+    asyncio.run(run())
+
+
+def _refuse_crashing_part(gateway: GatewayApp) -> None:
+    """Records crashes of the part whose refusal has ended."""
+    node = gateway._node
+    crashed_s = node.clock() - MIN_REFUSAL_S - 1
+    for number in range(CRASHES_TO_REFUSE):
+        node.crash_suspects.record_crash(
+            [_part_key(CRASHING_PART)], CrashSource(number), crashed_s
+        )
+
+
 def _crashing(deployment: Deployment, own: str) -> HttpRequest:
     return deployment.make_request(
         '/stream/',
