Let engines that crashed last start again before the next test

It counts the prefills of an engine that the test before had crashed: engines are started again there only while a caller waits, so that one which ended with its caller's response stayed down.

Both tests of crashing prompts now start such engines again and wait until all listen. Their crashes count towards the same bounds, which they escaped before.

--- a/packages/catkinreach-node/tests/cell/test_cell_failures.py
+++ b/packages/catkinreach-node/tests/cell/test_cell_failures.py
@@ -20,6 +20,7 @@
     Deployment,
     http_call,
 )
+from catkinreach_standins.bench.ports import is_listening
 from catkinreach_standins.bench.processes import wait_until
 
 if TYPE_CHECKING:
@@ -143,6 +144,23 @@
     return len(dead)
 
 
+def _wait_until_engines_listen(deployment: Deployment) -> int:
+    """Restarts engines that crashed last; returns how many."""
+    crashes = 0
+
+    def do_listen() -> bool:
+        nonlocal crashes
+        crashes += _restart_dead_engines(deployment)
+        engines = [
+            *_engines(deployment, PoolRole.PREFILL),
+            *_engines(deployment, PoolRole.DECODE),
+        ]
+        return all(is_listening(engine.port) for engine in engines)
+
+    assert wait_until(do_listen, timeout_s=LIMIT_S)
+    return crashes
+
+
 def test_answer_is_completed_after_a_decode_engine_crash(
     deployment: Deployment,
 ) -> None:
@@ -228,6 +246,7 @@
         code = caller.document.get('code', '')
         assert harmless.status == 200
         assert harmless.text == expected_answer(range(200, 500), 30)
+    crashes += _wait_until_engines_listen(deployment)
     assert code == 'request-quarantined'
     assert 1 <= crashes <= 2
 
@@ -245,6 +264,7 @@
             crashes += _restart_dead_engines(deployment)
             caller.join(0.1)
         codes.append(caller.document.get('code', ''))
+    crashes += _wait_until_engines_listen(deployment)
     assert codes[1:] == ['request-quarantined'] * 5
     assert 1 <= crashes <= 3
 
