--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/soak_calls.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/example_calls.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from ..platform.soak.history import CallEnd, CallKind, CallRecord
-from ..platform.upstream import EVENT_COUNT
+from ..upstream import EVENT_COUNT
+from .history import CallEnd, CallKind, CallRecord
 
 WHOLE = tuple(range(1, EVENT_COUNT + 1))
 EXPLAINED = '{"event":"refused","request":"r"}\n'
--- a/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_invariants.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from catkinreach_standins.fakes.soak_calls import (
+from catkinreach_standins.platform.soak.example_calls import (
     CUT_STREAM,
     EXPLAINED,
     ORDER,
--- a/packages/catkinreach-standins/tests/platform/soak/test_quarantine_checks.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_quarantine_checks.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from catkinreach_standins.fakes.soak_calls import EXPLAINED, STREAM
+from catkinreach_standins.platform.soak.example_calls import EXPLAINED, STREAM
 from catkinreach_standins.platform.soak.history import (
     CallEnd,
     CallRecord,
--- a/packages/catkinreach-standins/tests/platform/soak/test_retry_budget.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_retry_budget.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from catkinreach_standins.fakes.soak_calls import READ, STREAM
+from catkinreach_standins.platform.soak.example_calls import READ, STREAM
 from catkinreach_standins.platform.soak.history import History
 from catkinreach_standins.platform.soak.invariants import (
     RunRecords,
