--- a/packages/catkinreach-node/tests/gateway/test_attempts.py
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -77,7 +77,7 @@
     assert not attempts.can_replace
 
 
-def test_crash_check_of_one_of_two_lost_upstreams_is_not_waited_for() -> None:
+def test_crash_check_of_one_upstream_is_not_waited_for() -> None:
     # Only the last check was kept, and the request was sent again meanwhile.
     async def run() -> None:
         attempts = _make_attempts()
