--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,12 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parents[1]))
 
-from review.common.client import Client, Outcome, until  # noqa: E402
+from review.common.client import (  # noqa: E402
+    Client,
+    Outcome,
+    stop_calls,
+    until,
+)
 from review.common.config import PLAIN, route  # noqa: E402
 from review.common.engine import Engine, plain_answer  # noqa: E402
 from review.common.scene import run_case, running_scene  # noqa: E402
@@ -78,8 +83,7 @@
             record.say(f'entry written: {len(UNREADABLE)} bytes')
             scene.store.put('servers/i-0unread', UNREADABLE)
         await until(started_s + LENGTH_S, record)
-        for call in calls:
-            call.cancel()
+        await stop_calls(calls)
         for name, part in (('before', seen[:before]), ('after', seen[before:])):
             served = sum(one.status == OK for one in part)
             record.say(f'{name} the entry: {served} of {len(part)} served')
--- a/review/common/client.py
+++ b/review/common/client.py
@@ -55,7 +55,7 @@
 
     def __init__(self, record: Record, fronts: list[Front], name: str) -> None:
         """Starts without a channel."""
-        self._record, self._fronts, self.name = record, fronts, name
+        self.record, self._fronts, self.name = record, fronts, name
         self._turn = len(name) + sum(name.encode())
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -98,12 +98,15 @@
             outcome.end = 'gave-up'
         except (OSError, asyncio.IncompleteReadError, ValueError):
             outcome.end = 'closed' if outcome.front is not None else 'no-front'
+        except asyncio.CancelledError:
+            self.close()
+            raise
         outcome.took_s = loop.time() - started_s
         if outcome.end != 'answered':
             self.close()
         if outcome.end == 'no-front':
             await asyncio.sleep(NO_FRONT_PAUSE_S)
-        self._record.write(
+        self.record.write(
             'client',
             request=outcome.request_id,
             target=target,
@@ -196,6 +199,13 @@
             await asyncio.sleep(upload_s / UPLOAD_STEPS)
 
 
+async def stop_calls(calls: list[asyncio.Future[None]]) -> None:
+    """Stops clients; what they have sent last has no outcome."""
+    for call in calls:
+        call.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
+
+
 async def until(seconds: float, record: Record) -> None:
     """Waits for a time of the run."""
     with suppress(TimeoutError):
--- a/review/common/config.py
+++ b/review/common/config.py
@@ -63,5 +63,5 @@
             'header-timeout-ms': 3000,
             'idle-timeout-ms': 15000,
         },
-        'tenants': [{'name': 'one', 'api-keys': [KEY]}],
+        'tenants': [{'name': 'one', 'api-keys': [KEY], 'unit': 'tokens'}],
     }
