--- a/review/common/engine_process.py
+++ b/review/engine_process.py
@@ -10,9 +10,9 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from review.common.wire import (
+from review.wire import (
     STREAM_LIMIT,
     encode_head,
     read_body,
--- a/review/common/fronts.py
+++ b/review/fronts.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from .record import Record
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 RESTART_S = 1.0
 OK = 200
 READY_POLL_S = 1.0
--- a/review/common/scene.py
+++ b/review/scene.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 from contextlib import asynccontextmanager
@@ -14,7 +15,7 @@
 from .fronts import make_fronts
 from .record import Record
 from .store import Store
-from .verdict import EXIT_UNABLE
+from .verdict import EXIT_UNABLE, UnableError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -23,10 +24,8 @@
     from .fronts import Front
 
 READY_WITHIN_S = 20.0
-
-
-class NotReadyError(Exception):
-    """The fronts didn't get ready."""
+MAX_RUN_S = 115.0
+"""A run ends in 120 s."""
 
 
 class Scene:
@@ -50,18 +49,19 @@
     """Runs a deployment; it is ready at entry.
 
     Raises:
-        NotReadyError: if it doesn't get ready.
+        UnableError: if it doesn't get ready.
     """
     store = Store('127.0.0.2')
-    await store.start()
-    for engine in engines:
-        await engine.start()
-        store.put(f'servers/{engine.engine_id}', engine.entry())
-    store.put('op/config', configuration(routes))
+    fronts: list[Front] = []
     with tempfile.TemporaryDirectory() as folder:
-        address = f'{store.host}:{store.port}'
-        fronts = make_fronts(front_count, address, Path(folder))
         try:
+            await store.start()
+            for engine in engines:
+                await engine.start()
+                store.put(f'servers/{engine.engine_id}', engine.entry())
+            store.put('op/config', configuration(routes))
+            address = f'{store.host}:{store.port}'
+            fronts = make_fronts(front_count, address, Path(folder))
             for front in fronts:
                 front.start(record, memory_mb)
             await _wait_ready(fronts)
@@ -80,7 +80,7 @@
             while not all(front.is_ready for front in fronts):  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
     except TimeoutError as error:
-        raise NotReadyError from error
+        raise UnableError('the fronts did not get ready') from error
 
 
 def run_case(
@@ -95,10 +95,26 @@
     record = Record(folder / 'record.txt')
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
-        code = asyncio.run(run(record, has_trouble))
-    except NotReadyError:
-        record.say('the fronts did not get ready')
+        code = asyncio.run(_run_bounded(run(record, has_trouble)))
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
+        record.say(f'could not run: {error!r}')
         code = EXIT_UNABLE
     record.say(f'disruption: {has_trouble}; exit {code}')
     record.close()
     sys.exit(code)
+
+
+async def _run_bounded(running: Awaitable[int]) -> int:
+    """Returns the code of a run; SIGTERM ends it with all that it started."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        async with asyncio.timeout(MAX_RUN_S):
+            return await running
+    finally:
+        others = asyncio.all_tasks() - {task}
+        for other in others:
+            other.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
--- a/review/common/verdict.py
+++ b/review/verdict.py
@@ -12,7 +12,31 @@
     from .fronts import Front
     from .record import Record
 
-EXIT_HELD, EXIT_BROKEN, EXIT_UNABLE = 0, 1, 2
+EXIT_HELD, EXIT_BROKEN, EXIT_UNABLE = 0, 10, 2
+"""Codes of the Python program; ``run.sh`` makes 1 of 10 and 2 of all others but
+0, as a traceback of Python ends with 1."""
+
+MIN_CALM_SHARE = 0.9
+"""Share of the requests before the disruption that must be served; otherwise
+the case can't run."""
+
+OK = 200
+
+
+class UnableError(Exception):
+    """The case can't run."""
+
+
+def require_calm(outcomes: list[Outcome]) -> None:
+    """Checks that the deployment serves before the disruption.
+
+    Raises:
+        UnableError: if it doesn't.
+    """
+    served = sum(one.status == OK for one in outcomes)
+    if not outcomes or served < MIN_CALM_SHARE * len(outcomes):
+        raise UnableError(f'only {served} of {len(outcomes)} served at first')
+
 
 MAX_LOST = 3
 """LOST: a machine in touch passes a request from a kept channel on to a sound
