Return a stream to its paused engine when the replacement is lost

Cause: the silent engine's send is closed 0.25 s after the second engine got the stream, as two engines may not run it for longer. If the second one was then lost, sends had reached max-attempts. But max-attempts bounds the engines that get a request, and the first one had it before: going back reaches no further engine. The class: the end of one try taken for the end of all.

Change: one send beyond max-attempts may return to an engine that was silent. It spends retry budget like any other retry. It replaces the rule that counted only refused sends.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -24,6 +24,11 @@
     from .node import Node
 
 
+MAX_RETURNS = 1
+"""Sends of a request, beyond the route's attempts, to an upstream that was
+silent: it had the request before, so no further upstream gets it."""
+
+
 class SendFailure(Enum):
     """Reasons for a failed send to an upstream."""
 
@@ -41,8 +46,9 @@
 class Attempts:
     """Counts the sends of one request and limits its retries.
 
-    A retry must be within the route's ``max_attempts`` and spends one unit of
-    the retry budget that all nodes share.
+    A retry must be within the route's ``max_attempts``, or return to an upstream
+    that was silent, and spends one unit of the retry budget that all nodes
+    share.
 
     Attributes:
         may_have_run: Whether an upstream may have run the request.
@@ -55,7 +61,6 @@
         self._node = node
         self._admitted = admitted
         self._sends = 0
-        self._refused_sends = 0
         self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
@@ -84,7 +89,7 @@
     @property
     def can_replace(self) -> bool:
         """Returns whether a silent upstream may be given up for another one."""
-        return self._is_repeatable and self._may_send_anywhere
+        return self.can_retry
 
     @property
     def _is_repeatable(self) -> bool:
@@ -98,15 +103,9 @@
 
     @property
     def _may_return(self) -> bool:
-        """Returns whether a readmitted upstream may get one more send.
-
-        It takes the place of one that an upstream refused, and reaches no
-        further upstream.
-        """
-        runs = self._sends - self._refused_sends
-        return bool(self._readmitted) and (
-            runs < self._admitted.route.max_attempts
-        )
+        """Returns whether a readmitted upstream may get one more send."""
+        max_sends = self._admitted.route.max_attempts + MAX_RETURNS
+        return bool(self._readmitted) and self._sends < max_sends
 
     def usable(self, candidates: list[Candidate]) -> list[Candidate]:
         """Returns the candidates that may get the next send."""
@@ -259,8 +258,6 @@
         self._node.record_refusal(reply)
         if reply.metadata.is_misdirected:
             self.uncount_send()
-        else:
-            self._refused_sends += 1
         self.record_failed_send(
             reply.upstream.upstream_id,
             SendFailure.REFUSED,
