--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -46,9 +46,9 @@
 class Attempts:
     """Counts the sends of one request and limits its retries.
 
-    A retry must be within the route's ``max_attempts``, or return to an upstream
-    that was silent, and spends one unit of the retry budget that all nodes
-    share.
+    A retry must be within the route's ``max_attempts``, or return to an
+    upstream that was silent. It spends one unit of the retry budget that all
+    nodes share.
 
     Attributes:
         may_have_run: Whether an upstream may have run the request.
