Leave out a store entry that can't be read, however it fails

Cause: the decoders' callers caught the decoder's own errors. For deep nesting msgspec raises RecursionError; a configuration that isn't ASCII raised ValueError, one with an unknown kind KeyError. Integers had no bound either: 400 digits were a valid number of slots or time of start, which floats and messages to peers can't hold. The class: an input from outside that is trusted for depth, digits or range.

Change: documents from outside are decoded by one function that turns all that can go wrong into one error, used for entries, configuration, pages of the store, prefill replies and datagrams. The platform's numbers have ranges; ports are checked. A bad configuration still leaves the last one in force.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from ..documents import DocumentError, decode_document
 from ..ids import Revision, ServiceId, UpstreamId, WorkspaceId
 from .crash_reports import CrashReport
 from .feed import SmallChange
@@ -175,8 +176,8 @@
 def decode_gossip(data: bytes) -> PeerDatagram | None:
     """Decodes a message; ``None`` if the bytes are malformed."""
     try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError:
+        return decode_document(_DECODER, data)
+    except DocumentError:
         return None
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from catkinreach_core.documents import DocumentError, decode_document
 from catkinreach_core.gateway.catalog import (
     CallerLimits,
     Catalog,
@@ -21,6 +22,13 @@
 from catkinreach_core.ids import RouteId, ServiceId, WorkspaceId
 
 from .boot import MS_PER_S
+from .ranges import (
+    Amount,
+    Count,
+    Milliseconds,
+    PositiveCount,
+    Revision,
+)
 
 ROUTE_KINDS: Final = {
     'idempotent': RouteKind.IDEMPOTENT,
@@ -32,7 +40,7 @@
 
 class _Split(Struct):
     service: str
-    weight: float
+    weight: Amount
 
 
 class _Route(Struct, rename='kebab'):
@@ -40,53 +48,53 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    gap_aim_ms: float = 300.0
-    priority: int = 5
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 1000.0
+    gap_aim_ms: Milliseconds = 300.0
+    priority: Count = 5
     service: str = ''
     weighted_split: list[_Split] = field(default_factory=list)
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
 
 
 class _Engine(Struct, rename='kebab'):
-    kv_tokens: int
-    kv_token_bytes: int
-    link_mbps: float
-    handle_ttl_s: float = 0.5
-    stride: int = 1
-    stage_switch_s: float = 6.0
+    kv_tokens: Count
+    kv_token_bytes: Count
+    link_mbps: Amount
+    handle_ttl_s: Amount = 0.5
+    stride: Count = 1
+    stage_switch_s: Amount = 6.0
 
 
 class _Service(Struct, rename='kebab'):
     name: str
-    max_connections: int = 100
-    cold_per_s: float = 0.0
+    max_connections: Count = 100
+    cold_per_s: Amount = 0.0
     engine: _Engine | None = None
 
 
 class _Tenant(Struct, rename='kebab'):
     name: str
     api_keys: list[str] = field(default_factory=list)
-    priority: int | None = None
+    priority: Count | None = None
     unit: str = ''
-    plain_tokens: float = 1.0
+    plain_tokens: Amount = 1.0
     # A limit over all nodes together, not per node or connection.
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: Amount = 0.0
+    burst: Amount = 0.0
 
 
 class _Limits(Struct, rename='kebab'):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: PositiveCount = 16_384
+    max_body_bytes: Count = 4 * 1024 * 1024
+    header_timeout_ms: Milliseconds = 3000.0
+    idle_timeout_ms: Milliseconds = 15_000.0
 
 
 class _Config(Struct):
-    version: int
+    version: Revision
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = field(default_factory=_Limits)
@@ -100,10 +108,9 @@
     """Decodes a configuration document.
 
     Raises:
-        msgspec.DecodeError: if the document is malformed.
-        KeyError: if a route has an unknown kind.
+        DocumentError: if the document is malformed.
     """
-    config = _DECODER.decode(document)
+    config = decode_document(_DECODER, document)
     tenants = config.tenants or []
     return Catalog(
         version=config.version,
@@ -137,7 +144,7 @@
         route_id=RouteId(route.name),
         host=route.host,
         prefix=route.prefix,
-        kind=ROUTE_KINDS[route.kind],
+        kind=_kind(route.kind),
         shares=shares or (ServiceShare(ServiceId(route.service), 1.0),),
         timeout_s=route.timeout_ms / MS_PER_S,
         target_s=route.target_latency_ms / MS_PER_S,
@@ -149,6 +156,12 @@
     )
 
 
+def _kind(name: str) -> RouteKind:
+    if name not in ROUTE_KINDS:
+        raise DocumentError(f'unknown kind of route {name!r}')
+    return ROUTE_KINDS[name]
+
+
 def _service(service: _Service) -> ServiceTraits:
     engine = service.engine
     return ServiceTraits(
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/ranges.py
@@ -0,0 +1,38 @@
+"""Ranges of the numbers in the platform's documents and headers."""
+
+from __future__ import annotations
+
+from typing import Annotated, Final
+
+from msgspec import Meta
+
+MAX_COUNT: Final = 2**31 - 1
+"""Largest number of tokens, slots, connections or bytes."""
+
+MAX_MS: Final = 365 * 24 * 3_600_000
+"""Longest time, in milliseconds; a year."""
+
+MAX_UNIX_MS: Final = 2**53
+"""Latest Unix time, in milliseconds; floats still hold it exactly."""
+
+MAX_REVISION: Final = 2**63 - 1
+MAX_PORT: Final = 65_535
+
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+PositiveCount = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
+Amount = Annotated[float, Meta(ge=0, le=MAX_COUNT)]
+Milliseconds = Annotated[float, Meta(ge=0, le=MAX_MS)]
+UnixMilliseconds = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
+Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
+
+__all__ = (
+    'MAX_COUNT',
+    'MAX_MS',
+    'MAX_PORT',
+    'Amount',
+    'Count',
+    'Milliseconds',
+    'PositiveCount',
+    'Revision',
+    'UnixMilliseconds',
+)
--- a/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import TYPE_CHECKING, Final, TypeVar
 
 import msgspec
 from msgspec import Struct
 
+from catkinreach_core.documents import DocumentError, decode_document
 from catkinreach_core.gateway.upstream import Stage, Upstream, UpstreamState
 from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
 from catkinreach_core.settings.node import Address
 
 from .boot import MS_PER_S
+from .ranges import MAX_PORT, Count, Milliseconds, Revision, UnixMilliseconds
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_Value = TypeVar('_Value')
 
 STATES: Final = {
     'ready': UpstreamState.READY,
@@ -28,36 +35,63 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Count
     state: str
     # Cold time remaining when the entry was written, not a total.
-    cold_remaining_ms: float
-    sequence: int
+    cold_remaining_ms: Milliseconds
+    sequence: Revision
     version: str = ''
     stage: str = ''
-    born: int = 0
+    born: UnixMilliseconds = 0
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
 
 
-def read_upstream(upstream_id: UpstreamId, document: bytes) -> Upstream | None:
-    """Returns the upstream of an entry; ``None`` if it is malformed."""
+def read_upstream(upstream_id: UpstreamId, document: bytes) -> Upstream:
+    """Returns the upstream of an entry.
+
+    Raises:
+        DocumentError: if it is malformed; it may come from another writer.
+    """
+    entry = decode_document(_DECODER, document)
+    return Upstream(
+        upstream_id=upstream_id,
+        service_id=ServiceId(entry.service),
+        address=_address(entry.address),
+        domain_id=FailureDomainId(entry.zone),
+        state=_named(STATES, entry.state),
+        stage=_named(STAGES, entry.stage),
+        slots=entry.slots,
+        cold_s=entry.cold_remaining_ms / MS_PER_S,
+        started_ms=entry.born,
+    )
+
+
+def _named(values: Mapping[str, _Value], name: str) -> _Value:
+    """Returns the value of a name.
+
+    Raises:
+        DocumentError: if there is no such name.
+    """
+    if name not in values:
+        raise DocumentError(f'unknown name {name!r}')
+    return values[name]
+
+
+def _address(text: str) -> Address:
+    """Returns the address of an engine.
+
+    Raises:
+        DocumentError: if it isn't an address that can be connected to.
+    """
     try:
-        entry = _DECODER.decode(document)
-        return Upstream(
-            upstream_id=upstream_id,
-            service_id=ServiceId(entry.service),
-            address=Address.from_text(entry.address),
-            domain_id=FailureDomainId(entry.zone),
-            state=STATES[entry.state],
-            stage=STAGES[entry.stage],
-            slots=entry.slots,
-            cold_s=entry.cold_remaining_ms / MS_PER_S,
-            started_ms=entry.born,
-        )
-    except (msgspec.DecodeError, KeyError, ValueError):
-        return None
+        address = Address.from_text(text)
+    except ValueError as error:
+        raise DocumentError(str(error)) from error
+    if not 0 < address.port <= MAX_PORT:
+        raise DocumentError(f'port out of range in {text!r}')
+    return address
 
 
 __all__ = ('read_upstream',)
--- a/packages/catkinreach-node/src/catkinreach_node/platform/store.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import binascii
 from base64 import b64decode
 from typing import TYPE_CHECKING, Final, TypeVar
 from urllib.parse import urlencode
@@ -11,6 +10,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from catkinreach_core.documents import DocumentError, decode_document
 from catkinreach_core.gateway.feed import (
     CatalogPublished,
     Change,
@@ -31,6 +31,7 @@
 from ..http.messages import HttpRequest
 from .boot import MS_PER_S
 from .catalog import read_catalog
+from .ranges import Revision as RevisionNumber
 from .registry import read_upstream
 
 if TYPE_CHECKING:
@@ -51,18 +52,18 @@
 class _Item(Struct, rename='kebab'):
     key: str
     value: str = ''
-    revision: int = 0
+    revision: RevisionNumber = 0
     removed: bool = False
 
 
 class _Page(Struct, rename='kebab'):
     items: list[_Item]
-    current_rev: int
+    current_rev: RevisionNumber
     has_more: bool = False
 
 
 class _Events(Struct, rename='kebab'):
-    current_rev: int
+    current_rev: RevisionNumber
     events: list[_Item] = field(default_factory=list)
 
 
@@ -156,8 +157,8 @@
 
 def _decode(decoder: msgspec.json.Decoder[_Message], body: bytes) -> _Message:
     try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as error:
+        return decode_document(decoder, body)
+    except DocumentError as error:
         raise StoreUnavailable(f'malformed reply: {error}') from error
 
 
@@ -179,8 +180,8 @@
 
 def _parse_config(item: _Item) -> Change:
     try:
-        catalog = read_catalog(b64decode(item.value, validate=True))
-    except (msgspec.DecodeError, KeyError, binascii.Error) as error:
+        catalog = read_catalog(_document(item))
+    except DocumentError as error:
         return EntryUnreadable(item.key, str(error), None)
     return CatalogPublished(catalog)
 
@@ -190,15 +191,22 @@
     if item.removed:
         return UpstreamRemoved(upstream_id)
     try:
-        document = b64decode(item.value, validate=True)
-    except (binascii.Error, ValueError) as error:
+        upstream = read_upstream(upstream_id, _document(item))
+    except DocumentError as error:
         return EntryUnreadable(item.key, str(error), upstream_id)
-    upstream = read_upstream(upstream_id, document)
-    if upstream is None:
-        return EntryUnreadable(
-            item.key, 'missing or malformed fields', upstream_id
-        )
     return UpstreamPublished(upstream)
 
 
+def _document(item: _Item) -> bytes:
+    """Returns the value of an item.
+
+    Raises:
+        DocumentError: if it isn't valid base64 text.
+    """
+    try:
+        return b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise DocumentError(str(error)) from error
+
+
 __all__ = ('StoreClient',)
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Struct
 
+from catkinreach_core.documents import DocumentError, decode_document
 from catkinreach_core.gateway.metadata import (
     KvHandle,
     ReplyMetadata,
@@ -132,11 +133,10 @@
     def read_handle(self, engine: Address, body: bytes) -> KvHandle | None:
         """Returns the KV handle in a prefill reply, ``None`` without one."""
         try:
-            return KvHandle(
-                engine=engine, name=_PREFILL_DECODER.decode(body).handle
-            )
-        except msgspec.DecodeError:
+            prefill = decode_document(_PREFILL_DECODER, body)
+        except DocumentError:
             return None
+        return KvHandle(engine=engine, name=prefill.handle)
 
     def release_request(self, handle: KvHandle) -> HttpRequest:
         """Returns the request that frees KV cache which won't be imported."""
