Refuse numbers of callers that are out of range

Cause: header numbers had no bound. Times of nan or infinity were taken too, and 5,000 digits raised an error that is none of the decoder's.

Change: numbers of a message are read in one place with their ranges; the first header out of range is part of the metadata, and the request gets 400 naming it. Text that is no number counts as missing, as before. An upstream's keep-alive timeout out of range counts as missing too.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
@@ -22,6 +22,8 @@
             a stream.
         shared_parts: Ids of the parts of the prompt that other requests may
             have too, in order; the last part is the request's own.
+        out_of_range: Name of a header with a number out of its range; empty
+            for none.
     """
 
     request_id: RequestId
@@ -32,6 +34,7 @@
     output_tokens: int
     resume_after: int | None
     shared_parts: tuple[str, ...] = ()
+    out_of_range: str = ''
 
     @property
     def total_tokens(self) -> int:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -125,6 +125,11 @@
     async def _admit(
         self, request: HttpRequest, metadata: RequestMetadata, arrived_s: float
     ) -> AdmittedRequest:
+        if metadata.out_of_range:
+            raise CatkinreachError(
+                ErrorKind.BAD_REQUEST,
+                f'the number in {metadata.out_of_range} is out of range',
+            )
         catalog = self._node.view.catalog
         if catalog is None or not self._node.view.is_complete:
             raise refusal(self._node, ErrorKind.CONFIG_MISSING)
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -17,6 +17,7 @@
 
 from ..http.messages import JSON_TYPE, Headers, HttpRequest
 from .boot import MS_PER_S
+from .header_numbers import HeaderNumbers
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.metadata import ForwardMetadata
@@ -26,9 +27,12 @@
 REQUEST_ID_HEADER: Final = 'request-id'
 DEADLINE_HEADER: Final = 'deadline-ms'
 RESUME_AFTER_HEADER: Final = 'last-event-id'
+TOKENS_HEADER: Final = 'token-count'
+KEEP_ALIVE_HEADER: Final = 'keep-alive'
 SEAL_HEADER: Final = 'response-seal'
 STATUS_MISDIRECTED: Final = 421
 MAX_PRIORITY: Final = 9
+MAX_IDLE_S: Final = 86_400.0
 
 HOP_BY_HOP: Final = frozenset(
     {
@@ -79,18 +83,24 @@
 
     def read_request(self, request: HttpRequest) -> RequestMetadata:
         """Returns the metadata of a caller's request."""
-        prompt, output = _parse_token_counts(request.header('token-count'))
+        numbers = HeaderNumbers()
+        prompt, _, output = (request.header(TOKENS_HEADER) or '').partition(',')
         scheme, _, key = (request.header('authorization') or '').partition(' ')
-        deadline_ms = _parse_number(request.header(DEADLINE_HEADER))
+        deadline_ms = numbers.milliseconds(
+            DEADLINE_HEADER, request.header(DEADLINE_HEADER)
+        )
         return RequestMetadata(
             request_id=RequestId(request.header(REQUEST_ID_HEADER) or ''),
             host=request.header('host') or '',
             key=key.strip() if scheme.lower() == 'bearer' else None,
             deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
-            prompt_tokens=prompt,
-            output_tokens=output,
-            resume_after=_parse_integer(request.header(RESUME_AFTER_HEADER)),
+            prompt_tokens=numbers.count(TOKENS_HEADER, prompt),
+            output_tokens=numbers.count(TOKENS_HEADER, output) or 0,
+            resume_after=numbers.count(
+                RESUME_AFTER_HEADER, request.header(RESUME_AFTER_HEADER)
+            ),
             shared_parts=_parse_shared_parts(request.header('prompt-prefix')),
+            out_of_range=numbers.out_of_range,
         )
 
     def upstream_request(
@@ -127,7 +137,9 @@
             or status == STATUS_MISDIRECTED,
             is_misdirected=status == STATUS_MISDIRECTED,
             answered_by=None if instance is None else UpstreamId(instance),
-            idle_timeout_s=_parse_idle_timeout_s(by_name.get('keep-alive')),
+            idle_timeout_s=_parse_idle_timeout_s(
+                by_name.get(KEEP_ALIVE_HEADER)
+            ),
         )
 
     def read_handle(self, engine: Address, body: bytes) -> KvHandle | None:
@@ -195,11 +207,6 @@
     }
 
 
-def _parse_token_counts(text: str | None) -> tuple[int | None, int]:
-    prompt, _, output = (text or '').partition(',')
-    return _parse_integer(prompt), _parse_integer(output) or 0
-
-
 def _parse_shared_parts(text: str | None) -> tuple[str, ...]:
     """Returns the ids of all parts but the last, from ``ID:TOKENS`` pairs."""
     pairs = (text or '').split(',')[:-1]
@@ -211,20 +218,8 @@
     for part in (text or '').split(','):
         name, _, number = part.strip().partition('=')
         if name.lower() == 'timeout':
-            return _parse_number(number)
+            return HeaderNumbers().number(KEEP_ALIVE_HEADER, number, MAX_IDLE_S)
     return None
 
 
-def _parse_number(text: str | None) -> float | None:
-    try:
-        return float(text) if text else None
-    except ValueError:
-        return None
-
-
-def _parse_integer(text: str | None) -> int | None:
-    stripped = (text or '').strip()
-    return int(stripped) if stripped.isdecimal() else None
-
-
 __all__ = ('PlatformDialect',)
--- a/packages/catkinreach-node/tests/platform/test_wire.py
+++ b/packages/catkinreach-node/tests/platform/test_wire.py
@@ -23,3 +23,51 @@
     request = HttpRequest('POST', '/', [('prompt-prefix', prefix)])
     metadata = PlatformDialect().read_request(request)
     assert metadata.shared_parts == shared_parts
+
+
+DIGITS = '9' * 400
+
+
+@pytest.mark.parametrize(
+    ('name', 'text'),
+    [
+        ('token-count', f'1460,{DIGITS}'),
+        ('token-count', f'{DIGITS},80'),
+        ('token-count', f'{DIGITS * 20},80'),
+        ('token-count', f'1460,{2**31}'),
+        ('last-event-id', DIGITS),
+        ('deadline-ms', DIGITS),
+        ('deadline-ms', 'nan'),
+        ('deadline-ms', 'inf'),
+        ('deadline-ms', '-1'),
+    ],
+)
+def test_number_out_of_range_is_taken(name: str, text: str) -> None:
+    # A process ended as it added such a number to others, 8 s later.
+    request = HttpRequest('POST', '/', [(name, text)])
+    metadata = PlatformDialect().read_request(request)
+    assert metadata.out_of_range == name
+    assert metadata.total_tokens <= 1460
+    assert metadata.deadline_s is None
+    assert metadata.resume_after is None
+
+
+@pytest.mark.parametrize(
+    ('name', 'text'),
+    [
+        ('token-count', '1460,80'),
+        ('token-count', f'{"0" * 400}7,{2**31 - 1}'),
+        ('token-count', 'many'),
+        ('deadline-ms', '0'),
+        ('deadline-ms', '600.5'),
+    ],
+)
+def test_number_within_its_range_is_refused(name: str, text: str) -> None:
+    request = HttpRequest('POST', '/', [(name, text)])
+    assert not PlatformDialect().read_request(request).out_of_range
+
+
+@pytest.mark.parametrize('timeout', ['nan', 'inf', '-1', DIGITS, 'x', ''])
+def test_odd_idle_timeout_of_an_upstream_is_taken(timeout: str) -> None:
+    headers = [('keep-alive', f'timeout={timeout}')]
+    assert PlatformDialect().read_reply(200, headers).idle_timeout_s is None
