Take event ids with too many digits for text

Callers got a 500 or a cut stream when an engine's event had an id of over 4,300 digits, which Python refuses to convert.

Change: an id of over 15 digits is no number; its event is passed on like others without one. The test failed before for 3 of 3 lengths, and passes now.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/events.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/events.py
@@ -16,6 +16,10 @@
 """Longest event; more bytes without the end of one are no stream of events."""
 
 
+MAX_ID_DIGITS = 15
+"""Digits of an event's number; longer ids are no numbers."""
+
+
 class EventTooLongError(Exception):
     """The bytes of a stream contain no end of an event."""
 
@@ -65,7 +69,8 @@
     for line in event.split(b'\n'):
         if line.startswith(_ID_FIELD):
             number = line.removeprefix(_ID_FIELD).strip()
-            return int(number) if number.isdigit() else None
+            is_number = number.isdigit() and len(number) <= MAX_ID_DIGITS
+            return int(number) if is_number else None
     return None
 
 
--- a/packages/catkinreach-core/tests/gateway/test_events.py
+++ b/packages/catkinreach-core/tests/gateway/test_events.py
@@ -7,6 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+import pytest
+
 from catkinreach_core.gateway.events import EventSplitter
 
 STREAM = (
@@ -24,3 +26,12 @@
     assert [event.event_id for event in events] == [1, 2, None]
     complete = b''.join(event.data for event in events)
     assert complete + splitter.rest == STREAM
+
+
+@pytest.mark.parametrize('digits', [16, 400, 5000])
+def test_event_id_with_too_many_digits_fails_the_stream(digits: int) -> None:
+    # Python refuses to convert over 4,300 digits.
+    data = b'id: ' + b'9' * digits + b'\ndata: x\n\n'
+    (event,) = EventSplitter().feed(data)
+    assert event.event_id is None
+    assert event.data == data
