--- a/packages/catkinreach-core/tests/gateway/test_events.py
+++ b/packages/catkinreach-core/tests/gateway/test_events.py
@@ -4,11 +4,10 @@
 
 from itertools import pairwise
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-import pytest
-
 from catkinreach_core.gateway.events import EventSplitter
 
 STREAM = (
