Let background tasks go on after an unexpected error

Nothing but a traceback on standard error told why a process had begun anew.

Cause: the tasks share a TaskGroup, which ends all when one fails.

Evidence: test_failing_tasks puts an OverflowError into each of three tasks; the gateway ended in 3 of 3 before, and goes on now. The test itself found that the last message to peers could fail within the close, which then left connections open.

Change: each task runs under a supervisor that logs task-failed with the task and the error, counts it in catkinreach_task_failures_total, and runs it again after 0.2 s; a peer's message that can't be applied, and background checks, are recorded in the same way.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -20,7 +20,7 @@
 from .store_task import StoreTask
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from catkinreach_core.gateway.catalog import Catalog
     from catkinreach_core.gateway.feed import StoreFeed
@@ -109,14 +109,10 @@
         settings = self._node.settings
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(work)
-                for work in (
-                    self._store.run(),
-                    self._peers.run(),
-                    self._probes.run(),
-                    self._orders.run(),
-                    self._watch_settings(),
+                group.create_task(
+                    self._node.supervisor.keep_running(name, work)
                 )
+                for name, work in self._background_work().items()
             ]
             await self._ready.start(settings.ready_address)
             await self._ingress.start(settings.caller_address)
@@ -126,6 +122,16 @@
             for task in tasks:
                 task.cancel()
 
+    def _background_work(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Returns the work that goes on until the process stops, by name."""
+        return {
+            'store': self._store.run,
+            'peers': self._peers.run,
+            'probes': self._probes.run,
+            'orders': self._orders.run,
+            'settings': self._watch_settings,
+        }
+
     async def _start_metrics(self) -> None:
         """Serves metrics; a port that can't be bound isn't fatal."""
         address = self._node.settings.metrics_address
@@ -160,7 +166,8 @@
             )
 
     def _close(self) -> None:
-        self._peers.close()
+        with self._node.supervisor.guard('peers'):
+            self._peers.close()
         for server in (self._ingress, self._ready, self._metrics):
             server.close()
         self._node.pool.close()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -60,6 +60,7 @@
     SUSPECT = 'crash-suspect'
     ORDER = 'order'
     LINES_DROPPED = 'lines-dropped'
+    TASK_FAILED = 'task-failed'
     INTERNAL = 'internal-error'
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -34,6 +34,7 @@
 from .load_queries import LoadQueries
 from .reply_buffer import ReplyBuffer
 from .stop_limit import StopLimit
+from .supervisor import Supervisor
 from .upstream_checks import UpstreamChecks
 from .upstream_pool import UpstreamPool
 
@@ -95,6 +96,7 @@
         self.metrics = GatewayMetrics()
         self._add_gauges()
         self.log = DecisionLog(self.clock)
+        self.supervisor = Supervisor(self.log, self.metrics)
         self._queues: dict[ServiceId, WaitQueue] = {}
         self.voted_leader = ''
         self.switching_engines = SwitchingEngines()
@@ -237,9 +239,18 @@
         """Runs a coroutine in the background."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_task)
         return task
 
+    def _end_task(self, task: asyncio.Task[Any]) -> None:
+        """Records an unexpected error of a background task."""
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self.supervisor.record('background', error)
+
     def _trial_rank(self, key: SuspectKey) -> int:
         """Returns this node's place in the order of trials of a key."""
         own = VmId(self.settings.host)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -66,20 +66,25 @@
             return
         handler = self._node.peer_handlers.get(type(message))
         if handler is not None:
-            handler(message)
+            with self._node.supervisor.guard('peer-message'):
+                handler(message)
 
     def error_received(self, exc: Exception) -> None:
         """Ignores send errors: a peer that stays silent is removed."""
 
     async def run(self) -> None:
         """Sends messages until cancelled."""
+        if self._transport is None:
+            await self._open_socket()
+        await self._send_messages()
+
+    async def _open_socket(self) -> None:
         address = self._node.settings.peer_address
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(address.host, address.port)
         )
         self._node.send_datagram = self._send_to
-        await self._send_messages()
 
     async def _send_messages(self) -> None:
         is_load_change = False
