Bound the wait for the rest of a response on streaming routes

Cause: the wait for a first reply is bounded, and another engine is tried beside a silent one, but the rest of a reply that is no stream was read after that wait. The wait for crash checks had no bound of the request's either. The class: an await without the request's deadline.

Change: a reply that is no stream is read within the wait for the first reply, as for plain services, so that its silence is treated as silence. A refusal's body is waited for 0.25 s at most: its head says all. Crash checks are waited for until the deadline.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -225,17 +225,25 @@
         if is_silent or has_started:
             self._node.checks.check_reachable(upstream)
             return
-        check = asyncio.ensure_future(self.check_crash(upstream))
+        self.start_crash_check(upstream)
+
+    def start_crash_check(self, upstream: Upstream) -> None:
+        """Starts to check whether the request crashed an upstream."""
+        check = asyncio.ensure_future(self._check_crash(upstream))
         self._crash_checks.add(check)
         check.add_done_callback(self._crash_checks.discard)
 
     async def finish_crash_check(self) -> None:
-        """Waits until it is known whether the request crashed upstreams."""
-        while self._crash_checks:
-            # Other waits go on if this one is cancelled.
-            await asyncio.shield(asyncio.gather(*self._crash_checks))
+        """Waits until it is known whether the request crashed upstreams.
+
+        The wait ends at the deadline; the checks go on.
+        """
+        while self._crash_checks and self.remaining_s > 0:
+            await asyncio.wait(
+                set(self._crash_checks), timeout=self.remaining_s
+            )
 
-    async def check_crash(self, upstream: Upstream) -> None:
+    async def _check_crash(self, upstream: Upstream) -> None:
         """Checks whether the request, as it started, crashed the upstream.
 
         If requests like it crashed others before, it isn't sent again.
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -43,6 +43,7 @@
         source: KV cache to start from, if another engine prefilled the prompt.
         first_events: Events that had arrived when the stream was opened.
         is_complete: Whether the engine has sent the whole reply.
+        body: Body of a reply that isn't a stream; empty for a refusal.
     """
 
     def __init__(
@@ -85,6 +86,8 @@
         self._has_started = False
         self.first_events: list[StreamEvent] = []
         self.is_complete = False
+        self.body = b''
+        self._has_connection = False
         node.begin_work(upstream.upstream_id, self._decode_load)
         node.begin_work(upstream.upstream_id, self._prefill_load)
 
@@ -128,11 +131,14 @@
             self._node.dialect.upstream_request(admitted.request, metadata),
             admitted.metadata.request_id,
         )
+        self._has_connection = True
         if self._reply.is_event_stream:
             while not self.first_events and not self.is_complete:
                 self.first_events = await self.next_events()
             if resume_after not in {None, admitted.metadata.resume_after}:
                 await self._check_goes_on(resume_after)
+        else:
+            await self._read_whole(self._reply)
         self._end_prefill()
 
     async def _check_goes_on(self, resume_after: int | None) -> None:
@@ -216,18 +222,17 @@
             now_s,
         )
 
-    async def read_failure(self) -> bytes:
-        """Returns the body of a reply that isn't an event stream.
+    async def _read_whole(self, reply: Reply) -> None:
+        """Reads a reply that isn't an event stream.
 
         Raises:
             ExchangeError: if the connection is lost.
         """
-        reply = self.reply
-        self._reply = None
-        try:
-            return await reply.read_all()
-        finally:
-            self.close()
+        self._has_connection = False
+        if reply.metadata.has_not_run:
+            await reply.skip_refusal()
+        else:
+            self.body = await reply.read_all()
 
     def close(self) -> None:
         """Ends the stream; an incomplete reply closes its connection."""
@@ -238,7 +243,7 @@
             self._opening.cancel()
         self._end_prefill()
         self._node.end_work(self._upstream.upstream_id, self._decode_load)
-        if self._reply is None:
+        if self._reply is None or not self._has_connection:
             return
         if self.is_complete:
             self._reply.release()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -34,6 +36,10 @@
 """Longest body of a reply that is buffered as a whole."""
 
 
+REFUSAL_BODY_S = 0.25
+"""Longest wait for the body of a refusal."""
+
+
 @dataclass(slots=True)
 class Reply:
     """A reply whose body isn't read yet; owns its connection."""
@@ -110,9 +116,6 @@
     async def read_all(self, max_bytes: int = MAX_REPLY_BYTES) -> bytes:
         """Returns the whole body and releases the connection.
 
-        A refusal needs no whole body: its head says that the request didn't
-        run.
-
         Args:
             max_bytes: Longest body that is accepted. All replies that are
                 being read also share the node's reply buffer.
@@ -137,6 +140,15 @@
                 await self.check_end()
             return part.content()
 
+    async def skip_refusal(self) -> None:
+        """Reads the body of a refusal, whose head says all that counts.
+
+        The connection is closed if the body doesn't come soon.
+        """
+        with suppress(ExchangeError, TimeoutError):
+            async with asyncio.timeout(REFUSAL_BODY_S):
+                await self.read_all()
+
     def release(self) -> None:
         """Returns the connection to the pool for reuse."""
         self.node.pool.release(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_send.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_send.py
@@ -89,7 +89,10 @@
                 self._node.dialect.upstream_request(admitted.request, metadata),
                 admitted.metadata.request_id,
             )
-            self.body = await reply.read_all()
+            if reply.metadata.has_not_run:
+                await reply.skip_refusal()
+            else:
+                self.body = await reply.read_all()
         except ExchangeError as error:
             return str(error)
         self._reply = reply
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -287,7 +287,7 @@
             )
             if first is not engine_stream:
                 return first
-            if await self._replies.accept(
+            if self._replies.accept(
                 engine_stream,
                 has_begun=self._has_begun,
                 replaces_silent=self._replaces_silent,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
@@ -100,7 +100,8 @@
         finally:
             self._node.end_work(upstream_id, work)
         if has_disconnected:
-            await self._attempts.check_crash(upstream)
+            self._attempts.start_crash_check(upstream)
+            await self._attempts.finish_crash_check()
         return self._handle is not None
 
     def forget_handle(self) -> None:
@@ -139,9 +140,13 @@
         reply = await exchange(
             self._node, upstream, request, admitted.metadata.request_id
         )
+        if reply.metadata.has_not_run:
+            await reply.skip_refusal()
+            self._record_refusal(reply)
+            return
         body = await reply.read_all(MAX_HANDLE_BYTES)
         handle = self._node.dialect.read_handle(upstream.address, body)
-        if handle is None or reply.metadata.has_not_run:
+        if handle is None:
             self._record_refusal(reply)
             return
         now_s = self._node.clock()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_replies.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_replies.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from .engine_stream import EngineStream
+    from .exchange import Reply
     from .stream_context import StreamContext
     from .stream_prefill import StreamPrefill
 
@@ -30,7 +31,7 @@
         self._prefill = prefill
         self.whole_response: HttpResponse | None = None
 
-    async def accept(
+    def accept(
         self,
         engine_stream: EngineStream,
         *,
@@ -48,11 +49,11 @@
             replaces_silent: Whether a silent engine still has the request.
 
         Raises:
-            ExchangeError: if the reply is broken.
+            ExchangeError: if the reply lacks the seal of its upstream.
         """
         reply = engine_stream.reply
         if reply.metadata.has_not_run:
-            await self._record_refusal(engine_stream)
+            self._record_refusal(reply)
             return False
         self._prefill.forget_handle()
         if not reply.metadata.is_sealed:
@@ -64,12 +65,10 @@
                 reply.upstream, SendFailure.FAILED, status=reply.status
             )
             return False
-        await self._accept_whole(engine_stream)
+        self._accept_whole(engine_stream)
         return True
 
-    async def _record_refusal(self, engine_stream: EngineStream) -> None:
-        reply = engine_stream.reply
-        await engine_stream.read_failure()
+    def _record_refusal(self, reply: Reply) -> None:
         if not reply.metadata.is_misdirected:
             self._prefill.record_handle_refusal()
         load = self._node.loads.total_load(
@@ -79,12 +78,13 @@
             reply, running=load.running, memory_tokens=load.memory_tokens
         )
 
-    async def _accept_whole(self, engine_stream: EngineStream) -> None:
-        """Reads a reply that is no stream; it is the answer."""
+    def _accept_whole(self, engine_stream: EngineStream) -> None:
+        """Accepts a reply that is no stream; it is the answer."""
         reply = engine_stream.reply
         headers = self._node.dialect.caller_headers(reply.headers)
-        body = await engine_stream.read_failure()
-        self.whole_response = HttpResponse(reply.status, headers, body)
+        self.whole_response = HttpResponse(
+            reply.status, headers, engine_stream.body
+        )
         if reply.is_success:
             self._node.crash_suspects.clear_now(
                 self._admitted.suspect_keys, self._node.clock()
--- a/packages/catkinreach-node/tests/gateway/test_attempts.py
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, cast
 
@@ -31,6 +32,7 @@
     admitted = SimpleNamespace(
         route=SimpleNamespace(is_retryable=True, max_attempts=MAX_ATTEMPTS),
         metadata=SimpleNamespace(request_id=RequestId('one')),
+        deadline_s=math.inf,
     )
     attempts = Attempts(idle_node(), cast('AdmittedRequest', admitted))
     attempts.count_send()
