Close the client of a test deployment

Tests left its idle connections to the collector, whose line ('Exception ignored in StreamWriter.__del__') can end pytest 3.11.6 with 'AST constructor recursion depth mismatch' when it falls into an import. Traced by logging where each collected writer was opened: 4 in the tests of reborn upstreams before, 0 now.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/deployment.py
@@ -249,6 +249,7 @@
     finally:
         gateway_task.cancel()
         await asyncio.wait({gateway_task})
+        deployment.client.close()
         await deployment.close()
 
 
