Prove that an upstream lives before a response without length is complete

Cause: the end of the connection was taken for the end of the body if the engine's address could be connected to. An address is no identity. The class: the end of a connection taken for the end of what was sent.

Change: the check asks for a reply. On a connection that was open before the request was sent any reply proves that the same process answers, as a restart ends all its connections; engines answer a report without waiting for a slot. Without such a connection the health check has to name the upstream, and the store must not know a later start. What can't be proved within 0.4 s is broken off, or resumed.

What remains: without an older connection, an upstream that is back under the same id is known only once the store has its new entry.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/catalog.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/catalog.py
@@ -103,6 +103,7 @@
         service_id: Name in the configuration.
         max_connections: Connections that one upstream accepts, from all
             nodes together.
+        health_path: Path of the upstreams' health check.
         cold_per_s: Requests per second that a cold upstream can serve; 0 if
             upstreams of the service don't start cold.
         engine: Traits of model engines, ``None`` for plain services.
@@ -110,6 +111,7 @@
 
     service_id: ServiceId
     max_connections: int
+    health_path: str
     cold_per_s: float
     engine: EngineTraits | None = None
 
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -179,6 +179,12 @@
             if upstream.domain_id not in self._evacuated:
                 yield known
 
+    def health_path(self, service_id: ServiceId) -> str:
+        """Returns the path of a service's health check; empty if not known."""
+        services = {} if self._catalog is None else self._catalog.services
+        traits = services.get(service_id)
+        return '' if traits is None else traits.health_path
+
     def others_in_domain(self, upstream: Upstream) -> tuple[Upstream, ...]:
         """Returns the other upstreams of its service and failure domain."""
         service = self._by_service.get(upstream.service_id, {})
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
@@ -42,6 +42,15 @@
     def release_request(self, handle: KvHandle) -> HttpRequest:
         """Returns the request that frees KV cache which won't be imported."""
 
+    def health_request(self, upstream: Upstream, path: str) -> HttpRequest:
+        """Returns the request of an upstream's health check."""
+
+    def alive_request(self, upstream: Upstream, path: str) -> HttpRequest:
+        """Returns a request that any running upstream answers.
+
+        Model engines do so without waiting for a slot.
+        """
+
     def stage_order(
         self, upstream: Upstream, stage: Stage, leader: str, fencing_number: int
     ) -> HttpRequest:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -13,6 +13,7 @@
 from ..http.connection import ExchangeError
 from ..http.messages import EVENT_STREAM_TYPE
 from .decision_log import Event
+from .identity_check import IdentityCheck
 from .reply_buffer import BufferFullError
 
 if TYPE_CHECKING:
@@ -50,6 +51,7 @@
     status: int
     headers: Headers
     metadata: ReplyMetadata
+    sent_s: float
 
     @property
     def is_success(self) -> bool:
@@ -95,11 +97,12 @@
         the connection.
 
         Raises:
-            ExchangeError: if the upstream is unreachable.
+            ExchangeError: if the upstream may have restarted meanwhile.
         """
         if not self.ends_with_connection:
             return
-        if not await self.node.checks.confirm_reachable(self.upstream):
+        check = IdentityCheck(self.node)
+        if not await check.is_same(self.upstream, self.sent_s):
             raise ExchangeError('connection ended with its upstream')
 
     async def next_data(self) -> tuple[bytes, bool]:
@@ -172,17 +175,28 @@
         ExchangeError: the request may have run.
     """
     connection = await node.pool.acquire(upstream)
+    sent_s = node.clock()
     has_reply = False
     try:
         await connection.send(request, str(upstream.address))
-        reply = await _read_head(node, upstream, connection, request_id)
+        response, metadata = await _read_head(
+            node, upstream, connection, request_id
+        )
         has_reply = True
     except (OSError, h11.ProtocolError) as error:
         raise ExchangeError(f'no reply from {upstream.address}') from error
     finally:
         if not has_reply:
             connection.close()
-    return reply
+    return Reply(
+        node,
+        upstream,
+        connection,
+        response.status,
+        response.headers,
+        metadata,
+        sent_s,
+    )
 
 
 async def _read_head(
@@ -190,7 +204,7 @@
     upstream: Upstream,
     connection: ClientConnection,
     request_id: RequestId,
-) -> Reply:
+) -> tuple[ClientResponse, ReplyMetadata]:
     """Reads replies until one carries the id of the request."""
     is_first_reply = not connection.is_used
     for _ in range(MAX_SKIPPED_REPLIES):
@@ -200,14 +214,7 @@
         response = ClientResponse(connection, head)
         metadata = node.dialect.read_reply(response.status, response.headers)
         if metadata.is_reply_to(request_id, is_first_reply=is_first_reply):
-            return Reply(
-                node,
-                upstream,
-                connection,
-                response.status,
-                response.headers,
-                metadata,
-            )
+            return response, metadata
         node.log.write(
             Event.REPLY_SKIPPED,
             request=request_id,
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
@@ -0,0 +1,103 @@
+"""Proves that an upstream has run without a restart since a request was sent.
+
+The end of a response without a length is that of its connection, which looks
+the same if the upstream has crashed. That the address can be connected to
+proves nothing: the upstream, or another one, may have started there again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import h11
+
+from ..http.client import ClientResponse
+from ..http.connection import ConnectError, ExchangeError
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.metadata import ReplyMetadata
+    from catkinreach_core.gateway.upstream import Upstream
+
+    from ..http.connection import ClientConnection
+    from ..http.messages import HttpRequest
+    from .node import Node
+
+CHECK_TIMEOUT_S = 0.4
+CHECK_HOST = 'upstream'
+
+
+class IdentityCheck:
+    """Asks upstreams who they are."""
+
+    def __init__(self, node: Node) -> None:
+        """Prepares the checks of one node."""
+        self._node = node
+
+    async def is_same(self, upstream: Upstream, since_s: float) -> bool:
+        """Returns whether an upstream runs, and has done so since a time.
+
+        Any reply on a connection that was open by then proves it. Otherwise
+        the reply on a new connection has to name the upstream, and the store
+        must not know of a later start.
+
+        Args:
+            upstream: Upstream that a request was sent to.
+            since_s: Monotonic time at which it was sent.
+        """
+        if self._is_known_to_have_restarted(upstream):
+            return False
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                older = await self._node.pool.take_older(upstream, since_s)
+                if older is not None:
+                    await self._ask(older, self._alive_request(upstream))
+                    return True
+                connection = await self._node.pool.acquire(upstream)
+                reply = await self._ask(
+                    connection, self._health_request(upstream)
+                )
+                return reply.is_from(upstream.upstream_id)
+        except (
+            ConnectError,
+            ExchangeError,
+            TimeoutError,
+            OSError,
+            h11.ProtocolError,
+        ):
+            return False
+
+    def _is_known_to_have_restarted(self, upstream: Upstream) -> bool:
+        known = self._node.view.find_upstream(upstream.upstream_id)
+        if known is None:
+            return False
+        return known.upstream.started_ms != upstream.started_ms
+
+    def _alive_request(self, upstream: Upstream) -> HttpRequest:
+        path = self._node.view.health_path(upstream.service_id)
+        return self._node.dialect.alive_request(upstream, path)
+
+    def _health_request(self, upstream: Upstream) -> HttpRequest:
+        path = self._node.view.health_path(upstream.service_id)
+        return self._node.dialect.health_request(upstream, path)
+
+    async def _ask(
+        self, connection: ClientConnection, request: HttpRequest
+    ) -> ReplyMetadata:
+        """Returns the metadata of a reply, whose body isn't read.
+
+        Raises:
+            ExchangeError: without a reply.
+        """
+        try:
+            await connection.send(request, CHECK_HOST)
+            head = await connection.next_event()
+        finally:
+            connection.close()
+        if not isinstance(head, h11.Response):
+            raise ExchangeError('no reply to a check')
+        response = ClientResponse(connection, head)
+        return self._node.dialect.read_reply(response.status, response.headers)
+
+
+__all__ = ('IdentityCheck',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -58,6 +58,20 @@
                 return connection
         return await self._open(upstream)
 
+    async def take_older(
+        self, upstream: Upstream, than_s: float
+    ) -> ClientConnection | None:
+        """Returns an idle connection opened before a time, if there's one."""
+        idle = self._idle.get(upstream.upstream_id, [])
+        for entry in tuple(idle):
+            if entry.connection.opened_s >= than_s:
+                continue
+            idle.remove(entry)
+            connection = await self._take(entry)
+            if connection is not None:
+                return connection
+        return None
+
     async def probe(self, upstream: Upstream) -> None:
         """Opens a connection and adds it to the idle ones.
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -52,6 +52,12 @@
         self._protocol = h11.Connection(our_role=h11.CLIENT)
         self._sent_events: tuple[h11.Event, ...] = ()
         self._is_used = False
+        self._opened_s = asyncio.get_running_loop().time()
+
+    @property
+    def opened_s(self) -> float:
+        """Returns the monotonic time at which the connection was open."""
+        return self._opened_s
 
     @property
     def is_used(self) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
@@ -70,6 +70,7 @@
 
 class _Service(Struct, rename='kebab'):
     name: str
+    health_path: str = '/health'
     max_connections: Count = 100
     cold_per_s: Amount = 0.0
     engine: _Engine | None = None
@@ -167,6 +168,7 @@
     return ServiceTraits(
         service_id=ServiceId(service.name),
         max_connections=service.max_connections,
+        health_path=service.health_path,
         cold_per_s=service.cold_per_s,
         engine=None
         if engine is None
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -13,6 +13,7 @@
     ReplyMetadata,
     RequestMetadata,
 )
+from catkinreach_core.gateway.upstream import Stage
 from catkinreach_core.ids import RequestId, UpstreamId
 
 from ..http.messages import JSON_TYPE, Headers, HttpRequest
@@ -21,11 +22,12 @@
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.metadata import ForwardMetadata
-    from catkinreach_core.gateway.upstream import Stage, Upstream
+    from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.settings.node import Address
 
 REQUEST_ID_HEADER: Final = 'request-id'
 DEADLINE_HEADER: Final = 'deadline-ms'
+REPORT_PATH: Final = '/report'
 RESUME_AFTER_HEADER: Final = 'last-event-id'
 TOKENS_HEADER: Final = 'token-count'
 KEEP_ALIVE_HEADER: Final = 'keep-alive'
@@ -154,6 +156,16 @@
         """Returns the request that frees KV cache which won't be imported."""
         return HttpRequest('DELETE', f'/kv-handle/{handle.name}')
 
+    def health_request(self, upstream: Upstream, path: str) -> HttpRequest:
+        """Returns the request of an upstream's health check."""
+        expected = ('expect-instance', str(upstream.upstream_id))
+        return HttpRequest('GET', path, [expected])
+
+    def alive_request(self, upstream: Upstream, path: str) -> HttpRequest:
+        """Returns a request that any running upstream answers."""
+        is_engine = upstream.stage is not Stage.WHOLE
+        return self.health_request(upstream, REPORT_PATH if is_engine else path)
+
     def stage_order(
         self, upstream: Upstream, stage: Stage, leader: str, fencing_number: int
     ) -> HttpRequest:
--- a/packages/catkinreach-node/tests/gateway/test_admission_reports.py
+++ b/packages/catkinreach-node/tests/gateway/test_admission_reports.py
@@ -29,7 +29,11 @@
 PEER = '127.0.0.2'
 STREAM_TOKENS = 5_200
 STREAMS = ServiceTraits(
-    service_id=SERVICE, max_connections=100, cold_per_s=0.0, engine=TRAITS
+    health_path='/health',
+    service_id=SERVICE,
+    max_connections=100,
+    cold_per_s=0.0,
+    engine=TRAITS,
 )
 WORKSPACE = WorkspacePolicy(
     workspace_id=WorkspaceId('sunday-bee'),
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/received_request.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/received_request.py
@@ -12,6 +12,7 @@
     import asyncio
 
 READ_SIZE_BYTES = 65_536
+CHECK_PATHS = frozenset({'/health', '/report'})
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +38,11 @@
         """Returns whether the request is for the prefill stage."""
         return self.headers.get('serving-stage') == 'prefill'
 
+    @property
+    def is_check(self) -> bool:
+        """Returns whether the request asks for health or a report."""
+        return self.method == 'GET' and self.target in CHECK_PATHS
+
     @property
     def prefix_ids(self) -> tuple[str, ...]:
         """Returns the ids of the parts in the ``Prompt-Prefix`` header."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -19,7 +19,7 @@
     Behaviour,
 )
 from .upstream_exchange import UpstreamExchange, reset
-from .upstream_replies import refusal
+from .upstream_replies import refusal, response
 from .upstream_run import run_request
 from .upstream_stream import EVENT_COUNT
 
@@ -44,7 +44,8 @@
             upstreams.
         script: Behaviours of the next requests, one for each; requests
             beyond its end are served.
-        received: All requests, including refused ones.
+        received: All requests, including refused ones, but for checks.
+        check_count: Number of health checks and calls for a report.
         runs: Executions by request id; prefills aren't counted.
         endless_bytes: Bytes sent by the endless behaviours.
         abandoned_ids: Ids of requests that hung or paused until their
@@ -69,6 +70,7 @@
     received: list[ReceivedRequest] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     abandoned_ids: list[str] = field(default_factory=list)
+    check_count: int = 0
     endless_bytes: int = 0
     event_gap_s: float = 0.0
     prefill_s: float = 0.0
@@ -174,6 +176,10 @@
             while (request := await read_request(protocol, reader)) is not None:
                 if writer.is_closing():
                     break
+                if request.is_check:
+                    self._answer_check(request, writer)
+                    protocol = h11.Connection(h11.SERVER)
+                    continue
                 self.received.append(request)
                 self._running[writer] = request.request_id
                 exchange = UpstreamExchange(self, request, reader, writer)
@@ -187,6 +193,17 @@
         self._repeats.pop(writer, None)
         writer.close()
 
+    def _answer_check(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers a health check, or one meant for another upstream."""
+        self.check_count += 1
+        is_meant = request.headers.get('expect-instance') == self.upstream_id
+        status = 200 if is_meant else 421
+        writer.write(
+            response(request, status, self.upstream_id, b'', is_sealed=False)
+        )
+
     async def _handle_request(self, exchange: UpstreamExchange) -> bool:
         """Responds as scripted; returns whether the connection stays open."""
         request, writer = exchange.request, exchange.writer
