Ask upstreams who they are without naming them

A health check's reply names its sender, which is all that is asked; a reply without a name proves nothing now.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
@@ -110,15 +110,6 @@
             and self.answered_by != upstream_id
         )
 
-    def is_from(self, upstream_id: UpstreamId) -> bool:
-        """Returns whether the upstream that a request named sent the reply.
-
-        Another one refuses it, and says who it is.
-        """
-        if self.answered_by is None:
-            return not self.is_misdirected
-        return self.answered_by == upstream_id
-
     def is_reply_to(
         self, request_id: RequestId, *, is_first_reply: bool
     ) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
@@ -42,8 +42,8 @@
     def release_request(self, handle: KvHandle) -> HttpRequest:
         """Returns the request that frees KV cache which won't be imported."""
 
-    def health_request(self, upstream: Upstream, path: str) -> HttpRequest:
-        """Returns the request of an upstream's health check."""
+    def health_request(self, path: str) -> HttpRequest:
+        """Returns the request of a health check; the reply names its sender."""
 
     def alive_request(self, upstream: Upstream, path: str) -> HttpRequest:
         """Returns a request that any running upstream answers.
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
@@ -57,7 +57,7 @@
                 reply = await self._ask(
                     connection, self._health_request(upstream)
                 )
-                return reply.is_from(upstream.upstream_id)
+                return reply.answered_by == upstream.upstream_id
         except (
             ConnectError,
             ExchangeError,
@@ -79,7 +79,7 @@
 
     def _health_request(self, upstream: Upstream) -> HttpRequest:
         path = self._node.view.health_path(upstream.service_id)
-        return self._node.dialect.health_request(upstream, path)
+        return self._node.dialect.health_request(path)
 
     async def _ask(
         self, connection: ClientConnection, request: HttpRequest
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -156,15 +156,14 @@
         """Returns the request that frees KV cache which won't be imported."""
         return HttpRequest('DELETE', f'/kv-handle/{handle.name}')
 
-    def health_request(self, upstream: Upstream, path: str) -> HttpRequest:
-        """Returns the request of an upstream's health check."""
-        expected = ('expect-instance', str(upstream.upstream_id))
-        return HttpRequest('GET', path, [expected])
+    def health_request(self, path: str) -> HttpRequest:
+        """Returns the request of a health check; the reply names its sender."""
+        return HttpRequest('GET', path)
 
     def alive_request(self, upstream: Upstream, path: str) -> HttpRequest:
         """Returns a request that any running upstream answers."""
         is_engine = upstream.stage is not Stage.WHOLE
-        return self.health_request(upstream, REPORT_PATH if is_engine else path)
+        return HttpRequest('GET', REPORT_PATH if is_engine else path)
 
     def stage_order(
         self, upstream: Upstream, stage: Stage, leader: str, fencing_number: int
