Share one memory among the bodies of all requests

Cause: each body is bounded, their sum wasn't (2,000 connections of 4 MB). A body was held up to four times: as parts, joined to its head, in the write buffer, and in the connection's record of what it had sent, which a kept connection held until its next request. The class: memory as a limit of each that is shared by all.

A detached run keeps its share until it ends. A large body isn't joined to its head; a connection keeps only the method of what it sent; the server reads ahead 16 KiB a connection, and so does the kernel.

What remains: bodies aren't streamed through to plain engines; shares aren't fair by workspace, as the head is all that is known then; replies and what peers and store send have bounds of their own, beside this budget.

--- a/packages/catkinreach-core/src/catkinreach_core/errors.py
+++ b/packages/catkinreach-core/src/catkinreach_core/errors.py
@@ -46,6 +46,7 @@
     CONFIG_STALE = 'config-stale'
     DRAINING = 'draining'
     CONNECTIONS_FULL = 'connections-full'
+    MEMORY_FULL = 'memory-full'
     PEER_PROTOCOL = 'peer-protocol'
     SETTINGS_INVALID = 'settings-invalid'
     INTERNAL = 'internal'
@@ -157,6 +158,9 @@
     ErrorKind.CONNECTIONS_FULL: ErrorResponse(
         503, _NOT_RUN, 1, 'The node has too many connections.'
     ),
+    ErrorKind.MEMORY_FULL: ErrorResponse(
+        503, _NOT_RUN, 1, 'The node has no memory for the body.'
+    ),
     ErrorKind.PEER_PROTOCOL: ErrorResponse(
         502, Outcome.UNKNOWN, None, 'A peer sent a malformed message.'
     ),
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from ..http.body_memory import BodyMemory
 from ..http.messages import HttpResponse
 from ..http.server import HttpServer
 from ..http.server_bounds import ServerBounds
@@ -42,6 +43,9 @@
 """Time after which a node without responsive peers reports that it is ready."""
 
 SETTINGS_POLL_S = 0.5
+
+BODY_MEMORY_SHARE = 0.35
+"""Part of the process's memory for the bodies of requests."""
 READY = HttpResponse(200, [('content-type', 'text/plain')], b'ready\n')
 NOT_READY = HttpResponse(503, [('content-type', 'text/plain')], b'not ready\n')
 
@@ -69,8 +73,15 @@
         self._feed = feed
         self._node.metrics.add_gauge('store_calls', lambda: feed.call_count)
         self._reload = reload
+        self._body_memory = _body_memory(settings.memory_bytes)
+        self._node.metrics.add_gauge(
+            'body_memory_bytes', lambda: self._body_memory.used_bytes
+        )
         self._ingress = HttpServer(
-            Ingress(self._node).serve, name='ingress', bounds=ServerBounds()
+            Ingress(self._node).serve,
+            name='ingress',
+            bounds=ServerBounds(),
+            memory=self._body_memory,
         )
         self._ready = HttpServer(self._answer_ready, name='ready')
         self._metrics = HttpServer(self._answer_metrics, name='metrics')
@@ -216,4 +227,11 @@
         return HttpResponse(200, [('content-type', METRICS_TYPE)], text)
 
 
+def _body_memory(memory_bytes: int) -> BodyMemory:
+    """Returns the bodies' share of the memory of a process."""
+    if not memory_bytes:
+        return BodyMemory()
+    return BodyMemory(int(memory_bytes * BODY_MEMORY_SHARE))
+
+
 __all__ = ('GatewayApp',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -61,6 +61,10 @@
             return await self._serve()
         running = asyncio.ensure_future(self._serve())
         running.add_done_callback(_consume_outcome)
+        hold = self._admitted.request.hold
+        if hold is not None:
+            hold.keep()
+            running.add_done_callback(lambda _: hold.release())
         return await asyncio.shield(running)
 
     @property
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/settings.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/settings.py
@@ -50,6 +50,7 @@
         peer_hosts: IP addresses of some peers.
         bounds: Bounds that apply to all nodes together.
         link_bytes_per_s: Bandwidth of the VM's link; infinite if not known.
+        memory_bytes: Memory that the process may use; 0 if not known.
     """
 
     vm_id: VmId
@@ -63,6 +64,7 @@
     peer_hosts: tuple[str, ...]
     bounds: SharedBounds
     link_bytes_per_s: float = math.inf
+    memory_bytes: int = 0
 
 
 __all__ = ('GatewaySettings', 'SharedBounds')
--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -20,6 +20,9 @@
 READ_AHEAD_BYTES = 16_384
 """Received bytes, per connection, from which the socket isn't read further."""
 
+LARGE_BODY_BYTES = 64 * 1024
+"""Length of a body from which it isn't joined to its head."""
+
 _CHUNK_LINE_END = b'\r\n'
 CONNECT_TIMEOUT_S = 1.0
 BUSY_LOOP_S = 0.02
@@ -50,7 +53,7 @@
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(our_role=h11.CLIENT)
-        self._sent_events: tuple[h11.Event, ...] = ()
+        self._sent_method = b'GET'
         self._is_used = False
         self._opened_s = asyncio.get_running_loop().time()
 
@@ -131,10 +134,16 @@
             target=request.target,
             headers=encode_headers(headers),
         )
-        body = (h11.Data(data=request.body),) if request.body else ()
-        self._sent_events = (head, *body, h11.EndOfMessage())
-        chunks = [self._protocol.send(event) for event in self._sent_events]
-        self._writer.write(b''.join(chunk for chunk in chunks if chunk))
+        self._sent_method = head.method
+        start = self._protocol.send(head) or b''
+        if len(request.body) > LARGE_BODY_BYTES:
+            # Joined to the head, the body would be copied once more.
+            self._writer.write(start)
+            start = b''
+        if request.body:
+            start += self._protocol.send(h11.Data(data=request.body)) or b''
+        self._protocol.send(h11.EndOfMessage())
+        self._writer.write(start)
         await self._writer.drain()
 
     async def skip_response(self, max_bytes: int) -> None:
@@ -156,8 +165,13 @@
                 raise ExchangeError(f'response of over {max_bytes} bytes')
         rest, _ = self._protocol.trailing_data
         self._protocol = h11.Connection(our_role=h11.CLIENT)
-        for event in self._sent_events:
-            self._protocol.send(event)
+        # The response depends on the method only.
+        self._protocol.send(
+            h11.Request(
+                method=self._sent_method, target=b'/', headers=[(b'host', b'')]
+            )
+        )
+        self._protocol.send(h11.EndOfMessage())
         if rest:
             self._protocol.receive_data(rest)
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/messages.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/messages.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from .body_memory import BodyHold
+
 Headers: TypeAlias = list[tuple[str, str]]
 
 RawHeaders: TypeAlias = list[tuple[bytes, bytes]]
@@ -46,12 +48,14 @@
         target: Path and query.
         headers: Names in lower case, in order of arrival.
         body: The whole body.
+        hold: Memory held for the body, if it is bounded.
     """
 
     method: str
     target: str
     headers: Headers = field(default_factory=list)
     body: bytes = b''
+    hold: BodyHold | None = field(default=None, compare=False)
 
     @property
     def path(self) -> str:
--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -9,12 +9,14 @@
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 
+from .body_memory import STEP_BYTES, BodyHold
 from .messages import HttpRequest
 from .socket_input import SocketInput
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from .body_memory import BodyMemory
     from .server_bounds import ServerBounds
 
 MAX_READ_AHEAD_BYTES = 64 * 1024
@@ -39,6 +41,7 @@
         read_bounds: Callable[[], ServerBounds],
         is_draining: Callable[[], bool],
         send_continue: Callable[[], Awaitable[None]],
+        memory: BodyMemory,
     ) -> None:
         """Wraps the input of an accepted connection.
 
@@ -47,11 +50,13 @@
             read_bounds: Returns the current bounds; they may change.
             is_draining: Whether the connection closes when it is idle.
             send_continue: Tells a client that waits for it to send the body.
+            memory: Memory for the bodies of all clients.
         """
         self._input = SocketInput(reader)
         self._read_bounds = read_bounds
         self._is_draining = is_draining
         self._send_continue = send_continue
+        self._memory = memory
         self._idle_wait: asyncio.Timeout | None = None
         self._is_first_request = True
         self._is_head_request = False
@@ -107,7 +112,12 @@
             return None
         self._is_head_request = head.method == b'HEAD'
         _check_framing(head)
-        body = await self._read_body(loop.time() + self._bounds.body_timeout_s)
+        hold = BodyHold(self._memory)
+        try:
+            body = await self._read_body(head, hold)
+        except BaseException:
+            hold.release()
+            raise
         return HttpRequest(
             method=head.method.decode('ascii'),
             target=head.target.decode('latin-1'),
@@ -116,6 +126,7 @@
                 for name, value in head.headers
             ],
             body=body,
+            hold=hold,
         )
 
     async def watch_disconnect(self) -> bool:
@@ -188,9 +199,18 @@
         if is_closed:
             self.protocol.receive_data(b'')
 
-    async def _read_body(self, deadline_s: float) -> bytes:
+    async def _read_body(self, head: h11.Request, hold: BodyHold) -> bytes:
+        """Reads a body once there is memory for it.
+
+        Raises:
+            CatkinreachError: if it is too large, too slow or malformed, or the
+                memory stays full.
+        """
+        await self._reserve(hold, _content_length(head))
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + self._bounds.body_timeout_s
         parts: list[bytes] = []
-        size = 0
+        size = covered = 0
         while True:
             event = await self._next_event(deadline_s)
             if isinstance(event, h11.EndOfMessage):
@@ -198,10 +218,27 @@
             if not isinstance(event, h11.Data):
                 raise CatkinreachError(ErrorKind.BAD_REQUEST)
             size += len(event.data)
-            if size > self._bounds.max_body_bytes:
-                raise CatkinreachError(ErrorKind.TOO_LARGE)
+            if size > covered:
+                covered = size + STEP_BYTES
+                await self._reserve(hold, size, covered)
             parts.append(bytes(event.data))
 
+    async def _reserve(self, hold: BodyHold, size: int, ahead: int = 0) -> None:
+        """Reserves memory for a body.
+
+        Args:
+            hold: Memory held so far.
+            size: Bytes of the body that have arrived, or that it will have.
+            ahead: Bytes to reserve if more will come.
+
+        Raises:
+            CatkinreachError: if the body is too large, or the memory full.
+        """
+        if size > self._bounds.max_body_bytes:
+            raise CatkinreachError(ErrorKind.TOO_LARGE)
+        if not await hold.cover(max(size, ahead)):
+            raise CatkinreachError(ErrorKind.MEMORY_FULL)
+
     async def _next_event(
         self, deadline_s: float
     ) -> h11.Event | type[h11.PAUSED]:
@@ -230,6 +267,12 @@
     )
 
 
+def _content_length(head: h11.Request) -> int:
+    """Returns the length of a body; 0 if it comes in chunks."""
+    lengths = [text for name, text in head.headers if name == b'content-length']
+    return int(lengths[0]) if lengths else 0
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuses a request whose body length is ambiguous.
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import h11
@@ -10,6 +11,7 @@
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 
+from .body_memory import BodyMemory
 from .server_bounds import RequestCounter, ServerBounds
 from .server_connection import ServerConnection
 
@@ -24,6 +26,13 @@
 MAX_REFUSING = 200
 """Connections beyond the bound that are refused with a response at a time."""
 
+READ_AHEAD_BYTES = 16 * 1024
+"""Bytes of a connection that are read ahead of its requests; up to twice as
+many before its socket isn't read further."""
+
+RECEIVE_BUFFER_BYTES = 16 * 1024
+"""Bytes that the kernel receives ahead for each connection."""
+
 ACCEPT_TURNS = 8
 """Turns of the event loop in which the task of an accepted connection begins;
 without TLS it took five at most."""
@@ -38,8 +47,17 @@
         *,
         name: str,
         bounds: ServerBounds | None = None,
+        memory: BodyMemory | None = None,
     ) -> None:
-        """Creates the server; ``name`` is the prefix of its log lines."""
+        """Creates the server.
+
+        Args:
+            serve: Handler of its requests.
+            name: Prefix of its log lines.
+            bounds: Timeouts and size limits.
+            memory: Memory for the bodies of all clients.
+        """
+        self._memory = memory or BodyMemory()
         self._serve = serve
         self._name = name
         self._bounds = bounds or ServerBounds()
@@ -67,8 +85,17 @@
     ) -> None:
         """Starts listening on the address, with TLS if a context is given."""
         self._server = await asyncio.start_server(
-            self._accept, address.host, address.port, ssl=tls, backlog=1024
+            self._accept,
+            address.host,
+            address.port,
+            ssl=tls,
+            backlog=1024,
+            limit=READ_AHEAD_BYTES,
         )
+        for listener in self._server.sockets:
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         logger.info('{}: listening on {}.', self._name, address)
 
     async def stop_accepting(self) -> None:
@@ -123,6 +150,7 @@
             self._serve,
             lambda: self._bounds,
             self._request_counter,
+            self._memory,
             is_draining=lambda: self._is_draining,
             is_stopping=lambda: self._is_stopping,
         )
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from .body_memory import BodyMemory
     from .messages import HttpRequest, HttpResponse
     from .server_bounds import RequestCounter, ServerBounds
 
@@ -46,6 +47,7 @@
         serve: RequestHandler,
         read_bounds: Callable[[], ServerBounds],
         request_counter: RequestCounter,
+        memory: BodyMemory,
         *,
         is_draining: Callable[[], bool],
         is_stopping: Callable[[], bool],
@@ -58,6 +60,7 @@
             serve: Handler of its requests.
             read_bounds: Returns the current bounds; they may change.
             request_counter: Counts the requests in flight.
+            memory: Memory for the bodies of all clients.
             is_draining: Whether the connection closes when it is idle.
             is_stopping: Whether it closes after its next response.
         """
@@ -65,7 +68,7 @@
         self._request_counter = request_counter
         self._is_draining = is_draining
         self._requests = RequestReader(
-            reader, read_bounds, is_draining, self._send_continue
+            reader, read_bounds, is_draining, self._send_continue, memory
         )
         self._responses = ResponseSender(
             writer, self._requests, read_bounds, is_stopping
@@ -133,6 +136,8 @@
             return False
         finally:
             self._request_counter.end()
+            if request.hold is not None:
+                request.hold.release()
 
     async def _answer_unless_disconnected(self, request: HttpRequest) -> bool:
         """Serves a request and cancels it if the client disconnects.
--- a/packages/catkinreach-node/src/catkinreach_node/http/socket_input.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/socket_input.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-READ_SIZE_BYTES = 65_536
+READ_SIZE_BYTES = 16_384
 
 
 class SocketInput:
--- a/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
@@ -16,6 +16,7 @@
 BOOT_VARIABLE: Final = 'CATKINREACH_BOOT'
 MS_PER_S: Final = 1000.0
 BYTES_PER_MEGABIT: Final = 125_000.0
+BYTES_PER_MEGABYTE: Final = 1_000_000.0
 
 
 class BootFile:
@@ -82,6 +83,9 @@
         peer_hosts=tuple(Address.from_text(seed).host for seed in seeds),
         bounds=_bounds(fields),
         link_bytes_per_s=_link_bytes_per_s(fields),
+        memory_bytes=int(
+            float(fields.get('limits.memory-mb', 0)) * BYTES_PER_MEGABYTE
+        ),
     )
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -43,6 +43,7 @@
 internal-ports={peer},{peer}
 seeds={seeds}
 platform.address=127.0.0.1:{store}
+limits.memory-mb=150
 bounds.grace-s=4
 bounds.budget-ratio=0.2
 bounds.retry-slack=58
