Refuse streams that come too late in the grace of a stop

Cause: a request's deadline ends before the grace does, but a stream's deadline is that of its first event: nothing asked whether the rest can end in time. The class: the end of a wait taken for the end of the thing waited for.

Change: once the process stops, a stream is refused with 503 draining when less than 3 s (the residence of a stream), or half of the time for answers, is left.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -137,6 +137,10 @@
         route = catalog.match_route(host, request.path)
         if route is None:
             raise CatkinreachError(ErrorKind.ROUTE_UNKNOWN)
+        if route.kind is RouteKind.STREAM and (
+            arrived_s > self._node.streams_until_s
+        ):
+            raise refusal(self._node, ErrorKind.DRAINING)
         workspace = _workspace(catalog, route, metadata)
         service_id = route.choose_service(self._node.rng)
         keys = suspect_keys(request, metadata)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -20,6 +20,7 @@
 from catkinreach_core.gateway.placement import Candidate, has_spare_slots
 from catkinreach_core.gateway.quota import QuotaTable
 from catkinreach_core.gateway.retry_budget import RetryBudget
+from catkinreach_core.gateway.stage_plan import RESIDENCE_S
 from catkinreach_core.gateway.switching_engines import SwitchingEngines
 from catkinreach_core.gateway.view import FleetView
 from catkinreach_core.gateway.wait_queue import WaitQueue
@@ -108,13 +109,20 @@
         self.load_changed = asyncio.Event()
         self.is_stopping = False
         self.answer_until_s = math.inf
+        self.streams_until_s = math.inf
         self.stop_limit = StopLimit()
         self.revision = Revision(0)
 
     def begin_stop(self, answer_within_s: float) -> None:
-        """Starts the shutdown; all requests must be answered in this time."""
+        """Starts the shutdown; all requests must be answered in this time.
+
+        Streams that can't end in it must not begin.
+        """
         self.is_stopping = True
         self.answer_until_s = self.clock() + answer_within_s
+        self.streams_until_s = self.answer_until_s - min(
+            RESIDENCE_S, answer_within_s / 2
+        )
         self.stop_limit.begin(answer_within_s)
 
     def _add_gauges(self) -> None:
--- a/packages/catkinreach-node/tests/gateway/test_gateway_stop.py
+++ b/packages/catkinreach-node/tests/gateway/test_gateway_stop.py
@@ -122,3 +122,58 @@
             return received
 
     assert asyncio.run(run()).count(b' 200 ') == 2
+
+
+LATE_STREAM = (
+    'POST /stream/ HTTP/1.1\r\nhost: {host}\r\nauthorization: Bearer {key}\r\n'
+    'request-id: late\r\ndeadline-ms: 3000\r\ntoken-count: 1000,100\r\n'
+    'content-length: 6\r\n\r\npro'
+)
+EVENT_GAP_S = 0.3
+LATE_S = 1.2
+"""Time after the stop at which the body of a stream's request is whole."""
+
+
+def test_stream_that_comes_late_in_the_grace_is_cut_at_its_end() -> None:
+    # It was passed on, and its caller got some events and a closed connection.
+    async def run() -> bytes:
+        async with running_deployment() as (deployment, gateway):
+            for name in 'de':
+                deployment.upstreams[name].event_gap_s = EVENT_GAP_S
+            address = deployment.caller_address
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+            writer.write(LATE_STREAM.format(host=HOST, key=KEY).encode())
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            gateway.stop()
+            await asyncio.sleep(LATE_S)
+            writer.write(b'mpt')
+            received = b''
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                while chunk := await reader.read(65_536):
+                    received += chunk
+            writer.close()
+            assert not any(
+                deployment.upstreams[name].received for name in 'pde'
+            )
+            return received
+
+    received = asyncio.run(run())
+    assert b' 503 ' in received
+    assert b'draining' in received
+
+
+def test_stream_that_comes_early_in_the_grace_is_refused() -> None:
+    async def run() -> int:
+        async with running_deployment() as (deployment, gateway):
+            gateway.stop()
+            request = deployment.make_request(
+                '/stream/', method='POST', token_count='1000,100'
+            )
+            status, _ = await deployment.client.call_raw(
+                deployment.caller_address, request
+            )
+            return status
+
+    assert asyncio.run(run()) == 200
