Send nothing to engines that say they leave, or ask for a pause

Neither was read: requests, prefills and retries went on to both.

Change: both are beliefs of this VM about an incarnation, taken from the head of any answer to it. One that leaves gets no new work until its id starts anew (time of start or address), whatever the store lists; a pause lasts as long as the longest that was asked for, 120 s at most (fractions, 0, negative, dates and huge numbers are tested). A request that waits for a connection meanwhile isn't sent, and counts as no send. Both are no capacity to placement; if nothing else can serve in time, callers are refused at once with a Retry-After that follows the end of the shortest pause. Afterwards an engine gets requests for a second as a cold one does. Handles at a paused engine lapse.

Not yet: peers aren't told, the soak doesn't inject either, the product's router doesn't know the headers.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
@@ -88,6 +88,9 @@
         answered_by: Upstream that sent the reply, if given.
         idle_timeout_s: Time that the upstream keeps an idle connection open,
             if given.
+        is_leaving: Whether the upstream reports that it is about to leave.
+        pause_s: Time for which the upstream wants no request of this node;
+            ``None`` if it doesn't ask for a pause.
     """
 
     request_id: RequestId | None
@@ -96,6 +99,8 @@
     is_misdirected: bool
     answered_by: UpstreamId | None
     idle_timeout_s: float | None
+    is_leaving: bool = False
+    pause_s: float | None = None
 
     def is_from_other_upstream(self, upstream_id: UpstreamId) -> bool:
         """Returns whether another upstream uses the address of this one.
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -9,8 +9,9 @@
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.gateway.crash_suspects import CRASHES_TO_STOP_RETRY
 
+from ..http.connection import ClosedToRequestsError
 from .decision_log import Event
-from .outcomes import refusal
+from .outcomes import RETRY_AFTER_S, refusal
 from .suspect_keys import refuse_if_quarantined
 
 if TYPE_CHECKING:
@@ -33,6 +34,7 @@
     """Reasons for a failed send to an upstream."""
 
     UNREACHABLE = 'unreachable'
+    CLOSED = 'closed-to-requests'
     BROKEN = 'broken'
     SILENT = 'silent'
     REFUSED = 'refused'
@@ -195,8 +197,12 @@
     ) -> None:
         """Records a failed connect, which doesn't count as a send."""
         self.uncount_send()
-        self._node.mark_unreachable(upstream.upstream_id, str(error))
-        self.record_failed_send(upstream.upstream_id, SendFailure.UNREACHABLE)
+        if isinstance(error, ClosedToRequestsError):
+            failure = SendFailure.CLOSED
+        else:
+            failure = SendFailure.UNREACHABLE
+            self._node.mark_unreachable(upstream.upstream_id, str(error))
+        self.record_failed_send(upstream.upstream_id, failure)
 
     def record_lost(
         self,
@@ -288,7 +294,15 @@
     ) -> CatkinreachError:
         """Returns the error for a request that can't be served."""
         if not self.may_have_run:
-            return refusal(self._node, kind, detail=detail)
+            delay_s = self._node.retry_delay_s(
+                self._admitted.service.service_id
+            )
+            return refusal(
+                self._node,
+                kind,
+                min_delay_s=max(delay_s, RETRY_AFTER_S),
+                detail=detail,
+            )
         if self.has_timed_out or self.remaining_s <= 0:
             return CatkinreachError(ErrorKind.UPSTREAM_TIMEOUT)
         return CatkinreachError(ErrorKind.UPSTREAM_FAILED)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -47,6 +47,8 @@
     PEER_SILENT = 'peer-silent'
     UPSTREAM_DOWN = 'upstream-down'
     UPSTREAM_UP = 'upstream-up'
+    UPSTREAM_LEAVING = 'upstream-leaving'
+    UPSTREAM_PAUSED = 'upstream-paused'
     REFUSED = 'refused'
     PLACED = 'placed'
     GAVE_WAY = 'gave-way'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -10,7 +10,7 @@
 import h11
 
 from ..http.client import ClientResponse
-from ..http.connection import ExchangeError
+from ..http.connection import ClosedToRequestsError, ExchangeError
 from ..http.messages import EVENT_STREAM_TYPE
 from .decision_log import Event
 from .identity_check import IdentityCheck
@@ -171,10 +171,14 @@
     """Sends a request and returns the head of its reply.
 
     Raises:
-        ConnectError: nothing was sent.
+        ConnectError: nothing was sent; a ``ClosedToRequestsError`` if the
+            upstream takes no requests.
         ExchangeError: the request may have run.
     """
     connection = await node.pool.acquire(upstream)
+    if not node.availability.may_get_requests(upstream, node.clock()):
+        node.pool.release_unused(upstream.upstream_id, connection)
+        raise ClosedToRequestsError(f'{upstream.address} takes no requests')
     sent_s = node.clock()
     has_reply = False
     try:
@@ -214,6 +218,7 @@
         response = ClientResponse(connection, head)
         metadata = node.dialect.read_reply(response.status, response.headers)
         if metadata.is_reply_to(request_id, is_first_reply=is_first_reply):
+            node.note_availability(upstream, metadata, request_id)
             return response, metadata
         node.log.write(
             Event.REPLY_SKIPPED,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
@@ -45,8 +45,11 @@
             upstream: Upstream that a request was sent to.
             since_s: Monotonic time at which it was sent.
         """
+        node = self._node
         if self._is_known_to_have_restarted(upstream):
             return False
+        if node.availability.pause_s(upstream, node.clock()) > 0:
+            return False
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_S):
                 older = await self._node.pool.take_older(upstream, since_s)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
@@ -146,9 +146,11 @@
             release_per_s=memory / RESIDENCE_S,
             now_s=now_s,
         )
+        pause_s = self._node.retry_delay_s(service_id)
         if (
             decision is QueueDecision.REFUSE
             or self._attempts.remaining_s < MIN_REMAINING_S
+            or now_s + pause_s > entry.useful_until_s
         ):
             raise self._attempts.error(
                 ErrorKind.QUEUE_TIMEOUT,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from catkinreach_core.gateway.aggregation import AggregatorChoice
+from catkinreach_core.gateway.availability import Availability
 from catkinreach_core.gateway.cold_start import ColdRateLimiter
 from catkinreach_core.gateway.crash_suspects import CrashSuspects
 from catkinreach_core.gateway.health import HealthTable
@@ -45,10 +46,10 @@
     from catkinreach_core.gateway.catalog import Catalog, ServiceTraits
     from catkinreach_core.gateway.crash_reports import SuspectKey
     from catkinreach_core.gateway.load_table import UpstreamLoad
-    from catkinreach_core.gateway.metadata import KvHandle
+    from catkinreach_core.gateway.metadata import KvHandle, ReplyMetadata
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.gateway.view import KnownUpstream
-    from catkinreach_core.ids import ServiceId, UpstreamId
+    from catkinreach_core.ids import RequestId, ServiceId, UpstreamId
 
     from .dialect import Dialect
     from .exchange import Reply
@@ -72,6 +73,7 @@
         self.view = FleetView()
         self.loads = LoadTable()
         self.health = HealthTable()
+        self.availability = Availability()
         self.cold_rate_limiter = ColdRateLimiter(self.rng.random)
         self.output_estimate = OutputEstimate()
         self.crash_suspects = CrashSuspects(self._trial_rank)
@@ -136,6 +138,10 @@
             'store_revision': lambda: self.revision,
             'upstreams_known': lambda: len(self.view.upstream_ids),
             'upstreams_down': lambda: len(self.health.unreachable_upstreams()),
+            'upstreams_leaving': self.availability.leaving_count,
+            'upstreams_paused': lambda: self.availability.paused_count(
+                self.clock()
+            ),
             'upstreams_replaced': lambda: len(self.health.replaced_upstreams()),
             'streams_waiting': lambda: sum(
                 queue.count for queue in self._queues.values()
@@ -161,6 +167,7 @@
             for known in self.view.usable_upstreams(service_id)
             if known.upstream.upstream_id not in unusable
             and not self.health.is_down(known.upstream.upstream_id)
+            and self.availability.may_get_requests(known.upstream, now_s)
             and self._has_cold_capacity(known, traits, now_s)
         ]
 
@@ -218,6 +225,48 @@
         else:
             self.health.record_failure(upstream_id, self.clock())
 
+    def note_availability(
+        self, upstream: Upstream, metadata: ReplyMetadata, request_id: RequestId
+    ) -> None:
+        """Notes what a reply says of its upstream: it leaves, or has a pause.
+
+        Args:
+            upstream: Upstream that the request was sent to.
+            metadata: Metadata of the reply.
+            request_id: Request that was answered.
+        """
+        if metadata.is_from_other_upstream(upstream.upstream_id):
+            return
+        if metadata.is_leaving and self.availability.record_leaving(upstream):
+            self.log.write(
+                Event.UPSTREAM_LEAVING,
+                upstream=upstream.upstream_id,
+                started_ms=upstream.started_ms,
+                request=request_id,
+            )
+            self.load_changed.set()
+        if metadata.pause_s and self.availability.record_pause(
+            upstream, metadata.pause_s, self.clock()
+        ):
+            self.log.write(
+                Event.UPSTREAM_PAUSED,
+                upstream=upstream.upstream_id,
+                started_ms=upstream.started_ms,
+                request=request_id,
+                pause_s=metadata.pause_s,
+            )
+            self.load_changed.set()
+
+    def retry_delay_s(self, service_id: ServiceId) -> float:
+        """Returns the time until a service may have capacity again.
+
+        0 if some upstream may get requests, or none will.
+        """
+        upstreams = [
+            known.upstream for known in self.view.usable_upstreams(service_id)
+        ]
+        return self.availability.shortest_pause_s(upstreams, self.clock())
+
     def mark_replaced(self, upstream: Upstream) -> None:
         """Marks an upstream as replaced: another one answers at its address."""
         upstream_id = upstream.upstream_id
@@ -238,7 +287,12 @@
         }
 
     def release_handle(self, handle: KvHandle) -> None:
-        """Frees the KV cache of a handle that won't be imported."""
+        """Frees the KV cache of a handle that won't be imported.
+
+        It lapses by itself at an engine that wants no requests.
+        """
+        if self.availability.is_paused_at(handle.engine, self.clock()):
+            return
         self.spawn(self._release_handle(handle))
 
     def spawn(
@@ -277,14 +331,20 @@
             known=known,
             load=self.loads.total_load(upstream_id, now_s),
             penalty=self.health.penalty(upstream_id, now_s),
-            is_cold=known.is_cold(now_s),
+            is_cold=self._is_cold(known, now_s),
+        )
+
+    def _is_cold(self, known: KnownUpstream, now_s: float) -> bool:
+        """Returns whether an upstream can serve only little load."""
+        return known.is_cold(now_s) or self.availability.is_returning(
+            known.upstream, now_s
         )
 
     def _has_cold_capacity(
         self, known: KnownUpstream, traits: ServiceTraits, now_s: float
     ) -> bool:
         """Returns whether the upstream is warm or may get a request now."""
-        if not traits.cold_per_s or not known.is_cold(now_s):
+        if not traits.cold_per_s or not self._is_cold(known, now_s):
             return True
         return self.cold_rate_limiter.allows_request(
             known.upstream.upstream_id,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stage_order_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stage_order_task.py
@@ -87,6 +87,9 @@
                 for known in self._node.view.usable_upstreams(
                     service.service_id
                 )
+                if self._node.availability.may_get_requests(
+                    known.upstream, self._node.clock()
+                )
             ]
             upstream = surplus_prefill_engine(
                 engines,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
@@ -12,7 +12,11 @@
 
 from catkinreach_core.gateway.load_table import UpstreamLoad
 
-from ..http.connection import ConnectError, ExchangeError
+from ..http.connection import (
+    ClosedToRequestsError,
+    ConnectError,
+    ExchangeError,
+)
 from .attempts import SendFailure
 from .exchange import exchange
 from .gateway_metrics import RequestStage
@@ -83,7 +87,8 @@
                 await self._exchange(upstream)
         except ConnectError as error:
             self.is_exhausted = False
-            self._node.mark_unreachable(upstream_id, str(error))
+            if not isinstance(error, ClosedToRequestsError):
+                self._node.mark_unreachable(upstream_id, str(error))
             self._attempts.record_failed_send(
                 upstream_id, SendFailure.PREFILL_UNREACHABLE
             )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -91,6 +91,12 @@
         connection.finish()
         self._keep_idle(upstream_id, connection, idle_timeout_s)
 
+    def release_unused(
+        self, upstream_id: UpstreamId, connection: ClientConnection
+    ) -> None:
+        """Returns a connection on which nothing was sent."""
+        self._keep_idle(upstream_id, connection, None)
+
     def drop(self, upstream_id: UpstreamId) -> None:
         """Closes the idle connections to a removed upstream."""
         for entry in self._idle.pop(upstream_id, []):
--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -39,6 +39,10 @@
     """Nothing listens at the address."""
 
 
+class ClosedToRequestsError(ConnectError):
+    """The upstream leaves, or wants no request for now; nothing was sent."""
+
+
 class ExchangeError(Exception):
     """The exchange failed after a part of the request may have been sent."""
 
@@ -288,4 +292,10 @@
         writer.close()
 
 
-__all__ = ('ClientConnection', 'ConnectError', 'ExchangeError', 'RefusedError')
+__all__ = (
+    'ClientConnection',
+    'ClosedToRequestsError',
+    'ConnectError',
+    'ExchangeError',
+    'RefusedError',
+)
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -30,6 +31,10 @@
 REPORT_PATH: Final = '/report'
 RESUME_AFTER_HEADER: Final = 'last-event-id'
 TOKENS_HEADER: Final = 'token-count'
+LEAVING_HEADER: Final = 'server-leaving'
+LEAVING: Final = '1'
+PAUSE_HEADER: Final = 'retry-after'
+STATUS_UNAVAILABLE: Final = 503
 KEEP_ALIVE_HEADER: Final = 'keep-alive'
 SEAL_HEADER: Final = 'response-seal'
 STATUS_MISDIRECTED: Final = 421
@@ -70,7 +75,9 @@
 """Headers that a caller can't set at an upstream; the node drops them and adds
 its own."""
 
-HIDDEN_FROM_CALLER: Final = frozenset({'instance-load', 'not-executed'})
+HIDDEN_FROM_CALLER: Final = frozenset(
+    {'instance-load', 'not-executed', LEAVING_HEADER}
+)
 
 
 class _Prefill(Struct):
@@ -142,6 +149,8 @@
             idle_timeout_s=_parse_idle_timeout_s(
                 by_name.get(KEEP_ALIVE_HEADER)
             ),
+            is_leaving=by_name.get(LEAVING_HEADER) == LEAVING,
+            pause_s=_parse_pause_s(status, by_name.get(PAUSE_HEADER)),
         )
 
     def read_handle(self, engine: Address, body: bytes) -> KvHandle | None:
@@ -233,4 +242,11 @@
     return None
 
 
+def _parse_pause_s(status: int, text: str | None) -> float | None:
+    """Returns the pause that a refusal asks for; dates aren't understood."""
+    if status != STATUS_UNAVAILABLE:
+        return None
+    return HeaderNumbers().number(PAUSE_HEADER, text, math.inf)
+
+
 __all__ = ('PlatformDialect',)
--- a/packages/catkinreach-node/tests/platform/test_wire.py
+++ b/packages/catkinreach-node/tests/platform/test_wire.py
@@ -71,3 +71,35 @@
 def test_odd_idle_timeout_of_an_upstream_is_taken(timeout: str) -> None:
     headers = [('keep-alive', f'timeout={timeout}')]
     assert PlatformDialect().read_reply(200, headers).idle_timeout_s is None
+
+
+@pytest.mark.parametrize(
+    ('status', 'text', 'pause_s'),
+    [
+        (503, '2', 2.0),
+        (503, '0.25', 0.25),
+        (503, '0', 0.0),
+        (503, '1e9', 1e9),
+        (503, '-1', None),
+        (503, 'nan', None),
+        (503, 'Fri, 31 Dec 1999 23:59:59 GMT', None),
+        (503, '', None),
+        (429, '2', None),
+        (200, '2', None),
+    ],
+)
+def test_pause_that_an_upstream_asks_for_is_read(
+    status: int, text: str, pause_s: float | None
+) -> None:
+    reply = PlatformDialect().read_reply(status, [('retry-after', text)])
+    assert reply.pause_s == pause_s
+
+
+@pytest.mark.parametrize(
+    ('headers', 'is_leaving'),
+    [([], False), ([('server-leaving', '1')], True)],
+)
+def test_upstream_that_leaves_is_read(
+    headers: list[tuple[str, str]], *, is_leaving: bool
+) -> None:
+    assert PlatformDialect().read_reply(200, headers).is_leaving is is_leaving
