Refuse callers' prompts that can't be read, or name no tokens

Callers got 500 instead of 400 for a completion body that nests 2,000 deep, and engines got token ids of 400 digits or below 0, which no tokenizer makes.

Cause: parse_completion caught the decoder's own errors; for deep nesting msgspec raises RecursionError. Token ids had no range.

Change: decode_json beside decode_document turns all that can go wrong into one error; token ids lie between 0 and 2**31 - 1. The ranges moved from the platform's package to the core, as the product's router needs them too.

--- a/packages/catkinreach-node/src/catkinreach_node/platform/ranges.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ranges.py
@@ -1,4 +1,4 @@
-"""Ranges of the numbers in the platform's documents and headers."""
+"""Ranges of numbers that come from outside."""
 
 from __future__ import annotations
 
--- a/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
@@ -20,9 +20,7 @@
     routes_by_host,
 )
 from catkinreach_core.ids import RouteId, ServiceId, WorkspaceId
-
-from .boot import MS_PER_S
-from .ranges import (
+from catkinreach_core.ranges import (
     Amount,
     Count,
     Milliseconds,
@@ -30,6 +28,8 @@
     Revision,
 )
 
+from .boot import MS_PER_S
+
 ROUTE_KINDS: Final = {
     'idempotent': RouteKind.IDEMPOTENT,
     'non_idempotent': RouteKind.NON_IDEMPOTENT,
--- a/packages/catkinreach-node/src/catkinreach_node/platform/header_numbers.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/header_numbers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .ranges import MAX_COUNT, MAX_MS
+from catkinreach_core.ranges import MAX_COUNT, MAX_MS
 
 
 class HeaderNumbers:
--- a/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
@@ -10,10 +10,16 @@
 from catkinreach_core.documents import DocumentError, decode_document
 from catkinreach_core.gateway.upstream import Stage, Upstream, UpstreamState
 from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
+from catkinreach_core.ranges import (
+    MAX_PORT,
+    Count,
+    Milliseconds,
+    Revision,
+    UnixMilliseconds,
+)
 from catkinreach_core.settings.node import Address
 
 from .boot import MS_PER_S
-from .ranges import MAX_PORT, Count, Milliseconds, Revision, UnixMilliseconds
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/packages/catkinreach-node/src/catkinreach_node/platform/store.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -25,13 +25,13 @@
     UpstreamRemoved,
 )
 from catkinreach_core.ids import FailureDomainId, Revision, UpstreamId
+from catkinreach_core.ranges import Revision as RevisionNumber
 
 from ..http.client import HttpClient
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpRequest
 from .boot import MS_PER_S
 from .catalog import read_catalog
-from .ranges import Revision as RevisionNumber
 from .registry import read_upstream
 
 if TYPE_CHECKING:
--- a/packages/catkinreach-node/src/catkinreach_node/session/completion.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/completion.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
+from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.ranges import Count
 
 if TYPE_CHECKING:
     from catkinreach_core.ids import RequestId
@@ -31,7 +33,7 @@
 
     model: str = ''
     messages: tuple[ChatMessage, ...] = ()
-    prompt: str | tuple[int, ...] = ''
+    prompt: str | tuple[Count, ...] = ''
     max_tokens: int = DEFAULT_MAX_TOKENS
     stream: bool = False
 
@@ -62,8 +64,8 @@
         CatkinreachError: ``BAD_REQUEST`` with a detail for the caller.
     """
     try:
-        parsed = msgspec.json.decode(body, type=CompletionBody)
-    except msgspec.MsgspecError as error:
+        parsed = decode_json(body, CompletionBody)
+    except DocumentError as error:
         raise CatkinreachError(ErrorKind.BAD_REQUEST, str(error)) from error
     if not 1 <= parsed.max_tokens <= LARGEST_MAX_TOKENS:
         raise CatkinreachError(
