Take odd answers of engines and of the configuration service for malformed

Callers got 500 when an engine's answer nested 2,000 deep, though other engines were sound. One such report, or a load of 400 digits, ended for good the tasks that send orders to engines or read their load; a block without a digest cost a poll its answer.

Cause: the decoders' callers caught the decoder's own errors, and numbers had no range: 400 digits of KV pieces failed as a float, of cached tokens as a message to the owner. The class: an input from outside that is trusted for depth, digits or range.

A malformed answer counts as before: a request goes on at other engines, a poll is left out, a read has failed.

--- a/packages/catkinreach-node/src/catkinreach_node/fleet/relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/relay.py
@@ -9,6 +9,7 @@
 import msgspec
 from loguru import logger
 
+from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_core.errors import CatkinreachError
 from catkinreach_core.fleet_list import VmEntry, VmList
 from catkinreach_core.ids import Revision
@@ -18,6 +19,7 @@
     PublishedText,
     RevisionAnnouncement,
 )
+from catkinreach_core.ranges import Revision as RevisionNumber
 from catkinreach_core.relay.confirmation import may_trust_keys
 
 from ..config.updater import SettingsUpdater
@@ -57,14 +59,14 @@
 class PublishedConfig(msgspec.Struct, frozen=True):
     """Response of the configuration service to a read of the text."""
 
-    revision: Revision
+    revision: RevisionNumber
     text: str
 
 
 class PublishedVms(msgspec.Struct, frozen=True):
     """Response of the configuration service to a read of the VM list."""
 
-    revision: Revision
+    revision: RevisionNumber
     vms: tuple[VmEntry, ...]
 
 
@@ -194,7 +196,7 @@
                 self._record_failure('the service returned an old revision')
                 return
             await self._updater.update(
-                PublishedText(published.revision, published.text)
+                PublishedText(Revision(published.revision), published.text)
             )
         self._core.read_policy.record_config_read(now_s)
 
@@ -207,15 +209,17 @@
             published = self._decode(body, PublishedVms)
             if published is None:
                 return
-            vms = VmList(revision=published.revision, vms=published.vms)
+            vms = VmList(
+                revision=Revision(published.revision), vms=published.vms
+            )
             if self._state.accept_vms(vms):
                 logger.info('config: VM list {} in force.', vms.revision)
         self._core.read_policy.record_vm_list_read(time.monotonic())
 
     def _decode(self, body: bytes, body_type: type[ReadT]) -> ReadT | None:
         try:
-            return msgspec.json.decode(body, type=body_type)
-        except msgspec.MsgspecError as error:
+            return decode_json(body, body_type)
+        except DocumentError as error:
             self._record_failure(f'malformed response: {error}')
             return None
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_answers.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_answers.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from catkinreach_core.cell.reservations import FailureKind
 from catkinreach_core.ids import Incarnation, VmId
+from catkinreach_core.ranges import MAX_COUNT, Count, Seconds
 
 
 class EngineError(Exception):
@@ -41,17 +45,17 @@
     """Response of a prefill: the KV cache export on the prefill engine."""
 
     export_id: str
-    prompt_tokens: int
-    cached_tokens: int
-    kv_pieces: int
-    expires_in_s: float
+    prompt_tokens: Count
+    cached_tokens: Count
+    kv_pieces: Count
+    expires_in_s: Seconds
 
 
 class ImportAnswer(msgspec.Struct, frozen=True):
     """Response of an import: the imported KV cache on the decode engine."""
 
     import_id: str
-    kv_pieces: int
+    kv_pieces: Count
 
 
 class DecodeEvent(msgspec.Struct, frozen=True):
@@ -66,11 +70,11 @@
             event.
     """
 
-    index: int = -1
+    index: Annotated[int, Meta(ge=-1, le=MAX_COUNT)] = -1
     token: str = ''
     done: bool = False
     finish: str = ''
-    completion_tokens: int = 0
+    completion_tokens: Count = 0
 
 
 __all__ = (
