Leave out a VM whose published address can't be read

One address of the VM list that is none made each message to that VM raise ValueError: in the task that sends a node's leases, which ends with it, and in each probe.

Cause: addresses of the list were parsed at each use, by callers that expect no error. The class: an input from outside that is trusted for its form.

Evidence: test_unusable_peer_addresses. Before, 6 of 7 addresses raised: five in each send, one (a port out of range) in the search for dead processes. 7 pass now. What callers would have seen of it wasn't run.

Change: an entry has a parsed address or none; a VM without one is unreachable, and isn't taken for a dead process.

--- a/packages/catkinreach-core/src/catkinreach_core/fleet_list.py
+++ b/packages/catkinreach-core/src/catkinreach_core/fleet_list.py
@@ -7,6 +7,8 @@
 from msgspec import Struct
 
 from .ids import FailureDomainId, Revision, VmId
+from .ranges import MAX_PORT
+from .settings.node import Address
 
 
 class VmState(Enum):
@@ -31,6 +33,15 @@
     failure_domain: FailureDomainId
     state: VmState = VmState.LIVE
 
+    @property
+    def address(self) -> Address | None:
+        """Returns the parsed address, ``None`` if there can't be such one."""
+        try:
+            address = Address.from_text(self.peer_address)
+        except ValueError:
+            return None
+        return address if 0 < address.port <= MAX_PORT else None
+
 
 class VmList(Struct, frozen=True, kw_only=True):
     """A revision of the published list; revision 0 is the empty list."""
--- a/packages/catkinreach-node/src/catkinreach_node/cell/orphan_sweeper.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/orphan_sweeper.py
@@ -22,7 +22,6 @@
 from catkinreach_core.ids import Incarnation, RequestId, VmId, attempt_id
 from catkinreach_core.messages.cell import HoldingsAnswer, HoldingsQuery
 from catkinreach_core.ranges import Count, Seconds
-from catkinreach_core.settings.node import Address
 
 from ..peers.transport import PeerUnreachableError
 from ..session.engine_answers import EngineError
@@ -32,6 +31,7 @@
 
     from catkinreach_core.cell.cell import Cell
     from catkinreach_core.cell.engine_view import EngineView
+    from catkinreach_core.fleet_list import VmEntry
     from catkinreach_core.ids import UpstreamId
 
     from ..component import NodeContext
@@ -150,9 +150,7 @@
         during a network partition no connection attempt is answered at all.
         """
         entry = self._context.state.vms.entry(holder.vm)
-        is_refused = entry is not None and await _refuses_connections(
-            entry.peer_address
-        )
+        is_refused = entry is not None and await _refuses_connections(entry)
         count = (
             self._refused_connections.get(holder, 0) + 1 if is_refused else 0
         )
@@ -181,8 +179,10 @@
         )
 
 
-async def _refuses_connections(peer_address: str) -> bool:
-    address = Address.from_text(peer_address)
+async def _refuses_connections(vm: VmEntry) -> bool:
+    address = vm.address
+    if address is None:
+        return False
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, writer = await asyncio.open_connection(
@@ -190,7 +190,7 @@
             )
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError):
         return False
     writer.close()
     return False
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from catkinreach_core.settings.node import Address
-
 from .cell.baseline_scheduler import BaselineScheduler
 from .cell.cell_actions import CellActions
 from .cell.cell_owner import CellOwner
@@ -37,7 +35,7 @@
 
 if TYPE_CHECKING:
     from catkinreach_core.ids import Incarnation, VmId
-    from catkinreach_core.settings.node import NodeSettings
+    from catkinreach_core.settings.node import Address, NodeSettings
 
     from .component import NodeComponent
     from .fleet.relay import RelayTask
@@ -116,9 +114,7 @@
 
     def peer_address(vm_id: VmId) -> Address | None:
         entry = state.vms.entry(vm_id)
-        if entry is None:
-            return None
-        return Address.from_text(entry.peer_address)
+        return None if entry is None else entry.address
 
     transport = PeerTransport(
         settings.vm_id, incarnation, peer_address, tls=tls.peer_client
