Read numbers in headers with thousands of leading zeros

Callers got 500 internal for a token-count or last-event-id of over 4,300 zeros.

Cause: digits were counted without the zeros, but converted with them, and Python refuses to convert more than 4,300. The class: a check on another text than the one that is used.

--- a/packages/catkinreach-node/src/catkinreach_node/platform/header_numbers.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/header_numbers.py
@@ -22,9 +22,9 @@
         digits = (text or '').strip()
         if not digits.isdecimal():
             return None
-        if len(digits.lstrip('0')) > len(str(MAX_COUNT)) or (
-            int(digits) > MAX_COUNT
-        ):
+        # Python converts at most 4,300 digits, zeros included.
+        digits = digits.lstrip('0') or '0'
+        if len(digits) > len(str(MAX_COUNT)) or int(digits) > MAX_COUNT:
             self.out_of_range = name
             return None
         return int(digits)
