Refuse KV handles that no request can carry

Callers got 500 internal for each stream whose prefill engine named its handle with a character outside Latin-1; a handle with a line break or space was held against the decode engine, and the prefill engine was asked again for each stream.

Cause: the handle was any text, and went into a header and a target. The class: a text from outside that is checked only where it is sent.

--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -20,6 +20,7 @@
 from ..http.messages import JSON_TYPE, Headers, HttpRequest
 from .boot import MS_PER_S
 from .header_numbers import HeaderNumbers
+from .sendable_text import is_target_part
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.metadata import ForwardMetadata
@@ -154,11 +155,16 @@
         )
 
     def read_handle(self, engine: Address, body: bytes) -> KvHandle | None:
-        """Returns the KV handle in a prefill reply, ``None`` without one."""
+        """Returns the KV handle in a prefill reply.
+
+        ``None`` without one, or if it can't be sent in a head.
+        """
         try:
             prefill = decode_document(_PREFILL_DECODER, body)
         except DocumentError:
             return None
+        if not is_target_part(prefill.handle):
+            return None
         return KvHandle(engine=engine, name=prefill.handle)
 
     def release_request(self, handle: KvHandle) -> HttpRequest:
--- a/packages/catkinreach-node/tests/platform/test_header_fuzz.py
+++ b/packages/catkinreach-node/tests/platform/test_header_fuzz.py
@@ -1,19 +1,29 @@
-"""Headers from outside, whatever is in them."""
+"""Headers and prefill replies from outside, whatever is in them."""
 
 from __future__ import annotations
 
 import math
+from pathlib import Path
 
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
 from catkinreach_core.gateway.metadata import ForwardMetadata
 from catkinreach_core.ids import UpstreamId
+from catkinreach_core.settings.node import Address
 from catkinreach_node.http.messages import Headers, HttpRequest, encode_headers
 from catkinreach_node.platform.ranges import MAX_COUNT, MAX_MS
 from catkinreach_node.platform.wire import MAX_IDLE_S, PlatformDialect
-from catkinreach_standins.fakes.fuzz_inputs import fuzz_settings
+from catkinreach_standins.fakes.fuzz_inputs import (
+    damaged_json,
+    fuzz_settings,
+    stored_inputs,
+)
+from catkinreach_standins.fakes.sendable import is_sendable
 
+ENGINE = Address(host='10.0.0.1', port=80)
+CORPUS = Path(__file__).parent / 'corpus' / 'prefill'
 NAMES = (
     'request-id',
     'deadline-ms',
@@ -99,3 +109,36 @@
         assert metadata.pause_s >= 0
         assert not math.isnan(metadata.pause_s)
     encode_headers(dialect.caller_headers(headers))
+
+
+def _check_prefill(body: bytes) -> None:
+    dialect = PlatformDialect()
+    handle = dialect.read_handle(ENGINE, body)
+    if handle is None:
+        return
+    release = dialect.release_request(handle)
+    assert is_sendable(release)
+    metadata = ForwardMetadata(
+        upstream_id=UpstreamId('a'),
+        deadline_s=1.0,
+        priority=1,
+        workspace_id=None,
+        source=handle,
+    )
+    assert is_sendable(
+        dialect.upstream_request(HttpRequest('POST', '/x'), metadata)
+    )
+
+
+# A handle that no header can carry failed the request, and its release.
+@fuzz_settings()
+@given(body=damaged_json({'handle': 'h-1', 'tokens': 7}))
+def test_odd_prefill_reply_gives_a_handle_that_fails(
+    body: bytes,
+) -> None:
+    _check_prefill(body)
+
+
+@pytest.mark.parametrize('name', stored_inputs(CORPUS))
+def test_stored_prefill_reply_fails_again(name: str) -> None:
+    _check_prefill(stored_inputs(CORPUS)[name])
