Take only IP addresses from peers as members

One datagram of a peer that names a member with a null character, or with a label that is too long, made a process mute to all its peers for good: asyncio closes a datagram socket at an error other than OSError. Any other name was looked up, which blocks the event loop, with each message to it.

Cause: names of members were any text. The class: text from outside that is handed to an interface that reads more into it than its sender may say.

Evidence: test_datagram_fuzz (properties of all six kinds of datagram, applied to a node, whose own messages must then be readable) with the stored inputs member-null, member-long-label, member-name: failed before, pass now.

Change: a datagram whose members are not at most 12 IP addresses without a scope is ignored.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 from ..documents import DocumentError, decode_document
 from ..ids import Revision, ServiceId, UpstreamId, WorkspaceId
 from .crash_reports import CrashReport
+from .datagram_hosts import is_ip_address
 from .feed import SmallChange
 from .load_table import UpstreamLoad
 
@@ -18,6 +19,8 @@
 MAX_GOSSIP_MEMBERS = 12
 """Members listed in one message; later messages list the others."""
 
+_Members = Annotated[list[str], Meta(max_length=MAX_GOSSIP_MEMBERS)]
+
 
 class Phase(Enum):
     """Lifecycle state of a node."""
@@ -50,7 +53,7 @@
 
     node: str
     phase: Phase
-    members: list[str] = field(default_factory=list)
+    members: _Members = field(default_factory=list)
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
     admitted: dict[WorkspaceId, float] = field(default_factory=dict)
     crashes: dict[str, int] | None = None
@@ -174,11 +177,18 @@
 
 
 def decode_gossip(data: bytes) -> PeerDatagram | None:
-    """Decodes a message; ``None`` if the bytes are malformed."""
+    """Decodes a message; ``None`` if it is malformed.
+
+    Its members are addresses: a name would be looked up with each message that
+    is sent to it, and one that can't be a name closes the socket.
+    """
     try:
-        return decode_document(_DECODER, data)
+        message = decode_document(_DECODER, data)
     except DocumentError:
         return None
+    if isinstance(message, GossipMessage):
+        return message if all(map(is_ip_address, message.members)) else None
+    return message
 
 
 __all__ = (
