--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
@@ -5,9 +5,19 @@
 
 from __future__ import annotations
 
-from typing import NewType
+from typing import Annotated, NewType
 
-from msgspec import Struct
+from msgspec import Meta, Struct
+
+from .datagram_ranges import AgeMs
+
+MAX_CRASHES_TOLD = 128
+"""Most crashes in one report; a node tells fewer."""
+
+MAX_KEYS_TOLD = 64
+"""Most keys in one report; a node tells fewer."""
+
+_CrashIndex = Annotated[int, Meta(ge=0, lt=MAX_CRASHES_TOLD)]
 
 SuspectKey = NewType('SuspectKey', str)
 """Hash of a whole request or of one part of its prompt."""
@@ -25,7 +35,7 @@
     """
 
     source: CrashSource
-    age_ms: int
+    age_ms: AgeMs
 
 
 class SuspectReport(Struct, array_like=True, frozen=True):
@@ -38,8 +48,8 @@
             milliseconds; ``None`` if that isn't known.
     """
 
-    crashes: list[int]
-    ran_ms_ago: int | None
+    crashes: Annotated[list[_CrashIndex], Meta(max_length=MAX_CRASHES_TOLD)]
+    ran_ms_ago: AgeMs | None
 
 
 class CrashReport(Struct, array_like=True, frozen=True):
@@ -50,8 +60,20 @@
         suspects: The keys.
     """
 
-    crashes: list[SeenCrash]
-    suspects: dict[SuspectKey, SuspectReport]
+    crashes: Annotated[list[SeenCrash], Meta(max_length=MAX_CRASHES_TOLD)]
+    suspects: Annotated[
+        dict[SuspectKey, SuspectReport], Meta(max_length=MAX_KEYS_TOLD)
+    ]
+
+    @property
+    def is_consistent(self) -> bool:
+        """Returns whether each key has only crashes that are in the list."""
+        count = len(self.crashes)
+        return all(
+            index < count
+            for suspect in self.suspects.values()
+            for index in suspect.crashes
+        )
 
 
 __all__ = (
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -3,14 +3,25 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 from ..documents import DocumentError, decode_document
-from ..ids import Revision, ServiceId, UpstreamId, WorkspaceId
+from ..ids import ServiceId, UpstreamId, WorkspaceId
 from .crash_reports import CrashReport
+from .datagram_hosts import is_ip_address
+from .datagram_ranges import (
+    Cost,
+    GraceSeconds,
+    NetCost,
+    NodeCount,
+    RevisionNumber,
+    Seconds,
+    Tokens,
+    UnixMs,
+)
 from .feed import SmallChange
 from .load_table import UpstreamLoad
 
@@ -18,6 +29,8 @@
 MAX_GOSSIP_MEMBERS = 12
 """Members listed in one message; later messages list the others."""
 
+_Members = Annotated[list[str], Meta(max_length=MAX_GOSSIP_MEMBERS)]
+
 
 class Phase(Enum):
     """Lifecycle state of a node."""
@@ -50,15 +63,15 @@
 
     node: str
     phase: Phase
-    members: list[str] = field(default_factory=list)
+    members: _Members = field(default_factory=list)
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
-    admitted: dict[WorkspaceId, float] = field(default_factory=dict)
+    admitted: dict[WorkspaceId, Cost] = field(default_factory=dict)
     crashes: dict[str, int] | None = None
     down: list[UpstreamId] = field(default_factory=list)
-    replaced: dict[UpstreamId, int] = field(default_factory=dict)
-    waiting: dict[ServiceId, int] = field(default_factory=dict)
+    replaced: dict[UpstreamId, UnixMs] = field(default_factory=dict)
+    waiting: dict[ServiceId, Tokens] = field(default_factory=dict)
     holder: str = ''
-    switching: dict[UpstreamId, float] = field(default_factory=dict)
+    switching: dict[UpstreamId, Seconds] = field(default_factory=dict)
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
@@ -110,11 +123,11 @@
     query_id: int
     is_complete: bool
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
-    admitted: float = 0.0
-    queued_tokens: int = 0
-    queued_nodes: int = 0
+    admitted: NetCost = 0.0
+    queued_tokens: Tokens = 0
+    queued_nodes: NodeCount = 0
     down: list[UpstreamId] = field(default_factory=list)
-    replaced: dict[UpstreamId, int] = field(default_factory=dict)
+    replaced: dict[UpstreamId, UnixMs] = field(default_factory=dict)
 
 
 class StoreBeacon(Struct, array_like=True, kw_only=True, tag='read'):
@@ -129,9 +142,9 @@
     """
 
     node: str
-    revision: Revision
-    changed_revision: Revision
-    age_s: float
+    revision: RevisionNumber
+    changed_revision: RevisionNumber
+    age_s: Seconds
 
 
 class StoreChanges(Struct, array_like=True, kw_only=True, tag='changes'):
@@ -147,9 +160,9 @@
     """
 
     node: str
-    after: Revision
-    revision: Revision
-    expiry_grace_s: float
+    after: RevisionNumber
+    revision: RevisionNumber
+    expiry_grace_s: GraceSeconds
     changes: list[SmallChange]
 
 
@@ -174,11 +187,25 @@
 
 
 def decode_gossip(data: bytes) -> PeerDatagram | None:
-    """Decodes a message; ``None`` if the bytes are malformed."""
+    """Decodes a message; ``None`` if it is malformed.
+
+    Its members are addresses: a name would be looked up with each message that
+    is sent to it, and one that can't be a name closes the socket.
+    """
     try:
-        return decode_document(_DECODER, data)
+        message = decode_document(_DECODER, data)
     except DocumentError:
         return None
+    return message if _is_consistent(message) else None
+
+
+def _is_consistent(message: PeerDatagram) -> bool:
+    """Returns whether a message has nothing that its types can't exclude."""
+    if isinstance(message, GossipMessage):
+        return all(map(is_ip_address, message.members))
+    if isinstance(message, CrashMessage):
+        return message.report.is_consistent
+    return True
 
 
 __all__ = (
