Let connections end together while a response's end is checked

Callers would get a 500, or a broken stream, where the upstream of a response without length crashed: the request wasn't tried elsewhere. It was found by reading; no run of a whole gateway has shown it.

Cause: the search for an older idle connection went through a copy of the list. While one connection was looked at, the watches of the others took them off the list, as a crash ends all at once; removing them again raised a ValueError, which is no error of an exchange.

Change: each turn of the search looks at the list as it is.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -63,9 +63,7 @@
     ) -> ClientConnection | None:
         """Returns an idle connection opened before a time, if there's one."""
         idle = self._idle.get(upstream.upstream_id, [])
-        for entry in tuple(idle):
-            if entry.connection.opened_s >= than_s:
-                continue
+        while entry := _first_older(idle, than_s):
             idle.remove(entry)
             connection = await self._take(entry)
             if connection is not None:
@@ -163,4 +161,12 @@
         ]
 
 
+def _first_older(
+    idle: list[_IdleConnection], than_s: float
+) -> _IdleConnection | None:
+    """Returns the first idle connection opened before a time, if any."""
+    older = (entry for entry in idle if entry.connection.opened_s < than_s)
+    return next(older, None)
+
+
 __all__ = ('CONNECT_TIMEOUT_S', 'UpstreamPool')
--- a/packages/catkinreach-node/tests/gateway/test_upstream_pool.py
+++ b/packages/catkinreach-node/tests/gateway/test_upstream_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from typing import TYPE_CHECKING
 
 from catkinreach_core.settings.node import Address
 from catkinreach_node.gateway.upstream_pool import (
@@ -14,6 +15,9 @@
 from catkinreach_standins.fakes.gateway import make_upstream
 from catkinreach_standins.platform.deployment import LOOPBACK
 
+if TYPE_CHECKING:
+    from catkinreach_node.http.connection import ClientConnection
+
 CLOSE_TIMEOUT_S = 5.0
 
 
@@ -73,3 +77,35 @@
                 pool.close()
 
     asyncio.run(run())
+
+
+def test_older_connections_that_end_together_raise_an_error() -> None:
+    # A crash ends them all while one of them is looked at.
+    assert asyncio.run(_older_connection_after_a_crash()) is None
+
+
+async def _older_connection_after_a_crash() -> ClientConnection | None:
+    """Returns the connection found as the upstream resets all of them."""
+    accepted: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+
+    async def keep_open(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        accepted.put_nowait(writer)
+        await reader.read(1)
+
+    async with await asyncio.start_server(keep_open, LOOPBACK, 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        upstream = make_upstream(
+            'one', address=Address(host=LOOPBACK, port=port)
+        )
+        pool = UpstreamPool(time.monotonic)
+        for _ in range(3):
+            await pool.probe(upstream)
+        writers = [await accepted.get() for _ in range(3)]
+        for writer in writers:
+            writer.transport.abort()
+        try:
+            return await pool.take_older(upstream, time.monotonic())
+        finally:
+            pool.close()
