Tell peers of engines that leave, or ask for a pause

Change: both beliefs are a new last member of the state message, with the upstream's start and the time that is left; 28 upstreams a message at most, the others in the next ones, and a change of load repeats none. In large fleets an aggregator's reply has them for the service that was asked for. Nodes tell only what engines told them, so no word goes round. The receiver multiplies the upstream's cost for at most 2 s, decaying, and then takes no report of the same incarnation for 8 s: one that is wrong makes a sound engine less preferred for 2 s of 10 s, whoever repeats it, and never shuts it out.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -13,6 +13,7 @@
 from .crash_reports import CrashReport
 from .feed import SmallChange
 from .load_table import UpstreamLoad
+from .peer_availability import AvailabilityReport
 
 MAX_GOSSIP_BYTES = 8_000
 MAX_GOSSIP_MEMBERS = 12
@@ -46,6 +47,8 @@
             orders to engines.
         switching: Remaining downtime, in seconds, of engines that change
             their stage.
+        unavailable: Upstreams that told the sender that they leave, or asked
+            it for a pause.
     """
 
     node: str
@@ -59,6 +62,9 @@
     waiting: dict[ServiceId, int] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, float] = field(default_factory=dict)
+    unavailable: dict[UpstreamId, AvailabilityReport] = field(
+        default_factory=dict
+    )
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
@@ -104,6 +110,8 @@
         queued_nodes: Number of nodes with queued streams of the service.
         down: Upstreams that the aggregator can't reach.
         replaced: Start, in Unix milliseconds, of each replaced upstream.
+        unavailable: Upstreams of the service that leave or asked for a pause,
+            as the aggregator or a node that reported to it knows.
     """
 
     node: str
@@ -115,6 +123,9 @@
     queued_nodes: int = 0
     down: list[UpstreamId] = field(default_factory=list)
     replaced: dict[UpstreamId, int] = field(default_factory=dict)
+    unavailable: dict[UpstreamId, AvailabilityReport] = field(
+        default_factory=dict
+    )
 
 
 class StoreBeacon(Struct, array_like=True, kw_only=True, tag='read'):
--- a/packages/catkinreach-core/tests/gateway/test_gossip.py
+++ b/packages/catkinreach-core/tests/gateway/test_gossip.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
+from msgspec import Struct
+
 from catkinreach_core.gateway.gossip import (
     GossipMessage,
     Phase,
@@ -14,8 +18,16 @@
     SILENT_AFTER_S,
     Members,
 )
+from catkinreach_core.gateway.peer_availability import (
+    MAX_REPORTS,
+    AvailabilityReport,
+)
 from catkinreach_core.ids import UpstreamId
 
+STARTED_MS = 1_700_000_000_000
+MAX_REPORT_BYTES = 32
+"""Bytes of one report, with an id of 12 characters."""
+
 
 def test_message_round_trips_through_its_encoding() -> None:
     message = GossipMessage(
@@ -62,3 +74,59 @@
     assert members.expire(FORGET_AFTER_S + 1) == ('b',)
     assert list(members.contacts) == ['b', 'c']
     assert members.count == 2
+
+
+class _OlderMessage(Struct, array_like=True, kw_only=True, tag='state'):
+    """The state of a node before it told of unavailable upstreams."""
+
+    node: str
+    phase: Phase
+    members: list[str] = []
+    loads: dict[UpstreamId, UpstreamLoad] = {}
+    admitted: dict[str, float] = {}
+    crashes: dict[str, int] | None = None
+    down: list[str] = []
+    replaced: dict[str, int] = {}
+    waiting: dict[str, int] = {}
+    holder: str = ''
+    switching: dict[str, float] = {}
+
+
+def test_older_and_newer_nodes_do_not_understand_each_other() -> None:
+    engine = UpstreamId('a')
+    newer = GossipMessage(
+        node='10.0.0.1',
+        phase=Phase.RUNNING,
+        switching={engine: 1.5},
+        unavailable={engine: AvailabilityReport(7, None)},
+    )
+    read_by_older = msgspec.msgpack.decode(
+        encode_gossip(newer), type=_OlderMessage
+    )
+    assert read_by_older.switching == {engine: 1.5}
+    older = _OlderMessage(node='10.0.0.1', phase=Phase.RUNNING, holder='b')
+    read_by_newer = decode_gossip(msgspec.msgpack.encode(older))
+    assert isinstance(read_by_newer, GossipMessage)
+    assert read_by_newer.holder == 'b'
+    assert not read_by_newer.unavailable
+
+
+@pytest.mark.parametrize('count', [0, 3, MAX_REPORTS])
+def test_reports_of_unavailable_upstreams_make_messages_large(
+    count: int,
+) -> None:
+    names = [UpstreamId(f'i-{number:010d}') for number in range(count)]
+    sizes = [
+        len(
+            encode_gossip(
+                GossipMessage(
+                    node='10.0.0.1', phase=Phase.RUNNING, unavailable=reports
+                )
+            )
+        )
+        for reports in (
+            {},
+            dict.fromkeys(names, AvailabilityReport(STARTED_MS, 120_000)),
+        )
+    ]
+    assert sizes[1] - sizes[0] <= MAX_REPORT_BYTES * count + 2
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -49,6 +49,7 @@
     UPSTREAM_UP = 'upstream-up'
     UPSTREAM_LEAVING = 'upstream-leaving'
     UPSTREAM_PAUSED = 'upstream-paused'
+    UPSTREAM_REPORTED = 'upstream-reported'
     REFUSED = 'refused'
     PLACED = 'placed'
     GAVE_WAY = 'gave-way'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
@@ -13,11 +13,16 @@
     encode_gossip,
 )
 from catkinreach_core.gateway.load_replies import AggregatorRole, LoadReplies
+from catkinreach_core.gateway.peer_availability import (
+    bound_reports,
+    make_reports,
+)
 
 from .decision_log import Event
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.load_table import UpstreamLoad
+    from catkinreach_core.gateway.peer_availability import AvailabilityReport
     from catkinreach_core.ids import ServiceId, UpstreamId, WorkspaceId
 
     from .node import Node
@@ -155,6 +160,7 @@
         for upstream_id in reply.down:
             node.checks.check_reported_down(upstream_id)
         node.checks.apply_replaced(reply.replaced)
+        node.apply_availability_reports(reply.unavailable, reply.node)
 
     def _reply(self, query: LoadQuery) -> LoadReply:
         node = self._node
@@ -178,6 +184,7 @@
             queued_nodes=len(queued),
             down=node.health.unreachable_upstreams(),
             replaced=node.replaced_upstreams(),
+            unavailable=self._unavailable_for(query, now_s),
         )
 
     def _loads_for(
@@ -203,6 +210,19 @@
         own_cost = node.quota.own_count(query.workspace, now_s)
         return own_cost + node.totals.reported_cost(query.workspace, query.node)
 
+    def _unavailable_for(
+        self, query: LoadQuery, now_s: float
+    ) -> dict[UpstreamId, AvailabilityReport]:
+        """Returns what this node and its peers know of the service."""
+        node = self._node
+        upstreams = [
+            known.upstream
+            for known in node.view.usable_upstreams(query.service)
+        ]
+        reports = node.peer_availability.make_reports(upstreams, now_s)
+        reports.update(make_reports(node.availability, upstreams, now_s))
+        return bound_reports(reports, reports)
+
     def _upstream_ids(self, service_id: ServiceId) -> list[UpstreamId]:
         return [
             known.upstream.upstream_id
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -17,6 +17,10 @@
 from catkinreach_core.gateway.load_table import LoadTable
 from catkinreach_core.gateway.members import Members
 from catkinreach_core.gateway.output_estimate import OutputEstimate
+from catkinreach_core.gateway.peer_availability import (
+    PeerAvailability,
+    make_reports,
+)
 from catkinreach_core.gateway.peer_reports import PeerReports
 from catkinreach_core.gateway.placement import Candidate, has_spare_slots
 from catkinreach_core.gateway.quota import QuotaTable
@@ -41,12 +45,13 @@
 from .upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Mapping
 
     from catkinreach_core.gateway.catalog import Catalog, ServiceTraits
     from catkinreach_core.gateway.crash_reports import SuspectKey
     from catkinreach_core.gateway.load_table import UpstreamLoad
     from catkinreach_core.gateway.metadata import KvHandle, ReplyMetadata
+    from catkinreach_core.gateway.peer_availability import AvailabilityReport
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.gateway.view import KnownUpstream
     from catkinreach_core.ids import RequestId, ServiceId, UpstreamId
@@ -74,6 +79,7 @@
         self.loads = LoadTable()
         self.health = HealthTable()
         self.availability = Availability()
+        self.peer_availability = PeerAvailability()
         self.cold_rate_limiter = ColdRateLimiter(self.rng.random)
         self.output_estimate = OutputEstimate()
         self.crash_suspects = CrashSuspects(self._trial_rank)
@@ -257,6 +263,33 @@
             )
             self.load_changed.set()
 
+    def availability_reports(self) -> dict[UpstreamId, AvailabilityReport]:
+        """Returns the listed upstreams that leave or asked for a pause."""
+        found = map(self.view.find_upstream, self.view.upstream_ids)
+        upstreams = [known.upstream for known in found if known is not None]
+        return make_reports(self.availability, upstreams, self.clock())
+
+    def apply_availability_reports(
+        self, reports: Mapping[UpstreamId, AvailabilityReport], peer: str
+    ) -> None:
+        """Applies a peer's report of upstreams that leave or pause.
+
+        It only makes them less preferred for a short time.
+        """
+        now_s = self.clock()
+        for upstream_id, report in reports.items():
+            known = self.view.find_upstream(upstream_id)
+            if known is not None and self.peer_availability.record(
+                known.upstream, report, now_s
+            ):
+                self.log.write(
+                    Event.UPSTREAM_REPORTED,
+                    upstream=upstream_id,
+                    started_ms=report.started_ms,
+                    peer=peer,
+                    remaining_ms=report.remaining_ms,
+                )
+
     def retry_delay_s(self, service_id: ServiceId) -> float:
         """Returns the time until a service may have capacity again.
 
@@ -330,7 +363,8 @@
         return Candidate(
             known=known,
             load=self.loads.total_load(upstream_id, now_s),
-            penalty=self.health.penalty(upstream_id, now_s),
+            penalty=self.health.penalty(upstream_id, now_s)
+            * self.peer_availability.penalty(known.upstream, now_s),
             is_cold=self._is_cold(known, now_s),
         )
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -19,12 +19,14 @@
     encode_gossip,
 )
 from catkinreach_core.gateway.members import full_message_interval_s
+from catkinreach_core.gateway.peer_availability import bound_reports
 
 from .decision_log import Event
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from catkinreach_core.gateway.peer_availability import AvailabilityReport
     from catkinreach_core.ids import UpstreamId
 
     from .node import Node
@@ -52,6 +54,7 @@
         self._rotation = HeartbeatRotation()
         self._sent_bytes = 0
         self._told_down: frozenset[UpstreamId] = frozenset()
+        self._told_unavailable: frozenset[UpstreamId] = frozenset()
         node.peer_handlers[GossipMessage] = self._apply_message
         node.peer_handlers[CrashMessage] = self._apply_crashes
 
@@ -148,6 +151,7 @@
         data = encode_gossip(message)
         if len(data) > MAX_GOSSIP_BYTES:
             message.members = []
+            message.unavailable = {}
             data = encode_gossip(message)
         for host in recipients:
             self._send_to(host, data)
@@ -210,6 +214,7 @@
             waiting=node.queued_tokens(),
             holder=node.voted_leader,
             switching=node.switching_engines.remaining_s(now_s),
+            unavailable=self._take_unavailable(is_load_change=is_load_change),
         )
 
     def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
@@ -224,6 +229,22 @@
             return down
         return [upstream_id for upstream_id in down if upstream_id not in told]
 
+    def _take_unavailable(
+        self, *, is_load_change: bool
+    ) -> dict[UpstreamId, AvailabilityReport]:
+        """Returns what a message tells of upstreams that leave or pause.
+
+        A change of load repeats none of it.
+        """
+        reports = self._node.availability_reports()
+        told = self._told_unavailable if is_load_change else frozenset()
+        order = [one for one in reports if one not in told]
+        self._node.rng.shuffle(order)
+        bounded = bound_reports(reports, order)
+        all_told = self._told_unavailable | bounded.keys()
+        self._told_unavailable = all_told & reports.keys()
+        return bounded
+
     def _apply_message(self, message: GossipMessage) -> None:
         node = self._node
         now_s = node.clock()
@@ -245,6 +266,7 @@
             node.peer_reports.stopping.add(peer)
         node.peer_reports.queued[peer] = message.waiting
         node.switching_engines.merge_peer(message.switching, now_s)
+        node.apply_availability_reports(message.unavailable, peer)
         if message.phase is Phase.LEFT:
             self._remove_peer(peer, 'left')
 
