--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -24,6 +24,7 @@
 )
 from .feed import SmallChange
 from .load_table import UpstreamLoad
+from .peer_availability import AvailabilityReport
 
 MAX_GOSSIP_BYTES = 8_000
 MAX_GOSSIP_MEMBERS = 12
@@ -59,6 +60,8 @@
             orders to engines.
         switching: Remaining downtime, in seconds, of engines that change
             their stage.
+        unavailable: Upstreams that told the sender that they leave, or asked
+            it for a pause.
     """
 
     node: str
@@ -72,6 +75,9 @@
     waiting: dict[ServiceId, Tokens] = field(default_factory=dict)
     holder: str = ''
     switching: dict[UpstreamId, Seconds] = field(default_factory=dict)
+    unavailable: dict[UpstreamId, AvailabilityReport] = field(
+        default_factory=dict
+    )
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
@@ -117,6 +123,8 @@
         queued_nodes: Number of nodes with queued streams of the service.
         down: Upstreams that the aggregator can't reach.
         replaced: Start, in Unix milliseconds, of each replaced upstream.
+        unavailable: Upstreams of the service that leave or asked for a pause,
+            as the aggregator or a node that reported to it knows.
     """
 
     node: str
@@ -128,6 +136,9 @@
     queued_nodes: NodeCount = 0
     down: list[UpstreamId] = field(default_factory=list)
     replaced: dict[UpstreamId, UnixMs] = field(default_factory=dict)
+    unavailable: dict[UpstreamId, AvailabilityReport] = field(
+        default_factory=dict
+    )
 
 
 class StoreBeacon(Struct, array_like=True, kw_only=True, tag='read'):
--- a/packages/catkinreach-node/tests/platform/test_header_fuzz.py
+++ b/packages/catkinreach-node/tests/platform/test_header_fuzz.py
@@ -11,9 +11,9 @@
 
 from catkinreach_core.gateway.metadata import ForwardMetadata
 from catkinreach_core.ids import UpstreamId
+from catkinreach_core.ranges import MAX_COUNT, MAX_MS
 from catkinreach_core.settings.node import Address
 from catkinreach_node.http.messages import Headers, HttpRequest, encode_headers
-from catkinreach_node.platform.ranges import MAX_COUNT, MAX_MS
 from catkinreach_node.platform.wire import MAX_IDLE_S, PlatformDialect
 from catkinreach_standins.fakes.fuzz_inputs import (
     damaged_json,
