Soak: bound the upstreams that run a call, and its runs apart

The check took max-attempts for a bound on runs. The check becomes two: at most max-attempts upstreams may run a call (new: it wasn't looked at before), and at most one run more than that for what may be repeated; what may run once still runs once. Planted calls at three upstreams, and with four runs, are found.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -29,13 +29,22 @@
 ANSWER_SLACK_S: Final = 1.0
 """Time past the deadline by which a response may be late under load."""
 
-MAX_RUNS: Final = {
+MAX_UPSTREAMS: Final = {
     CallKind.READ: 2,
     CallKind.ORDER: 1,
     CallKind.STREAM: 2,
     CallKind.ONCE: 1,
 }
-"""Executions that a call may have: ``max-attempts`` of its route."""
+"""Upstreams that may run a call: ``max-attempts`` of its route."""
+
+MAX_RUNS: Final = {
+    CallKind.READ: 3,
+    CallKind.ORDER: 1,
+    CallKind.STREAM: 3,
+    CallKind.ONCE: 1,
+}
+"""Executions that a call may have: one upstream that was silent may get it once
+more."""
 
 NOT_RUN: Final = 'not-run'
 UNJUSTIFIED_STATUSES: Final = frozenset({400, 401, 403, 404, 500})
@@ -100,13 +109,22 @@
     return found
 
 
+def _check_runs(call: CallRecord, records: RunRecords) -> Iterator[str]:
+    """Checks how often, and at how many upstreams, a call ran."""
+    runs = records.runs.get(call.request_id, 0)
+    if runs > MAX_RUNS[call.kind]:
+        yield f'ran {runs} times'
+    upstreams = records.upstreams_by_id.get(call.request_id, ())
+    if len(upstreams) > MAX_UPSTREAMS[call.kind]:
+        yield f'ran at {len(upstreams)} upstreams'
+
+
 def _check_call(
     call: CallRecord, records: RunRecords, explained_ids: frozenset[str]
 ) -> Iterator[str]:
     history = records.history
     runs = records.runs.get(call.request_id, 0)
-    if runs > MAX_RUNS[call.kind]:
-        yield f'ran {runs} times'
+    yield from _check_runs(call, records)
     if call.outcome == NOT_RUN and runs:
         yield f'refused as not run ({call.code}), ran {runs} times'
     if (
