Let a node's components go on after an unexpected error

A component that met an error nobody expected was over for good, without a line: a node held no leases, sent no probes or read no configuration any more, and still served. An error in a hand-over ended the process at once, with requests in flight.

Cause: components were tasks that nobody awaited, and only a time-out of a hand-over was caught.

Change: the supervisor of the gateway is that of all processes now, and the counter with it. Each component runs under it and is run again after 0.2 s; each hand-over is guarded by itself; what asyncio reports of timers, and of tasks that nobody awaits, is logged and counted as background.

--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -16,10 +16,11 @@
 from .wiring import wire_node
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Awaitable, Callable, Mapping
 
     from catkinreach_core.settings.node import NodeSettings
 
+    from .component import NodeComponent
     from .wiring import NodeWiring
 
 DRAIN_TIMEOUT_S = 600.0
@@ -88,11 +89,12 @@
 
     async def run(self) -> None:
         """Serves until the node is drained."""
+        supervisor = self._wiring.supervisor
+        supervisor.watch_loop(asyncio.get_running_loop())
         tasks = [
-            asyncio.create_task(component.run(), name=component.name)
-            for component in self._wiring.components
+            asyncio.create_task(supervisor.keep_running(name, work), name=name)
+            for name, work in self._background_work().items()
         ]
-        tasks.append(asyncio.create_task(self._wiring.tls.run()))
         await self._listen()
         try:
             await self._drain_requested.wait()
@@ -103,6 +105,16 @@
             self._close()
         logger.info('node: stopped.')
 
+    def _background_work(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Returns the work that goes on until the node stops, by name."""
+        return {
+            **{
+                component.name: component.run
+                for component in self._wiring.components
+            },
+            'tls': self._wiring.tls.run,
+        }
+
     async def _listen(self) -> None:
         settings = self._context.settings
         tls = self._wiring.tls
@@ -125,11 +137,8 @@
         await self._caller_server.stop_accepting()
         self._caller_server.close_idle_connections()
         for component in self._wiring.components:
-            try:
-                async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
-                    await component.hand_over()
-            except TimeoutError:
-                logger.error('node: hand-over of {} timed out.', component.name)
+            with self._wiring.supervisor.guard(component.name):
+                await _hand_over(component)
         try:
             async with asyncio.timeout(DRAIN_TIMEOUT_S):
                 await self._caller_server.wait_connections_closed()
@@ -145,4 +154,12 @@
         self._wiring.tracing.close()
 
 
+async def _hand_over(component: NodeComponent) -> None:
+    try:
+        async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
+            await component.hand_over()
+    except TimeoutError:
+        logger.error('node: hand-over of {} timed out.', component.name)
+
+
 __all__ = ('NodeApp',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/gateway_metrics.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/gateway_metrics.py
@@ -34,7 +34,6 @@
         self._stages = {stage: LatencyHistogram() for stage in RequestStage}
         self._failed_sends: Counter[str] = Counter()
         self._failed_load_queries = 0
-        self._task_failures: Counter[str] = Counter()
 
     def record(self, stage: RequestStage, seconds: float) -> None:
         """Records the duration of a phase of a request."""
@@ -48,10 +47,6 @@
         """Counts an aggregator that didn't answer or hadn't heard the fleet."""
         self._failed_load_queries += 1
 
-    def count_task_failure(self, name: str) -> None:
-        """Counts an unexpected error of a task."""
-        self._task_failures[name] += 1
-
     def _lines(self) -> Iterator[str]:
         for stage, histogram in self._stages.items():
             yield from summary_lines(
@@ -61,8 +56,6 @@
             )
         for kind, count in sorted(self._failed_sends.items()):
             yield f'catkinreach_failed_sends_total{{kind="{kind}"}} {count}'
-        for name, count in sorted(self._task_failures.items()):
-            yield f'catkinreach_task_failures_total{{task="{name}"}} {count}'
         yield (
             f'catkinreach_failed_load_queries_total {self._failed_load_queries}'
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -30,13 +30,13 @@
 
 from ..http.client import HttpClient
 from ..http.connection import ConnectError, ExchangeError
+from ..supervisor import BACKGROUND, Supervisor
 from .decision_log import DecisionLog, Event
 from .fleet_totals import FleetTotals
 from .gateway_metrics import GatewayMetrics
 from .load_queries import LoadQueries
 from .reply_buffer import ReplyBuffer
 from .stop_limit import StopLimit
-from .supervisor import Supervisor
 from .upstream_checks import UpstreamChecks
 from .upstream_pool import UpstreamPool
 
@@ -99,7 +99,7 @@
         self.metrics = GatewayMetrics()
         self._add_gauges()
         self.log = DecisionLog(self.clock)
-        self.supervisor = Supervisor(self.log, self.metrics)
+        self.supervisor = Supervisor(self.metrics, self._log_failure)
         self._queues: dict[ServiceId, WaitQueue] = {}
         self.voted_leader = ''
         self.switching_engines = SwitchingEngines()
@@ -311,7 +311,14 @@
             return
         error = task.exception()
         if error is not None:
-            self.supervisor.record('background', error)
+            self.supervisor.record(BACKGROUND, error)
+
+    def _log_failure(self, name: str, error: BaseException) -> None:
+        self.log.write(
+            Event.TASK_FAILED,
+            task=name,
+            reason=f'{type(error).__name__}: {error}',
+        )
 
     def _trial_rank(self, key: SuspectKey) -> int:
         """Returns this node's place in the order of trials of a key."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/supervisor.py
+++ b/packages/catkinreach-node/src/catkinreach_node/supervisor.py
@@ -4,29 +4,42 @@
 
 import asyncio
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, Final
 
 from loguru import logger
 
-from .decision_log import Event
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
 
-    from .decision_log import DecisionLog
-    from .gateway_metrics import GatewayMetrics
+    from .telemetry.metrics import ProcessMetrics
 
 RESTART_DELAY_S = 0.2
 """Pause before a task that failed goes on."""
 
+BACKGROUND: Final = 'background'
+"""Name, in log and metrics, of work that has no task of its own name."""
+
+
+def _ignore_failure(name: str, error: BaseException) -> None:
+    """Does nothing: log and metrics say all."""
+
 
 class Supervisor:
     """Logs and counts unexpected errors of tasks, and lets them go on."""
 
-    def __init__(self, log: DecisionLog, metrics: GatewayMetrics) -> None:
-        """Prepares the supervision of one process."""
-        self._log = log
+    def __init__(
+        self,
+        metrics: ProcessMetrics,
+        on_failure: Callable[[str, BaseException], None] = _ignore_failure,
+    ) -> None:
+        """Prepares the supervision of one process.
+
+        Args:
+            metrics: Count the errors.
+            on_failure: Called for each error, with the name of the task.
+        """
         self._metrics = metrics
+        self._on_failure = on_failure
 
     async def keep_running(
         self, name: str, work: Callable[[], Awaitable[None]]
@@ -55,12 +68,23 @@
     def record(self, name: str, error: BaseException) -> None:
         """Records an unexpected error of a task."""
         self._metrics.count_task_failure(name)
-        self._log.write(
-            Event.TASK_FAILED,
-            task=name,
-            reason=f'{type(error).__name__}: {error}',
+        self._on_failure(name, error)
+        logger.opt(exception=error).error(
+            '{}: unexpected error in a task.', name
         )
-        logger.opt(exception=error).error('unexpected error in a task')
+
+    def watch_loop(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Records errors of timers, and of tasks that nobody awaits."""
+        loop.set_exception_handler(self._record_unhandled)
+
+    def _record_unhandled(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        error = context.get('exception')
+        if error is None:
+            loop.default_exception_handler(context)
+        else:
+            self.record(BACKGROUND, error)
 
 
-__all__ = ('Supervisor',)
+__all__ = ('BACKGROUND', 'Supervisor')
--- a/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
+++ b/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
@@ -58,17 +58,22 @@
 
 
 class ProcessMetrics:
-    """Metrics common to all processes: a counter of answers, and gauges."""
+    """Metrics common to all processes: answers, failed tasks and gauges."""
 
     def __init__(self) -> None:
         """Starts at zero."""
         self._answers: Counter[tuple[str, str]] = Counter()
+        self._task_failures: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def count_answer(self, status: int, code: str) -> None:
         """Counts an answer by HTTP status and error code, ``ok`` if none."""
         self._answers[str(status), code] += 1
 
+    def count_task_failure(self, name: str) -> None:
+        """Counts an unexpected error of a task."""
+        self._task_failures[name] += 1
+
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Adds a gauge; ``read`` is called for each exposition."""
         self._gauges[name] = read
@@ -81,6 +86,8 @@
         for (status, code), count in sorted(self._answers.items()):
             labels = f'status="{status}",code="{code}"'
             yield f'catkinreach_answers_total{{{labels}}} {count}'
+        for name, count in sorted(self._task_failures.items()):
+            yield f'catkinreach_task_failures_total{{task="{name}"}} {count}'
         for name, read in sorted(self._gauges.items()):
             yield f'catkinreach_{name} {read():g}'
 
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -28,6 +28,7 @@
 from .session.engine_client import EngineClient
 from .session.model import ModelStage
 from .session.plain import PlainForwarder, PlainStage
+from .supervisor import Supervisor
 from .telemetry.hop_recorder import HopRecorder
 from .telemetry.metrics import Metrics
 from .telemetry.traces import Tracing
@@ -54,6 +55,7 @@
         accept: First stage of callers' requests.
         tracing: Exporter of spans.
         tls: TLS contexts of the node.
+        supervisor: Lets the node's tasks go on after unexpected errors.
     """
 
     context: NodeContext
@@ -64,6 +66,7 @@
     accept: AcceptStage
     tracing: Tracing
     tls: NodeTls
+    supervisor: Supervisor
 
 
 def wire_node(settings: NodeSettings, incarnation: Incarnation) -> NodeWiring:
@@ -101,6 +104,7 @@
         ),
         tracing=tracing,
         tls=tls,
+        supervisor=Supervisor(hops.metrics),
     )
 
 
