Keep the link to a peer when one message can't be sent or applied

One message that failed when it was applied took the others that had come with it along, and the connection.

Cause: the task of a link ended with the first error it didn't expect; handlers ran within the task that reads the connection.

Change: encoding, handlers and the task of a link are guarded each, logged and counted as peers. A refusal of a kind that only newer peers know counts as peer-protocol; it raised ValueError. A lost connection is no longer reported as an unawaited error.

--- a/packages/catkinreach-node/src/catkinreach_node/peers/transport.py
+++ b/packages/catkinreach-node/src/catkinreach_node/peers/transport.py
@@ -21,6 +21,9 @@
 )
 from catkinreach_core.messages.hello import Hello, Refusal
 
+from ..supervisor import Supervisor
+from ..telemetry.metrics import ProcessMetrics
+
 if TYPE_CHECKING:
     import ssl
     from collections.abc import Awaitable, Callable
@@ -34,6 +37,9 @@
 RECONNECT_DELAY_S = 0.2
 """Delay before a new connection after one that failed."""
 
+TASK_NAME = 'peers'
+"""Name of the transport's tasks in log and metrics."""
+
 MAX_OUTBOX_FRAMES = 2000
 """Frames queued for one peer; further frames are not sent."""
 
@@ -53,10 +59,12 @@
         hello: Hello,
         on_reply: Callable[[Frame], None],
         is_still_needed: Callable[[Frame], bool],
+        supervisor: Supervisor,
         tls: ssl.SSLContext | None = None,
         vm_id: VmId | None = None,
     ) -> None:
         """Sets up an unconnected outbox."""
+        self._supervisor = supervisor
         self._vm_id = vm_id
         self._address = address
         self._hello = hello
@@ -85,10 +93,14 @@
             frame = await self._frames.get()
             if not self._is_still_needed(frame):
                 continue
-            try:
-                await self._connect_and_send(frame)
-            except (OSError, TimeoutError, CatkinreachError):
-                await asyncio.sleep(RECONNECT_DELAY_S)
+            with self._supervisor.guard(TASK_NAME):
+                await self._send_while_connected(frame)
+
+    async def _send_while_connected(self, frame: Frame) -> None:
+        try:
+            await self._connect_and_send(frame)
+        except (OSError, TimeoutError, CatkinreachError):
+            await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def _connect_and_send(self, frame: Frame) -> None:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -124,16 +136,21 @@
             next_frame.cancel()
 
     def _write(self, writer: asyncio.StreamWriter, frame: Frame) -> None:
-        encoded = encode_frame(frame)
-        self.sent_bytes += len(encoded)
-        self.sent_frames += 1
-        writer.write(encoded)
+        """Writes a frame; one that can't be encoded is left out."""
+        with self._supervisor.guard(TASK_NAME):
+            encoded = encode_frame(frame)
+            self.sent_bytes += len(encoded)
+            self.sent_frames += 1
+            writer.write(encoded)
 
     async def _read_replies(self, reader: asyncio.StreamReader) -> None:
         decoder = FrameDecoder()
-        while chunk := await reader.read(READ_SIZE_BYTES):
-            for frame in decoder.feed(chunk):
-                self._on_reply(frame)
+        try:
+            while chunk := await reader.read(READ_SIZE_BYTES):
+                for frame in decoder.feed(chunk):
+                    self._on_reply(frame)
+        except (OSError, CatkinreachError) as error:
+            logger.debug('peers: connection lost: {}.', type(error).__name__)
 
 
 class PeerTransport:
@@ -146,8 +163,10 @@
         address_of: Callable[[VmId], Address | None],
         *,
         tls: ssl.SSLContext | None = None,
+        supervisor: Supervisor | None = None,
     ) -> None:
         """Sets up the transport; ``address_of`` looks up the VM list."""
+        self._supervisor = supervisor or Supervisor(ProcessMetrics())
         self._hello = Hello(vm_id=vm_id, incarnation=incarnation)
         self._address_of = address_of
         self._tls = tls
@@ -260,6 +279,7 @@
                 self._hello,
                 self._on_reply,
                 self._is_still_needed,
+                self._supervisor,
                 self._tls,
                 vm_id,
             )
@@ -311,11 +331,20 @@
     ) -> None:
         message_type = type(frame.message)
         if frame.call:
-            task = asyncio.create_task(self._handle_call(sender, frame, writer))
+            task = asyncio.create_task(
+                self._handle_guarded(sender, frame, writer)
+            )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         elif message_type in self._message_handlers:
-            self._message_handlers[message_type](sender, frame.message)
+            with self._supervisor.guard(TASK_NAME):
+                self._message_handlers[message_type](sender, frame.message)
+
+    async def _handle_guarded(
+        self, sender: VmId, frame: Frame, writer: asyncio.StreamWriter
+    ) -> None:
+        with self._supervisor.guard(TASK_NAME):
+            await self._handle_call(sender, frame, writer)
 
     async def _handle_call(
         self, sender: VmId, frame: Frame, writer: asyncio.StreamWriter
@@ -354,7 +383,7 @@
 
 def _checked_reply(reply: PeerMessage, reply_type: type[ReplyT]) -> ReplyT:
     if isinstance(reply, Refusal):
-        raise CatkinreachError(ErrorKind(reply.kind), reply.detail)
+        raise CatkinreachError(_refusal_kind(reply), reply.detail)
     if not isinstance(reply, reply_type):
         raise CatkinreachError(
             ErrorKind.PEER_PROTOCOL, 'reply of an unexpected type'
@@ -362,4 +391,12 @@
     return reply
 
 
+def _refusal_kind(refusal: Refusal) -> ErrorKind:
+    """Returns the kind of a refusal; newer peers may have others."""
+    try:
+        return ErrorKind(refusal.kind)
+    except ValueError:
+        return ErrorKind.PEER_PROTOCOL
+
+
 __all__ = ('PeerTransport', 'PeerUnreachableError')
--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -74,7 +74,10 @@
     tls = NodeTls.from_settings(settings)
     tracing = Tracing.from_settings(settings.traces, settings.vm_id)
     hops = HopRecorder(Metrics(), tracing.tracer)
-    context, fleet = _build_context(settings, incarnation, hops, tls)
+    supervisor = Supervisor(hops.metrics)
+    context, fleet = _build_context(
+        settings, incarnation, hops, tls, supervisor
+    )
     engines = EngineClient(
         context.client, Holder(vm=settings.vm_id, incarnation=incarnation)
     )
@@ -104,7 +107,7 @@
         ),
         tracing=tracing,
         tls=tls,
-        supervisor=Supervisor(hops.metrics),
+        supervisor=supervisor,
     )
 
 
@@ -113,6 +116,7 @@
     incarnation: Incarnation,
     hops: HopRecorder,
     tls: NodeTls,
+    supervisor: Supervisor,
 ) -> tuple[NodeContext, FleetComponents]:
     state = FleetState()
 
@@ -121,7 +125,11 @@
         return None if entry is None else entry.address
 
     transport = PeerTransport(
-        settings.vm_id, incarnation, peer_address, tls=tls.peer_client
+        settings.vm_id,
+        incarnation,
+        peer_address,
+        tls=tls.peer_client,
+        supervisor=supervisor,
     )
     client = HttpClient()
     fleet = FleetComponents.from_settings(
