Ask for units again after a slice request that failed unexpectedly

Callers of a workspace got 429 at one node for good once one request for its units had met an error that nobody expected.

Cause: the limiter asks again only after the end of its last request, which such an error never told it. The class: an error in background work with a lasting effect.

Change: whatever ends a slice request, the limiter is told.

--- a/packages/catkinreach-node/src/catkinreach_node/limits/task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/limits/task.py
@@ -6,6 +6,7 @@
 import itertools
 import math
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING, Final
 
 from loguru import logger
@@ -236,11 +237,15 @@
     async def _request_slices(
         self, limiter: WorkspaceLimiter, slice_request: SliceRequest
     ) -> None:
+        grant: SliceGrant | None = None
         try:
-            grant = await self._call_owner(slice_request)
-        except (PeerUnreachableError, CatkinreachError):
-            limiter.on_failure(slice_request.sequence, time.monotonic())
-        else:
+            with suppress(PeerUnreachableError, CatkinreachError):
+                grant = await self._call_owner(slice_request)
+        finally:
+            # Whatever happens: the limiter asks again only after an end.
+            if grant is None:
+                limiter.on_failure(slice_request.sequence, time.monotonic())
+        if grant is not None:
             limiter.on_grant(grant, time.monotonic())
         self._advance_limiter(limiter)
 
