Tell how much memory the bodies of callers take at a node

Change: the node names the memory and shows it in its metrics. What is parsed from a body, such as the token ids of a prompt, has no share in it; that wasn't measured.

--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -10,6 +10,7 @@
 
 from catkinreach_core.ids import Incarnation
 
+from .http.body_memory import BodyMemory
 from .http.server import HttpServer
 from .operator.lifecycle import LifecycleActions
 from .operator.page_action import PageAction
@@ -36,7 +37,13 @@
         """Takes the assembled node; nothing listens yet."""
         self._wiring = wiring
         self._context = wiring.context
-        self._caller_server = HttpServer(wiring.accept.serve, name='callers')
+        self._body_memory = BodyMemory()
+        self._caller_server = HttpServer(
+            wiring.accept.serve, name='callers', memory=self._body_memory
+        )
+        wiring.context.hops.metrics.add_gauge(
+            'body_memory_bytes', lambda: self._body_memory.used_bytes
+        )
         self._operator_server = HttpServer(
             self._context.api.serve, name='operator'
         )
--- a/packages/catkinreach-node/tests/lifecycle/test_failing_components.py
+++ b/packages/catkinreach-node/tests/lifecycle/test_failing_components.py
@@ -4,18 +4,10 @@
 
 import asyncio
 import gc
-from contextlib import asynccontextmanager
-from pathlib import Path
-from typing import TYPE_CHECKING
 
-import msgspec
 import pytest
 
-from catkinreach_core.ids import Incarnation
-from catkinreach_core.settings import load_node
-from catkinreach_core.settings.node import Address
 from catkinreach_node import app
-from catkinreach_node.app import NodeApp
 from catkinreach_node.cell.cell_owner import CellOwner
 from catkinreach_node.engine_orders.task import EngineOrdersTask
 from catkinreach_node.fleet.heartbeats import HeartbeatTask
@@ -23,16 +15,9 @@
 from catkinreach_node.fleet.relay import RelayTask
 from catkinreach_node.limits.task import LimitTask
 from catkinreach_node.orders.task import OrdersTask
-from catkinreach_node.wiring import wire_node
-from catkinreach_standins.bench.ports import LOOPBACK, free_ports
+from catkinreach_standins.fakes.node_apps import running_node
 from catkinreach_standins.platform.deployment import eventually
 
-if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
-    from catkinreach_core.settings.node import NodeSettings
-
-EXAMPLES = Path(__file__).resolve().parents[4] / 'examples'
 FAILURES = 2
 WITHIN_S = 10.0
 
@@ -53,31 +38,6 @@
             raise LookupError('nobody expected this')
 
 
-def _settings() -> NodeSettings:
-    text = (EXAMPLES / 'ninepatch' / 'vm-1.ini').read_text()
-    ports = free_ports(4)
-    addresses = [Address(LOOPBACK, port) for port in ports]
-    return msgspec.structs.replace(
-        load_node(text, source='vm-1.ini'),
-        caller_address=addresses[0],
-        operator_address=addresses[1],
-        peer_address=addresses[2],
-        config_service=addresses[3],
-    )
-
-
-@asynccontextmanager
-async def _running_node() -> AsyncIterator[NodeApp]:
-    node = NodeApp(wire_node(_settings(), Incarnation('i')))
-    running = asyncio.create_task(node.run())
-    try:
-        yield node
-        assert not running.done()
-    finally:
-        node.drain()
-        await running
-
-
 @pytest.fixture(autouse=True)
 def _quick_drain(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(app, 'READINESS_NOTICE_S', 0.01)
@@ -103,7 +63,7 @@
         return work.calls > FAILURES
 
     async def run() -> None:
-        async with _running_node() as node:
+        async with running_node() as node:
             await eventually(goes_on, within_s=WITHIN_S)
             counter = f'catkinreach_task_failures_total{{task="{task}"}}'
             assert f'{counter} {FAILURES}' in node.exposition()
@@ -129,7 +89,7 @@
     monkeypatch.setattr(EngineOrdersTask, 'hand_over', note)
 
     async def run() -> None:
-        async with _running_node():
+        async with running_node():
             await asyncio.sleep(0)
 
     asyncio.run(run())
@@ -144,7 +104,7 @@
         raise LookupError('nobody expected this')
 
     async def run() -> None:
-        async with _running_node() as node:
+        async with running_node() as node:
             # Until the first turn of the node's own task.
             await asyncio.sleep(0)
             await asyncio.wait({asyncio.create_task(work())})
