--- a/packages/catkinreach-core/src/catkinreach_core/ranges.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ranges.py
@@ -22,6 +22,7 @@
 MAX_PORT: Final = 65_535
 
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+TokenId = Annotated[int, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 PositiveCount = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
 Amount = Annotated[float, Meta(ge=0, le=MAX_COUNT)]
 Seconds = Annotated[float, Meta(ge=0, le=MAX_S)]
@@ -42,5 +43,6 @@
     'Revision',
     'Seconds',
     'SequenceNumber',
+    'TokenId',
     'UnixMilliseconds',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/session/completion.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/completion.py
@@ -10,7 +10,7 @@
 
 from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_core.errors import CatkinreachError, ErrorKind
-from catkinreach_core.ranges import Count
+from catkinreach_core.ranges import TokenId
 
 if TYPE_CHECKING:
     from catkinreach_core.ids import RequestId
@@ -33,7 +33,7 @@
 
     model: str = ''
     messages: tuple[ChatMessage, ...] = ()
-    prompt: str | tuple[Count, ...] = ''
+    prompt: str | tuple[TokenId, ...] = ''
     max_tokens: int = DEFAULT_MAX_TOKENS
     stream: bool = False
 
