--- a/packages/catkinreach-node/src/catkinreach_node/wiring.py
+++ b/packages/catkinreach-node/src/catkinreach_node/wiring.py
@@ -28,6 +28,7 @@
 from .session.engine_client import EngineClient
 from .session.model import ModelStage
 from .session.plain import PlainForwarder, PlainStage
+from .supervisor import Supervisor
 from .telemetry.hop_recorder import HopRecorder
 from .telemetry.metrics import Metrics
 from .telemetry.traces import Tracing
@@ -54,6 +55,7 @@
         accept: First stage of callers' requests.
         tracing: Exporter of spans.
         tls: TLS contexts of the node.
+        supervisor: Lets the node's tasks go on after unexpected errors.
     """
 
     context: NodeContext
@@ -64,6 +66,7 @@
     accept: AcceptStage
     tracing: Tracing
     tls: NodeTls
+    supervisor: Supervisor
 
 
 def wire_node(settings: NodeSettings, incarnation: Incarnation) -> NodeWiring:
@@ -71,7 +74,10 @@
     tls = NodeTls.from_settings(settings)
     tracing = Tracing.from_settings(settings.traces, settings.vm_id)
     hops = HopRecorder(Metrics(), tracing.tracer)
-    context, fleet = _build_context(settings, incarnation, hops, tls)
+    supervisor = Supervisor(hops.metrics)
+    context, fleet = _build_context(
+        settings, incarnation, hops, tls, supervisor
+    )
     engines = EngineClient(
         context.client, Holder(vm=settings.vm_id, incarnation=incarnation)
     )
@@ -101,6 +107,7 @@
         ),
         tracing=tracing,
         tls=tls,
+        supervisor=supervisor,
     )
 
 
@@ -109,6 +116,7 @@
     incarnation: Incarnation,
     hops: HopRecorder,
     tls: NodeTls,
+    supervisor: Supervisor,
 ) -> tuple[NodeContext, FleetComponents]:
     state = FleetState()
 
@@ -117,7 +125,11 @@
         return None if entry is None else entry.address
 
     transport = PeerTransport(
-        settings.vm_id, incarnation, peer_address, tls=tls.peer_client
+        settings.vm_id,
+        incarnation,
+        peer_address,
+        tls=tls.peer_client,
+        supervisor=supervisor,
     )
     client = HttpClient()
     fleet = FleetComponents.from_settings(
