Bound the numbers in the datagrams of peers

One datagram of a peer with an infinite or not-a-number time took an engine out of use until the next restart (a switch of stage that never ends), kept expired entries for ever (grace), or made the cost of a workspace not-a-number, which no limit compares with. Negative loads hid work. The node passed what it had got on to others.

Cause: the messages had types without ranges. The class: a decoder that checks the type and leaves the range to whoever uses the value.

Change: datagram_ranges has the ranges; sums of values within them fit into a message again, and ages that are passed on are cut off at the greatest one. Addresses of engines have ports from 0 to 65,535. A datagram with a number out of its range is ignored.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
@@ -9,6 +9,8 @@
 
 from msgspec import Struct
 
+from .datagram_ranges import AgeMs
+
 SuspectKey = NewType('SuspectKey', str)
 """Hash of a whole request or of one part of its prompt."""
 
@@ -25,7 +27,7 @@
     """
 
     source: CrashSource
-    age_ms: int
+    age_ms: AgeMs
 
 
 class SuspectReport(Struct, array_like=True, frozen=True):
@@ -39,7 +41,7 @@
     """
 
     crashes: list[int]
-    ran_ms_ago: int | None
+    ran_ms_ago: AgeMs | None
 
 
 class CrashReport(Struct, array_like=True, frozen=True):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -37,6 +37,7 @@
     SuspectKey,
     SuspectReport,
 )
+from .datagram_ranges import MAX_AGE_MS
 from .suspect import CRASHES_TO_REFUSE, MIN_REFUSAL_S, Suspect
 from .trial import Trial
 
@@ -258,7 +259,7 @@
 
 
 def _to_ms(duration_s: float) -> int:
-    return max(0, round(duration_s * MS_PER_S))
+    return min(MAX_AGE_MS, max(0, round(duration_s * MS_PER_S)))
 
 
 __all__ = (
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -9,9 +9,19 @@
 from msgspec import Meta, Struct, field
 
 from ..documents import DocumentError, decode_document
-from ..ids import Revision, ServiceId, UpstreamId, WorkspaceId
+from ..ids import ServiceId, UpstreamId, WorkspaceId
 from .crash_reports import CrashReport
 from .datagram_hosts import is_ip_address
+from .datagram_ranges import (
+    Cost,
+    GraceSeconds,
+    NetCost,
+    NodeCount,
+    RevisionNumber,
+    Seconds,
+    Tokens,
+    UnixMs,
+)
 from .feed import SmallChange
 from .load_table import UpstreamLoad
 
@@ -55,13 +65,13 @@
     phase: Phase
     members: _Members = field(default_factory=list)
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
-    admitted: dict[WorkspaceId, float] = field(default_factory=dict)
+    admitted: dict[WorkspaceId, Cost] = field(default_factory=dict)
     crashes: dict[str, int] | None = None
     down: list[UpstreamId] = field(default_factory=list)
-    replaced: dict[UpstreamId, int] = field(default_factory=dict)
-    waiting: dict[ServiceId, int] = field(default_factory=dict)
+    replaced: dict[UpstreamId, UnixMs] = field(default_factory=dict)
+    waiting: dict[ServiceId, Tokens] = field(default_factory=dict)
     holder: str = ''
-    switching: dict[UpstreamId, float] = field(default_factory=dict)
+    switching: dict[UpstreamId, Seconds] = field(default_factory=dict)
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
@@ -113,11 +123,11 @@
     query_id: int
     is_complete: bool
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
-    admitted: float = 0.0
-    queued_tokens: int = 0
-    queued_nodes: int = 0
+    admitted: NetCost = 0.0
+    queued_tokens: Tokens = 0
+    queued_nodes: NodeCount = 0
     down: list[UpstreamId] = field(default_factory=list)
-    replaced: dict[UpstreamId, int] = field(default_factory=dict)
+    replaced: dict[UpstreamId, UnixMs] = field(default_factory=dict)
 
 
 class StoreBeacon(Struct, array_like=True, kw_only=True, tag='read'):
@@ -132,9 +142,9 @@
     """
 
     node: str
-    revision: Revision
-    changed_revision: Revision
-    age_s: float
+    revision: RevisionNumber
+    changed_revision: RevisionNumber
+    age_s: Seconds
 
 
 class StoreChanges(Struct, array_like=True, kw_only=True, tag='changes'):
@@ -150,9 +160,9 @@
     """
 
     node: str
-    after: Revision
-    revision: Revision
-    expiry_grace_s: float
+    after: RevisionNumber
+    revision: RevisionNumber
+    expiry_grace_s: GraceSeconds
     changes: list[SmallChange]
 
 
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/load_table.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/load_table.py
@@ -8,6 +8,8 @@
 
 from msgspec import Struct
 
+from .datagram_ranges import Tokens
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
@@ -29,9 +31,9 @@
         memory_tokens: KV cache, in tokens, reserved for decoding requests.
     """
 
-    running: int = 0
-    prefill_tokens: int = 0
-    memory_tokens: int = 0
+    running: Tokens = 0
+    prefill_tokens: Tokens = 0
+    memory_tokens: Tokens = 0
 
     @property
     def is_idle(self) -> bool:
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
@@ -8,6 +8,7 @@
 
 from ..ids import FailureDomainId, ServiceId, UpstreamId
 from ..settings.node import Address
+from .datagram_ranges import Seconds, Tokens, UnixMs
 
 
 class UpstreamState(Enum):
@@ -47,9 +48,9 @@
     domain_id: FailureDomainId
     state: UpstreamState
     stage: Stage
-    slots: int
-    cold_s: float
-    started_ms: int
+    slots: Tokens
+    cold_s: Seconds
+    started_ms: UnixMs
 
 
 __all__ = ('Stage', 'Upstream', 'UpstreamState')
--- a/packages/catkinreach-core/src/catkinreach_core/settings/node.py
+++ b/packages/catkinreach-core/src/catkinreach_core/settings/node.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
+from typing import Annotated, Final
+
+from msgspec import Meta, Struct
 
 from ..ids import FailureDomainId, VmId
 
+MAX_PORT: Final = 65_535
+
+Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
+
 
 class Address(Struct, frozen=True):
     """A host, usually an IP address, and a TCP port."""
 
     host: str
-    port: int
+    port: Port
 
     @classmethod
     def from_text(cls, text: str) -> Address:
