Refuse crash reports whose parts do not fit together

A report of a peer that names a crash beyond its list ended in an IndexError after half of it was applied; one with a negative number laid the last crash to any key.

Cause: places in the list of crashes were any integers.

Evidence: test_datagram_fuzz with the stored input crash-index failed before, passes now; crash-index-negative, which raised nothing, is stored beside it.

Change: decoding a report checks that each place is in its list.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
-from typing import NewType
+from typing import Annotated, NewType
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from .datagram_ranges import AgeMs
 
+_CrashIndex = Annotated[int, Meta(ge=0)]
+
 SuspectKey = NewType('SuspectKey', str)
 """Hash of a whole request or of one part of its prompt."""
 
@@ -40,7 +42,7 @@
             milliseconds; ``None`` if that isn't known.
     """
 
-    crashes: list[int]
+    crashes: list[_CrashIndex]
     ran_ms_ago: AgeMs | None
 
 
@@ -55,6 +57,16 @@
     crashes: list[SeenCrash]
     suspects: dict[SuspectKey, SuspectReport]
 
+    @property
+    def is_consistent(self) -> bool:
+        """Returns whether each key has only crashes that are in the list."""
+        count = len(self.crashes)
+        return all(
+            index < count
+            for suspect in self.suspects.values()
+            for index in suspect.crashes
+        )
+
 
 __all__ = (
     'CrashReport',
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -196,9 +196,16 @@
         message = decode_document(_DECODER, data)
     except DocumentError:
         return None
+    return message if _is_consistent(message) else None
+
+
+def _is_consistent(message: PeerDatagram) -> bool:
+    """Returns whether a message has nothing that its types can't exclude."""
     if isinstance(message, GossipMessage):
-        return message if all(map(is_ip_address, message.members)) else None
-    return message
+        return all(map(is_ip_address, message.members))
+    if isinstance(message, CrashMessage):
+        return message.report.is_consistent
+    return True
 
 
 __all__ = (
