Ignore crash reports longer than any node sends

Cause: the work of a message grows with the cube of its length, which had no bound. The class: a bound on bytes taken for a bound on work.

Evidence: test_long_crash_report_holds_the_event_loop failed before, passes now; test_longest_crash_report_of_a_node_is_refused shows that the reports of a node with 400 crashes are within the bound, before and now.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
@@ -11,7 +11,13 @@
 
 from .datagram_ranges import AgeMs
 
-_CrashIndex = Annotated[int, Meta(ge=0)]
+MAX_CRASHES_TOLD = 128
+"""Most crashes in one report; a node tells fewer."""
+
+MAX_KEYS_TOLD = 64
+"""Most keys in one report; a node tells fewer."""
+
+_CrashIndex = Annotated[int, Meta(ge=0, lt=MAX_CRASHES_TOLD)]
 
 SuspectKey = NewType('SuspectKey', str)
 """Hash of a whole request or of one part of its prompt."""
@@ -42,7 +48,7 @@
             milliseconds; ``None`` if that isn't known.
     """
 
-    crashes: list[_CrashIndex]
+    crashes: Annotated[list[_CrashIndex], Meta(max_length=MAX_CRASHES_TOLD)]
     ran_ms_ago: AgeMs | None
 
 
@@ -54,8 +60,10 @@
         suspects: The keys.
     """
 
-    crashes: list[SeenCrash]
-    suspects: dict[SuspectKey, SuspectReport]
+    crashes: Annotated[list[SeenCrash], Meta(max_length=MAX_CRASHES_TOLD)]
+    suspects: Annotated[
+        dict[SuspectKey, SuspectReport], Meta(max_length=MAX_KEYS_TOLD)
+    ]
 
     @property
     def is_consistent(self) -> bool:
--- a/packages/catkinreach-core/tests/gateway/test_gossip.py
+++ b/packages/catkinreach-core/tests/gateway/test_gossip.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
+from catkinreach_core.gateway.crash_reports import (
+    CrashReport,
+    CrashSource,
+    SeenCrash,
+    SuspectKey,
+)
+from catkinreach_core.gateway.crash_suspects import CrashSuspects
 from catkinreach_core.gateway.gossip import (
+    CrashMessage,
     GossipMessage,
     Phase,
     decode_gossip,
@@ -62,3 +70,21 @@
     assert members.expire(FORGET_AFTER_S + 1) == ('b',)
     assert list(members.contacts) == ['b', 'c']
     assert members.count == 2
+
+
+def test_long_crash_report_holds_the_event_loop() -> None:
+    # Merging takes the cube of the number of crashes.
+    report = CrashReport([SeenCrash(CrashSource(0), 0)] * 1_000, {})
+    message = CrashMessage(node='10.0.0.1', report=report)
+    assert decode_gossip(encode_gossip(message)) is None
+
+
+def test_longest_crash_report_of_a_node_is_refused() -> None:
+    suspects = CrashSuspects()
+    for number in range(400):
+        keys = [SuspectKey(f'{number % 40}'), SuspectKey(f'own {number}')]
+        suspects.record_crash(keys, CrashSource(number), float(number))
+        message = CrashMessage(
+            node='10.0.0.1', report=suspects.report(float(number))
+        )
+        assert decode_gossip(encode_gossip(message)) == message
