Bound the numbers in the settings file

Operators got a traceback (OverflowError) for limits.memory-mb=inf and for a file that is not UTF-8, in place of a message and exit status 2; not-a-number, negative and infinite times, limits and bandwidths, and ports out of range, were taken.

Cause: numbers of the file were converted without a range.

Change: numbers lie between 0 and 2,147,483,647, ports between 1 and 65,535; whatever else is an invalid setting. Bytes that are no UTF-8 are malformed values.

--- a/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
@@ -12,6 +12,8 @@
 from catkinreach_core.settings.node import Address
 
 from ..gateway.settings import GatewaySettings, SharedBounds
+from .addresses import read_address
+from .ranges import MAX_COUNT
 
 BOOT_VARIABLE: Final = 'CATKINREACH_BOOT'
 MS_PER_S: Final = 1000.0
@@ -38,12 +40,16 @@
         Raises:
             CatkinreachError: if a field is missing or malformed.
         """
-        self._text = self._path.read_text(encoding='utf-8')
+        self._text = self._read_text()
         return read_settings(self._text, metrics_port)
 
     def has_changed(self) -> bool:
         """Returns whether the file differs from the text last read."""
-        return self._path.read_text(encoding='utf-8') != self._text
+        return self._read_text() != self._text
+
+    def _read_text(self) -> str:
+        """Returns the text; bytes that are no UTF-8 are malformed values."""
+        return self._path.read_text(encoding='utf-8', errors='replace')
 
 
 def read_settings(text: str, metrics_port: int) -> GatewaySettings:
@@ -67,45 +73,57 @@
 
 
 def _settings(fields: dict[str, str], metrics_port: int) -> GatewaySettings:
-    first_port = int(fields['internal-ports'].split(',')[0])
+    first_port = fields['internal-ports'].split(',')[0]
     own_host = fields['ip']
     seeds = [seed for seed in fields.get('seeds', '').split(',') if seed]
     return GatewaySettings(
         vm_id=VmId(fields['node-name']),
         domain_id=FailureDomainId(fields['zone']),
         host=own_host,
-        caller_address=Address.from_text(fields['listen.front']),
-        ready_address=Address.from_text(fields['listen.ready']),
-        peer_address=Address(host=own_host, port=first_port),
+        caller_address=read_address(fields['listen.front']),
+        ready_address=read_address(fields['listen.ready']),
+        peer_address=read_address(f'{own_host}:{first_port}'),
         metrics_address=Address(host=own_host, port=metrics_port),
-        store_address=Address.from_text(fields['platform.address']),
+        store_address=read_address(fields['platform.address']),
         # The seeds' ports belong to another service; only the host is used.
         peer_hosts=tuple(Address.from_text(seed).host for seed in seeds),
         bounds=_bounds(fields),
         link_bytes_per_s=_link_bytes_per_s(fields),
         memory_bytes=int(
-            float(fields.get('limits.memory-mb', 0)) * BYTES_PER_MEGABYTE
+            _number(fields.get('limits.memory-mb', '0')) * BYTES_PER_MEGABYTE
         ),
     )
 
 
 def _link_bytes_per_s(fields: dict[str, str]) -> float:
     """Returns the bandwidth of the link; infinite if it isn't known."""
-    megabits_per_s = float(fields.get('limits.link-mbps', 0))
+    megabits_per_s = _number(fields.get('limits.link-mbps', '0'))
     return megabits_per_s * BYTES_PER_MEGABIT or math.inf
 
 
 def _bounds(fields: dict[str, str]) -> SharedBounds:
     return SharedBounds(
-        stop_grace_s=float(fields['bounds.grace-s']),
-        apply_within_s=float(fields['bounds.config-apply-ms']) / MS_PER_S,
-        repeat_ratio=float(fields['bounds.budget-ratio']),
-        repeat_slack=float(fields['bounds.retry-slack']),
-        repeat_window_s=float(fields['bounds.budget-window-s']),
-        quota_window_s=float(fields['bounds.quota-window-s']),
-        quota_excess_ratio=float(fields['bounds.quota-over']),
-        quota_slack=float(fields['bounds.quota-slack']),
+        stop_grace_s=_number(fields['bounds.grace-s']),
+        apply_within_s=_number(fields['bounds.config-apply-ms']) / MS_PER_S,
+        repeat_ratio=_number(fields['bounds.budget-ratio']),
+        repeat_slack=_number(fields['bounds.retry-slack']),
+        repeat_window_s=_number(fields['bounds.budget-window-s']),
+        quota_window_s=_number(fields['bounds.quota-window-s']),
+        quota_excess_ratio=_number(fields['bounds.quota-over']),
+        quota_slack=_number(fields['bounds.quota-slack']),
     )
 
 
+def _number(text: str) -> float:
+    """Returns a number from 0 to ``MAX_COUNT``.
+
+    Raises:
+        ValueError: if it isn't one.
+    """
+    number = float(text)
+    if not 0 <= number <= MAX_COUNT:
+        raise ValueError(f'number out of range: {text!r}')
+    return number
+
+
 __all__ = ('BootFile', 'read_settings')
--- a/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
@@ -10,14 +10,16 @@
 from catkinreach_core.documents import DocumentError, decode_document
 from catkinreach_core.gateway.upstream import Stage, Upstream, UpstreamState
 from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
-from catkinreach_core.settings.node import Address
 
+from .addresses import read_address
 from .boot import MS_PER_S
-from .ranges import MAX_PORT, Count, Milliseconds, Revision, UnixMilliseconds
+from .ranges import Count, Milliseconds, Revision, UnixMilliseconds
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from catkinreach_core.settings.node import Address
+
 _Value = TypeVar('_Value')
 
 STATES: Final = {
@@ -86,12 +88,9 @@
         DocumentError: if it isn't an address that can be connected to.
     """
     try:
-        address = Address.from_text(text)
+        return read_address(text)
     except ValueError as error:
         raise DocumentError(str(error)) from error
-    if not 0 < address.port <= MAX_PORT:
-        raise DocumentError(f'port out of range in {text!r}')
-    return address
 
 
 __all__ = ('read_upstream',)
