Leave out upstreams whose names fit into no header

Callers got 500 internal for the requests that were placed on an upstream whose key in the store has a line break or a character outside Latin-1.

Cause: the name goes into the header expect-instance unchecked. The class: as for KV handles, text from outside that is checked only where it is sent.

Evidence: test_document_fuzz (entries, configuration, pages and events of the store, each applied to a node) with the stored inputs name-line-break and name-not-latin, and test_datagram_fuzz with changes-name, as peers relay entries: failed before, pass now.

Change: a name has 1 to 256 characters that a header may have; other entries are unreadable, and a datagram that relays one is ignored.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -22,7 +22,8 @@
     Tokens,
     UnixMs,
 )
-from .feed import SmallChange
+from .feed import SmallChange, UpstreamPublished
+from .header_text import is_sendable_name
 from .load_table import UpstreamLoad
 
 MAX_GOSSIP_BYTES = 8_000
@@ -205,6 +206,12 @@
         return all(map(is_ip_address, message.members))
     if isinstance(message, CrashMessage):
         return message.report.is_consistent
+    if isinstance(message, StoreChanges):
+        return all(
+            is_sendable_name(change.upstream.upstream_id)
+            for change in message.changes
+            if isinstance(change, UpstreamPublished)
+        )
     return True
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from catkinreach_core.documents import DocumentError, decode_document
+from catkinreach_core.gateway.header_text import is_sendable_name
 from catkinreach_core.gateway.upstream import Stage, Upstream, UpstreamState
 from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
 
@@ -56,6 +57,8 @@
     Raises:
         DocumentError: if it is malformed; it may come from another writer.
     """
+    if not is_sendable_name(upstream_id):
+        raise DocumentError('the name fits into no header')
     entry = decode_document(_DECODER, document)
     return Upstream(
         upstream_id=upstream_id,
--- a/packages/catkinreach-node/tests/gateway/test_datagram_fuzz.py
+++ b/packages/catkinreach-node/tests/gateway/test_datagram_fuzz.py
@@ -42,6 +42,7 @@
     encode_gossip,
 )
 from catkinreach_core.gateway.load_table import UpstreamLoad
+from catkinreach_core.gateway.metadata import ForwardMetadata
 from catkinreach_core.ids import (
     FailureDomainId,
     Revision,
@@ -51,6 +52,7 @@
 from catkinreach_node.gateway.peer_link import PeerLink
 from catkinreach_node.gateway.store_relay_link import StoreRelayLink
 from catkinreach_node.gateway.view_updater import ViewUpdater
+from catkinreach_node.http.messages import HttpRequest
 from catkinreach_standins.fakes.fuzz_inputs import (
     damaged_bytes,
     damaged_trees,
@@ -58,6 +60,7 @@
     stored_inputs,
 )
 from catkinreach_standins.fakes.gateway import SERVICE, make_upstream
+from catkinreach_standins.fakes.sendable import is_sendable
 from catkinreach_standins.platform.deployment import idle_node
 
 if TYPE_CHECKING:
@@ -183,6 +186,15 @@
     now_s = node.clock()
     for host in node.members.contacts:
         ipaddress.ip_address(host)
+    for upstream_id in node.view.upstream_ids:
+        metadata = ForwardMetadata(
+            upstream_id=upstream_id,
+            deadline_s=1.0,
+            priority=1,
+            workspace_id=None,
+        )
+        request = HttpRequest('GET', '/x')
+        assert is_sendable(node.dialect.upstream_request(request, metadata))
     numbers = [
         *node.switching_engines.remaining_s(now_s).values(),
         node.view.remaining_grace_s(now_s),
