Refuse configurations with names that cannot be sent

All requests of a tenant whose name has a line break or a character outside Latin-1 got 500 internal, and health checks of a service whose path has one failed with an unexpected error.

Cause: both go into heads of requests unchecked. The class: as for names of upstreams.

Evidence: test_document_fuzz with 5 stored configurations (tenant-line-break, tenant-not-latin, health-space, health-not-ascii, health-empty): failed before, pass now.

Change: the names of tenants are as those of upstreams, a health path has 1 to 256 visible ASCII characters; a document with another one is malformed.

--- a/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
@@ -19,6 +19,7 @@
     WorkspacePolicy,
     routes_by_host,
 )
+from catkinreach_core.gateway.header_text import is_sendable_name
 from catkinreach_core.ids import RouteId, ServiceId, WorkspaceId
 
 from .boot import MS_PER_S
@@ -29,6 +30,7 @@
     PositiveCount,
     Revision,
 )
+from .sendable_text import is_target_part
 
 ROUTE_KINDS: Final = {
     'idempotent': RouteKind.IDEMPOTENT,
@@ -165,6 +167,8 @@
 
 def _service(service: _Service) -> ServiceTraits:
     engine = service.engine
+    if not is_target_part(service.health_path):
+        raise DocumentError(f'health path of {service.name!r} is no target')
     return ServiceTraits(
         service_id=ServiceId(service.name),
         max_connections=service.max_connections,
@@ -184,6 +188,8 @@
 
 
 def _workspace(tenant: _Tenant) -> WorkspacePolicy:
+    if not is_sendable_name(tenant.name):
+        raise DocumentError(f'tenant {tenant.name!r} fits into no header')
     return WorkspacePolicy(
         workspace_id=WorkspaceId(tenant.name),
         rate=tenant.rate_per_s,
