Decode the JSON of the product with one kind of error

Callers got an internal error for a completion nested 2,000 deep, and for each answer, event or page of an engine like that; a page of cache events whose block is no hex number, or a poll of holdings that is nested, ended the poll with an unexpected error, so the engine counted as silent; a VM list with an odd address was accepted and raised at each message to that VM; a negative number of KV pieces gave a negative timeout.

Cause: seven places caught the errors of msgspec only, which also raises RecursionError, ValueError and OverflowError, and their numbers and texts had no ranges.

Change: decode_json is the only way in; json_ranges has the ranges.

--- a/packages/catkinreach-core/src/catkinreach_core/documents.py
+++ b/packages/catkinreach-core/src/catkinreach_core/documents.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+_DocumentT = TypeVar('_DocumentT')
 _DocumentT_co = TypeVar('_DocumentT_co', covariant=True)
 
 
@@ -42,4 +43,18 @@
         raise DocumentError(f'{type(error).__name__}: {error}') from error
 
 
-__all__ = ('DocumentDecoder', 'DocumentError', 'decode_document')
+def decode_json(document: bytes, document_type: type[_DocumentT]) -> _DocumentT:
+    """Returns a decoded JSON document.
+
+    Raises:
+        DocumentError: if the document is malformed.
+    """
+    return decode_document(msgspec.json.Decoder(document_type), document)
+
+
+__all__ = (
+    'DocumentDecoder',
+    'DocumentError',
+    'decode_document',
+    'decode_json',
+)
--- a/packages/catkinreach-core/src/catkinreach_core/engine_orders/plan.py
+++ b/packages/catkinreach-core/src/catkinreach_core/engine_orders/plan.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from ..json_ranges import Sequence
+
 if TYPE_CHECKING:
     from ..ids import Revision, UpstreamId
     from ..settings.fleet import Pool
@@ -45,7 +47,7 @@
     role: str
     models: tuple[str, ...] = ()
     versions: dict[str, str] = {}
-    fence: int = 0
+    fence: Sequence = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/catkinreach-core/src/catkinreach_core/fleet_list.py
+++ b/packages/catkinreach-core/src/catkinreach_core/fleet_list.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from .ids import FailureDomainId, Revision, VmId
+from .json_ranges import HostPort
 
 
 class VmState(Enum):
@@ -27,7 +28,7 @@
     """
 
     id: VmId
-    peer_address: str
+    peer_address: HostPort
     failure_domain: FailureDomainId
     state: VmState = VmState.LIVE
 
--- a/packages/catkinreach-core/src/catkinreach_core/placement/least_load.py
+++ b/packages/catkinreach-core/src/catkinreach_core/placement/least_load.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from ..json_ranges import Count
 from .policy import Placement, PlacementPolicy
 
 if TYPE_CHECKING:
@@ -20,9 +21,9 @@
 class LoadReport(Struct, frozen=True):
     """Load that an engine reports, with some delay."""
 
-    running: int
-    waiting: int
-    places: int
+    running: Count
+    waiting: Count
+    places: Count
 
 
 class LeastLoadPolicy(PlacementPolicy):
--- a/packages/catkinreach-node/src/catkinreach_node/cell/baseline_scheduler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/baseline_scheduler.py
@@ -9,9 +9,8 @@
 from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from catkinreach_core.cell.placement_request import Granted, PlacementRequest
+from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.placement.least_load import LeastLoadPolicy, LoadReport
 from catkinreach_core.placement.round_robin import RoundRobinPolicy
@@ -127,10 +126,10 @@
                 _, body = await self._context.client.call_json(
                     upstream_address(upstream), 'GET', '/v1/load'
                 )
-            report = msgspec.json.decode(body, type=LoadReport)
+            report = decode_json(body, LoadReport)
         except (ConnectError, ExchangeError, TimeoutError):
             return
-        except msgspec.MsgspecError:
+        except DocumentError:
             return
         self._least_load.record_report(upstream.upstream_id, report)
 
--- a/packages/catkinreach-node/src/catkinreach_node/cell/engine_poller.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/engine_poller.py
@@ -13,6 +13,8 @@
 
 from catkinreach_core.cell.blocks import block_key
 from catkinreach_core.cell.engine_view import Health
+from catkinreach_core.documents import DocumentError, decode_json
+from catkinreach_core.json_ranges import HexDigest, Sequence
 
 from ..component import NodeComponent
 from ..http.connection import ClientConnection, ConnectError, ExchangeError
@@ -49,9 +51,9 @@
 class CacheEvent(msgspec.Struct, frozen=True):
     """One event of an engine's prefix cache."""
 
-    seq: int
+    seq: Sequence
     kind: str
-    block: str
+    block: HexDigest
 
 
 class CacheEventsPage(msgspec.Struct, frozen=True):
@@ -153,8 +155,8 @@
             self._record_failure(owned, view, is_refused=is_refused)
         else:
             owned.cell.record_poll_answer(view, boot, time.monotonic())
-            with suppress(msgspec.MsgspecError):
-                page = msgspec.json.decode(body, type=HoldingsPage)
+            with suppress(DocumentError):
+                page = decode_json(body, HoldingsPage)
                 await self._sweeper.sweep(owned.cell, view, page)
         finally:
             state.is_polling = False
@@ -179,8 +181,8 @@
         _, body = await self._fetch(
             view.upstream, f'/v1/cache-events?after={state.last_seq}'
         )
-        with suppress(msgspec.MsgspecError):
-            page = msgspec.json.decode(body, type=CacheEventsPage)
+        with suppress(DocumentError):
+            page = decode_json(body, CacheEventsPage)
             for event in page.events:
                 state.last_seq = max(state.last_seq, event.seq)
                 _apply_cache_event(view, event)
--- a/packages/catkinreach-node/src/catkinreach_node/cell/orphan_sweeper.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/orphan_sweeper.py
@@ -20,6 +20,7 @@
 from catkinreach_core.errors import CatkinreachError
 from catkinreach_core.fleet_list import VmState
 from catkinreach_core.ids import Incarnation, RequestId, VmId, attempt_id
+from catkinreach_core.json_ranges import Count, Seconds
 from catkinreach_core.messages.cell import HoldingsAnswer, HoldingsQuery
 from catkinreach_core.settings.node import Address
 
@@ -56,8 +57,8 @@
     request_id: RequestId
     holder: ReportedHolder
     kind: str
-    kv_pieces: int
-    age_s: float
+    kv_pieces: Count
+    age_s: Seconds
 
 
 class HoldingsPage(msgspec.Struct, frozen=True):
--- a/packages/catkinreach-node/src/catkinreach_node/engine_orders/task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/engine_orders/task.py
@@ -7,9 +7,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import msgspec
 from loguru import logger
 
+from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_core.engine_orders.pacer import LoadPacer
 from catkinreach_core.engine_orders.plan import EngineState, next_order
 from catkinreach_core.ownership.shards import cell_shard
@@ -180,8 +180,8 @@
         if status != _HTTP_OK:
             return None
         try:
-            return msgspec.json.decode(body, type=EngineState)
-        except msgspec.MsgspecError:
+            return decode_json(body, EngineState)
+        except DocumentError:
             return None
 
     async def _call_engine(
--- a/packages/catkinreach-node/src/catkinreach_node/fleet/relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/fleet/relay.py
@@ -9,6 +9,7 @@
 import msgspec
 from loguru import logger
 
+from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_core.errors import CatkinreachError
 from catkinreach_core.fleet_list import VmEntry, VmList
 from catkinreach_core.ids import Revision
@@ -214,8 +215,8 @@
 
     def _decode(self, body: bytes, body_type: type[ReadT]) -> ReadT | None:
         try:
-            return msgspec.json.decode(body, type=body_type)
-        except msgspec.MsgspecError as error:
+            return decode_json(body, body_type)
+        except DocumentError as error:
             self._record_failure(f'malformed response: {error}')
             return None
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/completion.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/completion.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 
 if TYPE_CHECKING:
@@ -62,8 +63,8 @@
         CatkinreachError: ``BAD_REQUEST`` with a detail for the caller.
     """
     try:
-        parsed = msgspec.json.decode(body, type=CompletionBody)
-    except msgspec.MsgspecError as error:
+        parsed = decode_json(body, CompletionBody)
+    except DocumentError as error:
         raise CatkinreachError(ErrorKind.BAD_REQUEST, str(error)) from error
     if not 1 <= parsed.max_tokens <= LARGEST_MAX_TOKENS:
         raise CatkinreachError(
--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_answers.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_answers.py
@@ -6,6 +6,7 @@
 
 from catkinreach_core.cell.reservations import FailureKind
 from catkinreach_core.ids import Incarnation, VmId
+from catkinreach_core.json_ranges import Count, Seconds
 
 
 class EngineError(Exception):
@@ -41,17 +42,17 @@
     """Response of a prefill: the KV cache export on the prefill engine."""
 
     export_id: str
-    prompt_tokens: int
-    cached_tokens: int
-    kv_pieces: int
-    expires_in_s: float
+    prompt_tokens: Count
+    cached_tokens: Count
+    kv_pieces: Count
+    expires_in_s: Seconds
 
 
 class ImportAnswer(msgspec.Struct, frozen=True):
     """Response of an import: the imported KV cache on the decode engine."""
 
     import_id: str
-    kv_pieces: int
+    kv_pieces: Count
 
 
 class DecodeEvent(msgspec.Struct, frozen=True):
@@ -70,7 +71,7 @@
     token: str = ''
     done: bool = False
     finish: str = ''
-    completion_tokens: int = 0
+    completion_tokens: Count = 0
 
 
 __all__ = (
--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -13,6 +13,11 @@
 import msgspec
 
 from catkinreach_core.cell.reservations import FailureKind
+from catkinreach_core.documents import (
+    DocumentError,
+    decode_document,
+    decode_json,
+)
 from catkinreach_core.settings.node import Address
 
 from ..http.connection import ConnectError, ExchangeError
@@ -234,8 +239,8 @@
 
 def _decode_answer(body: bytes, answer_type: type[AnswerT]) -> AnswerT:
     try:
-        return msgspec.json.decode(body, type=answer_type)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, answer_type)
+    except DocumentError as error:
         raise EngineError(0, f'malformed response: {error}') from error
 
 
@@ -276,8 +281,8 @@
 
 def _decode_event(event: bytes) -> DecodeEvent:
     try:
-        return _event_decoder.decode(event.removeprefix(_DATA_PREFIX))
-    except msgspec.MsgspecError as error:
+        return decode_document(_event_decoder, event.removeprefix(_DATA_PREFIX))
+    except DocumentError as error:
         raise EngineError(0, f'malformed event: {error}') from error
 
 
