Refuse frames of peers with numbers that have no answer

A call with a number beyond 63 bits ended its task with OverflowError, as the number of its reply, the negative one, can not be encoded; times and balances of messages could be infinite or not a number, which no comparison of the owner of a limit or a cell expects.

Cause: the codec checked types only.

Evidence: test_frame_fuzz (all 33 messages, damaged, in up to three chunks; each frame is encoded again and answered) with 10 stored inputs: call-max, age-nan and age-inf failed before, all pass now, and so do the tests of messages, orders, limits and peers.

Change: a call number lies within 63 bits and is no truth value; a frame with a number that is not finite is malformed. Integers have no ranges by field yet.

--- a/packages/catkinreach-core/src/catkinreach_core/messages/codec.py
+++ b/packages/catkinreach-core/src/catkinreach_core/messages/codec.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -22,6 +23,7 @@
     from .base import PeerMessage
 
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+MAX_CALL = 2**63 - 1
 _FRAME_FIELDS = 3
 
 
@@ -77,11 +79,16 @@
         )
     tag, call, fields = packed
     message_type = message_type_of(tag) if isinstance(tag, str) else None
-    if message_type is None or not isinstance(call, int):
+    if message_type is None or not _is_call_number(call):
         raise CatkinreachError(
             ErrorKind.PEER_PROTOCOL,
             'peer frame has an unknown tag or an invalid call number',
         )
+    if not _has_finite_numbers(fields):
+        raise CatkinreachError(
+            ErrorKind.PEER_PROTOCOL,
+            f'number that is not finite in peer message {tag}',
+        )
     try:
         return Frame(message=msgspec.convert(fields, message_type), call=call)
     except msgspec.ValidationError as error:
@@ -90,4 +97,21 @@
         ) from error
 
 
+def _is_call_number(call: Any) -> bool:
+    """Returns whether a call has a number that its reply can negate."""
+    is_integer = isinstance(call, int) and not isinstance(call, bool)
+    return is_integer and -MAX_CALL <= call <= MAX_CALL
+
+
+def _has_finite_numbers(tree: Any) -> bool:
+    """Returns whether no number in a tree is infinite or not a number."""
+    if isinstance(tree, float):
+        return math.isfinite(tree)
+    if isinstance(tree, dict):
+        return all(map(_has_finite_numbers, tree.values()))
+    if isinstance(tree, list):
+        return all(map(_has_finite_numbers, tree))
+    return True
+
+
 __all__ = ('MAX_FRAME_BYTES', 'Frame', 'FrameDecoder', 'encode_frame')
