Refuse requests for a tunnel

A caller that sent CONNECT with a path of a route got 502 upstream-failed, outcome unknown, and each upstream that it was passed on to counted as failed.

Cause: after a success the HTTP state of a CONNECT leaves HTTP on both sides; the router passed any method on. The class: an input that the parser allows and nobody behind it expects.

Change: the reader of requests refuses CONNECT.

--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -111,6 +111,7 @@
         if not isinstance(head, h11.Request):
             return None
         self._is_head_request = head.method == b'HEAD'
+        _check_method(head)
         _check_framing(head)
         hold = BodyHold(self._memory)
         try:
@@ -273,6 +274,14 @@
     return int(lengths[0]) if lengths else 0
 
 
+def _check_method(head: h11.Request) -> None:
+    """Refuses a request for a tunnel, whose answer would end the exchange."""
+    if head.method == b'CONNECT':
+        raise CatkinreachError(
+            ErrorKind.BAD_REQUEST, 'the method CONNECT is not allowed'
+        )
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuses a request whose body length is ambiguous.
 
--- a/packages/catkinreach-node/tests/http/test_server_bad_input.py
+++ b/packages/catkinreach-node/tests/http/test_server_bad_input.py
@@ -139,6 +139,7 @@
             'too-slow',
         ),
         (b'GET / HTTP/1.1\r\nho', 408, 'too-slow'),
+        (b'CONNECT /x HTTP/1.1\r\nhost: a\r\n\r\n', 400, 'bad-request'),
     ],
 )
 def test_bad_input_is_refused(raw: bytes, status: int, code: str) -> None:
