Fail decodes whose event never ends

An engine of the product that sends bytes without the end of an event filled the memory of the node until the deadline of the request.

Cause: the rest of a stream had no bound; the splitter of the platform has one.

Change: more than 64 KiB without the end of an event is a failure of the engine.

--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -49,6 +49,9 @@
 _EVENT_END = b'\n\n'
 _DATA_PREFIX = b'data: '
 
+MAX_EVENT_BYTES = 64 * 1024
+"""Bytes without the end of an event from which a decode has failed."""
+
 
 def import_timeout_s(kv_pieces: int) -> float:
     """Returns the time in which an export of a size is usually imported."""
@@ -275,6 +278,8 @@
     async for chunk in response.chunks():
         pending += chunk
         *complete, pending = pending.split(_EVENT_END)
+        if len(pending) > MAX_EVENT_BYTES:
+            raise EngineError(0, 'event without an end')
         if complete:
             yield [_decode_event(event) for event in complete]
 
@@ -286,4 +291,9 @@
         raise EngineError(0, f'malformed event: {error}') from error
 
 
-__all__ = ('EngineClient', 'import_timeout_s', 'upstream_address')
+__all__ = (
+    'MAX_EVENT_BYTES',
+    'EngineClient',
+    'import_timeout_s',
+    'upstream_address',
+)
