--- a/packages/catkinreach-core/src/catkinreach_core/fleet_list.py
+++ b/packages/catkinreach-core/src/catkinreach_core/fleet_list.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from .ids import FailureDomainId, Revision, VmId
-from .ranges import MAX_PORT
+from .ranges import MAX_PORT, HostPort
 from .settings.node import Address
 
 
@@ -29,7 +29,7 @@
     """
 
     id: VmId
-    peer_address: str
+    peer_address: HostPort
     failure_domain: FailureDomainId
     state: VmState = VmState.LIVE
 
--- a/packages/catkinreach-node/src/catkinreach_node/cell/baseline_scheduler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/baseline_scheduler.py
@@ -127,7 +127,9 @@
                     upstream_address(upstream), 'GET', '/v1/load'
                 )
             report = decode_json(body, LoadReport)
-        except (ConnectError, ExchangeError, TimeoutError, DocumentError):
+        except (ConnectError, ExchangeError, TimeoutError):
+            return
+        except DocumentError:
             return
         self._least_load.record_report(upstream.upstream_id, report)
 
--- a/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
@@ -8,10 +8,10 @@
 from msgspec import Struct
 
 from catkinreach_core.documents import DocumentError, decode_document
+from catkinreach_core.gateway.header_text import is_sendable_name
 from catkinreach_core.gateway.upstream import Stage, Upstream, UpstreamState
 from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
 from catkinreach_core.ranges import (
-    MAX_PORT,
     Count,
     Milliseconds,
     Revision,
@@ -19,11 +19,14 @@
 )
 from catkinreach_core.settings.node import Address
 
+from .addresses import read_address
 from .boot import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from catkinreach_core.settings.node import Address
+
 _Value = TypeVar('_Value')
 
 STATES: Final = {
@@ -60,6 +63,8 @@
     Raises:
         DocumentError: if it is malformed; it may come from another writer.
     """
+    if not is_sendable_name(upstream_id):
+        raise DocumentError('the name fits into no header')
     entry = decode_document(_DECODER, document)
     return Upstream(
         upstream_id=upstream_id,
@@ -92,12 +97,9 @@
         DocumentError: if it isn't an address that can be connected to.
     """
     try:
-        address = Address.from_text(text)
+        return read_address(text)
     except ValueError as error:
         raise DocumentError(str(error)) from error
-    if not 0 < address.port <= MAX_PORT:
-        raise DocumentError(f'port out of range in {text!r}')
-    return address
 
 
 __all__ = ('read_upstream',)
