Wait for upstreams that are busy after a whole response

Callers got a 502, or a stream that was cut, though the upstream had sent a whole response without length and was sound: it was silent for a second after it, or had no free slot for the check that asks who it is (health checks wait for a slot, or are refused, like requests).

Cause: the check of the end gave up after 0.4 s, and took a refusal, which needn't name its sender, for a proof of a restart. On a stream, the wait for events (0.3 s) also cancelled the check; the next read then found the connection at its end and took the stream for lost. The class: silence taken for the end.

Change: the check may take 2.5 s, within the request's deadline, and asks again after refusals, unless they ask for a pause; a refused connect and another name end it at once as before. The check of a stream outlives the wait for events, so that another engine can be tried beside it. The store is asked for a later start once more at the end, as the check may take longer.

Two sends of an idempotent request beside a silent check are possible, as for each silence.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from typing import TYPE_CHECKING
 
@@ -13,8 +14,6 @@
 from .reply_wait import start_reply
 
 if TYPE_CHECKING:
-    import asyncio
-
     from catkinreach_core.gateway.event_numbering import EventNumbering
     from catkinreach_core.gateway.events import StreamEvent
     from catkinreach_core.gateway.metadata import KvHandle
@@ -75,6 +74,7 @@
         self._splitter = EventSplitter()
         self._is_closed = False
         self._opening: asyncio.Future[None] | None = None
+        self._ending: asyncio.Future[None] | None = None
         self._prefill_load = UpstreamLoad(
             prefill_tokens=need.prompt_tokens if prefills_prompt else 0
         )
@@ -172,10 +172,15 @@
     async def next_events(self) -> list[StreamEvent]:
         """Returns the events completed by the next bytes.
 
+        If the call is cancelled while it checks the end, the next one goes on.
+
         Raises:
             ExchangeError: if the connection is lost, an event too long, or
                 the body ends inside an event.
         """
+        if self._ending is not None:
+            await self._finish(self._ending)
+            return []
         data, is_last = await self.reply.next_data()
         if self._is_closed:
             # The end of the data is that of this node's own connection.
@@ -187,23 +192,50 @@
         if events:
             self._note_events()
         if is_last:
-            await self._check_end()
-            self._clear_suspects()
-        self.is_complete = is_last
+            await self._end(has_new_events=bool(events))
         return events
 
-    async def _check_end(self) -> None:
-        """Checks that the reply is complete.
+    async def _end(self, *, has_new_events: bool) -> None:
+        """Ends the stream; new events must not wait for the check of the end.
+
+        Raises:
+            ExchangeError: if the reply isn't complete.
+        """
+        self._check_rest()
+        if not self.reply.ends_with_connection:
+            self._complete()
+            return
+        self._ending = start_reply(self.reply.check_end())
+        if not has_new_events:
+            await self._finish(self._ending)
+
+    async def _finish(self, ending: asyncio.Future[None]) -> None:
+        """Waits for the check of the end, which goes on without this wait.
+
+        Raises:
+            ExchangeError: if the reply isn't complete.
+        """
+        await asyncio.wait({ending})
+        if ending.cancelled():
+            raise ExchangeError('the stream was closed')
+        ending.result()
+        self._complete()
+
+    def _complete(self) -> None:
+        self._clear_suspects()
+        self.is_complete = True
+
+    def _check_rest(self) -> None:
+        """Checks that the reply ended after a whole event.
 
         Raises:
-            ExchangeError: if it isn't.
+            ExchangeError: if it didn't.
         """
         if self._splitter.rest:
             raise ExchangeError('stream ended inside an event')
         has_events = not math.isinf(self._first_event_at_s)
         if self.reply.ends_with_connection and not has_events:
             raise ExchangeError('connection ended before the first event')
-        await self.reply.check_end()
 
     def _note_events(self) -> None:
         """Clears the request of earlier crashes once its stream has started."""
@@ -241,6 +273,8 @@
         self._is_closed = True
         if self._opening is not None:
             self._opening.cancel()
+        if self._ending is not None:
+            self._ending.cancel()
         self._end_prefill()
         self._node.end_work(self._upstream.upstream_id, self._decode_load)
         if self._reply is None or not self._has_connection:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
@@ -23,7 +23,14 @@
     from ..http.messages import HttpRequest
     from .node import Node
 
-CHECK_TIMEOUT_S = 0.4
+MAX_CHECK_S = 2.5
+"""Longest check; a sound upstream may be silent for a second or so, or let the
+check wait for a slot."""
+
+MIN_PAUSE_S = 0.1
+PAUSE_FACTOR = 2.0
+"""First pause after a refused check, and the factor for each further one."""
+
 CHECK_HOST = 'upstream'
 
 
@@ -51,16 +58,13 @@
         if node.availability.pause_s(upstream, node.clock()) > 0:
             return False
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_S):
-                older = await self._node.pool.take_older(upstream, since_s)
+            async with asyncio.timeout(MAX_CHECK_S):
+                older = await node.pool.take_older(upstream, since_s)
                 if older is not None:
                     await self._ask(older, self._alive_request(upstream))
                     return True
-                connection = await self._node.pool.acquire(upstream)
-                reply = await self._ask(
-                    connection, self._health_request(upstream)
-                )
-                return reply.answered_by == upstream.upstream_id
+                if not await self._names_itself(upstream):
+                    return False
         except (
             ConnectError,
             ExchangeError,
@@ -69,6 +73,26 @@
             h11.ProtocolError,
         ):
             return False
+        return not self._is_known_to_have_restarted(upstream)
+
+    async def _names_itself(self, upstream: Upstream) -> bool:
+        """Returns whether the upstream names itself on a new connection.
+
+        It may refuse checks while it is full, and is then asked again.
+
+        Raises:
+            ConnectError: if it can't be connected to.
+            ExchangeError: without a reply.
+        """
+        pause_s = MIN_PAUSE_S
+        while True:
+            connection = await self._node.pool.acquire(upstream)
+            reply = await self._ask(connection, self._health_request(upstream))
+            is_refusal = reply.has_not_run and reply.answered_by is None
+            if reply.pause_s or not is_refusal:
+                return reply.answered_by == upstream.upstream_id
+            await asyncio.sleep(pause_s)
+            pause_s *= PAUSE_FACTOR
 
     def _is_known_to_have_restarted(self, upstream: Upstream) -> bool:
         known = self._node.view.find_upstream(upstream.upstream_id)
