Let what is read ahead share the memory for bodies

Callers would lose all connections to a front: 1,200 clients that each sent 200 kB beyond the request that was being served took the process over its 150 MB.

Cause: a client is read ahead by 64 KiB and a chunk, to notice that it disconnects, beside what its stream has buffered. Each is bounded, their sum wasn't.

Change: all but 4 KiB of what is read ahead takes its part of the memory for bodies, without waiting; if there is none, the client isn't read further. The streams of clients buffer half as much.

What remains: with over 1,500 such clients at once the process may still pass 150 MB; what the event loop receives in one go is the larger part of it.

--- a/packages/catkinreach-node/src/catkinreach_node/http/body_memory.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/body_memory.py
@@ -42,10 +42,16 @@
         """Returns the memory in use, small bodies not counted."""
         return self._used_bytes
 
+    def try_reserve(self, size_bytes: int) -> bool:
+        """Reserves memory unless it is full, or others wait for it."""
+        if self._waiting or not self._has_room(size_bytes):
+            return False
+        self._used_bytes += size_bytes
+        return True
+
     async def reserve(self, size_bytes: int) -> bool:
         """Reserves memory, in order of arrival; ``False`` if it stays full."""
-        if not self._waiting and self._has_room(size_bytes):
-            self._used_bytes += size_bytes
+        if self.try_reserve(size_bytes):
             return True
         granted = asyncio.get_running_loop().create_future()
         self._waiting.append((size_bytes, granted))
@@ -99,6 +105,15 @@
             self._held_bytes += missing
         return is_reserved
 
+    def try_cover_bytes(self, size_bytes: int) -> bool:
+        """Reserves memory for bytes that may stay unread; doesn't wait."""
+        missing = size_bytes - self._held_bytes
+        if missing > 0:
+            if not self._memory.try_reserve(missing):
+                return False
+            self._held_bytes += missing
+        return True
+
     def keep(self) -> None:
         """Keeps the memory until one more release."""
         self._keepers += 1
--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -11,7 +11,7 @@
 
 from .body_memory import STEP_BYTES, BodyHold
 from .messages import HttpRequest
-from .socket_input import SocketInput
+from .socket_input import READ_SIZE_BYTES, SocketInput
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -23,6 +23,9 @@
 """Bytes of later requests from which a client isn't read further while its
 request is served."""
 
+SMALL_READ_AHEAD_BYTES = 4 * 1024
+"""Part of them that needs no share of the memory for bodies."""
+
 STOP_FIRST_REQUEST_S = 0.3
 """Time for the first request of a connection while the server drains: a client
 that has just connected is about to send it."""
@@ -129,18 +132,31 @@
             hold=hold,
         )
 
-    async def watch_disconnect(self) -> bool:
+    async def watch_disconnect(self, hold: BodyHold) -> bool:
         """Returns whether the client disconnects.
 
         ``False`` if it sends too much beyond its request to be read ahead.
+
+        Args:
+            hold: Memory for what is read ahead.
         """
-        while len(self.protocol.trailing_data[0]) < MAX_READ_AHEAD_BYTES:
-            chunk = await self._input.read()
+        while room_bytes := self._read_ahead_room(hold):
+            chunk = await self._input.read(room_bytes)
             if not chunk:
                 return True
             self.protocol.receive_data(chunk)
         return False
 
+    def _read_ahead_room(self, hold: BodyHold) -> int:
+        """Returns the number of bytes that may be read ahead next."""
+        ahead_bytes = len(self.protocol.trailing_data[0])
+        if ahead_bytes < SMALL_READ_AHEAD_BYTES:
+            return SMALL_READ_AHEAD_BYTES - ahead_bytes
+        room_bytes = min(READ_SIZE_BYTES, MAX_READ_AHEAD_BYTES - ahead_bytes)
+        if room_bytes > 0 and hold.try_cover_bytes(ahead_bytes + room_bytes):
+            return room_bytes
+        return 0
+
     async def discard_input(self, max_bytes: int) -> None:
         """Reads to the end of the input, or up to a number of bytes."""
         size_bytes = 0
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -26,7 +26,7 @@
 MAX_REFUSING = 200
 """Connections beyond the bound that are refused with a response at a time."""
 
-READ_AHEAD_BYTES = 16 * 1024
+READ_AHEAD_BYTES = 8 * 1024
 """Bytes of a connection that are read ahead of its requests; up to twice as
 many before its socket isn't read further."""
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -11,6 +11,7 @@
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 
+from .body_memory import BodyHold
 from .problem import problem_response
 from .request_reader import RequestReader
 from .response_sender import ResponseSender
@@ -67,6 +68,7 @@
         self._serve = serve
         self._request_counter = request_counter
         self._is_draining = is_draining
+        self._memory = memory
         self._requests = RequestReader(
             reader, read_bounds, is_draining, self._send_continue, memory
         )
@@ -146,8 +148,9 @@
             False if the request was cancelled.
         """
         answer_task = asyncio.ensure_future(self._serve_and_send(request))
+        read_ahead = BodyHold(self._memory)
         disconnect_task = asyncio.ensure_future(
-            self._requests.watch_disconnect()
+            self._requests.watch_disconnect(read_ahead)
         )
         try:
             await asyncio.wait(
@@ -162,6 +165,7 @@
         finally:
             answer_task.cancel()
             disconnect_task.cancel()
+            read_ahead.release()
             with suppress(asyncio.CancelledError):
                 await disconnect_task
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/socket_input.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/socket_input.py
@@ -14,9 +14,9 @@
         """Reads from an open connection."""
         self._reader = reader
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int = READ_SIZE_BYTES) -> bytes:
         """Returns the next bytes, none at the end of the input."""
-        return await self._reader.read(READ_SIZE_BYTES)
+        return await self._reader.read(max_bytes)
 
     async def read_within(self, limit: asyncio.Timeout) -> bytes | None:
         """Returns the next bytes; ``None`` if none arrived in time.
--- a/packages/catkinreach-node/tests/http/test_body_memory.py
+++ b/packages/catkinreach-node/tests/http/test_body_memory.py
@@ -97,3 +97,22 @@
         assert not memory.used_bytes
 
     asyncio.run(run())
+
+
+def test_bytes_read_ahead_take_memory_that_bodies_wait_for() -> None:
+    async def run() -> None:
+        memory = BodyMemory(MAX_BYTES)
+        first, second, ahead = (BodyHold(memory) for _ in range(3))
+        assert ahead.try_cover_bytes(1)
+        assert not ahead.try_cover_bytes(MAX_BYTES + 1)
+        assert await first.cover(LARGE_BYTES)
+        wait = asyncio.ensure_future(second.cover(LARGE_BYTES))
+        await asyncio.sleep(0)
+        assert not ahead.try_cover_bytes(2)
+        first.release()
+        assert await wait
+        second.release()
+        ahead.release()
+        assert memory.used_bytes == 0
+
+    asyncio.run(run())
