Let stalled bodies yield their memory to others

Callers with bodies of over 16 KiB were refused with 503 memory-full for 30 s while some clients announced bodies and sent nothing more: six of 4 MB and a few of 100 kB were enough at a front with 150 MB.

Cause: memory is reserved by the announced length, so that bodies that have begun can end, and is kept until the timeout of the body.

Change: when somebody has to wait for memory, bodies of which no byte has come for 2 s are refused with 408, which says that they didn't run. While nobody waits they keep their time.

What remains: a client that sends a byte now and then keeps its memory for 30 s.

--- a/packages/catkinreach-node/src/catkinreach_node/http/body_memory.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/body_memory.py
@@ -4,6 +4,11 @@
 
 import asyncio
 from collections import deque
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 MAX_BYTES = 32 * 1024 * 1024
 """Default of the shared memory."""
@@ -22,6 +27,9 @@
 WAIT_S = 0.8
 """Longest wait for memory; callers give up requests that nobody reads."""
 
+STALL_S = 2.0
+"""Time without a byte after which a body yields its memory to others."""
+
 
 class BodyMemory:
     """Memory for the bodies of requests; held by ``BodyHold`` objects."""
@@ -31,6 +39,7 @@
         self._max_bytes = max_bytes
         self._used_bytes = 0
         self._waiting: deque[tuple[int, asyncio.Future[None]]] = deque()
+        self._reading: set[BodyHold] = set()
 
     @property
     def max_bytes(self) -> int:
@@ -53,6 +62,8 @@
         """Reserves memory, in order of arrival; ``False`` if it stays full."""
         if self.try_reserve(size_bytes):
             return True
+        for hold in tuple(self._reading):
+            hold.yield_if_stalled()
         granted = asyncio.get_running_loop().create_future()
         self._waiting.append((size_bytes, granted))
         try:
@@ -67,6 +78,15 @@
                 self._grant()
         return granted.done()
 
+    @contextmanager
+    def noting_wait(self, hold: BodyHold) -> Iterator[None]:
+        """Lets a hold yield while it waits for the next bytes of its body."""
+        self._reading.add(hold)
+        try:
+            yield
+        finally:
+            self._reading.discard(hold)
+
     def release(self, size_bytes: int) -> None:
         """Frees memory; the first that wait get it."""
         self._used_bytes -= size_bytes
@@ -90,6 +110,8 @@
         self._memory = memory
         self._held_bytes = 0
         self._keepers = 1
+        self._wait: asyncio.Timeout | None = None
+        self._waiting_since_s = 0.0
 
     async def cover(self, body_bytes: int) -> bool:
         """Reserves memory for a body; ``False`` if there is none.
@@ -105,6 +127,27 @@
             self._held_bytes += missing
         return is_reserved
 
+    @contextmanager
+    def waiting(self, wait: asyncio.Timeout) -> Iterator[None]:
+        """Ends a wait for bytes of the body early if it stalls others."""
+        self._wait = wait
+        self._waiting_since_s = asyncio.get_running_loop().time()
+        try:
+            with self._memory.noting_wait(self):
+                yield
+        finally:
+            self._wait = None
+
+    def yield_if_stalled(self) -> None:
+        """Ends the wait for the body if no byte of it has come for long."""
+        now_s = asyncio.get_running_loop().time()
+        wait = self._wait
+        is_stalled = now_s - self._waiting_since_s >= STALL_S
+        if wait is None or wait.expired() or not self._held_bytes:
+            return
+        if is_stalled:
+            wait.reschedule(now_s)
+
     def try_cover_bytes(self, size_bytes: int) -> bool:
         """Reserves memory for bytes that may stay unread; doesn't wait."""
         missing = size_bytes - self._held_bytes
--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
 import h11
@@ -228,7 +229,7 @@
         parts: list[bytes] = []
         size = covered = 0
         while True:
-            event = await self._next_event(deadline_s)
+            event = await self._next_event(deadline_s, hold)
             if isinstance(event, h11.EndOfMessage):
                 return b''.join(parts)
             if not isinstance(event, h11.Data):
@@ -256,12 +257,16 @@
             raise CatkinreachError(ErrorKind.MEMORY_FULL)
 
     async def _next_event(
-        self, deadline_s: float
+        self, deadline_s: float, hold: BodyHold | None = None
     ) -> h11.Event | type[h11.PAUSED]:
         """Returns the next event of a request.
 
+        Args:
+            deadline_s: Time by which it has to arrive.
+            hold: Memory of a body, which others may want meanwhile.
+
         Raises:
-            CatkinreachError: if it hasn't arrived by the deadline.
+            CatkinreachError: if it hasn't arrived in time.
         """
         while True:
             event = self.protocol.next_event()
@@ -269,9 +274,9 @@
                 return event
             if self.protocol.they_are_waiting_for_100_continue:
                 await self._send_continue()
-            chunk = await self._input.read_within(
-                asyncio.timeout_at(deadline_s)
-            )
+            wait = asyncio.timeout_at(deadline_s)
+            with nullcontext() if hold is None else hold.waiting(wait):
+                chunk = await self._input.read_within(wait)
             if chunk is None:
                 raise CatkinreachError(ErrorKind.TOO_SLOW)
             self.protocol.receive_data(chunk)
--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/http_servers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/http_servers.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from catkinreach_node.http.body_memory import BodyMemory
     from catkinreach_node.http.messages import HttpRequest
     from catkinreach_node.http.server_bounds import ServerBounds
     from catkinreach_node.http.server_connection import RequestHandler
@@ -28,14 +29,16 @@
 async def running_server(
     serve: RequestHandler = count_body_bytes,
     bounds: ServerBounds | None = None,
+    memory: BodyMemory | None = None,
 ) -> AsyncIterator[tuple[HttpServer, Address]]:
     """Runs a server; closes it on exit, with its connections.
 
     Args:
         serve: Answers the requests.
         bounds: Bounds of the server; ``None`` for the default ones.
+        memory: Memory for bodies; ``None`` for the default one.
     """
-    server = HttpServer(serve, name='test', bounds=bounds)
+    server = HttpServer(serve, name='test', bounds=bounds, memory=memory)
     address = Address(LOOPBACK, free_ports(1)[0])
     await server.start(address)
     try:
