Check whole responses after a short pause of their upstream

Callers got a 502 for a whole response without length, which may not be repeated, if its upstream had asked another request for a pause meanwhile.

Cause: no check is sent within a pause, and a response that couldn't be checked counted as broken off. A check that was itself refused with a pause wasn't noted.

Change: the check opens its connection at once, so that a restart would end it, and asks once the pause is over, within the 2.5 s that a check may take.

What remains: a pause of over 2.5 s still breaks such a response off.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
@@ -12,6 +12,8 @@
 
 import h11
 
+from catkinreach_core.ids import RequestId
+
 from ..http.client import ClientResponse
 from ..http.connection import ConnectError, ExchangeError
 
@@ -32,6 +34,7 @@
 """First pause after a refused check, and the factor for each further one."""
 
 CHECK_HOST = 'upstream'
+NO_REQUEST = RequestId('')
 
 
 class IdentityCheck:
@@ -55,13 +58,14 @@
         node = self._node
         if self._is_known_to_have_restarted(upstream):
             return False
-        if node.availability.pause_s(upstream, node.clock()) > 0:
+        if self._pause_s(upstream) > MAX_CHECK_S:
             return False
         try:
             async with asyncio.timeout(MAX_CHECK_S):
                 older = await node.pool.take_older(upstream, since_s)
                 if older is not None:
-                    await self._ask(older, self._alive_request(upstream))
+                    request = self._alive_request(upstream)
+                    await self._ask(upstream, older, request)
                     return True
                 if not await self._names_itself(upstream):
                     return False
@@ -78,7 +82,8 @@
     async def _names_itself(self, upstream: Upstream) -> bool:
         """Returns whether the upstream names itself on a new connection.
 
-        It may refuse checks while it is full, and is then asked again.
+        It may refuse checks while it is full, or ask for a pause, and is then
+        asked again.
 
         Raises:
             ConnectError: if it can't be connected to.
@@ -87,13 +92,19 @@
         pause_s = MIN_PAUSE_S
         while True:
             connection = await self._node.pool.acquire(upstream)
-            reply = await self._ask(connection, self._health_request(upstream))
+            request = self._health_request(upstream)
+            reply = await self._ask(upstream, connection, request)
+            self._node.note_availability(upstream, reply, NO_REQUEST)
             is_refusal = reply.has_not_run and reply.answered_by is None
-            if reply.pause_s or not is_refusal:
+            if not is_refusal:
                 return reply.answered_by == upstream.upstream_id
             await asyncio.sleep(pause_s)
             pause_s *= PAUSE_FACTOR
 
+    def _pause_s(self, upstream: Upstream) -> float:
+        now_s = self._node.clock()
+        return self._node.availability.pause_s(upstream, now_s)
+
     def _is_known_to_have_restarted(self, upstream: Upstream) -> bool:
         known = self._node.view.find_upstream(upstream.upstream_id)
         if known is None:
@@ -109,14 +120,21 @@
         return self._node.dialect.health_request(path)
 
     async def _ask(
-        self, connection: ClientConnection, request: HttpRequest
+        self,
+        upstream: Upstream,
+        connection: ClientConnection,
+        request: HttpRequest,
     ) -> ReplyMetadata:
         """Returns the metadata of a reply, whose body isn't read.
 
+        It is asked for once the upstream wants requests, on a connection that
+        is open by now: a restart meanwhile would end it.
+
         Raises:
             ExchangeError: without a reply.
         """
         try:
+            await asyncio.sleep(self._pause_s(upstream))
             await connection.send(request, CHECK_HOST)
             head = await connection.next_event()
         finally:
