--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
 import h11
@@ -11,7 +12,7 @@
 
 from .body_memory import STEP_BYTES, BodyHold
 from .messages import HttpRequest
-from .socket_input import SocketInput
+from .socket_input import READ_SIZE_BYTES, SocketInput
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -23,6 +24,9 @@
 """Bytes of later requests from which a client isn't read further while its
 request is served."""
 
+SMALL_READ_AHEAD_BYTES = 4 * 1024
+"""Part of them that needs no share of the memory for bodies."""
+
 STOP_FIRST_REQUEST_S = 0.3
 """Time for the first request of a connection while the server drains: a client
 that has just connected is about to send it."""
@@ -130,18 +134,31 @@
             hold=hold,
         )
 
-    async def watch_disconnect(self) -> bool:
+    async def watch_disconnect(self, hold: BodyHold) -> bool:
         """Returns whether the client disconnects.
 
         ``False`` if it sends too much beyond its request to be read ahead.
+
+        Args:
+            hold: Memory for what is read ahead.
         """
-        while len(self.protocol.trailing_data[0]) < MAX_READ_AHEAD_BYTES:
-            chunk = await self._input.read()
+        while room_bytes := self._read_ahead_room(hold):
+            chunk = await self._input.read(room_bytes)
             if not chunk:
                 return True
             self.protocol.receive_data(chunk)
         return False
 
+    def _read_ahead_room(self, hold: BodyHold) -> int:
+        """Returns the number of bytes that may be read ahead next."""
+        ahead_bytes = len(self.protocol.trailing_data[0])
+        if ahead_bytes < SMALL_READ_AHEAD_BYTES:
+            return SMALL_READ_AHEAD_BYTES - ahead_bytes
+        room_bytes = min(READ_SIZE_BYTES, MAX_READ_AHEAD_BYTES - ahead_bytes)
+        if room_bytes > 0 and hold.try_cover_bytes(ahead_bytes + room_bytes):
+            return room_bytes
+        return 0
+
     async def discard_input(self, max_bytes: int) -> None:
         """Reads to the end of the input, or up to a number of bytes."""
         size_bytes = 0
@@ -213,7 +230,7 @@
         parts: list[bytes] = []
         size = covered = 0
         while True:
-            event = await self._next_event(deadline_s)
+            event = await self._next_event(deadline_s, hold)
             if isinstance(event, h11.EndOfMessage):
                 return b''.join(parts)
             if not isinstance(event, h11.Data):
@@ -241,12 +258,16 @@
             raise CatkinreachError(ErrorKind.MEMORY_FULL)
 
     async def _next_event(
-        self, deadline_s: float
+        self, deadline_s: float, hold: BodyHold | None = None
     ) -> h11.Event | type[h11.PAUSED]:
         """Returns the next event of a request.
 
+        Args:
+            deadline_s: Time by which it has to arrive.
+            hold: Memory of a body, which others may want meanwhile.
+
         Raises:
-            CatkinreachError: if it hasn't arrived by the deadline.
+            CatkinreachError: if it hasn't arrived in time.
         """
         while True:
             event = self.protocol.next_event()
@@ -254,9 +275,9 @@
                 return event
             if self.protocol.they_are_waiting_for_100_continue:
                 await self._send_continue()
-            chunk = await self._input.read_within(
-                asyncio.timeout_at(deadline_s)
-            )
+            wait = asyncio.timeout_at(deadline_s)
+            with nullcontext() if hold is None else hold.waiting(wait):
+                chunk = await self._input.read_within(wait)
             if chunk is None:
                 raise CatkinreachError(ErrorKind.TOO_SLOW)
             self.protocol.receive_data(chunk)
