Follow the pause of decode engines in Retry-After

What callers saw: with all decode engines of a service in a pause of 1 s, a refused stream got a Retry-After of 0.25 to 0.5 s, so that it came back for nothing.

Cause: a prefill engine without a pause counted as one that can serve the stream, so the time until a service has capacity was 0.

Change: only upstreams that can serve a request by themselves count.

Evidence: test_request_waits_though_all_upstreams_asked_for_a_pause, now for streams too and with the end of the first pause as the lower bound: /stream/ and /once/ failed in 3 of 3 runs before (Retry-After 0.31 to 0.43 s of 0.93 s), 3 of 3 runs pass now.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -27,6 +27,7 @@
 from catkinreach_core.gateway.retry_budget import RetryBudget
 from catkinreach_core.gateway.stage_plan import RESIDENCE_S
 from catkinreach_core.gateway.switching_engines import SwitchingEngines
+from catkinreach_core.gateway.upstream import Stage
 from catkinreach_core.gateway.view import FleetView
 from catkinreach_core.gateway.wait_queue import WaitQueue
 from catkinreach_core.ids import Revision, ShardId, VmId
@@ -293,13 +294,20 @@
     def retry_delay_s(self, service_id: ServiceId) -> float:
         """Returns the time until a service may have capacity again.
 
-        0 if some upstream may get requests, or none will.
+        0 if some upstream may get requests, or none will. An engine that only
+        prefills serves no request.
         """
-        upstreams = [
-            known.upstream for known in self.view.usable_upstreams(service_id)
-        ]
+        upstreams = self._serving_upstreams(service_id)
         return self.availability.shortest_pause_s(upstreams, self.clock())
 
+    def _serving_upstreams(self, service_id: ServiceId) -> list[Upstream]:
+        """Returns the upstreams that can serve a request by themselves."""
+        return [
+            known.upstream
+            for known in self.view.usable_upstreams(service_id)
+            if known.upstream.stage is not Stage.PREFILL
+        ]
+
     def mark_replaced(self, upstream: Upstream) -> None:
         """Marks an upstream as replaced: another one answers at its address."""
         upstream_id = upstream.upstream_id
--- a/packages/catkinreach-node/tests/gateway/test_engines_that_leave.py
+++ b/packages/catkinreach-node/tests/gateway/test_engines_that_leave.py
@@ -166,7 +166,9 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize(('path', 'names'), [('/read/', 'ab')])
+@pytest.mark.parametrize(
+    ('path', 'names'), [('/read/', 'ab'), ('/stream/', 'de'), ('/once/', 'de')]
+)
 def test_request_waits_though_all_upstreams_asked_for_a_pause(
     path: str, names: str
 ) -> None:
@@ -184,6 +186,10 @@
                 assert response.status == 503
                 retry_after_s = float(response.header('retry-after') or '0')
             assert time.monotonic() - started_s < EARLY_S
+            first_end_s = PAUSE_S + min(
+                deployment.upstreams[name].received[-1].at_s for name in names
+            )
+            assert first_end_s - time.monotonic() < retry_after_s
             assert EARLY_S < retry_after_s <= PAUSE_S + EARLY_S
 
     asyncio.run(run())
