Let engines of the soak leave, and ask for pauses

No request that its caller sent over 0.5 s after the engine told a front that it leaves reaches that incarnation from that front; at most two reach an engine in the rest of a pause, from 0.5 s on. Disruptions of the front since then excuse both; a faulty link to the engine excuses the second; the store out of reach excuses neither. Answers that the front may not have read don't count: late or faulty ones, those on a link in trouble, and those of an incarnation that only the store could have told of. Not checked: health checks and releases of memory, which have no id that leads to a front.

Stand-ins of engines can do all this; their id may change, so an exchange keeps the id that the engine had when the request came.

--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
@@ -9,9 +9,10 @@
 from ...faultproxy.faults import DirectionFaults, LinkFaults, OneTimeFault
 from ..store import StoreFault
 from ..upstream_behaviour import Behaviour
+from .engine_faults import EngineFaults
 from .front_faults import FrontFaults
-from .history import LinkDisruption
-from .plan import FaultKind, TargetKind
+from .history import STORE_LINK, LinkDisruption
+from .plan import ENGINE_KINDS, FaultKind, TargetKind
 
 if TYPE_CHECKING:
     import random
@@ -67,6 +68,7 @@
         self._rng = rng
         self._publisher = publisher
         self._front_faults = FrontFaults(deployment.fronts, history)
+        self._engine_faults = EngineFaults(deployment)
 
     async def run(self, plan: Sequence[Fault]) -> None:
         """Starts each fault at its time; returns when all have ended."""
@@ -120,11 +122,19 @@
                 await asyncio.sleep(fault.duration_s)
                 self._publisher.publish()
             case _:
+                disruption = LinkDisruption(
+                    STORE_LINK, time.monotonic(), float('inf')
+                )
+                self._history.link_disruptions.append(disruption)
                 store.fault = _STORE_FAULTS[fault.kind]
                 await asyncio.sleep(fault.duration_s)
                 store.fault = StoreFault.NONE
+                disruption.until_s = time.monotonic()
 
     async def _inject_upstream_fault(self, fault: Fault) -> None:
+        if fault.kind in ENGINE_KINDS:
+            await self._engine_faults.inject(fault)
+            return
         upstream = self._deployment.upstreams[fault.target]
         if fault.kind is FaultKind.MISBEHAVE:
             behaviours = tuple(Behaviour)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -13,6 +13,9 @@
 """Share of the idle limit for which callers may leave a connection idle."""
 
 
+STORE_LINK: Final = 'store'
+"""Name of the link to the store."""
+
 LAG_REACH_S: Final = 0.1
 """Time after a lag of the soak's event loop in which it catches up."""
 
@@ -217,6 +220,36 @@
             for disruption in self.link_disruptions
         )
 
+    def was_front_disrupted(
+        self, front: int, from_s: float, until_s: float
+    ) -> bool:
+        """Returns whether a front was disrupted in an interval."""
+        return any(
+            disruption.front == front
+            and disruption.from_s <= until_s
+            and disruption.until_s >= from_s
+            for disruption in self.disruptions
+        )
+
+    def was_link_disrupted(
+        self, link: str, from_s: float, until_s: float
+    ) -> bool:
+        """Returns whether a link was faulty in an interval."""
+        return any(
+            disruption.link == link
+            and disruption.from_s <= until_s
+            and disruption.until_s >= from_s
+            for disruption in self.link_disruptions
+        )
+
+    def lag_within_s(self, from_s: float, until_s: float) -> float:
+        """Returns the length of the lags that overlap an interval."""
+        return sum(
+            lag_s
+            for lag_from_s, lag_s in self.lags
+            if lag_from_s <= until_s and lag_from_s + lag_s >= from_s
+        )
+
     def was_disrupted_before(
         self, front: int, at_s: float, within_s: float
     ) -> bool:
@@ -231,6 +264,7 @@
 
 __all__ = (
     'REUSABLE_SHARE',
+    'STORE_LINK',
     'CallEnd',
     'CallKind',
     'CallRecord',
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..upstream import EVENT_COUNT
+from .availability_checks import check_leaving, check_pauses
 from .history import CallEnd, CallKind, DisruptionKind
 from .quarantine_checks import (
     check_crashing_requests,
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator, Mapping, Sequence
 
+    from ..upstream_availability import UpstreamAvailability
     from .history import CallRecord, History
 
 DEADLINE_S: Final = 3.0
@@ -73,6 +75,7 @@
         faulty_ids: Ids of requests to which an upstream's own response was
             faulty.
         crashes_s: Monotonic times of crashes, in order.
+        availability: What each upstream said of itself, and what it received.
     """
 
     history: History
@@ -83,6 +86,7 @@
     upstreams_by_id: Mapping[str, Collection[str]] = field(default_factory=dict)
     faulty_ids: frozenset[str] = frozenset()
     crashes_s: Sequence[float] = ()
+    availability: Sequence[UpstreamAvailability] = ()
 
 
 def find_violations(records: RunRecords) -> list[str]:
@@ -97,6 +101,8 @@
     found += check_retry_budget(records)
     found += check_crashing_requests(records)
     found += check_healthy_streams(records)
+    found += check_leaving(records)
+    found += check_pauses(records)
     return found
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -108,6 +108,22 @@
     LARGE_CONFIG = ('large-config', TargetKind.STORE)
     """A configuration has thousands of routes for a time."""
 
+    LEAVE = ('leave', TargetKind.UPSTREAM)
+    """All answers say that the upstream leaves, while it is listed as ready;
+    then it starts anew under its id."""
+
+    LEAVE_FOR_OTHER = ('leave-for-other', TargetKind.UPSTREAM)
+    """As above, listed as draining; then another id is at the address."""
+
+    ASK_PAUSE = ('ask-pause', TargetKind.UPSTREAM)
+    """The upstream refuses requests and says for how long."""
+
+    ASK_PAUSE_ALL = ('ask-pause-all', TargetKind.UPSTREAM)
+    """All upstreams of its service do so at once."""
+
+    REFUSE = ('refuse', TargetKind.UPSTREAM)
+    """The upstream refuses requests and doesn't say for how long."""
+
     @property
     def target_kind(self) -> TargetKind:
         """Returns the kind of component that the fault affects."""
@@ -134,10 +150,19 @@
 )
 """Kinds with a random source of their own: older seeds keep their faults."""
 
+ENGINE_KINDS: Final = (
+    FaultKind.LEAVE,
+    FaultKind.LEAVE_FOR_OTHER,
+    FaultKind.ASK_PAUSE,
+    FaultKind.ASK_PAUSE_ALL,
+    FaultKind.REFUSE,
+)
+"""Kinds, added after the later ones, with a random source of their own."""
+
 RANDOM_KINDS: Final = tuple(
     kind
     for kind in FaultKind
-    if kind not in {FaultKind.CRASHING_REQUESTS, *LATER_KINDS}
+    if kind not in {FaultKind.CRASHING_REQUESTS, *LATER_KINDS, *ENGINE_KINDS}
 )
 """Kinds that are drawn for the whole run."""
 
@@ -190,6 +215,13 @@
             LATER_KINDS,
             MEAN_LATER_INTERVAL_S,
         ),
+        *_draw_faults(
+            random.Random(f'{seed}/engines'),
+            duration_s,
+            targets,
+            ENGINE_KINDS,
+            MEAN_LATER_INTERVAL_S,
+        ),
     ]
     if has_crashing_requests:
         faults.append(
@@ -233,6 +265,7 @@
 
 __all__ = (
     'DRAINING_KINDS',
+    'ENGINE_KINDS',
     'LATER_KINDS',
     'Fault',
     'FaultKind',
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
@@ -200,6 +200,7 @@
         crashes_s=sorted(
             crash_s for upstream in upstreams for crash_s in upstream.crashes_s
         ),
+        availability=[upstream.availability for upstream in upstreams],
     )
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
@@ -17,6 +17,7 @@
 from ..store import StoreStandin
 from ..upstream import UpstreamStandin
 from .config_faults import FIRST_VERSION
+from .history import STORE_LINK
 from .prompts import CRASHING_PART
 
 if TYPE_CHECKING:
@@ -24,7 +25,6 @@
     from pathlib import Path
 
 EVENT_GAP_S: Final = 0.05
-STORE_LINK: Final = 'store'
 
 
 class SoakDeployment:
@@ -107,16 +107,17 @@
         """
         self._sequence += 1
         name = upstream.upstream_id
+        key = f'servers/{upstream.instance_id}'
         entry = upstream.entry(
             address=f'{LOOPBACK}:{self._ports[name]}',
             sequence=self._sequence,
             **changed,
         )
-        self.store.put(f'servers/{name}', entry)
+        self.store.put(key, entry)
 
     def remove_upstream(self, upstream: UpstreamStandin) -> None:
         """Removes an upstream's entry from the store."""
-        self.store.remove(f'servers/{upstream.upstream_id}')
+        self.store.remove(f'servers/{upstream.instance_id}')
 
     async def close(self) -> None:
         """Kills the running fronts, then closes links and stand-ins."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -13,13 +13,14 @@
 import h11
 
 from .received_request import read_request
+from .upstream_availability import UpstreamAvailability
 from .upstream_behaviour import (
     HEALTHY_BEHAVIOURS,
     REFUSING_BEHAVIOURS,
     Behaviour,
 )
 from .upstream_exchange import UpstreamExchange, reset
-from .upstream_replies import refusal, response
+from .upstream_replies import add_lines, refusal, response
 from .upstream_run import run_request
 from .upstream_stream import EVENT_COUNT
 
@@ -38,7 +39,8 @@
     """Serves requests as scripted, and records what it received and ran.
 
     Attributes:
-        upstream_id: Id in the store; the last part of its key.
+        upstream_id: Name, and first id in the store, which is the last part
+            of its key.
         service: Service in the store.
         stage: Stage in the store, ``prefill`` or ``decode``; empty for plain
             upstreams.
@@ -61,6 +63,7 @@
             or was lost in a crash.
         handle_count: Number of handles that prefills have returned.
         resumed_failures: Number of resumed streams that will fail.
+        availability: Whether it leaves or wants a pause, and its current id.
     """
 
     upstream_id: str
@@ -82,6 +85,7 @@
     faulty_ids: set[str] = field(default_factory=set)
     handle_count: int = 0
     resumed_failures: int = 0
+    availability: UpstreamAvailability = field(init=False)
     _server: asyncio.Server | None = None
     _port: int = 0
     _running: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
@@ -89,6 +93,15 @@
     _restart: asyncio.Task[None] | None = None
     _is_down: bool = False
 
+    def __post_init__(self) -> None:
+        """Starts as the first incarnation."""
+        self.availability = UpstreamAvailability(self.upstream_id)
+
+    @property
+    def instance_id(self) -> str:
+        """Returns the id of the current incarnation in the store."""
+        return f'{self.upstream_id}{self.availability.id_suffix}'
+
     @property
     def address(self) -> str:
         """Returns the listening address as ``host:port``."""
@@ -111,7 +124,7 @@
             'state': 'ready',
             'cold-remaining-ms': 0,
             'sequence': 1,
-            'born': 1_700_000_000_000,
+            'born': self.availability.started_ms,
         }
         if self.stage:
             entry['stage'] = self.stage
@@ -182,7 +195,9 @@
                     continue
                 self.received.append(request)
                 self._running[writer] = request.request_id
-                exchange = UpstreamExchange(self, request, reader, writer)
+                exchange = UpstreamExchange(
+                    self, request, reader, writer, self.instance_id
+                )
                 if not await self._handle_request(exchange):
                     break
                 # Responses are written without h11, so its state machine can't
@@ -198,18 +213,22 @@
     ) -> None:
         """Answers a health check or a call for a report."""
         self.check_count += 1
-        writer.write(
-            response(request, 200, self.upstream_id, b'', is_sealed=False)
-        )
+        lines = self.availability.answer_headers(request.request_id)
+        reply = response(request, 200, self.instance_id, b'', is_sealed=False)
+        writer.write(add_lines(reply, lines))
 
     async def _handle_request(self, exchange: UpstreamExchange) -> bool:
         """Responds as scripted; returns whether the connection stays open."""
         request, writer = exchange.request, exchange.writer
         repeat = self._repeats.pop(writer, b'')
         writer.write(repeat)
-        if request.headers.get('expect-instance') != self.upstream_id:
+        if request.headers.get('expect-instance') != self.instance_id:
             exchange.respond(421, b'', is_sealed=False)
             return True
+        self.availability.record_arrival(request.request_id, request.at_s)
+        if self.availability.refuses_requests():
+            self._refuse(request, writer, Behaviour.REFUSE)
+            return True
         behaviour = self.script.popleft() if self.script else Behaviour.SERVE
         if behaviour in REFUSING_BEHAVIOURS:
             self._refuse(request, writer, behaviour)
@@ -230,7 +249,8 @@
         writer: asyncio.StreamWriter,
         behaviour: Behaviour | RawReply,
     ) -> None:
-        writer.write(refusal(request.request_id))
+        lines = self.availability.refusal_headers(request.request_id)
+        writer.write(add_lines(refusal(request.request_id), lines))
         if behaviour is Behaviour.REPEAT_REFUSAL:
             self._repeats[writer] = refusal(request.request_id)
         if behaviour is Behaviour.REPEAT_UNNAMED:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_exchange.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_exchange.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from .received_request import READ_SIZE_BYTES
-from .upstream_replies import response
+from .upstream_replies import add_lines, response
 
 if TYPE_CHECKING:
     from .received_request import ReceivedRequest
@@ -29,26 +29,29 @@
         request: The whole request.
         reader: Input of the connection.
         writer: Output of the connection.
+        instance_id: Id that the upstream had when the request arrived.
     """
 
     upstream: UpstreamStandin
     request: ReceivedRequest
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    instance_id: str
+
+    def add_headers(self, reply: bytes) -> bytes:
+        """Returns a reply with what the upstream says of itself."""
+        availability = self.upstream.availability
+        lines = availability.answer_headers(self.request.request_id)
+        return add_lines(reply, lines)
 
     def respond(
         self, status: int, body: bytes, *, is_sealed: bool = True
     ) -> None:
         """Sends a whole response."""
-        self.writer.write(
-            response(
-                self.request,
-                status,
-                self.upstream.upstream_id,
-                body,
-                is_sealed=is_sealed,
-            )
+        reply = response(
+            self.request, status, self.instance_id, body, is_sealed=is_sealed
         )
+        self.writer.write(self.add_headers(reply))
 
     async def wait_closed(self) -> None:
         """Waits until the gateway closes the connection."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_plain.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_plain.py
@@ -53,12 +53,14 @@
     exchange: UpstreamExchange, behaviour: Behaviour
 ) -> None:
     request, writer = exchange.request, exchange.writer
-    upstream_id = exchange.upstream.upstream_id
+    is_whole = behaviour is Behaviour.CLOSED_END
     body = _plain_body(exchange)
-    if behaviour is Behaviour.CLOSED_END:
-        writer.write(response_without_length(request, upstream_id, body))
+    reply = response_without_length(
+        request, exchange.instance_id, body if is_whole else body[:-3]
+    )
+    writer.write(exchange.add_headers(reply))
+    if is_whole:
         return
-    writer.write(response_without_length(request, upstream_id, body[:-3]))
     await asyncio.sleep(ARRIVAL_S)
     reset(writer)
 
@@ -66,7 +68,7 @@
 async def _respond_with_length(
     exchange: UpstreamExchange, behaviour: Behaviour
 ) -> None:
-    writer, upstream_id = exchange.writer, exchange.upstream.upstream_id
+    writer, upstream_id = exchange.writer, exchange.instance_id
     if behaviour is Behaviour.EXTRA_RESPONSE:
         other = ReceivedRequest('GET', '/', {'request-id': 'other'}, b'')
         writer.write(response(other, 200, upstream_id, b'not yours'))
@@ -79,6 +81,7 @@
         _plain_body(exchange),
         is_sealed=behaviour is not Behaviour.NO_SEAL,
     )
+    data = exchange.add_headers(data)
     if behaviour is Behaviour.SILENT_MIDWAY:
         writer.write(data[:-3])
         await asyncio.sleep(SILENCE_S)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_replies.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_replies.py
@@ -8,8 +8,12 @@
 from .upstream_behaviour import encode_chunk
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from .received_request import ReceivedRequest
 
+CRLF = b'\r\n'
+
 
 @dataclass(frozen=True, slots=True)
 class StreamFraming:
@@ -100,12 +104,19 @@
     return head.removesuffix(b'\r\n')
 
 
+def add_lines(reply: bytes, lines: Iterable[str]) -> bytes:
+    """Returns a reply, or its head, with more lines in the head."""
+    status_line, rest = reply.split(CRLF, 1)
+    return CRLF.join((status_line, *(line.encode() for line in lines), rest))
+
+
 def _encode_head(lines: list[str] | tuple[str, ...]) -> bytes:
     return '\r\n'.join((*lines, '', '')).encode()
 
 
 __all__ = (
     'StreamFraming',
+    'add_lines',
     'partial_head',
     'refusal',
     'response',
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_run.py
@@ -36,9 +36,7 @@
         return False
     if isinstance(behaviour, RawReply):
         return await _send_raw(exchange, behaviour)
-    endless = endless_reply(
-        behaviour, exchange.request, exchange.upstream.upstream_id
-    )
+    endless = endless_reply(behaviour, exchange.request, exchange.instance_id)
     if endless is not None:
         await _send_without_end(exchange, endless)
         return False
@@ -76,7 +74,7 @@
     """Sends the response; returns whether the connection stays open."""
     upstream, request = exchange.upstream, exchange.request
     if behaviour is Behaviour.CUT_HEAD:
-        exchange.writer.write(partial_head(request, upstream.upstream_id))
+        exchange.writer.write(partial_head(request, exchange.instance_id))
         return False
     if upstream.stage and not request.is_prefill:
         return await respond_stream(exchange, behaviour)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_stream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_stream.py
@@ -55,7 +55,8 @@
 ) -> bool:
     request, writer = exchange.request, exchange.writer
     first_event_id = int(request.headers.get('last-event-id', '0')) + 1
-    writer.write(framing.head(request, exchange.upstream.upstream_id))
+    head = framing.head(request, exchange.instance_id)
+    writer.write(exchange.add_headers(head))
     for event_id in range(first_event_id, EVENT_COUNT + 1):
         event = f'id: {event_id}\ndata: token {event_id}\n\n'.encode()
         is_midway = event_id > EVENTS_BEFORE_DISCONNECT
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -9,6 +9,7 @@
 import pytest
 
 from catkinreach_standins.platform.soak.plan import (
+    ENGINE_KINDS,
     LATER_KINDS,
     FaultKind,
     TargetKind,
@@ -40,6 +41,7 @@
 """The same with crashing requests."""
 
 COUNT_OF_SEED_64 = 42
+LATER_COUNT_OF_SEED_64 = 6
 START_OF_SEED_64 = [
     (FaultKind.STORE_RESETS, 'one', 0.291),
     (FaultKind.STORE_SILENT, 'two', 0.363),
@@ -111,7 +113,7 @@
 
 def test_later_kinds_leave_the_older_faults_as_they_were() -> None:
     targets = dict.fromkeys(TargetKind, ('one', 'two'))
-    later = {*LATER_KINDS, FaultKind.CRASHING_REQUESTS}
+    later = {*LATER_KINDS, *ENGINE_KINDS, FaultKind.CRASHING_REQUESTS}
     faults = [
         (fault.kind, fault.target, round(fault.at_s, 3))
         for fault in make_plan(64, 12.0, targets)
@@ -121,6 +123,13 @@
     assert faults[:3] == START_OF_SEED_64
 
 
+def test_engine_kinds_leave_the_later_faults_as_they_were() -> None:
+    targets = dict.fromkeys(TargetKind, ('one', 'two'))
+    kinds = [fault.kind for fault in make_plan(64, 12.0, targets)]
+    assert sum(kind in LATER_KINDS for kind in kinds) == LATER_COUNT_OF_SEED_64
+    assert any(kind in ENGINE_KINDS for kind in kinds)
+
+
 def test_later_kinds_come_in_series_and_overlap() -> None:
     targets = dict.fromkeys(TargetKind, ('one', 'two', 'three'))
     faults = [
--- a/packages/catkinreach-standins/tests/platform/test_upstream.py
+++ b/packages/catkinreach-standins/tests/platform/test_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 import pytest
@@ -166,3 +167,39 @@
         return await _fetch(upstream, request)
     except ConnectionRefusedError:
         return b''
+
+
+def test_upstream_that_leaves_hides_it_in_some_answers() -> None:
+    async def scenario(upstream: UpstreamStandin) -> None:
+        born = upstream.entry()['born']
+        upstream.availability.is_leaving = True
+        upstream.script.extend([Behaviour.REFUSE, Behaviour.FAIL])
+        received = await _fetch(
+            upstream, _request('one'), _request('two'), _request('three')
+        )
+        assert received.count(b'Server-Leaving: 1\r\n') == 3
+        upstream.availability.start_anew(keeps_id=False)
+        assert upstream.entry()['born'] != born
+        assert upstream.instance_id == 'u-1'
+        answer = await _fetch(upstream, _request('four'))
+        assert answer.startswith(b'HTTP/1.1 421')
+        assert b'Server-Leaving' not in answer
+        notices = upstream.availability.notices
+        assert [one.request_id for one in notices] == ['one', 'two', 'three']
+
+    _run('', scenario)
+
+
+def test_upstream_that_asks_for_a_pause_runs_requests() -> None:
+    async def scenario(upstream: UpstreamStandin) -> None:
+        upstream.availability.paused_until_s = time.monotonic() + 60
+        refused = await _fetch(upstream, _request('one'))
+        upstream.availability.paused_until_s = 0
+        upstream.availability.is_refusing = True
+        refused_plainly = await _fetch(upstream, _request('two'))
+        assert refused.startswith(b'HTTP/1.1 503')
+        assert b'Retry-After: ' in refused
+        assert b'Retry-After' not in refused_plainly
+        assert not upstream.runs
+
+    _run('', scenario)
