--- a/packages/catkinreach-node/tests/gateway/test_attempts.py
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -91,9 +91,7 @@
     assert not attempts.can_replace
 
 
-def test_upstream_that_was_not_silent_gets_a_request_beyond_the_attempts() -> (
-    None
-):
+def test_lost_upstream_gets_a_request_beyond_the_attempts() -> None:
     attempts = _make_attempts()
     attempts.record_failure_after_send(OTHER, SendFailure.BROKEN)
     attempts.record_failure_after_send(SILENT, SendFailure.BROKEN)
--- a/packages/catkinreach-node/tests/gateway/test_engines_that_leave.py
+++ b/packages/catkinreach-node/tests/gateway/test_engines_that_leave.py
@@ -195,7 +195,7 @@
     asyncio.run(run())
 
 
-def test_request_that_waits_for_a_connection_is_sent_to_an_engine_that_leaves(
+def test_request_that_waited_is_sent_to_an_engine_that_leaves(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     acquire = UpstreamPool.acquire
--- a/packages/catkinreach-node/tests/gateway/test_reborn_upstreams.py
+++ b/packages/catkinreach-node/tests/gateway/test_reborn_upstreams.py
@@ -93,7 +93,7 @@
 # Callers got a part of the reply as a whole one.
 @pytest.mark.parametrize('warm_ups', [0, 4])
 @pytest.mark.parametrize('keeps_id', [False, True])
-def test_stream_cut_by_a_crash_of_an_engine_that_is_back_looks_complete(
+def test_stream_cut_by_an_engine_that_is_back_looks_complete(
     *, keeps_id: bool, warm_ups: int
 ) -> None:
     answer = asyncio.run(
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize('warm_ups', [0, 4])
 @pytest.mark.parametrize('keeps_id', [False, True])
-def test_stream_cut_by_a_crash_of_an_engine_that_is_back_is_not_resumed(
+def test_stream_cut_by_an_engine_that_is_back_is_not_resumed(
     *, keeps_id: bool, warm_ups: int
 ) -> None:
     answer = asyncio.run(
@@ -120,7 +120,7 @@
 @pytest.mark.parametrize('warm_ups', [0, 4])
 @pytest.mark.parametrize('keeps_id', [False, True])
 @pytest.mark.parametrize('path', ['/order/', '/read/'])
-def test_plain_reply_cut_by_a_crash_of_an_upstream_that_is_back_looks_whole(
+def test_reply_cut_by_an_upstream_that_is_back_looks_whole(
     path: str, *, keeps_id: bool, warm_ups: int
 ) -> None:
     status, body = asyncio.run(
