Bound the wait for a decode to begin

Callers waited for ever when an engine took a decode and sent no head, a part of one, or a refusal that stopped within its text, though other engines were sound.

Cause: the guard against silence watched the tokens only; the wait for the head, and for the text of a refusal, came before it. The class: an await without a bound.

Change: one guard watches a decode from its request on, so that silence before the head is treated as silence after it: others are sought after 1.5 s, and it ends after 10 s at the latest. A refusal's text is waited for 0.25 s.

--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from contextlib import aclosing
+from contextlib import AsyncExitStack, aclosing
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -22,7 +22,7 @@
 from .takeover import MAX_SILENCE_S
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator, AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from catkinreach_core.settings.fleet import Upstream
 
@@ -127,42 +127,46 @@
         import_id = await self._prefill_and_transfer()
         with self._hops.measure(Hop.DECODE, self._session.trace) as scope:
             scope.set_attribute('upstream', self._decode_upstream.upstream_id)
-            async with (
-                self._engines.decode(
-                    self._decode_upstream,
-                    self._reservation.engine_request_id,
-                    self._completion.model,
-                    import_id,
-                    max_tokens=self._completion.max_tokens,
-                    skip=self._first_new_index,
-                    priority=self._priority,
-                    trace=scope.traceparent,
-                ) as batches,
-                aclosing(self._fail_on_stall(batches)) as guarded_batches,
-            ):
-                async for events in guarded_batches:
+            async with aclosing(
+                self._decode(import_id, scope.traceparent)
+            ) as batches:
+                async for events in batches:
                     batch, error = self._collect_tokens(events)
                     yield batch
                     if error is not None:
                         raise error
 
-    async def _fail_on_stall(
-        self, batches: AsyncIterator[list[DecodeEvent]]
+    async def _decode(
+        self, import_id: str, trace: str
     ) -> AsyncGenerator[list[DecodeEvent], None]:
-        """Yields the batches.
+        """Starts the decode and yields its events in batches.
 
         Raises:
-            EngineError: no token arrives in time, and other engines can go on.
+            EngineError: the engine refuses, or neither answers nor sends a
+                token in time, and other engines can go on.
         """
         guard = StallGuard(TOKEN_STALL_S, self._may_give_up)
+        decode = self._engines.decode(
+            self._decode_upstream,
+            self._reservation.engine_request_id,
+            self._completion.model,
+            import_id,
+            max_tokens=self._completion.max_tokens,
+            skip=self._first_new_index,
+            priority=self._priority,
+            trace=trace,
+        )
         try:
-            while True:
+            async with AsyncExitStack() as stack:
                 with guard.wait():
-                    batch = await anext(batches, None)
-                if batch is None:
-                    return
-                await self._keep_engine()
-                yield batch
+                    batches = await stack.enter_async_context(decode)
+                while True:
+                    with guard.wait():
+                        batch = await anext(batches, None)
+                    if batch is None:
+                        return
+                    await self._keep_engine()
+                    yield batch
         except TimeoutError as error:
             raise EngineError(
                 0, 'decode produced no token in time', FailureKind.STALLED
--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -45,6 +45,9 @@
 
 IMPORT_TIMEOUT_PER_PIECE_S = 0.05
 CANCEL_TIMEOUT_S = 2.0
+ERROR_TEXT_TIMEOUT_S = 0.25
+"""Time in which a decode's refusal has to be whole, or its text is left out."""
+
 _HTTP_OK = 200
 _EVENT_END = b'\n\n'
 _DATA_PREFIX = b'data: '
@@ -189,7 +192,7 @@
             ) as response:
                 if response.status != _HTTP_OK:
                     raise EngineError(
-                        response.status, _error_text(await response.read())
+                        response.status, await _read_error_text(response)
                     )
                 yield _decode_events(response)
         except ConnectError as error:
@@ -268,6 +271,15 @@
     return body[:200].decode('utf-8', 'replace')
 
 
+async def _read_error_text(response: ClientResponse) -> str:
+    """Returns the text of a refusal, whose head says all."""
+    try:
+        async with asyncio.timeout(ERROR_TEXT_TIMEOUT_S):
+            return _error_text(await response.read())
+    except TimeoutError:
+        return 'without a whole text'
+
+
 async def _decode_events(
     response: ClientResponse,
 ) -> AsyncIterator[list[DecodeEvent]]:
