Bound the wait for a plain response

Callers waited for ever, and an order ran on at the owner of its key, when a plain upstream stopped within its response and kept the connection.

Cause: only the opening of the connection had a bound. The class: an await without the request's deadline.

Change: a response has to be whole 60 s after its request was accepted, as long as the callers of orders wait already; then the caller gets upstream-failed, outcome unknown, and a read isn't sent again. The settings have no deadline for plain routes, so that a service that takes longer by design can't be told from a silent one.

--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,11 @@
     from .interfaces import Limiter, OrderHandler
 
 WORKSPACE_HEADER = 'x-workspace'
+
+RESPONSE_TIMEOUT_S = 60.0
+"""Time from acceptance in which a response has to be whole, with its retry; as
+long as the callers of orders wait."""
+
 # Headers of one connection; Host and Content-Length are set anew by the sender.
 _HOP_BY_HOP = frozenset(
     {
@@ -106,7 +112,7 @@
         Raises:
             CatkinreachError: ``NO_UPSTREAM`` if nothing was sent,
                 ``UPSTREAM_FAILED`` if the upstream may have received
-                a part of the request.
+                a part of the request, or wasn't done in time.
         """
         with self._hops.measure(Hop.PLAIN, session.trace) as scope:
             scope.set_attribute('upstream', upstream.upstream_id)
@@ -118,18 +124,22 @@
                     body=session.request.body,
                 ),
                 upstream,
+                deadline_s=_deadline_s(session),
             )
 
     async def _exchange(
-        self, request: HttpRequest, upstream: Upstream
+        self, request: HttpRequest, upstream: Upstream, *, deadline_s: float
     ) -> HttpResponse:
         upstream_id = upstream.upstream_id
         is_complete = False
         self._balancer.start_request(upstream_id)
         try:
-            async with self._client.exchange(
-                upstream_address(upstream), request, is_new_connection=True
-            ) as response:
+            async with (
+                asyncio.timeout(deadline_s - time.monotonic()),
+                self._client.exchange(
+                    upstream_address(upstream), request, is_new_connection=True
+                ) as response,
+            ):
                 caller_response = HttpResponse(
                     status=response.status,
                     headers=[
@@ -146,7 +156,7 @@
                 upstream_id, time.monotonic()
             )
             raise CatkinreachError(ErrorKind.NO_UPSTREAM) from error
-        except ExchangeError as error:
+        except (ExchangeError, TimeoutError) as error:
             self._balancer.record_connection_failure(
                 upstream_id, time.monotonic()
             )
@@ -157,6 +167,10 @@
             self._balancer.end_request(upstream_id, is_complete=is_complete)
 
 
+def _deadline_s(session: SessionContext) -> float:
+    return session.accepted_at_s + RESPONSE_TIMEOUT_S
+
+
 def _check_dependencies(session: SessionContext) -> None:
     settings = session.settings
     for service_id in session.service.depends_on:
@@ -209,6 +223,8 @@
             return await self._forward(session)
         except CatkinreachError as error:
             first_error = error
+        if time.monotonic() >= _deadline_s(session):
+            raise first_error
         try:
             return await self._forward(session)
         except CatkinreachError as error:
