Take no part of a plain response for a whole one

Callers got a part of an answer with 200, and the owner of an order's key kept it as the order's answer, when a plain upstream crashed within a response that has neither a length nor chunks.

Cause: such a response ends with its connection, and a crash ends that, too. The class: the end of a connection taken for the end of what was sent.

Evidence: test_crashed_plain_upstreams.

Change: a second connection is open before the request; any reply to OPTIONS * on it proves that the process still runs, as a crash ends all its connections. Orders always have it, reads once a service of their pool has sent such a response; the first such read is sent again. Responses with a length are never checked. The statuses without a body are named once now.

What remains: a service of several processes proves only that one of them runs. An order opens one connection more; what that costs wasn't measured. A service that closes an idle connection before its own response is whole fails the check.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -11,7 +11,7 @@
 
 from ..http.client import ClientResponse
 from ..http.connection import ClosedToRequestsError, ExchangeError
-from ..http.messages import EVENT_STREAM_TYPE
+from ..http.messages import EVENT_STREAM_TYPE, STATUSES_WITHOUT_BODY
 from .decision_log import Event
 from .identity_check import IdentityCheck
 from .reply_buffer import BufferFullError
@@ -27,7 +27,6 @@
 
 STREAM_STATUS = 200
 MIN_FAILURE_STATUS = 500
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MAX_SKIPPED_REPLIES = 4
 
 MAX_INTERIM_HEADS = 8
--- a/packages/catkinreach-node/src/catkinreach_node/http/client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -10,10 +10,15 @@
 import msgspec
 
 from .connection import ClientConnection, ExchangeError
-from .messages import JSON_TYPE, Headers, HttpRequest
+from .messages import (
+    JSON_TYPE,
+    STATUSES_WITHOUT_BODY,
+    Headers,
+    HttpRequest,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from catkinreach_core.settings.node import Address
 
@@ -48,6 +53,15 @@
             None,
         )
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Returns whether the end of the body is that of the connection."""
+        names = {name for name, _ in self.headers}
+        return (
+            names.isdisjoint({'content-length', 'transfer-encoding'})
+            and self.status not in STATUSES_WITHOUT_BODY
+        )
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives, one chunk for each socket read.
 
@@ -97,6 +111,7 @@
         request: HttpRequest,
         *,
         is_new_connection: bool = False,
+        before_send: Callable[[], Awaitable[None]] | None = None,
     ) -> AsyncIterator[ClientResponse]:
         """Sends a request and yields the response.
 
@@ -109,6 +124,7 @@
                 from the reply. A request on an idle connection also fails if
                 the upstream is just closing the connection, which looks like
                 a lost request.
+            before_send: Awaited once the connection is open.
 
         Raises:
             ConnectError: if nothing was sent.
@@ -119,6 +135,8 @@
         )
         may_keep = False
         try:
+            if before_send is not None:
+                await before_send()
             try:
                 await connection.send(request, str(address))
                 head = await connection.next_event()
--- a/packages/catkinreach-node/src/catkinreach_node/http/messages.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/messages.py
@@ -19,6 +19,7 @@
 JSON_TYPE = 'application/json'
 PROBLEM_TYPE = 'application/problem+json'
 EVENT_STREAM_TYPE = 'text/event-stream'
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class BodyStream(Protocol):
@@ -104,6 +105,7 @@
     'EVENT_STREAM_TYPE',
     'JSON_TYPE',
     'PROBLEM_TYPE',
+    'STATUSES_WITHOUT_BODY',
     'BodyStream',
     'Headers',
     'HttpRequest',
--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from .messages import EVENT_STREAM_TYPE, encode_headers
+from .messages import EVENT_STREAM_TYPE, STATUSES_WITHOUT_BODY, encode_headers
 from .problem import problem_response
 
 if TYPE_CHECKING:
@@ -25,8 +25,6 @@
 NO_LINGER = struct.pack('ii', 1, 0)
 """Value of ``SO_LINGER`` with which a close resets the connection."""
 
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
-
 ENDED_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 """States of a connection whose last response is whole."""
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -11,11 +11,13 @@
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpRequest, HttpResponse
+from ..http.witness import Witness
 from ..telemetry.hop_recorder import TRACE_HEADER
 from ..telemetry.hops import Hop
 from .engine_client import upstream_address
 
 if TYPE_CHECKING:
+    from catkinreach_core.ids import PoolId
     from catkinreach_core.settings.fleet import Upstream
 
     from ..http.client import HttpClient
@@ -79,6 +81,7 @@
         self._client = client
         self._hops = hops
         self._balancer = PlainBalancer()
+        self._pools_without_length: set[PoolId] = set()
 
     def choose_upstream(self, session: SessionContext) -> Upstream:
         """Returns the upstream in service with the lowest utilization.
@@ -125,19 +128,30 @@
                 ),
                 upstream,
                 deadline_s=_deadline_s(session),
+                is_order=not session.route.is_repeatable,
             )
 
     async def _exchange(
-        self, request: HttpRequest, upstream: Upstream, *, deadline_s: float
+        self,
+        request: HttpRequest,
+        upstream: Upstream,
+        *,
+        deadline_s: float,
+        is_order: bool,
     ) -> HttpResponse:
         upstream_id = upstream.upstream_id
+        witness = Witness(upstream_address(upstream))
+        has_witness = is_order or upstream.pool_id in self._pools_without_length
         is_complete = False
         self._balancer.start_request(upstream_id)
         try:
             async with (
                 asyncio.timeout(deadline_s - time.monotonic()),
                 self._client.exchange(
-                    upstream_address(upstream), request, is_new_connection=True
+                    upstream_address(upstream),
+                    request,
+                    is_new_connection=True,
+                    before_send=witness.open if has_witness else None,
                 ) as response,
             ):
                 caller_response = HttpResponse(
@@ -149,6 +163,8 @@
                     ],
                     body=await response.read(),
                 )
+                if request.method != 'HEAD' and response.ends_with_connection:
+                    await self._check_end(upstream, witness)
                 is_complete = True
                 return caller_response
         except ConnectError as error:
@@ -164,8 +180,22 @@
                 ErrorKind.UPSTREAM_FAILED, outcome=Outcome.UNKNOWN
             ) from error
         finally:
+            witness.close()
             self._balancer.end_request(upstream_id, is_complete=is_complete)
 
+    async def _check_end(self, upstream: Upstream, witness: Witness) -> None:
+        """Checks that a response ended with its connection only.
+
+        The first read of a pool that gets such a response has no witness; it
+        is sent again.
+
+        Raises:
+            ExchangeError: if the upstream may have crashed.
+        """
+        self._pools_without_length.add(upstream.pool_id)
+        if not await witness.has_lived():
+            raise ExchangeError('connection ended with its upstream')
+
 
 def _deadline_s(session: SessionContext) -> float:
     return session.accepted_at_s + RESPONSE_TIMEOUT_S
