Go on when a request is placed on an engine that was added later

Callers got 500 when the owner of the cell placed a request on an engine that the settings of its acceptance don't have. Found while reading for the deadlines.

Cause: the engine was looked up in the request's settings, with a KeyError.

--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
+    from catkinreach_core.ids import UpstreamId
     from catkinreach_core.settings.fleet import Upstream
 
     from ..telemetry.hop_recorder import HopRecorder
@@ -83,8 +84,10 @@
             engines: Client for the engines.
             hops: Measures the phases.
             takeover: Seeks other engines while the decode engine is silent.
+
+        Raises:
+            AttemptError: if an engine is in newer settings than the request's.
         """
-        upstreams = session.settings.upstreams
         self._session = session
         self._completion = completion
         self._reservation = reservation
@@ -92,8 +95,10 @@
         self._engines = engines
         self._hops = hops
         self._takeover = takeover
-        self._prefill_upstream = upstreams[reservation.placement.prefill]
-        self._decode_upstream = upstreams[reservation.placement.decode]
+        self._prefill_upstream = _upstream(
+            session, reservation.placement.prefill
+        )
+        self._decode_upstream = _upstream(session, reservation.placement.decode)
         self._first_new_index = len(progress.tokens)
         self._first_token_at_s = 0.0
         self._current_upstream = self._prefill_upstream
@@ -293,6 +298,16 @@
                 return
 
 
+def _upstream(session: SessionContext, upstream_id: UpstreamId) -> Upstream:
+    upstream = session.settings.upstreams.get(upstream_id)
+    if upstream is None:
+        raise AttemptError(
+            Failure(upstream_id, FailureKind.REFUSED),
+            f'engine {upstream_id} is unknown to the request',
+        )
+    return upstream
+
+
 _cancel_tasks: set[asyncio.Task[None]] = set()
 """Strong references to running tasks; the event loop keeps only weak ones."""
 
--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -141,16 +141,16 @@
         async with AsyncExitStack() as stack:
             with self._hops.measure(Hop.QUEUE, self._session.trace):
                 reservation = await self._reserve(stack, attempt_number)
-            attempt = Attempt(
-                self._session,
-                self._completion,
-                reservation,
-                self.progress,
-                self._engines,
-                self._hops,
-                self._takeover,
-            )
             try:
+                attempt = Attempt(
+                    self._session,
+                    self._completion,
+                    reservation,
+                    self.progress,
+                    self._engines,
+                    self._hops,
+                    self._takeover,
+                )
                 async with aclosing(attempt.run()) as batches:
                     async for batch in batches:
                         yield batch
