--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -10,11 +11,13 @@
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpRequest, HttpResponse
+from ..http.witness import Witness
 from ..telemetry.hop_recorder import TRACE_HEADER
 from ..telemetry.hops import Hop
 from .engine_client import upstream_address
 
 if TYPE_CHECKING:
+    from catkinreach_core.ids import PoolId
     from catkinreach_core.settings.fleet import Upstream
 
     from ..http.client import HttpClient
@@ -24,6 +27,11 @@
     from .interfaces import Limiter, OrderHandler
 
 WORKSPACE_HEADER = 'x-workspace'
+
+RESPONSE_TIMEOUT_S = 60.0
+"""Time from acceptance in which a response has to be whole, with its retry; as
+long as the callers of orders wait."""
+
 # Headers of one connection; Host and Content-Length are set anew by the sender.
 _HOP_BY_HOP = frozenset(
     {
@@ -73,6 +81,7 @@
         self._client = client
         self._hops = hops
         self._balancer = PlainBalancer()
+        self._pools_without_length: set[PoolId] = set()
 
     def choose_upstream(self, session: SessionContext) -> Upstream:
         """Returns the upstream in service with the lowest utilization.
@@ -106,7 +115,7 @@
         Raises:
             CatkinreachError: ``NO_UPSTREAM`` if nothing was sent,
                 ``UPSTREAM_FAILED`` if the upstream may have received
-                a part of the request.
+                a part of the request, or wasn't done in time.
         """
         with self._hops.measure(Hop.PLAIN, session.trace) as scope:
             scope.set_attribute('upstream', upstream.upstream_id)
@@ -118,18 +127,33 @@
                     body=session.request.body,
                 ),
                 upstream,
+                deadline_s=_deadline_s(session),
+                is_order=not session.route.is_repeatable,
             )
 
     async def _exchange(
-        self, request: HttpRequest, upstream: Upstream
+        self,
+        request: HttpRequest,
+        upstream: Upstream,
+        *,
+        deadline_s: float,
+        is_order: bool,
     ) -> HttpResponse:
         upstream_id = upstream.upstream_id
+        witness = Witness(upstream_address(upstream))
+        has_witness = is_order or upstream.pool_id in self._pools_without_length
         is_complete = False
         self._balancer.start_request(upstream_id)
         try:
-            async with self._client.exchange(
-                upstream_address(upstream), request, is_new_connection=True
-            ) as response:
+            async with (
+                asyncio.timeout(deadline_s - time.monotonic()),
+                self._client.exchange(
+                    upstream_address(upstream),
+                    request,
+                    is_new_connection=True,
+                    before_send=witness.open if has_witness else None,
+                ) as response,
+            ):
                 caller_response = HttpResponse(
                     status=response.status,
                     headers=[
@@ -139,6 +163,8 @@
                     ],
                     body=await response.read(),
                 )
+                if request.method != 'HEAD' and response.ends_with_connection:
+                    await self._check_end(upstream, witness)
                 is_complete = True
                 return caller_response
         except ConnectError as error:
@@ -146,7 +172,7 @@
                 upstream_id, time.monotonic()
             )
             raise CatkinreachError(ErrorKind.NO_UPSTREAM) from error
-        except ExchangeError as error:
+        except (ExchangeError, TimeoutError) as error:
             self._balancer.record_connection_failure(
                 upstream_id, time.monotonic()
             )
@@ -154,8 +180,26 @@
                 ErrorKind.UPSTREAM_FAILED, outcome=Outcome.UNKNOWN
             ) from error
         finally:
+            witness.close()
             self._balancer.end_request(upstream_id, is_complete=is_complete)
 
+    async def _check_end(self, upstream: Upstream, witness: Witness) -> None:
+        """Checks that a response ended with its connection only.
+
+        The first read of a pool that gets such a response has no witness; it
+        is sent again.
+
+        Raises:
+            ExchangeError: if the upstream may have crashed.
+        """
+        self._pools_without_length.add(upstream.pool_id)
+        if not await witness.has_lived():
+            raise ExchangeError('connection ended with its upstream')
+
+
+def _deadline_s(session: SessionContext) -> float:
+    return session.accepted_at_s + RESPONSE_TIMEOUT_S
+
 
 def _check_dependencies(session: SessionContext) -> None:
     settings = session.settings
@@ -209,6 +253,8 @@
             return await self._forward(session)
         except CatkinreachError as error:
             first_error = error
+        if time.monotonic() >= _deadline_s(session):
+            raise first_error
         try:
             return await self._forward(session)
         except CatkinreachError as error:
