Refuse pages of the store that do not advance

A listing whose page comes again with has-more set was read without end, and each copy of its items was kept: the process never got ready, and its memory filled.

Cause: the loop over pages ended only when the store said so. The class: a wait whose end only the other side decides.

Evidence: test_page_that_comes_again_is_read_without_end failed before, passes now; the fuzzed replies of the store are read as they are, has-more included.

Change: a page that ends at or before the last key of the earlier ones is malformed.

--- a/packages/catkinreach-node/src/catkinreach_node/platform/store.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -102,6 +102,7 @@
                 query['after'] = items[-1].key
             body = await self._get('/kv-range', query, LIST_TIMEOUT_S)
             page = _decode(_PAGE_DECODER, body)
+            _check_progress(page, items)
             # The pages aren't one snapshot; a watch from the first page's
             # revision also returns what changed between them.
             revision = page.current_rev if revision is None else revision
@@ -155,6 +156,16 @@
         return body
 
 
+def _check_progress(page: _Page, earlier: list[_Item]) -> None:
+    """Refuses a page that doesn't go on after the earlier ones.
+
+    Raises:
+        StoreUnavailable: if it ends at or before them.
+    """
+    if page.items and earlier and page.items[-1].key <= earlier[-1].key:
+        raise StoreUnavailable('malformed reply: the pages do not advance')
+
+
 def _decode(decoder: msgspec.json.Decoder[_Message], body: bytes) -> _Message:
     try:
         return decode_document(decoder, body)
--- a/packages/catkinreach-node/tests/platform/test_document_fuzz.py
+++ b/packages/catkinreach-node/tests/platform/test_document_fuzz.py
@@ -192,7 +192,7 @@
     async def run(call: Callable[[], Any]) -> Listing | ChangeBatch | None:
         async def reply(path: str, query: object, timeout_s: float) -> bytes:
             del path, query, timeout_s
-            return body.replace(b'"has-more": true', b'"has-more": false')
+            return body
 
         with patch.object(store, '_get', reply):
             try:
@@ -273,3 +273,17 @@
     with patch.object(store, '_get', reply):
         changes = asyncio.run(store.list_all()).changes
     assert [type(change) for change in changes] == [EntryUnreadable]
+
+
+# The client read it again and again, and kept all copies.
+def test_page_that_comes_again_is_read_without_end() -> None:
+    store = StoreClient(Address(host='127.0.0.1', port=1))
+    replies = [to_json({**PAGE, 'has-more': True})] * 3
+
+    async def reply(path: str, query: object, timeout_s: float) -> bytes:
+        del path, query, timeout_s
+        return replies.pop()
+
+    with patch.object(store, '_get', reply), pytest.raises(StoreUnavailable):
+        asyncio.run(store.list_all())
+    assert replies
