Report no negative costs to other nodes

An aggregator could report a negative cost of a workspace: a refund of a request whose cost has left the window; a forged or faulty reply could report any, which lifts the limit of the workspace for half a second each.

Cause: the message of all nodes leaves such costs out, the reply of an aggregator did not; the range of the reply allowed them.

With the range alone the node that refunds sends a reply that no peer can read; the test has such a refund now, and fails without the change of the sender.

Change: costs in replies are at least 0, on both sides.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/datagram_ranges.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/datagram_ranges.py
@@ -34,9 +34,6 @@
 Tokens = Annotated[int, Meta(ge=0, le=MAX_TOKENS)]
 NodeCount = Annotated[int, Meta(ge=0, le=MAX_NODES)]
 Cost = Annotated[float, Meta(ge=0, le=MAX_COST)]
-NetCost = Annotated[float, Meta(ge=-MAX_COST, le=MAX_COST)]
-"""Cost that refunds of earlier costs may exceed."""
-
 AgeMs = Annotated[int, Meta(ge=0, le=MAX_AGE_MS)]
 Seconds = Annotated[float, Meta(ge=0, le=MAX_TIME_S)]
 GraceSeconds = Annotated[float, Meta(ge=0, le=MAX_GRACE_S)]
@@ -48,7 +45,6 @@
     'AgeMs',
     'Cost',
     'GraceSeconds',
-    'NetCost',
     'NodeCount',
     'RevisionNumber',
     'Seconds',
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -15,7 +15,6 @@
 from .datagram_ranges import (
     Cost,
     GraceSeconds,
-    NetCost,
     NodeCount,
     RevisionNumber,
     Seconds,
@@ -124,7 +123,7 @@
     query_id: int
     is_complete: bool
     loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
-    admitted: NetCost = 0.0
+    admitted: Cost = 0.0
     queued_tokens: Tokens = 0
     queued_nodes: NodeCount = 0
     down: list[UpstreamId] = field(default_factory=list)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
@@ -200,7 +200,8 @@
         if query.workspace is None:
             return 0.0
         node = self._node
-        own_cost = node.quota.own_count(query.workspace, now_s)
+        # Refunds of costs that have left the window make it negative.
+        own_cost = max(0.0, node.quota.own_count(query.workspace, now_s))
         return own_cost + node.totals.reported_cost(query.workspace, query.node)
 
     def _upstream_ids(self, service_id: ServiceId) -> list[UpstreamId]:
--- a/packages/catkinreach-node/tests/gateway/test_datagram_fuzz.py
+++ b/packages/catkinreach-node/tests/gateway/test_datagram_fuzz.py
@@ -158,6 +158,7 @@
     link = PeerLink(node)
     relay = StoreRelayLink(node, ViewUpdater(node))
     relay.record_listing(Revision(0))
+    node.quota.refund(WORKSPACE, 5.0, node.clock())
     transport = _Transport()
     link._transport = transport
     node.send_datagram = link._send_to
