Close used connections that are returned without a request

A request that may not be repeated could cross the upstream's close of an idle connection, and be answered 502. It was found by reading; no run has shown it.

Cause: a connection that is acquired while its upstream begins to leave or to pause is returned without a request, and then counted as idle for 30 s from then on, whatever idle timeout the upstream had given when it was used.

Change: such a connection is closed; one that was never used is kept as before.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -92,7 +92,13 @@
     def release_unused(
         self, upstream_id: UpstreamId, connection: ClientConnection
     ) -> None:
-        """Returns a connection on which nothing was sent."""
+        """Returns a connection on which nothing was sent.
+
+        One that was used is closed: its idle timeout has run on.
+        """
+        if connection.is_used:
+            connection.close()
+            return
         self._keep_idle(upstream_id, connection, None)
 
     def drop(self, upstream_id: UpstreamId) -> None:
--- a/packages/catkinreach-node/tests/gateway/test_upstream_pool.py
+++ b/packages/catkinreach-node/tests/gateway/test_upstream_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from catkinreach_core.settings.node import Address
@@ -12,6 +13,7 @@
     CONNECT_TIMEOUT_S,
     UpstreamPool,
 )
+from catkinreach_node.http.messages import HttpRequest
 from catkinreach_standins.fakes.gateway import make_upstream
 from catkinreach_standins.platform.deployment import LOOPBACK
 
@@ -19,6 +21,8 @@
     from catkinreach_node.http.connection import ClientConnection
 
 CLOSE_TIMEOUT_S = 5.0
+IDLE_TIMEOUT_S = 1.5
+CLOSING_S = 0.05
 
 
 def test_connection_stays_open_when_its_caller_leaves() -> None:
@@ -109,3 +113,42 @@
             return await pool.take_older(upstream, time.monotonic())
         finally:
             pool.close()
+
+
+def test_unused_connection_outlives_its_idle_timeout() -> None:
+    # Its next request crossed the upstream's close, and was lost.
+    async def run() -> None:
+        async with await asyncio.start_server(_respond, LOOPBACK, 0) as server:
+            now_s = 0.0
+            port = server.sockets[0].getsockname()[1]
+            upstream = make_upstream(
+                'one', address=Address(host=LOOPBACK, port=port)
+            )
+            pool = UpstreamPool(lambda: now_s)
+            connection = await pool.acquire(upstream)
+            await connection.send(HttpRequest('GET', '/'), LOOPBACK)
+            await connection.next_event()
+            await connection.next_data()
+            pool.release(upstream.upstream_id, connection, IDLE_TIMEOUT_S)
+            assert await pool.acquire(upstream) is connection
+            pool.release_unused(upstream.upstream_id, connection)
+            now_s = IDLE_TIMEOUT_S
+            other = await pool.acquire(upstream)
+            is_kept = other is connection
+            other.close()
+            pool.close()
+            await asyncio.sleep(CLOSING_S)
+            assert not is_kept
+
+    asyncio.run(run())
+
+
+async def _respond(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answers one request, and keeps the connection open."""
+    with suppress(asyncio.IncompleteReadError):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        await reader.read(1)
+    writer.close()
