Keep a paused stream that can't be replaced any more

A stream would be cut after 0.3 s of silence, long before its deadline, if another engine was ruled out within that silence, as a crash check of an earlier engine ended. It was found by reading.

Cause: the end of the wait for an event was taken for the deadline whenever no other engine might be tried. The class: the end of one try taken for the end of all.

Change: only the deadline ends the stream; otherwise the engine is waited for.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -121,9 +121,16 @@
         return min(self._remaining_s, max(MIN_STALL_S, stall_s))
 
     def _start_handover(self) -> None:
-        """Looks for another engine, or aborts the response at its deadline."""
-        if self._remaining_s <= 0 or not self._source.can_replace:
+        """Looks for another engine, if there may be one.
+
+        Raises:
+            ConnectionAbortedError: at the deadline.
+        """
+        if self._remaining_s <= 0:
             self._fail_silent()
+        if not self._source.can_replace:
+            # That may have changed during the wait; the engine may go on.
+            return
         self._handover = Handover(self._source, self._stream, self._last_id)
 
     async def _next_during_handover(
