Explain refusals by engines that leave, or want a pause

What on-call engineers saw: `catkinreach explain` named a lack of room as the cause of a request that was refused because each engine had said that it leaves or wants a pause, and the log didn't say so.

Change: a refused request that no upstream takes for these reasons gets a log line, service-unavailable, with the engines of both kinds and the rest of the shortest pause. explain reads it, and what the engine of a refused send had last said, and names "said that they leave" or "asked for a pause" as the cause, before a stale view of the store, which has no part in it. Its history shows these lines and the engines' last state.

Evidence: test_request_history (9 new cases) and test_failures_of_processes (a front process whose engines all leave or pause, /read/ and /stream/): pass; neither the causes nor the log line existed before. Settings have nothing new; errors.md is as it was.

--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/cause.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/cause.py
@@ -21,6 +21,8 @@
     STALE_VIEW = "the node's view of the deployment was out of date"
     UPSTREAM_LOST = 'an upstream was lost or silent'
     UPSTREAM_FAILED = 'an upstream answered with a failure'
+    UPSTREAM_LEAVING = 'upstreams said that they leave'
+    UPSTREAM_PAUSED = 'upstreams asked for a pause'
     NO_CAPACITY = 'the load left no room in time'
     WORKSPACE_LIMIT = "the workspace's limit was used up"
     NOT_ALLOWED = 'the request is not one that the configuration allows'
@@ -67,21 +69,31 @@
         'prefill-unreachable',
     }
 )
+_UNAVAILABLE_SEND_REASONS: Final = frozenset({'closed-to-requests', 'refused'})
+_CAUSE_BY_UPSTREAM_EVENT: Final = {
+    'upstream-leaving': Cause.UPSTREAM_LEAVING,
+    'upstream-paused': Cause.UPSTREAM_PAUSED,
+}
 _HTTP_MISDIRECTED_REQUEST: Final = 421
 
 
 def cause_of(history: RequestHistory) -> Cause:
     """Returns the cause of a request's end.
 
-    The order of the checks is the order of precedence: a stale view of the
-    deployment explains failed sends, and a failed send explains the code that
-    the caller received.
+    The order of the checks is the order of precedence: what all upstreams said
+    of themselves explains a refusal whatever the store says, a stale view of
+    the deployment explains failed sends, and a failed send explains the code
+    that the caller received.
     """
     end = history.end
     if end is None:
         return Cause.UNFINISHED
     if end.event in _CAUSE_BY_END_EVENT:
         return _CAUSE_BY_END_EVENT[end.event]
+    unavailable = history.unavailable
+    if unavailable is not None:
+        is_paused = bool(unavailable.fields.get('paused'))
+        return Cause.UPSTREAM_PAUSED if is_paused else Cause.UPSTREAM_LEAVING
     if _had_stale_view(history, end.text('code')):
         return Cause.STALE_VIEW
     reasons = {line.text('reason') for line in history.failed_sends}
@@ -89,11 +101,23 @@
         return Cause.UPSTREAM_LOST
     if 'failed' in reasons:
         return Cause.UPSTREAM_FAILED
-    if 'refused' in reasons:
-        return Cause.NO_CAPACITY
+    if reasons & _UNAVAILABLE_SEND_REASONS:
+        return _cause_of_unavailable(history)
     return _CAUSE_BY_CODE.get(end.text('code'), Cause.OTHER)
 
 
+def _cause_of_unavailable(history: RequestHistory) -> Cause:
+    """Returns why the last upstream that refused took no request."""
+    refusals = [
+        line
+        for line in history.failed_sends
+        if line.text('reason') in _UNAVAILABLE_SEND_REASONS
+    ]
+    last_line = history.upstreams.get(refusals[-1].text('upstream'))
+    event = '' if last_line is None else last_line.event
+    return _CAUSE_BY_UPSTREAM_EVENT.get(event, Cause.NO_CAPACITY)
+
+
 def _had_stale_view(history: RequestHistory, code: str) -> bool:
     """Returns whether the node acted on an outdated view of the deployment.
 
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
@@ -28,6 +28,9 @@
     'refused': 'was refused',
     'answered': 'was answered',
     'caller-left': 'its caller left',
+    'upstream-leaving': 'was told that an upstream leaves',
+    'upstream-paused': 'was told that an upstream wants a pause',
+    'service-unavailable': 'found only upstreams that take no requests',
     'crash-suspect': 'is suspected of crashing upstreams',
 }
 MAX_EXAMPLES: Final = 3
@@ -107,7 +110,7 @@
     for upstream_id, line in sorted(history.upstreams.items()):
         age_s = end_s - line.time_s
         state = ' '.join(
-            line.text(name) for name in ('state', 'stage', 'reason')
+            line.text(name) for name in ('state', 'stage', 'reason', 'pause_s')
         ).strip()
         yield f'{upstream_id}: {line.event} {state}, {age_s:.1f} s before'
 
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/request_history.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/request_history.py
@@ -16,7 +16,14 @@
 
 END_EVENTS: Final = frozenset({'answered', 'caller-left', 'failed', 'refused'})
 _UPSTREAM_EVENTS: Final = frozenset(
-    {'upstream-down', 'upstream-gone', 'upstream-known', 'upstream-up'}
+    {
+        'upstream-down',
+        'upstream-gone',
+        'upstream-known',
+        'upstream-leaving',
+        'upstream-paused',
+        'upstream-up',
+    }
 )
 
 
@@ -33,7 +40,7 @@
         store_lost: Line that reported the loss of the store connection, if it
             was still lost when the request ended.
         upstreams: For each upstream that the lines name, the last line on its
-            health before the request ended.
+            health, or on whether it takes requests, before the request ended.
     """
 
     request: str
@@ -56,6 +63,18 @@
         """Returns the lines of failed sends to upstreams."""
         return [line for line in self.lines if line.event == 'send-failed']
 
+    @property
+    def unavailable(self) -> LogLine | None:
+        """Returns the line by which no upstream took requests, if any."""
+        return next(
+            (
+                line
+                for line in self.lines
+                if line.event == 'service-unavailable'
+            ),
+            None,
+        )
+
     @property
     def upstream_ids(self) -> frozenset[str]:
         """Returns the ids of the upstreams that the lines name."""
--- a/packages/catkinreach-ctl/tests/log_reading/test_failures_of_processes.py
+++ b/packages/catkinreach-ctl/tests/log_reading/test_failures_of_processes.py
@@ -9,9 +9,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+import pytest
+
 from catkinreach_ctl.log_reading.cause import Cause, cause_of
 from catkinreach_ctl.log_reading.lines import read_lines
 from catkinreach_ctl.log_reading.rendering import render_history
@@ -35,6 +38,7 @@
 END_TIMEOUT_S = 3.0
 STREAM_COUNT = 10
 EVENT_GAP_S = 0.5
+PAUSE_S = 30.0
 
 
 def _run_scenario(
@@ -146,3 +150,48 @@
         assert 'catkinreach_upstreams_replaced' in metrics
 
     _run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize('path', ['/read/', '/stream/'])
+def test_refusal_by_engines_that_leave_has_cause_no_capacity(
+    path: str, tmp_path: Path
+) -> None:
+    async def scenario(deployment: Deployment, front: FrontProcess) -> None:
+        for upstream in deployment.upstreams.values():
+            upstream.availability.is_leaving = True
+            upstream.availability.is_refusing = True
+        assert await _cause_of_second(deployment, front, path) is (
+            Cause.UPSTREAM_LEAVING
+        )
+
+    _run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize('path', ['/read/', '/stream/'])
+def test_refusal_in_a_pause_of_all_engines_has_cause_no_capacity(
+    path: str, tmp_path: Path
+) -> None:
+    async def scenario(deployment: Deployment, front: FrontProcess) -> None:
+        for upstream in deployment.upstreams.values():
+            upstream.availability.paused_until_s = time.monotonic() + PAUSE_S
+        assert await _cause_of_second(deployment, front, path) is (
+            Cause.UPSTREAM_PAUSED
+        )
+
+    _run_scenario(tmp_path, scenario)
+
+
+async def _cause_of_second(
+    deployment: Deployment, front: FrontProcess, path: str
+) -> Cause:
+    """Returns why the later of two requests was refused."""
+    request = None
+    for _ in range(2):
+        request = (
+            deployment.make_request(path, key=OTHER_API_KEY)
+            if path == '/read/'
+            else _stream_request(deployment, path, '500,100')
+        )
+        assert await _call_front(front, request) == 503
+    assert request is not None
+    return cause_of(await _wait_for_history(front, request))
--- a/packages/catkinreach-ctl/tests/log_reading/test_request_history.py
+++ b/packages/catkinreach-ctl/tests/log_reading/test_request_history.py
@@ -25,6 +25,11 @@
 DOWN = {'event': 'upstream-down', 'upstream': 'd', 'reason': 'no connection'}
 
 
+LEAVING = {'event': 'upstream-leaving', 'upstream': 'd'}
+PAUSED = {'event': 'upstream-paused', 'upstream': 'd', 'pause_s': 1.5}
+UNAVAILABLE = {'event': 'service-unavailable', 'request': 'r', 'service': 's'}
+
+
 def _failed_send(reason: str, **fields: object) -> dict[str, object]:
     return {
         'event': 'send-failed',
@@ -39,6 +44,9 @@
     return {'event': 'refused', 'request': 'r', 'code': code}
 
 
+REFUSED = _refusal('no-upstream')
+
+
 def _lines(
     *documents: Mapping[str, object], source: str = 'f'
 ) -> list[LogLine]:
@@ -79,6 +87,32 @@
         ),
         ((_refusal('config-missing'),), Cause.NOT_CONFIGURED),
         ((_refusal('internal'),), Cause.OTHER),
+        (
+            ({**PAUSED, 'request': 'r'}, _failed_send('refused'), REFUSED),
+            Cause.UPSTREAM_PAUSED,
+        ),
+        (
+            ({**LEAVING, 'request': 'r'}, _failed_send('refused'), REFUSED),
+            Cause.UPSTREAM_LEAVING,
+        ),
+        (
+            (LEAVING, _failed_send('closed-to-requests'), REFUSED),
+            Cause.UPSTREAM_LEAVING,
+        ),
+        (
+            (PAUSED, _failed_send('closed-to-requests'), REFUSED),
+            Cause.UPSTREAM_PAUSED,
+        ),
+        ((_failed_send('refused'), REFUSED), Cause.NO_CAPACITY),
+        ((PAUSED, REFUSED), Cause.NO_CAPACITY),
+        (
+            (LOST, {**UNAVAILABLE, 'paused': ['d'], 'leaving': []}, REFUSED),
+            Cause.UPSTREAM_PAUSED,
+        ),
+        (
+            ({**UNAVAILABLE, 'paused': [], 'leaving': ['d']}, REFUSED),
+            Cause.UPSTREAM_LEAVING,
+        ),
     ],
 )
 def test_cause_of_request_end(
@@ -110,6 +144,15 @@
     assert text.endswith('cause: an upstream was lost or silent')
 
 
+def test_rendered_history_shows_that_an_upstream_wants_a_pause() -> None:
+    lines = _lines({**PAUSED, 'request': 'r'}, _failed_send('refused'), REFUSED)
+    (history,) = build_histories(lines, 'r')
+    text = '\n'.join(render_history(history))
+    assert 'was told that an upstream wants a pause; upstream d' in text
+    assert 'd: upstream-paused 1.5, 2.0 s before' in text
+    assert text.endswith('cause: upstreams asked for a pause')
+
+
 def test_node_state_is_kept_per_process() -> None:
     lines = [
         *_lines(LOST, source='one'),
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -294,8 +294,10 @@
     ) -> CatkinreachError:
         """Returns the error for a request that can't be served."""
         if not self.may_have_run:
-            delay_s = self._node.retry_delay_s(
-                self._admitted.service.service_id
+            service_id = self._admitted.service.service_id
+            delay_s = self._node.retry_delay_s(service_id)
+            self._node.log_unavailable(
+                service_id, self._admitted.metadata.request_id
             )
             return refusal(
                 self._node,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -50,6 +50,7 @@
     UPSTREAM_LEAVING = 'upstream-leaving'
     UPSTREAM_PAUSED = 'upstream-paused'
     UPSTREAM_REPORTED = 'upstream-reported'
+    SERVICE_UNAVAILABLE = 'service-unavailable'
     REFUSED = 'refused'
     PLACED = 'placed'
     GAVE_WAY = 'gave-way'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -300,6 +300,36 @@
         upstreams = self._serving_upstreams(service_id)
         return self.availability.shortest_pause_s(upstreams, self.clock())
 
+    def log_unavailable(
+        self, service_id: ServiceId, request_id: RequestId
+    ) -> None:
+        """Logs that no upstream takes a refused request, if that is so.
+
+        Each of the service's upstreams leaves or has a pause.
+        """
+        now_s = self.clock()
+        upstreams = self._serving_upstreams(service_id)
+        leaving = [
+            upstream.upstream_id
+            for upstream in upstreams
+            if self.availability.is_leaving(upstream)
+        ]
+        paused = [
+            upstream.upstream_id
+            for upstream in upstreams
+            if upstream.upstream_id not in leaving
+            and self.availability.pause_s(upstream, now_s) > 0
+        ]
+        if upstreams and len(leaving) + len(paused) == len(upstreams):
+            self.log.write(
+                Event.SERVICE_UNAVAILABLE,
+                request=request_id,
+                service=service_id,
+                leaving=leaving,
+                paused=paused,
+                pause_s=round(self.retry_delay_s(service_id), 3),
+            )
+
     def _serving_upstreams(self, service_id: ServiceId) -> list[Upstream]:
         """Returns the upstreams that can serve a request by themselves."""
         return [
