--- a/packages/catkinreach-core/src/catkinreach_core/ranges.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ranges.py
@@ -30,7 +30,6 @@
 UnixMilliseconds = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
 SequenceNumber = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
 Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
-HexDigest = Annotated[str, Meta(pattern='^[0-9a-fA-F]{1,64}$')]
 HostPort = Annotated[str, Meta(pattern='^.{1,256}:[0-9]{1,5}$')]
 
 __all__ = (
@@ -40,7 +39,6 @@
     'MAX_S',
     'Amount',
     'Count',
-    'HexDigest',
     'HostPort',
     'Milliseconds',
     'PositiveCount',
--- a/packages/catkinreach-node/src/catkinreach_node/cell/engine_poller.py
+++ b/packages/catkinreach-node/src/catkinreach_node/cell/engine_poller.py
@@ -14,7 +14,7 @@
 from catkinreach_core.cell.blocks import block_key
 from catkinreach_core.cell.engine_view import Health
 from catkinreach_core.documents import DocumentError, decode_json
-from catkinreach_core.ranges import HexDigest, SequenceNumber
+from catkinreach_core.ranges import SequenceNumber
 
 from ..component import NodeComponent
 from ..http.connection import ClientConnection, ConnectError, ExchangeError
@@ -53,7 +53,7 @@
 
     seq: SequenceNumber
     kind: str
-    block: HexDigest
+    block: str
 
 
 class CacheEventsPage(msgspec.Struct, frozen=True):
