Keep a silent engine's stream when its replacement is lost

Cause: let a lost replacement's place be taken by a return, and the wait for a silent engine that still runs the stream used the same bound: it was closed for a return that it didn't need.

Change: an engine that still runs the request gets it anew only in the place of one that refused, as before; one that was closed may get it back. The test failed before.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -63,6 +63,7 @@
         self._node = node
         self._admitted = admitted
         self._sends = 0
+        self._refused_sends = 0
         self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
         self._may_crash_upstreams = False
@@ -167,8 +168,13 @@
     def try_reserve_return(self, upstream: Upstream) -> bool:
         """Returns whether a silent upstream may get the request anew.
 
-        It is one that was set aside. Like a retry this spends budget now.
+        It is one that was set aside and still runs the request: it may only
+        take the place of an upstream that refused. Like a retry this spends
+        budget now.
         """
+        runs = self._sends - self._refused_sends
+        if runs >= self._admitted.route.max_attempts:
+            return False
         self.readmit(upstream)
         is_allowed = self.try_reserve_retry()
         if not is_allowed:
@@ -272,6 +278,8 @@
         self._node.record_refusal(reply)
         if reply.metadata.is_misdirected:
             self.uncount_send()
+        else:
+            self._refused_sends += 1
         self.record_failed_send(
             reply.upstream.upstream_id,
             SendFailure.REFUSED,
--- a/packages/catkinreach-node/tests/gateway/test_silent_first_events.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_first_events.py
@@ -59,6 +59,35 @@
     asyncio.run(run())
 
 
+def test_silent_engine_is_closed_to_get_its_stream_anew() -> None:
+    # Soak seed 404: the replacement was lost, and the engine was full by then.
+    async def run() -> None:
+        async with running_deployment() as (deployment, _):
+            engines = [deployment.upstreams[name] for name in ENGINE_IDS]
+            for engine in engines:
+                engine.script.extend([Behaviour.PAUSE_FIRST, Behaviour.REFUSE])
+            request = deployment.make_request(
+                '/stream/', method='POST', body=b'p', token_count='1000,100'
+            )
+            fetching = asyncio.ensure_future(
+                deployment.client.call_raw(deployment.caller_address, request)
+            )
+
+            async def is_sent() -> bool:
+                return any(engine.received for engine in engines)
+
+            await eventually(is_sent, within_s=1.0)
+            for engine in engines:
+                if not engine.received:
+                    engine.script.clear()
+                    engine.script.append(Behaviour.CUT_HEAD)
+            status, body = await fetching
+            assert status == 200
+            assert LAST_EVENT in body
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     'other', [Behaviour.REFUSE, Behaviour.CUT_HEAD, Behaviour.FAIL]
 )
