--- a/packages/catkinreach-node/tests/session/test_json_fuzz.py
+++ b/packages/catkinreach-node/tests/session/test_json_fuzz.py
@@ -121,7 +121,9 @@
             assert 0 < import_timeout_s(document.kv_pieces) < float('inf')
         case CacheEventsPage():
             for event in document.events:
-                block_key(event.block)
+                # The poller leaves out a block that is no digest.
+                with suppress(ValueError):
+                    block_key(event.block)
         case LoadReport():
             LeastLoadPolicy().record_report(UpstreamId('a'), document)
         case PublishedVms():
