Refuse peer frames that are nested too deep as malformed

A peer of the product's own program that sends a frame nested 500 to 1,022 deep got an unexpected error in the reader's task in place of a refusal.

The fuzz tests draw no frame that deep.

Change: FrameDecoder turns RecursionError into PEER_PROTOCOL, as it does ValueError.

--- a/packages/catkinreach-core/src/catkinreach_core/messages/codec.py
+++ b/packages/catkinreach-core/src/catkinreach_core/messages/codec.py
@@ -65,7 +65,11 @@
             self._unpacker.feed(chunk)
             for packed in self._unpacker:
                 yield _to_frame(packed)
-        except (ValueError, msgpack.UnpackException) as error:
+        except (
+            ValueError,
+            RecursionError,
+            msgpack.UnpackException,
+        ) as error:
             raise CatkinreachError(
                 ErrorKind.PEER_PROTOCOL, 'malformed peer frame'
             ) from error
--- a/packages/catkinreach-core/tests/messages/test_codec.py
+++ b/packages/catkinreach-core/tests/messages/test_codec.py
@@ -101,3 +101,12 @@
     packed = msgpack.packb(['hello', call, fields])
     with _protocol_error_allowed():
         assert len(list(FrameDecoder().feed(packed))) == 1
+
+
+# The depth at which msgpack gives up is above the one at which Python does.
+@pytest.mark.parametrize('depth', [300, 600, 1000, 1022, 2000])
+def test_nested_frame_raises_another_error(depth: int) -> None:
+    nested = b'\x91' * depth + b'\x90'
+    with pytest.raises(CatkinreachError) as refusal:
+        list(FrameDecoder().feed(b'\x93\xa5hello\x01' + nested))
+    assert refusal.value.kind is ErrorKind.PEER_PROTOCOL
