Let the command line survive documents that are nested too deep

Operators saw a traceback: one log line nested too deep ended `catkinreach explain`, whatever the other lines said; a refusal, an answer or a saved experiment of that kind ended the operator's commands, `load` and `report`.

--- a/packages/catkinreach-ctl/src/catkinreach_ctl/commands/node_document.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/commands/node_document.py
@@ -5,7 +5,7 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
-import msgspec
+from catkinreach_core.documents import DocumentError, decode_json
 
 from ..exit_codes import ExitCode
 from ..operator_client import OperatorCallError, OperatorClient
@@ -29,7 +29,11 @@
     if options.json:
         sys.stdout.write(f'{body.decode()}\n')
     else:
-        document = msgspec.json.decode(body)
+        try:
+            document = decode_json(body, Any)
+        except DocumentError as error:
+            sys.stderr.write(f'catkinreach: unreadable document: {error}\n')
+            return ExitCode.UNREACHABLE
         sys.stdout.write(f'{document_text(document)}\n')
     return ExitCode.OK
 
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/commands/report.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/commands/report.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import msgspec
+from catkinreach_core.documents import DocumentError, decode_json
 
 from ..exit_codes import ExitCode
 from ..experiment.result import ExperimentResult
@@ -43,11 +43,9 @@
 def run(options: Namespace) -> int:
     """Prints the table, draws the plots and returns the exit code."""
     try:
-        experiment = msgspec.json.decode(
-            options.file.read_bytes(), type=ExperimentResult
-        )
+        experiment = decode_json(options.file.read_bytes(), ExperimentResult)
         paths = _draw_plots(experiment, options.plots) if options.plots else []
-    except (OSError, msgspec.DecodeError, ImportError) as error:
+    except (OSError, DocumentError, ImportError) as error:
         sys.stderr.write(f'catkinreach: {error}\n')
         return ExitCode.SETTINGS
     sys.stdout.write(f'{format_experiment(experiment)}\n')
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/load/answer_stream.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/load/answer_stream.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from catkinreach_core.documents import decode_document
+
 if TYPE_CHECKING:
     from .observation import Observation
 
@@ -77,7 +79,7 @@
             at_s: Arrival time, from the start of the run.
 
         Raises:
-            msgspec.DecodeError: if an event is malformed.
+            DocumentError: if an event is malformed.
         """
         *events, self._pending = (self._pending + chunk).split(_EVENT_END)
         for event in events:
@@ -87,9 +89,9 @@
         """Parses the body of an answer that was not streamed.
 
         Raises:
-            msgspec.DecodeError: if the body is malformed.
+            DocumentError: if the body is malformed.
         """
-        answer = self._decoder.decode(body)
+        answer = decode_document(self._decoder, body)
         self._observation.first_at_s = at_s
         for choice in answer.choices:
             self._texts.append(choice.message.content or choice.text)
@@ -102,7 +104,7 @@
         if document == _DONE:
             self._done_count += 1
             return
-        decoded = self._decoder.decode(document)
+        decoded = decode_document(self._decoder, document)
         if event.startswith(_ERROR_PREFIX):
             self._error_code = decoded.code or 'stream-error'
             return
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/load/caller.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/load/caller.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_core.errors import Outcome
 from catkinreach_node.http.connection import ConnectError, ExchangeError
 from catkinreach_node.http.messages import JSON_TYPE, HttpRequest
@@ -89,7 +90,7 @@
             observation.code = 'no-end'
         except ExchangeError:
             observation.code = 'cut-off' if observation.status else 'no-answer'
-        except msgspec.DecodeError:
+        except DocumentError:
             observation.code = 'unreadable'
         observation.ended_at_s = clock()
         return observation
@@ -156,7 +157,7 @@
 
 
 def _record_refusal(observation: Observation, body: bytes) -> None:
-    problem = msgspec.json.decode(body, type=Problem)
+    problem = decode_json(body, Problem)
     observation.code = problem.code
     if problem.outcome == Outcome.NOT_RUN.value:
         observation.verdict = Verdict.REFUSED
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/lines.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/lines.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from catkinreach_core.documents import DocumentError, decode_document
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
 
@@ -56,9 +58,9 @@
     """
     for line in lines:
         try:
-            fields = _DECODER.decode(line)
+            fields = decode_document(_DECODER, line)
             required = msgspec.convert(fields, _RequiredFields)
-        except msgspec.DecodeError:
+        except (DocumentError, msgspec.ValidationError):
             yield None
             continue
         yield LogLine(source, required.time, required.event, fields)
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/operator_client.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/operator_client.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from catkinreach_core.documents import DocumentError, decode_json
 from catkinreach_node.http.client import HttpClient
 from catkinreach_node.http.connection import ConnectError, ExchangeError
 
@@ -114,8 +115,8 @@
 
 def _refusal_text(address: Address, status: int, body: bytes) -> str:
     try:
-        problem = msgspec.json.decode(body, type=Problem)
-    except msgspec.DecodeError:
+        problem = decode_json(body, Problem)
+    except DocumentError:
         problem = Problem()
     return f'{address} refused: {status} {problem.code}: {problem.detail}'
 
