Wait for ports that are held when a process starts

Operators saw fronts that didn't start, or ended by themselves: a front that starts while its predecessor still drains, or while an address is in use, ended with a traceback, exit code 1.

Cause: a start took its surroundings for ready. The servers were started one after the other, and the OSError of a held port left the TaskGroup, which _run doesn't catch. With a restart after a short delay the same happens again until the last port is free: a drain of 8 s is several ends. On related paths: the metrics port was tried once and then never served, the peers' port wrote a traceback each 0.2 s, and catkinreachd ended with exit code 2.

Change: each port is opened by a task of its own that tries again until it is free. A held port is one log line, dependency-lost, and one when it is open. A process is ready only once callers can connect; SIGTERM before that ends it at once. As ports open side by side, callers can connect as soon as the predecessor lets go of their port, though its readiness port is held until it ends.

--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -14,6 +14,7 @@
 from .http.server import HttpServer
 from .operator.lifecycle import LifecycleActions
 from .operator.page_action import PageAction
+from .port_wait import open_when_free
 from .wiring import wire_node
 
 if TYPE_CHECKING:
@@ -57,7 +58,8 @@
     def is_ready(self) -> bool:
         """Returns whether the node accepts requests."""
         return (
-            self._wiring.relay.is_synced
+            self._caller_server.is_listening
+            and self._wiring.relay.is_synced
             and self._wiring.limits.is_ready
             and not self._is_draining
         )
@@ -102,12 +104,17 @@
             asyncio.create_task(supervisor.keep_running(name, work), name=name)
             for name, work in self._background_work().items()
         ]
-        await self._listen()
+        ports = [
+            asyncio.create_task(open_when_free(open_port, _PortLog(name)))
+            for name, open_port in self._ports().items()
+        ]
         try:
             await self._drain_requested.wait()
+            for port in ports:
+                port.cancel()
             await self._leave_fleet()
         finally:
-            for task in tasks:
+            for task in (*ports, *tasks):
                 task.cancel()
             self._close()
         logger.info('node: stopped.')
@@ -122,16 +129,21 @@
             'tls': self._wiring.tls.run,
         }
 
-    async def _listen(self) -> None:
+    def _ports(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Returns what opens each port of the node, by its name."""
         settings = self._context.settings
         tls = self._wiring.tls
-        await self._context.transport.start(
-            settings.peer_address, tls.peer_server
-        )
-        await self._operator_server.start(
-            settings.operator_address, tls.operators
-        )
-        await self._caller_server.start(settings.caller_address, tls.callers)
+        return {
+            'peer': lambda: self._context.transport.start(
+                settings.peer_address, tls.peer_server
+            ),
+            'operator': lambda: self._operator_server.start(
+                settings.operator_address, tls.operators
+            ),
+            'caller': lambda: self._caller_server.start(
+                settings.caller_address, tls.callers
+            ),
+        }
 
     async def _leave_fleet(self) -> None:
         """Stops accepting, hands over owned state, waits for open requests.
@@ -140,7 +152,8 @@
         not ready. A request that still arrives on an open connection after
         that is served, and the connection is closed after the response.
         """
-        await asyncio.sleep(READINESS_NOTICE_S)
+        if self._caller_server.is_listening:
+            await asyncio.sleep(READINESS_NOTICE_S)
         await self._caller_server.stop_accepting()
         self._caller_server.close_idle_connections()
         for component in self._wiring.components:
@@ -161,6 +174,22 @@
         self._wiring.tracing.close()
 
 
+class _PortLog:
+    """Logs that a port of the node has to be waited for."""
+
+    def __init__(self, name: str) -> None:
+        """Takes the name of the port."""
+        self._name = name
+
+    def on_held(self, error: OSError) -> None:
+        """Logs why the port can't be opened yet."""
+        logger.warning('node: the {} port is in use: {}.', self._name, error)
+
+    def on_free(self) -> None:
+        """Logs that the port is open now."""
+        logger.info('node: the {} port is open.', self._name)
+
+
 async def _hand_over(component: NodeComponent) -> None:
     try:
         async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -16,6 +16,7 @@
 from .ingress import Ingress
 from .node import Node
 from .peer_link import PeerLink
+from .ports import GatewayPort
 from .probe_task import ProbeTask
 from .stage_order_task import StageOrderTask
 from .store_task import StoreTask
@@ -25,6 +26,7 @@
 
     from catkinreach_core.gateway.catalog import Catalog
     from catkinreach_core.gateway.feed import StoreFeed
+    from catkinreach_core.settings.node import Address
 
     from ..http.messages import HttpRequest
     from .dialect import Dialect
@@ -118,6 +120,8 @@
 
     async def _serve_until_drained(self) -> None:
         settings = self._node.settings
+        # The ports are opened side by side: a predecessor that drains may hold
+        # any of them.
         async with asyncio.TaskGroup() as group:
             tasks = [
                 group.create_task(
@@ -125,11 +129,19 @@
                 )
                 for name, work in self._background_work().items()
             ]
-            await self._ready.start(settings.ready_address)
-            await self._ingress.start(settings.caller_address)
-            await self._start_metrics()
+            ports = [
+                group.create_task(self._open_port(name, server, address))
+                for name, server, address in (
+                    ('ready', self._ready, settings.ready_address),
+                    ('ingress', self._ingress, settings.caller_address),
+                    ('metrics', self._metrics, settings.metrics_address),
+                )
+            ]
             await self._stop_requested.wait()
-            await self._drain()
+            for port in ports:
+                port.cancel()
+            if self._ingress.is_listening:
+                await self._drain()
             for task in tasks:
                 task.cancel()
 
@@ -143,18 +155,14 @@
             'settings': self._watch_settings,
         }
 
-    async def _start_metrics(self) -> None:
-        """Serves metrics; a port that can't be bound isn't fatal."""
-        address = self._node.settings.metrics_address
-        try:
-            await self._metrics.start(address)
-        except OSError as error:
-            self._node.log.write(
-                Event.DEPENDENCY_LOST,
-                dependency='metrics port',
-                address=str(address),
-                reason=str(error),
-            )
+    async def _open_port(
+        self, name: str, server: HttpServer, address: Address
+    ) -> None:
+        """Lets a server listen as soon as its port is free."""
+        port = GatewayPort(name, address, self._node.log)
+        await self._node.supervisor.keep_running(
+            f'{name}-port', lambda: port.open(lambda: server.start(address))
+        )
 
     async def _drain(self) -> None:
         """Waits for running requests, within the stop grace."""
@@ -218,7 +226,11 @@
             bool(node.members.responsive(node.clock()))
             or node.clock() - self._started_s > PEER_WAIT_S
         )
-        is_ready = node.view.is_complete and has_peer_loads
+        is_ready = (
+            self._ingress.is_listening
+            and node.view.is_complete
+            and has_peer_loads
+        )
         return READY if is_ready and not node.is_stopping else NOT_READY
 
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -22,6 +22,7 @@
 from catkinreach_core.gateway.peer_availability import bound_reports
 
 from .decision_log import Event
+from .ports import GatewayPort
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -82,12 +83,16 @@
         await self._send_messages()
 
     async def _open_socket(self) -> None:
+        address = self._node.settings.peer_address
+        await GatewayPort('peer', address, self._node.log).open(self._bind)
+        self._node.send_datagram = self._send_to
+
+    async def _bind(self) -> None:
         address = self._node.settings.peer_address
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(address.host, address.port)
         )
-        self._node.send_datagram = self._send_to
 
     async def _send_messages(self) -> None:
         is_load_change = False
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -75,6 +75,11 @@
         """Returns the counter of requests in flight."""
         return self._request_counter
 
+    @property
+    def is_listening(self) -> bool:
+        """Returns whether clients can connect."""
+        return self._server is not None and self._server.is_serving()
+
     @property
     def connection_count(self) -> int:
         """Returns the number of open connections."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -12,7 +12,7 @@
 import sys
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from catkinreach_core.settings.node import Address
 from catkinreach_node.http.client import HttpClient
@@ -63,6 +63,8 @@
         caller_address: Address for callers.
         ready_address: Address of the readiness check.
         metrics_address: Address of the metrics.
+        peer_address: Address for peer gateways.
+        settings_file: File that the process reads its settings from.
     """
 
     def __init__(
@@ -73,13 +75,15 @@
         self.number = number
         self.caller_address = Address(host=host, port=ports.front)
         self.ready_address = Address(host=host, port=ports.ready)
-        self._settings_file = folder / f'boot-{number}.conf'
+        self.peer_address = Address(host=host, port=ports.peer)
+        self.settings_file = folder / f'boot-{number}.conf'
         self._log_file = folder / f'front-{number}.jsonl'
         self.metrics_address = Address(host=host, port=ports.metrics)
         self._process: Process | None = None
+        self._predecessors: list[Process] = []
         self._client = HttpClient()
         self._settings_text = settings_text
-        self._settings_file.write_text(settings_text)
+        self.settings_file.write_text(settings_text)
 
     @property
     def log(self) -> str:
@@ -105,26 +109,62 @@
         """Returns the exit code of the latest process, if it has ended."""
         return None if self._process is None else self._process.returncode
 
+    @property
+    def predecessor_exit_codes(self) -> list[int | None]:
+        """Returns the exit codes of processes that ran beside a later one."""
+        return [process.returncode for process in self._predecessors]
+
     async def start(self) -> None:
         """Starts the process and waits until it is ready."""
         await self.launch()
         await eventually(self.is_ready, within_s=START_TIMEOUT_S)
 
-    async def launch(self) -> None:
-        """Starts the process and doesn't wait until it is ready."""
+    async def launch(self, **options: Any) -> None:
+        """Starts the process and doesn't wait until it is ready.
+
+        A process that still runs goes on beside it.
+
+        Args:
+            **options: Further arguments of the call that starts it.
+        """
+        if self._process is not None and self.is_running:
+            self._predecessors.append(self._process)
         with self._log_file.open('ab') as output:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / 'deploy' / 'front.py'),
                 f'--metrics_port={self.metrics_address.port}',
-                stdout=output,
-                stderr=output,
+                **{'stdout': output, 'stderr': output, **options},
                 env={
                     **os.environ,
-                    'CATKINREACH_BOOT': str(self._settings_file),
+                    'CATKINREACH_BOOT': str(self.settings_file),
                 },
             )
 
+    async def wait_exit(self, *, within_s: float) -> int | None:
+        """Waits until the process has ended; returns its exit code.
+
+        Raises:
+            TimeoutError: if it goes on for longer.
+        """
+
+        async def has_exited() -> bool:
+            return not self.is_running
+
+        await eventually(has_exited, within_s=within_s)
+        return self.exit_code
+
+    async def wait_ready_unharmed(self, *, within_s: float) -> None:
+        """Waits until the process is ready; checks that none ended before.
+
+        Raises:
+            AssertionError: if there is a traceback in its output.
+            TimeoutError: if it isn't ready within the time limit.
+        """
+        await eventually(self.is_ready, within_s=within_s)
+        if not self.is_running or 'Traceback' in self.log:
+            raise AssertionError(f'unexpected end or error: {self.log}')
+
     async def wait_listening(self) -> None:
         """Waits until callers can connect or the process has ended."""
         await eventually(self._is_listening, within_s=START_TIMEOUT_S)
@@ -150,7 +190,7 @@
     def change_settings(self) -> None:
         """Writes the settings file again, with the seeds in reverse order."""
         self._settings_text = _reverse_seeds(self._settings_text)
-        self._settings_file.write_text(self._settings_text)
+        self.settings_file.write_text(self._settings_text)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal if the process runs."""
@@ -165,10 +205,16 @@
             return await self._process.wait()
 
     async def kill(self) -> None:
-        """Sends SIGKILL if the process runs, and waits for its end."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
+        """Sends SIGKILL to what runs, and waits for its end."""
+        processes = [*self._predecessors]
+        if self._process is not None:
+            processes.append(self._process)
+        for process in processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        self._client.close()
+        self._client = HttpClient()
 
     async def _is_listening(self) -> bool:
         try:
@@ -246,4 +292,18 @@
         await deployment.close()
 
 
-__all__ = ('FrontProcess', 'make_fronts', 'running_fronts')
+@asynccontextmanager
+async def prepared_front(folder: Path) -> AsyncIterator[FrontProcess]:
+    """Runs the stand-ins; yields a front VM whose process isn't started."""
+    deployment = Deployment()
+    await deployment.start()
+    deployment.publish()
+    (front,) = make_fronts(1, deployment.store.port, folder)
+    try:
+        yield front
+    finally:
+        await front.kill()
+        await deployment.close()
+
+
+__all__ = ('FrontProcess', 'make_fronts', 'prepared_front', 'running_fronts')
