Wait for a settings file that is missing or being written

Operators saw fronts that ended by themselves: one that starts while its settings file is missing, empty or half written ended with exit code 2, at each restart. One whose last value was cut off (the store's port without its last digit) started, and never got ready, also after the file was whole.

A settings file that "may also change without any signal" is written while processes start; it was read once, and of a later change only the seeds were applied.

Change: a start reads the file again each 0.1 s for 30 s, and says once why it waits; then it ends with exit code 2 as before. A text without a newline at its end counts only when it has been read twice alike. The store's address of a changed file applies at once; the log names changed settings that need a restart.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from ..ids import Revision
+    from ..settings.node import Address
 
 
 class StoreUnavailable(Exception):  # noqa: N818 - a state, not a fault
@@ -101,6 +102,9 @@
     def call_count(self) -> int:
         """Returns the number of calls made so far."""
 
+    def set_address(self, address: Address) -> None:
+        """Lets later calls go to another address of the store."""
+
     async def list_all(self) -> Listing:
         """Returns all published entries.
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -46,6 +46,9 @@
 
 SETTINGS_POLL_S = 0.5
 
+RELOADED_FIELDS = frozenset({'peer_hosts', 'store_address'})
+"""Settings that apply while the process runs."""
+
 BODY_MEMORY_SHARE = 0.35
 """Part of the process's memory for the bodies of requests."""
 READY = HttpResponse(200, [('content-type', 'text/plain')], b'ready\n')
@@ -205,8 +208,23 @@
                 )
                 continue
             if settings is not None:
-                self._node.members.set_seeds(settings.peer_hosts)
-                self._node.log.write(Event.RELOAD, outcome='taken')
+                self._apply_settings(settings)
+
+    def _apply_settings(self, settings: GatewaySettings) -> None:
+        """Applies what can change while the process runs; logs the rest."""
+        self._node.members.set_seeds(settings.peer_hosts)
+        self._feed.set_address(settings.store_address)
+        started_with = self._node.settings
+        self._node.log.write(
+            Event.RELOAD,
+            outcome='taken',
+            needs_restart=[
+                name
+                for name in settings.__struct_fields__
+                if name not in RELOADED_FIELDS
+                and getattr(settings, name) != getattr(started_with, name)
+            ],
+        )
 
     def _apply_limits(self, catalog: Catalog) -> None:
         limits = catalog.limits
--- a/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
@@ -4,8 +4,9 @@
 
 import math
 import os
+import time
 from pathlib import Path
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
 from catkinreach_core.ids import FailureDomainId, VmId
@@ -15,11 +16,19 @@
 from ..gateway.settings import GatewaySettings, SharedBounds
 from .addresses import read_address
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 BOOT_VARIABLE: Final = 'CATKINREACH_BOOT'
 MS_PER_S: Final = 1000.0
 BYTES_PER_MEGABIT: Final = 125_000.0
 BYTES_PER_MEGABYTE: Final = 1_000_000.0
 
+SETTINGS_WAIT_S: Final = 30.0
+"""Time that the file may take until it can be read when a process starts."""
+
+SETTINGS_POLL_S: Final = 0.1
+
 
 class BootFile:
     """Reads the settings file and detects changes to it."""
@@ -28,6 +37,7 @@
         """Prepares the reader; nothing is read yet."""
         self._path = path
         self._text = ''
+        self._unfinished_text = ''
 
     @classmethod
     def from_environment(cls) -> BootFile:
@@ -38,15 +48,63 @@
         """Reads the settings; the metrics port isn't part of the file.
 
         Raises:
-            CatkinreachError: if a field is missing or malformed.
+            CatkinreachError: if a field is missing or malformed, or the file
+                is still being written.
+            OSError: if it can't be read.
+        """
+        text = self._read_text()
+        self._check_is_finished(text)
+        self._text = text
+        return read_settings(text, metrics_port)
+
+    def wait_and_read(
+        self, metrics_port: int, on_wait: Callable[[Exception], None]
+    ) -> GatewaySettings:
+        """Reads the settings; blocks while the file is missing or not whole.
+
+        Args:
+            metrics_port: Port of the metrics, which isn't part of the file.
+            on_wait: Called once, with the reason, if it has to wait.
+
+        Raises:
+            CatkinreachError: if a field is still missing or malformed after
+                ``SETTINGS_WAIT_S``.
+            OSError: if the file can't be read then.
         """
-        self._text = self._read_text()
-        return read_settings(self._text, metrics_port)
+        until_s = time.monotonic() + SETTINGS_WAIT_S
+        is_waiting = False
+        while True:
+            try:
+                return self.read(metrics_port)
+            except (OSError, CatkinreachError) as error:
+                if time.monotonic() > until_s:
+                    raise
+                if not is_waiting:
+                    on_wait(error)
+            is_waiting = True
+            time.sleep(SETTINGS_POLL_S)
 
     def has_changed(self) -> bool:
         """Returns whether the file differs from the text last read."""
         return self._read_text() != self._text
 
+    def _check_is_finished(self, text: str) -> None:
+        """Checks that nothing is missing at the end of a text.
+
+        A text without a newline at its end must have been read twice: a value
+        that is cut off may be another valid value.
+
+        Raises:
+            CatkinreachError: if the text may go on.
+        """
+        if text.endswith('\n') or text == self._unfinished_text:
+            return
+        self._unfinished_text = text
+        raise CatkinreachError(
+            ErrorKind.SETTINGS_INVALID,
+            'settings file: the last line has no end and may go on',
+        )
+
     def _read_text(self) -> str:
         """Returns the text; bytes that are no UTF-8 are malformed values."""
         return self._path.read_text(encoding='utf-8', errors='replace')
--- a/packages/catkinreach-node/src/catkinreach_node/platform/run.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/run.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from absl import app, flags
+from loguru import logger
 
 from catkinreach_core.errors import CatkinreachError
 
@@ -54,12 +55,16 @@
     await gateway.run()
 
 
+def _report_wait(error: Exception) -> None:
+    logger.warning('the settings file is waited for: {}', error)
+
+
 def _run(arguments: Sequence[str]) -> int:
     del arguments
     set_up_decision_log()
     try:
         boot = BootFile.from_environment()
-        settings = boot.read(_METRICS_PORT.value)
+        settings = boot.wait_and_read(_METRICS_PORT.value, _report_wait)
         asyncio.run(run_gateway(boot, settings))
     except (OSError, KeyError, CatkinreachError) as error:
         sys.stderr.write(f'catkinreachd: {error}\n')
--- a/packages/catkinreach-node/src/catkinreach_node/platform/store.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -87,6 +87,10 @@
         """Returns the number of calls made so far."""
         return self._call_count
 
+    def set_address(self, address: Address) -> None:
+        """Lets later calls go to another address of the store."""
+        self._address = address
+
     async def list_all(self) -> Listing:
         """Returns all published entries.
 
--- a/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
@@ -25,6 +25,7 @@
     from collections.abc import Awaitable, Callable, Collection
 
     from catkinreach_core.gateway.feed import Change
+    from catkinreach_core.settings.node import Address
     from catkinreach_node.gateway.node import Node
 
 NODES = 40
@@ -73,6 +74,9 @@
     def close(self) -> None:
         """Has no connections."""
 
+    def set_address(self, address: Address) -> None:
+        """Has no address."""
+
     async def list_all(self) -> Listing:
         """Returns a listing of what was published."""
         self._count()
--- a/packages/catkinreach-node/tests/platform/test_boot.py
+++ b/packages/catkinreach-node/tests/platform/test_boot.py
@@ -75,3 +75,13 @@
     assert not boot.has_changed()
     path.write_text(TEXT.replace(',10.2.0.17:8229', ''))
     assert boot.has_changed()
+
+
+# A value that was cut off was taken for another one.
+def test_settings_without_a_last_newline_are_read_twice(tmp_path: Path) -> None:
+    path = tmp_path / 'boot.conf'
+    path.write_text(TEXT.rstrip())
+    boot = BootFile(path)
+    with pytest.raises(CatkinreachError):
+        boot.read(METRICS_PORT)
+    assert boot.read(METRICS_PORT) == read_settings(TEXT, METRICS_PORT)
