Start with closed standard streams

Operators saw fronts that didn't start: without standard output (closed, as by a supervisor whose log collector isn't there) a front ended with a traceback, exit code 1.

With standard error closed alone a front started, but its first socket got descriptor 2, to which the interpreter writes its last words.

Change: before all else a process opens the null device in place of each closed standard stream, in both programs; the log writes to descriptor 1.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -4,7 +4,6 @@
 
 import logging
 import os
-import sys
 import traceback
 from collections import Counter
 from enum import Enum
@@ -13,6 +12,8 @@
 import msgspec
 from loguru import logger
 
+from ..standard_streams import STDOUT
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -149,7 +150,7 @@
 
 def set_up_decision_log() -> None:
     """Sends log records to standard output, one JSON document per line."""
-    writer = LineWriter(sys.stdout.fileno())
+    writer = LineWriter(STDOUT)
     logger.remove()
     logger.add(writer, format=_format_line, catch=False, level='INFO')
     logging.basicConfig(
--- a/packages/catkinreach-node/src/catkinreach_node/platform/run.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/run.py
@@ -14,6 +14,7 @@
 
 from ..gateway.app import GatewayApp
 from ..gateway.decision_log import set_up_decision_log
+from ..standard_streams import open_standard_streams
 from .boot import BootFile
 from .store import StoreClient
 from .wire import PlatformDialect
@@ -74,6 +75,7 @@
 
 def main() -> None:
     """Runs the gateway process."""
+    open_standard_streams()
     app.run(_run)
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/run.py
+++ b/packages/catkinreach-node/src/catkinreach_node/run.py
@@ -14,6 +14,7 @@
 from catkinreach_core.settings import load_node
 
 from .app import NodeApp
+from .standard_streams import open_standard_streams
 from .telemetry.logs import set_up_logs
 
 if TYPE_CHECKING:
@@ -57,6 +58,7 @@
 
 def main() -> None:
     """Runs ``catkinreachd``."""
+    open_standard_streams()
     app.run(_run)
 
 
