Keep late signals from ending a process that has drained

Supervisors saw a drained front end by a signal, as if it had ended by itself: a second SIGTERM or a SIGHUP that comes between the end of the event loop and the end of the interpreter.

Cause: asyncio restores the default actions when its loop closes, that of SIGHUP too, which had been ignored from the first line on.

Evidence: test_late_signals, 2 of 2 failed before. Stop signals are blocked now once the work is over, SIGHUP is ignored for good, and the stand-in signals by process id.

--- a/packages/catkinreach-node/src/catkinreach_node/platform/run.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/run.py
@@ -15,6 +15,7 @@
 from ..gateway.app import GatewayApp
 from ..gateway.decision_log import set_up_decision_log
 from ..standard_streams import open_standard_streams
+from ..stop_signals import handled_stop_signals
 from .boot import BootFile
 from .store import StoreClient
 from .wire import PlatformDialect
@@ -48,12 +49,10 @@
         feed=StoreClient(settings.store_address),
         reload=reload,
     )
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, gateway.stop)
     # Settings are polled; SIGHUP must not end the process.
-    loop.add_signal_handler(signal.SIGHUP, int)
-    await gateway.run()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    with handled_stop_signals(gateway.stop):
+        await gateway.run()
 
 
 def _report_wait(error: Exception) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/run.py
+++ b/packages/catkinreach-node/src/catkinreach_node/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -15,6 +14,7 @@
 
 from .app import NodeApp
 from .standard_streams import open_standard_streams
+from .stop_signals import handled_stop_signals
 from .telemetry.logs import set_up_logs
 
 if TYPE_CHECKING:
@@ -38,10 +38,8 @@
 async def run_node(settings: NodeSettings) -> None:
     """Runs a node; SIGTERM and SIGINT drain it."""
     node = NodeApp.from_settings(settings)
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, node.drain)
-    await node.run()
+    with handled_stop_signals(node.drain):
+        await node.run()
 
 
 def _run(arguments: Sequence[str]) -> int:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -10,7 +10,7 @@
 import os
 import signal
 import sys
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -193,14 +193,19 @@
         self.settings_file.write_text(self._settings_text)
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Sends a signal if the process runs."""
+        """Sends a signal if the process runs.
+
+        The asyncio method would reap a process that has just ended, and its
+        exit code would be lost.
+        """
         if self._process is not None and self.is_running:
-            self._process.send_signal(number)
+            with suppress(ProcessLookupError):
+                os.kill(self._process.pid, number)
 
     async def stop(self) -> int:
         """Sends SIGTERM and returns the exit code."""
         assert self._process is not None  # noqa: S101 - narrows the type
-        self._process.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
         async with asyncio.timeout(STOP_TIMEOUT_S):
             return await self._process.wait()
 
