Decide together which stopping VMs take new connections

Callers met closed connections: when all VMs are stopped within seconds, each listened for 2.5 s after its signal and stayed for its streams, so that no VM accepted until the first one was back.

Cause: each VM decided to stop listening alone, as if the others ran. Balancers send callers to VMs that aren't ready once less than half of a domain's are.

Change: messages to peers tell the end of a stopping process and its failure domain. All VMs order the stopping ones alike, by that end and then by address; a VM stops listening once those that run, or leave after it, are half of the fleet and half of its domain, at the latest 1 s before its end. Streams begin for 2.5 s after the signal; one that is refused while too few VMs take streams is told to come back after 2 s.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -9,7 +9,7 @@
 from msgspec import Meta, Struct, field
 
 from ..documents import DocumentError, decode_document
-from ..ids import ServiceId, UpstreamId, WorkspaceId
+from ..ids import FailureDomainId, ServiceId, UpstreamId, WorkspaceId
 from .crash_reports import CrashReport
 from .datagram_hosts import is_ip_address
 from .datagram_ranges import (
@@ -33,6 +33,9 @@
 _Members = Annotated[list[str], Meta(max_length=MAX_GOSSIP_MEMBERS)]
 
 
+NO_DOMAIN = FailureDomainId('')
+
+
 class Phase(Enum):
     """Lifecycle state of a node."""
 
@@ -62,6 +65,9 @@
             their stage.
         unavailable: Upstreams that told the sender that they leave, or asked
             it for a pause.
+        domain: Failure domain of the sender; empty in a change of load.
+        ends_unix_ms: End of the sender's process by its own clock; 0 while it
+            isn't stopping.
     """
 
     node: str
@@ -78,6 +84,8 @@
     unavailable: dict[UpstreamId, AvailabilityReport] = field(
         default_factory=dict
     )
+    domain: FailureDomainId = NO_DOMAIN
+    ends_unix_ms: UnixMs = 0
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
@@ -228,6 +236,7 @@
 __all__ = (
     'MAX_GOSSIP_BYTES',
     'MAX_GOSSIP_MEMBERS',
+    'NO_DOMAIN',
     'CrashMessage',
     'GossipMessage',
     'LoadQuery',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -18,6 +18,7 @@
 from .peer_link import PeerLink
 from .ports import GatewayPort
 from .probe_task import ProbeTask
+from .shutdown import LINGER_S
 from .stage_order_task import StageOrderTask
 from .store_task import StoreTask
 
@@ -32,12 +33,14 @@
     from .dialect import Dialect
     from .settings import GatewaySettings
 
-LINGER_S = 2.5
-"""Time after a stop signal for which callers may still connect."""
-
 STOP_MARGIN_S = 0.4
 """The process exits this long before the supervisor would kill it."""
 
+LAST_REQUEST_S = 1.0
+"""Time before the end of the process in which callers can't connect."""
+
+LISTEN_POLL_S = 0.1
+
 ANSWER_MARGIN_S = 0.15
 """Time between the last deadline of a request and the end of the process."""
 
@@ -100,7 +103,7 @@
 
     def stop(self) -> None:
         """Starts a graceful shutdown; a second signal changes nothing."""
-        if not self._node.is_stopping:
+        if not self._node.shutdown.is_begun:
             self._node.begin_stop(self._drain_s - ANSWER_MARGIN_S)
             self._ingress.announce_stop()
         self._stop_requested.set()
@@ -175,18 +178,39 @@
             running=self._ingress.request_counter.running,
             grace_s=grace_s,
         )
-        linger_s = min(LINGER_S, grace_s / 2)
-        await asyncio.sleep(linger_s)
+        ends_at_s = self._node.clock() + grace_s
+        await asyncio.sleep(min(LINGER_S, grace_s / 2))
+        await self._listen_while_needed(ends_at_s - LAST_REQUEST_S)
         await self._ingress.stop_accepting()
         self._ingress.close_idle_connections()
         try:
-            async with asyncio.timeout(grace_s - linger_s):
+            async with asyncio.timeout(ends_at_s - self._node.clock()):
                 await self._ingress.wait_connections_closed()
         except TimeoutError:
             self._node.log.write(
                 Event.STOPPING, running=self._ingress.request_counter.running
             )
 
+    async def _listen_while_needed(self, until_s: float) -> None:
+        """Takes new connections until enough other VMs do.
+
+        Args:
+            until_s: Latest time until which it does.
+        """
+        shutdown = self._node.shutdown
+        if not shutdown.is_needed:
+            return
+        self._node.log.write(Event.STOPPING, outcome='listening on')
+        while shutdown.is_needed:
+            await asyncio.sleep(LISTEN_POLL_S)
+            if self._node.clock() > until_s:
+                break
+        self._node.log.write(
+            Event.STOPPING,
+            outcome='listening ends',
+            is_needed=shutdown.is_needed,
+        )
+
     def _close(self) -> None:
         with self._node.supervisor.guard('peers'):
             self._peers.close()
@@ -249,7 +273,7 @@
             and node.view.is_complete
             and has_peer_loads
         )
-        return READY if is_ready and not node.is_stopping else NOT_READY
+        return READY if is_ready and not node.shutdown.is_begun else NOT_READY
 
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         del request
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/ingress.py
@@ -96,14 +96,22 @@
             CatkinreachError: if it can't be served.
         """
         try:
-            async with self._node.stop_limit.applied() as limit:
+            async with self._node.shutdown.limit.applied() as limit:
                 return await handler.run()
         except TimeoutError as error:
             if not limit.expired():
                 raise
             if handler.may_run:
                 raise CatkinreachError(ErrorKind.UPSTREAM_TIMEOUT) from error
-            raise refusal(self._node, ErrorKind.DRAINING) from error
+            raise self._draining() from error
+
+    def _draining(self) -> CatkinreachError:
+        """Returns the refusal of a request that can't end before the stop."""
+        return refusal(
+            self._node,
+            ErrorKind.DRAINING,
+            min_delay_s=self._node.shutdown.retry_delay_s,
+        )
 
     def _make_handler(
         self, admitted: AdmittedRequest
@@ -138,9 +146,9 @@
         if route is None:
             raise CatkinreachError(ErrorKind.ROUTE_UNKNOWN)
         if route.kind is RouteKind.STREAM and (
-            arrived_s > self._node.streams_until_s
+            arrived_s > self._node.shutdown.streams_until_s
         ):
-            raise refusal(self._node, ErrorKind.DRAINING)
+            raise self._draining()
         workspace = _workspace(catalog, route, metadata)
         service_id = route.choose_service(self._node.rng)
         keys = suspect_keys(request, metadata)
@@ -162,7 +170,7 @@
             arrived_s=arrived_s,
             deadline_s=min(
                 arrived_s + _timeout_s(route, metadata),
-                self._node.answer_until_s,
+                self._node.shutdown.answer_until_s,
             ),
             version=catalog.version,
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 import time
 from contextlib import suppress
@@ -25,7 +24,6 @@
 from catkinreach_core.gateway.placement import Candidate, has_spare_slots
 from catkinreach_core.gateway.quota import QuotaTable
 from catkinreach_core.gateway.retry_budget import RetryBudget
-from catkinreach_core.gateway.stage_plan import RESIDENCE_S
 from catkinreach_core.gateway.switching_engines import SwitchingEngines
 from catkinreach_core.gateway.upstream import Stage
 from catkinreach_core.gateway.view import FleetView
@@ -41,7 +39,7 @@
 from .gateway_metrics import GatewayMetrics
 from .load_queries import LoadQueries
 from .reply_buffer import ReplyBuffer
-from .stop_limit import StopLimit
+from .shutdown import Shutdown
 from .upstream_checks import UpstreamChecks
 from .upstream_pool import UpstreamPool
 
@@ -116,23 +114,14 @@
         self.aggregators = AggregatorChoice()
         self.load_queries = LoadQueries(self)
         self.load_changed = asyncio.Event()
-        self.is_stopping = False
-        self.answer_until_s = math.inf
-        self.streams_until_s = math.inf
-        self.stop_limit = StopLimit()
+        self.shutdown = Shutdown(settings, self.members, self.clock)
         self.revision = Revision(0)
 
     def begin_stop(self, answer_within_s: float) -> None:
-        """Starts the shutdown; all requests must be answered in this time.
-
-        Streams that can't end in it must not begin.
-        """
-        self.is_stopping = True
-        self.answer_until_s = self.clock() + answer_within_s
-        self.streams_until_s = self.answer_until_s - min(
-            RESIDENCE_S, answer_within_s / 2
-        )
-        self.stop_limit.begin(answer_within_s)
+        """Starts the shutdown; all requests must be answered in this time."""
+        self.shutdown.begin(answer_within_s)
+        # Peers learn of it at once.
+        self.load_changed.set()
 
     def _add_gauges(self) -> None:
         """Adds gauges of the state that decisions depend on."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -12,6 +12,7 @@
 from catkinreach_core.gateway.gossip import (
     MAX_GOSSIP_BYTES,
     MAX_GOSSIP_MEMBERS,
+    NO_DOMAIN,
     CrashMessage,
     GossipMessage,
     Phase,
@@ -199,7 +200,7 @@
     def _phase(self) -> Phase:
         if self._has_left:
             return Phase.LEFT
-        return Phase.STOPPING if self._node.is_stopping else Phase.RUNNING
+        return Phase.STOPPING if self._node.shutdown.is_begun else Phase.RUNNING
 
     def _message(self, *, is_load_change: bool) -> GossipMessage:
         node = self._node
@@ -220,6 +221,8 @@
             holder=node.voted_leader,
             switching=node.switching_engines.remaining_s(now_s),
             unavailable=self._take_unavailable(is_load_change=is_load_change),
+            domain=NO_DOMAIN if is_load_change else node.settings.domain_id,
+            ends_unix_ms=node.shutdown.ends_unix_ms,
         )
 
     def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
@@ -269,6 +272,9 @@
         node.peer_reports.stopping.discard(peer)
         if message.phase is Phase.STOPPING:
             node.peer_reports.stopping.add(peer)
+        node.shutdown.departures.record(
+            peer, message.domain, message.ends_unix_ms, now_s
+        )
         node.peer_reports.queued[peer] = message.waiting
         node.switching_engines.merge_peer(message.switching, now_s)
         node.apply_availability_reports(message.unavailable, peer)
@@ -279,6 +285,7 @@
         self._node.crash_suspects.merge(message.report, self._node.clock())
 
     def _expire_peers(self) -> None:
+        self._node.shutdown.departures.expire(self._node.clock())
         for peer in self._node.members.expire(self._node.clock()):
             self._remove_peer(peer, 'silent')
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stage_order_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stage_order_task.py
@@ -72,7 +72,7 @@
             now_s=time.clock_gettime(time.CLOCK_BOOTTIME),
         )
         is_settled = now_s - node.view.last_added_at_s > SETTLED_S
-        return is_leader and is_settled and not node.is_stopping
+        return is_leader and is_settled and not node.shutdown.is_begun
 
     async def _order_next_switch(self) -> None:
         """Orders one surplus prefill engine to switch to decode."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -189,7 +189,17 @@
 
     def change_settings(self) -> None:
         """Writes the settings file again, with the seeds in reverse order."""
-        self._settings_text = _reverse_seeds(self._settings_text)
+        lines = self._settings_text.splitlines()
+        seeds = next(line for line in lines if line.startswith('seeds='))
+        hosts = seeds.removeprefix('seeds=').split(',')
+        self.set_field('seeds', ','.join(reversed(hosts)))
+
+    def set_field(self, name: str, text: str) -> None:
+        """Writes the settings file again, with another value of a field."""
+        self._settings_text = ''.join(
+            f'{name}={text}\n' if line.startswith(f'{name}=') else f'{line}\n'
+            for line in self._settings_text.splitlines()
+        )
         self.settings_file.write_text(self._settings_text)
 
     def send_signal(self, number: signal.Signals) -> None:
@@ -245,15 +255,6 @@
         self.front, self.ready, self.peer, self.metrics = free_ports(4)
 
 
-def _reverse_seeds(settings_text: str) -> str:
-    lines = settings_text.splitlines()
-    for number, line in enumerate(lines):
-        name, _, text = line.partition('=')
-        if name == 'seeds':
-            lines[number] = f'{name}={",".join(reversed(text.split(",")))}'
-    return '\n'.join((*lines, ''))
-
-
 def make_fronts(
     count: int, store_port: int, folder: Path
 ) -> list[FrontProcess]:
@@ -282,13 +283,22 @@
 
 @asynccontextmanager
 async def running_fronts(
-    count: int, folder: Path
+    count: int, folder: Path, *, grace_s: int | None = None
 ) -> AsyncIterator[tuple[Deployment, list[FrontProcess]]]:
-    """Runs front processes in front of the stand-ins of a deployment."""
+    """Runs front processes in front of the stand-ins of a deployment.
+
+    Args:
+        count: Number of front VMs.
+        folder: Folder for their settings and logs.
+        grace_s: Stop grace; ``None`` for that of the settings template.
+    """
     deployment = Deployment()
     await deployment.start()
     deployment.publish()
     fronts = make_fronts(count, deployment.store.port, folder)
+    if grace_s is not None:
+        for front in fronts:
+            front.set_field('bounds.grace-s', str(grace_s))
     try:
         await asyncio.gather(*(front.start() for front in fronts))
         yield deployment, fronts
