--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -65,6 +65,7 @@
         metrics_address: Address of the metrics.
         peer_address: Address for peer gateways.
         settings_file: File that the process reads its settings from.
+        settings_text: Text that was written to it last.
     """
 
     def __init__(
@@ -82,7 +83,7 @@
         self._process: Process | None = None
         self._predecessors: list[Process] = []
         self._client = HttpClient()
-        self._settings_text = settings_text
+        self.settings_text = settings_text
         self.settings_file.write_text(settings_text)
 
     @property
@@ -119,13 +120,16 @@
         await self.launch()
         await eventually(self.is_ready, within_s=START_TIMEOUT_S)
 
-    async def launch(self, **options: Any) -> None:
+    async def launch(self, **options: Any) -> Process:
         """Starts the process and doesn't wait until it is ready.
 
         A process that still runs goes on beside it.
 
         Args:
             **options: Further arguments of the call that starts it.
+
+        Returns:
+            The new process.
         """
         if self._process is not None and self.is_running:
             self._predecessors.append(self._process)
@@ -140,6 +144,7 @@
                     'CATKINREACH_BOOT': str(self.settings_file),
                 },
             )
+        return self._process
 
     async def wait_exit(self, *, within_s: float) -> int | None:
         """Waits until the process has ended; returns its exit code.
@@ -189,18 +194,18 @@
 
     def change_settings(self) -> None:
         """Writes the settings file again, with the seeds in reverse order."""
-        lines = self._settings_text.splitlines()
+        lines = self.settings_text.splitlines()
         seeds = next(line for line in lines if line.startswith('seeds='))
         hosts = seeds.removeprefix('seeds=').split(',')
         self.set_field('seeds', ','.join(reversed(hosts)))
 
     def set_field(self, name: str, text: str) -> None:
         """Writes the settings file again, with another value of a field."""
-        self._settings_text = ''.join(
+        self.settings_text = ''.join(
             f'{name}={text}\n' if line.startswith(f'{name}=') else f'{line}\n'
-            for line in self._settings_text.splitlines()
+            for line in self.settings_text.splitlines()
         )
-        self.settings_file.write_text(self._settings_text)
+        self.settings_file.write_text(self.settings_text)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal if the process runs.
