--- a/packages/catkinreach-node/tests/lifecycle/test_large_bodies_of_callers.py
+++ b/packages/catkinreach-node/tests/lifecycle/test_large_bodies_of_callers.py
@@ -6,7 +6,7 @@
 import re
 from collections import Counter
 from contextlib import suppress
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from catkinreach_node import app
 from catkinreach_node.http.body_memory import MAX_BYTES
@@ -71,9 +71,8 @@
             left -= min(CHUNK_BYTES, left)
             await writer.drain()
         may_end = asyncio.ensure_future(self._may_end.wait())
-        await asyncio.wait(
-            {may_end, reading}, return_when=asyncio.FIRST_COMPLETED
-        )
+        ends: set[asyncio.Future[Any]] = {may_end, reading}
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         may_end.cancel()
         writer.write(b'.')
 
