--- a/packages/catkinreach-core/src/catkinreach_core/gateway/forgotten_costs.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/forgotten_costs.py
@@ -1,73 +1,56 @@
-"""Admissions that a node forgot when it started again.
+"""Admissions that nodes forgot when they started again.
 
 Load pattern: all nodes are killed at once while one workspace goes on sending
 several times its rate. None of them knows what was admitted just before, and
 each would admit its part of the limit once more.
 
-A node that starts presumes that its share of each limit was used up. It frees
-that share at the workspace's rate, so that a workspace within its rate is
-served, but no more of it than the tolerated excess allows.
+Second load pattern: the same, while all workspaces stay within their rates and
+each node hears of the others only little by little. Nothing may be refused.
+
+Each node tells for how long it has counted its admissions. From that every node
+alike presumes what the nodes that have counted for less than a window may have
+admitted before: their part of the limit, but for a part of the tolerated
+excess, which all nodes together may admit meanwhile.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 if TYPE_CHECKING:
-    from ..ids import WorkspaceId
+    from collections.abc import Iterable
 
 RESTART_USE = 0.6
-"""Fraction of the tolerated excess that is freed in the first window. With the
-fraction in use before it the bound holds when all nodes start at once."""
+"""Fraction of the tolerated excess that may be admitted in the first window.
+With the fraction in use before it the bound holds when all nodes start at
+once."""
 
 
-class ForgottenCosts:
-    """Presumed costs of one node, for one window after its start."""
+class ForgottenCosts(Struct, frozen=True, kw_only=True):
+    """Presumed costs of one workspace's limit.
 
-    def __init__(self, *, window_s: float, started_s: float) -> None:
-        """Starts without workspaces.
+    Attributes:
+        limit: Cost that all nodes may admit in a window.
+        tolerated: Cost beyond it that the bounds tolerate.
+        window_s: Length of the window.
+    """
 
-        Args:
-            window_s: Length of the window over which limits hold.
-            started_s: Time at which the node started.
-        """
-        self._window_s = window_s
-        self._started_s = started_s
-        self._costs: dict[WorkspaceId, float] = {}
-
-    def may_exist(self, now_s: float) -> bool:
-        """Returns whether forgotten admissions may still be in the window."""
-        return now_s - self._started_s < self._window_s
-
-    def update(
-        self,
-        workspace_id: WorkspaceId,
-        *,
-        limit: float,
-        tolerated: float,
-        members: int,
-        now_s: float,
-    ) -> None:
-        """Updates the presumed cost of a workspace.
+    limit: float
+    tolerated: float
+    window_s: float
+
+    def presume(self, counting_s: Iterable[float], members: int) -> float:
+        """Returns what nodes may have admitted before they started.
 
         Args:
-            workspace_id: The workspace.
-            limit: Its limit over the window.
-            tolerated: Cost beyond the limit that the bounds tolerate.
-            members: Nodes that share the limit.
-            now_s: Monotonic clock.
+            counting_s: Time for which each of them has counted.
+            members: All nodes, these and those that forgot nothing.
         """
-        freed = min(
-            limit * (now_s - self._started_s) / self._window_s,
-            tolerated * RESTART_USE,
-        )
-        self._costs[workspace_id] = max(0.0, limit - freed) / max(1, members)
-
-    def cost(self, workspace_id: WorkspaceId, now_s: float) -> float:
-        """Returns the presumed cost as of the workspace's last update."""
-        if not self.may_exist(now_s):
-            return 0.0
-        return self._costs.get(workspace_id, 0.0)
+        restarted = sum(one < self.window_s for one in counting_s)
+        usable = min(self.limit, self.tolerated * RESTART_USE)
+        return (self.limit - usable) * restarted / max(1, members)
 
 
 __all__ = ('RESTART_USE', 'ForgottenCosts')
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -13,6 +13,7 @@
 from .crash_reports import CrashReport
 from .datagram_hosts import is_ip_address
 from .datagram_ranges import (
+    AgeMs,
     Cost,
     GraceSeconds,
     NodeCount,
@@ -68,6 +69,9 @@
         domain: Failure domain of the sender; empty in a change of load.
         ends_unix_ms: End of the sender's process by its own clock; 0 while it
             isn't stopping.
+        counting_ms: Time since the sender started and began to count what it
+            admits; 0 once that is a whole window.
+        known_nodes: Nodes that the sender has heard, itself included.
     """
 
     node: str
@@ -86,6 +90,8 @@
     )
     domain: FailureDomainId = NO_DOMAIN
     ends_unix_ms: UnixMs = 0
+    counting_ms: AgeMs = 0
+    known_nodes: NodeCount = 0
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/members.py
@@ -53,6 +53,7 @@
         self._seeds = frozenset(seeds) - {own_address}
         self._received_at_s: dict[str, float] = {}
         self._reported: set[str] = set()
+        self._known_to_peers: dict[str, int] = {}
         self._peak = 1
         self._peak_at_s = 0.0
 
@@ -67,6 +68,15 @@
         """Returns the number of members, this node included."""
         return 1 + len(self._received_at_s)
 
+    @property
+    def unheard_count(self) -> int:
+        """Returns the number of nodes known only from settings or peers.
+
+        Peers that have heard more of the fleet tell how large it is.
+        """
+        known = max(self._known_to_peers.values(), default=0)
+        return max(1 + len(self.contacts), known) - self.count
+
     @property
     def share_count(self) -> int:
         """Returns the number of nodes that a shared limit is divided by.
@@ -97,9 +107,22 @@
         self._seeds = frozenset(seeds) - {self._own_address}
 
     def record_message(
-        self, node: str, others: Iterable[str], now_s: float
+        self,
+        node: str,
+        others: Iterable[str],
+        now_s: float,
+        *,
+        known_nodes: int = 0,
     ) -> bool:
-        """Records a message; returns whether its sender was silent or new."""
+        """Records a message; returns whether its sender was silent or new.
+
+        Args:
+            node: Sender of the message.
+            others: Nodes that it reports.
+            now_s: Monotonic clock.
+            known_nodes: Number of nodes that it has heard.
+        """
+        self._known_to_peers[node] = known_nodes
         last_s = self._received_at_s.get(node)
         self._received_at_s[node] = now_s
         self._update_peak(now_s)
@@ -116,6 +139,7 @@
     def remove(self, node: str) -> None:
         """Removes a node that reported that it stops."""
         self._received_at_s.pop(node, None)
+        self._known_to_peers.pop(node, None)
         self._reported.discard(node)
 
     def responsive(self, now_s: float) -> tuple[str, ...]:
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/peer_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/peer_reports.py
@@ -18,6 +18,8 @@
         queued: Memory that each peer's queued streams need, by service.
         votes: Node that each peer votes for as the leader.
         stopping: Peers that are about to stop.
+        counting_since_s: Start of each peer that hasn't counted what it admits
+            for a whole window.
     """
 
     def __init__(self) -> None:
@@ -26,6 +28,7 @@
         self.queued: dict[str, dict[ServiceId, int]] = {}
         self.votes: dict[str, str] = {}
         self.stopping: set[str] = set()
+        self.counting_since_s: dict[str, float] = {}
 
     def forget(self, peer: str) -> None:
         """Drops the reports of a peer that left or is silent."""
@@ -33,6 +36,25 @@
         self.queued.pop(peer, None)
         self.votes.pop(peer, None)
         self.stopping.discard(peer)
+        self.counting_since_s.pop(peer, None)
+
+    def record_counting(
+        self, peer: str, counting_ms: int, now_s: float
+    ) -> None:
+        """Records for how long a peer has counted; 0 for a whole window."""
+        if counting_ms:
+            self.counting_since_s[peer] = now_s - counting_ms / 1000
+        else:
+            self.counting_since_s.pop(peer, None)
+
+    def counting_s(
+        self, peers: Iterable[str], now_s: float
+    ) -> tuple[float, ...]:
+        """Returns for how long each restarted one of the peers has counted."""
+        since_s = self.counting_since_s
+        if not since_s:
+            return ()
+        return tuple(now_s - since_s[peer] for peer in peers if peer in since_s)
 
     def queued_tokens(
         self, service_id: ServiceId, peers: Iterable[str]
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
@@ -4,8 +4,8 @@
 
 Each node counts the cost that it admitted in a sliding window and reports it
 to its peers. It admits a request while the sum of its own count, the counts
-of its peers and an equal part for each silent peer stays below the limit of
-the window.
+of its peers, an equal part for each silent peer and what restarted nodes may
+have forgotten stays below the limit of the window.
 
 Second load pattern: a workspace within its rate sends a few large requests in a
 row, or its callers repeat, while the upstreams have capacity. The window is
@@ -80,12 +80,17 @@
         silent: Members without a recent message.
         members: All nodes, this one included.
         report_age_s: Greatest age of the counts of responsive peers.
+        counting_s: Time for which each responsive peer that started within the
+            window has counted.
+        unheard: Members that this node hasn't heard of since it started.
     """
 
     cost: float
     silent: int
     members: int
     report_age_s: float
+    counting_s: tuple[float, ...] = ()
+    unheard: int = 0
 
     @property
     def silent_fraction(self) -> float:
@@ -114,33 +119,31 @@
                 admissions of the window before.
         """
         self._window_s = window_s
-        self._forgotten = ForgottenCosts(window_s=window_s, started_s=started_s)
+        self._started_s = started_s
         self._excess_ratio = excess_ratio
         self._slack = slack
         self._own: defaultdict[WorkspaceId, WindowCount] = defaultdict(
             lambda: WindowCount(window_s)
         )
 
-    def own_counts(self, now_s: float) -> dict[WorkspaceId, float]:
-        """Returns the cost that this node admitted, by workspace.
+    def counting_s(self, now_s: float) -> float | None:
+        """Returns the time since the start; ``None`` after a whole window."""
+        counting_s = now_s - self._started_s
+        return counting_s if counting_s < self._window_s else None
 
-        What it may have forgotten in a restart is included.
-        """
+    def own_counts(self, now_s: float) -> dict[WorkspaceId, float]:
+        """Returns the cost that this node admitted, by workspace."""
         totals = {
-            workspace_id: self.own_count(workspace_id, now_s)
-            for workspace_id in self._own
+            workspace_id: count.total(now_s)
+            for workspace_id, count in self._own.items()
         }
         return {
             workspace: total for workspace, total in totals.items() if total > 0
         }
 
     def own_count(self, workspace_id: WorkspaceId, now_s: float) -> float:
-        """Returns the cost that this node admitted for a workspace.
-
-        What it may have forgotten in a restart is included.
-        """
-        own = self._own[workspace_id].total(now_s)
-        return own + self._forgotten.cost(workspace_id, now_s)
+        """Returns the cost that this node admitted for a workspace."""
+        return self._own[workspace_id].total(now_s)
 
     def admit(
         self,
@@ -166,24 +169,78 @@
             count.add(cost, now_s)
             return None
         limit = policy.rate * self._window_s + policy.burst
-        self._forgotten.update(
-            policy.workspace_id,
-            limit=limit,
-            tolerated=self._tolerated(limit),
-            members=peers.members,
-            now_s=now_s,
-        )
-        required = self.own_count(policy.workspace_id, now_s) + cost
-        left = limit - peers.cost - limit * peers.silent_fraction
-        available = left + self._slack / max(1, peers.members)
+        required = count.total(now_s) + cost
+        left = self._left(limit, peers, now_s)
+        available = self._available(left, cost, peers)
         if required <= available or (
             required <= left + self._usable_excess(limit, peers, now_s)
             and has_capacity()
         ):
             count.add(cost, now_s)
             return None
-        excess = required - available
-        return max(MIN_RETRY_AFTER_S, count.seconds_until_free(excess, now_s))
+        return self._retry_after_s(policy, required - available, peers, now_s)
+
+    def _left(self, limit: float, peers: PeerCosts, now_s: float) -> float:
+        """Returns the cost that this node may have admitted in the window."""
+        left = limit - peers.cost - limit * peers.silent_fraction
+        own_s = self.counting_s(now_s)
+        if own_s is not None or peers.counting_s:
+            left -= self._presumed(limit, own_s, peers)
+        return left
+
+    def _available(self, left: float, cost: float, peers: PeerCosts) -> float:
+        """Returns the part of what is left that this node may have admitted.
+
+        Nodes that weren't heard may each admit as much at the same time, so
+        that each gets an equal part. It may be one request if that is more,
+        and the others need as little on average as those that were heard.
+        """
+        members = max(1, peers.members)
+        if not peers.unheard or left <= 0:
+            return left + self._slack / members
+        heard = members - peers.unheard
+        unheard_cost = peers.cost * peers.unheard / heard
+        return max(left / (1 + peers.unheard), min(cost, left - unheard_cost))
+
+    def _presumed(
+        self, limit: float, own_s: float | None, peers: PeerCosts
+    ) -> float:
+        """Returns the cost that restarted nodes may have forgotten.
+
+        Args:
+            limit: Limit of the workspace.
+            own_s: Time for which this node has counted; ``None`` after a whole
+                window.
+            peers: What is known of the others; those unheard may have started
+                with this node.
+        """
+        forgotten = ForgottenCosts(
+            limit=limit,
+            tolerated=self._tolerated(limit),
+            window_s=self._window_s,
+        )
+        cost = forgotten.presume(peers.counting_s, peers.members)
+        if own_s is not None:
+            own_cost = forgotten.presume((own_s,), peers.members)
+            cost += own_cost * (1 + peers.unheard)
+        return cost
+
+    def _retry_after_s(
+        self,
+        policy: WorkspacePolicy,
+        excess: float,
+        peers: PeerCosts,
+        now_s: float,
+    ) -> float:
+        """Returns the time until a cost beyond what is left may be admitted."""
+        if peers.unheard:
+            return MIN_RETRY_AFTER_S
+        count = self._own[policy.workspace_id]
+        after_s = count.seconds_until_free(excess, now_s)
+        counting_s = self.counting_s(now_s)
+        if counting_s is not None:
+            after_s = min(after_s, self._window_s - counting_s)
+        return max(MIN_RETRY_AFTER_S, after_s)
 
     def _tolerated(self, limit: float) -> float:
         """Returns the cost beyond a limit that the bounds tolerate."""
@@ -198,7 +255,7 @@
         others admitted; silent peers keep an equal part of it. Nothing is left
         of it while admissions before a restart may be in the window.
         """
-        if self._forgotten.may_exist(now_s):
+        if self.counting_s(now_s) is not None:
             return 0.0
         staleness = max(1.0, peers.report_age_s / REPORT_INTERVAL_S)
         excess = self._tolerated(limit) * EXCESS_USE / staleness
--- a/packages/catkinreach-core/tests/gateway/test_quota.py
+++ b/packages/catkinreach-core/tests/gateway/test_quota.py
@@ -51,10 +51,18 @@
 
 
 def _peers(
-    *, cost: float = 0.0, silent: int = 0, members: int = 1
+    *,
+    cost: float = 0.0,
+    silent: int = 0,
+    members: int = 1,
+    counting_s: tuple[float, ...] = (),
 ) -> PeerCosts:
     return PeerCosts(
-        cost=cost, silent=silent, members=members, report_age_s=0.3
+        cost=cost,
+        silent=silent,
+        members=members,
+        report_age_s=0.3,
+        counting_s=counting_s,
     )
 
 
@@ -104,6 +112,7 @@
         self._next_report_s = 0.0
         self._silent = silent
         self._admitted = WindowCount(WINDOW_S)
+        self._started_s = -math.inf
 
     def run(self, windows: int, kill_at_s: float = math.inf) -> float:
         """Sends the requests; returns the most that any window admitted.
@@ -124,6 +133,7 @@
         return most
 
     def _restart(self, now_s: float) -> None:
+        self._started_s = now_s
         self._tables = [_table(*self._options, now_s) for _ in range(NODES)]
         self._reported = [0.0] * NODES
 
@@ -140,10 +150,16 @@
             cost=sum(self._reported) - self._reported[node],
             silent=self._silent,
             members=NODES,
+            counting_s=self._counting_s(now_s),
         )
         if _admits(self._tables[node], COST, now_s, peers=peers):
             self._admitted.add(COST, now_s)
 
+    def _counting_s(self, now_s: float) -> tuple[float, ...]:
+        """Returns what the peers of a node tell of their starts."""
+        counting_s = now_s - self._started_s
+        return (counting_s,) * (NODES - 1) if counting_s < WINDOW_S else ()
+
 
 def test_nodes_with_reports_of_peers_keep_the_limit() -> None:
     assert Flood(report_interval_s=0.3).run(3) <= LIMIT * 1.25
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/fleet_totals.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/fleet_totals.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from catkinreach_core.gateway.members import full_message_interval_s
+from catkinreach_core.gateway.members import (
+    SILENT_AFTER_S,
+    full_message_interval_s,
+)
 from catkinreach_core.gateway.quota import PeerCosts
 
 if TYPE_CHECKING:
@@ -37,19 +40,33 @@
     def peer_costs(self, workspace_id: WorkspaceId) -> PeerCosts:
         """Returns what the peers admitted for a workspace."""
         node = self._node
+        now_s = node.clock()
         members = node.members.count
         cost = node.load_queries.admitted_cost(workspace_id)
         report_age_s = 0.0
         if cost is None:
             cost = self.reported_cost(workspace_id)
             report_age_s = full_message_interval_s(members)
+        unheard = self._unheard_count(now_s)
         return PeerCosts(
             cost=cost,
-            silent=node.members.silent_count(node.clock()),
-            members=members,
+            silent=node.members.silent_count(now_s),
+            members=members + unheard,
             report_age_s=report_age_s,
+            counting_s=node.peer_reports.counting_s(self._peers(''), now_s),
+            unheard=unheard,
         )
 
+    def _unheard_count(self, now_s: float) -> int:
+        """Returns the number of nodes that this new node hasn't heard yet.
+
+        Later, nodes that it hasn't heard are gone.
+        """
+        counting_s = self._node.quota.counting_s(now_s)
+        if counting_s is None or counting_s > SILENT_AFTER_S:
+            return 0
+        return self._node.members.unheard_count
+
     def queued_by_node(
         self, service_id: ServiceId, excluded: str = ''
     ) -> list[int]:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, cast
 
 from catkinreach_core.gateway.aggregation import (
@@ -223,6 +224,8 @@
             unavailable=self._take_unavailable(is_load_change=is_load_change),
             domain=NO_DOMAIN if is_load_change else node.settings.domain_id,
             ends_unix_ms=node.shutdown.ends_unix_ms,
+            counting_ms=math.ceil(1000 * (node.quota.counting_s(now_s) or 0.0)),
+            known_nodes=node.members.count,
         )
 
     def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
@@ -257,7 +260,9 @@
         node = self._node
         now_s = node.clock()
         peer = message.node
-        if node.members.record_message(peer, message.members, now_s):
+        if node.members.record_message(
+            peer, message.members, now_s, known_nodes=message.known_nodes
+        ):
             # A new peer needs this node's loads before the next full message.
             node.load_changed.set()
             node.log.write(
@@ -265,6 +270,7 @@
             )
         node.loads.set_peer_loads(peer, message.loads, now_s)
         node.peer_reports.admitted[peer] = message.admitted
+        node.peer_reports.record_counting(peer, message.counting_ms, now_s)
         for upstream_id in message.down:
             node.checks.check_reported_down(upstream_id)
         node.checks.apply_replaced(message.replaced)
