--- a/packages/catkinreach-core/tests/gateway/test_quota_after_restart.py
+++ b/packages/catkinreach-core/tests/gateway/test_quota_after_restart.py
@@ -171,7 +171,7 @@
     assert _retry_after_s(unheard=80, now_s=0.1) == MIN_RETRY_AFTER_S
 
 
-def test_node_that_starts_learns_the_size_of_the_fleet_from_a_seed() -> None:
+def test_new_node_learns_the_size_of_the_fleet_from_a_seed() -> None:
     members = Members('10.0.0.1', ('10.0.0.2', '10.0.0.3'))
     assert members.unheard_count == SEEDS - 1
     members.record_message('10.0.0.2', ['10.0.0.9'], 0.0, known_nodes=NODES)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -44,6 +44,7 @@
 seeds={seeds}
 platform.address=127.0.0.1:{store}
 limits.memory-mb=150
+limits.max-fds=4100
 bounds.grace-s=4
 bounds.budget-ratio=0.2
 bounds.retry-slack=58
@@ -100,6 +101,12 @@
         peak = next(line for line in lines if line.startswith('VmHWM'))
         return int(peak.split()[1])
 
+    @property
+    def open_descriptors(self) -> int:
+        """Returns the number of descriptors that the process has open."""
+        assert self._process is not None  # noqa: S101 - narrows the type
+        return len(list(Path(f'/proc/{self._process.pid}/fd').iterdir()))
+
     @property
     def is_running(self) -> bool:
         """Returns whether the process exists, paused or not."""
@@ -288,7 +295,11 @@
 
 @asynccontextmanager
 async def running_fronts(
-    count: int, folder: Path, *, grace_s: int | None = None
+    count: int,
+    folder: Path,
+    *,
+    grace_s: int | None = None,
+    fields: dict[str, str] | None = None,
 ) -> AsyncIterator[tuple[Deployment, list[FrontProcess]]]:
     """Runs front processes in front of the stand-ins of a deployment.
 
@@ -296,6 +307,7 @@
         count: Number of front VMs.
         folder: Folder for their settings and logs.
         grace_s: Stop grace; ``None`` for that of the settings template.
+        fields: Other fields of the settings template to change.
     """
     deployment = Deployment()
     await deployment.start()
@@ -304,6 +316,9 @@
     if grace_s is not None:
         for front in fronts:
             front.set_field('bounds.grace-s', str(grace_s))
+    for front in fronts:
+        for name, text in (fields or {}).items():
+            front.set_field(name, text)
     try:
         await asyncio.gather(*(front.start() for front in fronts))
         yield deployment, fronts
