--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
+from catkinreach_core.gateway.connection_crowds import ProcessLimits
+
 from ..http.body_memory import BodyMemory
 from ..http.messages import HttpResponse
 from ..http.server import HttpServer
@@ -30,6 +33,7 @@
     from catkinreach_core.settings.node import Address
 
     from ..http.messages import HttpRequest
+    from ..http.server_connection import RequestHandler
     from .dialect import Dialect
     from .settings import GatewaySettings
 
@@ -54,6 +58,12 @@
 
 BODY_MEMORY_SHARE = 0.35
 """Part of the process's memory for the bodies of requests."""
+
+SIDE_BOUNDS = ServerBounds(
+    max_connections=32, max_body_bytes=16 * 1024, body_timeout_s=5.0
+)
+"""Bounds of the addresses that are not for callers."""
+
 READY = HttpResponse(200, [('content-type', 'text/plain')], b'ready\n')
 NOT_READY = HttpResponse(503, [('content-type', 'text/plain')], b'not ready\n')
 
@@ -85,14 +95,21 @@
         self._node.metrics.add_gauge(
             'body_memory_bytes', lambda: self._body_memory.used_bytes
         )
+        limits = ProcessLimits(
+            memory_bytes=settings.memory_bytes,
+            body_bytes=self._body_memory.max_bytes,
+            descriptors=settings.max_descriptors,
+        )
+        self._max_connections = limits.max_connections
         self._ingress = HttpServer(
             Ingress(self._node).serve,
             name='ingress',
-            bounds=ServerBounds(),
+            bounds=ServerBounds(max_connections=self._max_connections),
             memory=self._body_memory,
         )
-        self._ready = HttpServer(self._answer_ready, name='ready')
-        self._metrics = HttpServer(self._answer_metrics, name='metrics')
+        self._ready = self._make_side_server(self._answer_ready, 'ready')
+        self._metrics = self._make_side_server(self._answer_metrics, 'metrics')
+        self._add_connection_gauges()
         self._node.apply_limits = self._apply_limits
         self._peers = PeerLink(self._node)
         self._store = StoreTask(self._node, feed)
@@ -101,6 +118,27 @@
         self._stop_requested = asyncio.Event()
         self._started_s = self._node.clock()
 
+    def _make_side_server(self, serve: RequestHandler, name: str) -> HttpServer:
+        """Returns a server for the platform and the operators."""
+        return HttpServer(
+            serve, name=name, bounds=SIDE_BOUNDS, memory=self._body_memory
+        )
+
+    def _add_connection_gauges(self) -> None:
+        """Adds gauges of each server's connections."""
+        for name, server in (
+            ('ingress', self._ingress),
+            ('ready', self._ready),
+            ('metrics', self._metrics),
+        ):
+            gauges: dict[str, Callable[[], float]] = {
+                'open': partial(getattr, server, 'connection_count'),
+                'replaced': partial(getattr, server, 'replaced_count'),
+                'refused': partial(getattr, server, 'refused_count'),
+            }
+            for kind, read in gauges.items():
+                self._node.metrics.add_gauge(f'connections_{kind}_{name}', read)
+
     def stop(self) -> None:
         """Starts a graceful shutdown; a second signal changes nothing."""
         if not self._node.shutdown.is_begun:
@@ -258,6 +296,7 @@
                 idle_timeout_s=limits.idle_timeout_s,
                 max_body_bytes=limits.max_body_bytes,
                 max_head_bytes=limits.max_head_bytes,
+                max_connections=self._max_connections,
             )
         )
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/settings.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/settings.py
@@ -51,6 +51,7 @@
         bounds: Bounds that apply to all nodes together.
         link_bytes_per_s: Bandwidth of the VM's link; infinite if not known.
         memory_bytes: Memory that the process may use; 0 if not known.
+        max_descriptors: Descriptors that it may open; 0 if not known.
     """
 
     vm_id: VmId
@@ -65,6 +66,7 @@
     bounds: SharedBounds
     link_bytes_per_s: float = math.inf
     memory_bytes: int = 0
+    max_descriptors: int = 0
 
 
 __all__ = ('GatewaySettings', 'SharedBounds')
--- a/packages/catkinreach-node/src/catkinreach_node/http/body_memory.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/body_memory.py
@@ -113,6 +113,11 @@
         self._wait: asyncio.Timeout | None = None
         self._waiting_since_s = 0.0
 
+    @property
+    def held_bytes(self) -> int:
+        """Returns the memory that it holds."""
+        return self._held_bytes
+
     async def cover(self, body_bytes: int) -> bool:
         """Reserves memory for a body; ``False`` if there is none.
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -9,6 +9,10 @@
 import h11
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.gateway.connection_crowds import (
+    ConnectionState,
+    Waiting,
+)
 
 from .body_memory import SMALL_BODY_BYTES, STEP_BYTES, BodyHold
 from .messages import HttpRequest
@@ -27,6 +31,10 @@
 SMALL_READ_AHEAD_BYTES = 4 * 1024
 """Part of them that needs no share of the memory for bodies."""
 
+FIRST_READ_BYTES = 4 * 1024
+"""First bytes of a request that are read at once; what comes after the request
+stays there while it is served."""
+
 STOP_FIRST_REQUEST_S = 0.3
 """Time for the first request of a connection while the server drains: a client
 that has just connected is about to send it."""
@@ -62,6 +70,9 @@
         self._send_continue = send_continue
         self._memory = memory
         self._idle_wait: asyncio.Timeout | None = None
+        self._request_began_s: float | None = None
+        self._waiting_since_s = asyncio.get_running_loop().time()
+        self._hold: BodyHold | None = None
         self._is_first_request = True
         self._is_head_request = False
         self._max_head_bytes = self._bounds.max_head_bytes
@@ -72,6 +83,23 @@
         """Returns whether the current request has the method HEAD."""
         return self._is_head_request
 
+    @property
+    def state(self) -> ConnectionState:
+        """Returns what the connection holds while it reads a request."""
+        began_s = self._request_began_s
+        if began_s is None and not self._is_first_request:
+            return ConnectionState(
+                waiting=Waiting.NEXT_REQUEST, since_s=self._waiting_since_s
+            )
+        held_bytes = len(self.protocol.trailing_data[0])
+        if self._hold is not None:
+            held_bytes += self._hold.held_bytes
+        return ConnectionState(
+            waiting=Waiting.CLIENT,
+            since_s=self._waiting_since_s if began_s is None else began_s,
+            held_bytes=held_bytes,
+        )
+
     @property
     def has_input(self) -> bool:
         """Returns whether bytes of another request have arrived."""
@@ -99,6 +127,7 @@
         protocol.start_next_cycle()
         self._is_head_request = False
         self._is_first_request = False
+        self._waiting_since_s = asyncio.get_running_loop().time()
         return True
 
     async def read_request(self) -> HttpRequest | None:
@@ -110,6 +139,14 @@
         if not await self._wait_for_input():
             return None
         self._apply_head_limit()
+        loop = asyncio.get_running_loop()
+        self._request_began_s = loop.time()
+        try:
+            return await self._read_begun_request()
+        finally:
+            self._request_began_s = None
+
+    async def _read_begun_request(self) -> HttpRequest | None:
         loop = asyncio.get_running_loop()
         head = await self._next_event(loop.time() + self._bounds.head_timeout_s)
         if not isinstance(head, h11.Request):
@@ -117,12 +154,15 @@
         self._is_head_request = head.method == b'HEAD'
         _check_method(head)
         _check_framing(head)
-        hold = BodyHold(self._memory)
+        _check_field_count(head, self._bounds.max_head_fields)
+        hold = self._hold = BodyHold(self._memory)
         try:
             body = await self._read_body(head, hold)
         except BaseException:
             hold.release()
             raise
+        finally:
+            self._hold = None
         return HttpRequest(
             method=head.method.decode('ascii'),
             target=head.target.decode('latin-1'),
@@ -184,7 +224,7 @@
             self._idle_wait = asyncio.timeout_at(until_s)
             try:
                 async with self._idle_wait:
-                    return await self._input.read()
+                    return await self._input.read(FIRST_READ_BYTES)
             except TimeoutError:
                 continue
             finally:
@@ -305,6 +345,15 @@
         )
 
 
+def _check_field_count(head: h11.Request, max_fields: int) -> None:
+    """Refuses a head whose fields take far more memory than its bytes."""
+    if len(head.headers) > max_fields:
+        raise CatkinreachError(
+            ErrorKind.BAD_REQUEST,
+            f'the head must not have more than {max_fields} fields',
+        )
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuses a request whose body length is ambiguous.
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -49,6 +49,21 @@
         self._requests = requests
         self._read_bounds = read_bounds
         self._is_stopping = is_stopping
+        self._stalled_since_s: float | None = None
+
+    @property
+    def stalled_since_s(self) -> float | None:
+        """Returns since when it has waited for the client to read."""
+        return self._stalled_since_s
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Returns the bytes that the client hasn't read."""
+        return self._writer.transport.get_write_buffer_size()
+
+    def abort(self) -> None:
+        """Closes the socket at once; what wasn't sent is lost."""
+        self._writer.transport.abort()
 
     def close(self) -> None:
         """Closes the socket.
@@ -182,6 +197,7 @@
         transport = self._writer.transport
         if not transport.get_write_buffer_size() and not transport.is_closing():
             return
+        self._stalled_since_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(self._read_bounds().write_timeout_s):
                 await self._writer.drain()
@@ -190,6 +206,8 @@
             raise ConnectionAbortedError(
                 'client did not read the response in time'
             ) from error
+        finally:
+            self._stalled_since_s = None
 
 
 __all__ = ('ResponseSender',)
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING
 
 import h11
 from loguru import logger
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.gateway.connection_crowds import choose_replaced
 
 from .body_memory import BodyMemory
+from .bounded_streams import start_bounded_server
 from .server_bounds import RequestCounter, ServerBounds
 from .server_connection import ServerConnection
 
@@ -26,12 +27,10 @@
 MAX_REFUSING = 200
 """Connections beyond the bound that are refused with a response at a time."""
 
-READ_AHEAD_BYTES = 8 * 1024
-"""Bytes of a connection that are read ahead of its requests; up to twice as
-many before its socket isn't read further."""
+REFUSING_SHARE = 0.25
+"""The same, as a part of the bound on connections."""
 
-RECEIVE_BUFFER_BYTES = 16 * 1024
-"""Bytes that the kernel receives ahead for each connection."""
+MIN_REFUSING = 8
 
 ACCEPT_TURNS = 8
 """Turns of the event loop in which the task of an accepted connection begins;
@@ -65,6 +64,8 @@
         self._connections: set[ServerConnection] = set()
         self._request_counter = RequestCounter()
         self._refusing_count = 0
+        self._replaced_count = 0
+        self._refused_count = 0
         self._is_draining = False
         self._is_stopping = False
         self._all_closed = asyncio.Event()
@@ -85,22 +86,21 @@
         """Returns the number of open connections."""
         return len(self._connections)
 
+    @property
+    def replaced_count(self) -> int:
+        """Returns the number of connections that made room for others."""
+        return self._replaced_count
+
+    @property
+    def refused_count(self) -> int:
+        """Returns the number of connections refused for want of room."""
+        return self._refused_count
+
     async def start(
         self, address: Address, tls: ssl.SSLContext | None = None
     ) -> None:
         """Starts listening on the address, with TLS if a context is given."""
-        self._server = await asyncio.start_server(
-            self._accept,
-            address.host,
-            address.port,
-            ssl=tls,
-            backlog=1024,
-            limit=READ_AHEAD_BYTES,
-        )
-        for listener in self._server.sockets:
-            listener.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
+        self._server = await start_bounded_server(self._accept, address, tls)
         logger.info('{}: listening on {}.', self._name, address)
 
     async def stop_accepting(self) -> None:
@@ -159,10 +159,7 @@
             is_draining=lambda: self._is_draining,
             is_stopping=lambda: self._is_stopping,
         )
-        if len(self._connections) >= self._bounds.max_connections:
-            logger.warning(
-                '{}: connection refused, max_connections reached.', self._name
-            )
+        if not self._make_room():
             await self._refuse(connection)
             return
         self._connections.add(connection)
@@ -184,11 +181,36 @@
             connection.close()
             self._discard(connection)
 
+    def _make_room(self) -> bool:
+        """Returns whether there is room for one more connection.
+
+        When all places are taken, one that makes no progress is closed.
+        """
+        if len(self._connections) < self._bounds.max_connections:
+            return True
+        replaced = choose_replaced(
+            ((one, one.state) for one in self._connections),
+            asyncio.get_running_loop().time(),
+        )
+        if replaced is None:
+            return False
+        self._replaced_count += 1
+        replaced.give_way()
+        self._discard(replaced)
+        return True
+
+    @property
+    def _max_refusing(self) -> int:
+        """Returns the number of connections refused at a time."""
+        share = int(self._bounds.max_connections * REFUSING_SHARE)
+        return max(MIN_REFUSING, min(MAX_REFUSING, share))
+
     async def _refuse(self, connection: ServerConnection) -> None:
         """Refuses a connection; too many at a time are only closed."""
         self._refusing_count += 1
+        self._refused_count += 1
         try:
-            if self._refusing_count <= MAX_REFUSING:
+            if self._refusing_count <= self._max_refusing:
                 await connection.refuse(
                     CatkinreachError(ErrorKind.CONNECTIONS_FULL)
                 )
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_bounds.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_bounds.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from catkinreach_core.gateway.connection_crowds import MAX_CONNECTIONS
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerBounds:
@@ -19,6 +21,7 @@
         max_head_bytes: Largest request head.
         write_timeout_s: Timeout for the client to read sent data.
         max_connections: Largest number of open connections.
+        max_head_fields: Largest number of fields of a request head.
     """
 
     head_timeout_s: float = 10.0
@@ -27,7 +30,8 @@
     max_body_bytes: int = 4 * 1024 * 1024
     max_head_bytes: int = 32 * 1024
     write_timeout_s: float = 30.0
-    max_connections: int = 2000
+    max_connections: int = MAX_CONNECTIONS
+    max_head_fields: int = 256
 
 
 class RequestCounter:
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -10,6 +10,10 @@
 from loguru import logger
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
+from catkinreach_core.gateway.connection_crowds import (
+    ConnectionState,
+    Waiting,
+)
 
 from .body_memory import BodyHold
 from .problem import problem_response
@@ -69,6 +73,8 @@
         self._request_counter = request_counter
         self._is_draining = is_draining
         self._memory = memory
+        self._is_answering = False
+        self._ended_s: float | None = None
         self._requests = RequestReader(
             reader, read_bounds, is_draining, self._send_continue, memory
         )
@@ -76,6 +82,34 @@
             writer, self._requests, read_bounds, is_stopping
         )
 
+    @property
+    def state(self) -> ConnectionState:
+        """Returns what the connection waits for, and what it holds."""
+        stalled_since_s = self._responses.stalled_since_s
+        if stalled_since_s is not None:
+            return ConnectionState(
+                waiting=Waiting.CLIENT,
+                since_s=stalled_since_s,
+                held_bytes=self._responses.unsent_bytes,
+            )
+        if self._ended_s is not None:
+            return ConnectionState(
+                waiting=Waiting.CLIENT, since_s=self._ended_s
+            )
+        if self._is_answering:
+            return ConnectionState(waiting=Waiting.ANSWER, since_s=0.0)
+        return self._requests.state
+
+    def give_way(self) -> None:
+        """Closes the connection for another client's.
+
+        An idle one goes on if bytes of a request have arrived.
+        """
+        if self.state.waiting is Waiting.NEXT_REQUEST:
+            self.close_if_idle()
+        else:
+            self._responses.abort()
+
     def close_if_idle(self) -> None:
         """Lets the connection close unless bytes of a request have arrived."""
         self._requests.stop_waiting()
@@ -105,6 +139,7 @@
         A close with unread bytes resets the connection, and the client may
         then lose the response.
         """
+        self._ended_s = asyncio.get_running_loop().time()
         linger_s = STOP_LINGER_S if self._is_draining() else LINGER_S
         with suppress(OSError):
             if await self._responses.end_output():
@@ -126,6 +161,7 @@
         if request is None:
             return False
         self._request_counter.begin()
+        self._is_answering = True
         try:
             return await self._answer_unless_disconnected(request)
         except OSError:
@@ -137,6 +173,7 @@
             await self._responses.refuse(CatkinreachError(ErrorKind.INTERNAL))
             return False
         finally:
+            self._is_answering = False
             self._request_counter.end()
             if request.hold is not None:
                 request.hold.release()
--- a/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/boot.py
@@ -150,6 +150,7 @@
         memory_bytes=int(
             _number(fields.get('limits.memory-mb', '0')) * BYTES_PER_MEGABYTE
         ),
+        max_descriptors=int(_number(fields.get('limits.max-fds', '0'))),
     )
 
 
