--- a/packages/catkinreach-core/src/catkinreach_core/gateway/catalog.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/catalog.py
@@ -157,6 +157,8 @@
         workspaces: Workspaces by API key.
         has_workspaces: Whether requests need an API key.
         limits: Size limits and timeouts for callers.
+        prioritized_services: Services with streaming routes of several
+            priorities.
     """
 
     version: int
@@ -165,6 +167,11 @@
     workspaces: dict[str, WorkspacePolicy]
     has_workspaces: bool
     limits: CallerLimits = field(default_factory=CallerLimits)
+    prioritized_services: frozenset[ServiceId] = frozenset()
+
+    def has_priorities(self, service_id: ServiceId) -> bool:
+        """Returns whether streams of a service have several priorities."""
+        return service_id in self.prioritized_services
 
     def match_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, if any."""
@@ -185,6 +192,19 @@
     }
 
 
+def find_prioritized_services(routes: Iterable[Route]) -> frozenset[ServiceId]:
+    """Returns the services whose streams have several priorities."""
+    priorities: dict[ServiceId, set[int]] = {}
+    for route in routes:
+        if route.kind is RouteKind.STREAM:
+            for share in route.shares:
+                found = priorities.setdefault(share.service_id, set())
+                found.add(route.priority)
+    return frozenset(
+        service_id for service_id, found in priorities.items() if len(found) > 1
+    )
+
+
 __all__ = (
     'CallerLimits',
     'Catalog',
@@ -194,5 +214,6 @@
     'ServiceShare',
     'ServiceTraits',
     'WorkspacePolicy',
+    'find_prioritized_services',
     'routes_by_host',
 )
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -23,6 +23,7 @@
     UnixMs,
 )
 from .feed import SmallChange, UpstreamPublished
+from .fleet_priority import RankedTokens
 from .header_text import is_sendable_name
 from .load_table import UpstreamLoad
 from .peer_availability import AvailabilityReport
@@ -72,6 +73,8 @@
         counting_ms: Time since the sender started and began to count what it
             admits; 0 once that is a whole window.
         known_nodes: Nodes that the sender has heard, itself included.
+        waiting_ranks: The same as ``waiting``, by rank, of services whose
+            streams have several priorities.
     """
 
     node: str
@@ -92,6 +95,7 @@
     ends_unix_ms: UnixMs = 0
     counting_ms: AgeMs = 0
     known_nodes: NodeCount = 0
+    waiting_ranks: dict[ServiceId, RankedTokens] = field(default_factory=dict)
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
@@ -139,6 +143,8 @@
         replaced: Start, in Unix milliseconds, of each replaced upstream.
         unavailable: Upstreams of the service that leave or asked for a pause,
             as the aggregator or a node that reported to it knows.
+        queued_ranks: Memory that queued streams of the service need, by rank,
+            if they have several priorities.
     """
 
     node: str
@@ -153,6 +159,7 @@
     unavailable: dict[UpstreamId, AvailabilityReport] = field(
         default_factory=dict
     )
+    queued_ranks: RankedTokens = field(default_factory=dict)
 
 
 class StoreBeacon(Struct, array_like=True, kw_only=True, tag='read'):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/peer_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/peer_reports.py
@@ -16,6 +16,7 @@
     Attributes:
         admitted: Cost that each peer admitted in the window, by workspace.
         queued: Memory that each peer's queued streams need, by service.
+        waiting_ranks: The same by rank, of services with several priorities.
         votes: Node that each peer votes for as the leader.
         stopping: Peers that are about to stop.
         counting_since_s: Start of each peer that hasn't counted what it admits
@@ -26,6 +27,7 @@
         """Starts without reports."""
         self.admitted: dict[str, dict[WorkspaceId, float]] = {}
         self.queued: dict[str, dict[ServiceId, int]] = {}
+        self.waiting_ranks: dict[str, dict[ServiceId, dict[int, int]]] = {}
         self.votes: dict[str, str] = {}
         self.stopping: set[str] = set()
         self.counting_since_s: dict[str, float] = {}
@@ -34,6 +36,7 @@
         """Drops the reports of a peer that left or is silent."""
         self.admitted.pop(peer, None)
         self.queued.pop(peer, None)
+        self.waiting_ranks.pop(peer, None)
         self.votes.pop(peer, None)
         self.stopping.discard(peer)
         self.counting_since_s.pop(peer, None)
@@ -65,6 +68,15 @@
         )
         return [tokens for tokens in queued if tokens]
 
+    def tokens_by_rank(
+        self, service_id: ServiceId, peers: Iterable[str]
+    ) -> list[dict[int, int]]:
+        """Returns what each peer's queued streams need, by rank."""
+        ranks = (
+            self.waiting_ranks.get(peer, {}).get(service_id) for peer in peers
+        )
+        return [found for found in ranks if found]
+
     def admitted_cost(
         self, workspace_id: WorkspaceId, peers: Iterable[str]
     ) -> float:
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/placement.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/placement.py
@@ -250,6 +250,7 @@
 
 
 __all__ = (
+    'MEMORY_USE',
     'Candidate',
     'StreamNeed',
     'StreamPlan',
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/wait_queue.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/wait_queue.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .fleet_priority import LATE_RANK, MAX_PRIORITY, MOST_URGENT, sum_ranks
+
 PEERS_AHEAD_RATIO = 0.5
 """Fraction of the peers' queued streams that is assumed to go first."""
 
@@ -66,6 +68,14 @@
     useful_until_s: float
     has_progress: bool = False
 
+    def fleet_rank(self, now_s: float) -> int:
+        """Returns the rank among the streams that wait at all nodes."""
+        if self.has_progress:
+            return MOST_URGENT
+        if now_s > self.on_time_until_s:
+            return LATE_RANK
+        return min(self.priority, MAX_PRIORITY)
+
     def rank(self, now_s: float) -> tuple[bool, bool, int, float, float]:
         """Returns the sort key; the smallest goes first."""
         return (
@@ -94,6 +104,13 @@
         """Returns the memory that all queued streams need."""
         return sum(stream.tokens for stream in self._streams)
 
+    def tokens_by_rank(self, now_s: float) -> dict[int, int]:
+        """Returns the memory that the queued streams need, by rank."""
+        return sum_ranks(
+            {stream.fleet_rank(now_s): stream.tokens}
+            for stream in self._streams
+        )
+
     def add(self, stream: QueuedStream) -> None:
         """Adds a stream."""
         self._streams.append(stream)
@@ -114,6 +131,7 @@
         peer_tokens: float,
         release_per_s: float,
         now_s: float,
+        more_urgent_tokens: int = 0,
     ) -> QueueDecision:
         """Decides whether a stream keeps waiting or is refused.
 
@@ -123,6 +141,8 @@
             release_per_s: Memory that ending streams free per second, of all
                 engines of the service.
             now_s: Monotonic clock.
+            more_urgent_tokens: Memory that streams at other nodes need which
+                surely go first; not part of ``peer_tokens``.
         """
         if release_per_s <= 0:
             return QueueDecision.REFUSE
@@ -132,7 +152,7 @@
             for queued in self._streams
             if queued.rank(now_s) < rank
         )
-        ahead += int(peer_tokens * PEERS_AHEAD_RATIO)
+        ahead += int(peer_tokens * PEERS_AHEAD_RATIO) + more_urgent_tokens
         starts_at_s = now_s + (ahead + stream.tokens) / release_per_s
         if starts_at_s <= stream.useful_until_s:
             return QueueDecision.WAIT
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -55,6 +55,7 @@
     REFUSED = 'refused'
     PLACED = 'placed'
     GAVE_WAY = 'gave-way'
+    WAITS_FOR_URGENT = 'waits-for-urgent'
     SEND_FAILED = 'send-failed'
     REPLY_SKIPPED = 'reply-skipped'
     RESUMED = 'resumed'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/fleet_totals.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/fleet_totals.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from catkinreach_core.gateway.fleet_priority import sum_ranks
 from catkinreach_core.gateway.members import (
     SILENT_AFTER_S,
     full_message_interval_s,
@@ -37,6 +38,26 @@
             return reply.queued_nodes
         return len(self.queued_by_node(service_id))
 
+    def waiting_ranks(self, service_id: ServiceId) -> dict[int, int]:
+        """Returns the memory that streams queued at peers need, by rank."""
+        reply = self._node.load_queries.current_reply(service_id)
+        if reply is not None:
+            return reply.queued_ranks
+        return sum_ranks(self.waiting_ranks_by_node(service_id))
+
+    def waiting_ranks_by_node(
+        self, service_id: ServiceId, excluded: str = ''
+    ) -> list[dict[int, int]]:
+        """Returns the same of each peer that has queued streams.
+
+        Args:
+            service_id: Service of the queued streams.
+            excluded: Address of a peer that is left out.
+        """
+        return self._node.peer_reports.tokens_by_rank(
+            service_id, self._peers(excluded)
+        )
+
     def peer_costs(self, workspace_id: WorkspaceId) -> PeerCosts:
         """Returns what the peers admitted for a workspace."""
         node = self._node
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.aggregation import uses_aggregators
+from catkinreach_core.gateway.fleet_priority import sum_ranks
 from catkinreach_core.gateway.gossip import (
     LoadQuery,
     LoadReply,
@@ -182,11 +183,19 @@
             admitted=self._admitted_for(query, now_s),
             queued_tokens=sum(queued),
             queued_nodes=len(queued),
+            queued_ranks=self._ranks_for(query),
             down=node.health.unreachable_upstreams(),
             replaced=node.replaced_upstreams(),
             unavailable=self._unavailable_for(query, now_s),
         )
 
+    def _ranks_for(self, query: LoadQuery) -> dict[int, int]:
+        """Returns what the streams queued at other nodes need, by rank."""
+        node = self._node
+        ranks = node.totals.waiting_ranks_by_node(query.service, query.node)
+        ranks.append(node.queued_ranks().get(query.service, {}))
+        return sum_ranks(ranks)
+
     def _loads_for(
         self, query: LoadQuery, now_s: float
     ) -> dict[UpstreamId, UpstreamLoad]:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
@@ -6,6 +6,10 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.errors import ErrorKind
+from catkinreach_core.gateway.fleet_priority import (
+    leaves_room,
+    more_urgent_tokens,
+)
 from catkinreach_core.gateway.placement import idle_first_token_s
 from catkinreach_core.gateway.stage_plan import RESIDENCE_S
 from catkinreach_core.gateway.wait_queue import (
@@ -14,6 +18,7 @@
     next_poll_s,
 )
 
+from .decision_log import Event
 from .gateway_metrics import RequestStage
 
 if TYPE_CHECKING:
@@ -44,6 +49,8 @@
         self._planner = planner
         self._silent_since_s = context.admitted.arrived_s
         self._has_progress = False
+        self._has_given_way = False
+        self._has_reported = False
         self.waited_s = 0.0
 
     @property
@@ -88,6 +95,7 @@
                 if plan is not None:
                     return plan
                 self._refuse_if_late(queue, entry, now_s)
+                self._report_waiting()
                 peers = self._node.totals.count_queueing(service_id)
                 await asyncio.sleep(next_poll_s(peers, self._node.rng.random()))
         finally:
@@ -101,11 +109,55 @@
         if not queue.is_first(entry, now_s):
             return None
         plan = self._planner.best_plan()
+        if plan is not None and self._gives_way(entry, now_s):
+            return None
         if plan is not None:
             self.waited_s = now_s - entry.arrived_s
             self._node.metrics.record(RequestStage.WAIT, self.waited_s)
         return plan
 
+    def _gives_way(self, entry: QueuedStream, now_s: float) -> bool:
+        """Returns whether more urgent streams of peers need the memory."""
+        waiting = self._peer_ranks()
+        rank = entry.fleet_rank(now_s)
+        if not more_urgent_tokens(waiting, rank):
+            return False
+        if leaves_room(
+            self._planner.free_decode_memory(), entry.tokens, waiting, rank
+        ):
+            return False
+        if not self._has_given_way:
+            self._has_given_way = True
+            self._node.log.write(
+                Event.WAITS_FOR_URGENT,
+                request=self._admitted.metadata.request_id,
+                rank=rank,
+                urgent_tokens=more_urgent_tokens(waiting, rank),
+            )
+        return True
+
+    def _peer_ranks(self) -> dict[int, int]:
+        """Returns what peers' streams wait for, by rank.
+
+        Empty where the streams of the service have one priority.
+        """
+        if not self._has_priorities:
+            return {}
+        service_id = self._admitted.service.service_id
+        return self._node.totals.waiting_ranks(service_id)
+
+    @property
+    def _has_priorities(self) -> bool:
+        catalog = self._node.view.catalog
+        service_id = self._admitted.service.service_id
+        return catalog is not None and catalog.has_priorities(service_id)
+
+    def _report_waiting(self) -> None:
+        """Tells peers at once that a stream with a priority waits."""
+        if self._has_priorities and not self._has_reported:
+            self._has_reported = True
+            self._node.load_changed.set()
+
     def _make_entry(self) -> QueuedStream:
         admitted = self._admitted
         prefill_s = idle_first_token_s(self._need)
@@ -140,11 +192,18 @@
         service_id = self._admitted.service.service_id
         memory = self._planner.total_decode_memory()
         peer_tokens = self._node.totals.queued_tokens(service_id)
+        urgent_tokens = 0
+        if self._has_priorities:
+            waiting = self._peer_ranks()
+            rank = entry.fleet_rank(now_s)
+            urgent_tokens = more_urgent_tokens(waiting, rank)
+            peer_tokens = waiting.get(rank, 0)
         decision = queue.evaluate(
             entry,
             peer_tokens=peer_tokens,
             release_per_s=memory / RESIDENCE_S,
             now_s=now_s,
+            more_urgent_tokens=urgent_tokens,
         )
         pause_s = self._node.retry_delay_s(service_id)
         if (
@@ -155,7 +214,8 @@
             raise self._attempts.error(
                 ErrorKind.QUEUE_TIMEOUT,
                 f'{queue.count} streams wait at this node, {peer_tokens} tokens'
-                f' at peers, for {memory} tokens of memory',
+                f' at peers, {urgent_tokens} more urgent ones, for {memory}'
+                ' tokens of memory',
             )
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -179,6 +179,17 @@
             if queue.count
         }
 
+    def queued_ranks(self) -> dict[ServiceId, dict[int, int]]:
+        """Returns the same by rank, of services with several priorities."""
+        catalog = self.view.catalog
+        if catalog is None or not catalog.prioritized_services:
+            return {}
+        return {
+            service_id: queue.tokens_by_rank(self.clock())
+            for service_id, queue in self._queues.items()
+            if queue.count and catalog.has_priorities(service_id)
+        }
+
     def report_change(self) -> None:
         """Tells the aggregators of a large fleet about a change."""
         if self.load_queries.is_active:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -226,6 +226,7 @@
             ends_unix_ms=node.shutdown.ends_unix_ms,
             counting_ms=math.ceil(1000 * (node.quota.counting_s(now_s) or 0.0)),
             known_nodes=node.members.count,
+            waiting_ranks=node.queued_ranks(),
         )
 
     def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
@@ -282,6 +283,7 @@
             peer, message.domain, message.ends_unix_ms, now_s
         )
         node.peer_reports.queued[peer] = message.waiting
+        node.peer_reports.waiting_ranks[peer] = message.waiting_ranks
         node.switching_engines.merge_peer(message.switching, now_s)
         node.apply_availability_reports(message.unavailable, peer)
         if message.phase is Phase.LEFT:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from catkinreach_core.gateway.placement import plan_stream
+from catkinreach_core.gateway.placement import MEMORY_USE, plan_stream
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.placement import Candidate, StreamPlan
@@ -51,6 +51,15 @@
         ]
         return plan_stream(others, self._need, self._traits) is not None
 
+    def free_decode_memory(self) -> list[int]:
+        """Returns the free memory of each usable decode engine, in tokens."""
+        usable = int(self._traits.memory_tokens * MEMORY_USE)
+        return [
+            max(0, usable - candidate.load.memory_tokens)
+            for candidate in self._candidates()
+            if candidate.can_decode
+        ]
+
     def total_decode_memory(self) -> int:
         """Returns the total memory of all usable decode engines, in tokens."""
         decode_engines = sum(
--- a/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/catalog.py
@@ -17,6 +17,7 @@
     ServiceShare,
     ServiceTraits,
     WorkspacePolicy,
+    find_prioritized_services,
     routes_by_host,
 )
 from catkinreach_core.gateway.header_text import is_sendable_name
@@ -115,9 +116,11 @@
     """
     config = decode_document(_DECODER, document)
     tenants = config.tenants or []
+    routes = [_route(route) for route in config.routes]
     return Catalog(
         version=config.version,
-        routes=dict(routes_by_host(map(_route, config.routes))),
+        routes=dict(routes_by_host(routes)),
+        prioritized_services=find_prioritized_services(routes),
         services={
             ServiceId(service.name): _service(service)
             for service in config.services
--- a/packages/catkinreach-node/tests/gateway/test_datagram_fuzz.py
+++ b/packages/catkinreach-node/tests/gateway/test_datagram_fuzz.py
@@ -86,6 +86,9 @@
         waiting={SERVICE: 9},
         holder=PEER,
         switching={UPSTREAM: 1.5},
+        counting_ms=700,
+        known_nodes=3,
+        waiting_ranks={SERVICE: {0: 4, 10: 5}},
     ),
     CrashMessage(
         node=PEER,
@@ -108,6 +111,7 @@
         queued_nodes=1,
         down=[UPSTREAM],
         replaced={UPSTREAM: 3},
+        queued_ranks={1: 4},
     ),
     StoreBeacon(
         node=PEER,
