Let the route's priority decide among workspaces of one priority

Change: the rank of a waiting stream is the workspace's priority and then the route's. What is sent to engines stays as it was. Ruled out: adding the two up, as a route could then overtake a workspace of a higher priority. Where routes have one priority the order is the same as before.

--- a/packages/catkinreach-core/src/catkinreach_core/gateway/fleet_priority.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/fleet_priority.py
@@ -25,9 +25,10 @@
 
 MOST_URGENT = 0
 
-MAX_PRIORITY = 9
+LEAST_URGENT = 99
+"""Greatest rank by priority; what is beyond it counts as this."""
 
-LATE_RANK = MAX_PRIORITY + 1
+LATE_RANK = LEAST_URGENT + 1
 """Rank of streams that can no longer meet their latency target."""
 
 Rank = Annotated[int, Meta(ge=MOST_URGENT, le=LATE_RANK)]
@@ -71,7 +72,7 @@
 
 __all__ = (
     'LATE_RANK',
-    'MAX_PRIORITY',
+    'LEAST_URGENT',
     'MOST_URGENT',
     'RankedTokens',
     'leaves_room',
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/wait_queue.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/wait_queue.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .fleet_priority import LATE_RANK, MAX_PRIORITY, MOST_URGENT, sum_ranks
+from .fleet_priority import LATE_RANK, LEAST_URGENT, MOST_URGENT, sum_ranks
 
 PEERS_AHEAD_RATIO = 0.5
 """Fraction of the peers' queued streams that is assumed to go first."""
@@ -51,7 +51,7 @@
 
     Attributes:
         tokens: Memory that it needs, in tokens of KV cache.
-        priority: Priority; 0 is the most urgent.
+        priority: Urgency; 0 is the most urgent.
         workspace_cost: Cost recently admitted for its workspace.
         arrived_s: Time at which it was queued.
         on_time_until_s: Latest start that meets the latency target.
@@ -74,7 +74,7 @@
             return MOST_URGENT
         if now_s > self.on_time_until_s:
             return LATE_RANK
-        return min(self.priority, MAX_PRIORITY)
+        return min(self.priority, LEAST_URGENT)
 
     def rank(self, now_s: float) -> tuple[bool, bool, int, float, float]:
         """Returns the sort key; the smallest goes first."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/admitted_request.py
@@ -21,6 +21,10 @@
     from ..http.messages import HttpRequest
 
 
+MAX_PRIORITY = 9
+"""Least urgent priority; those beyond it count as this."""
+
+
 @dataclass(frozen=True, slots=True)
 class AdmittedRequest:
     """A caller's request after admission, with its route and deadline.
@@ -55,6 +59,18 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def urgency(self) -> int:
+        """Returns the place among waiting requests; 0 is the most urgent.
+
+        Among workspaces of the same priority that of the route decides.
+        """
+        own, route = (
+            min(priority, MAX_PRIORITY)
+            for priority in (self.priority, self.route.priority)
+        )
+        return own * (MAX_PRIORITY + 1) + route
+
     @property
     def workspace_id(self) -> WorkspaceId | None:
         """Returns the id of the request's workspace, if any."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
@@ -164,7 +164,7 @@
         timeout_s = admitted.route.target_s * QUEUE_TIMEOUT_TARGETS
         return QueuedStream(
             tokens=self._need.memory_tokens,
-            priority=admitted.priority,
+            priority=admitted.urgency,
             workspace_cost=self._recent_cost(),
             arrived_s=self._node.clock(),
             on_time_until_s=admitted.arrived_s
--- a/packages/catkinreach-node/tests/gateway/test_urgent_streams.py
+++ b/packages/catkinreach-node/tests/gateway/test_urgent_streams.py
@@ -22,7 +22,9 @@
 
 PEER = '127.0.0.9'
 WITHIN_S = 10.0
-TENANTS = [{'name': 'one', 'api-keys': [KEY]}]
+TENANTS = [{'name': 'one', 'api-keys': [KEY], 'priority': 1}]
+URGENT_RANK = 10
+"""Rank of the most urgent route for a workspace of priority 1."""
 VERSION = 7
 WAITING_TOKENS = 2**40
 """Far more memory than the engines have."""
@@ -68,7 +70,7 @@
                     node=PEER,
                     phase=Phase.RUNNING,
                     waiting_ranks={
-                        ServiceId(MODEL_SERVICE): {0: WAITING_TOKENS}
+                        ServiceId(MODEL_SERVICE): {URGENT_RANK: WAITING_TOKENS}
                     },
                 )
             )
