--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
@@ -6,6 +6,10 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.placement import MEMORY_USE, plan_stream
+from catkinreach_core.gateway.sampled_placement import (
+    MAX_NODES_IN_STEP,
+    sample_engines,
+)
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.placement import Candidate, StreamPlan
@@ -37,6 +41,10 @@
         need = self._need
         if self._prefill.handle is not None:
             need = replace(need, prompt_tokens=0)
+        if self._node.members.count > MAX_NODES_IN_STEP:
+            candidates = sample_engines(
+                candidates, need, self._traits, self._node.rng
+            )
         return plan_stream(candidates, need, self._traits)
 
     def has_room_elsewhere(self, silent_id: UpstreamId) -> bool:
