--- a/packages/catkinreach-core/tests/gateway/test_sampled_placement.py
+++ b/packages/catkinreach-core/tests/gateway/test_sampled_placement.py
@@ -127,7 +127,9 @@
 # Prompts were read, and their engine was full then.
 @pytest.mark.parametrize('seed', [1, 2])
 def test_nodes_that_hear_late_fill_the_same_engine(seed: int) -> None:
-    before, after = (Fleet(samples=samples, seed=seed) for samples in (0, 1))
+    before, after = (
+        Fleet(samples=samples, seed=seed) for samples in (False, True)
+    )
     before.run()
     after.run()
     assert after.gave_way < before.gave_way / 2
