--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -15,6 +15,7 @@
 )
 
 from .body_memory import SMALL_BODY_BYTES, STEP_BYTES, BodyHold
+from .head_checks import check_head, content_length
 from .messages import HttpRequest
 from .socket_input import READ_SIZE_BYTES, SocketInput
 
@@ -152,9 +153,7 @@
         if not isinstance(head, h11.Request):
             return None
         self._is_head_request = head.method == b'HEAD'
-        _check_method(head)
-        _check_framing(head)
-        _check_field_count(head, self._bounds.max_head_fields)
+        check_head(head, self._bounds.max_head_fields)
         hold = self._hold = BodyHold(self._memory)
         try:
             body = await self._read_body(head, hold)
@@ -264,7 +263,7 @@
             CatkinreachError: if it is too large, too slow or malformed, or the
                 memory stays full.
         """
-        announced = _content_length(head)
+        announced = content_length(head)
         await self._reserve(hold, announced)
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + self._bounds.body_timeout_s
@@ -331,41 +330,4 @@
     )
 
 
-def _content_length(head: h11.Request) -> int:
-    """Returns the length of a body; 0 if it comes in chunks."""
-    lengths = [text for name, text in head.headers if name == b'content-length']
-    return int(lengths[0]) if lengths else 0
-
-
-def _check_method(head: h11.Request) -> None:
-    """Refuses a request for a tunnel, whose answer would end the exchange."""
-    if head.method == b'CONNECT':
-        raise CatkinreachError(
-            ErrorKind.BAD_REQUEST, 'the method CONNECT is not allowed'
-        )
-
-
-def _check_field_count(head: h11.Request, max_fields: int) -> None:
-    """Refuses a head whose fields take far more memory than its bytes."""
-    if len(head.headers) > max_fields:
-        raise CatkinreachError(
-            ErrorKind.BAD_REQUEST,
-            f'the head must not have more than {max_fields} fields',
-        )
-
-
-def _check_framing(head: h11.Request) -> None:
-    """Refuses a request whose body length is ambiguous.
-
-    Two HTTP parsers could disagree on where such a request ends, which
-    allows request smuggling.
-    """
-    names = [name for name, _ in head.headers]
-    if b'transfer-encoding' in names and b'content-length' in names:
-        raise CatkinreachError(
-            ErrorKind.BAD_REQUEST,
-            'transfer-encoding and content-length must not both be present',
-        )
-
-
 __all__ = ('RequestReader',)
