--- a/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
@@ -128,7 +128,7 @@
 
     def counting_s(self, now_s: float) -> float | None:
         """Returns the time since the start; ``None`` after a whole window."""
-        counting_s = now_s - self._started_s
+        counting_s = max(0.0, now_s - self._started_s)
         return counting_s if counting_s < self._window_s else None
 
     def own_counts(self, now_s: float) -> dict[WorkspaceId, float]:
--- a/packages/catkinreach-core/tests/gateway/test_quota_after_restart.py
+++ b/packages/catkinreach-core/tests/gateway/test_quota_after_restart.py
@@ -189,3 +189,11 @@
     )
     reports.record_counting('a', 0, 11.0)
     assert reports.counting_s(('a', 'b'), 11.0) == pytest.approx((1.9,))
+
+
+# A clock before the start made a time that no peer accepts.
+def test_time_before_the_start_counts_as_the_start() -> None:
+    table = QuotaTable(
+        window_s=WINDOW_S, excess_ratio=0.0, slack=0.0, started_s=100.0
+    )
+    assert table.counting_s(99.0) == 0.0
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
@@ -161,7 +161,7 @@
         for upstream_id in reply.down:
             node.checks.check_reported_down(upstream_id)
         node.checks.apply_replaced(reply.replaced)
-        node.apply_availability_reports(reply.unavailable, reply.node)
+        node.availability_notes.apply_reports(reply.unavailable, reply.node)
 
     def _reply(self, query: LoadQuery) -> LoadReply:
         node = self._node
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
@@ -205,7 +205,7 @@
             now_s=now_s,
             more_urgent_tokens=urgent_tokens,
         )
-        pause_s = self._node.retry_delay_s(service_id)
+        pause_s = self._node.availability_notes.retry_delay_s(service_id)
         if (
             decision is QueueDecision.REFUSE
             or self._attempts.remaining_s < MIN_REMAINING_S
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -16,16 +16,12 @@
 from catkinreach_core.gateway.load_table import LoadTable
 from catkinreach_core.gateway.members import Members
 from catkinreach_core.gateway.output_estimate import OutputEstimate
-from catkinreach_core.gateway.peer_availability import (
-    PeerAvailability,
-    make_reports,
-)
+from catkinreach_core.gateway.peer_availability import PeerAvailability
 from catkinreach_core.gateway.peer_reports import PeerReports
 from catkinreach_core.gateway.placement import Candidate, has_spare_slots
 from catkinreach_core.gateway.quota import QuotaTable
 from catkinreach_core.gateway.retry_budget import RetryBudget
 from catkinreach_core.gateway.switching_engines import SwitchingEngines
-from catkinreach_core.gateway.upstream import Stage
 from catkinreach_core.gateway.view import FleetView
 from catkinreach_core.gateway.wait_queue import WaitQueue
 from catkinreach_core.ids import Revision, ShardId, VmId
@@ -34,6 +30,7 @@
 from ..http.client import HttpClient
 from ..http.connection import ConnectError, ExchangeError
 from ..supervisor import BACKGROUND, Supervisor
+from .availability_notes import AvailabilityNotes
 from .decision_log import DecisionLog, Event
 from .fleet_totals import FleetTotals
 from .gateway_metrics import GatewayMetrics
@@ -44,16 +41,15 @@
 from .upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Callable, Coroutine
 
     from catkinreach_core.gateway.catalog import Catalog, ServiceTraits
     from catkinreach_core.gateway.crash_reports import SuspectKey
     from catkinreach_core.gateway.load_table import UpstreamLoad
-    from catkinreach_core.gateway.metadata import KvHandle, ReplyMetadata
-    from catkinreach_core.gateway.peer_availability import AvailabilityReport
+    from catkinreach_core.gateway.metadata import KvHandle
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.gateway.view import KnownUpstream
-    from catkinreach_core.ids import RequestId, ServiceId, UpstreamId
+    from catkinreach_core.ids import ServiceId, UpstreamId
 
     from .dialect import Dialect
     from .exchange import Reply
@@ -116,6 +112,14 @@
         self.load_changed = asyncio.Event()
         self.shutdown = Shutdown(settings, self.members, self.clock)
         self.revision = Revision(0)
+        self.availability_notes = AvailabilityNotes(
+            self.view,
+            self.availability,
+            self.peer_availability,
+            self.log,
+            self._now_s,
+            self.load_changed.set,
+        )
 
     def begin_stop(self, answer_within_s: float) -> None:
         """Starts the shutdown; all requests must be answered in this time."""
@@ -123,6 +127,10 @@
         # Peers learn of it at once.
         self.load_changed.set()
 
+    def _now_s(self) -> float:
+        """Returns the time of the clock that the node has now."""
+        return self.clock()
+
     def _add_gauges(self) -> None:
         """Adds gauges of the state that decisions depend on."""
         gauges: dict[str, Callable[[], float]] = {
@@ -232,112 +240,6 @@
         else:
             self.health.record_failure(upstream_id, self.clock())
 
-    def note_availability(
-        self, upstream: Upstream, metadata: ReplyMetadata, request_id: RequestId
-    ) -> None:
-        """Notes what a reply says of its upstream: it leaves, or has a pause.
-
-        Args:
-            upstream: Upstream that the request was sent to.
-            metadata: Metadata of the reply.
-            request_id: Request that was answered.
-        """
-        if metadata.is_from_other_upstream(upstream.upstream_id):
-            return
-        if metadata.is_leaving and self.availability.record_leaving(upstream):
-            self.log.write(
-                Event.UPSTREAM_LEAVING,
-                upstream=upstream.upstream_id,
-                started_ms=upstream.started_ms,
-                request=request_id,
-            )
-            self.load_changed.set()
-        if metadata.pause_s and self.availability.record_pause(
-            upstream, metadata.pause_s, self.clock()
-        ):
-            self.log.write(
-                Event.UPSTREAM_PAUSED,
-                upstream=upstream.upstream_id,
-                started_ms=upstream.started_ms,
-                request=request_id,
-                pause_s=metadata.pause_s,
-            )
-            self.load_changed.set()
-
-    def availability_reports(self) -> dict[UpstreamId, AvailabilityReport]:
-        """Returns the listed upstreams that leave or asked for a pause."""
-        found = map(self.view.find_upstream, self.view.upstream_ids)
-        upstreams = [known.upstream for known in found if known is not None]
-        return make_reports(self.availability, upstreams, self.clock())
-
-    def apply_availability_reports(
-        self, reports: Mapping[UpstreamId, AvailabilityReport], peer: str
-    ) -> None:
-        """Applies a peer's report of upstreams that leave or pause.
-
-        It only makes them less preferred for a short time.
-        """
-        now_s = self.clock()
-        for upstream_id, report in reports.items():
-            known = self.view.find_upstream(upstream_id)
-            if known is not None and self.peer_availability.record(
-                known.upstream, report, now_s
-            ):
-                self.log.write(
-                    Event.UPSTREAM_REPORTED,
-                    upstream=upstream_id,
-                    started_ms=report.started_ms,
-                    peer=peer,
-                    remaining_ms=report.remaining_ms,
-                )
-
-    def retry_delay_s(self, service_id: ServiceId) -> float:
-        """Returns the time until a service may have capacity again.
-
-        0 if some upstream may get requests, or none will. An engine that only
-        prefills serves no request.
-        """
-        upstreams = self._serving_upstreams(service_id)
-        return self.availability.shortest_pause_s(upstreams, self.clock())
-
-    def log_unavailable(
-        self, service_id: ServiceId, request_id: RequestId
-    ) -> None:
-        """Logs that no upstream takes a refused request, if that is so.
-
-        Each of the service's upstreams leaves or has a pause.
-        """
-        now_s = self.clock()
-        upstreams = self._serving_upstreams(service_id)
-        leaving = [
-            upstream.upstream_id
-            for upstream in upstreams
-            if self.availability.is_leaving(upstream)
-        ]
-        paused = [
-            upstream.upstream_id
-            for upstream in upstreams
-            if upstream.upstream_id not in leaving
-            and self.availability.pause_s(upstream, now_s) > 0
-        ]
-        if upstreams and len(leaving) + len(paused) == len(upstreams):
-            self.log.write(
-                Event.SERVICE_UNAVAILABLE,
-                request=request_id,
-                service=service_id,
-                leaving=leaving,
-                paused=paused,
-                pause_s=round(self.retry_delay_s(service_id), 3),
-            )
-
-    def _serving_upstreams(self, service_id: ServiceId) -> list[Upstream]:
-        """Returns the upstreams that can serve a request by themselves."""
-        return [
-            known.upstream
-            for known in self.view.usable_upstreams(service_id)
-            if known.upstream.stage is not Stage.PREFILL
-        ]
-
     def mark_replaced(self, upstream: Upstream) -> None:
         """Marks an upstream as replaced: another one answers at its address."""
         upstream_id = upstream.upstream_id
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -248,7 +248,7 @@
 
         A change of load repeats none of it.
         """
-        reports = self._node.availability_reports()
+        reports = self._node.availability_notes.reports()
         told = self._told_unavailable if is_load_change else frozenset()
         order = [one for one in reports if one not in told]
         self._node.rng.shuffle(order)
@@ -285,7 +285,7 @@
         node.peer_reports.queued[peer] = message.waiting
         node.peer_reports.waiting_ranks[peer] = message.waiting_ranks
         node.switching_engines.merge_peer(message.switching, now_s)
-        node.apply_availability_reports(message.unavailable, peer)
+        node.availability_notes.apply_reports(message.unavailable, peer)
         if message.phase is Phase.LEFT:
             self._remove_peer(peer, 'left')
 
