--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/front_faults.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/front_faults.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import time
 from typing import TYPE_CHECKING, Final
 
+from ..hostile_clients import Misbehaviour, hostile_crowd
 from .history import Disruption, DisruptionKind
 from .plan import FaultKind
 
@@ -25,6 +27,8 @@
 
 EXIT_POLL_S: Final = 0.05
 
+CROWD_CLIENTS: Final = 40
+
 
 class FrontFaults:
     """Sends signals to front processes, and starts them again."""
@@ -46,6 +50,7 @@
             FaultKind.PAUSE: self._pause,
             FaultKind.RELOAD: self._reload,
             FaultKind.CHANGE_SETTINGS: self._change_settings,
+            FaultKind.CROWD: self._crowd,
         }
         # The remaining kinds are a stop with a second signal.
         await handlers.get(fault.kind, self._roll)(fault)
@@ -146,6 +151,20 @@
         self._fronts[fault.target].change_settings()
         await self._reload(fault)
 
+    async def _crowd(self, fault: Fault) -> None:
+        """Runs a crowd of clients; none of their requests may run."""
+        front = self._fronts[fault.target]
+        entrances = (
+            (front.caller_address, '/nowhere/x'),
+            (front.ready_address, '/ready'),
+            (front.metrics_address, '/metrics'),
+        )
+        rng = random.Random(f'{fault.target}/{fault.at_s}')
+        address, path = rng.choice(entrances)
+        kind = rng.choice(tuple(Misbehaviour))
+        async with hostile_crowd(kind, address, path, CROWD_CLIENTS):
+            await asyncio.sleep(fault.duration_s)
+
     def _add_disruption(
         self, front: FrontProcess, kind: DisruptionKind
     ) -> Disruption:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -21,6 +21,9 @@
 MEAN_LATER_INTERVAL_S: Final = 2.0
 """Like the mean interval above, for the kinds that were added later."""
 
+MEAN_CROWD_INTERVAL_S: Final = 4.0
+"""Like the mean interval above, for crowds of clients."""
+
 MAX_DRAIN_DELAY_S: Final = 1.7
 """Maximum time from SIGTERM to a second signal; a front drains longer."""
 
@@ -124,6 +127,9 @@
     REFUSE = ('refuse', TargetKind.UPSTREAM)
     """The upstream refuses requests and doesn't say for how long."""
 
+    CROWD = ('crowd', TargetKind.FRONT)
+    """Clients that don't behave, at an address of the front for a time."""
+
     @property
     def target_kind(self) -> TargetKind:
         """Returns the kind of component that the fault affects."""
@@ -162,7 +168,13 @@
 RANDOM_KINDS: Final = tuple(
     kind
     for kind in FaultKind
-    if kind not in {FaultKind.CRASHING_REQUESTS, *LATER_KINDS, *ENGINE_KINDS}
+    if kind
+    not in {
+        FaultKind.CRASHING_REQUESTS,
+        FaultKind.CROWD,
+        *LATER_KINDS,
+        *ENGINE_KINDS,
+    }
 )
 """Kinds that are drawn for the whole run."""
 
@@ -222,6 +234,13 @@
             ENGINE_KINDS,
             MEAN_LATER_INTERVAL_S,
         ),
+        *_draw_faults(
+            random.Random(f'{seed}/crowds'),
+            duration_s,
+            targets,
+            (FaultKind.CROWD,),
+            MEAN_CROWD_INTERVAL_S,
+        ),
     ]
     if has_crashing_requests:
         faults.append(
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -113,7 +113,12 @@
 
 def test_later_kinds_leave_the_older_faults_as_they_were() -> None:
     targets = dict.fromkeys(TargetKind, ('one', 'two'))
-    later = {*LATER_KINDS, *ENGINE_KINDS, FaultKind.CRASHING_REQUESTS}
+    later = {
+        *LATER_KINDS,
+        *ENGINE_KINDS,
+        FaultKind.CRASHING_REQUESTS,
+        FaultKind.CROWD,
+    }
     faults = [
         (fault.kind, fault.target, round(fault.at_s, 3))
         for fault in make_plan(64, 12.0, targets)
@@ -128,6 +133,7 @@
     kinds = [fault.kind for fault in make_plan(64, 12.0, targets)]
     assert sum(kind in LATER_KINDS for kind in kinds) == LATER_COUNT_OF_SEED_64
     assert any(kind in ENGINE_KINDS for kind in kinds)
+    assert FaultKind.CROWD in kinds
 
 
 def test_later_kinds_come_in_series_and_overlap() -> None:
