--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/hostile_clients.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/hostile_clients.py
@@ -106,6 +106,8 @@
     """Sends all there is, then waits until it is cancelled."""
     with suppress(OSError):
         for piece in PIECES[kind](path, number):
+            if writer.is_closing():
+                break
             writer.write(piece)
             await writer.drain()
             if kind is Misbehaviour.SLOW_HEAD:
