--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -20,7 +20,8 @@
     from loguru import Message, Record
 
 LINES_PER_S: Final = 60.0
-"""Sustained rate of lines that a process writes for one event."""
+"""Sustained rate of lines that a process writes for one event, or for one code
+of refusals."""
 
 LINE_BURST: Final = 200.0
 """Lines of one event that a process may write at once."""
@@ -99,12 +100,16 @@
 
 
 class DecisionLog:
-    """Logs one line per decision, rate-limited per event."""
+    """Logs one line per decision, rate-limited per event.
+
+    Refusals are limited by code: a crowd that asks for unknown routes doesn't
+    hide why others are refused.
+    """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         """Starts with the full budget for every event."""
         self._clock = clock
-        self._tokens: dict[Event, tuple[float, float]] = {}
+        self._tokens: dict[tuple[Event, object], tuple[float, float]] = {}
         self._dropped: Counter[str] = Counter()
         self._total_dropped = 0
 
@@ -120,7 +125,7 @@
             event: What happened.
             fields: Request id, inputs, their age or version, outcome.
         """
-        if not self._spend_token(event):
+        if not self._spend_token((event, fields.get('code'))):
             self._dropped[event.value] += 1
             self._total_dropped += 1
             return
@@ -130,12 +135,12 @@
             _emit(Event.LINES_DROPPED, {'count': dropped})
         _emit(event, fields)
 
-    def _spend_token(self, event: Event) -> bool:
+    def _spend_token(self, budget: tuple[Event, object]) -> bool:
         now_s = self._clock()
-        tokens, at_s = self._tokens.get(event, (LINE_BURST, now_s))
+        tokens, at_s = self._tokens.get(budget, (LINE_BURST, now_s))
         tokens = min(LINE_BURST, tokens + (now_s - at_s) * LINES_PER_S)
         is_within_budget = tokens >= 1
-        self._tokens[event] = (tokens - is_within_budget, now_s)
+        self._tokens[budget] = (tokens - is_within_budget, now_s)
         return is_within_budget
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import h11
@@ -32,6 +33,9 @@
 
 MIN_REFUSING = 8
 
+CROWD_LOG_INTERVAL_S = 5.0
+"""Time between two log lines on places that are all taken."""
+
 ACCEPT_TURNS = 8
 """Turns of the event loop in which the task of an accepted connection begins;
 without TLS it took five at most."""
@@ -66,6 +70,7 @@
         self._refusing_count = 0
         self._replaced_count = 0
         self._refused_count = 0
+        self._crowd_logged_s = -math.inf
         self._is_draining = False
         self._is_stopping = False
         self._all_closed = asyncio.Event()
@@ -159,13 +164,8 @@
             is_draining=lambda: self._is_draining,
             is_stopping=lambda: self._is_stopping,
         )
-        if not self._make_room():
-            await self._refuse(connection)
-            return
-        self._connections.add(connection)
-        self._all_closed.clear()
         try:
-            await connection.run()
+            await self._serve_or_refuse(connection)
         except (OSError, h11.ProtocolError):
             logger.debug(
                 '{}: client closed the connection or violated HTTP.', self._name
@@ -181,6 +181,15 @@
             connection.close()
             self._discard(connection)
 
+    async def _serve_or_refuse(self, connection: ServerConnection) -> None:
+        """Serves a connection if there is room for it."""
+        if not self._make_room():
+            await self._refuse(connection)
+            return
+        self._connections.add(connection)
+        self._all_closed.clear()
+        await connection.run()
+
     def _make_room(self) -> bool:
         """Returns whether there is room for one more connection.
 
@@ -195,10 +204,26 @@
         if replaced is None:
             return False
         self._replaced_count += 1
+        self._log_crowd()
         replaced.give_way()
         self._discard(replaced)
         return True
 
+    def _log_crowd(self) -> None:
+        """Logs that all places are taken, once a span."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._crowd_logged_s + CROWD_LOG_INTERVAL_S:
+            return
+        self._crowd_logged_s = now_s
+        logger.warning(
+            '{}: all {} places taken; {} connections made room and {} were'
+            ' refused so far.',
+            self._name,
+            self._bounds.max_connections,
+            self._replaced_count,
+            self._refused_count,
+        )
+
     @property
     def _max_refusing(self) -> int:
         """Returns the number of connections refused at a time."""
@@ -209,6 +234,7 @@
         """Refuses a connection; too many at a time are only closed."""
         self._refusing_count += 1
         self._refused_count += 1
+        self._log_crowd()
         try:
             if self._refusing_count <= self._max_refusing:
                 await connection.refuse(
--- a/packages/catkinreach-node/tests/http/test_lingering_close.py
+++ b/packages/catkinreach-node/tests/http/test_lingering_close.py
@@ -125,3 +125,21 @@
                 writer.close()
 
     assert asyncio.run(run()) < LINGER_S + MARGIN_S
+
+
+# The end of the process logged an error for each client being refused.
+def test_refusal_that_the_end_of_the_process_cuts_is_an_error() -> None:
+    reported: list[object] = []
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+        bounds = ServerBounds(max_connections=0)
+        async with running_server(bounds=bounds) as (_, address):
+            reader, _ = await asyncio.open_connection(
+                address.host, address.port
+            )
+            assert await reader.readline() == b'HTTP/1.1 503 \r\n'
+
+    asyncio.run(run())
+    assert not reported
