--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -9,7 +9,13 @@
 from msgspec import Meta, Struct, field
 
 from ..documents import DocumentError, decode_document
-from ..ids import FailureDomainId, ServiceId, UpstreamId, WorkspaceId
+from ..ids import (
+    FailureDomainId,
+    Revision,
+    ServiceId,
+    UpstreamId,
+    WorkspaceId,
+)
 from .crash_reports import CrashReport
 from .datagram_hosts import is_ip_address
 from .datagram_ranges import (
@@ -36,6 +42,7 @@
 
 
 NO_DOMAIN = FailureDomainId('')
+_NO_REVISION = Revision(0)
 
 
 class Phase(Enum):
@@ -75,6 +82,8 @@
         known_nodes: Nodes that the sender has heard, itself included.
         waiting_ranks: The same as ``waiting``, by rank, of services whose
             streams have several priorities.
+        store_revision: Revision of the last change of the store that the
+            sender has applied; 0 for none.
     """
 
     node: str
@@ -96,6 +105,7 @@
     counting_ms: AgeMs = 0
     known_nodes: NodeCount = 0
     waiting_ranks: dict[ServiceId, RankedTokens] = field(default_factory=dict)
+    store_revision: RevisionNumber = _NO_REVISION
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/peer_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/peer_reports.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..ids import ServiceId, WorkspaceId
+    from ..ids import Revision, ServiceId, WorkspaceId
 
 
 class PeerReports:
@@ -21,6 +21,8 @@
         stopping: Peers that are about to stop.
         counting_since_s: Start of each peer that hasn't counted what it admits
             for a whole window.
+        revisions: Revision of the last change of the store that each peer has
+            applied.
     """
 
     def __init__(self) -> None:
@@ -31,6 +33,12 @@
         self.votes: dict[str, str] = {}
         self.stopping: set[str] = set()
         self.counting_since_s: dict[str, float] = {}
+        self.revisions: dict[str, Revision] = {}
+
+    @property
+    def newest_revision(self) -> int:
+        """Returns the newest change that a peer has applied; 0 for none."""
+        return max(self.revisions.values(), default=0)
 
     def forget(self, peer: str) -> None:
         """Drops the reports of a peer that left or is silent."""
@@ -40,6 +48,7 @@
         self.votes.pop(peer, None)
         self.stopping.discard(peer)
         self.counting_since_s.pop(peer, None)
+        self.revisions.pop(peer, None)
 
     def record_counting(
         self, peer: str, counting_ms: int, now_s: float
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -112,6 +112,8 @@
         self.load_changed = asyncio.Event()
         self.shutdown = Shutdown(settings, self.members, self.clock)
         self.revision = Revision(0)
+        self.changed_revision = Revision(0)
+        self.store_read_at_s: float | None = None
         self.availability_notes = AvailabilityNotes(
             self.view,
             self.availability,
@@ -127,6 +129,12 @@
         # Peers learn of it at once.
         self.load_changed.set()
 
+    @property
+    def store_read_age_s(self) -> float | None:
+        """Returns the age of this node's last read; ``None`` for none."""
+        read_at_s = self.store_read_at_s
+        return None if read_at_s is None else self.clock() - read_at_s
+
     def _now_s(self) -> float:
         """Returns the time of the clock that the node has now."""
         return self.clock()
@@ -140,6 +148,10 @@
                 self.view.catalog.version if self.view.catalog else 0
             ),
             'store_revision': lambda: self.revision,
+            'store_revision_of_peers': lambda: (
+                self.peer_reports.newest_revision
+            ),
+            'store_read_age_seconds': lambda: self.store_read_age_s or 0.0,
             'upstreams_known': lambda: len(self.view.upstream_ids),
             'upstreams_down': lambda: len(self.health.unreachable_upstreams()),
             'upstreams_leaving': self.availability.leaving_count,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -227,6 +227,7 @@
             counting_ms=math.ceil(1000 * (node.quota.counting_s(now_s) or 0.0)),
             known_nodes=node.members.count,
             waiting_ranks=node.queued_ranks(),
+            store_revision=node.changed_revision,
         )
 
     def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
@@ -284,6 +285,7 @@
         )
         node.peer_reports.queued[peer] = message.waiting
         node.peer_reports.waiting_ranks[peer] = message.waiting_ranks
+        node.peer_reports.revisions[peer] = message.store_revision
         node.switching_engines.merge_peer(message.switching, now_s)
         node.availability_notes.apply_reports(message.unavailable, peer)
         if message.phase is Phase.LEFT:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_relay_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_relay_link.py
@@ -18,7 +18,6 @@
     StoreRelay,
     has_next_changes,
 )
-from catkinreach_core.ids import Revision
 
 from .decision_log import Event
 
@@ -30,6 +29,7 @@
         ChangeBatch,
         SmallChange,
     )
+    from catkinreach_core.ids import Revision
 
     from .node import Node
     from .view_updater import ViewUpdater
@@ -58,7 +58,6 @@
             settings.host, apply_within_s=settings.bounds.apply_within_s
         )
         self._read_at_s: float | None = None
-        self._changed_revision = Revision(0)
         self._is_needed = asyncio.Event()
         node.peer_handlers[StoreBeacon] = self._take_beacon
         node.peer_handlers[StoreChanges] = self._take_changes
@@ -107,7 +106,7 @@
     def record_listing(self, revision: Revision) -> None:
         """Records a listing, which doesn't tell what changed before it."""
         self._read_at_s = _now_s()
-        self._changed_revision = revision
+        self._node.changed_revision = revision
         self._relay.record_held()
 
     def record_batch(self, batch: ChangeBatch) -> None:
@@ -116,7 +115,8 @@
         self._relay.record_held()
         if not batch.changes:
             return
-        after, self._changed_revision = self._changed_revision, batch.revision
+        after = self._node.changed_revision
+        self._node.changed_revision = batch.revision
         if self._relay.is_reader:
             self._relay_changes(after, batch.revision, batch.changes)
 
@@ -149,7 +149,7 @@
         beacon = StoreBeacon(
             node=self._node.settings.host,
             revision=self._node.revision,
-            changed_revision=self._changed_revision,
+            changed_revision=self._node.changed_revision,
             age_s=_now_s() - self._read_at_s,
         )
         self._send_to_all(encode_gossip(beacon))
@@ -179,7 +179,7 @@
         node.view.extend_grace(message.expiry_grace_s, node.clock())
         for change in message.changes:
             self._updater.apply_change(change)
-        node.revision = self._changed_revision = message.revision
+        node.revision = node.changed_revision = message.revision
         self._relay.record_held()
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -38,6 +38,7 @@
         self._node = node
         self._feed = feed
         self._is_unavailable = False
+        self._began_s = 0.0
         self._retry_s = MIN_RETRY_S
         self._updater = ViewUpdater(node)
         self._relay = StoreRelayLink(node, self._updater)
@@ -52,6 +53,7 @@
 
     async def _list_all(self) -> None:
         while True:
+            self._began_s = self._node.clock()
             try:
                 listing = await self._feed.list_all()
             except StoreUnavailable as error:
@@ -69,6 +71,7 @@
         while True:
             await self._relay.wait_until_needed()
             after = self._node.revision
+            self._began_s = self._node.clock()
             try:
                 batch = await self._feed.watch(
                     after, self._relay.watch_wait_s(WATCH_WAIT_S)
@@ -100,12 +103,21 @@
                 dependency=DEPENDENCY,
                 reason=reason,
                 revision=self._node.revision,
+                call_s=round(self._node.clock() - self._began_s, 3),
+                read_age_s=self._read_age_s(),
             )
         await asyncio.sleep(self._retry_s * (0.5 + self._node.rng.random()))
         self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
 
+    def _read_age_s(self) -> float | None:
+        """Returns the age of the last read, for the log."""
+        age_s = self._node.store_read_age_s
+        return None if age_s is None else round(age_s, 3)
+
     def _record_recovery(self) -> None:
         self._retry_s = MIN_RETRY_S
+        earlier_read_age_s = self._read_age_s()
+        self._node.store_read_at_s = self._node.clock()
         if not self._is_unavailable:
             return
         self._is_unavailable = False
@@ -114,6 +126,9 @@
             Event.DEPENDENCY_BACK,
             dependency=DEPENDENCY,
             revision=self._node.revision,
+            call_s=round(self._node.clock() - self._began_s, 3),
+            read_age_s=earlier_read_age_s,
+            peers_revision=self._node.peer_reports.newest_revision,
         )
 
 
