--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -324,6 +324,7 @@
         yield deployment, fronts
     finally:
         await asyncio.gather(*(front.kill() for front in fronts))
+        deployment.client.close()
         await deployment.close()
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/store.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/store.py
@@ -40,7 +40,7 @@
     """Connections are aborted without a response."""
 
     SILENT = 'silent'
-    """Calls are never answered."""
+    """Calls are never answered, nor are watches that wait already."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +64,28 @@
         }
 
 
+async def wait_forever() -> None:
+    """Waits until it is cancelled: a call that is never answered."""
+    await asyncio.Event().wait()
+
+
+async def apply_fault(fault: StoreFault) -> Response | None:
+    """Returns the response that a fault gives to a call; ``None`` for none.
+
+    Raises:
+        ConnectionAbort: if the fault resets connections.
+    """
+    if fault is StoreFault.SILENT:
+        await wait_forever()
+    if fault is StoreFault.RESET:
+        raise ConnectionAbort
+    if fault is StoreFault.BUSY:
+        return error_response(503, 'busy')
+    if fault is StoreFault.RATE_LIMITED:
+        return error_response(429, 'too many calls')
+    return None
+
+
 class StoreStandin:
     """Serves keys under one store-wide revision, with a history of changes.
 
@@ -78,7 +100,7 @@
         """Creates an empty store that doesn't listen yet."""
         self.fault = StoreFault.NONE
         self.calls: list[str] = []
-        self._server = HttpServer(self._handle_request)
+        self._server = HttpServer(self.handle_request)
         self._latest_events: dict[str, _Event] = {}
         self._events: list[_Event] = []
         self._oldest_revision = 0
@@ -129,9 +151,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle_request(self, request: Request) -> Response:
+    async def handle_request(self, request: Request) -> Response:
+        """Serves a call, at whichever address it came in."""
         self.calls.append(request.path)
-        fault_response = await self._apply_fault()
+        fault_response = await apply_fault(self.fault)
         if fault_response is not None:
             return fault_response
         if request.path == '/kv-range':
@@ -140,17 +163,6 @@
             return await self._serve_watch(request)
         return error_response(404, 'unknown path')
 
-    async def _apply_fault(self) -> Response | None:
-        if self.fault is StoreFault.SILENT:
-            await asyncio.Event().wait()
-        if self.fault is StoreFault.RESET:
-            raise ConnectionAbort
-        if self.fault is StoreFault.BUSY:
-            return error_response(503, 'busy')
-        if self.fault is StoreFault.RATE_LIMITED:
-            return error_response(429, 'too many calls')
-        return None
-
     def _serve_range(self, request: Request) -> Response:
         prefix = request.query.get('prefix', '')
         items = [
@@ -180,6 +192,8 @@
             ]
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             if events or remaining_s <= 0:
+                if self.fault is StoreFault.SILENT:
+                    await wait_forever()
                 return json_response(
                     {
                         'events': [event.document() for event in events],
@@ -193,4 +207,4 @@
                 continue
 
 
-__all__ = ('StoreFault', 'StoreStandin')
+__all__ = ('StoreFault', 'StoreStandin', 'apply_fault')
