--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
-from catkinreach_core.gateway.feed import HistoryLost, StoreUnavailable
+from catkinreach_core.gateway.feed import HistoryLost
 
 from .decision_log import Event
+from .store_reads import StoreReads
 from .store_relay_link import StoreRelayLink
 from .view_updater import ViewUpdater
 
@@ -16,14 +18,22 @@
 
     from .node import Node
 
-WATCH_WAIT_S = 2.0
-"""Long-poll time of a watch; bounds how late a dead connection is noticed."""
+MAX_WATCH_WAIT_S = 2.0
+"""Longest long poll of a watch."""
+
+WATCH_WAIT_RATIO = 0.45
+"""The same, as a fraction of the time within which a published change must
+apply: a watch whose connection is dead delays a change by a poll at most."""
+
+WATCH_ANSWER_S = 0.5
+"""Time beyond the long poll in which an answer to a watch is expected."""
+
+LIST_ANSWER_S = 1.5
+"""Time in which a listing is expected."""
 
 BATCH_INTERVAL_S = 0.3
 """Pause after a batch, so that a burst of changes is read in one call."""
 
-MIN_RETRY_S = 0.1
-MAX_RETRY_S = 0.6
 DEPENDENCY = 'store'
 
 
@@ -38,8 +48,11 @@
         self._node = node
         self._feed = feed
         self._is_unavailable = False
-        self._began_s = 0.0
-        self._retry_s = MIN_RETRY_S
+        bounds = node.settings.bounds
+        self._watch_wait_s = min(
+            MAX_WATCH_WAIT_S, WATCH_WAIT_RATIO * bounds.apply_within_s
+        )
+        self._reads = StoreReads(self._record_outage, node.rng)
         self._updater = ViewUpdater(node)
         self._relay = StoreRelayLink(node, self._updater)
 
@@ -52,33 +65,26 @@
                 await self._watch()
 
     async def _list_all(self) -> None:
-        while True:
-            self._began_s = self._node.clock()
-            try:
-                listing = await self._feed.list_all()
-            except StoreUnavailable as error:
-                await self._record_outage(str(error))
-            except HistoryLost:
-                await self._record_outage('history lost')
-            else:
-                self._record_recovery()
-                self._updater.apply_listing(listing)
-                self._relay.record_listing(listing.revision)
-                return
+        listing = await self._reads.first_answer(
+            self._feed.list_all,
+            self._feed.list_all,
+            answer_within_s=LIST_ANSWER_S,
+        )
+        self._record_recovery()
+        self._updater.apply_listing(listing)
+        self._relay.record_listing(listing.revision)
 
     async def _watch(self) -> None:
         """Watches until the store no longer has the next changes."""
         while True:
             await self._relay.wait_until_needed()
-            after = self._node.revision
-            self._began_s = self._node.clock()
+            wait_s = self._relay.watch_wait_s(self._watch_wait_s)
             try:
-                batch = await self._feed.watch(
-                    after, self._relay.watch_wait_s(WATCH_WAIT_S)
+                batch = await self._reads.first_answer(
+                    partial(self._feed.watch, self._node.revision, wait_s),
+                    self._read_changes,
+                    answer_within_s=wait_s + WATCH_ANSWER_S,
                 )
-            except StoreUnavailable as error:
-                await self._record_outage(str(error))
-                continue
             except HistoryLost:
                 return
             self._record_recovery()
@@ -86,6 +92,10 @@
             if batch.changes:
                 await asyncio.sleep(BATCH_INTERVAL_S)
 
+    async def _read_changes(self) -> ChangeBatch:
+        """Reads the changes so far; doesn't wait for one."""
+        return await self._feed.watch(self._node.revision, 0.0)
+
     def _apply_batch(self, batch: ChangeBatch) -> None:
         """Applies changes, unless a reader passed newer ones on meanwhile."""
         if batch.revision < self._node.revision:
@@ -95,19 +105,24 @@
         self._node.revision = batch.revision
         self._relay.record_batch(batch)
 
-    async def _record_outage(self, reason: str) -> None:
-        if not self._is_unavailable:
-            self._is_unavailable = True
-            self._node.log.write(
-                Event.DEPENDENCY_LOST,
-                dependency=DEPENDENCY,
-                reason=reason,
-                revision=self._node.revision,
-                call_s=round(self._node.clock() - self._began_s, 3),
-                read_age_s=self._read_age_s(),
-            )
-        await asyncio.sleep(self._retry_s * (0.5 + self._node.rng.random()))
-        self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
+    def _record_outage(self, reason: str, call_s: float) -> None:
+        """Logs that the store is lost, once.
+
+        Args:
+            reason: Why it is.
+            call_s: Time since the call began that it didn't answer.
+        """
+        if self._is_unavailable:
+            return
+        self._is_unavailable = True
+        self._node.log.write(
+            Event.DEPENDENCY_LOST,
+            dependency=DEPENDENCY,
+            reason=reason,
+            revision=self._node.revision,
+            call_s=round(call_s, 3),
+            read_age_s=self._read_age_s(),
+        )
 
     def _read_age_s(self) -> float | None:
         """Returns the age of the last read, for the log."""
@@ -115,7 +130,6 @@
         return None if age_s is None else round(age_s, 3)
 
     def _record_recovery(self) -> None:
-        self._retry_s = MIN_RETRY_S
         earlier_read_age_s = self._read_age_s()
         self._node.store_read_at_s = self._node.clock()
         if not self._is_unavailable:
@@ -126,10 +140,9 @@
             Event.DEPENDENCY_BACK,
             dependency=DEPENDENCY,
             revision=self._node.revision,
-            call_s=round(self._node.clock() - self._began_s, 3),
             read_age_s=earlier_read_age_s,
             peers_revision=self._node.peer_reports.newest_revision,
         )
 
 
-__all__ = ('WATCH_WAIT_S', 'StoreTask')
+__all__ = ('StoreTask',)
--- a/packages/catkinreach-node/src/catkinreach_node/platform/store.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -41,9 +41,8 @@
 CONFIG_KEY: Final = 'op/config'
 EVACUATED_PREFIX: Final = 'op/evacuate/'
 UPSTREAM_PREFIX: Final = 'servers/'
-LIST_TIMEOUT_S: Final = 1.5
-WATCH_SLACK_S: Final = 0.7
-"""Time beyond the long-poll time after which a watch times out."""
+ANSWER_TIMEOUT_S: Final = 2.0
+"""Time beyond the long poll of a watch after which a call fails."""
 
 STATUS_OK: Final = 200
 STATUS_HISTORY_LOST: Final = 410
@@ -104,7 +103,10 @@
             query = {'prefix': ALL_KEYS_PREFIX}
             if items:
                 query['after'] = items[-1].key
-            body = await self._get('/kv-range', query, LIST_TIMEOUT_S)
+            try:
+                body = await self._get('/kv-range', query, ANSWER_TIMEOUT_S)
+            except HistoryLost as error:
+                raise StoreUnavailable('a listing has no history') from error
             page = _decode(_PAGE_DECODER, body)
             _check_progress(page, items)
             # The pages aren't one snapshot; a watch from the first page's
@@ -127,7 +129,7 @@
             'after': str(after),
             'wait-ms': str(int(wait_s * MS_PER_S)),
         }
-        body = await self._get('/kv-watch', query, wait_s + WATCH_SLACK_S)
+        body = await self._get('/kv-watch', query, wait_s + ANSWER_TIMEOUT_S)
         events = _decode(_EVENTS_DECODER, body)
         changes = [
             change for item in events.events if (change := _parse_change(item))
--- /dev/null
+++ b/packages/catkinreach-node/tests/gateway/test_store_reads.py
@@ -0,0 +1,76 @@
+"""Calls to the store overlap: a silent one doesn't hold up the next."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from catkinreach_core.gateway.feed import HistoryLost, StoreUnavailable
+from catkinreach_node.gateway.store_reads import NEXT_CALL_S, StoreReads
+
+ANSWER_WITHIN_S = 0.1
+
+
+class FakeStore:
+    """Answers calls after given times; keeps what reads tell of it."""
+
+    def __init__(self, *answers: float | Exception) -> None:
+        """Takes each call's time to its answer, or its error at once."""
+        self._answers = list(answers)
+        self.calls = 0
+        self.open_calls = 0
+        self.lost: list[str] = []
+        self.reads = StoreReads(
+            lambda reason, _: self.lost.append(reason), random.Random(1)
+        )
+
+    async def call(self) -> int:
+        """Returns the number of the call."""
+        self.calls += 1
+        number = self.calls
+        answer = self._answers[min(number, len(self._answers)) - 1]
+        if isinstance(answer, Exception):
+            raise answer
+        self.open_calls += 1
+        try:
+            await asyncio.sleep(answer)
+        finally:
+            self.open_calls -= 1
+        return number
+
+    def read(self) -> int:
+        """Returns the number of the call that was answered first."""
+        return asyncio.run(
+            self.reads.first_answer(
+                self.call, self.call, answer_within_s=ANSWER_WITHIN_S
+            )
+        )
+
+
+def test_call_on_a_dead_connection_holds_up_the_next() -> None:
+    store = FakeStore(60.0, 0.0)
+    assert store.read() == 2
+    assert store.open_calls == 0
+    assert store.lost == []
+
+
+def test_slow_store_is_given_up_by_calls_that_are_too_short() -> None:
+    store = FakeStore(ANSWER_WITHIN_S + 2.5 * NEXT_CALL_S)
+    assert store.read() == 1
+    assert store.calls == 4
+    assert store.open_calls == 0
+
+
+def test_store_that_fails_counts_as_lost_and_is_called_again() -> None:
+    store = FakeStore(StoreUnavailable('busy'), StoreUnavailable('busy'), 0.0)
+    assert store.read() == 3
+    assert store.lost == ['busy', 'busy']
+
+
+def test_lost_history_is_told_at_once() -> None:
+    store = FakeStore(60.0, HistoryLost())
+    with pytest.raises(HistoryLost):
+        store.read()
+    assert store.open_calls == 0
