--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -74,6 +74,11 @@
         """Returns the failure domains that get no new work."""
         return frozenset(self._evacuated)
 
+    @property
+    def known_upstreams(self) -> tuple[KnownUpstream, ...]:
+        """Returns all known upstreams."""
+        return tuple(self._known.values())
+
     @property
     def upstream_ids(self) -> tuple[UpstreamId, ...]:
         """Returns the ids of all known upstreams."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -11,10 +11,8 @@
 from catkinreach_core.gateway.connection_crowds import ProcessLimits
 
 from ..http.body_memory import BodyMemory
-from ..http.messages import HttpResponse
 from ..http.server import HttpServer
 from ..http.server_bounds import ServerBounds
-from ..telemetry.metrics import METRICS_TYPE
 from .decision_log import Event
 from .ingress import Ingress
 from .node import Node
@@ -22,6 +20,8 @@
 from .ports import GatewayPort
 from .probe_task import ProbeTask
 from .shutdown import LINGER_S
+from .side_servers import SideServers
+from .snapshot_link import SnapshotLink
 from .stage_order_task import StageOrderTask
 from .store_task import StoreTask
 
@@ -32,8 +32,6 @@
     from catkinreach_core.gateway.feed import StoreFeed
     from catkinreach_core.settings.node import Address
 
-    from ..http.messages import HttpRequest
-    from ..http.server_connection import RequestHandler
     from .dialect import Dialect
     from .settings import GatewaySettings
 
@@ -48,9 +46,6 @@
 ANSWER_MARGIN_S = 0.15
 """Time between the last deadline of a request and the end of the process."""
 
-PEER_WAIT_S = 0.5
-"""Time after which a node without responsive peers reports that it is ready."""
-
 SETTINGS_POLL_S = 0.5
 
 RELOADED_FIELDS = frozenset({'peer_hosts', 'store_address'})
@@ -59,14 +54,6 @@
 BODY_MEMORY_SHARE = 0.35
 """Part of the process's memory for the bodies of requests."""
 
-SIDE_BOUNDS = ServerBounds(
-    max_connections=32, max_body_bytes=16 * 1024, body_timeout_s=5.0
-)
-"""Bounds of the addresses that are not for callers."""
-
-READY = HttpResponse(200, [('content-type', 'text/plain')], b'ready\n')
-NOT_READY = HttpResponse(503, [('content-type', 'text/plain')], b'not ready\n')
-
 
 class GatewayApp:
     """Runs the servers and tasks of a gateway process until it is stopped."""
@@ -107,8 +94,13 @@
             bounds=ServerBounds(max_connections=self._max_connections),
             memory=self._body_memory,
         )
-        self._ready = self._make_side_server(self._answer_ready, 'ready')
-        self._metrics = self._make_side_server(self._answer_metrics, 'metrics')
+        self._snapshots = SnapshotLink(self._node)
+        self._side = SideServers(
+            self._node,
+            self._body_memory,
+            self._snapshots,
+            lambda: self._ingress.is_listening,
+        )
         self._add_connection_gauges()
         self._node.apply_limits = self._apply_limits
         self._peers = PeerLink(self._node)
@@ -116,21 +108,11 @@
         self._probes = ProbeTask(self._node)
         self._orders = StageOrderTask(self._node)
         self._stop_requested = asyncio.Event()
-        self._started_s = self._node.clock()
-
-    def _make_side_server(self, serve: RequestHandler, name: str) -> HttpServer:
-        """Returns a server for the platform and the operators."""
-        return HttpServer(
-            serve, name=name, bounds=SIDE_BOUNDS, memory=self._body_memory
-        )
 
     def _add_connection_gauges(self) -> None:
         """Adds gauges of each server's connections."""
-        for name, server in (
-            ('ingress', self._ingress),
-            ('ready', self._ready),
-            ('metrics', self._metrics),
-        ):
+        servers = {'ingress': self._ingress, **self._side.servers}
+        for name, server in servers.items():
             gauges: dict[str, Callable[[], float]] = {
                 'open': partial(getattr, server, 'connection_count'),
                 'replaced': partial(getattr, server, 'replaced_count'),
@@ -163,7 +145,6 @@
         log.write(Event.STOP, vm=settings.vm_id)
 
     async def _serve_until_drained(self) -> None:
-        settings = self._node.settings
         # The ports are opened side by side: a predecessor that drains may hold
         # any of them.
         async with asyncio.TaskGroup() as group:
@@ -175,11 +156,7 @@
             ]
             ports = [
                 group.create_task(self._open_port(name, server, address))
-                for name, server, address in (
-                    ('ready', self._ready, settings.ready_address),
-                    ('ingress', self._ingress, settings.caller_address),
-                    ('metrics', self._metrics, settings.metrics_address),
-                )
+                for name, server, address in self._ports()
             ]
             await self._stop_requested.wait()
             for port in ports:
@@ -189,11 +166,24 @@
             for task in tasks:
                 task.cancel()
 
+    def _ports(self) -> list[tuple[str, HttpServer, Address]]:
+        """Returns the name, server and address of each port."""
+        caller_address = self._node.settings.caller_address
+        addresses = self._side.addresses
+        return [
+            ('ingress', self._ingress, caller_address),
+            *(
+                (name, server, addresses[name])
+                for name, server in self._side.servers.items()
+            ),
+        ]
+
     def _background_work(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Returns the work that goes on until the process stops, by name."""
         return {
             'store': self._store.run,
             'peers': self._peers.run,
+            'snapshots': self._snapshots.run,
             'probes': self._probes.run,
             'orders': self._orders.run,
             'settings': self._watch_settings,
@@ -252,8 +242,8 @@
     def _close(self) -> None:
         with self._node.supervisor.guard('peers'):
             self._peers.close()
-        for server in (self._ingress, self._ready, self._metrics):
-            server.close()
+        self._ingress.close()
+        self._side.close()
         self._node.pool.close()
         self._node.control_http.close()
         self._feed.close()
@@ -300,25 +290,6 @@
             )
         )
 
-    async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
-        del request
-        node = self._node
-        has_peer_loads = (
-            bool(node.members.responsive(node.clock()))
-            or node.clock() - self._started_s > PEER_WAIT_S
-        )
-        is_ready = (
-            self._ingress.is_listening
-            and node.view.is_complete
-            and has_peer_loads
-        )
-        return READY if is_ready and not node.shutdown.is_begun else NOT_READY
-
-    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
-        del request
-        text = self._node.metrics.exposition().encode()
-        return HttpResponse(200, [('content-type', METRICS_TYPE)], text)
-
 
 def _body_memory(memory_bytes: int) -> BodyMemory:
     """Returns the bodies' share of the memory of a process."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -40,6 +40,7 @@
     RELOAD = 'reload'
     DEPENDENCY_LOST = 'dependency-lost'
     DEPENDENCY_BACK = 'dependency-back'
+    SNAPSHOT = 'snapshot'
     CATALOG = 'catalog-accepted'
     UPSTREAM_KNOWN = 'upstream-known'
     UPSTREAM_GONE = 'upstream-gone'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -114,6 +114,7 @@
         self.revision = Revision(0)
         self.changed_revision = Revision(0)
         self.store_read_at_s: float | None = None
+        self.peer_is_ahead = asyncio.Event()
         self.availability_notes = AvailabilityNotes(
             self.view,
             self.availability,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -286,6 +286,8 @@
         node.peer_reports.queued[peer] = message.waiting
         node.peer_reports.waiting_ranks[peer] = message.waiting_ranks
         node.peer_reports.revisions[peer] = message.store_revision
+        if message.store_revision > node.revision:
+            node.peer_is_ahead.set()
         node.switching_engines.merge_peer(message.switching, now_s)
         node.availability_notes.apply_reports(message.unavailable, peer)
         if message.phase is Phase.LEFT:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -71,8 +71,10 @@
             answer_within_s=LIST_ANSWER_S,
         )
         self._record_recovery()
-        self._updater.apply_listing(listing)
-        self._relay.record_listing(listing.revision)
+        # A peer may have passed on newer entries meanwhile.
+        if listing.revision >= self._node.revision:
+            self._updater.apply_listing(listing)
+        self._relay.record_listing(self._node.revision)
 
     async def _watch(self) -> None:
         """Watches until the store no longer has the next changes."""
--- a/packages/catkinreach-node/tests/gateway/test_store_returns.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_returns.py
@@ -43,6 +43,8 @@
 RELOAD_S = 1.0
 """Time by which a changed settings file is in force."""
 
+LARGE_FLEET = 26
+
 NEW_ROUTE = '/new/'
 REFUSALS = [
     StoreFault.BUSY,
@@ -165,3 +167,31 @@
         assert await _is_in_force_in_time(deployment, refused.caller_address)
 
     _with_refused_front(tmp_path, StoreFault.BUSY, scenario)
+
+
+@pytest.mark.long
+def test_half_of_a_large_fleet_that_the_store_refuses_is_late(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with (
+            running_fronts(LARGE_FLEET, tmp_path) as (deployment, fronts),
+            open_door(deployment.store) as door,
+        ):
+            refused = fronts[::2]
+            for front in refused:
+                front.set_field('platform.address', f'127.0.0.1:{door.port}')
+            await asyncio.sleep(RELOAD_S)
+            door.fault = StoreFault.BUSY
+            deployment.store.put('op/note', {})
+            await asyncio.sleep(RELOAD_S)
+            deployment.store.put('op/config', _config_with_new_route(9))
+            in_time = await asyncio.gather(
+                *(
+                    _is_in_force_in_time(deployment, front.caller_address)
+                    for front in refused
+                )
+            )
+            assert all(in_time)
+
+    asyncio.run(run())
