--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/engine_faults.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/engine_faults.py
@@ -1,8 +1,9 @@
-"""Faults by which engines leave, refuse requests or ask for a pause."""
+"""Faults by which engines leave, refuse requests, or want fewer of them."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,10 @@
     from .soak_deployment import SoakDeployment
 
 
+LIMITS_PER_S = (0.0, 0.4, 1.0, 2.2, 6.0)
+"""Limits that an engine may name."""
+
+
 class EngineFaults:
     """Makes the stand-ins of upstreams leave, or refuse requests."""
 
@@ -34,6 +39,7 @@
             FaultKind.ASK_PAUSE: self._ask_pause,
             FaultKind.ASK_PAUSE_ALL: self._ask_pause_all,
             FaultKind.REFUSE: self._refuse,
+            FaultKind.NAME_LIMIT: self._name_limit,
         }
         await handlers[fault.kind](fault)
 
@@ -68,6 +74,13 @@
                 _set_pause(upstream, fault.duration_s)
         await asyncio.sleep(fault.duration_s)
 
+    async def _name_limit(self, fault: Fault) -> None:
+        availability = self._deployment.upstreams[fault.target].availability
+        rng = random.Random(f'{fault.target}/{fault.at_s}')
+        availability.limit_per_s = rng.choice(LIMITS_PER_S)
+        await asyncio.sleep(fault.duration_s)
+        availability.limit_per_s = None
+
     async def _refuse(self, fault: Fault) -> None:
         availability = self._deployment.upstreams[fault.target].availability
         availability.is_refusing = True
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
@@ -132,7 +132,7 @@
                 disruption.until_s = time.monotonic()
 
     async def _inject_upstream_fault(self, fault: Fault) -> None:
-        if fault.kind in ENGINE_KINDS:
+        if fault.kind in (*ENGINE_KINDS, FaultKind.NAME_LIMIT):
             await self._engine_faults.inject(fault)
             return
         upstream = self._deployment.upstreams[fault.target]
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -9,6 +9,7 @@
 from ..upstream import EVENT_COUNT
 from .availability_checks import check_leaving, check_pauses
 from .history import CallEnd, CallKind, DisruptionKind
+from .limit_checks import check_limits
 from .quarantine_checks import (
     check_crashing_requests,
     check_healthy_streams,
@@ -112,6 +113,7 @@
     found += check_healthy_streams(records)
     found += check_leaving(records)
     found += check_pauses(records)
+    found += check_limits(records)
     return found
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -38,6 +38,10 @@
 MAX_CRASHING_DURATION_S: Final = 14.0
 
 
+MAX_LIMIT_START: Final = 0.3
+"""Latest start of an upstream's limit, as a share of a run."""
+
+
 class TargetKind(Enum):
     """Component that a fault affects."""
 
@@ -127,6 +131,9 @@
     REFUSE = ('refuse', TargetKind.UPSTREAM)
     """The upstream refuses requests and doesn't say for how long."""
 
+    NAME_LIMIT = ('name-limit', TargetKind.UPSTREAM)
+    """All answers name the requests a second that the upstream takes."""
+
     CROWD = ('crowd', TargetKind.FRONT)
     """Clients that don't behave, at an address of the front for a time."""
 
@@ -172,6 +179,7 @@
     not in {
         FaultKind.CRASHING_REQUESTS,
         FaultKind.CROWD,
+        FaultKind.NAME_LIMIT,
         *LATER_KINDS,
         *ENGINE_KINDS,
     }
@@ -274,6 +282,17 @@
             start_s += fault_duration_s + rng.uniform(0, MAX_SERIES_INTERVAL_S)
 
 
+def _draw_limit(
+    rng: random.Random,
+    duration_s: float,
+    targets: Mapping[TargetKind, Sequence[str]],
+) -> Fault:
+    """Returns a limit that holds for most of the run."""
+    target = rng.choice(targets[TargetKind.UPSTREAM])
+    start_s = duration_s * rng.uniform(0.0, MAX_LIMIT_START)
+    return Fault(FaultKind.NAME_LIMIT, target, start_s, duration_s - start_s)
+
+
 def _draw_crashing(rng: random.Random, duration_s: float) -> Fault:
     start_s = duration_s * rng.uniform(MIN_CRASHING_START, MAX_CRASHING_START)
     fault_duration_s = rng.uniform(
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_availability.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_availability.py
@@ -1,4 +1,4 @@
-"""How a stand-in of an upstream leaves, or asks for a pause.
+"""How a stand-in of an upstream leaves, asks for a pause or names a limit.
 
 It records which request it told so, and which requests arrived, so that a
 check can compare both.
@@ -30,6 +30,23 @@
     pause_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """An answer that names the requests a second that the upstream takes.
+
+    Attributes:
+        at_s: Monotonic time at which it was written.
+        request_id: Request that it answers.
+        incarnation: Number of the upstream's starts by then.
+        per_s: The limit, for all VMs together.
+    """
+
+    at_s: float
+    request_id: str
+    incarnation: int
+    per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """A request that was meant for the upstream.
@@ -55,7 +72,10 @@
         is_refusing: Whether it refuses requests without asking for a pause.
         paused_until_s: Monotonic time until which it refuses requests and asks
             for a pause.
+        limit_per_s: Requests a second that all of its answers name as what it
+            takes; ``None`` for none.
         incarnation: Number of starts.
+        limit_notices: Answers that named a limit.
         notices: Answers that said something of it.
         arrivals: Requests that were meant for it.
         starts_s: Monotonic times of the starts under an id that was in use
@@ -66,7 +86,9 @@
     is_leaving: bool = False
     is_refusing: bool = False
     paused_until_s: float = 0.0
+    limit_per_s: float | None = None
     incarnation: int = 0
+    limit_notices: list[LimitNotice] = field(default_factory=list)
     notices: list[Notice] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     starts_s: dict[int, float] = field(default_factory=dict)
@@ -83,8 +105,9 @@
         return FIRST_START_MS + START_STEP_MS * self.incarnation
 
     def start_anew(self, *, keeps_id: bool) -> None:
-        """Begins a new incarnation, which doesn't leave."""
+        """Begins a new incarnation, which is sound."""
         self.is_leaving = False
+        self.limit_per_s = None
         self.incarnation += 1
         if keeps_id:
             self.starts_s[self.incarnation] = time.monotonic()
@@ -109,16 +132,23 @@
 
     def answer_headers(self, request_id: str) -> list[str]:
         """Returns the lines that any answer has besides; records them."""
-        if not self.is_leaving:
-            return []
-        self.notices.append(
-            Notice(time.monotonic(), request_id, self.incarnation)
-        )
-        return ['Server-Leaving: 1']
+        now_s = time.monotonic()
+        lines = []
+        if self.is_leaving:
+            self.notices.append(Notice(now_s, request_id, self.incarnation))
+            lines.append('Server-Leaving: 1')
+        if self.limit_per_s is not None:
+            self.limit_notices.append(
+                LimitNotice(
+                    now_s, request_id, self.incarnation, self.limit_per_s
+                )
+            )
+            lines.append(f'Server-Limit: {self.limit_per_s}')
+        return lines
 
     def refuses_requests(self) -> bool:
         """Returns whether requests are refused now."""
         return self.is_refusing or time.monotonic() < self.paused_until_s
 
 
-__all__ = ('Arrival', 'Notice', 'UpstreamAvailability')
+__all__ = ('Arrival', 'LimitNotice', 'Notice', 'UpstreamAvailability')
