--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -33,6 +33,7 @@
 from .header_text import is_sendable_name
 from .load_table import UpstreamLoad
 from .peer_availability import AvailabilityReport
+from .upstream_limits import LimitReport
 
 MAX_GOSSIP_BYTES = 8_000
 MAX_GOSSIP_MEMBERS = 12
@@ -84,6 +85,7 @@
             streams have several priorities.
         store_revision: Revision of the last change of the store that the
             sender has applied; 0 for none.
+        limits: Limits that upstreams named to the sender or its peers.
     """
 
     node: str
@@ -106,6 +108,7 @@
     known_nodes: NodeCount = 0
     waiting_ranks: dict[ServiceId, RankedTokens] = field(default_factory=dict)
     store_revision: RevisionNumber = _NO_REVISION
+    limits: dict[UpstreamId, LimitReport] = field(default_factory=dict)
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
@@ -91,6 +91,8 @@
         is_leaving: Whether the upstream reports that it is about to leave.
         pause_s: Time for which the upstream wants no request of this node;
             ``None`` if it doesn't ask for a pause.
+        limit_per_s: Requests a second that the upstream takes from all nodes;
+            ``None`` if it names no limit.
     """
 
     request_id: RequestId | None
@@ -101,6 +103,7 @@
     idle_timeout_s: float | None
     is_leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
     def is_from_other_upstream(self, upstream_id: UpstreamId) -> bool:
         """Returns whether another upstream uses the address of this one.
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/ranked_hosts.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/ranked_hosts.py
@@ -16,12 +16,12 @@
 class RankedHosts:
     """The first VMs of a rendezvous ranking, in one VM's view."""
 
-    def __init__(self, shard: ShardId, count: int) -> None:
+    def __init__(self, shard: ShardId, count: int | None = None) -> None:
         """Starts without VMs.
 
         Args:
             shard: Name of the job.
-            count: Number of VMs that do it.
+            count: Number of VMs that do it; ``None`` for all.
         """
         self._shard = shard
         self._count = count
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/cold_start.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/shared_rate.py
@@ -1,12 +1,12 @@
-"""Rate limit for requests to cold upstreams.
+"""Rate limits for requests to upstreams that several nodes share.
 
-Load pattern: upstreams come back cold while the others are full, so that
-every node would send them all of its requests.
+Load pattern: upstreams come back cold while the others are full, or are in
+need, and every node would send them all of its requests.
 
-The rate of a cold upstream holds for all nodes together; each node gets an
-equal part of it as a token bucket with a capacity of one request. In a large
-fleet the buckets start at random levels, so that the nodes don't all send
-their first request at the same moment.
+The rate of an upstream holds for all nodes together; each node that sends
+gets an equal part of it as a token bucket with a capacity of one request. In a
+large fleet the buckets start at random levels, so that the nodes don't all
+send their first request at the same moment.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
     from ..ids import UpstreamId
 
 RATE_USE = 0.9
-"""Fraction of a cold upstream's rate that the nodes divide."""
+"""Fraction of an upstream's rate that the nodes divide."""
 
 MAX_NODES_WITH_FULL_BUCKETS = 9
 """Largest fleet in which all buckets start full, although each of its nodes may
@@ -33,16 +33,23 @@
     refilled_at_s: float
 
 
-class ColdRateLimiter:
-    """Token buckets of one node, one per cold upstream."""
+class SharedRateLimiter:
+    """Token buckets of one node, one per upstream."""
 
-    def __init__(self, random_level: Callable[[], float]) -> None:
-        """Starts without cold upstreams.
+    def __init__(
+        self,
+        random_level: Callable[[], float],
+        *,
+        max_nodes_with_full_buckets: int = MAX_NODES_WITH_FULL_BUCKETS,
+    ) -> None:
+        """Starts without upstreams.
 
         Args:
             random_level: Returns random numbers from 0 to 1.
+            max_nodes_with_full_buckets: Most nodes whose buckets start full.
         """
         self._random_level = random_level
+        self._max_nodes_with_full_buckets = max_nodes_with_full_buckets
         self._buckets: dict[UpstreamId, _Bucket] = {}
 
     def allows_request(
@@ -52,11 +59,11 @@
         members: int,
         now_s: float,
     ) -> bool:
-        """Returns whether a cold upstream may get a request now."""
+        """Returns whether an upstream may get a request now."""
         return self._refill(upstream_id, rate_per_s, members, now_s).tokens >= 1
 
     def spend(self, upstream_id: UpstreamId) -> None:
-        """Counts a request that is sent to a cold upstream."""
+        """Counts a request that is sent to an upstream."""
         bucket = self._buckets.get(upstream_id)
         if bucket is not None:
             bucket.tokens -= 1
@@ -74,7 +81,7 @@
     ) -> _Bucket:
         bucket = self._buckets.get(upstream_id)
         if bucket is None:
-            starts_full = members <= MAX_NODES_WITH_FULL_BUCKETS
+            starts_full = members <= self._max_nodes_with_full_buckets
             tokens = 1.0 if starts_full else self._random_level()
             bucket = self._buckets[upstream_id] = _Bucket(tokens, now_s)
             return bucket
@@ -85,4 +92,4 @@
         return bucket
 
 
-__all__ = ('RATE_USE', 'ColdRateLimiter')
+__all__ = ('RATE_USE', 'SharedRateLimiter')
--- a/packages/catkinreach-core/tests/gateway/test_shared_bounds.py
+++ b/packages/catkinreach-core/tests/gateway/test_shared_bounds.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from catkinreach_core.gateway.cold_start import ColdRateLimiter
 from catkinreach_core.gateway.quota import WindowCount
 from catkinreach_core.gateway.retry_budget import RetryBudget
+from catkinreach_core.gateway.shared_rate import SharedRateLimiter
 from catkinreach_core.ids import ServiceId, UpstreamId
 
 SERVICE = ServiceId('plain')
@@ -46,7 +46,7 @@
 ) -> None:
     per_s = 8.0
     rng = random.Random(count)
-    nodes = [ColdRateLimiter(rng.random) for _ in range(count)]
+    nodes = [SharedRateLimiter(rng.random) for _ in range(count)]
     sent = WindowCount(1.0)
     for step in range(5000):
         now_s = step / 1000
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -303,7 +303,10 @@
         """Returns the error for a request that can't be served."""
         if not self.may_have_run:
             service_id = self._admitted.service.service_id
-            delay_s = self._node.availability_notes.retry_delay_s(service_id)
+            delay_s = max(
+                self._node.availability_notes.retry_delay_s(service_id),
+                self._node.limit_notes.retry_delay_s(service_id),
+            )
             self._node.availability_notes.log_unavailable(
                 service_id, self._admitted.metadata.request_id
             )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -52,6 +52,7 @@
     UPSTREAM_UP = 'upstream-up'
     UPSTREAM_LEAVING = 'upstream-leaving'
     UPSTREAM_PAUSED = 'upstream-paused'
+    UPSTREAM_LIMITED = 'upstream-limited'
     UPSTREAM_REPORTED = 'upstream-reported'
     SERVICE_UNAVAILABLE = 'service-unavailable'
     REFUSED = 'refused'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -217,7 +217,7 @@
         response = ClientResponse(connection, head)
         metadata = node.dialect.read_reply(response.status, response.headers)
         if metadata.is_reply_to(request_id, is_first_reply=is_first_reply):
-            node.availability_notes.note(upstream, metadata, request_id)
+            node.note_reply(upstream, metadata, request_id)
             return response, metadata
         node.log.write(
             Event.REPLY_SKIPPED,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/identity_check.py
@@ -94,7 +94,7 @@
             connection = await self._node.pool.acquire(upstream)
             request = self._health_request(upstream)
             reply = await self._ask(upstream, connection, request)
-            self._node.availability_notes.note(upstream, reply, NO_REQUEST)
+            self._node.note_reply(upstream, reply, NO_REQUEST)
             is_refusal = reply.has_not_run and reply.answered_by is None
             if not is_refusal:
                 return reply.answered_by == upstream.upstream_id
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -10,7 +10,6 @@
 
 from catkinreach_core.gateway.aggregation import AggregatorChoice
 from catkinreach_core.gateway.availability import Availability
-from catkinreach_core.gateway.cold_start import ColdRateLimiter
 from catkinreach_core.gateway.crash_suspects import CrashSuspects
 from catkinreach_core.gateway.health import HealthTable
 from catkinreach_core.gateway.load_table import LoadTable
@@ -21,7 +20,9 @@
 from catkinreach_core.gateway.placement import Candidate, has_spare_slots
 from catkinreach_core.gateway.quota import QuotaTable
 from catkinreach_core.gateway.retry_budget import RetryBudget
+from catkinreach_core.gateway.shared_rate import SharedRateLimiter
 from catkinreach_core.gateway.switching_engines import SwitchingEngines
+from catkinreach_core.gateway.upstream_limits import UpstreamLimits
 from catkinreach_core.gateway.view import FleetView
 from catkinreach_core.gateway.wait_queue import WaitQueue
 from catkinreach_core.ids import Revision, ShardId, VmId
@@ -34,6 +35,7 @@
 from .decision_log import DecisionLog, Event
 from .fleet_totals import FleetTotals
 from .gateway_metrics import GatewayMetrics
+from .limit_notes import LimitNotes
 from .load_queries import LoadQueries
 from .reply_buffer import ReplyBuffer
 from .shutdown import Shutdown
@@ -46,10 +48,10 @@
     from catkinreach_core.gateway.catalog import Catalog, ServiceTraits
     from catkinreach_core.gateway.crash_reports import SuspectKey
     from catkinreach_core.gateway.load_table import UpstreamLoad
-    from catkinreach_core.gateway.metadata import KvHandle
+    from catkinreach_core.gateway.metadata import KvHandle, ReplyMetadata
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.gateway.view import KnownUpstream
-    from catkinreach_core.ids import ServiceId, UpstreamId
+    from catkinreach_core.ids import RequestId, ServiceId, UpstreamId
 
     from .dialect import Dialect
     from .exchange import Reply
@@ -75,7 +77,8 @@
         self.health = HealthTable()
         self.availability = Availability()
         self.peer_availability = PeerAvailability()
-        self.cold_rate_limiter = ColdRateLimiter(self.rng.random)
+        self.cold_rate_limiter = SharedRateLimiter(self.rng.random)
+        self.limits = UpstreamLimits(settings.host, self.rng.random)
         self.output_estimate = OutputEstimate()
         self.crash_suspects = CrashSuspects(self._trial_rank)
         self.members = Members(settings.host, settings.peer_hosts)
@@ -111,6 +114,7 @@
         self.load_queries = LoadQueries(self)
         self.load_changed = asyncio.Event()
         self.shutdown = Shutdown(settings, self.members, self.clock)
+        self.limit_notes = LimitNotes(self)
         self.revision = Revision(0)
         self.changed_revision = Revision(0)
         self.store_read_at_s: float | None = None
@@ -159,6 +163,7 @@
             'upstreams_paused': lambda: self.availability.paused_count(
                 self.clock()
             ),
+            'upstreams_limited': lambda: self.limits.limited_count,
             'upstreams_replaced': lambda: len(self.health.replaced_upstreams()),
             'streams_waiting': lambda: sum(
                 queue.count for queue in self._queues.values()
@@ -186,6 +191,7 @@
             and not self.health.is_down(known.upstream.upstream_id)
             and self.availability.may_get_requests(known.upstream, now_s)
             and self._has_cold_capacity(known, traits, now_s)
+            and self.limit_notes.allows_request(known.upstream)
         ]
 
     def wait_queue(self, service_id: ServiceId) -> WaitQueue:
@@ -225,6 +231,13 @@
             return not self.totals.queued_tokens(service_id)
         return has_spare_slots(self.candidates(service_id, service, set()))
 
+    def note_reply(
+        self, upstream: Upstream, metadata: ReplyMetadata, request_id: RequestId
+    ) -> None:
+        """Notes what a reply says of the upstream itself."""
+        self.availability_notes.note(upstream, metadata, request_id)
+        self.limit_notes.note(upstream, metadata, request_id)
+
     def begin_work(self, upstream_id: UpstreamId, work: UpstreamLoad) -> None:
         """Adds work that is about to be sent to an upstream to its load."""
         self.loads.begin_work(upstream_id, work)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -228,6 +228,7 @@
             known_nodes=node.members.count,
             waiting_ranks=node.queued_ranks(),
             store_revision=node.changed_revision,
+            limits=node.limit_notes.reports(),
         )
 
     def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
@@ -290,6 +291,7 @@
             node.peer_is_ahead.set()
         node.switching_engines.merge_peer(message.switching, now_s)
         node.availability_notes.apply_reports(message.unavailable, peer)
+        node.limit_notes.apply_reports(message.limits, peer)
         if message.phase is Phase.LEFT:
             self._remove_peer(peer, 'left')
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -155,6 +155,7 @@
     async def _send(self, upstream: Upstream) -> PlainSend | None:
         """Returns the first successful send of this one and its replacement."""
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
+        self._node.limits.spend(upstream.upstream_id)
         self._attempts.count_send()
         send = PlainSend(self._node, self._admitted, upstream)
         reply_wait = ReplyWait(self, send, send.start(), may_run_twice=True)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -177,6 +177,8 @@
     async def _try_engines(self, resume_after: int | None) -> EngineStream:
         while self._attempts.remaining_s > MIN_REMAINING_S:
             plan = await self._memory_wait.wait_for_plan()
+            # Others plan during the prefill, and would count on it too.
+            self._node.limits.spend(plan.decode.upstream.upstream_id)
             engine_stream = EngineStream(
                 self._node,
                 self._admitted,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
@@ -80,6 +80,7 @@
         self.is_exhausted = True
         self._node.begin_work(upstream_id, work)
         self._node.cold_rate_limiter.spend(upstream_id)
+        self._node.limits.spend(upstream_id)
         wait_s = PREFILL_SLACK_S + predicted_s * PREFILL_SLACK_FACTOR
         has_disconnected = False
         try:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
@@ -118,6 +118,7 @@
         self._node.pool.drop(upstream_id)
         self._node.health.forget(upstream_id)
         self._node.cold_rate_limiter.forget(upstream_id)
+        self._node.limits.forget(upstream_id)
 
     def _log_domain(self, domain_id: str, state: str) -> None:
         self._node.log.write(
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -15,6 +15,7 @@
     RequestMetadata,
 )
 from catkinreach_core.gateway.upstream import Stage
+from catkinreach_core.gateway.upstream_limits import MAX_LIMIT_PER_S
 from catkinreach_core.ids import RequestId, UpstreamId
 
 from ..http.messages import JSON_TYPE, Headers, HttpRequest
@@ -35,6 +36,7 @@
 LEAVING_HEADER: Final = 'server-leaving'
 LEAVING: Final = '1'
 PAUSE_HEADER: Final = 'retry-after'
+LIMIT_HEADER: Final = 'server-limit'
 STATUS_UNAVAILABLE: Final = 503
 KEEP_ALIVE_HEADER: Final = 'keep-alive'
 SEAL_HEADER: Final = 'response-seal'
@@ -77,7 +79,7 @@
 its own."""
 
 HIDDEN_FROM_CALLER: Final = frozenset(
-    {'instance-load', 'not-executed', LEAVING_HEADER}
+    {'instance-load', 'not-executed', LEAVING_HEADER, LIMIT_HEADER}
 )
 
 
@@ -152,6 +154,9 @@
             ),
             is_leaving=by_name.get(LEAVING_HEADER) == LEAVING,
             pause_s=_parse_pause_s(status, by_name.get(PAUSE_HEADER)),
+            limit_per_s=HeaderNumbers().number(
+                LIMIT_HEADER, by_name.get(LIMIT_HEADER), MAX_LIMIT_PER_S
+            ),
         )
 
     def read_handle(self, engine: Address, body: bytes) -> KvHandle | None:
--- a/packages/catkinreach-node/tests/gateway/test_datagram_fuzz.py
+++ b/packages/catkinreach-node/tests/gateway/test_datagram_fuzz.py
@@ -43,6 +43,7 @@
 )
 from catkinreach_core.gateway.load_table import UpstreamLoad
 from catkinreach_core.gateway.metadata import ForwardMetadata
+from catkinreach_core.gateway.upstream_limits import LimitReport
 from catkinreach_core.ids import (
     FailureDomainId,
     Revision,
@@ -89,6 +90,8 @@
         counting_ms=700,
         known_nodes=3,
         waiting_ranks={SERVICE: {0: 4, 10: 5}},
+        store_revision=Revision(4),
+        limits={UPSTREAM: LimitReport(1_700_000_000_000, 2.5, 300)},
     ),
     CrashMessage(
         node=PEER,
--- a/packages/catkinreach-node/tests/platform/test_wire.py
+++ b/packages/catkinreach-node/tests/platform/test_wire.py
@@ -73,6 +73,26 @@
     assert PlatformDialect().read_reply(200, headers).idle_timeout_s is None
 
 
+@pytest.mark.parametrize(
+    ('text', 'per_s'),
+    [
+        ('2.2', 2.2),
+        ('0', 0.0),
+        ('-1', None),
+        ('many', None),
+        ('nan', None),
+        ('1e300', None),
+        (None, None),
+    ],
+)
+def test_limit_of_an_upstream_is_read(
+    text: str | None, per_s: float | None
+) -> None:
+    headers = [] if text is None else [('server-limit', text)]
+    reply = PlatformDialect().read_reply(200, headers)
+    assert reply.limit_per_s == per_s
+
+
 @pytest.mark.parametrize(
     ('status', 'text', 'pause_s'),
     [
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -250,6 +250,9 @@
             MEAN_CROWD_INTERVAL_S,
         ),
     ]
+    faults.append(
+        _draw_limit(random.Random(f'{seed}/limit'), duration_s, targets)
+    )
     if has_crashing_requests:
         faults.append(
             _draw_crashing(random.Random(f'{seed}/crashing'), duration_s)
