--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -66,6 +66,8 @@
         self._bounds = bounds or ServerBounds()
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
+        # These made room for others; a request may have arrived on one.
+        self._replaced: set[ServerConnection] = set()
         self._request_counter = RequestCounter()
         self._refusing_count = 0
         self._replaced_count = 0
@@ -101,6 +103,11 @@
         """Returns the number of connections refused for want of room."""
         return self._refused_count
 
+    @property
+    def _open_connections(self) -> tuple[ServerConnection, ...]:
+        """Returns all connections that have not ended."""
+        return (*self._connections, *self._replaced)
+
     async def start(
         self, address: Address, tls: ssl.SSLContext | None = None
     ) -> None:
@@ -129,7 +136,7 @@
         """
         self._is_draining = True
         self._is_stopping = True
-        for connection in tuple(self._connections):
+        for connection in self._open_connections:
             connection.close_if_idle()
 
     async def wait_connections_closed(self) -> None:
@@ -142,13 +149,13 @@
         while turns < ACCEPT_TURNS:
             await self._all_closed.wait()
             await asyncio.sleep(0)
-            turns = 0 if self._connections else turns + 1
+            turns = 0 if self._open_connections else turns + 1
 
     def close(self) -> None:
         """Closes the listening socket and every connection."""
         if self._server is not None:
             self._server.close()
-        for connection in tuple(self._connections):
+        for connection in self._open_connections:
             connection.close()
 
     async def _accept(
@@ -206,7 +213,8 @@
         self._replaced_count += 1
         self._log_crowd()
         replaced.give_way()
-        self._discard(replaced)
+        self._connections.discard(replaced)
+        self._replaced.add(replaced)
         return True
 
     def _log_crowd(self) -> None:
@@ -246,7 +254,8 @@
 
     def _discard(self, connection: ServerConnection) -> None:
         self._connections.discard(connection)
-        if not self._connections:
+        self._replaced.discard(connection)
+        if not self._open_connections:
             self._all_closed.set()
 
 
