--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -37,6 +37,7 @@
 from .gateway_metrics import GatewayMetrics
 from .limit_notes import LimitNotes
 from .load_queries import LoadQueries
+from .node_gauges import add_gauges
 from .reply_buffer import ReplyBuffer
 from .shutdown import Shutdown
 from .upstream_checks import UpstreamChecks
@@ -101,7 +102,6 @@
         self.control_http = HttpClient()
         self._tasks: set[asyncio.Task[Any]] = set()
         self.metrics = GatewayMetrics()
-        self._add_gauges()
         self.log = DecisionLog(self.clock)
         self.supervisor = Supervisor(self.metrics, self._log_failure)
         self._queues: dict[ServiceId, WaitQueue] = {}
@@ -127,6 +127,7 @@
             self._now_s,
             self.load_changed.set,
         )
+        add_gauges(self)
 
     def begin_stop(self, answer_within_s: float) -> None:
         """Starts the shutdown; all requests must be answered in this time."""
@@ -144,37 +145,6 @@
         """Returns the time of the clock that the node has now."""
         return self.clock()
 
-    def _add_gauges(self) -> None:
-        """Adds gauges of the state that decisions depend on."""
-        gauges: dict[str, Callable[[], float]] = {
-            'members': lambda: self.members.count,
-            'members_silent': lambda: self.members.silent_count(self.clock()),
-            'catalog_version': lambda: (
-                self.view.catalog.version if self.view.catalog else 0
-            ),
-            'store_revision': lambda: self.revision,
-            'store_revision_of_peers': lambda: (
-                self.peer_reports.newest_revision
-            ),
-            'store_read_age_seconds': lambda: self.store_read_age_s or 0.0,
-            'upstreams_known': lambda: len(self.view.upstream_ids),
-            'upstreams_down': lambda: len(self.health.unreachable_upstreams()),
-            'upstreams_leaving': self.availability.leaving_count,
-            'upstreams_paused': lambda: self.availability.paused_count(
-                self.clock()
-            ),
-            'upstreams_limited': lambda: self.limits.limited_count,
-            'upstreams_replaced': lambda: len(self.health.replaced_upstreams()),
-            'streams_waiting': lambda: sum(
-                queue.count for queue in self._queues.values()
-            ),
-            'reply_buffer_bytes': lambda: self.reply_buffer.used_bytes,
-            'connections_opened': lambda: self.pool.opened_count,
-            'log_lines_dropped': lambda: self.log.dropped,
-        }
-        for name, read in gauges.items():
-            self.metrics.add_gauge(name, read)
-
     def candidates(
         self,
         service_id: ServiceId,
@@ -194,6 +164,11 @@
             and self.limit_notes.allows_request(known.upstream)
         ]
 
+    @property
+    def waiting_streams(self) -> int:
+        """Returns the number of streams that wait in this node's queues."""
+        return sum(queue.count for queue in self._queues.values())
+
     def wait_queue(self, service_id: ServiceId) -> WaitQueue:
         """Returns this node's queue of streams for a service."""
         return self._queues.setdefault(service_id, WaitQueue())
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_reads.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_reads.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 from catkinreach_core.gateway.feed import StoreUnavailable
 
@@ -38,8 +38,8 @@
         """Prepares the calls.
 
         Args:
-            on_lost: Called with the reason, and the length in seconds, of
-                calls that failed or aren't answered.
+            on_lost: Called with the reason, and the time in seconds since the
+                first call, when calls fail or aren't answered.
             rng: Spreads the calls of the fleet.
         """
         self._on_lost = on_lost
@@ -64,35 +64,22 @@
         Raises:
             HistoryLost: if the store no longer has what was asked for.
         """
-        now = asyncio.get_running_loop().time
-        began_s = next_at_s = now()
-        pending: set[asyncio.Task[_Answer]] = set()
-        make_call, wait_s = first, answer_within_s
-        call_count = 0
+        calls = _OverlappingCalls(first, again, answer_within_s)
         try:
             while True:
-                if now() >= next_at_s:
-                    if call_count >= MAX_UNANSWERED and pending:
-                        self._on_lost('no answer', now() - began_s)
-                    pending.add(asyncio.create_task(make_call()))
-                    call_count += 1
-                    next_at_s = now() + wait_s
-                    make_call, wait_s = again, NEXT_CALL_S
-                done = await _wait_for_any(pending, next_at_s - now())
-                pending -= done
-                for task in done:
-                    try:
-                        answer = task.result()
-                    except StoreUnavailable as error:
-                        self._on_lost(str(error), now() - began_s)
-                        next_at_s = min(next_at_s, now() + self._pause_s())
-                    else:
+                if calls.is_next_due:
+                    if calls.are_unanswered:
+                        self._on_lost('no answer', calls.age_s)
+                    calls.begin_next()
+                for ended in await calls.wait():
+                    failure = _failure(ended)
+                    if failure is None:
                         self._retry_s = MIN_RETRY_S
-                        return answer
+                        return ended.result()
+                    self._on_lost(failure, calls.age_s)
+                    calls.begin_next_within(self._pause_s())
         finally:
-            for task in pending:
-                task.cancel()
-            await asyncio.gather(*pending, return_exceptions=True)
+            await calls.cancel()
 
     def _pause_s(self) -> float:
         """Returns the pause after a call that failed; it grows."""
@@ -101,18 +88,80 @@
         return pause_s
 
 
-async def _wait_for_any(
-    tasks: set[asyncio.Task[_Answer]], timeout_s: float
-) -> set[asyncio.Task[_Answer]]:
-    """Waits until a task ends or the time is over; returns what has ended."""
-    timeout_s = max(0.0, timeout_s)
-    if not tasks:
-        await asyncio.sleep(timeout_s)
-        return set()
-    done, _ = await asyncio.wait(
-        tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-    )
-    return done
+class _OverlappingCalls(Generic[_Answer]):
+    """Calls for the same answer, each of which begins after the one before."""
+
+    def __init__(
+        self,
+        first: Callable[[], Coroutine[None, None, _Answer]],
+        again: Callable[[], Coroutine[None, None, _Answer]],
+        answer_within_s: float,
+    ) -> None:
+        """Prepares the calls; none has begun."""
+        self._now_s = asyncio.get_running_loop().time
+        self._began_s = self._next_at_s = self._now_s()
+        self._next, self._again = first, again
+        self._wait_s = answer_within_s
+        self._open: set[asyncio.Task[_Answer]] = set()
+        self._count = 0
+
+    @property
+    def age_s(self) -> float:
+        """Returns the time since the first call."""
+        return self._now_s() - self._began_s
+
+    @property
+    def is_next_due(self) -> bool:
+        """Returns whether another call is to begin."""
+        return self._now_s() >= self._next_at_s
+
+    @property
+    def are_unanswered(self) -> bool:
+        """Returns whether more calls than a slow one aren't answered."""
+        return bool(self._open) and self._count >= MAX_UNANSWERED
+
+    def begin_next(self) -> None:
+        """Begins another call."""
+        self._open.add(asyncio.create_task(self._next()))
+        self._count += 1
+        self._next_at_s = self._now_s() + self._wait_s
+        self._next, self._wait_s = self._again, NEXT_CALL_S
+
+    def begin_next_within(self, pause_s: float) -> None:
+        """Lets the next call begin after a pause, or sooner if it is due."""
+        self._next_at_s = min(self._next_at_s, self._now_s() + pause_s)
+
+    async def wait(self) -> set[asyncio.Task[_Answer]]:
+        """Returns the calls that have ended by the time that one is due."""
+        timeout_s = max(0.0, self._next_at_s - self._now_s())
+        if not self._open:
+            await asyncio.sleep(timeout_s)
+            return set()
+        ended, self._open = await asyncio.wait(
+            self._open,
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return ended
+
+    async def cancel(self) -> None:
+        """Cancels the open calls."""
+        for call in self._open:
+            call.cancel()
+        await asyncio.gather(*self._open, return_exceptions=True)
+
+
+def _failure(call: asyncio.Task[_Answer]) -> str | None:
+    """Returns why the store couldn't be read; ``None`` if it could.
+
+    Raises:
+        HistoryLost: if the store no longer has what was asked for.
+    """
+    try:
+        call.result()
+    except StoreUnavailable as error:
+        return str(error)
+    return None
 
 
-__all__ = ('MAX_RETRY_S', 'NEXT_CALL_S', 'StoreReads')
+__all__ = ('NEXT_CALL_S', 'StoreReads')
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -121,6 +121,7 @@
         *ENGINE_KINDS,
         FaultKind.CRASHING_REQUESTS,
         FaultKind.CROWD,
+        FaultKind.NAME_LIMIT,
     }
     faults = [
         (fault.kind, fault.target, round(fault.at_s, 3))
