--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/hostile_clients.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/hostile_clients.py
@@ -19,6 +19,10 @@
 LARGE_BODY_BYTES = 1024**3
 PIECE_BYTES = 1024
 CHUNK_BYTES = 16 * 1024
+BLOCK = bytes(64 * 1024)
+"""What a body in one piece is written from, as fast as the process reads. A
+copy of its own for each client would fill the memory of the test."""
+
 SLOW_GAP_S = 0.2
 REQUESTS_AHEAD = 400
 OPEN_TIMEOUT_S = 5.0
@@ -49,8 +53,12 @@
 
 
 def _stops_short(path: str, number: int) -> Iterator[bytes]:
-    body = f'Content-Length: {LEGAL_BODY_BYTES}'
-    yield _head(path, body, number) + bytes(LEGAL_BODY_BYTES - 1)
+    yield _head(path, f'Content-Length: {LEGAL_BODY_BYTES}', number)
+    rest = LEGAL_BODY_BYTES - 1
+    while rest:
+        piece = BLOCK[:rest]
+        yield piece
+        rest -= len(piece)
 
 
 def _pieces_stop_short(path: str, number: int) -> Iterator[bytes]:
