--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -85,7 +85,7 @@
             streams have several priorities.
         store_revision: Revision of the last change of the store that the
             sender has applied; 0 for none.
-        limits: Limits that upstreams named to the sender or its peers.
+        limits: Limits that upstreams named to the sender.
     """
 
     node: str
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/upstream_limits.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/upstream_limits.py
@@ -63,7 +63,10 @@
 
 
 class LimitReport(Struct, array_like=True, frozen=True):
-    """The newest that a node knows of an upstream's limit.
+    """The newest that an upstream said to a node of its limit.
+
+    A node doesn't pass on what peers reported: the time that each message takes
+    would make it younger than it is.
 
     Attributes:
         started_ms: Start of the upstream's incarnation, in Unix milliseconds.
@@ -97,6 +100,7 @@
         """
         self._own_host = own_host
         self._words: OrderedDict[Incarnation, _Word] = OrderedDict()
+        self._own_words: OrderedDict[Incarnation, _Word] = OrderedDict()
         self._rates = SharedRateLimiter(
             random_level, max_nodes_with_full_buckets=0
         )
@@ -122,7 +126,11 @@
             per_s: Limit that it names; ``None`` for none.
             now_s: Monotonic clock.
         """
-        return self._record(upstream, _Word(per_s, now_s))
+        word = _Word(per_s, now_s)
+        incarnation = Incarnation.from_upstream(upstream)
+        if per_s is not None or incarnation in self._words:
+            _put(self._own_words, incarnation, word)
+        return self._record(incarnation, word)
 
     def record_report(
         self, upstream: Upstream, report: LimitReport, now_s: float
@@ -134,19 +142,17 @@
         if report.started_ms != upstream.started_ms:
             return False
         heard_at_s = now_s - report.age_ms / MS_PER_S
-        known = self._words.get(Incarnation.from_upstream(upstream))
+        incarnation = Incarnation.from_upstream(upstream)
+        known = self._words.get(incarnation)
         if known is not None and known.heard_at_s >= heard_at_s:
             return False
-        return self._record(upstream, _Word(report.per_s, heard_at_s))
+        return self._record(incarnation, _Word(report.per_s, heard_at_s))
 
-    def _record(self, upstream: Upstream, word: _Word) -> bool:
-        incarnation = Incarnation.from_upstream(upstream)
+    def _record(self, incarnation: Incarnation, word: _Word) -> bool:
         known = self._words.get(incarnation)
         if known is None and word.per_s is None:
             return False
-        self._words[incarnation] = word
-        if len(self._words) > MAX_LIMITED:
-            self._words.popitem(last=False)
+        _put(self._words, incarnation, word)
         return known is None or known.per_s != word.per_s
 
     def make_reports(
@@ -163,7 +169,7 @@
     def _make_report(
         self, upstream: Upstream, now_s: float
     ) -> LimitReport | None:
-        word = self._words.get(Incarnation.from_upstream(upstream))
+        word = self._own_words.get(Incarnation.from_upstream(upstream))
         if word is None:
             return None
         age_s = max(0.0, now_s - word.heard_at_s)
@@ -234,9 +240,10 @@
     def forget(self, upstream_id: UpstreamId) -> None:
         """Drops what was known of a removed or restarted upstream."""
         self._rates.forget(upstream_id)
-        gone = [one for one in self._words if one.upstream_id == upstream_id]
-        for incarnation in gone:
-            del self._words[incarnation]
+        for words in (self._words, self._own_words):
+            gone = [one for one in words if one.upstream_id == upstream_id]
+            for incarnation in gone:
+                del words[incarnation]
         self._ranked.pop(upstream_id, None)
 
     def _rank(
@@ -251,6 +258,17 @@
         return ranked.hosts
 
 
+def _put(
+    words: OrderedDict[Incarnation, _Word],
+    incarnation: Incarnation,
+    word: _Word,
+) -> None:
+    """Keeps a word; forgets the oldest where there are too many."""
+    words[incarnation] = word
+    if len(words) > MAX_LIMITED:
+        words.popitem(last=False)
+
+
 __all__ = (
     'MAX_LIMIT_PER_S',
     'LimitReport',
--- a/packages/catkinreach-core/tests/gateway/test_upstream_limits.py
+++ b/packages/catkinreach-core/tests/gateway/test_upstream_limits.py
@@ -111,6 +111,22 @@
     assert fleet.nodes[teller].make_reports([UPSTREAM], late_s) == {}
 
 
+def test_old_word_gets_younger_by_travelling() -> None:
+    latency_s, heard_s, hops = 0.01, 10.0, 200
+    first, second = (UpstreamLimits(host, lambda: 0.0) for host in 'ab')
+    first.record_answer(UPSTREAM, 1.0, heard_s)
+    for number in range(hops):
+        now_s = heard_s + number * latency_s
+        teller, hearer = (second, first) if number % 2 else (first, second)
+        reports = teller.make_reports([UPSTREAM], now_s)
+        for report in reports.values():
+            hearer.record_report(UPSTREAM, report, now_s + latency_s)
+    reports = first.make_reports([UPSTREAM], heard_s + hops * latency_s)
+    age_ms = reports[UPSTREAM.upstream_id].age_ms
+    assert age_ms >= hops * latency_s * 1000
+    assert second.limited_count == 1
+
+
 def test_upstream_is_left_out_for_good_as_its_senders_are_idle() -> None:
     fleet = Fleet(9, 0.0)
     fleet.name_limit(1.0)
