--- a/review/second/case.py
+++ b/review/second/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -49,6 +50,8 @@
         record.note(f'rule broken: {broken}' if broken else 'rule held')
     except (CannotRunError, TimeoutError, OSError) as error:
         record.note(f'could not run: {type(error).__name__} {error}')
+    except asyncio.CancelledError:
+        record.note('could not run: ended by a signal')
     except Exception:  # noqa: BLE001 - any other error is no verdict either
         record.note(f'could not run: {traceback.format_exc()}')
     finally:
@@ -59,6 +62,11 @@
 async def _run(
     case: Callable[[Record, Path], Awaitable[str]], record: Record
 ) -> str:
+    task = asyncio.current_task()
+    if task is not None:
+        # What the case has started ends with it.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as name:
         async with asyncio.timeout(MAX_RUN_S):
             return await case(record, Path(name))
