--- a/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
@@ -7,6 +7,8 @@
 from ..ids import RequestId, UpstreamId, WorkspaceId
 from ..settings.node import Address
 
+NO_REQUEST = RequestId('')
+
 
 class RequestMetadata(Struct, frozen=True, kw_only=True):
     """Metadata of a caller's request, besides path and body.
@@ -20,8 +22,12 @@
         output_tokens: Maximum number of tokens to generate.
         resume_after: Id of the last event that the caller has, if it resumes
             a stream.
+        resumes: Request that brought the first event of the stream that the
+            caller resumes; empty if not given.
         shared_parts: Ids of the parts of the prompt that other requests may
-            have too, in order; the last part is the request's own.
+            have too, in order.
+        own_part: Id of the last part, which is the request's own; empty if
+            not given.
         out_of_range: Name of a header with a number out of its range; empty
             for none.
     """
@@ -33,7 +39,9 @@
     prompt_tokens: int | None
     output_tokens: int
     resume_after: int | None
+    resumes: RequestId = NO_REQUEST
     shared_parts: tuple[str, ...] = ()
+    own_part: str = ''
     out_of_range: str = ''
 
     @property
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
@@ -6,10 +6,12 @@
 
 from msgspec import Struct
 
-from ..ids import FailureDomainId, ServiceId, UpstreamId
+from ..ids import FailureDomainId, ServiceId, SoftwareVersion, UpstreamId
 from ..settings.node import Address
 from .datagram_ranges import Seconds, Tokens, UnixMs
 
+NO_SOFTWARE_VERSION = SoftwareVersion('')
+
 
 class UpstreamState(Enum):
     """State that an upstream reports of itself."""
@@ -40,6 +42,8 @@
         cold_s: Seconds that it stays cold after its entry was received.
         started_ms: Unix time of its start in milliseconds; distinguishes the
             incarnations of one id.
+        software_version: Version of its software; what two versions write
+            doesn't fit together in one stream.
     """
 
     upstream_id: UpstreamId
@@ -51,6 +55,7 @@
     slots: Tokens
     cold_s: Seconds
     started_ms: UnixMs
+    software_version: SoftwareVersion = NO_SOFTWARE_VERSION
 
 
 __all__ = ('Stage', 'Upstream', 'UpstreamState')
--- a/packages/catkinreach-core/src/catkinreach_core/ids.py
+++ b/packages/catkinreach-core/src/catkinreach_core/ids.py
@@ -15,6 +15,7 @@
 ServiceId = NewType('ServiceId', str)
 RouteId = NewType('RouteId', str)
 RequestId = NewType('RequestId', str)
+SoftwareVersion = NewType('SoftwareVersion', str)
 Revision = NewType('Revision', int)
 """Revision of the published configuration or VM list; never decreases."""
 
@@ -44,6 +45,7 @@
     'RouteId',
     'ServiceId',
     'ShardId',
+    'SoftwareVersion',
     'UpstreamId',
     'VmId',
     'WorkspaceId',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -206,6 +206,7 @@
             upstream=stream.upstream.upstream_id,
             reason=reason,
             after_event=self._last_id,
+            software_version=stream.upstream.software_version,
         )
         return stream.first_events
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_log.py
@@ -60,6 +60,8 @@
             members=node.members.count,
             silent=node.members.silent_count(node.clock()),
             resume_after=resume_after,
+            resumes=admitted.metadata.resumes or None,
+            software_version=plan.decode.upstream.software_version,
         )
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
@@ -99,6 +99,7 @@
             state=upstream.state.value,
             stage=upstream.stage.value,
             cold_s=upstream.cold_s,
+            software_version=upstream.software_version,
         )
 
     def _forget_earlier_incarnation(self, upstream: Upstream) -> None:
--- a/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/registry.py
@@ -10,7 +10,12 @@
 from catkinreach_core.documents import DocumentError, decode_document
 from catkinreach_core.gateway.header_text import is_sendable_name
 from catkinreach_core.gateway.upstream import Stage, Upstream, UpstreamState
-from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
+from catkinreach_core.ids import (
+    FailureDomainId,
+    ServiceId,
+    SoftwareVersion,
+    UpstreamId,
+)
 from catkinreach_core.ranges import (
     Count,
     Milliseconds,
@@ -76,6 +81,7 @@
         slots=entry.slots,
         cold_s=entry.cold_remaining_ms / MS_PER_S,
         started_ms=entry.born,
+        software_version=SoftwareVersion(entry.version),
     )
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -32,6 +32,7 @@
 DEADLINE_HEADER: Final = 'deadline-ms'
 REPORT_PATH: Final = '/report'
 RESUME_AFTER_HEADER: Final = 'last-event-id'
+RESUMES_HEADER: Final = 'resumes'
 TOKENS_HEADER: Final = 'token-count'
 LEAVING_HEADER: Final = 'server-leaving'
 LEAVING: Final = '1'
@@ -98,6 +99,7 @@
         numbers = HeaderNumbers()
         prompt, _, output = (request.header(TOKENS_HEADER) or '').partition(',')
         scheme, _, key = (request.header('authorization') or '').partition(' ')
+        *parts, own_part = _parse_parts(request.header('prompt-prefix'))
         deadline_ms = numbers.milliseconds(
             DEADLINE_HEADER, request.header(DEADLINE_HEADER)
         )
@@ -111,7 +113,9 @@
             resume_after=numbers.count(
                 RESUME_AFTER_HEADER, request.header(RESUME_AFTER_HEADER)
             ),
-            shared_parts=_parse_shared_parts(request.header('prompt-prefix')),
+            resumes=RequestId(request.header(RESUMES_HEADER) or ''),
+            shared_parts=tuple(filter(None, parts)),
+            own_part=own_part,
             out_of_range=numbers.out_of_range,
         )
 
@@ -238,11 +242,12 @@
     }
 
 
-def _parse_shared_parts(text: str | None) -> tuple[str, ...]:
-    """Returns the ids of all parts but the last, from ``ID:TOKENS`` pairs."""
-    pairs = (text or '').split(',')[:-1]
-    ids = (pair.partition(':')[0].strip().lower() for pair in pairs)
-    return tuple(part_id for part_id in ids if part_id)
+def _parse_parts(text: str | None) -> tuple[str, ...]:
+    """Returns the ids of a prompt's parts, from ``ID:TOKENS`` pairs."""
+    return tuple(
+        pair.partition(':')[0].strip().lower()
+        for pair in (text or '').split(',')
+    )
 
 
 def _parse_idle_timeout_s(text: str | None) -> float | None:
