--- a/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/metadata.py
@@ -44,6 +44,19 @@
     own_part: str = ''
     out_of_range: str = ''
 
+    @property
+    def is_resumption(self) -> bool:
+        """Returns whether the caller resumes a stream that has begun."""
+        return self.resume_after is not None or bool(self.resumes)
+
+    @property
+    def origin(self) -> RequestId:
+        """Returns the request that brings, or brought, the first event.
+
+        It is empty for a resumption that doesn't name it.
+        """
+        return self.resumes if self.is_resumption else self.request_id
+
     @property
     def total_tokens(self) -> int:
         """Returns the prompt and output tokens; missing counts are 0."""
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/placement.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/placement.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from ..ids import FailureDomainId
+    from ..ids import FailureDomainId, SoftwareVersion
     from .catalog import EngineTraits
     from .load_table import UpstreamLoad
     from .view import KnownUpstream
@@ -80,6 +80,11 @@
         """Returns whether the upstream generates tokens."""
         return self.known.upstream.stage is not Stage.PREFILL
 
+    @property
+    def software_version(self) -> SoftwareVersion:
+        """Returns the version of the upstream's software."""
+        return self.known.upstream.software_version
+
     @property
     def cost_factor(self) -> float:
         """Returns the cost relative to a warm upstream without failures."""
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
@@ -58,4 +58,4 @@
     software_version: SoftwareVersion = NO_SOFTWARE_VERSION
 
 
-__all__ = ('Stage', 'Upstream', 'UpstreamState')
+__all__ = ('NO_SOFTWARE_VERSION', 'Stage', 'Upstream', 'UpstreamState')
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -6,12 +6,18 @@
 
 from msgspec import Struct
 
+from .software_versions import SoftwareVersions
 from .upstream import Upstream, UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from ..ids import FailureDomainId, ServiceId, UpstreamId
+    from ..ids import (
+        FailureDomainId,
+        ServiceId,
+        SoftwareVersion,
+        UpstreamId,
+    )
     from .catalog import Catalog
 
 EXPIRY_GRACE_S = 2.0
@@ -53,6 +59,7 @@
         self._grace_until_s = 0.0
         self._is_listed = False
         self._last_added_at_s = 0.0
+        self._versions = SoftwareVersions()
 
     @property
     def last_added_at_s(self) -> float:
@@ -110,11 +117,12 @@
         if known is None:
             self._last_added_at_s = now_s
         else:
-            self._drop(known.upstream.upstream_id)
+            self._drop(known.upstream.upstream_id, now_s)
         entry = KnownUpstream(
             upstream=upstream, cold_until_s=now_s + upstream.cold_s
         )
         self._known[upstream.upstream_id] = entry
+        self._note_version(upstream, now_s)
         service = self._by_service.setdefault(upstream.service_id, {})
         service[upstream.upstream_id] = entry
 
@@ -124,7 +132,7 @@
         if known is None:
             return
         if now_s >= self._grace_until_s:
-            self._drop(upstream_id)
+            self._drop(upstream_id, now_s)
         elif known.removed_at_s is None:
             known.removed_at_s = now_s
 
@@ -143,6 +151,7 @@
     def record_store_recovery(self, now_s: float) -> None:
         """Starts the grace period after an outage of the store."""
         self.extend_grace(EXPIRY_GRACE_S, now_s)
+        self._versions.restart(now_s)
 
     def extend_grace(self, grace_s: float, now_s: float) -> None:
         """Lets missing entries be renewed for at least ``grace_s`` from now."""
@@ -162,7 +171,7 @@
             if known.removed_at_s is not None
         )
         for upstream_id in expired:
-            self._drop(upstream_id)
+            self._drop(upstream_id, now_s)
         return expired
 
     def evacuate_domain(self, domain_id: FailureDomainId) -> None:
@@ -184,6 +193,20 @@
             if upstream.domain_id not in self._evacuated:
                 yield known
 
+    def sole_version(
+        self, service_id: ServiceId, now_s: float
+    ) -> SoftwareVersion | None:
+        """Returns the only version that streams can have begun at, if known."""
+        listed = {
+            known.upstream.software_version
+            for known in self._by_service.get(service_id, {}).values()
+        }
+        return self._versions.sole_version(service_id, listed, now_s)
+
+    def known_of(self, service_id: ServiceId) -> tuple[KnownUpstream, ...]:
+        """Returns all known upstreams of a service."""
+        return tuple(self._by_service.get(service_id, {}).values())
+
     def health_path(self, service_id: ServiceId) -> str:
         """Returns the path of a service's health check; empty if not known."""
         services = {} if self._catalog is None else self._catalog.services
@@ -200,8 +223,14 @@
             and other.upstream.upstream_id != upstream.upstream_id
         )
 
-    def _drop(self, upstream_id: UpstreamId) -> None:
+    def _note_version(self, upstream: Upstream, now_s: float) -> None:
+        self._versions.note(
+            upstream.service_id, upstream.software_version, now_s
+        )
+
+    def _drop(self, upstream_id: UpstreamId, now_s: float) -> None:
         known = self._known.pop(upstream_id)
+        self._note_version(known.upstream, now_s)
         service = self._by_service[known.upstream.service_id]
         del service[upstream_id]
 
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/wait_queue.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/wait_queue.py
@@ -7,16 +7,22 @@
 those that can still meet the latency target, then those of higher priority,
 then those of workspaces with less admitted cost, then the earlier arrival. Only
 the head of the queue may be placed, so that small prompts don't starve a large
-one. A stream that would start after its caller has left is refused at once.
+one; streams that must go on at a software version have a head of their own, and
+the others leave them the memory of its engines. A stream that would start after
+its caller has left is refused at once.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from .fleet_priority import LATE_RANK, LEAST_URGENT, MOST_URGENT, sum_ranks
 
+if TYPE_CHECKING:
+    from ..ids import SoftwareVersion
+
 PEERS_AHEAD_RATIO = 0.5
 """Fraction of the peers' queued streams that is assumed to go first."""
 
@@ -58,6 +64,7 @@
         useful_until_s: Latest start before the caller leaves.
         has_progress: Whether its refusal would lose work: the caller has a part
             of the stream, or its prompt is prefilled.
+        version: Software version that it must go on at; ``None`` for any.
     """
 
     tokens: int
@@ -67,6 +74,7 @@
     on_time_until_s: float
     useful_until_s: float
     has_progress: bool = False
+    version: SoftwareVersion | None = None
 
     def fleet_rank(self, now_s: float) -> int:
         """Returns the rank among the streams that wait at all nodes."""
@@ -120,10 +128,21 @@
         self._streams.remove(stream)
 
     def is_first(self, stream: QueuedStream, now_s: float) -> bool:
-        """Returns whether a stream is at the head of the queue."""
-        first = min(self._streams, key=lambda queued: queued.rank(now_s))
+        """Returns whether a stream is the first that needs its version."""
+        first = min(
+            (one for one in self._streams if one.version == stream.version),
+            key=lambda queued: queued.rank(now_s),
+        )
         return first is stream
 
+    def pinned_versions(self) -> frozenset[SoftwareVersion]:
+        """Returns the versions that queued streams must go on at."""
+        return frozenset(
+            stream.version
+            for stream in self._streams
+            if stream.version is not None
+        )
+
     def evaluate(
         self,
         stream: QueuedStream,
@@ -151,6 +170,7 @@
             queued.tokens
             for queued in self._streams
             if queued.rank(now_s) < rank
+            and stream.version in {None, queued.version}
         )
         ahead += int(peer_tokens * PEERS_AHEAD_RATIO) + more_urgent_tokens
         starts_at_s = now_s + (ahead + stream.tokens) / release_per_s
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -61,6 +61,8 @@
     WAITS_FOR_URGENT = 'waits-for-urgent'
     SEND_FAILED = 'send-failed'
     REPLY_SKIPPED = 'reply-skipped'
+    STREAM_VERSION = 'stream-version'
+    HELD_PROMPTS = 'held-prompts'
     RESUMED = 'resumed'
     SILENT_KEPT = 'silent-kept'
     FAILED = 'failed'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
@@ -51,6 +51,16 @@
         Model engines do so without waiting for a slot.
         """
 
+    def held_prompts_request(self, upstream: Upstream) -> HttpRequest:
+        """Returns the request that lists the parts of prompts it holds."""
+
+    def read_held_prompts(self, body: bytes) -> tuple[str, ...]:
+        """Returns the ids of the parts in the reply to such a request.
+
+        Raises:
+            DocumentError: if it is malformed.
+        """
+
     def stage_order(
         self, upstream: Upstream, stage: Stage, leader: str, fencing_number: int
     ) -> HttpRequest:
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
@@ -0,0 +1,113 @@
+"""Asks engines which parts of prompts they hold."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING
+
+from catkinreach_core.documents import DocumentError
+from catkinreach_core.gateway.held_prompts import HeldPrompts
+from catkinreach_core.gateway.upstream import Stage
+
+from ..http.connection import ConnectError, ExchangeError
+from .decision_log import Event
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import ServiceId, SoftwareVersion
+
+    from .node import Node
+
+READ_TIMEOUT_S = 0.4
+"""Time for the answers of all engines of a service."""
+
+READ_INTERVAL_S = 0.5
+"""Least time between two reads: each delays the engines' work a little."""
+
+MAX_LIST_BYTES = 1024 * 1024
+STATUS_OK = 200
+
+
+class HeldPromptReads:
+    """Reads what the engines of a service hold, once for all that wait."""
+
+    def __init__(self, node: Node) -> None:
+        """Starts without a read."""
+        self._node = node
+        self._held = HeldPrompts()
+        self._reads: dict[ServiceId, asyncio.Future[None]] = {}
+        self._read_at_s: dict[ServiceId, float] = {}
+
+    async def find(
+        self, service_id: ServiceId, part: str
+    ) -> SoftwareVersion | None:
+        """Returns the version whose engines hold a part, if it is only one."""
+        if not part:
+            return None
+        self._held.expire(self._node.clock())
+        version = self._held.find(service_id, part)
+        if version is None:
+            await asyncio.shield(self._latest_read(service_id))
+            version = self._held.find(service_id, part)
+        return version
+
+    def _latest_read(self, service_id: ServiceId) -> asyncio.Future[None]:
+        """Returns the read that runs, or ended just now, or begins."""
+        now_s = self._node.clock()
+        read_at_s = self._read_at_s.get(service_id, -math.inf)
+        if now_s - read_at_s >= READ_INTERVAL_S:
+            self._read_at_s[service_id] = now_s
+            read = self._node.spawn(self._read_all(service_id))
+            self._reads[service_id] = read
+        return self._reads[service_id]
+
+    async def _read_all(self, service_id: ServiceId) -> None:
+        reads = [
+            asyncio.ensure_future(self._read(known.upstream))
+            for known in self._node.view.known_of(service_id)
+            if self._may_ask(known.upstream)
+        ]
+        answered = sum(await asyncio.gather(*reads))
+        self._node.log.write(
+            Event.HELD_PROMPTS,
+            service=service_id,
+            asked=len(reads),
+            answered=answered,
+        )
+
+    def _may_ask(self, upstream: Upstream) -> bool:
+        """Returns whether an engine may have run a stream and be asked."""
+        node = self._node
+        return (
+            upstream.stage is not Stage.PREFILL
+            and not node.health.is_down(upstream.upstream_id)
+            and not node.availability.pause_s(upstream, node.clock())
+            and node.limit_notes.allows_request(upstream)
+        )
+
+    async def _read(self, upstream: Upstream) -> bool:
+        """Records what one engine holds; returns whether it answered."""
+        node = self._node
+        node.limits.spend(upstream.upstream_id)
+        request = node.dialect.held_prompts_request(upstream)
+        try:
+            async with (
+                asyncio.timeout(READ_TIMEOUT_S),
+                node.control_http.exchange(
+                    upstream.address, request
+                ) as response,
+            ):
+                body = await response.read(MAX_LIST_BYTES)
+            if response.status != STATUS_OK:
+                return False
+            parts = node.dialect.read_held_prompts(body)
+        except (ConnectError, ExchangeError, TimeoutError, DocumentError):
+            return False
+        self._held.record(
+            upstream.service_id, upstream.software_version, parts, node.clock()
+        )
+        return True
+
+
+__all__ = ('HeldPromptReads',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from catkinreach_core.gateway.placement import StreamPlan
     from catkinreach_core.gateway.wait_queue import WaitQueue
-    from catkinreach_core.ids import UpstreamId
+    from catkinreach_core.ids import SoftwareVersion, UpstreamId
 
     from .stream_context import StreamContext
     from .stream_planner import StreamPlanner
@@ -46,6 +46,7 @@
         self._admitted = context.admitted
         self._attempts = context.attempts
         self._need = context.need
+        self._pin = context.pin
         self._planner = planner
         self._silent_since_s = context.admitted.arrived_s
         self._has_progress = False
@@ -108,7 +109,7 @@
         """Returns a plan if the stream is first and an engine has memory."""
         if not queue.is_first(entry, now_s):
             return None
-        plan = self._planner.best_plan()
+        plan = self._planner.best_plan(self._spared_versions(queue))
         if plan is not None and self._gives_way(entry, now_s):
             return None
         if plan is not None:
@@ -116,6 +117,12 @@
             self._node.metrics.record(RequestStage.WAIT, self.waited_s)
         return plan
 
+    def _spared_versions(self, queue: WaitQueue) -> frozenset[SoftwareVersion]:
+        """Returns the versions that queued streams need more than this one."""
+        if self._pin.version is not None:
+            return frozenset()
+        return queue.pinned_versions()
+
     def _gives_way(self, entry: QueuedStream, now_s: float) -> bool:
         """Returns whether more urgent streams of peers need the memory."""
         waiting = self._peer_ranks()
@@ -172,6 +179,7 @@
             - prefill_s,
             useful_until_s=self._silent_since_s + timeout_s - prefill_s,
             has_progress=self._has_progress,
+            version=self._pin.version,
         )
 
     def _recent_cost(self) -> float:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -40,6 +40,7 @@
 from .node_gauges import add_gauges
 from .reply_buffer import ReplyBuffer
 from .shutdown import Shutdown
+from .stream_versions import StreamVersions
 from .upstream_checks import UpstreamChecks
 from .upstream_pool import UpstreamPool
 
@@ -115,6 +116,7 @@
         self.load_changed = asyncio.Event()
         self.shutdown = Shutdown(settings, self.members, self.clock)
         self.limit_notes = LimitNotes(self)
+        self.stream_versions = StreamVersions(self)
         self.revision = Revision(0)
         self.changed_revision = Revision(0)
         self.store_read_at_s: float | None = None
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/origin_link.py
@@ -0,0 +1,134 @@
+"""Tells peers at which software version streams begin, and asks them."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from typing import TYPE_CHECKING
+
+from catkinreach_core.gateway.gossip import (
+    MAX_TOLD_CHARS,
+    OriginQuery,
+    OriginReply,
+    StreamNotice,
+    encode_gossip,
+)
+from catkinreach_core.gateway.stream_origins import StreamOrigins, told_hosts
+
+if TYPE_CHECKING:
+    from catkinreach_core.ids import RequestId, ServiceId, SoftwareVersion
+
+    from .node import Node
+
+ANSWER_S = 0.1
+"""Time for the peers' answers; several round trips."""
+
+
+class OriginLink:
+    """The streams that this node and its peers have seen begin."""
+
+    def __init__(self, node: Node) -> None:
+        """Starts without streams."""
+        self._node = node
+        self._origins = StreamOrigins()
+        self._query_ids = count(1)
+        self._queries: dict[int, _Query] = {}
+        node.peer_handlers[StreamNotice] = self._take_notice
+        node.peer_handlers[OriginQuery] = self._answer
+        node.peer_handlers[OriginReply] = self._take_reply
+
+    def find(self, origin: RequestId) -> SoftwareVersion | None:
+        """Returns the version of a stream that this node knows."""
+        return self._origins.find(origin)
+
+    def record(self, origin: RequestId, version: SoftwareVersion) -> None:
+        """Records a stream, and tells peers before its caller has an event."""
+        self._origins.record(origin, version, self._node.clock())
+        if max(len(origin), len(version)) > MAX_TOLD_CHARS:
+            return
+        notice = StreamNotice(
+            node=self._node.settings.host, origins={origin: version}
+        )
+        data = encode_gossip(notice)
+        for host in self._hosts(origin):
+            self._node.send_datagram(host, data)
+
+    async def ask(
+        self, origin: RequestId, service_id: ServiceId
+    ) -> SoftwareVersion | None:
+        """Returns the version of a stream that a peer knows, if any does."""
+        hosts = self._hosts(origin)
+        if not hosts or not origin:
+            return None
+        query_id = next(self._query_ids)
+        query = self._queries[query_id] = _Query(len(hosts))
+        data = encode_gossip(
+            OriginQuery(
+                node=self._node.settings.host,
+                query_id=query_id,
+                request=origin,
+                service=service_id,
+            )
+        )
+        for host in hosts:
+            self._node.send_datagram(host, data)
+        try:
+            return await query.wait()
+        finally:
+            del self._queries[query_id]
+
+    def _hosts(self, origin: RequestId) -> tuple[str, ...]:
+        node = self._node
+        peers = tuple(node.members.responsive(node.clock()))
+        return told_hosts(origin, peers)
+
+    def _take_notice(self, notice: StreamNotice) -> None:
+        self._origins.merge(notice.origins, self._node.clock())
+
+    def _answer(self, query: OriginQuery) -> None:
+        """Tells another node the version of a stream, if it is known."""
+        node = self._node
+        version = self._origins.find(query.request)
+        if version is None:
+            version = node.view.sole_version(query.service, node.clock())
+        if version is not None and len(version) > MAX_TOLD_CHARS:
+            version = None
+        reply = OriginReply(
+            node=node.settings.host, query_id=query.query_id, version=version
+        )
+        node.send_datagram(query.node, encode_gossip(reply))
+
+    def _take_reply(self, reply: OriginReply) -> None:
+        query = self._queries.get(reply.query_id)
+        if query is not None:
+            query.take(reply.version)
+
+
+class _Query:
+    """Waits for the first peer that knows, or for all that don't."""
+
+    def __init__(self, asked: int) -> None:
+        """Starts without answers."""
+        self._unanswered = asked
+        self._known: asyncio.Future[SoftwareVersion | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def take(self, version: SoftwareVersion | None) -> None:
+        """Takes a peer's answer."""
+        self._unanswered -= 1
+        if self._known.done():
+            return
+        if version is not None or not self._unanswered:
+            self._known.set_result(version)
+
+    async def wait(self) -> SoftwareVersion | None:
+        """Returns the version; ``None`` if no peer knows it in time."""
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                return await self._known
+        except TimeoutError:
+            return None
+
+
+__all__ = ('OriginLink',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -5,6 +5,7 @@
 from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
+from catkinreach_core.errors import ErrorKind
 from catkinreach_core.gateway.event_numbering import EventNumbering
 from catkinreach_core.gateway.placement import StreamNeed, is_overbooked
 
@@ -16,7 +17,7 @@
 from .event_relay import EventRelay
 from .memory_wait import MIN_REMAINING_S, MemoryWait
 from .reply_wait import ReplyWait
-from .stream_context import StreamContext
+from .stream_context import StreamContext, VersionPin
 from .stream_log import StreamLog
 from .stream_planner import StreamPlanner
 from .stream_prefill import StreamPrefill
@@ -27,6 +28,7 @@
     from catkinreach_core.gateway.catalog import EngineTraits
     from catkinreach_core.gateway.placement import StreamPlan
     from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import SoftwareVersion
 
     from .admitted_request import AdmittedRequest
     from .handover import Handover
@@ -63,8 +65,9 @@
         )
         self._traits = traits
         self._numbering = EventNumbering(admitted.metadata.resume_after)
+        self._pin = VersionPin()
         context = StreamContext(
-            node, admitted, self._attempts, self._need, traits
+            node, admitted, self._attempts, self._need, traits, self._pin
         )
         self._prefill = StreamPrefill(context)
         self._replies = StreamReplies(context, self._prefill)
@@ -79,10 +82,14 @@
         Raises:
             CatkinreachError: if it can't be served.
         """
+        if self._admitted.metadata.is_resumption:
+            self._pin.version = await self._find_version()
         engine_stream = await self._open_first()
         if self._replies.whole_response is not None:
             return self._replies.whole_response
         self._has_begun = True
+        self._pin.version = engine_stream.upstream.software_version
+        self._node.stream_versions.record(self._admitted, self._pin.version)
         reply = engine_stream.reply
         headers = self._node.dialect.caller_headers(reply.headers)
         relay = EventRelay(
@@ -152,6 +159,20 @@
             has_started=engine_stream.has_started,
         )
 
+    async def _find_version(self) -> SoftwareVersion:
+        """Returns the version that began the stream which the caller resumes.
+
+        Raises:
+            CatkinreachError: if it isn't known.
+        """
+        version = await self._node.stream_versions.find(self._admitted)
+        if version is None:
+            raise self._attempts.error(
+                ErrorKind.NO_UPSTREAM,
+                'it is not known at which software version the stream began',
+            )
+        return version
+
     async def _open_first(self) -> EngineStream:
         """Opens the stream; whatever ends that ends the request's trial."""
         is_open = False
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_planner.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.placement import Candidate, StreamPlan
-    from catkinreach_core.ids import UpstreamId
+    from catkinreach_core.ids import SoftwareVersion, UpstreamId
 
     from .stream_context import StreamContext
     from .stream_prefill import StreamPrefill
@@ -29,11 +29,24 @@
         self._attempts = context.attempts
         self._need = context.need
         self._traits = context.traits
+        self._pin = context.pin
         self._prefill = prefill
 
-    def best_plan(self) -> StreamPlan | None:
-        """Returns the best plan, ``None`` if no engine has free memory."""
-        candidates = self._candidates()
+    def best_plan(
+        self, spared: frozenset[SoftwareVersion] = frozenset()
+    ) -> StreamPlan | None:
+        """Returns the best plan, ``None`` if no engine has free memory.
+
+        Args:
+            spared: Versions whose engines are left to streams that must go on
+                at these.
+        """
+        candidates = [
+            candidate
+            for candidate in self._candidates()
+            if not candidate.can_decode
+            or candidate.software_version not in spared
+        ]
         if self._prefill.is_exhausted:
             candidates = [
                 candidate for candidate in candidates if candidate.can_decode
@@ -80,7 +93,14 @@
         candidates = self._node.candidates(
             service.service_id, service, self._attempts.excluded
         )
-        return self._attempts.usable(candidates)
+        pinned = self._pin.version
+        return [
+            candidate
+            for candidate in self._attempts.usable(candidates)
+            if pinned is None
+            or not candidate.can_decode
+            or candidate.software_version == pinned
+        ]
 
 
 __all__ = ('StreamPlanner',)
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
@@ -0,0 +1,84 @@
+"""Finds the software version at which a stream began.
+
+A node that served the stream, or was told of it, knows. One that has just
+started asks its peers; if these were all restarted too, it asks the engines
+which of them hold the stream's prompt.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .decision_log import Event
+from .held_prompt_reads import HeldPromptReads
+from .origin_link import OriginLink
+
+if TYPE_CHECKING:
+    from catkinreach_core.ids import SoftwareVersion
+
+    from .admitted_request import AdmittedRequest
+    from .node import Node
+
+
+class VersionSource(Enum):
+    """Who told at which version a stream began."""
+
+    RECORD = 'own record'
+    SOLE = 'only one version served'
+    PEER = 'peer'
+    ENGINE = 'engine'
+    NOBODY = 'nobody'
+
+
+class StreamVersions:
+    """Records and finds the versions of streams."""
+
+    def __init__(self, node: Node) -> None:
+        """Starts without streams."""
+        self._node = node
+        self._link = OriginLink(node)
+        self._held = HeldPromptReads(node)
+
+    def record(
+        self, admitted: AdmittedRequest, version: SoftwareVersion
+    ) -> None:
+        """Records a stream that begins, or goes on, and tells peers."""
+        origin = admitted.metadata.origin
+        if origin:
+            self._link.record(origin, version)
+
+    async def find(self, admitted: AdmittedRequest) -> SoftwareVersion | None:
+        """Returns the version of a stream that its caller resumes, if known."""
+        version, source = await self._search(admitted)
+        self._node.log.write(
+            Event.STREAM_VERSION,
+            request=admitted.metadata.request_id,
+            resumes=admitted.metadata.resumes,
+            software_version=version,
+            source=source.value,
+        )
+        return version
+
+    async def _search(
+        self, admitted: AdmittedRequest
+    ) -> tuple[SoftwareVersion | None, VersionSource]:
+        origin = admitted.metadata.origin
+        service_id = admitted.service.service_id
+        version = self._link.find(origin)
+        if version is not None:
+            return version, VersionSource.RECORD
+        version = self._node.view.sole_version(service_id, self._node.clock())
+        if version is not None:
+            return version, VersionSource.SOLE
+        version = await self._link.ask(origin, service_id)
+        if version is not None:
+            return version, VersionSource.PEER
+        version = await self._held.find(service_id, admitted.metadata.own_part)
+        if version is not None:
+            self._link.record(origin, version)
+            return version, VersionSource.ENGINE
+        return None, VersionSource.NOBODY
+
+
+__all__ = ('StreamVersions',)
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -17,6 +17,7 @@
 from catkinreach_core.gateway.upstream import Stage
 from catkinreach_core.gateway.upstream_limits import MAX_LIMIT_PER_S
 from catkinreach_core.ids import RequestId, UpstreamId
+from catkinreach_core.ranges import Count
 
 from ..http.messages import JSON_TYPE, Headers, HttpRequest
 from .boot import MS_PER_S
@@ -88,7 +89,12 @@
     handle: str
 
 
+class _HeldPrompts(Struct):
+    held: list[tuple[str, str, Count, str]]
+
+
 _PREFILL_DECODER = msgspec.json.Decoder(_Prefill)
+_HELD_DECODER = msgspec.json.Decoder(_HeldPrompts)
 
 
 class PlatformDialect:
@@ -189,6 +195,20 @@
         is_engine = upstream.stage is not Stage.WHOLE
         return HttpRequest('GET', REPORT_PATH if is_engine else path)
 
+    def held_prompts_request(self, upstream: Upstream) -> HttpRequest:
+        """Returns the request that lists the parts of prompts it holds."""
+        headers: Headers = [('expect-instance', upstream.upstream_id)]
+        return HttpRequest('GET', '/kv-list', headers)
+
+    def read_held_prompts(self, body: bytes) -> tuple[str, ...]:
+        """Returns the ids of the parts in the reply to such a request.
+
+        Raises:
+            DocumentError: if it is malformed.
+        """
+        listing = decode_document(_HELD_DECODER, body)
+        return tuple(part_id.lower() for _, part_id, *_ in listing.held)
+
     def stage_order(
         self, upstream: Upstream, stage: Stage, leader: str, fencing_number: int
     ) -> HttpRequest:
--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/gateway.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/gateway.py
@@ -3,8 +3,18 @@
 from __future__ import annotations
 
 from catkinreach_core.gateway.catalog import EngineTraits
-from catkinreach_core.gateway.upstream import Stage, Upstream, UpstreamState
-from catkinreach_core.ids import FailureDomainId, ServiceId, UpstreamId
+from catkinreach_core.gateway.upstream import (
+    NO_SOFTWARE_VERSION,
+    Stage,
+    Upstream,
+    UpstreamState,
+)
+from catkinreach_core.ids import (
+    FailureDomainId,
+    ServiceId,
+    SoftwareVersion,
+    UpstreamId,
+)
 from catkinreach_core.settings.node import Address
 
 SERVICE = ServiceId('service')
@@ -26,6 +36,7 @@
     domain: str = 'here',
     cold_s: float = 0.0,
     address: Address | None = None,
+    software_version: SoftwareVersion = NO_SOFTWARE_VERSION,
 ) -> Upstream:
     """Returns an upstream with four slots.
 
@@ -36,6 +47,7 @@
         domain: Id of its failure domain.
         cold_s: Seconds that it stays cold.
         address: Address, by default a port that nothing listens on.
+        software_version: Version of its software.
     """
     return Upstream(
         upstream_id=UpstreamId(name),
@@ -47,6 +59,7 @@
         slots=4,
         cold_s=cold_s,
         started_ms=0,
+        software_version=software_version,
     )
 
 
