--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -17,6 +17,7 @@
 from catkinreach_core.gateway.upstream import Stage
 from catkinreach_core.gateway.upstream_limits import MAX_LIMIT_PER_S
 from catkinreach_core.ids import RequestId, UpstreamId
+from catkinreach_core.ranges import Count
 
 from ..http.messages import JSON_TYPE, Headers, HttpRequest
 from .boot import MS_PER_S
@@ -32,6 +33,7 @@
 DEADLINE_HEADER: Final = 'deadline-ms'
 REPORT_PATH: Final = '/report'
 RESUME_AFTER_HEADER: Final = 'last-event-id'
+RESUMES_HEADER: Final = 'resumes'
 TOKENS_HEADER: Final = 'token-count'
 LEAVING_HEADER: Final = 'server-leaving'
 LEAVING: Final = '1'
@@ -87,7 +89,12 @@
     handle: str
 
 
+class _HeldPrompts(Struct):
+    held: list[tuple[str, str, Count, str]]
+
+
 _PREFILL_DECODER = msgspec.json.Decoder(_Prefill)
+_HELD_DECODER = msgspec.json.Decoder(_HeldPrompts)
 
 
 class PlatformDialect:
@@ -98,6 +105,7 @@
         numbers = HeaderNumbers()
         prompt, _, output = (request.header(TOKENS_HEADER) or '').partition(',')
         scheme, _, key = (request.header('authorization') or '').partition(' ')
+        *parts, own_part = _parse_parts(request.header('prompt-prefix'))
         deadline_ms = numbers.milliseconds(
             DEADLINE_HEADER, request.header(DEADLINE_HEADER)
         )
@@ -111,7 +119,9 @@
             resume_after=numbers.count(
                 RESUME_AFTER_HEADER, request.header(RESUME_AFTER_HEADER)
             ),
-            shared_parts=_parse_shared_parts(request.header('prompt-prefix')),
+            resumes=RequestId(request.header(RESUMES_HEADER) or ''),
+            shared_parts=tuple(filter(None, parts)),
+            own_part=own_part,
             out_of_range=numbers.out_of_range,
         )
 
@@ -185,6 +195,20 @@
         is_engine = upstream.stage is not Stage.WHOLE
         return HttpRequest('GET', REPORT_PATH if is_engine else path)
 
+    def held_prompts_request(self, upstream: Upstream) -> HttpRequest:
+        """Returns the request that lists the parts of prompts it holds."""
+        headers: Headers = [('expect-instance', upstream.upstream_id)]
+        return HttpRequest('GET', '/kv-list', headers)
+
+    def read_held_prompts(self, body: bytes) -> tuple[str, ...]:
+        """Returns the ids of the parts in the reply to such a request.
+
+        Raises:
+            DocumentError: if it is malformed.
+        """
+        listing = decode_document(_HELD_DECODER, body)
+        return tuple(part_id.lower() for _, part_id, *_ in listing.held)
+
     def stage_order(
         self, upstream: Upstream, stage: Stage, leader: str, fencing_number: int
     ) -> HttpRequest:
@@ -238,11 +262,12 @@
     }
 
 
-def _parse_shared_parts(text: str | None) -> tuple[str, ...]:
-    """Returns the ids of all parts but the last, from ``ID:TOKENS`` pairs."""
-    pairs = (text or '').split(',')[:-1]
-    ids = (pair.partition(':')[0].strip().lower() for pair in pairs)
-    return tuple(part_id for part_id in ids if part_id)
+def _parse_parts(text: str | None) -> tuple[str, ...]:
+    """Returns the ids of a prompt's parts, from ``ID:TOKENS`` pairs."""
+    return tuple(
+        pair.partition(':')[0].strip().lower()
+        for pair in (text or '').split(',')
+    )
 
 
 def _parse_idle_timeout_s(text: str | None) -> float | None:
