--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -187,12 +187,21 @@
     ) -> Iterator[KnownUpstream]:
         """Yields the upstreams of a service that may get new work."""
         for known in self._by_service.get(service_id, {}).values():
-            upstream = known.upstream
-            if upstream.state is not UpstreamState.READY:
-                continue
-            if upstream.domain_id not in self._evacuated:
+            if self._takes_work(known.upstream):
                 yield known
 
+    def may_still_get_work(self, upstream: Upstream) -> bool:
+        """Returns whether an upstream that was chosen earlier may get work.
+
+        It may have begun to leave meanwhile, or have started anew.
+        """
+        known = self._known.get(upstream.upstream_id)
+        return (
+            known is not None
+            and not self.is_new_incarnation(upstream)
+            and self._takes_work(known.upstream)
+        )
+
     def sole_version(
         self, service_id: ServiceId, now_s: float
     ) -> SoftwareVersion | None:
@@ -223,6 +232,12 @@
             and other.upstream.upstream_id != upstream.upstream_id
         )
 
+    def _takes_work(self, upstream: Upstream) -> bool:
+        return (
+            upstream.state is UpstreamState.READY
+            and upstream.domain_id not in self._evacuated
+        )
+
     def _note_version(self, upstream: Upstream, now_s: float) -> None:
         self._versions.note(
             upstream.service_id, upstream.software_version, now_s
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -175,7 +175,7 @@
         ExchangeError: the request may have run.
     """
     connection = await node.pool.acquire(upstream)
-    if not node.availability.may_get_requests(upstream, node.clock()):
+    if not node.may_still_send(upstream):
         node.pool.release_unused(upstream.upstream_id, connection)
         raise ClosedToRequestsError(f'{upstream.address} takes no requests')
     sent_s = node.clock()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -215,6 +215,15 @@
         self.availability_notes.note(upstream, metadata, request_id)
         self.limit_notes.note(upstream, metadata, request_id)
 
+    def may_still_send(self, upstream: Upstream) -> bool:
+        """Returns whether an upstream that was chosen may get a request now.
+
+        A prefill, a connect or a wait lies between the choice and the send.
+        """
+        return self.view.may_still_get_work(
+            upstream
+        ) and self.availability.may_get_requests(upstream, self.clock())
+
     def begin_work(self, upstream_id: UpstreamId, work: UpstreamLoad) -> None:
         """Adds work that is about to be sent to an upstream to its load."""
         self.loads.begin_work(upstream_id, work)
