--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -20,6 +20,9 @@
 READ_AHEAD_BYTES = 16_384
 """Received bytes, per connection, from which the socket isn't read further."""
 
+MAX_READ_BYTES = 32_768
+"""Most bytes that one read from the socket adds to those."""
+
 LARGE_BODY_BYTES = 64 * 1024
 """Length of a body from which it isn't joined to its head."""
 
@@ -115,6 +118,8 @@
             raise
         finally:
             opening.cancel()
+        # asyncio reads up to 256 KiB at once, whatever the read-ahead is.
+        writer.transport.max_size = MAX_READ_BYTES  # type: ignore[attr-defined]
         return cls(reader, writer)
 
     def buffer_requests(self, size_bytes: int) -> None:
