--- a/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
@@ -102,6 +102,10 @@
     def call_count(self) -> int:
         """Returns the number of calls made so far."""
 
+    @property
+    def received_bytes(self) -> int:
+        """Returns the number of bytes of answers received so far."""
+
     def set_address(self, address: Address) -> None:
         """Lets later calls go to another address of the store."""
 
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -46,8 +46,11 @@
 class FleetView:
     """Configuration, upstreams and evacuated failure domains.
 
-    An entry that disappears while the store recovers from an outage stays in
-    use for ``EXPIRY_GRACE_S``, since a live upstream renews it by then.
+    An entry that disappears while the store recovers from an outage is kept for
+    ``EXPIRY_GRACE_S``, since a live upstream renews it by then. It is used only
+    while half of its service or more has disappeared: this node can't tell an
+    outage of the store from calls of its own that failed, and an upstream that
+    leaves must not get work.
     """
 
     def __init__(self) -> None:
@@ -186,8 +189,10 @@
         self, service_id: ServiceId
     ) -> Iterator[KnownUpstream]:
         """Yields the upstreams of a service that may get new work."""
+        uses_expired = self._has_lost_half(service_id)
         for known in self._by_service.get(service_id, {}).values():
-            if self._takes_work(known.upstream):
+            is_listed = known.removed_at_s is None
+            if self._takes_work(known.upstream) and (is_listed or uses_expired):
                 yield known
 
     def may_still_get_work(self, upstream: Upstream) -> bool:
@@ -200,6 +205,10 @@
             known is not None
             and not self.is_new_incarnation(upstream)
             and self._takes_work(known.upstream)
+            and (
+                known.removed_at_s is None
+                or self._has_lost_half(upstream.service_id)
+            )
         )
 
     def sole_version(
@@ -232,6 +241,15 @@
             and other.upstream.upstream_id != upstream.upstream_id
         )
 
+    def _has_lost_half(self, service_id: ServiceId) -> bool:
+        """Returns whether half of a service or more has been removed.
+
+        An outage of the store lets many expire; engines that leave are few.
+        """
+        known = self._by_service.get(service_id, {}).values()
+        removed = sum(one.removed_at_s is not None for one in known)
+        return 2 * removed >= max(1, len(known))
+
     def _takes_work(self, upstream: Upstream) -> bool:
         return (
             upstream.state is UpstreamState.READY
--- a/packages/catkinreach-core/tests/gateway/test_view.py
+++ b/packages/catkinreach-core/tests/gateway/test_view.py
@@ -105,3 +105,18 @@
     )
     others = view.others_in_domain(lost)
     assert [other.upstream_id for other in others] == ['b']
+
+
+def test_engine_that_leaves_after_a_slow_read_still_gets_work() -> None:
+    # A read that failed or was slow counted as an outage of the store, in
+    # whose grace period removed entries stayed in use.
+    view = FleetView()
+    upstreams = [make_upstream(name) for name in 'abcd']
+    view.replace_upstreams(upstreams, 0.0)
+    view.record_store_recovery(10.0)
+    view.remove_upstream(UpstreamId('a'), 10.0)
+    assert _usable(view) == {'b', 'c', 'd'}
+    assert not view.may_still_get_work(upstreams[0])
+    view.remove_upstream(UpstreamId('b'), 10.1)
+    assert _usable(view) == {'a', 'b', 'c', 'd'}
+    assert view.may_still_get_work(upstreams[0])
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_reads.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_reads.py
@@ -30,20 +30,28 @@
 
     A call that isn't answered stays open while the next one begins on another
     connection: the store may be slow, or be back while the connection is dead.
+    While an answer is arriving, none begins: on a slow link the same long
+    answer would come several times at once, and each the later.
     """
 
     def __init__(
-        self, on_lost: Callable[[str, float], None], rng: random.Random
+        self,
+        on_lost: Callable[[str, float, float], None],
+        rng: random.Random,
+        received_bytes: Callable[[], int],
     ) -> None:
         """Prepares the calls.
 
         Args:
-            on_lost: Called with the reason, and the time in seconds since the
-                first call, when calls fail or aren't answered.
+            on_lost: Called when calls fail or aren't answered, with the
+                reason and two times in seconds: since the first call, and for
+                which the store has been silent beyond what is expected.
             rng: Spreads the calls of the fleet.
+            received_bytes: Returns the bytes of all answers so far.
         """
         self._on_lost = on_lost
         self._rng = rng
+        self._received_bytes = received_bytes
         self._retry_s = MIN_RETRY_S
 
     async def first_answer(
@@ -65,18 +73,24 @@
             HistoryLost: if the store no longer has what was asked for.
         """
         calls = _OverlappingCalls(first, again, answer_within_s)
+        received = self._received_bytes()
         try:
             while True:
                 if calls.is_next_due:
+                    earlier, received = received, self._received_bytes()
+                    if calls.is_open and received > earlier:
+                        calls.begin_next_after(NEXT_CALL_S)
+                        continue
                     if calls.are_unanswered:
-                        self._on_lost('no answer', calls.age_s)
+                        silent_s = calls.age_s - answer_within_s
+                        self._on_lost('no answer', calls.age_s, silent_s)
                     calls.begin_next()
                 for ended in await calls.wait():
                     failure = _failure(ended)
                     if failure is None:
                         self._retry_s = MIN_RETRY_S
                         return ended.result()
-                    self._on_lost(failure, calls.age_s)
+                    self._on_lost(failure, calls.age_s, 0.0)
                     calls.begin_next_within(self._pause_s())
         finally:
             await calls.cancel()
@@ -127,6 +141,15 @@
         self._next_at_s = self._now_s() + self._wait_s
         self._next, self._wait_s = self._again, NEXT_CALL_S
 
+    @property
+    def is_open(self) -> bool:
+        """Returns whether a call isn't answered yet."""
+        return bool(self._open)
+
+    def begin_next_after(self, pause_s: float) -> None:
+        """Lets the next call begin after a pause."""
+        self._next_at_s = self._now_s() + pause_s
+
     def begin_next_within(self, pause_s: float) -> None:
         """Lets the next call begin after a pause, or sooner if it is due."""
         self._next_at_s = min(self._next_at_s, self._now_s() + pause_s)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -34,6 +34,10 @@
 BATCH_INTERVAL_S = 0.3
 """Pause after a batch, so that a burst of changes is read in one call."""
 
+MIN_EXPIRY_OUTAGE_S = 1.0
+"""Outage of the store from which entries may have expired: that takes more than
+one missed heartbeat of an upstream, and a cut watch is no outage."""
+
 DEPENDENCY = 'store'
 
 
@@ -47,12 +51,14 @@
         """Prepares the task; nothing is read yet."""
         self._node = node
         self._feed = feed
-        self._is_unavailable = False
+        self._lost_at_s: float | None = None
         bounds = node.settings.bounds
         self._watch_wait_s = min(
             MAX_WATCH_WAIT_S, WATCH_WAIT_RATIO * bounds.apply_within_s
         )
-        self._reads = StoreReads(self._record_outage, node.rng)
+        self._reads = StoreReads(
+            self._record_outage, node.rng, lambda: feed.received_bytes
+        )
         self._updater = ViewUpdater(node)
         self._relay = StoreRelayLink(node, self._updater)
 
@@ -107,16 +113,19 @@
         self._node.revision = batch.revision
         self._relay.record_batch(batch)
 
-    def _record_outage(self, reason: str, call_s: float) -> None:
+    def _record_outage(
+        self, reason: str, call_s: float, silent_s: float
+    ) -> None:
         """Logs that the store is lost, once.
 
         Args:
             reason: Why it is.
             call_s: Time since the call began that it didn't answer.
+            silent_s: Time for which it is known to have been silent.
         """
-        if self._is_unavailable:
+        if self._lost_at_s is not None:
             return
-        self._is_unavailable = True
+        self._lost_at_s = self._node.clock() - silent_s
         self._node.log.write(
             Event.DEPENDENCY_LOST,
             dependency=DEPENDENCY,
@@ -134,15 +143,18 @@
     def _record_recovery(self) -> None:
         earlier_read_age_s = self._read_age_s()
         self._node.store_read_at_s = self._node.clock()
-        if not self._is_unavailable:
+        if self._lost_at_s is None:
             return
-        self._is_unavailable = False
-        self._node.view.record_store_recovery(self._node.clock())
+        now_s = self._node.clock()
+        outage_s, self._lost_at_s = now_s - self._lost_at_s, None
+        if outage_s >= MIN_EXPIRY_OUTAGE_S:
+            self._node.view.record_store_recovery(now_s)
         self._node.log.write(
             Event.DEPENDENCY_BACK,
             dependency=DEPENDENCY,
             revision=self._node.revision,
             read_age_s=earlier_read_age_s,
+            outage_s=round(outage_s, 3),
             peers_revision=self._node.peer_reports.newest_revision,
         )
 
--- a/packages/catkinreach-node/src/catkinreach_node/platform/store.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -27,7 +27,7 @@
 from catkinreach_core.ids import FailureDomainId, Revision, UpstreamId
 from catkinreach_core.ranges import Revision as RevisionNumber
 
-from ..http.client import HttpClient
+from ..http.client import MAX_BODY_BYTES, HttpClient
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpRequest
 from .boot import MS_PER_S
@@ -37,12 +37,15 @@
 if TYPE_CHECKING:
     from catkinreach_core.settings.node import Address
 
+    from ..http.client import ClientResponse
+
 ALL_KEYS_PREFIX: Final = ''
 CONFIG_KEY: Final = 'op/config'
 EVACUATED_PREFIX: Final = 'op/evacuate/'
 UPSTREAM_PREFIX: Final = 'servers/'
 ANSWER_TIMEOUT_S: Final = 2.0
-"""Time beyond the long poll of a watch after which a call fails."""
+"""Time beyond the long poll of a watch, or since the last part of an answer,
+after which a call fails."""
 
 STATUS_OK: Final = 200
 STATUS_HISTORY_LOST: Final = 410
@@ -80,12 +83,18 @@
         self._address = address
         self._http = HttpClient()
         self._call_count = 0
+        self._received_bytes = 0
 
     @property
     def call_count(self) -> int:
         """Returns the number of calls made so far."""
         return self._call_count
 
+    @property
+    def received_bytes(self) -> int:
+        """Returns the number of bytes of answers received so far."""
+        return self._received_bytes
+
     def set_address(self, address: Address) -> None:
         """Lets later calls go to another address of the store."""
         self._address = address
@@ -149,10 +158,10 @@
         request = HttpRequest('GET', f'{path}?{urlencode(query)}')
         try:
             async with (
-                asyncio.timeout(timeout_s),
+                asyncio.timeout(timeout_s) as limit,
                 self._http.exchange(self._address, request) as response,
             ):
-                body = await response.read()
+                body = await self._read(response, limit)
         except (ConnectError, ExchangeError, TimeoutError) as error:
             raise StoreUnavailable(str(error) or 'timed out') from error
         if response.status == STATUS_HISTORY_LOST:
@@ -161,6 +170,20 @@
             raise StoreUnavailable(f'status {response.status}')
         return body
 
+    async def _read(
+        self, response: ClientResponse, limit: asyncio.Timeout
+    ) -> bytes:
+        """Returns a body; the time limit starts anew with each part of it."""
+        loop = asyncio.get_running_loop()
+        body = bytearray()
+        async for part in response.chunks():
+            limit.reschedule(loop.time() + ANSWER_TIMEOUT_S)
+            self._received_bytes += len(part)
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                raise ExchangeError(f'answer of over {MAX_BODY_BYTES} bytes')
+        return bytes(body)
+
 
 def _check_progress(page: _Page, earlier: list[_Item]) -> None:
     """Refuses a page that doesn't go on after the earlier ones.
--- a/packages/catkinreach-node/tests/gateway/test_store_reads.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_reads.py
@@ -22,8 +22,11 @@
         self.calls = 0
         self.open_calls = 0
         self.lost: list[str] = []
+        self.received_bytes = 0
         self.reads = StoreReads(
-            lambda reason, _: self.lost.append(reason), random.Random(1)
+            lambda reason, _age_s, _silent_s: self.lost.append(reason),
+            random.Random(1),
+            lambda: self.received_bytes,
         )
 
     async def call(self) -> int:
@@ -74,3 +77,27 @@
     with pytest.raises(HistoryLost):
         store.read()
     assert store.open_calls == 0
+
+
+def test_long_answer_on_a_slow_link_is_read_several_times() -> None:
+    # Each further call made all of them slower; the store counted as lost.
+    store = FakeStore(ANSWER_WITHIN_S + 2.5 * NEXT_CALL_S)
+
+    async def read() -> int:
+        receiving = asyncio.ensure_future(_receive(store))
+        try:
+            return await store.reads.first_answer(
+                store.call, store.call, answer_within_s=ANSWER_WITHIN_S
+            )
+        finally:
+            receiving.cancel()
+
+    assert asyncio.run(read()) == 1
+    assert store.calls == 1
+    assert store.lost == []
+
+
+async def _receive(store: FakeStore) -> None:
+    while True:
+        store.received_bytes += 1
+        await asyncio.sleep(NEXT_CALL_S / 10)
--- a/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
@@ -70,6 +70,7 @@
         self._store = store
         self._host = host
         self.call_count = 0
+        self.received_bytes = 0
 
     def close(self) -> None:
         """Has no connections."""
