--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -214,6 +214,7 @@
             ExchangeError: if the connection closes before the body ends.
         """
         parts: list[bytes] = []
+        has_input_ended = False
         while True:
             event = self._protocol.next_event()
             if isinstance(event, h11.Data):
@@ -221,15 +222,34 @@
                 if self._has_consumed_input(event):
                     return b''.join(parts), False
             elif isinstance(event, h11.EndOfMessage):
+                if has_input_ended:
+                    await self._wait_sent()
                 return b''.join(parts), True
             elif event is not h11.NEED_DATA:
                 raise ExchangeError('response is incomplete or malformed')
             elif parts:
                 return b''.join(parts), False
             else:
-                self._protocol.receive_data(
-                    await self._reader.read(READ_SIZE_BYTES)
-                )
+                received = await self._reader.read(READ_SIZE_BYTES)
+                has_input_ended = not received
+                self._protocol.receive_data(received)
+
+    async def _wait_sent(self) -> None:
+        """Waits until the upstream has taken the whole request.
+
+        A body that ends with the input of its connection isn't whole if the
+        connection is reset while the request is still being sent.
+
+        Raises:
+            ExchangeError: if it is.
+        """
+        self._writer.transport.set_write_buffer_limits(high=0)
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise ExchangeError(
+                'connection reset during the request'
+            ) from error
 
     def _has_consumed_input(self, event: h11.Data) -> bool:
         """Returns whether at most the CRLF that ends the chunk is unread."""
