--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -23,6 +23,8 @@
 LARGE_BODY_BYTES = 64 * 1024
 """Length of a body from which it isn't joined to its head."""
 
+MAX_STATUS = 599
+
 _CHUNK_LINE_END = b'\r\n'
 CONNECT_TIMEOUT_S = 1.0
 BUSY_LOOP_S = 0.02
@@ -198,9 +200,17 @@
         return not wait.cancelled()
 
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
-        """Returns the next event of the response."""
+        """Returns the next event of the response.
+
+        Raises:
+            ExchangeError: if its status is none of HTTP.
+        """
         while True:
             event = self._protocol.next_event()
+            if isinstance(event, h11.Response) and (
+                event.status_code > MAX_STATUS
+            ):
+                raise ExchangeError(f'response with status {event.status_code}')
             if not isinstance(event, type) or event is h11.PAUSED:
                 return event
             self._protocol.receive_data(
