--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -212,6 +212,8 @@
         expiry_grace_s: Remaining time for upstreams to renew entries that
             expired during an outage of the store.
         changes: The changes, in order.
+        is_partial: Whether these are only the ones that stop work; others of
+            the same revisions, such as a configuration, are too long.
     """
 
     node: str
@@ -219,6 +221,7 @@
     revision: RevisionNumber
     expiry_grace_s: GraceSeconds
     changes: list[SmallChange]
+    is_partial: bool = False
 
 
 class StreamNotice(Struct, array_like=True, kw_only=True, tag='streams'):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -11,6 +11,7 @@
 from catkinreach_core.gateway.aggregation import AggregatorChoice
 from catkinreach_core.gateway.availability import Availability
 from catkinreach_core.gateway.crash_suspects import CrashSuspects
+from catkinreach_core.gateway.early_changes import EarlyChanges
 from catkinreach_core.gateway.health import HealthTable
 from catkinreach_core.gateway.load_table import LoadTable
 from catkinreach_core.gateway.members import Members
@@ -119,6 +120,8 @@
         self.stream_versions = StreamVersions(self)
         self.revision = Revision(0)
         self.changed_revision = Revision(0)
+        self.early_changes = EarlyChanges()
+        self.store_bytes: Callable[[], int] = _no_bytes
         self.store_read_at_s: float | None = None
         self.peer_is_ahead = asyncio.Event()
         self.availability_notes = AvailabilityNotes(
@@ -352,6 +355,11 @@
     del catalog
 
 
+def _no_bytes() -> int:
+    """Stands for the reads of the store until they begin."""
+    return 0
+
+
 def _drop_datagram(host: str, data: bytes) -> None:
     """Stands for the socket until it is open."""
     del host, data
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/snapshot_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/snapshot_link.py
@@ -36,6 +36,7 @@
 
 PULL_TIMEOUT_S = 1.0
 PULL_RETRY_S = 0.2
+"""Pause after a pull, and time to see whether the own read goes on."""
 
 SNAPSHOT_PATH = '/snapshot/'
 """Path of a snapshot; the version that the peer has follows."""
@@ -60,10 +61,21 @@
             wanted = self._node.peer_reports.newest_revision
             await asyncio.sleep(self._patience_s())
             while self._node.revision < wanted and (peers := self._ahead()):
+                if await self._reads_the_store():
+                    continue
                 await self._pull(self._node.rng.choice(peers))
                 if self._node.revision < wanted:
                     await asyncio.sleep(PULL_RETRY_S)
 
+    async def _reads_the_store(self) -> bool:
+        """Returns whether an answer of the store is arriving.
+
+        A snapshot would fill the link that the answer comes by.
+        """
+        received = self._node.store_bytes()
+        await asyncio.sleep(PULL_RETRY_S)
+        return self._node.store_bytes() > received
+
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Answers a peer's request for a snapshot."""
         node = self._node
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_relay_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_relay_link.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from catkinreach_core.gateway.early_changes import stops_work
 from catkinreach_core.gateway.feed import CatalogPublished
 from catkinreach_core.gateway.gossip import (
     StoreBeacon,
@@ -128,7 +129,10 @@
             for change in changes
             if not isinstance(change, CatalogPublished)
         ]
-        if len(small) < len(changes):
+        is_partial = len(small) < len(changes)
+        if is_partial:
+            small = [change for change in small if stops_work(change)]
+        if not small:
             return
         node = self._node
         data = encode_gossip(
@@ -138,6 +142,7 @@
                 revision=revision,
                 expiry_grace_s=node.view.remaining_grace_s(node.clock()),
                 changes=small,
+                is_partial=is_partial,
             )
         )
         if len(data) <= MAX_RELAYED_BYTES:
@@ -174,14 +179,28 @@
         node = self._node
         if self._read_at_s is None or not self._relay.accepts(message.node):
             return
+        if message.is_partial:
+            self._apply_early(message)
+            return
         if not has_next_changes(node.revision, message.after, message.revision):
             return
         node.view.extend_grace(message.expiry_grace_s, node.clock())
         for change in message.changes:
             self._updater.apply_change(change)
-        node.revision = node.changed_revision = message.revision
+        self._updater.complete(message.revision)
+        node.changed_revision = message.revision
         self._relay.record_held()
 
+    def _apply_early(self, message: StoreChanges) -> None:
+        """Applies changes that stop work; what precedes them is read later."""
+        node = self._node
+        if message.revision <= node.revision:
+            return
+        node.view.extend_grace(message.expiry_grace_s, node.clock())
+        node.early_changes.note(message.revision, message.changes)
+        for change in message.changes:
+            self._updater.apply_change(change)
+
 
 def _now_s() -> float:
     """Returns a time that also advances while the VM is suspended."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -60,6 +60,7 @@
             self._record_outage, node.rng, lambda: feed.received_bytes
         )
         self._updater = ViewUpdater(node)
+        node.store_bytes = lambda: feed.received_bytes
         self._relay = StoreRelayLink(node, self._updater)
 
     async def run(self) -> None:
@@ -110,7 +111,7 @@
             return
         for change in batch.changes:
             self._updater.apply_change(change)
-        self._node.revision = batch.revision
+        self._updater.complete(batch.revision)
         self._relay.record_batch(batch)
 
     def _record_outage(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
@@ -19,7 +19,7 @@
     from catkinreach_core.gateway.catalog import Catalog
     from catkinreach_core.gateway.feed import Change, Listing
     from catkinreach_core.gateway.upstream import Upstream
-    from catkinreach_core.ids import UpstreamId
+    from catkinreach_core.ids import Revision, UpstreamId
 
     from .node import Node
 
@@ -49,7 +49,13 @@
             self.apply_change(DomainRestored(domain_id))
         for domain_id in evacuated - self._node.view.evacuated:
             self.apply_change(DomainEvacuated(domain_id))
-        self._node.revision = listing.revision
+        self.complete(listing.revision)
+
+    def complete(self, revision: Revision) -> None:
+        """Notes up to which revision all changes are applied."""
+        self._node.revision = revision
+        for change in self._node.early_changes.beyond(revision):
+            self.apply_change(change)
 
     def apply_change(self, change: Change) -> None:
         """Applies one change to the view."""
--- a/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
@@ -7,13 +7,16 @@
 
 import pytest
 
+from catkinreach_core.gateway.catalog import Catalog
 from catkinreach_core.gateway.feed import (
+    CatalogPublished,
     ChangeBatch,
     DomainEvacuated,
     HistoryLost,
     Listing,
     StoreUnavailable,
     UpstreamPublished,
+    UpstreamRemoved,
 )
 from catkinreach_core.ids import FailureDomainId, Revision, UpstreamId
 from catkinreach_node.gateway.store_task import StoreTask
@@ -35,6 +38,9 @@
 """Two watches of a node that found no readers yet, and half a second."""
 
 QUIET_S = 2.0
+CATALOG = Catalog(
+    version=7, routes={}, services={}, workspaces={}, has_workspaces=False
+)
 MAX_CALLS_PER_READER_S = 3.0
 
 
@@ -56,9 +62,14 @@
 
     async def publish(self, change: Change) -> None:
         """Adds a change and ends the watches that wait for one."""
+        await self.publish_together(change)
+
+    async def publish_together(self, *changes: Change) -> None:
+        """Adds changes that one answer to a watch holds."""
         async with self.changed:
-            revision = Revision(self.revision + 1)
-            self.changes.append((revision, change))
+            for change in changes:
+                revision = Revision(self.revision + 1)
+                self.changes.append((revision, change))
             self.changed.notify_all()
 
 
@@ -222,3 +233,33 @@
         await _wait_for_all(fleet.nodes.values(), _is_evacuated)
 
     _run(scenario)
+
+
+def test_removal_beside_a_configuration_waits_for_its_read() -> None:
+    # Each VM had to read the configuration, on links of a few Mbit/s for
+    # seconds, before it learned which engine leaves.
+    async def scenario(fleet: FakeFleet, store: FakeStore) -> None:
+        await store.publish(UpstreamPublished(make_upstream('leaving')))
+        await _wait_for_all(fleet.nodes.values(), _knows_leaving)
+        store.calls.clear()
+        await asyncio.sleep(1.0)
+        readers = set(store.calls)
+        others = [host for host in fleet.nodes if host not in readers]
+        store.refused.update(others)
+        await store.publish_together(
+            CatalogPublished(CATALOG),
+            UpstreamRemoved(UpstreamId('leaving')),
+        )
+        await _wait_for_all(
+            [fleet.nodes[host] for host in others],
+            lambda node: not _knows_leaving(node),
+        )
+        assert all(
+            fleet.nodes[host].revision < store.revision for host in others
+        )
+
+    _run(scenario)
+
+
+def _knows_leaving(node: Node) -> bool:
+    return node.view.find_upstream(UpstreamId('leaving')) is not None
