--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -11,10 +11,8 @@
 from ..documents import DocumentError, decode_document
 from ..ids import (
     FailureDomainId,
-    RequestId,
     Revision,
     ServiceId,
-    SoftwareVersion,
     UpstreamId,
     WorkspaceId,
 )
@@ -34,6 +32,7 @@
 from .fleet_priority import RankedTokens
 from .header_text import is_sendable_name
 from .load_table import UpstreamLoad
+from .origin_messages import OriginQuery, OriginReply, StreamNotice
 from .peer_availability import AvailabilityReport
 from .upstream_limits import LimitReport
 
@@ -41,15 +40,7 @@
 MAX_GOSSIP_MEMBERS = 12
 """Members listed in one message; later messages list the others."""
 
-MAX_STREAMS_TOLD = 64
-"""Most streams in one notice."""
-
-MAX_TOLD_CHARS = 100
-"""Longest request id and software version that a notice holds."""
-
 _Members = Annotated[list[str], Meta(max_length=MAX_GOSSIP_MEMBERS)]
-_RequestId = Annotated[RequestId, Meta(max_length=MAX_TOLD_CHARS)]
-_SoftwareVersion = Annotated[SoftwareVersion, Meta(max_length=MAX_TOLD_CHARS)]
 
 
 NO_DOMAIN = FailureDomainId('')
@@ -224,51 +215,6 @@
     is_partial: bool = False
 
 
-class StreamNotice(Struct, array_like=True, kw_only=True, tag='streams'):
-    """Streams that begin, or go on, at the sender.
-
-    Attributes:
-        node: Address of the sender.
-        origins: Software version that began each stream, by the request that
-            brought its first event.
-    """
-
-    node: str
-    origins: Annotated[
-        dict[_RequestId, _SoftwareVersion], Meta(max_length=MAX_STREAMS_TOLD)
-    ]
-
-
-class OriginQuery(Struct, array_like=True, kw_only=True, tag='origin-query'):
-    """Question at which software version a stream began.
-
-    Attributes:
-        node: Address of the sender.
-        query_id: Number that the reply repeats.
-        request: Request that brought the stream's first event.
-        service: Service of the stream.
-    """
-
-    node: str
-    query_id: int
-    request: RequestId
-    service: ServiceId
-
-
-class OriginReply(Struct, array_like=True, kw_only=True, tag='origin-reply'):
-    """What a node knows of the version at which a stream began.
-
-    Attributes:
-        node: Address of the sender.
-        query_id: Number of the query.
-        version: The version; ``None`` if it isn't known.
-    """
-
-    node: str
-    query_id: int
-    version: _SoftwareVersion | None
-
-
 PeerDatagram: TypeAlias = (
     GossipMessage
     | CrashMessage
@@ -323,19 +269,15 @@
 __all__ = (
     'MAX_GOSSIP_BYTES',
     'MAX_GOSSIP_MEMBERS',
-    'MAX_TOLD_CHARS',
     'NO_DOMAIN',
     'CrashMessage',
     'GossipMessage',
     'LoadQuery',
     'LoadReply',
-    'OriginQuery',
-    'OriginReply',
     'PeerDatagram',
     'Phase',
     'StoreBeacon',
     'StoreChanges',
-    'StreamNotice',
     'decode_gossip',
     'encode_gossip',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/load_queries.py
@@ -173,7 +173,7 @@
                 is_complete=False,
             )
         queued = node.totals.queued_by_node(query.service, query.node)
-        if own_queued := node.queued_tokens().get(query.service):
+        if own_queued := node.wait_queues.tokens().get(query.service):
             queued.append(own_queued)
         return LoadReply(
             node=node.settings.host,
@@ -193,7 +193,7 @@
         """Returns what the streams queued at other nodes need, by rank."""
         node = self._node
         ranks = node.totals.waiting_ranks_by_node(query.service, query.node)
-        ranks.append(node.queued_ranks().get(query.service, {}))
+        ranks.append(node.wait_queues.tokens_by_rank().get(query.service, {}))
         return sum_ranks(ranks)
 
     def _loads_for(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/memory_wait.py
@@ -58,7 +58,7 @@
     def is_queue_empty(self) -> bool:
         """Returns whether no stream of the service waits at this node."""
         service_id = self._admitted.service.service_id
-        return not self._node.wait_queue(service_id).count
+        return not self._node.wait_queues.of(service_id).count
 
     def restart_timeout(self) -> None:
         """Restarts the queue timeout of a stream that is resumed."""
@@ -82,7 +82,7 @@
             CatkinreachError: if it would wait too long.
         """
         service_id = self._admitted.service.service_id
-        queue = self._node.wait_queue(service_id)
+        queue = self._node.wait_queues.of(service_id)
         entry = self._make_entry()
         queue.add(entry)
         self._node.report_change()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -25,13 +25,12 @@
 from catkinreach_core.gateway.switching_engines import SwitchingEngines
 from catkinreach_core.gateway.upstream_limits import UpstreamLimits
 from catkinreach_core.gateway.view import FleetView
-from catkinreach_core.gateway.wait_queue import WaitQueue
 from catkinreach_core.ids import Revision, ShardId, VmId
 from catkinreach_core.rendezvous import rank_vms
 
 from ..http.client import HttpClient
 from ..http.connection import ConnectError, ExchangeError
-from ..supervisor import BACKGROUND, Supervisor
+from ..supervisor import Supervisor
 from .availability_notes import AvailabilityNotes
 from .decision_log import DecisionLog, Event
 from .fleet_totals import FleetTotals
@@ -44,6 +43,7 @@
 from .stream_versions import StreamVersions
 from .upstream_checks import UpstreamChecks
 from .upstream_pool import UpstreamPool
+from .wait_queues import WaitQueues
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -102,11 +102,10 @@
         self.pool = UpstreamPool(self.clock)
         self.checks = UpstreamChecks(self)
         self.control_http = HttpClient()
-        self._tasks: set[asyncio.Task[Any]] = set()
         self.metrics = GatewayMetrics()
         self.log = DecisionLog(self.clock)
         self.supervisor = Supervisor(self.metrics, self._log_failure)
-        self._queues: dict[ServiceId, WaitQueue] = {}
+        self.wait_queues = WaitQueues(self.view, self._now_s)
         self.voted_leader = ''
         self.switching_engines = SwitchingEngines()
         self.peer_handlers: dict[type[object], Callable[[Any], None]] = {}
@@ -169,34 +168,6 @@
             and self.limit_notes.allows_request(known.upstream)
         ]
 
-    @property
-    def waiting_streams(self) -> int:
-        """Returns the number of streams that wait in this node's queues."""
-        return sum(queue.count for queue in self._queues.values())
-
-    def wait_queue(self, service_id: ServiceId) -> WaitQueue:
-        """Returns this node's queue of streams for a service."""
-        return self._queues.setdefault(service_id, WaitQueue())
-
-    def queued_tokens(self) -> dict[ServiceId, int]:
-        """Returns the memory tokens that queued streams need, by service."""
-        return {
-            service_id: queue.tokens
-            for service_id, queue in self._queues.items()
-            if queue.count
-        }
-
-    def queued_ranks(self) -> dict[ServiceId, dict[int, int]]:
-        """Returns the same by rank, of services with several priorities."""
-        catalog = self.view.catalog
-        if catalog is None or not catalog.prioritized_services:
-            return {}
-        return {
-            service_id: queue.tokens_by_rank(self.clock())
-            for service_id, queue in self._queues.items()
-            if queue.count and catalog.has_priorities(service_id)
-        }
-
     def report_change(self) -> None:
         """Tells the aggregators of a large fleet about a change."""
         if self.load_queries.is_active:
@@ -205,7 +176,7 @@
     def has_capacity(self, service: ServiceTraits) -> bool:
         """Returns whether a service has capacity that nobody waits for."""
         service_id = service.service_id
-        if service_id in self.queued_tokens():
+        if service_id in self.wait_queues.tokens():
             return False
         if service.engine is not None:
             return not self.totals.queued_tokens(service_id)
@@ -287,19 +258,7 @@
         self, work: Coroutine[None, None, _Result]
     ) -> asyncio.Task[_Result]:
         """Runs a coroutine in the background."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._end_task)
-        return task
-
-    def _end_task(self, task: asyncio.Task[Any]) -> None:
-        """Records an unexpected error of a background task."""
-        self._tasks.discard(task)
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error is not None:
-            self.supervisor.record(BACKGROUND, error)
+        return self.supervisor.run_in_background(work)
 
     def _log_failure(self, name: str, error: BaseException) -> None:
         self.log.write(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node_gauges.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node_gauges.py
@@ -44,7 +44,7 @@
 def _own_gauges(node: Node) -> dict[str, Callable[[], float]]:
     """Returns gauges of the node's own work."""
     return {
-        'streams_waiting': lambda: node.waiting_streams,
+        'streams_waiting': lambda: node.wait_queues.waiting_streams,
         'reply_buffer_bytes': lambda: node.reply_buffer.used_bytes,
         'connections_opened': lambda: node.pool.opened_count,
         'log_lines_dropped': lambda: node.log.dropped,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/origin_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/origin_link.py
@@ -6,12 +6,12 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from catkinreach_core.gateway.gossip import (
+from catkinreach_core.gateway.gossip import encode_gossip
+from catkinreach_core.gateway.origin_messages import (
     MAX_TOLD_CHARS,
     OriginQuery,
     OriginReply,
     StreamNotice,
-    encode_gossip,
 )
 from catkinreach_core.gateway.stream_origins import StreamOrigins, told_hosts
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -218,7 +218,7 @@
             admitted=node.quota.own_counts(now_s),
             down=self._take_down(is_load_change=is_load_change),
             replaced=node.replaced_upstreams(),
-            waiting=node.queued_tokens(),
+            waiting=node.wait_queues.tokens(),
             holder=node.voted_leader,
             switching=node.switching_engines.remaining_s(now_s),
             unavailable=self._take_unavailable(is_load_change=is_load_change),
@@ -226,7 +226,7 @@
             ends_unix_ms=node.shutdown.ends_unix_ms,
             counting_ms=math.ceil(1000 * (node.quota.counting_s(now_s) or 0.0)),
             known_nodes=node.members.count,
-            waiting_ranks=node.queued_ranks(),
+            waiting_ranks=node.wait_queues.tokens_by_rank(),
             store_revision=node.changed_revision,
             limits=node.limit_notes.reports(),
         )
--- a/packages/catkinreach-node/src/catkinreach_node/supervisor.py
+++ b/packages/catkinreach-node/src/catkinreach_node/supervisor.py
@@ -4,15 +4,17 @@
 
 import asyncio
 from contextlib import contextmanager
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from loguru import logger
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterator
+    from collections.abc import Awaitable, Callable, Coroutine, Iterator
 
     from .telemetry.metrics import ProcessMetrics
 
+_Result = TypeVar('_Result')
+
 RESTART_DELAY_S = 0.2
 """Pause before a task that failed goes on."""
 
@@ -39,6 +41,7 @@
             on_failure: Called for each error, with the name of the task.
         """
         self._metrics = metrics
+        self._tasks: set[asyncio.Task[Any]] = set()
         self._on_failure = on_failure
 
     async def keep_running(
@@ -65,6 +68,24 @@
         except Exception as error:  # noqa: BLE001 - the process must go on
             self.record(name, error)
 
+    def run_in_background(
+        self, work: Coroutine[None, None, _Result]
+    ) -> asyncio.Task[_Result]:
+        """Runs a coroutine that nobody need wait for."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_background)
+        return task
+
+    def _end_background(self, task: asyncio.Task[Any]) -> None:
+        """Records an unexpected error of a task in the background."""
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self.record(BACKGROUND, error)
+
     def record(self, name: str, error: BaseException) -> None:
         """Records an unexpected error of a task."""
         self._metrics.count_task_failure(name)
--- a/packages/catkinreach-node/tests/gateway/test_callers_that_leave.py
+++ b/packages/catkinreach-node/tests/gateway/test_callers_that_leave.py
@@ -60,7 +60,7 @@
             )
 
             async def is_queued() -> bool:
-                return node.wait_queue(ServiceId(MODEL_SERVICE)).count > 0
+                return node.wait_queues.of(ServiceId(MODEL_SERVICE)).count > 0
 
             async def has_left() -> bool:
                 return not await is_queued()
--- a/packages/catkinreach-node/tests/gateway/test_gateway_stop.py
+++ b/packages/catkinreach-node/tests/gateway/test_gateway_stop.py
@@ -75,7 +75,7 @@
             reporting = asyncio.ensure_future(_report_full_engines(node))
 
             async def is_queued() -> bool:
-                return node.wait_queue(ServiceId(MODEL_SERVICE)).count > 0
+                return node.wait_queues.of(ServiceId(MODEL_SERVICE)).count > 0
 
             await asyncio.sleep(0)
             calling = _call_patiently(deployment, '/stream/', 'POST')
--- a/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
+++ b/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from catkinreach_core.gateway.gossip import (
+from catkinreach_core.gateway.gossip import decode_gossip
+from catkinreach_core.gateway.load_table import UpstreamLoad
+from catkinreach_core.gateway.origin_messages import (
     OriginQuery,
     OriginReply,
     StreamNotice,
-    decode_gossip,
 )
-from catkinreach_core.gateway.load_table import UpstreamLoad
 from catkinreach_core.ids import RequestId, ServiceId, SoftwareVersion
 from catkinreach_node.http.connection import ExchangeError
 from catkinreach_standins.platform.config import MODEL_SERVICE
