--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -5,9 +5,8 @@
 from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
-from catkinreach_core.errors import ErrorKind
 from catkinreach_core.gateway.event_numbering import EventNumbering
-from catkinreach_core.gateway.placement import StreamNeed, is_overbooked
+from catkinreach_core.gateway.placement import is_overbooked
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
@@ -17,7 +16,7 @@
 from .event_relay import EventRelay
 from .memory_wait import MIN_REMAINING_S, MemoryWait
 from .reply_wait import ReplyWait
-from .stream_context import StreamContext, VersionPin
+from .stream_context import StreamContext
 from .stream_log import StreamLog
 from .stream_planner import StreamPlanner
 from .stream_prefill import StreamPrefill
@@ -28,7 +27,6 @@
     from catkinreach_core.gateway.catalog import EngineTraits
     from catkinreach_core.gateway.placement import StreamPlan
     from catkinreach_core.gateway.upstream import Upstream
-    from catkinreach_core.ids import SoftwareVersion
 
     from .admitted_request import AdmittedRequest
     from .handover import Handover
@@ -39,8 +37,6 @@
 """Factor on the predicted time to the first event; with the slack added, it is
 the time after which another engine may get the stream."""
 
-DEFAULT_PROMPT_TOKENS = 1000
-
 
 class StreamHandler:
     """Opens one stream and resumes it when its engine is lost."""
@@ -54,21 +50,12 @@
         self._attempts = Attempts(node, admitted)
         self._handover: Handover[EngineStream] | None = None
         self._has_begun = False
-        prompt = admitted.metadata.prompt_tokens
-        if prompt is None:
-            prompt = DEFAULT_PROMPT_TOKENS
-        self._need = StreamNeed(
-            prompt_tokens=prompt,
-            memory_tokens=node.output_estimate.memory_tokens(
-                prompt, admitted.metadata.output_tokens
-            ),
-        )
         self._traits = traits
         self._numbering = EventNumbering(admitted.metadata.resume_after)
-        self._pin = VersionPin()
-        context = StreamContext(
-            node, admitted, self._attempts, self._need, traits, self._pin
+        context = StreamContext.for_request(
+            node, admitted, self._attempts, traits
         )
+        self._context = context
         self._prefill = StreamPrefill(context)
         self._replies = StreamReplies(context, self._prefill)
         self._log = StreamLog(context)
@@ -83,13 +70,14 @@
             CatkinreachError: if it can't be served.
         """
         if self._admitted.metadata.is_resumption:
-            self._pin.version = await self._find_version()
+            await self._node.stream_versions.pin(self._context)
         engine_stream = await self._open_first()
         if self._replies.whole_response is not None:
             return self._replies.whole_response
         self._has_begun = True
-        self._pin.version = engine_stream.upstream.software_version
-        self._node.stream_versions.record(self._admitted, self._pin.version)
+        self._node.stream_versions.record(
+            self._context, engine_stream.upstream.software_version
+        )
         reply = engine_stream.reply
         headers = self._node.dialect.caller_headers(reply.headers)
         relay = EventRelay(
@@ -159,20 +147,6 @@
             has_started=engine_stream.has_started,
         )
 
-    async def _find_version(self) -> SoftwareVersion:
-        """Returns the version that began the stream which the caller resumes.
-
-        Raises:
-            CatkinreachError: if it isn't known.
-        """
-        version = await self._node.stream_versions.find(self._admitted)
-        if version is None:
-            raise self._attempts.error(
-                ErrorKind.NO_UPSTREAM,
-                'it is not known at which software version the stream began',
-            )
-        return version
-
     async def _open_first(self) -> EngineStream:
         """Opens the stream; whatever ends that ends the request's trial."""
         is_open = False
@@ -204,7 +178,7 @@
                 self._node,
                 self._admitted,
                 plan.decode.upstream,
-                self._need,
+                self._context.need,
                 self._numbering,
                 prefills_prompt=plan.prefill is None,
             )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from catkinreach_core.errors import ErrorKind
+
 from .decision_log import Event
 from .held_prompt_reads import HeldPromptReads
 from .origin_link import OriginLink
@@ -19,6 +21,7 @@
 
     from .admitted_request import AdmittedRequest
     from .node import Node
+    from .stream_context import StreamContext
 
 
 class VersionSource(Enum):
@@ -40,14 +43,26 @@
         self._link = OriginLink(node)
         self._held = HeldPromptReads(node)
 
-    def record(
-        self, admitted: AdmittedRequest, version: SoftwareVersion
-    ) -> None:
-        """Records a stream that begins, or goes on, and tells peers."""
-        origin = admitted.metadata.origin
+    def record(self, context: StreamContext, version: SoftwareVersion) -> None:
+        """Pins a stream that begins, or goes on, to a version; tells peers."""
+        context.pin.version = version
+        origin = context.admitted.metadata.origin
         if origin:
             self._link.record(origin, version)
 
+    async def pin(self, context: StreamContext) -> None:
+        """Pins a stream that its caller resumes to the version that began it.
+
+        Raises:
+            CatkinreachError: if that version isn't known.
+        """
+        context.pin.version = await self.find(context.admitted)
+        if context.pin.version is None:
+            raise context.attempts.error(
+                ErrorKind.NO_UPSTREAM,
+                'it is not known at which software version the stream began',
+            )
+
     async def find(self, admitted: AdmittedRequest) -> SoftwareVersion | None:
         """Returns the version of a stream that its caller resumes, if known."""
         version, source = await self._search(admitted)
