--- a/packages/catkinreach-core/src/catkinreach_core/gateway/stream_origins.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/stream_origins.py
@@ -41,7 +41,12 @@
     def record(
         self, request_id: RequestId, version: SoftwareVersion, now_s: float
     ) -> None:
-        """Records the version of a stream that began, or goes on."""
+        """Records the version of a stream that began, or goes on.
+
+        Streams whose request isn't known have nothing in common.
+        """
+        if not request_id:
+            return
         self._origins.pop(request_id, None)
         self._origins[request_id] = (version, now_s)
         self._drop_oldest(now_s)
--- a/packages/catkinreach-core/tests/gateway/test_stream_versions.py
+++ b/packages/catkinreach-core/tests/gateway/test_stream_versions.py
@@ -85,6 +85,12 @@
     assert origins.find(RequestId('b')) == V2
 
 
+def test_streams_without_a_request_shared_one_version() -> None:
+    origins = StreamOrigins()
+    origins.merge({RequestId(''): V1}, 0.0)
+    assert origins.find(RequestId('')) is None
+
+
 def test_origins_are_bounded() -> None:
     origins = StreamOrigins()
     for number in range(MAX_ORIGINS + 10):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
@@ -15,7 +15,7 @@
 from .origin_link import OriginLink
 
 if TYPE_CHECKING:
-    from catkinreach_core.ids import SoftwareVersion
+    from catkinreach_core.ids import RequestId, SoftwareVersion
 
     from .admitted_request import AdmittedRequest
     from .node import Node
@@ -44,9 +44,7 @@
         self, admitted: AdmittedRequest, version: SoftwareVersion
     ) -> None:
         """Records a stream that begins, or goes on, and tells peers."""
-        origin = admitted.metadata.origin
-        if origin:
-            self._link.record(origin, version)
+        self._record(admitted.metadata.origin, version)
 
     async def find(self, admitted: AdmittedRequest) -> SoftwareVersion | None:
         """Returns the version of a stream that its caller resumes, if known."""
@@ -60,6 +58,10 @@
         )
         return version
 
+    def _record(self, origin: RequestId, version: SoftwareVersion) -> None:
+        if origin:
+            self._link.record(origin, version)
+
     async def _search(
         self, admitted: AdmittedRequest
     ) -> tuple[SoftwareVersion | None, VersionSource]:
@@ -76,7 +78,7 @@
             return version, VersionSource.PEER
         version = await self._held.find(service_id, admitted.metadata.own_part)
         if version is not None:
-            self._link.record(origin, version)
+            self._record(origin, version)
             return version, VersionSource.ENGINE
         return None, VersionSource.NOBODY
 
--- a/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
+++ b/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
@@ -170,6 +170,25 @@
     _run(scenario)
 
 
+def test_streams_without_resumes_shared_one_version() -> None:
+    async def scenario(deployment: Deployment, _app: GatewayApp) -> None:
+        for name, part in (('d', 'cc1'), ('e', 'cc2')):
+            deployment.upstreams[name].held_parts.add(part)
+        for name, part in (('d', 'cc1'), ('e', 'cc2')):
+            request = deployment.make_request(
+                '/stream/',
+                method='POST',
+                body=b'prompt',
+                token_count='1000,100',
+                prompt_prefix=f'aa1:200,{part}:800',
+                last_event_id='4',
+            )
+            assert (await _read(deployment, request))[0] == 200
+            assert _runs(deployment, request)[name] == 1
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize('name', ['d', 'e'])
 def test_node_resumes_a_stream_at_the_version_that_began_it_here(
     name: str,
