--- a/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
@@ -42,15 +42,16 @@
     async def find(
         self, service_id: ServiceId, part: str
     ) -> SoftwareVersion | None:
-        """Returns the version whose engines hold a part, if it is only one."""
+        """Returns the version whose engines hold a part, if it is only one.
+
+        What was read earlier doesn't suffice: a part may be that of a session,
+        whose next stream has begun at another version.
+        """
         if not part:
             return None
+        await asyncio.shield(self._latest_read(service_id))
         self._held.expire(self._node.clock())
-        version = self._held.find(service_id, part)
-        if version is None:
-            await asyncio.shield(self._latest_read(service_id))
-            version = self._held.find(service_id, part)
-        return version
+        return self._held.find(service_id, part)
 
     def _latest_read(self, service_id: ServiceId) -> asyncio.Future[None]:
         """Returns the read that runs, or ended just now, or begins."""
--- a/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
+++ b/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
@@ -15,6 +15,7 @@
 )
 from catkinreach_core.gateway.load_table import UpstreamLoad
 from catkinreach_core.ids import RequestId, ServiceId, SoftwareVersion
+from catkinreach_node.gateway.held_prompt_reads import READ_INTERVAL_S
 from catkinreach_node.http.connection import ExchangeError
 from catkinreach_standins.platform.config import MODEL_SERVICE
 from catkinreach_standins.platform.deployment import (
@@ -189,6 +190,22 @@
     _run(scenario)
 
 
+def test_part_seen_earlier_hid_the_version_that_holds_it_now() -> None:
+    # A part of a session is held at v1; its next stream then began at v2.
+    async def scenario(deployment: Deployment, _app: GatewayApp) -> None:
+        deployment.upstreams['d'].held_parts.add(OWN_PART)
+        earlier = _resumption(deployment, 'of-the-earlier-process')
+        assert (await _read(deployment, earlier))[0] == 200
+        deployment.upstreams['e'].held_parts.add(OWN_PART)
+        await asyncio.sleep(READ_INTERVAL_S)
+        request = _resumption(deployment, 'of-another-process')
+        status, _ = await _read(deployment, request)
+        assert status == 503
+        assert _runs(deployment, request) == {'d': 0, 'e': 0}
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize('name', ['d', 'e'])
 def test_node_resumes_a_stream_at_the_version_that_began_it_here(
     name: str,
