--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
@@ -17,7 +17,7 @@
 from .origin_link import OriginLink
 
 if TYPE_CHECKING:
-    from catkinreach_core.ids import SoftwareVersion
+    from catkinreach_core.ids import RequestId, SoftwareVersion
 
     from .admitted_request import AdmittedRequest
     from .node import Node
@@ -46,9 +46,7 @@
     def record(self, context: StreamContext, version: SoftwareVersion) -> None:
         """Pins a stream that begins, or goes on, to a version; tells peers."""
         context.pin.version = version
-        origin = context.admitted.metadata.origin
-        if origin:
-            self._link.record(origin, version)
+        self._record(context.admitted.metadata.origin, version)
 
     async def pin(self, context: StreamContext) -> None:
         """Pins a stream that its caller resumes to the version that began it.
@@ -75,6 +73,10 @@
         )
         return version
 
+    def _record(self, origin: RequestId, version: SoftwareVersion) -> None:
+        if origin:
+            self._link.record(origin, version)
+
     async def _search(
         self, admitted: AdmittedRequest
     ) -> tuple[SoftwareVersion | None, VersionSource]:
@@ -91,7 +93,7 @@
             return version, VersionSource.PEER
         version = await self._held.find(service_id, admitted.metadata.own_part)
         if version is not None:
-            self._link.record(origin, version)
+            self._record(origin, version)
             return version, VersionSource.ENGINE
         return None, VersionSource.NOBODY
 
