--- a/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/dialect.py
@@ -51,6 +51,12 @@
         Model engines do so without waiting for a slot.
         """
 
+    def read_started_ms(self, body: bytes) -> int | None:
+        """Returns the start that the reply to such a request names.
+
+        In Unix milliseconds; ``None`` if it names none.
+        """
+
     def held_prompts_request(self, upstream: Upstream) -> HttpRequest:
         """Returns the request that lists the parts of prompts it holds."""
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import h11
@@ -42,7 +42,18 @@
 
 @dataclass(slots=True)
 class Reply:
-    """A reply whose body isn't read yet; owns its connection."""
+    """A reply whose body isn't read yet; owns its connection.
+
+    Attributes:
+        node: State of the process.
+        upstream: Upstream that the request was sent to.
+        connection: Connection that the reply comes on.
+        status: Status of the reply.
+        headers: Headers of the reply.
+        metadata: Metadata of the reply.
+        sent_s: Monotonic time at which the request was sent.
+        silence_s: Longest time without data since the head.
+    """
 
     node: Node
     upstream: Upstream
@@ -51,6 +62,12 @@
     headers: Headers
     metadata: ReplyMetadata
     sent_s: float
+    silence_s: float = field(default=0.0, init=False)
+    _last_data_s: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begins with the arrival of the head."""
+        self._last_data_s = self.node.clock()
 
     @property
     def is_success(self) -> bool:
@@ -101,7 +118,7 @@
         if not self.ends_with_connection:
             return
         check = IdentityCheck(self.node)
-        if not await check.is_same(self.upstream, self.sent_s):
+        if not await check.is_same(self.upstream, self.sent_s, self.silence_s):
             raise ExchangeError('connection ended with its upstream')
 
     async def next_data(self) -> tuple[bytes, bool]:
@@ -111,9 +128,13 @@
             ExchangeError: if the connection is lost.
         """
         try:
-            return await self.connection.next_data()
+            data = await self.connection.next_data()
         except (OSError, h11.RemoteProtocolError) as error:
             raise ExchangeError('connection lost during the reply') from error
+        now_s = self.node.clock()
+        self.silence_s = max(self.silence_s, now_s - self._last_data_s)
+        self._last_data_s = now_s
+        return data
 
     async def read_all(self, max_bytes: int = MAX_REPLY_BYTES) -> bytes:
         """Returns the whole body and releases the connection.
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -17,7 +17,7 @@
 from catkinreach_core.gateway.upstream import Stage
 from catkinreach_core.gateway.upstream_limits import MAX_LIMIT_PER_S
 from catkinreach_core.ids import RequestId, UpstreamId
-from catkinreach_core.ranges import Count
+from catkinreach_core.ranges import Count, UnixMilliseconds
 
 from ..http.messages import JSON_TYPE, Headers, HttpRequest
 from .boot import MS_PER_S
@@ -93,8 +93,13 @@
     held: list[tuple[str, str, Count, str]]
 
 
+class _Report(Struct):
+    born: UnixMilliseconds
+
+
 _PREFILL_DECODER = msgspec.json.Decoder(_Prefill)
 _HELD_DECODER = msgspec.json.Decoder(_HeldPrompts)
+_REPORT_DECODER = msgspec.json.Decoder(_Report)
 
 
 class PlatformDialect:
@@ -195,6 +200,13 @@
         is_engine = upstream.stage is not Stage.WHOLE
         return HttpRequest('GET', REPORT_PATH if is_engine else path)
 
+    def read_started_ms(self, body: bytes) -> int | None:
+        """Returns the start that the reply to such a request names."""
+        try:
+            return decode_document(_REPORT_DECODER, body).born
+        except DocumentError:
+            return None
+
     def held_prompts_request(self, upstream: Upstream) -> HttpRequest:
         """Returns the request that lists the parts of prompts it holds."""
         headers: Headers = [('expect-instance', upstream.upstream_id)]
--- a/packages/catkinreach-node/tests/platform/test_wire.py
+++ b/packages/catkinreach-node/tests/platform/test_wire.py
@@ -123,3 +123,22 @@
     headers: list[tuple[str, str]], *, is_leaving: bool
 ) -> None:
     assert PlatformDialect().read_reply(200, headers).is_leaving is is_leaving
+
+
+# A report of another type or out of range is as good as none.
+@pytest.mark.parametrize(
+    ('body', 'started_ms'),
+    [
+        (b'{"born":1700000000000,"stage":"decode"}', 1_700_000_000_000),
+        (b'{"stage":"decode"}', None),
+        (b'{"born":"1700000000000"}', None),
+        (b'{"born":1.5}', None),
+        (b'{"born":99999999999999999999}', None),
+        (b'[' * 100_000, None),
+        (b'', None),
+    ],
+)
+def test_report_with_an_odd_start_is_misread(
+    body: bytes, started_ms: int | None
+) -> None:
+    assert PlatformDialect().read_started_ms(body) == started_ms
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/received_request.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/received_request.py
@@ -13,7 +13,8 @@
 
 READ_SIZE_BYTES = 65_536
 HELD_PROMPTS_PATH = '/kv-list'
-CHECK_PATHS = frozenset({'/health', '/report', HELD_PROMPTS_PATH})
+REPORT_PATH = '/report'
+CHECK_PATHS = frozenset({'/health', REPORT_PATH, HELD_PROMPTS_PATH})
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +90,7 @@
 __all__ = (
     'HELD_PROMPTS_PATH',
     'READ_SIZE_BYTES',
+    'REPORT_PATH',
     'ReceivedRequest',
     'read_request',
 )
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -13,7 +13,7 @@
 import h11
 import msgspec
 
-from .received_request import HELD_PROMPTS_PATH, read_request
+from .received_request import HELD_PROMPTS_PATH, REPORT_PATH, read_request
 from .upstream_availability import UpstreamAvailability
 from .upstream_behaviour import (
     HEALTHY_BEHAVIOURS,
@@ -66,6 +66,8 @@
         resumed_failures: Number of resumed streams that will fail.
         version: Version of its software in the store.
         held_parts: Parts of prompts that it has read since its start.
+        reported_start_ms: Start that its report names, in Unix milliseconds;
+            0 if it names none.
         availability: Whether it leaves or wants a pause, and its current id.
     """
 
@@ -90,6 +92,7 @@
     resumed_failures: int = 0
     version: str = 'v1'
     held_parts: set[str] = field(default_factory=set)
+    reported_start_ms: int = 0
     availability: UpstreamAvailability = field(init=False)
     _server: asyncio.Server | None = None
     _port: int = 0
@@ -223,6 +226,8 @@
         body = b''
         if request.target == HELD_PROMPTS_PATH:
             body = self._held_prompts()
+        elif request.target == REPORT_PATH and self.reported_start_ms:
+            body = msgspec.json.encode({'born': self.reported_start_ms})
         reply = response(request, 200, self.instance_id, body, is_sealed=False)
         writer.write(add_lines(reply, lines))
 
