--- a/packages/catkinreach-core/src/catkinreach_core/gateway/software_versions.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/software_versions.py
@@ -26,8 +26,17 @@
     def __init__(self) -> None:
         """Starts without a view of the store."""
         self._watched_since_s = math.inf
+        self._is_watching = True
         self._last_seen_s: dict[ServiceId, dict[SoftwareVersion, float]] = {}
 
+    def pause(self) -> None:
+        """Notes that the store is lost: other versions may begin to serve."""
+        self._is_watching = False
+
+    def go_on(self) -> None:
+        """Notes that the store is read again."""
+        self._is_watching = True
+
     def restart(self, now_s: float) -> None:
         """Notes that what was listed until now may have been missed."""
         self._watched_since_s = now_s
@@ -53,7 +62,7 @@
             now_s: Monotonic clock.
         """
         begins_s = now_s - STREAM_LIFETIME_S
-        if self._watched_since_s > begins_s:
+        if not self._is_watching or self._watched_since_s > begins_s:
             return None
         last_seen_s = self._last_seen_s.get(service_id, {})
         for version in tuple(last_seen_s):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -151,6 +151,14 @@
             self.remove_upstream(upstream_id, now_s)
         self._is_listed = True
 
+    def record_store_loss(self) -> None:
+        """Notes that entries may change unseen from now on."""
+        self._versions.pause()
+
+    def record_store_read(self) -> None:
+        """Notes that the entries are those of the store again."""
+        self._versions.go_on()
+
     def record_store_recovery(self, now_s: float) -> None:
         """Starts the grace period after an outage of the store."""
         self.extend_grace(EXPIRY_GRACE_S, now_s)
--- a/packages/catkinreach-core/tests/gateway/test_stream_versions.py
+++ b/packages/catkinreach-core/tests/gateway/test_stream_versions.py
@@ -69,6 +69,15 @@
     assert view.sole_version(SERVICE, OLD_S + STREAM_LIFETIME_S) == V1
 
 
+def test_version_that_began_during_an_outage_was_taken_for_none() -> None:
+    view = FleetView()
+    view.put_upstream(_upstream('a', V1), 0.0)
+    view.record_store_loss()
+    assert view.sole_version(SERVICE, OLD_S) is None
+    view.record_store_read()
+    assert view.sole_version(SERVICE, OLD_S) == V1
+
+
 def test_services_have_versions_of_their_own() -> None:
     versions = SoftwareVersions()
     versions.note(SERVICE, V1, 0.0)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -127,6 +127,7 @@
         if self._lost_at_s is not None:
             return
         self._lost_at_s = self._node.clock() - silent_s
+        self._node.view.record_store_loss()
         self._node.log.write(
             Event.DEPENDENCY_LOST,
             dependency=DEPENDENCY,
@@ -148,6 +149,7 @@
             return
         now_s = self._node.clock()
         outage_s, self._lost_at_s = now_s - self._lost_at_s, None
+        self._node.view.record_store_read()
         if outage_s >= MIN_EXPIRY_OUTAGE_S:
             self._node.view.record_store_recovery(now_s)
         self._node.log.write(
--- a/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
+++ b/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import count
 from typing import TYPE_CHECKING
 
 import pytest
 
+from catkinreach_core.gateway import software_versions
 from catkinreach_core.gateway.gossip import decode_gossip
 from catkinreach_core.gateway.load_table import UpstreamLoad
 from catkinreach_core.gateway.origin_messages import (
@@ -20,8 +22,10 @@
 from catkinreach_standins.platform.config import MODEL_SERVICE
 from catkinreach_standins.platform.deployment import (
     Deployment,
+    eventually,
     running_deployment,
 )
+from catkinreach_standins.platform.store import StoreFault
 from catkinreach_standins.platform.upstream import EVENT_COUNT
 from catkinreach_standins.platform.upstream_behaviour import Behaviour
 
@@ -33,6 +37,9 @@
 
 PEER = '127.0.0.9'
 OWN_PART = 'bb2'
+OUTAGE_NOTICED_S = 5.0
+"""A watch and the call after it, both without an answer."""
+
 EVENTS = tuple(
     f'id: {number}\ndata: token {number}\n\n'.encode()
     for number in range(1, EVENT_COUNT + 1)
@@ -53,13 +60,15 @@
     asyncio.run(run())
 
 
-def _request(deployment: Deployment, **headers: str) -> HttpRequest:
+def _request(
+    deployment: Deployment, own_part: str = OWN_PART, **headers: str
+) -> HttpRequest:
     return deployment.make_request(
         '/stream/',
         method='POST',
         body=b'prompt',
         token_count='1000,100',
-        prompt_prefix=f'aa1:200,{OWN_PART}:800',
+        prompt_prefix=f'aa1:200,{own_part}:800',
         **headers,
     )
 
@@ -134,6 +143,34 @@
     _run(scenario)
 
 
+def test_version_before_an_outage_was_taken_for_the_only_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Behind a cut of the store another version may begin streams.
+    monkeypatch.setattr(software_versions, 'STREAM_LIFETIME_S', 0.1)
+
+    async def scenario(deployment: Deployment, _app: GatewayApp) -> None:
+        deployment.upstreams['e'].version = 'v1'
+        deployment.publish_upstream(deployment.upstreams['e'])
+        await asyncio.sleep(0.5)
+        request = _resumption(deployment, 'before')
+        assert (await _read(deployment, request))[0] == 200
+        deployment.store.fault = StoreFault.RESET
+        numbers = count()
+
+        async def is_refused() -> bool:
+            # No engine holds the prompt of a stream that nobody here began.
+            name = f'c{next(numbers)}'
+            request = _request(
+                deployment, name, last_event_id='4', resumes=name
+            )
+            return (await _read(deployment, request))[0] == 503
+
+        await eventually(is_refused, within_s=OUTAGE_NOTICED_S)
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize('name', ['d', 'e'])
 def test_restarted_node_resumes_where_the_prompt_is_held(name: str) -> None:
     async def scenario(deployment: Deployment, _app: GatewayApp) -> None:
@@ -176,14 +213,7 @@
         for name, part in (('d', 'cc1'), ('e', 'cc2')):
             deployment.upstreams[name].held_parts.add(part)
         for name, part in (('d', 'cc1'), ('e', 'cc2')):
-            request = deployment.make_request(
-                '/stream/',
-                method='POST',
-                body=b'prompt',
-                token_count='1000,100',
-                prompt_prefix=f'aa1:200,{part}:800',
-                last_event_id='4',
-            )
+            request = _request(deployment, part, last_event_id='4')
             assert (await _read(deployment, request))[0] == 200
             assert _runs(deployment, request)[name] == 1
 
