--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -185,6 +185,7 @@
             'peers': self._peers.run,
             'snapshots': self._snapshots.run,
             'probes': self._probes.run,
+            'stream-versions': self._node.stream_versions.run,
             'orders': self._orders.run,
             'settings': self._watch_settings,
         }
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
@@ -49,10 +49,14 @@
         """
         if not part:
             return None
-        await asyncio.shield(self._latest_read(service_id))
+        await self.read(service_id)
         self._held.expire(self._node.clock())
         return self._held.find(service_id, part)
 
+    async def read(self, service_id: ServiceId) -> None:
+        """Reads what the engines of a service hold now."""
+        await asyncio.shield(self._latest_read(service_id))
+
     def _latest_read(self, service_id: ServiceId) -> asyncio.Future[None]:
         """Returns the read that runs, or ended just now, or begins."""
         now_s = self._node.clock()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,12 @@
     from .stream_context import StreamContext
 
 
+VIEW_POLL_S = 0.05
+
+HEAR_PEERS_S = 0.6
+"""Time in which a VM that starts hears most of its peers."""
+
+
 class VersionSource(Enum):
     """Who told at which version a stream began."""
 
@@ -44,6 +51,45 @@
         self._held = HeldPromptReads(node)
         self._link = OriginLink(node, self._held.find)
 
+    async def run(self) -> None:
+        """Asks the engines once, if the whole fleet has started anew.
+
+        Later they drop the prompts of before for those of new streams.
+        """
+        node = self._node
+        await self._wait_for_view()
+        await asyncio.sleep(HEAR_PEERS_S)
+        catalog = node.view.catalog
+        if catalog is None or not self._has_fleet_restarted:
+            return
+        for service in catalog.services.values():
+            if service.engine and self._reads_engines(service.service_id):
+                await self._held.read(service.service_id)
+
+    async def _wait_for_view(self) -> None:
+        while True:
+            if self._node.view.is_complete:
+                return
+            await asyncio.sleep(VIEW_POLL_S)
+
+    @property
+    def _has_fleet_restarted(self) -> bool:
+        """Returns whether no peer has run for longer than a short time."""
+        node = self._node
+        peers = tuple(node.members.responsive(node.clock()))
+        return len(node.peer_reports.counting_s(peers, node.clock())) == len(
+            peers
+        )
+
+    def _reads_engines(self, service_id: ServiceId) -> bool:
+        hosts = self._reading_hosts(service_id)
+        return not hosts or self._node.settings.host in hosts
+
+    def _reading_hosts(self, service_id: ServiceId) -> tuple[str, ...]:
+        node = self._node
+        peers = node.members.responsive(node.clock())
+        return reading_hosts(service_id, (node.settings.host, *peers))
+
     def record(self, context: StreamContext, version: SoftwareVersion) -> None:
         """Pins a stream that begins, or goes on, to a version; tells peers."""
         context.pin.version = version
@@ -104,13 +150,10 @@
         self, service_id: ServiceId, part: str
     ) -> SoftwareVersion | None:
         """Asks the engines, or in a large fleet the VMs that do so for all."""
-        node = self._node
-        own_host = node.settings.host
-        hosts = reading_hosts(
-            service_id, (own_host, *node.members.responsive(node.clock()))
-        )
-        if part and hosts and own_host not in hosts:
-            answer = await self._link.ask_readers(hosts, service_id, part)
+        if part and not self._reads_engines(service_id):
+            answer = await self._link.ask_readers(
+                self._reading_hosts(service_id), service_id, part
+            )
             if answer.is_answered:
                 return answer.version
         return await self._held.find(service_id, part)
--- a/packages/catkinreach-node/tests/gateway/test_versions_after_a_kill.py
+++ b/packages/catkinreach-node/tests/gateway/test_versions_after_a_kill.py
@@ -23,6 +23,7 @@
 EVENT_GAP_S = 0.4
 KILL_AFTER_S = 1.0
 RESTART_TIMEOUT_S = 10.0
+READ_AFTER_S = 2.5
 
 
 def _request(
@@ -109,3 +110,27 @@
             assert ['e'] in servers
 
     asyncio.run(run())
+
+
+# Engines had dropped the prompts for those of new streams by then.
+def test_streams_of_before_a_kill_are_resumed_late(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with running_fronts(2, tmp_path) as (deployment, fronts):
+            deployment.upstreams['e'].version = 'v2'
+            deployment.publish_upstream(deployment.upstreams['e'])
+            for front in fronts:
+                await front.kill()
+            deployment.upstreams['e'].held_parts.add('bb1')
+            for front in fronts:
+                await front.start()
+            await eventually(fronts[0].is_ready, within_s=RESTART_TIMEOUT_S)
+            await asyncio.sleep(READ_AFTER_S)
+            deployment.upstreams['e'].held_parts.clear()
+            resumption = _request(
+                deployment, 1, last_event_id='4', resumes='before'
+            )
+            status, _ = await _count_events(deployment, fronts[0], resumption)
+            assert status == 200
+            assert _server_of(deployment, resumption) == ['e']
+
+    asyncio.run(run())
