--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_reports.py
@@ -58,12 +58,15 @@
     Attributes:
         crashes: The crashes, each once.
         suspects: The keys.
+        memory_ms: Time for which the node, or a peer that told it, has
+            remembered crashes, in milliseconds.
     """
 
     crashes: Annotated[list[SeenCrash], Meta(max_length=MAX_CRASHES_TOLD)]
     suspects: Annotated[
         dict[SuspectKey, SuspectReport], Meta(max_length=MAX_KEYS_TOLD)
     ]
+    memory_ms: AgeMs = 0
 
     @property
     def is_consistent(self) -> bool:
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/crash_suspects.py
@@ -19,7 +19,9 @@
 requests.
 
 Nodes exchange the crashes themselves, not counts of them. A crash that several
-nodes saw counts once, and what a node knew survives its end.
+nodes saw counts once, and what a node knew survives its end. If all nodes start
+again, what they learn anew may be trials of a key that was refused before: it
+is then refused for as long as after so many trials.
 """
 
 from __future__ import annotations
@@ -30,6 +32,7 @@
 from typing import TYPE_CHECKING
 
 from .crash_log import CrashLog
+from .crash_memory import CrashMemory
 from .crash_reports import (
     CrashReport,
     CrashSource,
@@ -38,13 +41,14 @@
     SuspectReport,
 )
 from .datagram_ranges import MAX_AGE_MS
-from .suspect import CRASHES_TO_REFUSE, MIN_REFUSAL_S, Suspect
+from .suspect import CRASHES_TO_REFUSE, MIN_REFUSAL_S
 from .trial import Trial
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Iterator
 
     from .crash_log import Crash
+    from .suspect import Suspect
 
 CRASHES_TO_STOP_RETRY = 2
 """Crashes of one of its keys after which a request that crashed an upstream
@@ -81,16 +85,21 @@
     """Crashes by suspect key, as this node and its peers saw them."""
 
     def __init__(
-        self, rank_of: Callable[[SuspectKey], int] = lambda _: 0
+        self,
+        rank_of: Callable[[SuspectKey], int] = lambda _: 0,
+        *,
+        started_s: float = -math.inf,
     ) -> None:
         """Starts without suspects.
 
         Args:
             rank_of: Returns this node's place, from 0, in the order in which
                 nodes try a key again.
+            started_s: Time from which this node has seen crashes.
         """
         self._rank_of = rank_of
         self._log = CrashLog()
+        self._memory = CrashMemory(started_s)
         self._suspects: OrderedDict[SuspectKey, Suspect] = OrderedDict()
         self._trial = Trial()
         self._has_news = False
@@ -115,6 +124,7 @@
         self, keys: Collection[SuspectKey], ran_at_s: float, now_s: float
     ) -> None:
         """Clears the keys of a request that began to run at a time."""
+        self._memory.record_run(keys, ran_at_s, now_s)
         self._trial.end(keys)
         for key in keys:
             suspect = self._suspects.get(key)
@@ -161,6 +171,7 @@
 
     def merge(self, report: CrashReport, now_s: float) -> None:
         """Adds what a peer reported."""
+        self._memory.extend(report.memory_ms / MS_PER_S, now_s)
         crashes = self._log.identify_reported(
             [
                 (seen.source, now_s - seen.age_ms / MS_PER_S)
@@ -168,7 +179,7 @@
             ]
         )
         for key, told in report.suspects.items():
-            suspect = self._suspects.setdefault(key, Suspect())
+            suspect = self._find_or_add(key)
             if told.ran_ms_ago is not None:
                 suspect.clear(now_s - told.ran_ms_ago / MS_PER_S, now_s)
             found = [crashes[index] for index in told.crashes]
@@ -195,6 +206,7 @@
         return CrashReport(
             [SeenCrash(one.source, _to_ms(now_s - one.at_s)) for one in told],
             suspects,
+            _to_ms(self._memory.age_s(now_s)),
         )
 
     def take_news(self) -> bool:
@@ -216,7 +228,10 @@
         if any(map(suspect.is_explained_by, others)):
             return _Permit.FREE
         delay_s = self._rank_of(key) * RANK_DELAY_S
-        if now_s < suspect.refusal_end_s(others) + delay_s:
+        end_s = suspect.refusal_end_s(
+            others, may_lack_crashes=self._memory.may_lack_crashes(suspect)
+        )
+        if now_s < end_s + delay_s:
             return _Permit.REFUSED
         return _Permit.TRIAL
 
@@ -242,10 +257,16 @@
 
     def _touch(self, key: SuspectKey) -> Suspect:
         """Returns the suspect, which becomes the newest one."""
-        suspect = self._suspects.setdefault(key, Suspect())
+        suspect = self._find_or_add(key)
         self._suspects.move_to_end(key)
         return suspect
 
+    def _find_or_add(self, key: SuspectKey) -> Suspect:
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            suspect = self._suspects[key] = self._memory.new_suspect(key)
+        return suspect
+
     def _drop_oldest(self) -> None:
         """Drops the oldest keys that aren't refused, if there are too many."""
         excess = len(self._suspects) - MAX_SUSPECTS
@@ -259,7 +280,7 @@
 
 
 def _to_ms(duration_s: float) -> int:
-    return min(MAX_AGE_MS, max(0, round(duration_s * MS_PER_S)))
+    return round(min(MAX_AGE_MS, max(0.0, duration_s * MS_PER_S)))
 
 
 __all__ = (
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/suspect.py
@@ -24,6 +24,10 @@
 """Time without a crash after which another one begins a new round. Upstreams
 that are lost together, as with their failure domain, make one round."""
 
+TURN_S = 1.0
+"""The same for a key that may have been refused before: upstreams that crash
+in turn rather than together may be trials of it."""
+
 MAX_UNEXPLAINED = 1
 EXCUSED_REFUSAL_S = 2.0
 """Time after its last crash for which a key is refused if another key explains
@@ -49,6 +53,11 @@
     ran_at_s: float = -math.inf
     changed_s: float = 0.0
 
+    @property
+    def first_crash_s(self) -> float:
+        """Returns the time of the oldest crash."""
+        return min((crash.at_s for crash in self.crashes), default=math.inf)
+
     @property
     def last_crash_s(self) -> float:
         """Returns the time of the newest crash."""
@@ -98,11 +107,16 @@
             and len(self._unexplained_by(other)) < CRASHES_TO_REFUSE
         )
 
-    def refusal_end_s(self, others: Iterable[Suspect]) -> float:
+    def refusal_end_s(
+        self, others: Iterable[Suspect], *, may_lack_crashes: bool = False
+    ) -> float:
         """Returns when a request with the key may be tried again.
 
         Args:
             others: Keys with too many crashes, which the request doesn't have.
+            may_lack_crashes: Whether the key may have been refused before its
+                first known crash. Then the rounds are one more than known, and
+                each upstream that crashed in its turn is one.
         """
         rest = [
             (len(self._unexplained_by(other)), len(other.crashes))
@@ -115,17 +129,21 @@
             return self.last_crash_s
         if any(unexplained <= MAX_UNEXPLAINED for unexplained, _ in rest):
             return self.last_crash_s + EXCUSED_REFUSAL_S
-        doublings = min(self._count_rounds() - 1, 16)
+        if may_lack_crashes:
+            rounds = 1 + self._count_rounds(TURN_S)
+        else:
+            rounds = self._count_rounds(ROUND_S)
+        doublings = min(rounds - 1, 16)
         refusal_s = MIN_REFUSAL_S * float(1 << doublings)
         return self.last_crash_s + min(MAX_REFUSAL_S, refusal_s)
 
     def _unexplained_by(self, other: Suspect) -> set[Crash]:
         return self.crashes.keys() - other.crashes.keys()
 
-    def _count_rounds(self) -> int:
+    def _count_rounds(self, gap_s: float) -> int:
         times_s = sorted(crash.at_s for crash in self.crashes)
         return 1 + sum(
-            later_s - earlier_s >= ROUND_S
+            later_s - earlier_s >= gap_s
             for earlier_s, later_s in pairwise(times_s)
         )
 
@@ -135,5 +153,6 @@
     'EXCUSED_REFUSAL_S',
     'MIN_REFUSAL_S',
     'ROUND_S',
+    'TURN_S',
     'Suspect',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -83,7 +83,9 @@
         self.cold_rate_limiter = SharedRateLimiter(self.rng.random)
         self.limits = UpstreamLimits(settings.host, self.rng.random)
         self.output_estimate = OutputEstimate()
-        self.crash_suspects = CrashSuspects(self._trial_rank)
+        self.crash_suspects = CrashSuspects(
+            self._trial_rank, started_s=self.clock()
+        )
         self.members = Members(settings.host, settings.peer_hosts)
         self.quota = QuotaTable(
             window_s=bounds.quota_window_s,
--- a/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
+++ b/packages/catkinreach-node/tests/gateway/test_crashing_parts.py
@@ -6,7 +6,10 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.crash_log import SAME_CRASH_S
-from catkinreach_core.gateway.crash_suspects import CRASHES_TO_REFUSE
+from catkinreach_core.gateway.crash_suspects import (
+    CRASHES_TO_REFUSE,
+    MIN_REFUSAL_S,
+)
 from catkinreach_core.ids import UpstreamId
 from catkinreach_standins.platform.config import MODEL_SERVICE
 from catkinreach_standins.platform.deployment import (
@@ -190,6 +193,23 @@
     asyncio.run(run())
 
 
+def test_gateway_that_just_started_tries_a_part_once_more() -> None:
+    # review/10: three retries to learn anew, and a fourth after 20 s.
+    async def run() -> None:
+        deployment = _deployment()
+        async with running_deployment(deployment=deployment) as (_, gateway):
+            for wait_s in (SAME_CRASH_S + 1, MIN_REFUSAL_S + 1, 0.0):
+                await deployment.client.call_raw(
+                    deployment.caller_address,
+                    _stream(deployment, SHARED_PART, CRASHING_PART),
+                )
+                await _restart_crashed(deployment, gateway, FIRST_RESTART_MS)
+                _skip_time(gateway, wait_s)
+            assert _count_crashing(deployment) == CRASHES_TO_REFUSE
+
+    asyncio.run(run())
+
+
 async def _restart_at_once(deployment: Deployment, gateway: GatewayApp) -> None:
     """Restarts crashed engines at their addresses; the store isn't told."""
     for upstream in deployment.upstreams.values():
