--- a/packages/catkinreach-core/src/catkinreach_core/gateway/shared_rate.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/shared_rate.py
@@ -62,6 +62,21 @@
         """Returns whether an upstream may get a request now."""
         return self._refill(upstream_id, rate_per_s, members, now_s).tokens >= 1
 
+    def wait_s(
+        self,
+        upstream_id: UpstreamId,
+        rate_per_s: float,
+        members: int,
+        now_s: float,
+    ) -> float:
+        """Returns the time until an upstream may get one more request.
+
+        Requests that are counted already but wait for their time come first.
+        """
+        bucket = self._refill(upstream_id, rate_per_s, members, now_s)
+        missing = max(0.0, 1.0 - bucket.tokens)
+        return missing / _own_rate_per_s(rate_per_s, members)
+
     def spend(self, upstream_id: UpstreamId) -> None:
         """Counts a request that is sent to an upstream."""
         bucket = self._buckets.get(upstream_id)
@@ -85,11 +100,16 @@
             tokens = 1.0 if starts_full else self._random_level()
             bucket = self._buckets[upstream_id] = _Bucket(tokens, now_s)
             return bucket
-        own_rate_per_s = rate_per_s * RATE_USE / max(1, members)
+        own_rate_per_s = _own_rate_per_s(rate_per_s, members)
         refilled = (now_s - bucket.refilled_at_s) * own_rate_per_s
         bucket.tokens = min(1.0, bucket.tokens + refilled)
         bucket.refilled_at_s = now_s
         return bucket
 
 
+def _own_rate_per_s(rate_per_s: float, members: int) -> float:
+    """Returns a node's part of a rate."""
+    return rate_per_s * RATE_USE / max(1, members)
+
+
 __all__ = ('RATE_USE', 'SharedRateLimiter')
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/upstream_limits.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/upstream_limits.py
@@ -85,6 +85,11 @@
     per_s: float | None
     heard_at_s: float
 
+    @property
+    def rate_per_s(self) -> float:
+        """Returns the rate at which a limited upstream gets requests."""
+        return max(MIN_PER_S, self.per_s or 0.0)
+
 
 class UpstreamLimits:
     """Limits of upstreams, and this node's part of them."""
@@ -192,14 +197,12 @@
             hosts: Returns the responsive peers.
             now_s: Monotonic clock.
         """
-        if not self._words:
-            return True
-        word = self._words.get(Incarnation.from_upstream(upstream))
-        if word is None or word.per_s is None:
+        word = self._find_limit(upstream)
+        if word is None:
             return True
-        per_s = max(MIN_PER_S, word.per_s)
+        per_s = word.rate_per_s
         ranked = self._rank(upstream.upstream_id, hosts())
-        count = min(len(ranked), int(SENDERS_PER_RATE * per_s) + MIN_SENDERS)
+        count = min(len(ranked), _sender_count(per_s))
         unconfirmed_s = now_s - word.heard_at_s - UNCONFIRMED_S - 2 / per_s
         if not self._may_send(ranked, count, unconfirmed_s):
             return False
@@ -207,6 +210,36 @@
             upstream.upstream_id, per_s, count, now_s
         )
 
+    def check_wait_s(
+        self,
+        upstream: Upstream,
+        hosts: Callable[[], tuple[str, ...]],
+        now_s: float,
+    ) -> float:
+        """Returns the time until an upstream may get a check of this node.
+
+        A check follows a request that was sent, so that it needs no turn of
+        its own; it takes its place at the rate before later requests.
+
+        Args:
+            upstream: The upstream.
+            hosts: Returns the responsive peers.
+            now_s: Monotonic clock.
+        """
+        word = self._find_limit(upstream)
+        if word is None:
+            return 0.0
+        per_s = word.rate_per_s
+        count = min(len(hosts()) + 1, _sender_count(per_s))
+        return self._rates.wait_s(upstream.upstream_id, per_s, count, now_s)
+
+    def _find_limit(self, upstream: Upstream) -> _Word | None:
+        """Returns the word of an upstream that has a limit."""
+        if not self._words:
+            return None
+        word = self._words.get(Incarnation.from_upstream(upstream))
+        return None if word is None or word.per_s is None else word
+
     def _may_send(
         self, ranked: tuple[str, ...], count: int, unconfirmed_s: float
     ) -> bool:
@@ -232,10 +265,8 @@
 
     def wait_s(self, upstream: Upstream) -> float:
         """Returns the mean time between requests of the fleet; 0 for any."""
-        word = self._words.get(Incarnation.from_upstream(upstream))
-        if word is None or word.per_s is None:
-            return 0.0
-        return 1 / max(MIN_PER_S, word.per_s)
+        word = self._find_limit(upstream)
+        return 0.0 if word is None else 1 / word.rate_per_s
 
     def forget(self, upstream_id: UpstreamId) -> None:
         """Drops what was known of a removed or restarted upstream."""
@@ -258,6 +289,11 @@
         return ranked.hosts
 
 
+def _sender_count(per_s: float) -> int:
+    """Returns the most VMs that divide a rate."""
+    return int(SENDERS_PER_RATE * per_s) + MIN_SENDERS
+
+
 def _put(
     words: OrderedDict[Incarnation, _Word],
     incarnation: Incarnation,
--- a/packages/catkinreach-core/tests/gateway/test_upstream_limits.py
+++ b/packages/catkinreach-core/tests/gateway/test_upstream_limits.py
@@ -149,3 +149,15 @@
     limits.forget(UPSTREAM.upstream_id)
     assert limits.allows_request(UPSTREAM, lambda: (), 0.1)
     assert not limits.limited_count
+
+
+def test_check_of_a_response_passes_the_limit() -> None:
+    node = UpstreamLimits('10.0.0.1', lambda: 1.0)
+    assert not node.check_wait_s(UPSTREAM, tuple, 0.0)
+    node.record_answer(UPSTREAM, 2.0, 0.0)
+    assert not node.check_wait_s(UPSTREAM, tuple, 0.0)
+    node.spend(UPSTREAM.upstream_id)
+    wait_s = node.check_wait_s(UPSTREAM, tuple, 0.0)
+    assert wait_s >= 1 / 2.0
+    assert not node.allows_request(UPSTREAM, tuple, 0.9 * wait_s)
+    assert node.check_wait_s(UPSTREAM, tuple, wait_s) < 1e-9
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -13,7 +13,6 @@
 from ..http.connection import ClosedToRequestsError, ExchangeError
 from ..http.messages import EVENT_STREAM_TYPE, STATUSES_WITHOUT_BODY
 from .decision_log import Event
-from .identity_check import IdentityCheck
 from .reply_buffer import BufferFullError
 
 if TYPE_CHECKING:
@@ -117,8 +116,9 @@
         """
         if not self.ends_with_connection:
             return
-        check = IdentityCheck(self.node)
-        if not await check.is_same(self.upstream, self.sent_s, self.silence_s):
+        if not await self.node.identity_check.is_same(
+            self.upstream, self.sent_s, self.silence_s
+        ):
             raise ExchangeError('connection ended with its upstream')
 
     async def next_data(self) -> tuple[bytes, bool]:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/limit_notes.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/limit_notes.py
@@ -72,6 +72,14 @@
             upstream, lambda: node.members.responsive(now_s), now_s
         )
 
+    def check_wait_s(self, upstream: Upstream) -> float:
+        """Returns the time until an upstream may get a check of this node."""
+        node = self._node
+        now_s = node.clock()
+        return node.limits.check_wait_s(
+            upstream, lambda: node.members.responsive(now_s), now_s
+        )
+
     def retry_delay_s(self, service_id: ServiceId) -> float:
         """Returns the time until a service may take one more request.
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -36,6 +36,7 @@
 from .decision_log import DecisionLog, Event
 from .fleet_totals import FleetTotals
 from .gateway_metrics import GatewayMetrics
+from .identity_check import IdentityCheck
 from .limit_notes import LimitNotes
 from .load_queries import LoadQueries
 from .node_gauges import add_gauges
@@ -101,6 +102,7 @@
         self.reply_buffer = ReplyBuffer()
         self.pool = UpstreamPool(self.clock)
         self.checks = UpstreamChecks(self)
+        self.identity_check = IdentityCheck(self)
         self.control_http = HttpClient()
         self._tasks: set[asyncio.Task[Any]] = set()
         self.metrics = GatewayMetrics()
