--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -35,6 +35,7 @@
 from .decision_log import DecisionLog, Event
 from .fleet_totals import FleetTotals
 from .gateway_metrics import GatewayMetrics
+from .identity_check import IdentityCheck
 from .limit_notes import LimitNotes
 from .load_queries import LoadQueries
 from .node_gauges import add_gauges
@@ -103,6 +104,7 @@
         self.reply_buffer = ReplyBuffer()
         self.pool = UpstreamPool(self.clock)
         self.checks = UpstreamChecks(self)
+        self.identity_check = IdentityCheck(self)
         self.control_http = HttpClient()
         self.metrics = GatewayMetrics()
         self.log = DecisionLog(self.clock)
