--- a/packages/catkinreach-core/src/catkinreach_core/gateway/early_changes.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/early_changes.py
@@ -13,7 +13,13 @@
 
 from typing import TYPE_CHECKING
 
-from .feed import DomainEvacuated, UpstreamPublished, UpstreamRemoved
+from .feed import (
+    DomainEvacuated,
+    DomainRestored,
+    EntryUnreadable,
+    UpstreamPublished,
+    UpstreamRemoved,
+)
 from .upstream import UpstreamState
 
 if TYPE_CHECKING:
@@ -36,6 +42,28 @@
     return False
 
 
+def lasting_stops(changes: Iterable[SmallChange]) -> list[SmallChange]:
+    """Returns the changes that stop work and that no later one replaces.
+
+    An upstream may leave and be back under its id.
+    """
+    last = {_subject(change): change for change in changes}
+    return [change for change in last.values() if stops_work(change)]
+
+
+def _subject(change: SmallChange) -> str:
+    """Returns the id of the upstream or failure domain that changes."""
+    match change:
+        case UpstreamPublished(upstream):
+            return f'upstream {upstream.upstream_id}'
+        case UpstreamRemoved(upstream_id):
+            return f'upstream {upstream_id}'
+        case DomainEvacuated(domain_id) | DomainRestored(domain_id):
+            return f'domain {domain_id}'
+        case EntryUnreadable():
+            return f'upstream {change.upstream_id}'
+
+
 class EarlyChanges:
     """What a VM was told beyond the revision that it has read up to."""
 
@@ -58,4 +86,4 @@
         return [change for _, change in self._changes]
 
 
-__all__ = ('EarlyChanges', 'stops_work')
+__all__ = ('EarlyChanges', 'lasting_stops', 'stops_work')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_relay_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_relay_link.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from catkinreach_core.gateway.early_changes import stops_work
+from catkinreach_core.gateway.early_changes import lasting_stops
 from catkinreach_core.gateway.feed import CatalogPublished
 from catkinreach_core.gateway.gossip import (
     StoreBeacon,
@@ -131,7 +131,7 @@
         ]
         is_partial = len(small) < len(changes)
         if is_partial:
-            small = [change for change in small if stops_work(change)]
+            small = lasting_stops(small)
         if not small:
             return
         node = self._node
@@ -175,15 +175,15 @@
             self._is_needed.set()
 
     def _take_changes(self, message: StoreChanges) -> None:
-        """Applies relayed changes that continue what this VM has."""
+        """Applies relayed changes; early if they don't continue its own."""
         node = self._node
         if self._read_at_s is None or not self._relay.accepts(message.node):
             return
-        if message.is_partial:
+        if message.is_partial or not has_next_changes(
+            node.revision, message.after, message.revision
+        ):
             self._apply_early(message)
             return
-        if not has_next_changes(node.revision, message.after, message.revision):
-            return
         node.view.extend_grace(message.expiry_grace_s, node.clock())
         for change in message.changes:
             self._updater.apply_change(change)
@@ -197,8 +197,9 @@
         if message.revision <= node.revision:
             return
         node.view.extend_grace(message.expiry_grace_s, node.clock())
-        node.early_changes.note(message.revision, message.changes)
-        for change in message.changes:
+        changes = lasting_stops(message.changes)
+        node.early_changes.note(message.revision, changes)
+        for change in changes:
             self._updater.apply_change(change)
 
 
--- a/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
@@ -239,27 +239,59 @@
     # Each VM had to read the configuration, on links of a few Mbit/s for
     # seconds, before it learned which engine leaves.
     async def scenario(fleet: FakeFleet, store: FakeStore) -> None:
-        await store.publish(UpstreamPublished(make_upstream('leaving')))
-        await _wait_for_all(fleet.nodes.values(), _knows_leaving)
-        store.calls.clear()
-        await asyncio.sleep(1.0)
-        readers = set(store.calls)
-        others = [host for host in fleet.nodes if host not in readers]
-        store.refused.update(others)
+        others = await _refuse_all_but_readers(fleet, store)
         await store.publish_together(
             CatalogPublished(CATALOG),
             UpstreamRemoved(UpstreamId('leaving')),
         )
-        await _wait_for_all(
-            [fleet.nodes[host] for host in others],
-            lambda node: not _knows_leaving(node),
-        )
-        assert all(
-            fleet.nodes[host].revision < store.revision for host in others
+        await _wait_for_all(others, lambda node: not _knows_leaving(node))
+        assert all(node.revision < store.revision for node in others)
+
+    _run(scenario)
+
+
+def test_removal_behind_an_unread_configuration_was_not_applied() -> None:
+    async def scenario(fleet: FakeFleet, store: FakeStore) -> None:
+        others = await _refuse_all_but_readers(fleet, store)
+        await store.publish(CatalogPublished(CATALOG))
+        await asyncio.sleep(1.0)
+        await store.publish(UpstreamRemoved(UpstreamId('leaving')))
+        await _wait_for_all(others, lambda node: not _knows_leaving(node))
+        assert all(node.revision < store.revision for node in others)
+
+    _run(scenario)
+
+
+def test_removal_told_early_hid_that_the_upstream_is_back() -> None:
+    async def scenario(fleet: FakeFleet, store: FakeStore) -> None:
+        others = await _refuse_all_but_readers(fleet, store)
+        await store.publish_together(
+            CatalogPublished(CATALOG),
+            UpstreamRemoved(UpstreamId('leaving')),
+            UpstreamPublished(make_upstream('leaving')),
+            DomainEvacuated(DOMAIN),
         )
+        await _wait_for_all(others, _is_evacuated)
+        assert all(map(_knows_leaving, others))
 
     _run(scenario)
 
 
+async def _refuse_all_but_readers(
+    fleet: FakeFleet, store: FakeStore
+) -> list[Node]:
+    """Lets only the readers read on; returns the other nodes."""
+    await store.publish(UpstreamPublished(make_upstream('leaving')))
+    await _wait_for_all(fleet.nodes.values(), _knows_leaving)
+    # After a change each node reads the store once.
+    await asyncio.sleep(QUIET_S)
+    store.calls.clear()
+    await asyncio.sleep(1.0)
+    others = fleet.nodes.keys() - set(store.calls)
+    assert others
+    store.refused.update(others)
+    return [fleet.nodes[host] for host in others]
+
+
 def _knows_leaving(node: Node) -> bool:
     return node.view.find_upstream(UpstreamId('leaving')) is not None
