--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_reads.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_reads.py
@@ -14,6 +14,10 @@
 NEXT_CALL_S = 0.6
 """Time without an answer after which another call begins."""
 
+MAX_ARRIVING_S = 10.0
+"""Time for which an answer that is arriving holds up the next call; it may
+never end."""
+
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.3
 """Longest mean pause after a call that failed."""
@@ -78,7 +82,7 @@
             while True:
                 if calls.is_next_due:
                     earlier, received = received, self._received_bytes()
-                    if calls.is_open and received > earlier:
+                    if calls.may_arrive and received > earlier:
                         calls.begin_next_after(NEXT_CALL_S)
                         continue
                     if calls.are_unanswered:
@@ -113,7 +117,8 @@
     ) -> None:
         """Prepares the calls; none has begun."""
         self._now_s = asyncio.get_running_loop().time
-        self._began_s = self._next_at_s = self._now_s()
+        self._began_s = self._last_began_s = self._now_s()
+        self._next_at_s = self._began_s
         self._next, self._again = first, again
         self._wait_s = answer_within_s
         self._open: set[asyncio.Task[_Answer]] = set()
@@ -138,13 +143,15 @@
         """Begins another call."""
         self._open.add(asyncio.create_task(self._next()))
         self._count += 1
+        self._last_began_s = self._now_s()
         self._next_at_s = self._now_s() + self._wait_s
         self._next, self._wait_s = self._again, NEXT_CALL_S
 
     @property
-    def is_open(self) -> bool:
-        """Returns whether a call isn't answered yet."""
-        return bool(self._open)
+    def may_arrive(self) -> bool:
+        """Returns whether the answer to the newest call may be arriving."""
+        age_s = self._now_s() - self._last_began_s
+        return bool(self._open) and age_s < MAX_ARRIVING_S
 
     def begin_next_after(self, pause_s: float) -> None:
         """Lets the next call begin after a pause."""
--- a/packages/catkinreach-node/tests/gateway/test_store_reads.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_reads.py
@@ -8,6 +8,7 @@
 import pytest
 
 from catkinreach_core.gateway.feed import HistoryLost, StoreUnavailable
+from catkinreach_node.gateway import store_reads
 from catkinreach_node.gateway.store_reads import NEXT_CALL_S, StoreReads
 
 ANSWER_WITHIN_S = 0.1
@@ -97,6 +98,26 @@
     assert store.lost == []
 
 
+def test_answer_that_trickles_for_ever_held_up_the_next_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_reads, 'MAX_ARRIVING_S', 2 * NEXT_CALL_S)
+    store = FakeStore(60.0, 0.0)
+
+    async def read() -> int:
+        receiving = asyncio.ensure_future(_receive(store))
+        try:
+            async with asyncio.timeout(5 * NEXT_CALL_S):
+                return await store.reads.first_answer(
+                    store.call, store.call, answer_within_s=ANSWER_WITHIN_S
+                )
+        finally:
+            receiving.cancel()
+
+    assert asyncio.run(read()) == 2
+    assert store.open_calls == 0
+
+
 async def _receive(store: FakeStore) -> None:
     while True:
         store.received_bytes += 1
