--- a/packages/catkinreach-core/tests/gateway/test_stream_versions.py
+++ b/packages/catkinreach-core/tests/gateway/test_stream_versions.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from catkinreach_core.gateway.held_prompts import HELD_S, HeldPrompts
+from catkinreach_core.gateway.held_prompts import (
+    HELD_S,
+    MAX_KEPT_PARTS,
+    HeldPrompts,
+)
 from catkinreach_core.gateway.software_versions import (
     STREAM_LIFETIME_S,
     SoftwareVersions,
@@ -135,6 +139,8 @@
 
 def test_part_held_at_two_versions_tells_none() -> None:
     held = HeldPrompts()
+    for part in 'pq':
+        held.need(SERVICE, part, 1.0)
     held.record(SERVICE, V1, ['p', 'q'], 0.0)
     assert held.find(SERVICE, 'p') == V1
     held.record(SERVICE, V2, ['p'], 1.0)
@@ -146,6 +152,25 @@
     assert held.find(SERVICE, 'q') is None
 
 
+def test_parts_that_no_stream_needs_were_kept() -> None:
+    # 700 engines with 600 parts each took over 100 MB.
+    held = HeldPrompts()
+    held.record(SERVICE, V1, ['p'], 0.0)
+    assert held.find(SERVICE, 'p') is None
+    held.need(SERVICE, 'p', 0.0)
+    held.record(SERVICE, V1, ['p'], 0.0)
+    assert held.find(SERVICE, 'p') == V1
+
+
+def test_parts_that_are_kept_at_the_start_are_bounded() -> None:
+    held = HeldPrompts()
+    parts = [str(number) for number in range(MAX_KEPT_PARTS + 1)]
+    held.need_all(SERVICE, parts, 0.0)
+    held.record(SERVICE, V1, parts, 0.0)
+    assert held.find(SERVICE, parts[-2]) == V1
+    assert held.find(SERVICE, parts[-1]) is None
+
+
 def _queued(
     arrived_s: float, version: SoftwareVersion | None = None
 ) -> QueuedStream:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
@@ -49,27 +49,38 @@
         """
         if not part:
             return None
-        await self.read(service_id)
-        self._held.expire(self._node.clock())
+        self._held.need(service_id, part, self._node.clock())
+        await asyncio.shield(self._next_read(service_id))
         return self._held.find(service_id, part)
 
-    async def read(self, service_id: ServiceId) -> None:
-        """Reads what the engines of a service hold now."""
-        await asyncio.shield(self._latest_read(service_id))
+    async def read_at_start(self, service_id: ServiceId) -> None:
+        """Reads and keeps what the engines of a service hold now."""
+        self._read_at_s[service_id] = self._node.clock()
+        await self._read_all(service_id, keeps_all=True)
 
-    def _latest_read(self, service_id: ServiceId) -> asyncio.Future[None]:
-        """Returns the read that runs, or ended just now, or begins."""
-        now_s = self._node.clock()
-        read_at_s = self._read_at_s.get(service_id, -math.inf)
-        if now_s - read_at_s >= READ_INTERVAL_S:
-            self._read_at_s[service_id] = now_s
-            read = self._node.spawn(self._read_all(service_id))
+    def _next_read(self, service_id: ServiceId) -> asyncio.Future[None]:
+        """Returns the next read to begin."""
+        if service_id not in self._reads:
+            read = self._node.spawn(self._read_when_due(service_id))
             self._reads[service_id] = read
         return self._reads[service_id]
 
-    async def _read_all(self, service_id: ServiceId) -> None:
+    async def _read_when_due(self, service_id: ServiceId) -> None:
+        read_at_s = self._read_at_s.get(service_id, -math.inf)
+        due_s = read_at_s + READ_INTERVAL_S - self._node.clock()
+        await asyncio.sleep(max(0.0, due_s))
+        now_s = self._read_at_s[service_id] = self._node.clock()
+        self._held.expire(now_s)
+        del self._reads[service_id]
+        await self._read_all(service_id)
+
+    async def _read_all(
+        self, service_id: ServiceId, *, keeps_all: bool = False
+    ) -> None:
         reads = [
-            asyncio.ensure_future(self._read(known.upstream))
+            asyncio.ensure_future(
+                self._read(known.upstream, keeps_all=keeps_all)
+            )
             for known in self._node.view.known_of(service_id)
             if self._may_ask(known.upstream)
         ]
@@ -91,7 +102,7 @@
             and node.limit_notes.allows_request(upstream)
         )
 
-    async def _read(self, upstream: Upstream) -> bool:
+    async def _read(self, upstream: Upstream, *, keeps_all: bool) -> bool:
         """Records what one engine holds; returns whether it answered."""
         node = self._node
         node.limits.spend(upstream.upstream_id)
@@ -109,6 +120,8 @@
             parts = node.dialect.read_held_prompts(body)
         except (ConnectError, ExchangeError, TimeoutError, DocumentError):
             return False
+        if keeps_all:
+            self._held.need_all(upstream.service_id, parts, node.clock())
         self._held.record(
             upstream.service_id, upstream.software_version, parts, node.clock()
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_versions.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -64,7 +65,7 @@
             return
         for service in catalog.services.values():
             if service.engine and self._reads_engines(service.service_id):
-                await self._held.read(service.service_id)
+                await self._held.read_at_start(service.service_id)
 
     async def _wait_for_view(self) -> None:
         while True:
@@ -101,7 +102,9 @@
         Raises:
             CatkinreachError: if that version isn't known.
         """
-        context.pin.version = await self.find(context.admitted)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(context.attempts.remaining_s):
+                context.pin.version = await self.find(context.admitted)
         if context.pin.version is None:
             raise context.attempts.error(
                 ErrorKind.NO_UPSTREAM,
--- a/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
+++ b/packages/catkinreach-node/tests/gateway/test_streams_of_two_versions.py
@@ -40,6 +40,7 @@
 OUTAGE_NOTICED_S = 5.0
 """A watch and the call after it, both without an answer."""
 
+SHORT_DEADLINE_MS = 100
 EVENTS = tuple(
     f'id: {number}\ndata: token {number}\n\n'.encode()
     for number in range(1, EVENT_COUNT + 1)
@@ -208,6 +209,23 @@
     _run(scenario)
 
 
+def test_search_for_a_version_outlasted_the_deadline() -> None:
+    async def scenario(deployment: Deployment, _app: GatewayApp) -> None:
+        await _read(deployment, _resumption(deployment, 'of-nobody'))
+        request = _request(
+            deployment,
+            last_event_id='4',
+            resumes='of-nobody',
+            deadline_ms=str(SHORT_DEADLINE_MS),
+        )
+        request.headers.remove(('deadline-ms', '3000'))
+        async with asyncio.timeout(SHORT_DEADLINE_MS / 1000 + 0.2):
+            status, _ = await _read(deployment, request)
+        assert status == 503
+
+    _run(scenario)
+
+
 def test_streams_without_resumes_shared_one_version() -> None:
     async def scenario(deployment: Deployment, _app: GatewayApp) -> None:
         for name, part in (('d', 'cc1'), ('e', 'cc2')):
