--- a/packages/catkinreach-node/src/catkinreach_node/gateway/origin_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/origin_link.py
@@ -64,9 +64,9 @@
 
     def record(self, origin: RequestId, version: SoftwareVersion) -> None:
         """Records a stream, and tells peers before its caller has an event."""
-        self._origins.record(origin, version, self._node.clock())
         if max(len(origin), len(version)) > MAX_TOLD_CHARS:
             return
+        self._origins.record(origin, version, self._node.clock())
         notice = StreamNotice(
             node=self._node.settings.host, origins={origin: version}
         )
@@ -79,7 +79,7 @@
     ) -> SoftwareVersion | None:
         """Returns the version of a stream that a peer knows, if any does."""
         hosts = self._hosts(origin)
-        if not hosts or not origin:
+        if not hosts or not 0 < len(origin) <= MAX_TOLD_CHARS:
             return None
         answer = await self._ask(hosts, ANSWER_S, origin, service_id)
         return answer.version
