--- a/packages/catkinreach-node/tests/gateway/test_origin_link.py
+++ b/packages/catkinreach-node/tests/gateway/test_origin_link.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from catkinreach_core.gateway.gossip import MAX_TOLD_CHARS
+from catkinreach_core.gateway.origin_messages import MAX_TOLD_CHARS
 from catkinreach_core.ids import RequestId, ServiceId, SoftwareVersion
 from catkinreach_node.gateway.origin_link import OriginLink
 from catkinreach_standins.platform.fake_fleet import FakeFleet
@@ -17,10 +17,16 @@
 LONGEST = RequestId('r' * MAX_TOLD_CHARS)
 
 
+async def _read_nothing(_service_id: ServiceId, _part: str) -> None:
+    """Stands for engines that hold no prompt."""
+
+
 def test_peers_know_the_version_of_a_stream() -> None:
     async def run() -> None:
         fleet = FakeFleet(NODES)
-        links = [OriginLink(node) for node in fleet.nodes.values()]
+        links = [
+            OriginLink(node, _read_nothing) for node in fleet.nodes.values()
+        ]
         links[0].record(LONGEST, V1)
         assert await links[1].ask(LONGEST, SERVICE) == V1
 
@@ -35,7 +41,7 @@
         node = FakeFleet(NODES).nodes['10.0.0.0']
         sent: list[bytes] = []
         node.send_datagram = lambda _host, data: sent.append(data)
-        link = OriginLink(node)
+        link = OriginLink(node, _read_nothing)
         link.record(RequestId(request_id), V1)
         assert link.find(RequestId(request_id)) is None
         assert await link.ask(RequestId(request_id), SERVICE) is None
