--- a/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/held_prompt_reads.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from catkinreach_core.documents import DocumentError
@@ -25,6 +26,9 @@
 READ_INTERVAL_S = 0.5
 """Least time between two reads: each delays the engines' work a little."""
 
+MAX_OPEN_READS = 64
+"""Engines that are asked at the same time."""
+
 MAX_LIST_BYTES = 1024 * 1024
 STATUS_OK = 200
 
@@ -38,6 +42,7 @@
         self._held = HeldPrompts()
         self._reads: dict[ServiceId, asyncio.Future[None]] = {}
         self._read_at_s: dict[ServiceId, float] = {}
+        self._starting: set[ServiceId] = set()
 
     async def find(
         self, service_id: ServiceId, part: str
@@ -56,7 +61,11 @@
     async def read_at_start(self, service_id: ServiceId) -> None:
         """Reads and keeps what the engines of a service hold now."""
         self._read_at_s[service_id] = self._node.clock()
-        await self._read_all(service_id, keeps_all=True)
+        self._starting.add(service_id)
+        try:
+            await self._read_all(service_id)
+        finally:
+            self._starting.discard(service_id)
 
     def _next_read(self, service_id: ServiceId) -> asyncio.Future[None]:
         """Returns the next read to begin."""
@@ -74,22 +83,25 @@
         del self._reads[service_id]
         await self._read_all(service_id)
 
-    async def _read_all(
-        self, service_id: ServiceId, *, keeps_all: bool = False
-    ) -> None:
-        reads = [
-            asyncio.ensure_future(
-                self._read(known.upstream, keeps_all=keeps_all)
-            )
+    async def _read_all(self, service_id: ServiceId) -> None:
+        engines = [
+            known.upstream
             for known in self._node.view.known_of(service_id)
             if self._may_ask(known.upstream)
         ]
-        answered = sum(await asyncio.gather(*reads))
+        # Those of a large service may not all be asked in time.
+        self._node.rng.shuffle(engines)
+        until_s = asyncio.get_running_loop().time() + READ_TIMEOUT_S
+        places = asyncio.Semaphore(MAX_OPEN_READS)
+        answers = await asyncio.gather(
+            *(self._read(engine, places, until_s) for engine in engines)
+        )
         self._node.log.write(
             Event.HELD_PROMPTS,
             service=service_id,
-            asked=len(reads),
-            answered=answered,
+            known=len(engines),
+            asked=sum(answer is not _Answer.NOT_ASKED for answer in answers),
+            answered=answers.count(_Answer.READ),
         )
 
     def _may_ask(self, upstream: Upstream) -> bool:
@@ -102,30 +114,52 @@
             and node.limit_notes.allows_request(upstream)
         )
 
-    async def _read(self, upstream: Upstream, *, keeps_all: bool) -> bool:
-        """Records what one engine holds; returns whether it answered."""
+    async def _read(
+        self, upstream: Upstream, places: asyncio.Semaphore, until_s: float
+    ) -> _Answer:
+        """Asks an engine once there is a place, unless that is too late."""
+        try:
+            async with asyncio.timeout_at(until_s):
+                await places.acquire()
+        except TimeoutError:
+            return _Answer.NOT_ASKED
+        try:
+            async with asyncio.timeout_at(until_s):
+                return await self._ask(upstream)
+        except TimeoutError:
+            return _Answer.FAILED
+        finally:
+            places.release()
+
+    async def _ask(self, upstream: Upstream) -> _Answer:
+        """Asks an engine and records what it holds."""
         node = self._node
         node.limits.spend(upstream.upstream_id)
         request = node.dialect.held_prompts_request(upstream)
         try:
-            async with (
-                asyncio.timeout(READ_TIMEOUT_S),
-                node.control_http.exchange(
-                    upstream.address, request
-                ) as response,
-            ):
+            async with node.control_http.exchange(
+                upstream.address, request
+            ) as response:
                 body = await response.read(MAX_LIST_BYTES)
             if response.status != STATUS_OK:
-                return False
+                return _Answer.FAILED
             parts = node.dialect.read_held_prompts(body)
-        except (ConnectError, ExchangeError, TimeoutError, DocumentError):
-            return False
-        if keeps_all:
+        except (ConnectError, ExchangeError, DocumentError):
+            return _Answer.FAILED
+        if upstream.service_id in self._starting:
             self._held.need_all(upstream.service_id, parts, node.clock())
         self._held.record(
             upstream.service_id, upstream.software_version, parts, node.clock()
         )
-        return True
+        return _Answer.READ
+
+
+class _Answer(Enum):
+    """What came of the question to one engine."""
+
+    READ = 'read'
+    FAILED = 'failed'
+    NOT_ASKED = 'not-asked'
 
 
 __all__ = ('HeldPromptReads',)
