--- a/packages/catkinreach-core/src/catkinreach_core/gateway/stream_origins.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/stream_origins.py
@@ -47,11 +47,15 @@
     ) -> None:
         """Records the version of a stream that began, or goes on.
 
-        Streams whose request isn't known have nothing in common.
+        Streams whose request isn't known have nothing in common. What is known
+        of a stream stays: a later notice may rest on a wrong guess, or on
+        another request under the same id.
         """
         if not request_id:
             return
-        self._origins.pop(request_id, None)
+        known = self._origins.pop(request_id, None)
+        if known is not None:
+            version = known[0]
         self._origins[request_id] = (version, now_s)
         self._drop_oldest(now_s)
 
--- a/packages/catkinreach-core/tests/gateway/test_stream_versions.py
+++ b/packages/catkinreach-core/tests/gateway/test_stream_versions.py
@@ -106,6 +106,13 @@
     assert origins.find(RequestId('')) is None
 
 
+def test_later_notice_replaced_the_version_of_a_stream() -> None:
+    origins = StreamOrigins()
+    origins.record(RequestId('a'), V1, 0.0)
+    origins.merge({RequestId('a'): V2}, 1.0)
+    assert origins.find(RequestId('a')) == V1
+
+
 def test_origins_are_bounded() -> None:
     origins = StreamOrigins()
     for number in range(MAX_ORIGINS + 10):
