--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/store.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/store.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from base64 import b64encode
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import msgspec
@@ -24,6 +24,7 @@
 
 MS_PER_S = 1000
 PAGE_ITEMS = 500
+FIRST_ERA = 1
 
 
 class StoreFault(Enum):
@@ -64,6 +65,16 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store held at a moment, to be restored later."""
+
+    latest_events: dict[str, _Event]
+    events: list[_Event]
+    oldest_revision: int
+    revision: int
+
+
 async def wait_forever() -> None:
     """Waits until it is cancelled: a call that is never answered."""
     await asyncio.Event().wait()
@@ -89,16 +100,20 @@
 class StoreStandin:
     """Serves keys under one store-wide revision, with a history of changes.
 
-    After a compaction a watch from an older revision is answered with 410.
+    After a compaction a watch from an older revision is answered with 410. So
+    is one from a revision that isn't given out yet, as after a restored copy.
 
     Attributes:
         fault: Fault that affects calls until it is changed.
+        era: Number in all responses, which a restored copy raises by one;
+            ``None`` for no such header.
         calls: Paths of all calls, in the order of their arrival.
     """
 
     def __init__(self) -> None:
         """Creates an empty store that doesn't listen yet."""
         self.fault = StoreFault.NONE
+        self.era: int | None = FIRST_ERA
         self.calls: list[str] = []
         self._server = HttpServer(self.handle_request)
         self._latest_events: dict[str, _Event] = {}
@@ -138,6 +153,34 @@
         self._revision += 1
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the state and its history."""
+        return StoreCopy(
+            latest_events=dict(self._latest_events),
+            events=list(self._events),
+            oldest_revision=self._oldest_revision,
+            revision=self._revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Goes back to a copy; its next revisions are given out again.
+
+        Watches that wait already are woken, as at a change.
+        """
+        self._latest_events = dict(copy.latest_events)
+        self._events = list(copy.events)
+        self._oldest_revision = copy.oldest_revision
+        self._revision = copy.revision
+        self.era = (self.era or 0) + 1
+        self._notify_watches()
+
+    def with_era(self, response: Response) -> Response:
+        """Returns a response with the header that names the era."""
+        if self.era is None:
+            return response
+        headers = {**response.headers, 'store-era': str(self.era)}
+        return replace(response, headers=headers)
+
     def _append(self, event: _Event) -> None:
         self._revision = event.revision
         self._events.append(event)
@@ -153,6 +196,10 @@
 
     async def handle_request(self, request: Request) -> Response:
         """Serves a call, at whichever address it came in."""
+        response = await self._serve(request)
+        return self.with_era(response)
+
+    async def _serve(self, request: Request) -> Response:
         self.calls.append(request.path)
         fault_response = await apply_fault(self.fault)
         if fault_response is not None:
@@ -183,10 +230,8 @@
         wait_s = int(request.query['wait-ms']) / MS_PER_S
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self._oldest_revision:
-                return error_response(
-                    410, 'history before this revision was compacted'
-                )
+            if not self._oldest_revision <= after <= self._revision:
+                return error_response(410, 'no history from this revision on')
             events = [
                 change for change in self._events if change.revision > after
             ]
@@ -207,4 +252,4 @@
                 continue
 
 
-__all__ = ('StoreFault', 'StoreStandin', 'apply_fault')
+__all__ = ('StoreCopy', 'StoreFault', 'StoreStandin', 'apply_fault')
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/store_door.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/store_door.py
@@ -46,7 +46,9 @@
 
     async def _handle_request(self, request: Request) -> Response:
         refusal = await apply_fault(self.fault)
-        return refusal or await self._store.handle_request(request)
+        if refusal is not None:
+            return self._store.with_era(refusal)
+        return await self._store.handle_request(request)
 
 
 @asynccontextmanager
--- /dev/null
+++ b/packages/catkinreach-standins/tests/platform/test_store.py
@@ -0,0 +1,56 @@
+"""The stand-in of the store comes back from an older copy."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from catkinreach_standins.http import Request, Response
+from catkinreach_standins.platform.store import StoreFault, StoreStandin
+
+GONE = 410
+
+
+def _call(store: StoreStandin, path: str, **query: str) -> Response:
+    request = Request('GET', path, query, {}, b'')
+    return asyncio.run(store.handle_request(request))
+
+
+def _watch(store: StoreStandin, after: int) -> Response:
+    wait = {'wait-ms': '0'}
+    return _call(store, '/kv-watch', prefix='', after=str(after), **wait)
+
+
+def _revision(store: StoreStandin) -> int:
+    document = msgspec.json.decode(_call(store, '/kv-range').body)
+    revision: int = document['current-rev']
+    return revision
+
+
+def test_restored_copy_has_lost_what_was_written_since() -> None:
+    store = StoreStandin()
+    store.put('one', {})
+    copy = store.copy()
+    store.put('two', {})
+    lost_revision = _revision(store)
+    store.restore(copy)
+    assert _revision(store) == lost_revision - 1
+    assert _watch(store, lost_revision).status == GONE
+    store.put('three', {})
+    assert _revision(store) == lost_revision
+    store.put('four', {})
+    document = msgspec.json.decode(_watch(store, lost_revision).body)
+    assert [event['key'] for event in document['events']] == ['four']
+
+
+@pytest.mark.parametrize('fault', [StoreFault.NONE, StoreFault.BUSY])
+def test_all_responses_name_the_era(fault: StoreFault) -> None:
+    store = StoreStandin()
+    before = _call(store, '/kv-range').headers['store-era']
+    store.restore(store.copy())
+    store.fault = fault
+    after_gone = _watch(store, 0).headers['store-era']
+    after_read = _call(store, '/kv-range').headers['store-era']
+    assert after_gone == after_read == str(int(before) + 1)
