--- a/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/feed.py
@@ -80,7 +80,7 @@
 
     Attributes:
         changes: One change per entry.
-        revision: Revision from which to watch.
+        revision: Position from which to watch, see ``store_position``.
     """
 
     changes: list[Change]
@@ -89,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeBatch:
-    """Changes in the order of publication, up to a revision."""
+    """Changes in the order of publication, up to a position."""
 
     changes: list[Change]
     revision: Revision
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/snapshot.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/snapshot.py
@@ -79,7 +79,7 @@
             expiry_grace_s=view.remaining_grace_s(now_s),
             catalog=catalog,
             upstreams=_listed(view.known_upstreams, now_s),
-            evacuated=sorted(view.evacuated),
+            evacuated=sorted(view.listed_evacuated),
         )
 
     def to_listing(self) -> Listing:
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/store_relay.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/store_relay.py
@@ -17,6 +17,7 @@
 
 from ..ids import Revision, ShardId
 from .ranked_hosts import RankedHosts
+from .store_position import era_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -104,6 +105,8 @@
         Returns:
             Revision up to which this VM now knows that it has the changes.
         """
+        if era_of(beacon.revision) < era_of(held):
+            return held
         if held < beacon.changed_revision:
             if self._missing_since_s is None:
                 self._missing_since_s = now_s
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/view.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
+from .restored_store import RestoredStore
 from .software_versions import SoftwareVersions
 from .upstream import Upstream, UpstreamState
 
@@ -63,6 +64,7 @@
         self._is_listed = False
         self._last_added_at_s = 0.0
         self._versions = SoftwareVersions()
+        self._restored = RestoredStore()
 
     @property
     def last_added_at_s(self) -> float:
@@ -84,6 +86,11 @@
         """Returns the failure domains that get no new work."""
         return frozenset(self._evacuated)
 
+    @property
+    def listed_evacuated(self) -> frozenset[FailureDomainId]:
+        """Returns those of them that the store has, as far as is known."""
+        return frozenset(self._evacuated - self._restored.unconfirmed)
+
     @property
     def known_upstreams(self) -> tuple[KnownUpstream, ...]:
         """Returns all known upstreams."""
@@ -115,7 +122,11 @@
         )
 
     def put_upstream(self, upstream: Upstream, now_s: float) -> None:
-        """Adds or replaces an upstream."""
+        """Adds or replaces an upstream whose entry was written."""
+        self._restored.record_event(upstream)
+        self._put(upstream, now_s)
+
+    def _put(self, upstream: Upstream, now_s: float) -> None:
         known = self._known.get(upstream.upstream_id)
         if known is None:
             self._last_added_at_s = now_s
@@ -135,7 +146,7 @@
         if known is None:
             return
         if now_s >= self._grace_until_s:
-            self._drop(upstream_id, now_s)
+            self._depart(upstream_id, now_s)
         elif known.removed_at_s is None:
             known.removed_at_s = now_s
 
@@ -146,7 +157,7 @@
         missing = set(self._known)
         for upstream in upstreams:
             missing.discard(upstream.upstream_id)
-            self.put_upstream(upstream, now_s)
+            self._put(self._as_known_before(upstream), now_s)
         for upstream_id in missing:
             self.remove_upstream(upstream_id, now_s)
         self._is_listed = True
@@ -156,6 +167,20 @@
         self.extend_grace(EXPIRY_GRACE_S, now_s)
         self._versions.restart(now_s)
 
+    def record_store_restore(self, now_s: float) -> None:
+        """Records that the next listing is from an older copy.
+
+        Upstreams that left get no work because of it, failure domains stay
+        evacuated for the grace period, and so does what the copy lacks.
+        """
+        self.record_store_recovery(now_s)
+        draining = (
+            known.upstream
+            for known in self._known.values()
+            if known.upstream.state is UpstreamState.DRAINING
+        )
+        self._restored.record_restore(draining, self._evacuated)
+
     def extend_grace(self, grace_s: float, now_s: float) -> None:
         """Lets missing entries be renewed for at least ``grace_s`` from now."""
         self._grace_until_s = max(self._grace_until_s, now_s + grace_s)
@@ -174,16 +199,27 @@
             if known.removed_at_s is not None
         )
         for upstream_id in expired:
-            self._drop(upstream_id, now_s)
+            self._depart(upstream_id, now_s)
         return expired
 
+    def restore_unconfirmed(self, now_s: float) -> tuple[FailureDomainId, ...]:
+        """Restores domains whose evacuation wasn't written again in time."""
+        if now_s < self._grace_until_s:
+            return ()
+        unconfirmed = tuple(self._restored.unconfirmed)
+        for domain_id in unconfirmed:
+            self.restore_domain(domain_id)
+        return unconfirmed
+
     def evacuate_domain(self, domain_id: FailureDomainId) -> None:
         """Marks a failure domain as evacuated: it gets no new work."""
         self._evacuated.add(domain_id)
+        self._restored.unconfirmed.discard(domain_id)
 
     def restore_domain(self, domain_id: FailureDomainId) -> None:
         """Lets a failure domain get new work again."""
         self._evacuated.discard(domain_id)
+        self._restored.unconfirmed.discard(domain_id)
 
     def usable_upstreams(
         self, service_id: ServiceId
@@ -256,6 +292,17 @@
             and upstream.domain_id not in self._evacuated
         )
 
+    def _as_known_before(self, listed: Upstream) -> Upstream:
+        """Returns a listed upstream; as leaving if a copy brought it back."""
+        if not self._restored.holds_back(listed):
+            return listed
+        return structs.replace(listed, state=UpstreamState.DRAINING)
+
+    def _depart(self, upstream_id: UpstreamId, now_s: float) -> None:
+        known = self._known[upstream_id]
+        self._restored.record_departure(known.upstream, now_s)
+        self._drop(upstream_id, now_s)
+
     def _note_version(self, upstream: Upstream, now_s: float) -> None:
         self._versions.note(
             upstream.service_id, upstream.software_version, now_s
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -40,6 +40,7 @@
     RELOAD = 'reload'
     DEPENDENCY_LOST = 'dependency-lost'
     DEPENDENCY_BACK = 'dependency-back'
+    STORE_RESTORED = 'store-restored'
     SNAPSHOT = 'snapshot'
     CATALOG = 'catalog-accepted'
     UPSTREAM_KNOWN = 'upstream-known'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/probe_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/probe_task.py
@@ -37,6 +37,13 @@
                     upstream=upstream_id,
                     reason='not renewed after the store outage',
                 )
+            for domain_id in self._node.view.restore_unconfirmed(now_s):
+                self._node.log.write(
+                    Event.DOMAIN,
+                    domain=domain_id,
+                    state='back',
+                    reason='not written again after a restore of the store',
+                )
 
     async def _probe(self, upstream_id: UpstreamId) -> None:
         known = self._node.view.find_upstream(upstream_id)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stage_order_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stage_order_task.py
@@ -34,6 +34,10 @@
 
 ACCEPTED_STATUSES = frozenset({200, 202})
 
+ADDRESS_BITS = 24
+MAX_FENCED_POSITION = (1 << 63 - ADDRESS_BITS) - 1
+"""Fencing numbers fit into 63 bits; they don't rise beyond the seventh era."""
+
 
 class StageOrderTask:
     """Sends stage orders while this node is the elected leader."""
@@ -138,10 +142,11 @@
         )
 
     def _fencing_number(self) -> int:
-        """Returns the fencing number: store revision, then address bytes."""
+        """Returns the fencing number: store position, then address bytes."""
         *_, second, third, fourth = self._node.settings.host.split('.')
         address_part = (int(second) << 16) | (int(third) << 8) | int(fourth)
-        return (self._node.revision << 24) | address_part
+        position = min(self._node.revision, MAX_FENCED_POSITION)
+        return (position << ADDRESS_BITS) | address_part
 
 
 __all__ = ('StageOrderTask',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_task.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.feed import HistoryLost
+from catkinreach_core.gateway.store_position import era_of
 
 from .decision_log import Event
 from .store_reads import StoreReads
@@ -77,6 +78,8 @@
             self._feed.list_all,
             answer_within_s=LIST_ANSWER_S,
         )
+        if era_of(listing.revision) < era_of(self._node.revision):
+            return
         self._record_recovery()
         # A peer may have passed on newer entries meanwhile.
         if listing.revision >= self._node.revision:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/view_updater.py
@@ -12,6 +12,7 @@
     UpstreamPublished,
     UpstreamRemoved,
 )
+from catkinreach_core.gateway.store_position import era_of, is_restored
 
 from .decision_log import Event
 
@@ -33,6 +34,8 @@
 
     def apply_listing(self, listing: Listing) -> None:
         """Replaces the view by a listing of all entries."""
+        if is_restored(listing.revision, self._node.revision):
+            self._record_restore(listing.revision)
         upstreams: list[Upstream] = []
         evacuated = set()
         for change in listing.changes:
@@ -45,12 +48,23 @@
         for upstream in upstreams:
             self._forget_earlier_incarnation(upstream)
         self._node.view.replace_upstreams(upstreams, self._node.clock())
-        for domain_id in self._node.view.evacuated - evacuated:
+        known = self._node.view.listed_evacuated
+        for domain_id in known - evacuated:
             self.apply_change(DomainRestored(domain_id))
-        for domain_id in evacuated - self._node.view.evacuated:
+        for domain_id in evacuated - known:
             self.apply_change(DomainEvacuated(domain_id))
         self.complete(listing.revision)
 
+    def _record_restore(self, position: Revision) -> None:
+        self._node.view.record_store_restore(self._node.clock())
+        self._node.log.write(
+            Event.STORE_RESTORED,
+            era=era_of(position),
+            earlier_era=era_of(self._node.revision),
+            revision=position,
+            earlier_revision=self._node.revision,
+        )
+
     def complete(self, revision: Revision) -> None:
         """Notes up to which revision all changes are applied."""
         self._node.revision = revision
--- a/packages/catkinreach-node/src/catkinreach_node/platform/store.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/store.py
@@ -4,11 +4,11 @@
 
 import asyncio
 from base64 import b64decode
-from typing import TYPE_CHECKING, Final, TypeVar
+from typing import TYPE_CHECKING, Annotated, Final, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 from catkinreach_core.documents import DocumentError, decode_document
 from catkinreach_core.gateway.feed import (
@@ -24,7 +24,14 @@
     UpstreamPublished,
     UpstreamRemoved,
 )
-from catkinreach_core.ids import FailureDomainId, Revision, UpstreamId
+from catkinreach_core.gateway.store_position import (
+    MAX_ERA,
+    MAX_STORE_REVISION,
+    era_of,
+    make_position,
+    revision_of,
+)
+from catkinreach_core.ids import FailureDomainId, UpstreamId
 from catkinreach_core.ranges import Revision as RevisionNumber
 
 from ..http.client import MAX_BODY_BYTES, HttpClient
@@ -35,6 +42,7 @@
 from .registry import read_upstream
 
 if TYPE_CHECKING:
+    from catkinreach_core.ids import Revision
     from catkinreach_core.settings.node import Address
 
     from ..http.client import ClientResponse
@@ -49,6 +57,10 @@
 
 STATUS_OK: Final = 200
 STATUS_HISTORY_LOST: Final = 410
+ERA_HEADER: Final = 'store-era'
+MAX_ERA_DIGITS: Final = 9
+
+_CurrentRevision = Annotated[int, Meta(ge=0, le=MAX_STORE_REVISION)]
 
 
 class _Item(Struct, rename='kebab'):
@@ -60,12 +72,12 @@
 
 class _Page(Struct, rename='kebab'):
     items: list[_Item]
-    current_rev: RevisionNumber
+    current_rev: _CurrentRevision
     has_more: bool = False
 
 
 class _Events(Struct, rename='kebab'):
-    current_rev: RevisionNumber
+    current_rev: _CurrentRevision
     events: list[_Item] = field(default_factory=list)
 
 
@@ -106,45 +118,58 @@
             StoreUnavailable: if it can't be read.
         """
         items: list[_Item] = []
-        revision: int | None = None
+        position: Revision | None = None
         has_more = True
         while has_more:
             query = {'prefix': ALL_KEYS_PREFIX}
             if items:
                 query['after'] = items[-1].key
             try:
-                body = await self._get('/kv-range', query, ANSWER_TIMEOUT_S)
+                era, body = await self._get(
+                    '/kv-range', query, ANSWER_TIMEOUT_S
+                )
             except HistoryLost as error:
                 raise StoreUnavailable('a listing has no history') from error
             page = _decode(_PAGE_DECODER, body)
             _check_progress(page, items)
             # The pages aren't one snapshot; a watch from the first page's
             # revision also returns what changed between them.
-            revision = page.current_rev if revision is None else revision
+            if position is None:
+                position = make_position(era, page.current_rev)
+            if era != era_of(position):
+                raise StoreUnavailable('restored between two pages')
             items += page.items
             has_more = page.has_more and bool(page.items)
         changes = [change for item in items if (change := _parse_change(item))]
-        return Listing(changes=changes, revision=Revision(revision or 0))
+        return Listing(
+            changes=changes, revision=position or make_position(0, 0)
+        )
 
     async def watch(self, after: Revision, wait_s: float) -> ChangeBatch:
         """Returns the changes after a revision; waits for the first one.
 
         Raises:
-            HistoryLost: if the store has compacted them.
+            HistoryLost: if the store has compacted them, or was restored.
             StoreUnavailable: if it can't be read.
         """
         query = {
             'prefix': ALL_KEYS_PREFIX,
-            'after': str(after),
+            'after': str(revision_of(after)),
             'wait-ms': str(int(wait_s * MS_PER_S)),
         }
-        body = await self._get('/kv-watch', query, wait_s + ANSWER_TIMEOUT_S)
+        era, body = await self._get(
+            '/kv-watch', query, wait_s + ANSWER_TIMEOUT_S
+        )
+        if era < era_of(after):
+            raise StoreUnavailable('answer from before a restore')
+        if era > era_of(after):
+            raise HistoryLost
         events = _decode(_EVENTS_DECODER, body)
         changes = [
             change for item in events.events if (change := _parse_change(item))
         ]
         return ChangeBatch(
-            changes=changes, revision=Revision(events.current_rev)
+            changes=changes, revision=make_position(era, events.current_rev)
         )
 
     def close(self) -> None:
@@ -153,7 +178,8 @@
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> bytes:
+    ) -> tuple[int, bytes]:
+        """Returns the store's era and the body of an answer."""
         self._call_count += 1
         request = HttpRequest('GET', f'{path}?{urlencode(query)}')
         try:
@@ -168,7 +194,7 @@
             raise HistoryLost
         if response.status != STATUS_OK:
             raise StoreUnavailable(f'status {response.status}')
-        return body
+        return _read_era(response.header(ERA_HEADER)), body
 
     async def _read(
         self, response: ClientResponse, limit: asyncio.Timeout
@@ -185,6 +211,14 @@
         return bytes(body)
 
 
+def _read_era(text: str | None) -> int:
+    """Returns the era that a header names; 0 if it is missing or malformed."""
+    if text is None or not (text.isascii() and text.isdecimal()):
+        return 0
+    era = int(text) if len(text) <= MAX_ERA_DIGITS else 0
+    return era if era <= MAX_ERA else 0
+
+
 def _check_progress(page: _Page, earlier: list[_Item]) -> None:
     """Refuses a page that doesn't go on after the earlier ones.
 
--- a/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_relay_link.py
@@ -18,6 +18,7 @@
     UpstreamPublished,
     UpstreamRemoved,
 )
+from catkinreach_core.gateway.store_position import era_of, make_position
 from catkinreach_core.ids import FailureDomainId, Revision, UpstreamId
 from catkinreach_node.gateway.store_task import StoreTask
 from catkinreach_standins.fakes.gateway import make_upstream
@@ -53,12 +54,24 @@
         self.calls: list[str] = []
         self.refused: set[str] = set()
         self.is_compacted = False
+        self.start = START
         self.changed = asyncio.Condition()
 
     @property
     def revision(self) -> Revision:
         """Returns the revision of the last change."""
-        return self.changes[-1][0] if self.changes else START
+        return self.changes[-1][0] if self.changes else self.start
+
+    async def restore(self, *, lost: int, era: int) -> None:
+        """Comes back without its last changes; ends the watches."""
+        async with self.changed:
+            kept = [change for _, change in self.changes[:-lost]]
+            self.start = make_position(era, START)
+            self.changes = []
+            for change in kept:
+                revision = Revision(self.revision + 1)
+                self.changes.append((revision, change))
+            self.changed.notify_all()
 
     async def publish(self, change: Change) -> None:
         """Adds a change and ends the watches that wait for one."""
@@ -107,6 +120,8 @@
                 pass
         if self._host in store.refused:
             raise StoreUnavailable('refused')
+        if era_of(after) < era_of(store.revision):
+            raise HistoryLost
         changes = [change for at, change in store.changes if at > after]
         if changes and store.is_compacted:
             raise HistoryLost
@@ -186,6 +201,32 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize('are_readers_refused', [False, True])
+def test_change_applies_in_time_after_the_store_is_restored(
+    *, are_readers_refused: bool
+) -> None:
+    async def scenario(fleet: FakeFleet, store: FakeStore) -> None:
+        store.calls.clear()
+        await asyncio.sleep(1.0)
+        readers = set(store.calls)
+        for number in range(4):
+            entry = make_upstream(f'new-{number}')
+            await store.publish(UpstreamPublished(entry))
+        await asyncio.sleep(1.0)
+        store.refused.update(readers if are_readers_refused else ())
+        await store.restore(lost=3, era=1)
+        await asyncio.sleep(BOUNDS.apply_within_s)
+        await store.publish(DomainEvacuated(DOMAIN))
+        others = [
+            node for host, node in fleet.nodes.items() if host not in readers
+        ]
+        nodes = others if are_readers_refused else fleet.nodes.values()
+        await _wait_for_all(nodes, _is_evacuated)
+        assert {era_of(node.revision) for node in nodes} == {1}
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize('fault', ['cut', 'refused', 'both'])
 def test_change_applies_in_time_when_all_readers_fail(fault: str) -> None:
     async def scenario(fleet: FakeFleet, store: FakeStore) -> None:
--- a/packages/catkinreach-node/tests/platform/test_document_fuzz.py
+++ b/packages/catkinreach-node/tests/platform/test_document_fuzz.py
@@ -190,9 +190,11 @@
     store = StoreClient(Address(host='127.0.0.1', port=1))
 
     async def run(call: Callable[[], Any]) -> Listing | ChangeBatch | None:
-        async def reply(path: str, query: object, timeout_s: float) -> bytes:
+        async def reply(
+            path: str, query: object, timeout_s: float
+        ) -> tuple[int, bytes]:
             del path, query, timeout_s
-            return body
+            return 0, body
 
         with patch.object(store, '_get', reply):
             try:
@@ -266,9 +268,11 @@
     store = StoreClient(Address(host='127.0.0.1', port=1))
     body = stored_inputs(PAGES)['name-line-break']
 
-    async def reply(path: str, query: object, timeout_s: float) -> bytes:
+    async def reply(
+        path: str, query: object, timeout_s: float
+    ) -> tuple[int, bytes]:
         del path, query, timeout_s
-        return body
+        return 0, body
 
     with patch.object(store, '_get', reply):
         changes = asyncio.run(store.list_all()).changes
@@ -280,9 +284,11 @@
     store = StoreClient(Address(host='127.0.0.1', port=1))
     replies = [to_json({**PAGE, 'has-more': True})] * 3
 
-    async def reply(path: str, query: object, timeout_s: float) -> bytes:
+    async def reply(
+        path: str, query: object, timeout_s: float
+    ) -> tuple[int, bytes]:
         del path, query, timeout_s
-        return replies.pop()
+        return 0, replies.pop()
 
     with patch.object(store, '_get', reply), pytest.raises(StoreUnavailable):
         asyncio.run(store.list_all())
