--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
@@ -42,6 +42,12 @@
         down=DirectionFaults(delay_s=LINK_DELAY_S, jitter_s=LINK_DELAY_S),
     ),
 }
+RESTORE_S: Final = 0.3
+"""Time for which the store is away before it comes back from a copy."""
+
+WRITE_AGAIN_S: Final = 0.8
+"""Time until what it lost is written again; within the grace for entries."""
+
 _STORE_FAULTS: Final = {
     FaultKind.STORE_BUSY: StoreFault.BUSY,
     FaultKind.STORE_LIMITS: StoreFault.RATE_LIMITED,
@@ -111,6 +117,8 @@
         match fault.kind:
             case FaultKind.STORE_COMPACTS:
                 store.compact()
+            case FaultKind.STORE_RESTORED:
+                await self._restore_store(fault.duration_s)
             case FaultKind.CONFIGURE:
                 self._publisher.publish()
             case FaultKind.CHANGE_LIMITS:
@@ -131,6 +139,25 @@
                 store.fault = StoreFault.NONE
                 disruption.until_s = time.monotonic()
 
+    async def _restore_store(self, age_s: float) -> None:
+        """Lets the store lose what is written in a time, then write it again.
+
+        It is away until it has come back from the copy.
+        """
+        store = self._deployment.store
+        copy = store.copy()
+        await asyncio.sleep(age_s)
+        disruption = LinkDisruption(STORE_LINK, time.monotonic(), float('inf'))
+        self._history.link_disruptions.append(disruption)
+        lost = store.copy()
+        store.fault = StoreFault.RESET
+        store.restore(copy)
+        await asyncio.sleep(RESTORE_S)
+        store.fault = StoreFault.NONE
+        await asyncio.sleep(WRITE_AGAIN_S)
+        store.write_again(lost, copy)
+        disruption.until_s = time.monotonic()
+
     async def _inject_upstream_fault(self, fault: Fault) -> None:
         if fault.kind in (*ENGINE_KINDS, FaultKind.NAME_LIMIT):
             await self._engine_faults.inject(fault)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -24,6 +24,9 @@
 MEAN_CROWD_INTERVAL_S: Final = 4.0
 """Like the mean interval above, for crowds of clients."""
 
+MEAN_RESTORE_INTERVAL_S: Final = 10.0
+"""The same for restores of the store."""
+
 MAX_DRAIN_DELAY_S: Final = 1.7
 """Maximum time from SIGTERM to a second signal; a front drains longer."""
 
@@ -137,6 +140,9 @@
     CROWD = ('crowd', TargetKind.FRONT)
     """Clients that don't behave, at an address of the front for a time."""
 
+    STORE_RESTORED = ('store-restored', TargetKind.STORE)
+    """The store comes back from a copy as old as the duration."""
+
     @property
     def target_kind(self) -> TargetKind:
         """Returns the kind of component that the fault affects."""
@@ -180,6 +186,7 @@
         FaultKind.CRASHING_REQUESTS,
         FaultKind.CROWD,
         FaultKind.NAME_LIMIT,
+        FaultKind.STORE_RESTORED,
         *LATER_KINDS,
         *ENGINE_KINDS,
     }
@@ -249,6 +256,13 @@
             (FaultKind.CROWD,),
             MEAN_CROWD_INTERVAL_S,
         ),
+        *_draw_faults(
+            random.Random(f'{seed}/restores'),
+            duration_s,
+            targets,
+            (FaultKind.STORE_RESTORED,),
+            MEAN_RESTORE_INTERVAL_S,
+        ),
     ]
     faults.append(
         _draw_limit(random.Random(f'{seed}/limit'), duration_s, targets)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/store.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/store.py
@@ -174,6 +174,22 @@
         self.era = (self.era or 0) + 1
         self._notify_watches()
 
+    def write_again(self, lost: StoreCopy, copy: StoreCopy) -> None:
+        """Writes what a restore lost, as the operator and the engines do.
+
+        Args:
+            lost: Copy from just before the restore.
+            copy: The copy that was restored.
+        """
+        for key in sorted(lost.latest_events.keys() | copy.latest_events):
+            before = lost.latest_events.get(key)
+            restored = copy.latest_events.get(key)
+            is_written_since = self._latest_events.get(key) is not restored
+            if before is restored or is_written_since:
+                continue
+            value = None if before is None else before.value
+            self._append(_Event(key, self._revision + 1, value))
+
     def with_era(self, response: Response) -> Response:
         """Returns a response with the header that names the era."""
         if self.era is None:
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -122,6 +122,7 @@
         FaultKind.CRASHING_REQUESTS,
         FaultKind.CROWD,
         FaultKind.NAME_LIMIT,
+        FaultKind.STORE_RESTORED,
     }
     faults = [
         (fault.kind, fault.target, round(fault.at_s, 3))
--- a/packages/catkinreach-standins/tests/platform/test_store.py
+++ b/packages/catkinreach-standins/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from base64 import b64decode
 
 import msgspec
 import pytest
@@ -54,3 +55,33 @@
     after_gone = _watch(store, 0).headers['store-era']
     after_read = _call(store, '/kv-range').headers['store-era']
     assert after_gone == after_read == str(int(before) + 1)
+
+
+def test_only_what_the_copy_lacks_is_written_again() -> None:
+    store = StoreStandin()
+    for key in ('changed', 'kept', 'removed', 'written-since'):
+        store.put(key, 1)
+    copy = store.copy()
+    store.put('changed', 2)
+    store.put('added', 2)
+    store.put('written-since', 2)
+    store.remove('removed')
+    lost = store.copy()
+    store.restore(copy)
+    store.put('written-since', 3)
+    restored_at = _revision(store)
+    store.write_again(lost, copy)
+    document = msgspec.json.decode(_watch(store, restored_at).body)
+    assert [event['key'] for event in document['events']] == [
+        'added',
+        'changed',
+        'removed',
+    ]
+    items = msgspec.json.decode(_call(store, '/kv-range').body)['items']
+    values = {item['key']: b64decode(item['value']) for item in items}
+    assert values == {
+        'added': b'2',
+        'changed': b'2',
+        'kept': b'1',
+        'written-since': b'3',
+    }
