--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/__main__.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/__main__.py
@@ -40,6 +40,12 @@
         help='whether some requests crash engines',
         flag_values=values,
     )
+    flags.DEFINE_bool(
+        'versions',
+        default=True,
+        help='whether engines run two software versions if the seed says so',
+        flag_values=values,
+    )
     values(argv)
     logger.remove()
     root = Path(values.logs or tempfile.mkdtemp(prefix='soak-'))
@@ -55,6 +61,7 @@
                     front_count=values.fronts,
                     folder=folder,
                     has_crashing_requests=values.crashing,
+                    may_mix_versions=values.versions,
                 )
             )
         )
@@ -76,7 +83,9 @@
     )
     sys.stdout.write(
         f'seed {seed}: {result.fault_count} faults,'
-        f' {result.crash_count} crashes; {call_counts}\n'
+        f' {result.crash_count} crashes,'
+        f' {result.continued_count} of {result.resumption_count} resumptions'
+        f' went on; {call_counts}\n'
     )
     for violation in result.violations:
         sys.stdout.write(f'  VIOLATION {violation}\n')
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
@@ -16,9 +16,9 @@
 from catkinreach_node.http.messages import PROBLEM_TYPE, HttpRequest
 
 from ..config import HOST, OTHER_API_KEY
-from .history import CallEnd, CallKind, CallRecord
-from .invariants import DEADLINE_S
+from .history import DEADLINE_S, CallEnd, CallKind, CallRecord
 from .prompts import CRASHING_PART
+from .resumptions import resume_stream
 
 if TYPE_CHECKING:
     import random
@@ -49,7 +49,8 @@
 _MS_PER_S: Final = 1000
 _EVENT_ID: Final = re.compile(rb'id: (\d+)\n')
 _EVENT_END: Final = b'\n\n'
-_EVENT: Final = re.compile(rb'id: \d+\ndata: token \d+\n\n')
+_EVENT: Final = re.compile(rb'id: \d+\ndata: token \d+(?: \w+)?\n\n')
+_VERSION: Final = re.compile(rb'data: token \d+ (\w+)\n')
 
 
 class _Problem(msgspec.Struct):
@@ -89,10 +90,14 @@
     is_stopped: bool = False
     _request_count: int = 0
 
-    async def run(self, count: int) -> None:
-        """Runs ``count`` callers, each with its own client, until stopped.
+    async def run(self, count: int, stream_count: int = 0) -> None:
+        """Runs callers, each with its own client, until stopped.
 
         There is an idle caller for each front besides.
+
+        Args:
+            count: Number of callers, which take all routes in turn.
+            stream_count: Number of further callers of resumable streams.
         """
         kinds = tuple(CallKind)
         callers = [
@@ -107,7 +112,11 @@
             )
             for number in range(len(self.fronts))
         ]
-        await asyncio.gather(*callers, *idle_callers)
+        stream_callers = [
+            self._run_caller(CallKind.STREAM, number)
+            for number in range(stream_count)
+        ]
+        await asyncio.gather(*callers, *idle_callers, *stream_callers)
 
     async def call(
         self,
@@ -116,6 +125,7 @@
         front: int,
         *,
         earlier: CallRecord | None = None,
+        resumed: CallRecord | None = None,
         may_cancel: bool = True,
     ) -> CallRecord:
         """Makes a call and records it.
@@ -125,9 +135,10 @@
             kind: Route of the call.
             front: Number of the front to call.
             earlier: The caller's call before.
+            resumed: Call whose stream this call takes up.
             may_cancel: Whether the caller may leave early.
         """
-        request = self._make_request(kind)
+        request = self._make_request(kind, resumed)
         is_cancelling = may_cancel and self.rng.random() < CANCEL_PROBABILITY
         timeout_s = CANCEL_AFTER_S if is_cancelling else CALL_TIMEOUT_S
         partial_response = _PartialResponse()
@@ -142,6 +153,13 @@
         )
         if earlier is not None:
             record = replace(record, idle_s=sent_s - earlier.ended_s)
+        if resumed is not None:
+            record = replace(
+                record,
+                deadline_s=resumed.due_s - sent_s,
+                resumes=resumed.origin,
+                resumed_after=resumed.last_event_id,
+            )
         self.history.calls.append(record)
         return record
 
@@ -156,6 +174,7 @@
             record = await self.call(
                 client, kind, front, earlier=record, may_cancel=not is_idle
             )
+            await resume_stream(self, record)
             if record.end in {CallEnd.CONNECT_FAILED, CallEnd.NO_RESPONSE}:
                 front = (front + 1) % len(self.fronts)
             await asyncio.sleep(self._draw_pause_s(is_idle=is_idle))
@@ -198,12 +217,17 @@
             CallEnd.REFUSED if partial_response.is_problem else CallEnd.FAILED
         )
 
-    def _make_request(self, kind: CallKind) -> HttpRequest:
+    def _make_request(
+        self, kind: CallKind, resumed: CallRecord | None
+    ) -> HttpRequest:
         self._request_count += 1
         request_id = f'soak-{self._request_count}'
+        deadline_s = DEADLINE_S
+        if resumed is not None:
+            deadline_s = resumed.due_s - time.monotonic()
         headers = [
             ('request-id', request_id),
-            ('deadline-ms', str(int(DEADLINE_S * _MS_PER_S))),
+            ('deadline-ms', str(int(deadline_s * _MS_PER_S))),
             ('authorization', f'Bearer {OTHER_API_KEY}'),
             ('token-count', '500,100'),
             ('host', HOST),
@@ -211,7 +235,13 @@
         target = f'/{kind.value}/'
         if kind is CallKind.READ:
             return HttpRequest('GET', target, headers)
-        if kind in {CallKind.STREAM, CallKind.ONCE}:
+        if resumed is not None:
+            headers += [
+                ('prompt-prefix', resumed.prefix),
+                ('last-event-id', str(resumed.last_event_id)),
+                ('resumes', resumed.origin),
+            ]
+        elif kind in {CallKind.STREAM, CallKind.ONCE}:
             headers.append(('prompt-prefix', self.prompts.make_prefix()))
         return HttpRequest('POST', target, headers, request_id.encode())
 
@@ -255,6 +285,9 @@
         event_ids=tuple(
             int(event_id) for event_id in _EVENT_ID.findall(events)
         ),
+        versions=frozenset(
+            version.decode() for version in _VERSION.findall(events)
+        ),
         has_partial_event=bool(events) and not events.endswith(_EVENT_END),
         is_crashing=CRASHING_PART in prefix,
         prefix=prefix,
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/engine_faults.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/engine_faults.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from .engine_versions import replace_software
 from .plan import FaultKind
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         handlers: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.LEAVE: self._leave,
             FaultKind.LEAVE_FOR_OTHER: self._leave_for_other,
+            FaultKind.REPLACE_VERSION: self._leave_for_other,
             FaultKind.ASK_PAUSE: self._ask_pause,
             FaultKind.ASK_PAUSE_ALL: self._ask_pause_all,
             FaultKind.REFUSE: self._refuse,
@@ -60,6 +62,8 @@
             self._deployment.publish_upstream(upstream, state='draining')
             await asyncio.sleep(fault.duration_s)
             self._deployment.remove_upstream(upstream)
+            if fault.kind is FaultKind.REPLACE_VERSION:
+                replace_software(upstream)
             upstream.availability.start_anew(keeps_id=False)
             self._deployment.publish_upstream(upstream)
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
@@ -50,6 +50,11 @@
 }
 
 
+_ENGINE_FAULTS: Final = frozenset(
+    {*ENGINE_KINDS, FaultKind.NAME_LIMIT, FaultKind.REPLACE_VERSION}
+)
+
+
 class FaultInjector:
     """Injects the faults of a plan into a deployment, and ends them."""
 
@@ -87,7 +92,7 @@
                 await self._inject_link_fault(fault)
             case TargetKind.STORE:
                 await self._inject_store_fault(fault)
-            case TargetKind.UPSTREAM:
+            case TargetKind.UPSTREAM | TargetKind.ENGINE:
                 await self._inject_upstream_fault(fault)
             case TargetKind.CALLERS:
                 await self._send_crashing_requests(fault)
@@ -132,7 +137,7 @@
                 disruption.until_s = time.monotonic()
 
     async def _inject_upstream_fault(self, fault: Fault) -> None:
-        if fault.kind in (*ENGINE_KINDS, FaultKind.NAME_LIMIT):
+        if fault.kind in _ENGINE_FAULTS:
             await self._engine_faults.inject(fault)
             return
         upstream = self._deployment.upstreams[fault.target]
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/front_faults.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/front_faults.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from ..hostile_clients import Misbehaviour, hostile_crowd
@@ -25,6 +26,9 @@
 PAUSE_RECOVERY_S: Final = 1.0
 """Time after a pause in which calls may still be late because of it."""
 
+KILL_ALL_DOWNTIME_S: Final = 0.1
+"""Time from the kill of all fronts until they are started again."""
+
 EXIT_POLL_S: Final = 0.05
 
 CROWD_CLIENTS: Final = 40
@@ -46,6 +50,7 @@
         """Injects one fault; returns when it has ended."""
         handlers: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.KILL: self._kill,
+            FaultKind.KILL_ALL: self._kill_all,
             FaultKind.ROLL: self._roll,
             FaultKind.PAUSE: self._pause,
             FaultKind.RELOAD: self._reload,
@@ -64,6 +69,15 @@
             disruption.until_s = time.monotonic()
             await self._start(front)
 
+    async def _kill_all(self, fault: Fault) -> None:
+        """Kills all fronts at once; each is started again soon after."""
+        async with asyncio.TaskGroup() as group:
+            for name in self._fronts:
+                kill = replace(
+                    fault, target=name, duration_s=KILL_ALL_DOWNTIME_S
+                )
+                group.create_task(self._kill(kill))
+
     async def _roll(self, fault: Fault) -> None:
         """Stops a process, with a second signal if there is one."""
         front = self._fronts[fault.target]
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -16,6 +16,9 @@
 STORE_LINK: Final = 'store'
 """Name of the link to the store."""
 
+DEADLINE_S: Final = 3.0
+"""Deadline that callers send with each request."""
+
 LAG_REACH_S: Final = 0.1
 """Time after a lag of the soak's event loop in which it catches up."""
 
@@ -64,6 +67,7 @@
         code: Code of a refusal.
         outcome: Whether the request ran, as a refusal reports it.
         event_ids: Ids of a stream's events in the order of arrival.
+        versions: Software versions of the engines that sent these events.
         has_partial_event: Whether the stream ended within an event.
         is_crashing: Whether the prompt holds the part that crashes engines.
         body: Body of a response to a plain call; of a stream, the bytes that
@@ -71,6 +75,10 @@
         prefix: Parts of the prompt, as they were sent.
         idle_s: Time since the caller's last call, for which its connection, if
             it was kept, had been idle.
+        deadline_s: Deadline that the caller sent.
+        resumes: Id of the call that brought the stream's first event, if this
+            call resumes the stream.
+        resumed_after: Id of the last event before this call.
     """
 
     request_id: str
@@ -83,11 +91,30 @@
     code: str = ''
     outcome: str = ''
     event_ids: tuple[int, ...] = ()
+    versions: frozenset[str] = frozenset()
     has_partial_event: bool = False
     is_crashing: bool = False
     body: bytes = b''
     prefix: str = ''
     idle_s: float = 0.0
+    deadline_s: float = DEADLINE_S
+    resumes: str = ''
+    resumed_after: int = 0
+
+    @property
+    def origin(self) -> str:
+        """Returns the id of the call that brought, or asked for, event 1."""
+        return self.resumes or self.request_id
+
+    @property
+    def last_event_id(self) -> int:
+        """Returns the id of the last event that the caller has by the end."""
+        return self.event_ids[-1] if self.event_ids else self.resumed_after
+
+    @property
+    def due_s(self) -> float:
+        """Returns the monotonic time of the deadline."""
+        return self.sent_s + self.deadline_s
 
 
 class DisruptionKind(Enum):
@@ -263,6 +290,7 @@
 
 
 __all__ = (
+    'DEADLINE_S',
     'REUSABLE_SHARE',
     'STORE_LINK',
     'CallEnd',
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -15,6 +15,7 @@
     check_healthy_streams,
     may_be_quarantined,
 )
+from .resumption_checks import check_resumptions
 from .retry_budget import check_retry_budget
 
 if TYPE_CHECKING:
@@ -23,9 +24,6 @@
     from ..upstream_availability import UpstreamAvailability
     from .history import CallRecord, History
 
-DEADLINE_S: Final = 3.0
-"""Deadline that callers send with each request."""
-
 DEADLINE_MARGIN_S: Final = 0.02
 """Time before the deadline at which a front ends a request."""
 
@@ -114,6 +112,7 @@
     found += check_leaving(records)
     found += check_pauses(records)
     found += check_limits(records)
+    found += check_resumptions(records)
     return found
 
 
@@ -220,7 +219,7 @@
         return
     is_excused = (
         call.request_id in records.faulty_ids
-        or call.ended_s - call.sent_s >= DEADLINE_S - DEADLINE_MARGIN_S
+        or call.ended_s >= call.due_s - DEADLINE_MARGIN_S
         or records.history.was_disrupted(call, *EXCUSING_DISRUPTIONS)
         or records.history.was_link_faulty(call, upstreams)
     )
@@ -235,8 +234,8 @@
 def _check_stream(call: CallRecord) -> Iterator[str]:
     if call.kind not in {CallKind.STREAM, CallKind.ONCE}:
         return
-    count = len(call.event_ids)
-    if call.event_ids != tuple(range(1, count + 1)):
+    count = call.last_event_id
+    if call.event_ids != tuple(range(call.resumed_after + 1, count + 1)):
         yield f'event ids are {call.event_ids}'
     if call.has_partial_event:
         yield f'stream ended within the event after {count}'
@@ -251,7 +250,7 @@
         is_plain and call.end is CallEnd.ANSWERED
     )
     duration_s = history.duration_s(call)
-    if not is_whole or duration_s <= DEADLINE_S + ANSWER_SLACK_S:
+    if not is_whole or duration_s <= call.deadline_s + ANSWER_SLACK_S:
         return
     if not history.was_disrupted(call, DisruptionKind.PAUSED):
         yield f'{call.end.value} {call.code} after {duration_s:.1f} s'
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/plan.py
@@ -21,6 +21,9 @@
 MEAN_LATER_INTERVAL_S: Final = 2.0
 """Like the mean interval above, for the kinds that were added later."""
 
+MEAN_VERSION_INTERVAL_S: Final = 2.0
+"""Like the mean interval above, for the kinds that concern versions."""
+
 MEAN_CROWD_INTERVAL_S: Final = 4.0
 """Like the mean interval above, for crowds of clients."""
 
@@ -47,6 +50,9 @@
 
     FRONT = 'front'
     UPSTREAM = 'upstream'
+    ENGINE = 'engine'
+    """Decode engine, in runs of two software versions."""
+
     STORE = 'store'
     LINK = 'link'
     CALLERS = 'callers'
@@ -137,6 +143,13 @@
     CROWD = ('crowd', TargetKind.FRONT)
     """Clients that don't behave, at an address of the front for a time."""
 
+    REPLACE_VERSION = ('replace-version', TargetKind.ENGINE)
+    """As for ``leave-for-other``; the other id has another software version, no
+    prompts and no work."""
+
+    KILL_ALL = ('kill-all', TargetKind.FRONT)
+    """SIGKILL of all fronts at once, and at once a restart of each."""
+
     @property
     def target_kind(self) -> TargetKind:
         """Returns the kind of component that the fault affects."""
@@ -172,6 +185,9 @@
 )
 """Kinds, added after the later ones, with a random source of their own."""
 
+VERSION_KINDS: Final = (FaultKind.REPLACE_VERSION, FaultKind.KILL_ALL)
+"""Kinds of runs of two versions, with a random source of their own."""
+
 RANDOM_KINDS: Final = tuple(
     kind
     for kind in FaultKind
@@ -182,6 +198,7 @@
         FaultKind.NAME_LIMIT,
         *LATER_KINDS,
         *ENGINE_KINDS,
+        *VERSION_KINDS,
     }
 )
 """Kinds that are drawn for the whole run."""
@@ -253,6 +270,14 @@
     faults.append(
         _draw_limit(random.Random(f'{seed}/limit'), duration_s, targets)
     )
+    if targets.get(TargetKind.ENGINE):
+        faults += _draw_faults(
+            random.Random(f'{seed}/versions'),
+            duration_s,
+            targets,
+            VERSION_KINDS,
+            MEAN_VERSION_INTERVAL_S,
+        )
     if has_crashing_requests:
         faults.append(
             _draw_crashing(random.Random(f'{seed}/crashing'), duration_s)
@@ -308,6 +333,7 @@
     'DRAINING_KINDS',
     'ENGINE_KINDS',
     'LATER_KINDS',
+    'VERSION_KINDS',
     'Fault',
     'FaultKind',
     'TargetKind',
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/quarantine_checks.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/quarantine_checks.py
@@ -56,6 +56,7 @@
         for call in records.history.calls
         if call.kind in {CallKind.STREAM, CallKind.ONCE}
         and not call.is_crashing
+        and not call.resumes
         and call.sent_s >= from_s
     ]
     refused_count = sum(call.code == QUARANTINE_CODE for call in streams)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
@@ -14,8 +14,15 @@
 from ..deployment import eventually
 from .callers import Callers
 from .config_faults import ConfigPublisher
+from .engine_versions import draw_mixed_versions
 from .fault_injector import FaultInjector
-from .history import CallEnd, CallKind, History, LinkDisruption
+from .history import (
+    STORE_LINK,
+    CallEnd,
+    CallKind,
+    History,
+    LinkDisruption,
+)
 from .invariants import RunRecords, find_violations
 from .kept_connections import check_kept_connections
 from .loop_lag import record_lags
@@ -37,6 +44,9 @@
 
 RECOVERY_PAUSE_S: Final = 0.2
 CALLERS_PER_FRONT: Final = 4
+STREAM_CALLERS_PER_FRONT: Final = 3
+"""Further callers of streams in a run of two software versions."""
+
 TIMELINE_FILE: Final = 'timeline.jsonl'
 LOG_FLUSH_S: Final = 0.3
 """Time that the fronts have to write their last log lines."""
@@ -52,6 +62,8 @@
         front_count: Number of front processes.
         folder: Folder for settings and logs of the fronts.
         has_crashing_requests: Whether some requests crash engines.
+        may_mix_versions: Whether engines run two software versions side by
+            side if the seed says so.
     """
 
     seed: int
@@ -59,6 +71,7 @@
     front_count: int
     folder: Path
     has_crashing_requests: bool = True
+    may_mix_versions: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,12 +83,16 @@
         end_counts: Number of calls by route and end.
         fault_count: Number of injected faults.
         crash_count: Number of crashes of engines.
+        resumption_count: Number of calls that took up a stream.
+        continued_count: Number of those that got further events.
     """
 
     violations: list[str]
     end_counts: Mapping[tuple[CallKind, CallEnd], int]
     fault_count: int
     crash_count: int
+    resumption_count: int
+    continued_count: int
 
 
 async def run_soak(options: SoakOptions) -> SoakResult:
@@ -84,15 +101,20 @@
     history = History()
     prompts = Prompts(random.Random(f'{options.seed}/prompts'))
     async with running_soak_deployment(
-        options.front_count, options.folder, options.seed
+        options.front_count,
+        options.folder,
+        options.seed,
+        has_mixed_versions=options.may_mix_versions
+        and draw_mixed_versions(options.seed),
     ) as deployment:
         plan = make_plan(
             options.seed,
             options.duration_s,
             {
                 TargetKind.FRONT: tuple(deployment.fronts),
-                TargetKind.UPSTREAM: tuple(deployment.upstreams),
-                TargetKind.LINK: tuple(deployment.links),
+                TargetKind.UPSTREAM: deployment.older_targets,
+                TargetKind.LINK: (STORE_LINK, *deployment.older_targets),
+                TargetKind.ENGINE: deployment.mixed_engines,
             },
             has_crashing_requests=options.has_crashing_requests,
         )
@@ -107,7 +129,12 @@
             random.Random(f'{options.seed}/idle'),
         )
         count = CALLERS_PER_FRONT * options.front_count
-        callers_task = asyncio.ensure_future(callers.run(count))
+        stream_count = (
+            STREAM_CALLERS_PER_FRONT * options.front_count
+            if deployment.mixed_engines
+            else 0
+        )
+        callers_task = asyncio.ensure_future(callers.run(count, stream_count))
         lag_task = asyncio.ensure_future(record_lags(history))
         injector = FaultInjector(deployment, prompts, history, publisher, rng)
         await injector.run(plan)
@@ -120,12 +147,15 @@
         await asyncio.sleep(LOG_FLUSH_S)
         lag_task.cancel()
         records = _collect_records(deployment, history)
+    resumptions = [call for call in history.calls if call.resumes]
     write_timeline(options.folder / TIMELINE_FILE, records)
     return SoakResult(
         violations=find_violations(records),
         end_counts=Counter((call.kind, call.end) for call in history.calls),
         fault_count=len(plan),
         crash_count=len(records.crashes_s),
+        resumption_count=len(resumptions),
+        continued_count=sum(bool(call.event_ids) for call in resumptions),
     )
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
@@ -17,6 +17,7 @@
 from ..store import StoreStandin
 from ..upstream import UpstreamStandin
 from .config_faults import FIRST_VERSION
+from .engine_versions import mix_versions
 from .history import STORE_LINK
 from .prompts import CRASHING_PART
 
@@ -25,6 +26,9 @@
     from pathlib import Path
 
 EVENT_GAP_S: Final = 0.05
+ENGINES: Final = ('d', 'e')
+SECOND_ENGINES: Final = ('f', 'g')
+"""Decode engines that a run of two versions has besides, with a prefill."""
 
 
 class SoakDeployment:
@@ -35,33 +39,40 @@
         upstreams: Stand-ins of upstreams by id.
         links: Links to the store and to upstreams, by the name of the target.
         fronts: Front processes by name.
+        mixed_engines: Names of the decode engines if they run two software
+            versions, else empty.
+        older_targets: Names of the upstreams of every run; the kinds of faults
+            that aren't about versions affect these.
     """
 
-    def __init__(self, front_count: int, folder: Path, seed: int) -> None:
+    def __init__(
+        self,
+        front_count: int,
+        folder: Path,
+        seed: int,
+        *,
+        has_mixed_versions: bool = False,
+    ) -> None:
         """Chooses free ports; nothing runs yet."""
         self.store = StoreStandin()
+        upstreams = [
+            UpstreamStandin('a', PLAIN_SERVICE),
+            UpstreamStandin('b', PLAIN_SERVICE),
+            UpstreamStandin('c', PLAIN_SERVICE),
+            UpstreamStandin('p', MODEL_SERVICE, 'prefill'),
+            *(_make_engine(name) for name in ENGINES),
+        ]
+        self.older_targets = tuple(
+            upstream.upstream_id for upstream in upstreams
+        )
+        self.mixed_engines: tuple[str, ...] = ()
+        if has_mixed_versions:
+            upstreams += [_make_engine(name) for name in SECOND_ENGINES]
+            mix_versions(upstreams[-len(ENGINES + SECOND_ENGINES) :])
+            self.mixed_engines = (*ENGINES, *SECOND_ENGINES)
+            upstreams.append(UpstreamStandin('q', MODEL_SERVICE, 'prefill'))
         self.upstreams = {
-            upstream.upstream_id: upstream
-            for upstream in (
-                UpstreamStandin('a', PLAIN_SERVICE),
-                UpstreamStandin('b', PLAIN_SERVICE),
-                UpstreamStandin('c', PLAIN_SERVICE),
-                UpstreamStandin('p', MODEL_SERVICE, 'prefill'),
-                UpstreamStandin(
-                    'd',
-                    MODEL_SERVICE,
-                    'decode',
-                    event_gap_s=EVENT_GAP_S,
-                    crashing_part=CRASHING_PART,
-                ),
-                UpstreamStandin(
-                    'e',
-                    MODEL_SERVICE,
-                    'decode',
-                    event_gap_s=EVENT_GAP_S,
-                    crashing_part=CRASHING_PART,
-                ),
-            )
+            upstream.upstream_id: upstream for upstream in upstreams
         }
         names = (STORE_LINK, *self.upstreams)
         self._ports = dict(zip(names, free_ports(len(names)), strict=True))
@@ -135,12 +146,29 @@
         self.links[name] = link
 
 
+def _make_engine(name: str) -> UpstreamStandin:
+    return UpstreamStandin(
+        name,
+        MODEL_SERVICE,
+        'decode',
+        event_gap_s=EVENT_GAP_S,
+        crashing_part=CRASHING_PART,
+        names_version=True,
+    )
+
+
 @asynccontextmanager
 async def running_soak_deployment(
-    front_count: int, folder: Path, seed: int
+    front_count: int,
+    folder: Path,
+    seed: int,
+    *,
+    has_mixed_versions: bool = False,
 ) -> AsyncIterator[SoakDeployment]:
     """Runs the deployment of a soak."""
-    deployment = SoakDeployment(front_count, folder, seed)
+    deployment = SoakDeployment(
+        front_count, folder, seed, has_mixed_versions=has_mixed_versions
+    )
     try:
         await deployment.start()
         yield deployment
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/timeline.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/timeline.py
@@ -73,6 +73,7 @@
                 'prefix': call.prefix,
                 'lasted_s': round(call.ended_s - call.sent_s, 4),
                 'idle_s': round(call.idle_s, 4),
+                'resumes': call.resumes,
             },
         )
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream.py
@@ -65,6 +65,7 @@
         handle_count: Number of handles that prefills have returned.
         resumed_failures: Number of resumed streams that will fail.
         version: Version of its software in the store.
+        names_version: Whether the events of its streams name its version.
         held_parts: Parts of prompts that it has read since its start.
         availability: Whether it leaves or wants a pause, and its current id.
     """
@@ -89,6 +90,7 @@
     handle_count: int = 0
     resumed_failures: int = 0
     version: str = 'v1'
+    names_version: bool = False
     held_parts: set[str] = field(default_factory=set)
     availability: UpstreamAvailability = field(init=False)
     _server: asyncio.Server | None = None
@@ -156,6 +158,12 @@
         """Runs a request; returns whether the connection stays open."""
         return await run_request(exchange, behaviour)
 
+    def reset_connections(self) -> None:
+        """Resets all connections, as if the process were gone."""
+        self.faulty_ids.update(self._running.values())
+        for writer in self._running:
+            reset(writer)
+
     def _crash(self) -> None:
         """Resets all connections; listens again after a time."""
         self._is_down = True
@@ -163,9 +171,7 @@
         self.crashes_s.append(time.monotonic())
         if self._server is not None:
             self._server.close()
-        self.faulty_ids.update(self._running.values())
-        for writer in self._running:
-            reset(writer)
+        self.reset_connections()
         if self.on_crash is not None:
             self.on_crash()
         self._restart = asyncio.create_task(self._start_later())
@@ -202,7 +208,12 @@
                 self.received.append(request)
                 self._running[writer] = request.request_id
                 exchange = UpstreamExchange(
-                    self, request, reader, writer, self.instance_id
+                    self,
+                    request,
+                    reader,
+                    writer,
+                    self.instance_id,
+                    self.version if self.names_version else '',
                 )
                 if not await self._handle_request(exchange):
                     break
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_exchange.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_exchange.py
@@ -30,6 +30,7 @@
         reader: Input of the connection.
         writer: Output of the connection.
         instance_id: Id that the upstream had when the request arrived.
+        version: Software version that it had then, if events name it.
     """
 
     upstream: UpstreamStandin
@@ -37,6 +38,7 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     instance_id: str
+    version: str = ''
 
     def add_headers(self, reply: bytes) -> bytes:
         """Returns a reply with what the upstream says of itself."""
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_stream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/upstream_stream.py
@@ -58,7 +58,8 @@
     head = framing.head(request, exchange.instance_id)
     writer.write(exchange.add_headers(head))
     for event_id in range(first_event_id, EVENT_COUNT + 1):
-        event = f'id: {event_id}\ndata: token {event_id}\n\n'.encode()
+        token = f'token {event_id} {exchange.version}'.rstrip()
+        event = f'id: {event_id}\ndata: {token}\n\n'.encode()
         is_midway = event_id > EVENTS_BEFORE_DISCONNECT
         if is_midway and behaviour is Behaviour.DISCONNECT:
             writer.write(framing.encode(event[:5]))
--- a/packages/catkinreach-standins/tests/platform/soak/test_front_faults.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_front_faults.py
@@ -89,6 +89,24 @@
     assert history.violations == ['front-0 exited with code -9']
 
 
+def test_all_fronts_are_killed_at_once(tmp_path: Path) -> None:
+    history = History()
+
+    async def run() -> None:
+        async with running_soak_deployment(2, tmp_path, 1) as deployment:
+            kill = Fault(FaultKind.KILL_ALL, 'front-0', 0.0, 3.0)
+            await FrontFaults(deployment.fronts, history).inject(kill)
+            for front in deployment.fronts.values():
+                assert await _becomes_ready(front)
+
+    asyncio.run(run())
+    assert not history.violations
+    first, second = history.disruptions
+    assert {first.front, second.front} == {0, 1}
+    assert first.kind is second.kind is DisruptionKind.KILLED
+    assert second.from_s < first.until_s
+
+
 def test_changed_settings_are_taken(tmp_path: Path) -> None:
     async def run() -> None:
         async with running_soak_deployment(2, tmp_path, 1) as deployment:
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -11,6 +11,7 @@
 from catkinreach_standins.platform.soak.plan import (
     ENGINE_KINDS,
     LATER_KINDS,
+    VERSION_KINDS,
     FaultKind,
     TargetKind,
     make_plan,
@@ -61,6 +62,7 @@
         front_count=3,
         folder=tmp_path,
         has_crashing_requests=False,
+        may_mix_versions=seed in SHORT_SEEDS,
     )
     result = asyncio.run(run_soak(options))
     assert not result.violations
@@ -88,6 +90,7 @@
         duration_s=CRASHING_DURATION_S,
         front_count=3,
         folder=tmp_path,
+        may_mix_versions=False,
     )
     assert not asyncio.run(run_soak(options)).violations
 
@@ -119,6 +122,7 @@
     later = {
         *LATER_KINDS,
         *ENGINE_KINDS,
+        *VERSION_KINDS,
         FaultKind.CRASHING_REQUESTS,
         FaultKind.CROWD,
         FaultKind.NAME_LIMIT,
