--- a/packages/catkinreach-core/src/catkinreach_core/gateway/departure.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/departure.py
@@ -81,6 +81,14 @@
                 now_s,
             )
 
+    def in_domain(self, domain: FailureDomainId) -> frozenset[str]:
+        """Returns the peers in a failure domain."""
+        return frozenset(
+            peer
+            for peer, report in self._reports.items()
+            if report.domain == domain
+        )
+
     def expire(self, now_s: float) -> None:
         """Drops reports of peers that left, or fell silent, long ago."""
         self._reports = {
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/gossip.py
@@ -87,6 +87,7 @@
         store_revision: Revision of the last change of the store that the
             sender has applied; 0 for none.
         limits: Limits that upstreams named to the sender.
+        is_cut_off: Whether the sender reaches no upstream.
     """
 
     node: str
@@ -110,6 +111,7 @@
     waiting_ranks: dict[ServiceId, RankedTokens] = field(default_factory=dict)
     store_revision: RevisionNumber = _NO_REVISION
     limits: dict[UpstreamId, LimitReport] = field(default_factory=dict)
+    is_cut_off: bool = False
 
 
 class CrashMessage(Struct, array_like=True, kw_only=True, tag='crashes'):
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/health.py
@@ -95,6 +95,11 @@
         """Drops the record of an earlier incarnation of an upstream."""
         self._records.pop(upstream_id, None)
 
+    def forget_unreachable(self) -> None:
+        """Forgets that upstreams were unreachable: the cause was this node."""
+        for upstream_id in self.unreachable_upstreams():
+            del self._records[upstream_id]
+
     def is_down(self, upstream_id: UpstreamId) -> bool:
         """Returns whether an upstream is unreachable or replaced."""
         record = self._records.get(upstream_id)
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/peer_reports.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/peer_reports.py
@@ -19,6 +19,7 @@
         waiting_ranks: The same by rank, of services with several priorities.
         votes: Node that each peer votes for as the leader.
         stopping: Peers that are about to stop.
+        cut_off: Peers that reach no upstream.
         counting_since_s: Start of each peer that hasn't counted what it admits
             for a whole window.
         revisions: Revision of the last change of the store that each peer has
@@ -32,6 +33,7 @@
         self.waiting_ranks: dict[str, dict[ServiceId, dict[int, int]]] = {}
         self.votes: dict[str, str] = {}
         self.stopping: set[str] = set()
+        self.cut_off: set[str] = set()
         self.counting_since_s: dict[str, float] = {}
         self.revisions: dict[str, Revision] = {}
 
@@ -47,6 +49,7 @@
         self.waiting_ranks.pop(peer, None)
         self.votes.pop(peer, None)
         self.stopping.discard(peer)
+        self.cut_off.discard(peer)
         self.counting_since_s.pop(peer, None)
         self.revisions.pop(peer, None)
 
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
@@ -22,6 +22,7 @@
     'reply-skipped': "passed over a reply that wasn't its own",
     'placed': 'was placed',
     'send-failed': 'a send failed',
+    'relay-failed': "a peer couldn't pass it on",
     'stream-version': 'resumes a stream of a software version',
     'resumed': 'went on at another upstream',
     'silent-kept': 'stayed with an engine that was silent',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -185,6 +185,7 @@
             'peers': self._peers.run,
             'snapshots': self._snapshots.run,
             'probes': self._probes.run,
+            'paths': self._node.paths.run,
             'stream-versions': self._node.stream_versions.run,
             'orders': self._orders.run,
             'settings': self._watch_settings,
@@ -215,6 +216,7 @@
         try:
             async with asyncio.timeout(ends_at_s - self._node.clock()):
                 await self._ingress.wait_connections_closed()
+                await self._side.wait_relays_ended()
         except TimeoutError:
             self._node.log.write(
                 Event.STOPPING, running=self._ingress.request_counter.running
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -10,7 +10,6 @@
 from catkinreach_core.gateway.load_table import UpstreamLoad
 
 from ..http.connection import ExchangeError
-from .exchange import Reply, exchange
 from .reply_wait import start_reply
 
 if TYPE_CHECKING:
@@ -21,6 +20,7 @@
     from catkinreach_core.gateway.upstream import Upstream
 
     from .admitted_request import AdmittedRequest
+    from .exchange import Reply
     from .node import Node
 
 
@@ -125,8 +125,7 @@
             source=self.source,
             resume_after=resume_after,
         )
-        self._reply = await exchange(
-            self._node,
+        self._reply = await self._node.paths.exchange(
             self._upstream,
             self._node.dialect.upstream_request(admitted.request, metadata),
             admitted.metadata.request_id,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -51,6 +51,8 @@
         headers: Headers of the reply.
         metadata: Metadata of the reply.
         sent_s: Monotonic time at which the request was sent.
+        is_relayed: Whether a peer passes the reply on; its connection carries
+            no further request.
         silence_s: Longest time without data since the head.
     """
 
@@ -61,6 +63,7 @@
     headers: Headers
     metadata: ReplyMetadata
     sent_s: float
+    is_relayed: bool = False
     silence_s: float = field(default=0.0, init=False)
     _last_data_s: float = field(init=False)
 
@@ -174,6 +177,9 @@
 
     def release(self) -> None:
         """Returns the connection to the pool for reuse."""
+        if self.is_relayed:
+            self.connection.close()
+            return
         self.node.pool.release(
             self.upstream.upstream_id,
             self.connection,
@@ -188,7 +194,7 @@
 async def exchange(
     node: Node, upstream: Upstream, request: HttpRequest, request_id: RequestId
 ) -> Reply:
-    """Sends a request and returns the head of its reply.
+    """Sends a request directly and returns the head of its reply.
 
     Raises:
         ConnectError: nothing was sent; a ``ClosedToRequestsError`` if the
@@ -232,7 +238,7 @@
     """Reads replies until one carries the id of the request."""
     is_first_reply = not connection.is_used
     for _ in range(MAX_SKIPPED_REPLIES):
-        head = await _next_final_head(connection)
+        head = await next_final_head(connection)
         if not isinstance(head, h11.Response):
             raise ExchangeError(f'no reply from {upstream.address}')
         response = ClientResponse(connection, head)
@@ -252,7 +258,7 @@
     raise ExchangeError(f'only replies to other requests: {upstream.address}')
 
 
-async def _next_final_head(
+async def next_final_head(
     connection: ClientConnection,
 ) -> h11.Event | type[h11.PAUSED]:
     """Returns the next event that isn't an interim head.
@@ -267,4 +273,4 @@
     raise ExchangeError('too many interim responses')
 
 
-__all__ = ('MAX_REPLY_BYTES', 'Reply', 'exchange')
+__all__ = ('MAX_REPLY_BYTES', 'Reply', 'exchange', 'next_final_head')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/gateway_metrics.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/gateway_metrics.py
@@ -34,6 +34,7 @@
         self._stages = {stage: LatencyHistogram() for stage in RequestStage}
         self._failed_sends: Counter[str] = Counter()
         self._failed_load_queries = 0
+        self._relayed = 0
 
     def record(self, stage: RequestStage, seconds: float) -> None:
         """Records the duration of a phase of a request."""
@@ -47,6 +48,10 @@
         """Counts an aggregator that didn't answer or hadn't heard the fleet."""
         self._failed_load_queries += 1
 
+    def count_relayed(self) -> None:
+        """Counts a request that a peer passed on to an upstream."""
+        self._relayed += 1
+
     def _lines(self) -> Iterator[str]:
         for stage, histogram in self._stages.items():
             yield from summary_lines(
@@ -59,6 +64,7 @@
         yield (
             f'catkinreach_failed_load_queries_total {self._failed_load_queries}'
         )
+        yield f'catkinreach_relayed_requests_total {self._relayed}'
         yield from super()._lines()
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/node.py
@@ -24,6 +24,7 @@
 from catkinreach_core.gateway.shared_rate import SharedRateLimiter
 from catkinreach_core.gateway.switching_engines import SwitchingEngines
 from catkinreach_core.gateway.upstream_limits import UpstreamLimits
+from catkinreach_core.gateway.upstream_reach import UpstreamReach
 from catkinreach_core.gateway.view import FleetView
 from catkinreach_core.ids import Revision, ShardId, VmId
 from catkinreach_core.rendezvous import rank_vms
@@ -43,6 +44,7 @@
 from .shutdown import Shutdown
 from .stream_versions import StreamVersions
 from .upstream_checks import UpstreamChecks
+from .upstream_paths import UpstreamPaths
 from .upstream_pool import UpstreamPool
 from .wait_queues import WaitQueues
 
@@ -102,7 +104,9 @@
         self.peer_reports = PeerReports()
         self.totals = FleetTotals(self)
         self.reply_buffer = ReplyBuffer()
-        self.pool = UpstreamPool(self.clock)
+        self.reach = UpstreamReach()
+        self.pool = UpstreamPool(self.clock, self.reach)
+        self.paths = UpstreamPaths(self)
         self.checks = UpstreamChecks(self)
         self.identity_check = IdentityCheck(self)
         self.control_http = HttpClient()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/peer_link.py
@@ -229,6 +229,7 @@
             waiting_ranks=node.wait_queues.tokens_by_rank(),
             store_revision=node.changed_revision,
             limits=node.limit_notes.reports(),
+            is_cut_off=node.reach.is_cut_off,
         )
 
     def _take_down(self, *, is_load_change: bool) -> list[UpstreamId]:
@@ -281,6 +282,9 @@
         node.peer_reports.stopping.discard(peer)
         if message.phase is Phase.STOPPING:
             node.peer_reports.stopping.add(peer)
+        node.peer_reports.cut_off.discard(peer)
+        if message.is_cut_off:
+            node.peer_reports.cut_off.add(peer)
         node.shutdown.departures.record(
             peer, message.domain, message.ends_unix_ms, now_s
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_send.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_send.py
@@ -7,7 +7,6 @@
 from catkinreach_core.gateway.load_table import UpstreamLoad
 
 from ..http.connection import ExchangeError
-from .exchange import exchange
 from .reply_wait import start_reply
 
 if TYPE_CHECKING:
@@ -83,8 +82,7 @@
         admitted = self._admitted
         metadata = admitted.forward_metadata(self._upstream, self._node.clock())
         try:
-            reply = await exchange(
-                self._node,
+            reply = await self._node.paths.exchange(
                 self._upstream,
                 self._node.dialect.upstream_request(admitted.request, metadata),
                 admitted.metadata.request_id,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/probe_task.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/probe_task.py
@@ -51,7 +51,7 @@
             self._node.health.forget(upstream_id)
             return
         try:
-            await self._node.pool.probe(known.upstream)
+            await self._node.paths.probe(known.upstream)
         except ConnectError as error:
             self._node.mark_unreachable(upstream_id, str(error))
             return
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/side_servers.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/side_servers.py
@@ -11,6 +11,7 @@
 from ..http.server import HttpServer
 from ..http.server_bounds import ServerBounds
 from ..telemetry.metrics import METRICS_TYPE
+from .relay_server import RelayServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +28,11 @@
 )
 """Bounds of the addresses that are not for callers."""
 
+PEER_BOUNDS = ServerBounds(
+    max_connections=256, max_head_bytes=64 * 1024, body_timeout_s=5.0
+)
+"""Bounds of the address for peers, which may pass callers' requests on."""
+
 PEER_WAIT_S = 0.5
 """Time after which a node without responsive peers reports that it is ready."""
 
@@ -54,15 +60,15 @@
         """
         self._node = node
         self._is_listening = is_listening
+        self._snapshots = snapshots
+        self._relay = RelayServer(node)
         self._started_s = node.clock()
         self.servers = {
-            name: HttpServer(
-                answer, name=name, bounds=SIDE_BOUNDS, memory=memory
-            )
-            for name, answer in (
-                ('ready', self._answer_ready),
-                ('metrics', self._answer_metrics),
-                ('snapshots', snapshots.answer),
+            name: HttpServer(answer, name=name, bounds=bounds, memory=memory)
+            for name, answer, bounds in (
+                ('ready', self._answer_ready, SIDE_BOUNDS),
+                ('metrics', self._answer_metrics, SIDE_BOUNDS),
+                ('peers', self._answer_peer, PEER_BOUNDS),
             )
         }
 
@@ -73,9 +79,15 @@
         return {
             'ready': settings.ready_address,
             'metrics': settings.metrics_address,
-            'snapshots': settings.peer_address,
+            'peers': settings.peer_address,
         }
 
+    async def wait_relays_ended(self) -> None:
+        """Waits until no request of a peer is being passed on."""
+        peers = self.servers['peers']
+        peers.close_idle_connections()
+        await peers.wait_connections_closed()
+
     def close(self) -> None:
         """Closes all of them and their connections."""
         for server in self.servers.values():
@@ -93,6 +105,11 @@
         )
         return READY if is_ready and not node.shutdown.is_begun else NOT_READY
 
+    async def _answer_peer(self, request: HttpRequest) -> HttpResponse:
+        if self._relay.is_for_upstream(request):
+            return await self._relay.answer(request)
+        return await self._snapshots.answer(request)
+
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         del request
         text = self._node.metrics.exposition().encode()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
@@ -18,7 +18,6 @@
     ExchangeError,
 )
 from .attempts import SendFailure
-from .exchange import exchange
 from .gateway_metrics import RequestStage
 
 if TYPE_CHECKING:
@@ -143,8 +142,8 @@
             admitted.request,
             admitted.forward_metadata(upstream, self._node.clock()),
         )
-        reply = await exchange(
-            self._node, upstream, request, admitted.metadata.request_id
+        reply = await self._node.paths.exchange(
+            upstream, request, admitted.metadata.request_id
         )
         if reply.metadata.has_not_run:
             await reply.skip_refusal()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -115,20 +115,21 @@
         """Returns whether nothing listens at an upstream.
 
         Connects that time out or are reset may be the work of the network; an
-        upstream that can't be connected to is marked down all the same.
+        upstream that can't be connected to is marked down all the same. Nor do
+        connects prove anything that are refused to a VM which reaches none.
         """
         node = self._node
         until_s = node.clock() + CRASH_CHECK_S
         is_marked = False
         while True:
             try:
-                await node.pool.probe(upstream)
+                await node.paths.probe(upstream)
             except ConnectError as error:
                 if not is_marked:
                     node.mark_unreachable(upstream.upstream_id, str(error))
                 is_marked = True
                 if isinstance(error, RefusedError):
-                    return True
+                    return not await node.paths.is_cut_off(is_suspected=True)
             else:
                 return False
             if node.clock() >= until_s:
@@ -158,7 +159,7 @@
     async def confirm_reachable(self, upstream: Upstream) -> bool:
         """Connects to an upstream; marks it down if that fails."""
         try:
-            await self._node.pool.probe(upstream)
+            await self._node.paths.probe(upstream)
         except ConnectError as error:
             self._node.mark_unreachable(upstream.upstream_id, str(error))
             return False
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_paths.py
@@ -0,0 +1,158 @@
+"""Reaches upstreams directly, or through peers while this VM is cut off."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ..http.connection import ClosedToRequestsError, ConnectError
+from .decision_log import Event
+from .exchange import exchange
+from .relay_link import RelayLink
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.upstream import Upstream
+    from catkinreach_core.ids import RequestId
+
+    from ..http.messages import HttpRequest
+    from .exchange import Reply
+    from .node import Node
+
+CHECKED_UPSTREAMS = 3
+"""Further upstreams that a VM connects to before it takes itself for cut
+off."""
+
+RETURN_INTERVAL_S = 0.25
+"""Time between two tries to reach an upstream while the VM is cut off."""
+
+
+class UpstreamPaths:
+    """Chooses the way to upstreams.
+
+    A VM whose connects fail one after the other connects to some further
+    upstreams. If it reaches none, the fault is its own: nothing is held against
+    the upstreams, and peers pass its requests on until a connect succeeds.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Starts with direct connections."""
+        self._node = node
+        self._relay = RelayLink(node)
+        self._check: asyncio.Task[bool] | None = None
+
+    async def run(self) -> None:
+        """Tries to reach upstreams while the VM is cut off; never ends."""
+        while True:
+            await asyncio.sleep(RETURN_INTERVAL_S)
+            if self._node.reach.is_cut_off:
+                await self._try_return()
+
+    async def exchange(
+        self, upstream: Upstream, request: HttpRequest, request_id: RequestId
+    ) -> Reply:
+        """Sends a request and returns the head of its reply.
+
+        Raises:
+            ConnectError: nothing was sent; a ``ClosedToRequestsError`` if the
+                upstream takes no requests.
+            ExchangeError: the request may have run.
+        """
+        node = self._node
+        if not node.reach.is_cut_off:
+            try:
+                return await exchange(node, upstream, request, request_id)
+            except ClosedToRequestsError:
+                raise
+            except ConnectError:
+                if not await self.is_cut_off():
+                    raise
+        if not node.may_still_send(upstream):
+            raise ClosedToRequestsError(f'{upstream.address} takes no requests')
+        return await self._relay.exchange(upstream, request, request_id)
+
+    async def probe(self, upstream: Upstream) -> None:
+        """Connects to an upstream.
+
+        Raises:
+            ConnectError: if it doesn't accept.
+        """
+        node = self._node
+        if not node.reach.is_cut_off:
+            try:
+                await node.pool.probe(upstream)
+            except ConnectError:
+                if not await self.is_cut_off():
+                    raise
+            else:
+                return
+        await self._relay.probe(upstream)
+
+    async def is_cut_off(self, *, is_suspected: bool = False) -> bool:
+        """Returns whether the VM reaches no upstream; checks it if needed.
+
+        Args:
+            is_suspected: Whether to check it after a single failure.
+        """
+        if self._check is None:
+            node = self._node
+            known = len(node.view.known_upstreams)
+            if not node.reach.needs_check(
+                known, node.clock(), is_suspected=is_suspected
+            ):
+                return node.reach.is_cut_off
+            if not self._relay.has_peers:
+                return False
+            self._check = node.spawn(self._check_reach())
+        return await asyncio.shield(self._check)
+
+    async def _check_reach(self) -> bool:
+        """Connects to further upstreams; returns whether all that fails."""
+        node = self._node
+        node.reach.begin_check(node.clock())
+        try:
+            await asyncio.gather(*map(self._connect, self._further_upstreams()))
+        finally:
+            self._check = None
+        if not node.reach.end_check():
+            return False
+        node.log.write(
+            Event.CUT_OFF,
+            upstreams=sorted(node.reach.failed),
+            peers=len(node.members.responsive(node.clock())),
+        )
+        # Connections may hang, and what failed says nothing of the upstreams.
+        node.pool.drop_all()
+        node.health.forget_unreachable()
+        node.load_changed.set()
+        return True
+
+    def _further_upstreams(self) -> list[Upstream]:
+        """Returns some upstreams that weren't tried since the last success."""
+        node = self._node
+        untried = [
+            known.upstream
+            for known in node.view.known_upstreams
+            if known.upstream.upstream_id not in node.reach.failed
+            and not node.health.is_down(known.upstream.upstream_id)
+        ]
+        return node.rng.sample(untried, min(CHECKED_UPSTREAMS, len(untried)))
+
+    async def _try_return(self) -> None:
+        node = self._node
+        known = node.view.known_upstreams
+        if not known:
+            return
+        await self._connect(node.rng.choice(known).upstream)
+        if not node.reach.is_cut_off:
+            node.log.write(Event.REACHABLE)
+            node.load_changed.set()
+
+    async def _connect(self, upstream: Upstream) -> None:
+        """Connects directly; the pool records whether that succeeds."""
+        try:
+            await self._node.pool.probe(upstream)
+        except ConnectError:
+            return
+
+
+__all__ = ('UpstreamPaths',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..http.connection import ClientConnection
+from catkinreach_core.gateway.upstream_reach import UpstreamReach
+
+from ..http.connection import ClientConnection, ConnectError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,9 +40,17 @@
 class UpstreamPool:
     """Owns the idle connections to all upstreams."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
-        """Starts without connections."""
+    def __init__(
+        self, clock: Callable[[], float], reach: UpstreamReach | None = None
+    ) -> None:
+        """Starts without connections.
+
+        Args:
+            clock: Monotonic clock.
+            reach: Told which connects succeed.
+        """
         self._clock = clock
+        self._reach = reach or UpstreamReach()
         self._idle: dict[UpstreamId, list[_IdleConnection]] = {}
         self._is_closed = False
         self.opened_count = 0
@@ -107,11 +117,15 @@
             entry.watch.cancel()
             entry.connection.close()
 
+    def drop_all(self) -> None:
+        """Closes the idle connections to all upstreams."""
+        for upstream_id in tuple(self._idle):
+            self.drop(upstream_id)
+
     def close(self) -> None:
         """Closes every idle connection, and the others after their use."""
         self._is_closed = True
-        for upstream_id in tuple(self._idle):
-            self.drop(upstream_id)
+        self.drop_all()
 
     async def _take(self, entry: _IdleConnection) -> ClientConnection | None:
         """Ends the watch of a connection; closes it if it can't be reused."""
@@ -130,9 +144,14 @@
         return connection if is_reusable else None
 
     async def _open(self, upstream: Upstream) -> ClientConnection:
-        connection = await ClientConnection.open(
-            upstream.address, timeout_s=CONNECT_TIMEOUT_S
-        )
+        try:
+            connection = await ClientConnection.open(
+                upstream.address, timeout_s=CONNECT_TIMEOUT_S
+            )
+        except ConnectError:
+            self._reach.record_failed(upstream.upstream_id)
+            raise
+        self._reach.record_reached()
         self.opened_count += 1
         connection.buffer_requests(MAX_BUFFERED_BYTES)
         return connection
--- a/packages/catkinreach-node/src/catkinreach_node/http/connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/connection.py
@@ -93,17 +93,29 @@
 
     @classmethod
     async def open(
-        cls, address: Address, *, timeout_s: float = CONNECT_TIMEOUT_S
+        cls,
+        address: Address,
+        *,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        local_host: str | None = None,
     ) -> ClientConnection:
         """Opens a connection.
 
+        Args:
+            address: Address to connect to.
+            timeout_s: Time for the connect.
+            local_host: Own address to connect from; ``None`` for any.
+
         Raises:
             ConnectError: if the connection times out or fails, or there can't
                 be such an address; a ``RefusedError`` if nothing listens there.
         """
         opening = asyncio.ensure_future(
             asyncio.open_connection(
-                address.host, address.port, limit=READ_AHEAD_BYTES
+                address.host,
+                address.port,
+                limit=READ_AHEAD_BYTES,
+                local_addr=None if local_host is None else (local_host, 0),
             )
         )
         try:
--- a/packages/catkinreach-node/src/catkinreach_node/http/messages.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/messages.py
@@ -21,6 +21,23 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+"""Headers that concern one connection; ``Connection`` may name more."""
+
 
 class BodyStream(Protocol):
     """Body of a streamed response, produced while it is sent."""
@@ -40,6 +57,24 @@
     ]
 
 
+def end_to_end_headers(headers: Headers, *, kept: str = '') -> Headers:
+    """Returns the headers that a proxy passes on.
+
+    Args:
+        headers: Headers of a message, with names in lower case.
+        kept: Name of a header that is passed on whatever the others say.
+    """
+    dropped = HOP_BY_HOP_HEADERS | {
+        token.strip().lower()
+        for name, text in headers
+        if name == 'connection'
+        for token in text.split(',')
+    }
+    return [
+        pair for pair in headers if pair[0] not in dropped or pair[0] == kept
+    ]
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request with its whole body.
@@ -50,6 +85,8 @@
         headers: Names in lower case, in order of arrival.
         body: The whole body.
         hold: Memory held for the body, if it is bounded.
+        client_host: Address of the client that sent it; empty for a request
+            of this process.
     """
 
     method: str
@@ -57,6 +94,7 @@
     headers: Headers = field(default_factory=list)
     body: bytes = b''
     hold: BodyHold | None = field(default=None, compare=False)
+    client_host: str = field(default='', compare=False)
 
     @property
     def path(self) -> str:
@@ -103,6 +141,7 @@
 
 __all__ = (
     'EVENT_STREAM_TYPE',
+    'HOP_BY_HOP_HEADERS',
     'JSON_TYPE',
     'PROBLEM_TYPE',
     'STATUSES_WITHOUT_BODY',
@@ -112,4 +151,5 @@
     'HttpResponse',
     'RawHeaders',
     'encode_headers',
+    'end_to_end_headers',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -55,6 +55,7 @@
         is_draining: Callable[[], bool],
         send_continue: Callable[[], Awaitable[None]],
         memory: BodyMemory,
+        client_host: str = '',
     ) -> None:
         """Wraps the input of an accepted connection.
 
@@ -64,7 +65,9 @@
             is_draining: Whether the connection closes when it is idle.
             send_continue: Tells a client that waits for it to send the body.
             memory: Memory for the bodies of all clients.
+            client_host: Address of the client; empty if it isn't known.
         """
+        self._client_host = client_host
         self._input = SocketInput(reader)
         self._read_bounds = read_bounds
         self._is_draining = is_draining
@@ -171,6 +174,7 @@
             ],
             body=body,
             hold=hold,
+            client_host=self._client_host,
         )
 
     async def watch_disconnect(self, hold: BodyHold) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -76,7 +76,12 @@
         self._is_answering = False
         self._ended_s: float | None = None
         self._requests = RequestReader(
-            reader, read_bounds, is_draining, self._send_continue, memory
+            reader,
+            read_bounds,
+            is_draining,
+            self._send_continue,
+            memory,
+            _client_host(writer),
         )
         self._responses = ResponseSender(
             writer, self._requests, read_bounds, is_stopping
@@ -221,6 +226,12 @@
         await self._responses.send_continue()
 
 
+def _client_host(writer: asyncio.StreamWriter) -> str:
+    """Returns the address that a connection comes from, if it is known."""
+    address = writer.get_extra_info('peername')
+    return str(address[0]) if isinstance(address, tuple) else ''
+
+
 __all__ = (
     'RequestHandler',
     'ServerConnection',
--- a/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
+++ b/packages/catkinreach-node/src/catkinreach_node/platform/wire.py
@@ -19,7 +19,12 @@
 from catkinreach_core.ids import RequestId, UpstreamId
 from catkinreach_core.ranges import Count, UnixMilliseconds
 
-from ..http.messages import JSON_TYPE, Headers, HttpRequest
+from ..http.messages import (
+    JSON_TYPE,
+    Headers,
+    HttpRequest,
+    end_to_end_headers,
+)
 from .boot import MS_PER_S
 from .header_numbers import HeaderNumbers
 from .sendable_text import is_target_part
@@ -46,21 +51,6 @@
 MAX_PRIORITY: Final = 9
 MAX_IDLE_S: Final = 86_400.0
 
-HOP_BY_HOP: Final = frozenset(
-    {
-        'connection',
-        'content-length',
-        'expect',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
 SET_BY_NODE: Final = frozenset(
     {
         'authorization',
@@ -240,9 +230,11 @@
 
     def caller_headers(self, headers: Headers) -> Headers:
         """Returns the headers of a reply that are passed to the caller."""
-        dropped = _connection_options(headers) | HOP_BY_HOP
-        dropped |= HIDDEN_FROM_CALLER
-        return [pair for pair in headers if pair[0] not in dropped]
+        return [
+            pair
+            for pair in end_to_end_headers(headers)
+            if pair[0] not in HIDDEN_FROM_CALLER
+        ]
 
 
 def _with_forward_headers(
@@ -259,19 +251,8 @@
 
 
 def _forwarded_headers(request: HttpRequest) -> Headers:
-    dropped = _connection_options(request.headers)
-    dropped |= HOP_BY_HOP | SET_BY_NODE
-    dropped -= {REQUEST_ID_HEADER}
-    return [pair for pair in request.headers if pair[0] not in dropped]
-
-
-def _connection_options(headers: Headers) -> set[str]:
-    return {
-        token.strip().lower()
-        for name, text in headers
-        if name == 'connection'
-        for token in text.split(',')
-    }
+    headers = end_to_end_headers(request.headers, kept=REQUEST_ID_HEADER)
+    return [pair for pair in headers if pair[0] not in SET_BY_NODE]
 
 
 def _parse_parts(text: str | None) -> tuple[str, ...]:
