--- a/packages/catkinreach-node/src/catkinreach_node/gateway/relay_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/relay_link.py
@@ -67,7 +67,7 @@
         """
         sent_s = self._node.clock()
         connection, response = await self._ask_peers(
-            upstream, wrap_request(request, upstream)
+            upstream, wrap_request(request, upstream), RelayOutcome.REPLIED
         )
         headers = unwrap_reply_headers(response.headers)
         metadata = self._node.dialect.read_reply(response.status, headers)
@@ -91,17 +91,22 @@
         """
         try:
             connection, _ = await self._ask_peers(
-                upstream, probe_request(upstream)
+                upstream, probe_request(upstream), RelayOutcome.REACHED
             )
         except ExchangeError as error:
             raise ConnectError(str(error)) from error
         connection.close()
 
     async def _ask_peers(
-        self, upstream: Upstream, request: HttpRequest
+        self, upstream: Upstream, request: HttpRequest, expected: RelayOutcome
     ) -> tuple[ClientConnection, ClientResponse]:
         """Returns the first answer of a peer that passed a request on.
 
+        Args:
+            upstream: Upstream that the request is for.
+            request: Request with its target.
+            expected: Outcome of a request that succeeds.
+
         Raises:
             ConnectError: if nothing was sent to the upstream.
             ExchangeError: if the request may have run.
@@ -112,7 +117,7 @@
         for peer in self._choice.order(
             self._usable_peers(), nearby, node.clock()
         ):
-            answer = await self._ask(peer, request)
+            answer = await self._ask(peer, request, expected)
             if answer is not None:
                 node.metrics.count_relayed()
                 return answer
@@ -130,7 +135,7 @@
         ]
 
     async def _ask(
-        self, peer: str, request: HttpRequest
+        self, peer: str, request: HttpRequest, expected: RelayOutcome
     ) -> tuple[ClientConnection, ClientResponse] | None:
         """Returns a peer's answer; ``None`` if it couldn't pass it on.
 
@@ -152,11 +157,8 @@
         is_answered = False
         try:
             response = await self._read_answer(connection, request, address)
-            outcome = read_outcome(response.headers)
-            is_answered = outcome in {
-                RelayOutcome.REPLIED,
-                RelayOutcome.REACHED,
-            }
+            outcome = read_outcome(response.status, response.headers)
+            is_answered = outcome is expected
         finally:
             if not is_answered:
                 connection.close()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/relay_messages.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/relay_messages.py
@@ -22,14 +22,20 @@
 
 UPSTREAM_HEADER = 'relay-upstream'
 OUTCOME_HEADER = 'relay-outcome'
-PROBE_METHOD = 'OPTIONS'
-PROBE_TARGET = '/relay-probe'
-"""Method and target of a request that only connects to the upstream."""
-
+MAX_START_DIGITS = 18
 NO_TYPE = 'application/x-no-type'
 """Type of a relayed body whose upstream gave none."""
 
 STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+
+
+class RelayAction(Enum):
+    """What a peer is to do with a request."""
+
+    SEND = 'send'
+    CONNECT = 'connect'
+    """Only connect to the upstream."""
 
 
 class RelayOutcome(Enum):
@@ -49,34 +55,47 @@
     """The incarnation of an upstream that a request is for.
 
     Attributes:
+        action: What the peer is to do.
         upstream_id: Name of the upstream.
         started_ms: Unix time of its start in milliseconds.
     """
 
+    action: RelayAction
     upstream_id: UpstreamId
     started_ms: int
 
     @classmethod
-    def from_upstream(cls, upstream: Upstream) -> RelayTarget:
+    def from_upstream(
+        cls, upstream: Upstream, action: RelayAction
+    ) -> RelayTarget:
         """Returns the target for an upstream."""
-        return cls(upstream.upstream_id, upstream.started_ms)
+        return cls(action, upstream.upstream_id, upstream.started_ms)
 
     @classmethod
     def from_text(cls, text: str) -> RelayTarget | None:
         """Returns the target in a header; ``None`` if it is malformed."""
-        started, _, upstream_id = text.partition(' ')
-        if not upstream_id or not started.isdecimal():
+        action, _, rest = text.partition(' ')
+        started, _, upstream_id = rest.partition(' ')
+        if not started.isdecimal() or len(started) > MAX_START_DIGITS:
+            return None
+        try:
+            known_action = RelayAction(action)
+        except ValueError:
             return None
-        return cls(UpstreamId(upstream_id), int(started))
+        return cls(known_action, UpstreamId(upstream_id), int(started))
 
     def __str__(self) -> str:
         """Returns the text of the header."""
-        return f'{self.started_ms} {self.upstream_id}'
+        return f'{self.action.value} {self.started_ms} {self.upstream_id}'
 
 
-def wrap_request(request: HttpRequest, upstream: Upstream) -> HttpRequest:
+def wrap_request(
+    request: HttpRequest,
+    upstream: Upstream,
+    action: RelayAction = RelayAction.SEND,
+) -> HttpRequest:
     """Returns a request for a peer to pass on to an upstream."""
-    target = str(RelayTarget.from_upstream(upstream))
+    target = str(RelayTarget.from_upstream(upstream, action))
     return HttpRequest(
         request.method,
         request.target,
@@ -98,7 +117,9 @@
 
 def probe_request(upstream: Upstream) -> HttpRequest:
     """Returns a request to connect to an upstream only."""
-    return wrap_request(HttpRequest(PROBE_METHOD, PROBE_TARGET), upstream)
+    return wrap_request(
+        HttpRequest('OPTIONS', '*'), upstream, RelayAction.CONNECT
+    )
 
 
 def wrap_reply(
@@ -128,12 +149,15 @@
     )
 
 
-def read_outcome(headers: Headers) -> RelayOutcome:
+def read_outcome(status: int, headers: Headers) -> RelayOutcome:
     """Returns what became of a request, as a peer tells.
 
-    Without a word the request may have been passed on.
+    Without a word the request may have been passed on, unless the peer has no
+    room for it.
     """
     text = dict(reversed(headers)).get(OUTCOME_HEADER)
+    if text is None and status == STATUS_UNAVAILABLE:
+        return RelayOutcome.NO_PATH
     try:
         return RelayOutcome(text)
     except ValueError:
@@ -151,8 +175,8 @@
 
 __all__ = (
     'OUTCOME_HEADER',
-    'PROBE_TARGET',
     'UPSTREAM_HEADER',
+    'RelayAction',
     'RelayOutcome',
     'RelayTarget',
     'outcome_response',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/relay_server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/relay_server.py
@@ -13,8 +13,8 @@
 )
 from .exchange import exchange
 from .relay_messages import (
-    PROBE_TARGET,
     UPSTREAM_HEADER,
+    RelayAction,
     RelayOutcome,
     RelayTarget,
     outcome_response,
@@ -55,11 +55,12 @@
         node = self._node
         if request.client_host not in node.members.contacts:
             return outcome_response(RelayOutcome.NO_PATH, 'not a peer')
-        upstream = self._find_upstream(request)
-        if upstream is None or node.reach.is_cut_off:
+        target = RelayTarget.from_text(request.header(UPSTREAM_HEADER) or '')
+        upstream = None if target is None else self._find_upstream(target)
+        if target is None or upstream is None or node.reach.is_cut_off:
             return outcome_response(RelayOutcome.NO_PATH)
         try:
-            if request.path == PROBE_TARGET:
+            if target.action is RelayAction.CONNECT:
                 await node.pool.probe(upstream)
                 return outcome_response(RelayOutcome.REACHED)
             return await self._pass_on(request, upstream)
@@ -70,11 +71,8 @@
         except (ExchangeError, TimeoutError) as error:
             return outcome_response(RelayOutcome.BROKEN, str(error))
 
-    def _find_upstream(self, request: HttpRequest) -> Upstream | None:
+    def _find_upstream(self, target: RelayTarget) -> Upstream | None:
         """Returns the incarnation that a request is for, if it is known."""
-        target = RelayTarget.from_text(request.header(UPSTREAM_HEADER) or '')
-        if target is None:
-            return None
         known = self._node.view.find_upstream(target.upstream_id)
         if known is None or known.upstream.started_ms != target.started_ms:
             return None
@@ -106,7 +104,7 @@
     async def _unreachable(
         self, upstream: Upstream, error: ConnectError
     ) -> HttpResponse:
-        if await self._node.paths.is_cut_off():
+        if await self._node.paths.is_cut_off(is_suspected=True):
             return outcome_response(RelayOutcome.NO_PATH, str(error))
         self._node.checks.check_silent(upstream)
         if isinstance(error, RefusedError):
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_paths.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_paths.py
@@ -40,6 +40,11 @@
         self._relay = RelayLink(node)
         self._check: asyncio.Task[bool] | None = None
 
+    @property
+    def _uses_relays(self) -> bool:
+        """Returns whether peers may reach what this VM doesn't."""
+        return self._node.reach.is_cut_off and self._relay.has_peers
+
     async def run(self) -> None:
         """Tries to reach upstreams while the VM is cut off; never ends."""
         while True:
@@ -58,13 +63,14 @@
             ExchangeError: the request may have run.
         """
         node = self._node
-        if not node.reach.is_cut_off:
+        if not self._uses_relays:
             try:
                 return await exchange(node, upstream, request, request_id)
             except ClosedToRequestsError:
                 raise
             except ConnectError:
-                if not await self.is_cut_off():
+                await self.is_cut_off()
+                if not self._uses_relays:
                     raise
         if not node.may_still_send(upstream):
             raise ClosedToRequestsError(f'{upstream.address} takes no requests')
@@ -77,11 +83,12 @@
             ConnectError: if it doesn't accept.
         """
         node = self._node
-        if not node.reach.is_cut_off:
+        if not self._uses_relays:
             try:
                 await node.pool.probe(upstream)
             except ConnectError:
-                if not await self.is_cut_off():
+                await self.is_cut_off()
+                if not self._uses_relays:
                     raise
             else:
                 return
@@ -100,11 +107,17 @@
                 known, node.clock(), is_suspected=is_suspected
             ):
                 return node.reach.is_cut_off
-            if not self._relay.has_peers:
+            if is_suspected and not self._can_tell:
                 return False
             self._check = node.spawn(self._check_reach())
         return await asyncio.shield(self._check)
 
+    @property
+    def _can_tell(self) -> bool:
+        """Returns whether more than one upstream can show a cut."""
+        failed = self._node.reach.failed
+        return len(failed) > 1 or bool(self._further_upstreams())
+
     async def _check_reach(self) -> bool:
         """Connects to further upstreams; returns whether all that fails."""
         node = self._node
--- a/packages/catkinreach-node/tests/gateway/test_cut_off_vms.py
+++ b/packages/catkinreach-node/tests/gateway/test_cut_off_vms.py
@@ -7,9 +7,15 @@
 
 import pytest
 
-from catkinreach_core.ids import UpstreamId
-from catkinreach_node.gateway.relay_messages import OUTCOME_HEADER, wrap_request
-from catkinreach_node.http.connection import ExchangeError
+from catkinreach_core.ids import RequestId, UpstreamId
+from catkinreach_node.gateway.relay_messages import (
+    OUTCOME_HEADER,
+    RelayOutcome,
+    RelayTarget,
+    read_outcome,
+    wrap_request,
+)
+from catkinreach_node.http.connection import ConnectError, ExchangeError
 from catkinreach_node.http.messages import HttpRequest
 from catkinreach_standins.platform.deployment import eventually
 from catkinreach_standins.platform.gateway_fleet import running_fleet
@@ -256,6 +262,91 @@
     asyncio.run(run())
 
 
+# A caller's path was taken for a question of the VM itself.
+def test_path_of_a_caller_is_no_probe() -> None:
+    async def run() -> None:
+        async with running_fleet(2) as (deployment, gateways):
+            await _cut_off(deployment, gateways[:1])
+            request = deployment.make_request('/read/')
+            link = gateways[0].node.paths
+            known = gateways[0].node.view.find_upstream(UpstreamId('a'))
+            assert known is not None
+            probe = HttpRequest('OPTIONS', '/relay-probe', request.headers)
+            request_id = RequestId(request.header('request-id') or '')
+            await link.exchange(known.upstream, probe, request_id)
+            (received,) = (
+                one
+                for one in deployment.upstreams['a'].received
+                if one.request_id == request_id
+            )
+            assert received.target == '/relay-probe'
+
+    asyncio.run(run())
+
+
+# VMs waited for a chosen upstream to come back while others already had.
+def test_fleet_that_reaches_no_upstream_returns_at_once() -> None:
+    async def run() -> None:
+        async with running_fleet(2) as (deployment, gateways):
+            await _cut_off(deployment, gateways)
+            assert all(one.node.reach.is_cut_off for one in gateways)
+            for gateway in gateways:
+                gateway.reconnect()
+                gateway.node.health.forget_unreachable()
+                status, _ = await _call(
+                    deployment, gateway, _plain(deployment, 'read')
+                )
+                assert status == 200
+                assert not gateway.node.reach.is_cut_off
+
+    asyncio.run(run())
+
+
+# An upstream was marked down since the peer that was asked was cut off, too.
+def test_peer_that_is_cut_off_unawares_says_so() -> None:
+    async def run() -> None:
+        async with running_fleet(VMS) as (deployment, gateways):
+            await _cut_off(deployment, gateways[:1])
+            gateways[1].cut_off(is_refused=True)
+            gateways[2].cut_off(is_refused=True)
+            node = gateways[0].node
+            known = node.view.find_upstream(UpstreamId('a'))
+            assert known is not None
+            with pytest.raises(ConnectError, match='no peer'):
+                await node.paths._relay.probe(known.upstream)
+
+    asyncio.run(run())
+
+
+# Orders got 502, though the peer had not taken them.
+@pytest.mark.parametrize('started', ['1' * 5000, '-1', 'x', ''])
+def test_malformed_target_is_no_upstream(started: str) -> None:
+    assert RelayTarget.from_text(f'send {started} a') is None
+
+
+def test_refusal_of_a_full_peer_says_that_nothing_was_sent() -> None:
+    assert read_outcome(503, []) is RelayOutcome.NO_PATH
+    assert read_outcome(500, []) is RelayOutcome.BROKEN
+    assert read_outcome(503, [('relay-outcome', 'replied')]) is (
+        RelayOutcome.REPLIED
+    )
+
+
+# The crash of the only upstream that was left counted as a cut.
+def test_crash_of_the_last_upstream_is_evidence() -> None:
+    async def run() -> None:
+        async with running_fleet(2) as (deployment, gateways):
+            node = gateways[0].node
+            for name in 'abep':
+                node.mark_unreachable(UpstreamId(name), 'went down before')
+            deployment.upstreams['d'].close()
+            known = node.view.find_upstream(UpstreamId('d'))
+            assert known is not None
+            assert await node.checks._has_crashed(known.upstream)
+
+    asyncio.run(run())
+
+
 # Anyone who reaches the port could run requests without a key.
 def test_peers_pass_on_no_requests_of_strangers() -> None:
     async def run() -> None:
