--- a/packages/catkinreach-node/src/catkinreach_node/session/plain.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/plain.py
@@ -10,7 +10,7 @@
 from catkinreach_core.placement.plain import PlainBalancer
 
 from ..http.connection import ConnectError, ExchangeError
-from ..http.messages import HttpRequest, HttpResponse
+from ..http.messages import HOP_BY_HOP_HEADERS, HttpRequest, HttpResponse
 from ..http.witness import Witness
 from ..telemetry.hop_recorder import TRACE_HEADER
 from ..telemetry.hops import Hop
@@ -32,21 +32,8 @@
 """Time from acceptance in which a response has to be whole, with its retry; as
 long as the callers of orders wait."""
 
-# Headers of one connection; Host and Content-Length are set anew by the sender.
-_HOP_BY_HOP = frozenset(
-    {
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
+# Host is set anew by the sender.
+_HOP_BY_HOP = HOP_BY_HOP_HEADERS | {'host'}
 _NEVER_FORWARDED = _HOP_BY_HOP | {
     'authorization',
     'cookie',
