--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/early_upstream.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/early_upstream.py
@@ -78,6 +78,16 @@
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            if not writer.is_closing():
+                # The event loop ends before the reply does.
+                writer.transport.abort()
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         async for head in _heads(reader):
             if head.startswith(b'GET /health'):
