Keep no connection of the check that a VM makes of its own links

Cause: after a refused connect a VM connects to further upstreams, and these connections went to the pool. One that is older than a later request counts as proof that its upstream has run since. In the test that upstream only stops to listen when it crashes, and went on to answer there.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_paths.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_paths.py
@@ -163,7 +163,7 @@
     async def _connect(self, upstream: Upstream) -> None:
         """Connects directly; the pool records whether that succeeds."""
         try:
-            await self._node.pool.probe(upstream)
+            await self._node.pool.check_reach(upstream)
         except ConnectError:
             return
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_pool.py
@@ -89,6 +89,17 @@
         connection = await self._open(upstream)
         self._keep_idle(upstream.upstream_id, connection, None)
 
+    async def check_reach(self, upstream: Upstream) -> None:
+        """Opens a connection and closes it.
+
+        An idle one would stand for what the upstream was when it was opened.
+
+        Raises:
+            ConnectError: if the upstream doesn't accept.
+        """
+        connection = await self._open(upstream)
+        connection.close()
+
     def release(
         self,
         upstream_id: UpstreamId,
