--- a/packages/catkinreach-node/src/catkinreach_node/gateway/relay_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/relay_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import h11
@@ -35,6 +36,9 @@
     from ..http.messages import HttpRequest
     from .node import Node
 
+PROBE_TIMEOUT_S = 1.0
+"""Time in which peers tell whether they reach an upstream."""
+
 _CONNECT_ERRORS = {
     RelayOutcome.UNREACHABLE: ConnectError,
     RelayOutcome.NOT_LISTENING: RefusedError,
@@ -90,11 +94,12 @@
             ConnectError: if none can.
         """
         try:
-            connection, _ = await self._ask_peers(
-                upstream, probe_request(upstream), RelayOutcome.REACHED
-            )
-        except ExchangeError as error:
-            raise ConnectError(str(error)) from error
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                connection, _ = await self._ask_peers(
+                    upstream, probe_request(upstream), RelayOutcome.REACHED
+                )
+        except (ExchangeError, TimeoutError) as error:
+            raise ConnectError(str(error) or 'no answer of a peer') from error
         connection.close()
 
     async def _ask_peers(
--- a/packages/catkinreach-node/tests/gateway/test_cut_off_vms.py
+++ b/packages/catkinreach-node/tests/gateway/test_cut_off_vms.py
@@ -35,6 +35,7 @@
 RETURN_TIMEOUT_S = 3.0
 TRIES = 10
 LEAVES_AFTER_S = 0.1
+FROZEN_S = 4.0
 LEFT_WITHIN_S = 0.5
 PAUSE_S = 1.2
 """Longer than a stopping VM waits for callers that are on their way, and within
@@ -325,6 +326,28 @@
     asyncio.run(run())
 
 
+# A peer that froze held up all probes, and with them the expiry of entries.
+def test_probe_waits_for_a_frozen_peer_without_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        async with running_fleet(2) as (deployment, gateways):
+            await _cut_off(deployment, gateways[:1])
+            paths = gateways[0].node.paths
+            known = gateways[0].node.view.find_upstream(UpstreamId('a'))
+            assert known is not None
+
+            async def freeze(*_: object) -> None:
+                await asyncio.sleep(FROZEN_S)
+
+            monkeypatch.setattr(paths._relay, '_read_answer', freeze)
+            async with asyncio.timeout(FROZEN_S / 2):
+                with pytest.raises(ConnectError):
+                    await paths._relay.probe(known.upstream)
+
+    asyncio.run(run())
+
+
 # Orders got 502, though the peer had not taken them.
 @pytest.mark.parametrize('started', ['1' * 5000, '-1', 'x', ''])
 def test_malformed_target_is_no_upstream(started: str) -> None:
