Tests of sound engines that are silent while no other one connects, failing

Callers saw streams cut off, or 504, a quarter of a second after another engine was chosen for a silent one; nothing had been sent to it.

--- a/packages/catkinreach-node/tests/gateway/test_attempts.py
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -9,8 +9,10 @@
 
 import pytest
 
-from catkinreach_core.ids import RequestId
+from catkinreach_core.gateway.retry_budget import SLACK_USE, RetryBudget
+from catkinreach_core.ids import RequestId, ServiceId
 from catkinreach_node.gateway.attempts import Attempts, SendFailure
+from catkinreach_node.http.connection import ConnectError
 from catkinreach_standins.fakes.gateway import make_upstream
 from catkinreach_standins.platform.deployment import idle_node
 
@@ -23,6 +25,7 @@
     from catkinreach_node.gateway.upstream_checks import UpstreamChecks
 
 CHECK_S = 0.02
+WINDOW_S = 10.0
 MAX_ATTEMPTS = 2
 SILENT, OTHER, THIRD = map(make_upstream, ('silent', 'other', 'third'))
 
@@ -33,6 +36,8 @@
         route=SimpleNamespace(is_retryable=True, max_attempts=MAX_ATTEMPTS),
         metadata=SimpleNamespace(request_id=RequestId('one')),
         deadline_s=math.inf,
+        service=SimpleNamespace(service_id=ServiceId('models')),
+        suspect_keys=(),
     )
     attempts = Attempts(idle_node(), cast('AdmittedRequest', admitted))
     attempts.count_send()
@@ -129,3 +134,17 @@
     attempts.count_send()
     _refuse(attempts, SILENT)
     assert not attempts.can_retry
+
+
+# Nothing had been sent, but the retry was spent: a stream whose engine had been
+# given up for the one that can't be connected to went nowhere.
+def test_failed_connect_spends_a_retry() -> None:
+    attempts = _make_attempts()
+    attempts._node.retry_budget = RetryBudget(
+        ratio=0.0, slack=1 / SLACK_USE, window_s=WINDOW_S
+    )
+    assert attempts.try_reserve_retry()
+    for _ in range(2):
+        assert attempts.try_acquire_send()
+        attempts.count_send()
+        attempts.record_unreachable(OTHER, ConnectError('silent'))
