--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/cause.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/cause.py
@@ -53,6 +53,13 @@
     'too-slow': Cause.NOT_ALLOWED,
     'request-quarantined': Cause.UPSTREAM_LOST,
 }
+_CAUSE_BY_CONNECTION_END: Final = {
+    'client-closed': Cause.CALLER_LEFT,
+    'client-reset': Cause.CALLER_LEFT,
+    'client-stalled': Cause.CALLER_LEFT,
+    'gave-way': Cause.CALLER_LEFT,
+    'stopped': Cause.STOPPING,
+}
 _STALE_VIEW_CODES: Final = frozenset(
     {'key-refused', 'no-upstream', 'route-unknown'}
 )
@@ -88,8 +95,11 @@
     end = history.end
     if end is None:
         return Cause.UNFINISHED
-    if end.event in _CAUSE_BY_END_EVENT:
-        return _CAUSE_BY_END_EVENT[end.event]
+    cause = _CAUSE_BY_END_EVENT.get(end.event) or _CAUSE_BY_CONNECTION_END.get(
+        end.text('code')
+    )
+    if cause is not None:
+        return cause
     unavailable = history.unavailable
     if unavailable is not None:
         is_paused = bool(unavailable.fields.get('paused'))
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/rendering.py
@@ -30,6 +30,7 @@
     'refused': 'was refused',
     'answered': 'was answered',
     'caller-left': 'its caller left',
+    'unanswered': 'got no whole response',
     'upstream-leaving': 'was told that an upstream leaves',
     'upstream-paused': 'was told that an upstream wants a pause',
     'service-unavailable': 'found only upstreams that take no requests',
--- a/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/request_history.py
+++ b/packages/catkinreach-ctl/src/catkinreach_ctl/log_reading/request_history.py
@@ -14,7 +14,9 @@
 
     from .lines import LogLine
 
-END_EVENTS: Final = frozenset({'answered', 'caller-left', 'failed', 'refused'})
+END_EVENTS: Final = frozenset(
+    {'answered', 'caller-left', 'failed', 'refused', 'unanswered'}
+)
 _UPSTREAM_EVENTS: Final = frozenset(
     {
         'upstream-down',
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/app.py
@@ -24,6 +24,7 @@
 from .snapshot_link import SnapshotLink
 from .stage_order_task import StageOrderTask
 from .store_task import StoreTask
+from .unanswered_requests import UnansweredRequests
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -93,6 +94,7 @@
             name='ingress',
             bounds=ServerBounds(max_connections=self._max_connections),
             memory=self._body_memory,
+            on_unanswered=UnansweredRequests(self._node, 'ingress').note,
         )
         self._snapshots = SnapshotLink(self._node)
         self._side = SideServers(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/decision_log.py
@@ -72,6 +72,7 @@
     FAILED = 'failed'
     ANSWERED = 'answered'
     CALLER_LEFT = 'caller-left'
+    UNANSWERED = 'unanswered'
     SUSPECT = 'crash-suspect'
     ORDER = 'order'
     LINES_DROPPED = 'lines-dropped'
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/side_servers.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/side_servers.py
@@ -12,6 +12,7 @@
 from ..http.server_bounds import ServerBounds
 from ..telemetry.metrics import METRICS_TYPE
 from .relay_server import RelayServer
+from .unanswered_requests import UnansweredRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,7 +65,13 @@
         self._relay = RelayServer(node)
         self._started_s = node.clock()
         self.servers = {
-            name: HttpServer(answer, name=name, bounds=bounds, memory=memory)
+            name: HttpServer(
+                answer,
+                name=name,
+                bounds=bounds,
+                memory=memory,
+                on_unanswered=UnansweredRequests(node, name).note,
+            )
             for name, answer, bounds in (
                 ('ready', self._answer_ready, SIDE_BOUNDS),
                 ('metrics', self._answer_metrics, SIDE_BOUNDS),
--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -78,6 +78,7 @@
         self._waiting_since_s = asyncio.get_running_loop().time()
         self._hold: BodyHold | None = None
         self._is_first_request = True
+        self._lacks_first_request = False
         self._is_head_request = False
         self._max_head_bytes = self._bounds.max_head_bytes
         self.protocol = _new_protocol(self._max_head_bytes)
@@ -104,6 +105,16 @@
             held_bytes=held_bytes,
         )
 
+    @property
+    def waiting_since_s(self) -> float:
+        """Returns the time since which the next request is waited for."""
+        return self._waiting_since_s
+
+    @property
+    def lacks_first_request(self) -> bool:
+        """Returns whether no byte of a first request came in time."""
+        return self._lacks_first_request
+
     @property
     def has_input(self) -> bool:
         """Returns whether bytes of another request have arrived."""
@@ -217,6 +228,7 @@
             return True
         chunk = await self._read_first_bytes(asyncio.get_running_loop().time())
         if chunk is None:
+            self._lacks_first_request = self._is_first_request
             return False
         self.protocol.receive_data(chunk)
         return True
--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -10,11 +10,12 @@
 
 import h11
 
+from .connection_end import BrokenBodyError, ClientStalledError
 from .messages import EVENT_STREAM_TYPE, STATUSES_WITHOUT_BODY, encode_headers
 from .problem import problem_response
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Callable
 
     from catkinreach_core.errors import CatkinreachError
 
@@ -50,6 +51,8 @@
         self._read_bounds = read_bounds
         self._is_stopping = is_stopping
         self._stalled_since_s: float | None = None
+        self._has_begun = False
+        self._is_whole = False
 
     @property
     def stalled_since_s(self) -> float | None:
@@ -61,6 +64,16 @@
         """Returns the bytes that the client hasn't read."""
         return self._writer.transport.get_write_buffer_size()
 
+    @property
+    def is_whole(self) -> bool:
+        """Returns whether the last response was sent as a whole."""
+        return self._is_whole
+
+    @property
+    def has_begun(self) -> bool:
+        """Returns whether a part of that response was sent."""
+        return self._has_begun
+
     def abort(self) -> None:
         """Closes the socket at once; what wasn't sent is lost."""
         self._writer.transport.abort()
@@ -82,7 +95,7 @@
         Waits until responses have left the process, which may end next.
 
         Raises:
-            ConnectionAbortedError: if the client reads too slowly.
+            ClientStalledError: if the client reads too slowly.
         """
         state = self._requests.protocol.our_state
         is_ended = state in ENDED_STATES
@@ -101,15 +114,15 @@
         """Sends a whole response, its stream as it arrives.
 
         Raises:
-            ConnectionAbortedError: if the client reads too slowly.
+            ClientStalledError: if the client reads too slowly.
+            BrokenBodyError: if the stream breaks off.
         """
+        self._has_begun = self._is_whole = False
         if response.stream is not None:
             await self._send_stream(response, response.stream)
-            return
-        events: list[h11.Event] = [self._head(response)]
-        if self._has_body(response):
-            events.append(h11.Data(data=response.body))
-        await self._send(*events, h11.EndOfMessage())
+        else:
+            await self._send_whole(response)
+        self._is_whole = True
 
     async def refuse(self, error: CatkinreachError) -> None:
         """Sends an error response unless a response has already started."""
@@ -137,6 +150,12 @@
             )
         self._writer.transport.abort()
 
+    async def _send_whole(self, response: HttpResponse) -> None:
+        events: list[h11.Event] = [self._head(response)]
+        if self._has_body(response):
+            events.append(h11.Data(data=response.body))
+        await self._send(*events, h11.EndOfMessage())
+
     async def _send_stream(
         self, response: HttpResponse, stream: BodyStream
     ) -> None:
@@ -144,7 +163,8 @@
         async with aclosing(stream) as chunks:
             await self._send(self._head(response))
             if self._has_body(response):
-                async for chunk in chunks:
+                body = aiter(chunks)
+                while (chunk := await _next_chunk(body)) is not None:
                     await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
 
@@ -183,6 +203,7 @@
 
     async def _send(self, *events: h11.Event) -> None:
         chunks = [self._requests.protocol.send(event) for event in events]
+        self._has_begun |= not isinstance(events[0], h11.InformationalResponse)
         self._writer.write(b''.join(chunk for chunk in chunks if chunk))
         await self._flush()
 
@@ -192,7 +213,8 @@
         No timer is started if the write buffer is already empty.
 
         Raises:
-            ConnectionAbortedError: if the client reads too slowly.
+            ClientStalledError: if the client reads too slowly.
+            ConnectionResetError: if the connection is closed meanwhile.
         """
         transport = self._writer.transport
         if not transport.get_write_buffer_size() and not transport.is_closing():
@@ -201,13 +223,28 @@
         try:
             async with asyncio.timeout(self._read_bounds().write_timeout_s):
                 await self._writer.drain()
+            # asyncio ends the wait without an error at an abort.
+            if transport.is_closing():
+                raise ConnectionResetError('connection closed while sending')
         except TimeoutError as error:
             self._writer.transport.abort()
-            raise ConnectionAbortedError(
+            raise ClientStalledError(
                 'client did not read the response in time'
             ) from error
         finally:
             self._stalled_since_s = None
 
 
+async def _next_chunk(body: AsyncIterator[bytes]) -> bytes | None:
+    """Returns the next chunk of a body; ``None`` at its end.
+
+    Raises:
+        BrokenBodyError: if the body breaks off.
+    """
+    try:
+        return await anext(body, None)
+    except OSError as error:
+        raise BrokenBodyError(str(error)) from error
+
+
 __all__ = ('ResponseSender',)
--- a/packages/catkinreach-node/src/catkinreach_node/http/server.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server.py
@@ -14,6 +14,7 @@
 
 from .body_memory import BodyMemory
 from .bounded_streams import start_bounded_server
+from .connection_end import ignore_unanswered
 from .server_bounds import RequestCounter, ServerBounds
 from .server_connection import ServerConnection
 
@@ -22,6 +23,7 @@
 
     from catkinreach_core.settings.node import Address
 
+    from .connection_end import UnansweredObserver
     from .server_connection import RequestHandler
 
 
@@ -51,6 +53,7 @@
         name: str,
         bounds: ServerBounds | None = None,
         memory: BodyMemory | None = None,
+        on_unanswered: UnansweredObserver = ignore_unanswered,
     ) -> None:
         """Creates the server.
 
@@ -59,9 +62,11 @@
             name: Prefix of its log lines.
             bounds: Timeouts and size limits.
             memory: Memory for the bodies of all clients.
+            on_unanswered: Told of each request that gets no whole response.
         """
         self._memory = memory or BodyMemory()
         self._serve = serve
+        self._on_unanswered = on_unanswered
         self._name = name
         self._bounds = bounds or ServerBounds()
         self._server: asyncio.Server | None = None
@@ -170,6 +175,7 @@
             self._memory,
             is_draining=lambda: self._is_draining,
             is_stopping=lambda: self._is_stopping,
+            on_unanswered=self._on_unanswered,
         )
         try:
             await self._serve_or_refuse(connection)
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -16,6 +16,13 @@
 )
 
 from .body_memory import BodyHold
+from .connection_end import (
+    ClientStalledError,
+    ConnectionEnd,
+    UnansweredRequest,
+    end_of_error,
+    ignore_unanswered,
+)
 from .problem import problem_response
 from .request_reader import RequestReader
 from .response_sender import ResponseSender
@@ -24,6 +31,7 @@
     from collections.abc import Awaitable, Callable
 
     from .body_memory import BodyMemory
+    from .connection_end import UnansweredObserver
     from .messages import HttpRequest, HttpResponse
     from .server_bounds import RequestCounter, ServerBounds
 
@@ -56,6 +64,7 @@
         *,
         is_draining: Callable[[], bool],
         is_stopping: Callable[[], bool],
+        on_unanswered: UnansweredObserver = ignore_unanswered,
     ) -> None:
         """Wraps an accepted connection.
 
@@ -68,13 +77,17 @@
             memory: Memory for the bodies of all clients.
             is_draining: Whether the connection closes when it is idle.
             is_stopping: Whether it closes after its next response.
+            on_unanswered: Told of each request that gets no whole response.
         """
         self._serve = serve
         self._request_counter = request_counter
         self._is_draining = is_draining
         self._memory = memory
         self._is_answering = False
+        self._on_unanswered = on_unanswered
         self._ended_s: float | None = None
+        # Why this side closes the connection, if it does so on its own.
+        self._own_end: ConnectionEnd | None = None
         self._requests = RequestReader(
             reader,
             read_bounds,
@@ -113,6 +126,7 @@
         if self.state.waiting is Waiting.NEXT_REQUEST:
             self.close_if_idle()
         else:
+            self._own_end = ConnectionEnd.GAVE_WAY
             self._responses.abort()
 
     def close_if_idle(self) -> None:
@@ -121,6 +135,7 @@
 
     def close(self) -> None:
         """Closes the socket; a response that isn't complete breaks off."""
+        self._own_end = self._own_end or ConnectionEnd.STOPPED
         self._responses.close()
 
     async def run(self) -> None:
@@ -130,6 +145,8 @@
         """
         while await self._serve_next_request():
             if not self._requests.start_next_cycle():
+                if self._requests.has_input:
+                    self._note_unanswered(ConnectionEnd.UNSERVED)
                 break
         await self._linger()
 
@@ -147,10 +164,17 @@
         self._ended_s = asyncio.get_running_loop().time()
         linger_s = STOP_LINGER_S if self._is_draining() else LINGER_S
         with suppress(OSError):
-            if await self._responses.end_output():
+            if await self._end_output():
                 async with asyncio.timeout(linger_s):
                     await self._requests.discard_input(MAX_LINGER_BYTES)
 
+    async def _end_output(self) -> bool:
+        try:
+            return await self._responses.end_output()
+        except ClientStalledError:
+            self._note_unanswered(ConnectionEnd.CLIENT_STALLED)
+            raise
+
     async def _serve_next_request(self) -> bool:
         """Reads and serves a request; returns False to close the connection."""
         try:
@@ -164,30 +188,76 @@
             )
             return False
         if request is None:
+            if self._requests.lacks_first_request:
+                self._note_unanswered(ConnectionEnd.NO_REQUEST)
             return False
         self._request_counter.begin()
         self._is_answering = True
         try:
-            return await self._answer_unless_disconnected(request)
-        except OSError:
+            return await self._answer(request)
+        finally:
+            self._is_answering = False
+            self._request_counter.end()
+            if request.hold is not None:
+                request.hold.release()
+
+    async def _answer(self, request: HttpRequest) -> bool:
+        """Answers a request; returns False to close the connection.
+
+        A request that gets no whole response is noted.
+        """
+        began_s = asyncio.get_running_loop().time()
+        end = ConnectionEnd.STOPPED
+        try:
+            if await self._answer_unless_disconnected(request):
+                return True
+            end = ConnectionEnd.CLIENT_CLOSED
+        except OSError as error:
+            end = end_of_error(error)
             raise
         except Exception as error:  # noqa: BLE001 - fails only the request
             logger.opt(exception=error).error(
                 'unexpected error while a request was answered'
             )
             await self._responses.refuse(CatkinreachError(ErrorKind.INTERNAL))
-            return False
+            end = end_of_error(error)
         finally:
-            self._is_answering = False
-            self._request_counter.end()
-            if request.hold is not None:
-                request.hold.release()
+            if not self._responses.is_whole:
+                self._note_unanswered(end, request, began_s)
+        return False
+
+    def _note_unanswered(
+        self,
+        end: ConnectionEnd,
+        request: HttpRequest | None = None,
+        began_s: float | None = None,
+    ) -> None:
+        """Tells of a request that gets no whole response.
+
+        Args:
+            end: Why, unless this side has closed the connection on its own.
+            request: The request, if it was read.
+            began_s: Time of the event loop at which it was read.
+        """
+        if began_s is None:
+            began_s = self._requests.waiting_since_s
+        self._on_unanswered(
+            UnansweredRequest(
+                end=self._own_end or end,
+                request=request,
+                waited_s=asyncio.get_running_loop().time() - began_s,
+                has_begun=self._responses.has_begun,
+            )
+        )
 
     async def _answer_unless_disconnected(self, request: HttpRequest) -> bool:
         """Serves a request and cancels it if the client disconnects.
 
         Returns:
-            False if the request was cancelled.
+            False if the client disconnected.
+
+        Raises:
+            HandlerError: if the answer was cancelled though the client stays.
         """
         answer_task = asyncio.ensure_future(self._serve_and_send(request))
         read_ahead = BodyHold(self._memory)
@@ -199,11 +269,15 @@
                 {answer_task, disconnect_task},
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not answer_task.done() and disconnect_task.result():
+            has_left = not answer_task.done() and disconnect_task.result()
+            if has_left:
                 answer_task.cancel()
-            with suppress(asyncio.CancelledError):
-                return await answer_task
-            return False
+            await asyncio.wait({answer_task})
+            if not answer_task.cancelled():
+                return answer_task.result()
+            if has_left:
+                return False
+            raise HandlerError('the answer was cancelled from within')
         finally:
             answer_task.cancel()
             disconnect_task.cancel()
--- a/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
+++ b/packages/catkinreach-node/src/catkinreach_node/telemetry/metrics.py
@@ -63,6 +63,7 @@
     def __init__(self) -> None:
         """Starts at zero."""
         self._answers: Counter[tuple[str, str]] = Counter()
+        self._unanswered: Counter[str] = Counter()
         self._task_failures: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
 
@@ -70,6 +71,14 @@
         """Counts an answer by HTTP status and error code, ``ok`` if none."""
         self._answers[str(status), code] += 1
 
+    def count_unanswered(self, end: str) -> None:
+        """Counts a request without a whole response.
+
+        Args:
+            end: Value of the ``ConnectionEnd``.
+        """
+        self._unanswered[end] += 1
+
     def count_task_failure(self, name: str) -> None:
         """Counts an unexpected error of a task."""
         self._task_failures[name] += 1
@@ -86,6 +95,9 @@
         for (status, code), count in sorted(self._answers.items()):
             labels = f'status="{status}",code="{code}"'
             yield f'catkinreach_answers_total{{{labels}}} {count}'
+        for end, count in sorted(self._unanswered.items()):
+            labels = f'end="{end}"'
+            yield f'catkinreach_unanswered_requests_total{{{labels}}} {count}'
         for name, count in sorted(self._task_failures.items()):
             yield f'catkinreach_task_failures_total{{task="{name}"}} {count}'
         for name, read in sorted(self._gauges.items()):
