--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -10,9 +10,12 @@
 from catkinreach_core.gateway.load_table import UpstreamLoad
 
 from ..http.connection import ExchangeError
+from .exchange import ignore_sending
 from .reply_wait import start_reply
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinreach_core.gateway.event_numbering import EventNumbering
     from catkinreach_core.gateway.events import StreamEvent
     from catkinreach_core.gateway.metadata import KvHandle
@@ -107,17 +110,27 @@
         """Returns whether the engine has sent events for a while."""
         return self._last_event_at_s - self._first_event_at_s >= STARTED_S
 
-    def start(self, resume_after: int | None) -> asyncio.Future[None]:
+    def start(
+        self,
+        resume_after: int | None,
+        on_sending: Callable[[], None] = ignore_sending,
+    ) -> asyncio.Future[None]:
         """Sends the request; returns the wait for its first event or a failure.
 
+        Args:
+            resume_after: Last event that the caller has.
+            on_sending: Called once there is a connection.
+
         The wait ends with a ``ConnectError`` if nothing was sent, and with an
         ``ExchangeError`` if the request may have run. It is cancelled if the
         stream is closed.
         """
-        self._opening = start_reply(self._open(resume_after))
+        self._opening = start_reply(self._open(resume_after, on_sending))
         return self._opening
 
-    async def _open(self, resume_after: int | None) -> None:
+    async def _open(
+        self, resume_after: int | None, on_sending: Callable[[], None]
+    ) -> None:
         admitted = self._admitted
         metadata = admitted.forward_metadata(
             self._upstream,
@@ -129,6 +142,7 @@
             self._upstream,
             self._node.dialect.upstream_request(admitted.request, metadata),
             admitted.metadata.request_id,
+            on_sending,
         )
         self._has_connection = True
         if self._reply.is_event_stream:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/exchange.py
@@ -16,6 +16,8 @@
 from .reply_buffer import BufferFullError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinreach_core.gateway.metadata import ReplyMetadata
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import RequestId
@@ -191,11 +193,27 @@
         self.connection.close()
 
 
+def ignore_sending() -> None:
+    """Does nothing."""
+
+
 async def exchange(
-    node: Node, upstream: Upstream, request: HttpRequest, request_id: RequestId
+    node: Node,
+    upstream: Upstream,
+    request: HttpRequest,
+    request_id: RequestId,
+    on_sending: Callable[[], None] = ignore_sending,
 ) -> Reply:
     """Sends a request directly and returns the head of its reply.
 
+    Args:
+        node: State of the process.
+        upstream: Upstream to send to.
+        request: Request for it.
+        request_id: Id that the reply must repeat.
+        on_sending: Called once there is a connection, before the request is
+            sent.
+
     Raises:
         ConnectError: nothing was sent; a ``ClosedToRequestsError`` if the
             upstream takes no requests.
@@ -207,6 +225,7 @@
         raise ClosedToRequestsError(f'{upstream.address} takes no requests')
     sent_s = node.clock()
     has_reply = False
+    on_sending()
     try:
         await connection.send(request, str(upstream.address))
         response, metadata = await _read_head(
@@ -273,4 +292,10 @@
     raise ExchangeError('too many interim responses')
 
 
-__all__ = ('MAX_REPLY_BYTES', 'Reply', 'exchange', 'next_final_head')
+__all__ = (
+    'MAX_REPLY_BYTES',
+    'Reply',
+    'exchange',
+    'ignore_sending',
+    'next_final_head',
+)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -11,7 +11,7 @@
 from .attempts import SendFailure
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from catkinreach_core.gateway.upstream import Upstream
 
@@ -114,13 +114,24 @@
         return self._resuming.done()
 
     @contextmanager
-    def overlap(self) -> Iterator[None]:
-        """Limits how long the silent upstream runs beside a send."""
-        timer = asyncio.get_running_loop().call_later(OVERLAP_S, self.give_up)
+    def overlap(self) -> Iterator[Callable[[], None]]:
+        """Limits how long the silent upstream runs beside a send.
+
+        Yields:
+            What the send calls when it has a connection. Until then the silent
+            upstream is the only one that has the request.
+        """
+        timers: list[asyncio.TimerHandle] = []
+
+        def begin() -> None:
+            loop = asyncio.get_running_loop()
+            timers.append(loop.call_later(OVERLAP_S, self.give_up))
+
         try:
-            yield
+            yield begin
         finally:
-            timer.cancel()
+            for timer in timers:
+                timer.cancel()
 
     def give_up(
         self,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/relay_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/relay_link.py
@@ -30,6 +30,8 @@
 from .upstream_pool import CONNECT_TIMEOUT_S, MAX_BUFFERED_BYTES
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import RequestId
 
@@ -60,16 +62,27 @@
         return bool(self._usable_peers())
 
     async def exchange(
-        self, upstream: Upstream, request: HttpRequest, request_id: RequestId
+        self,
+        upstream: Upstream,
+        request: HttpRequest,
+        request_id: RequestId,
+        on_sending: Callable[[], None],
     ) -> Reply:
         """Sends a request through a peer and returns the head of its reply.
 
+        Args:
+            upstream: Upstream that the request is for.
+            request: Request for it.
+            request_id: Id that the reply must repeat.
+            on_sending: Called before a peer gets the request.
+
         Raises:
             ConnectError: nothing was sent to the upstream; a
                 ``ClosedToRequestsError`` if it takes no requests.
             ExchangeError: the request may have run.
         """
         sent_s = self._node.clock()
+        on_sending()
         connection, response = await self._ask_peers(
             upstream, wrap_request(request, upstream), RelayOutcome.REPLIED
         )
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -14,6 +14,7 @@
 from .decision_log import Event
 from .engine_stream import EngineStream
 from .event_relay import EventRelay
+from .exchange import ignore_sending
 from .memory_wait import MIN_REMAINING_S, MemoryWait
 from .reply_wait import ReplyWait
 from .stream_context import StreamContext
@@ -24,6 +25,9 @@
 from .suspect_keys import refuse_if_quarantined
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from contextlib import AbstractContextManager
+
     from catkinreach_core.gateway.catalog import EngineTraits
     from catkinreach_core.gateway.placement import StreamPlan
     from catkinreach_core.gateway.upstream import Upstream
@@ -254,10 +258,13 @@
         self._log.write_placed(plan, resume_after, self._memory_wait.waited_s)
         self._attempts.count_send()
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
-        reply_wait = ReplyWait(
-            self, engine_stream, engine_stream.start(resume_after), resume_after
-        )
-        with self._handover.overlap() if self._handover else nullcontext():
+        with self._overlap() as begin_overlap:
+            reply_wait = ReplyWait(
+                self,
+                engine_stream,
+                engine_stream.start(resume_after, begin_overlap),
+                resume_after,
+            )
             try:
                 return await self._take_first_reply(
                     plan, engine_stream, reply_wait
@@ -265,6 +272,12 @@
             finally:
                 reply_wait.close()
 
+    def _overlap(self) -> AbstractContextManager[Callable[[], None]]:
+        """Limits the time of a silent engine beside a send, if there's one."""
+        if self._handover is None:
+            return nullcontext(ignore_sending)
+        return self._handover.overlap()
+
     async def _take_first_reply(
         self,
         plan: StreamPlan,
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_paths.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_paths.py
@@ -7,10 +7,12 @@
 
 from ..http.connection import ClosedToRequestsError, ConnectError
 from .decision_log import Event
-from .exchange import exchange
+from .exchange import exchange, ignore_sending
 from .relay_link import RelayLink
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_core.ids import RequestId
 
@@ -53,10 +55,21 @@
                 await self._try_return()
 
     async def exchange(
-        self, upstream: Upstream, request: HttpRequest, request_id: RequestId
+        self,
+        upstream: Upstream,
+        request: HttpRequest,
+        request_id: RequestId,
+        on_sending: Callable[[], None] = ignore_sending,
     ) -> Reply:
         """Sends a request and returns the head of its reply.
 
+        Args:
+            upstream: Upstream to send to.
+            request: Request for it.
+            request_id: Id that the reply must repeat.
+            on_sending: Called once there is a connection to the upstream, or to
+                a peer that may reach it.
+
         Raises:
             ConnectError: nothing was sent; a ``ClosedToRequestsError`` if the
                 upstream takes no requests.
@@ -65,7 +78,9 @@
         node = self._node
         if not self._uses_relays:
             try:
-                return await exchange(node, upstream, request, request_id)
+                return await exchange(
+                    node, upstream, request, request_id, on_sending
+                )
             except ClosedToRequestsError:
                 raise
             except ConnectError:
@@ -74,7 +89,9 @@
                     raise
         if not node.may_still_send(upstream):
             raise ClosedToRequestsError(f'{upstream.address} takes no requests')
-        return await self._relay.exchange(upstream, request, request_id)
+        return await self._relay.exchange(
+            upstream, request, request_id, on_sending
+        )
 
     async def probe(self, upstream: Upstream) -> None:
         """Connects to an upstream.
