--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -66,6 +66,7 @@
         self._refused_sends = 0
         self._readmitted: set[UpstreamId] = set()
         self._has_reserved_retry = False
+        self._is_retry = False
         self._may_crash_upstreams = False
         self._crash_checks: set[asyncio.Future[None]] = set()
         self.may_have_run = False
@@ -152,6 +153,7 @@
             return True
         is_allowed = self.can_retry and self.try_reserve_retry()
         self._has_reserved_retry = False
+        self._is_retry = is_allowed
         return is_allowed
 
     def set_aside(self, upstream: Upstream) -> None:
@@ -201,8 +203,10 @@
     def record_unreachable(
         self, upstream: Upstream, error: ConnectError
     ) -> None:
-        """Records a failed connect, which doesn't count as a send."""
+        """Records a failed connect, which counts neither as send nor retry."""
         self.uncount_send()
+        self._has_reserved_retry |= self._is_retry
+        self._is_retry = False
         if isinstance(error, ClosedToRequestsError):
             failure = SendFailure.CLOSED
         else:
