--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -16,6 +16,7 @@
 
 from .body_memory import SMALL_BODY_BYTES, STEP_BYTES, BodyHold
 from .head_checks import check_head, content_length
+from .idle_wait import IdleWait
 from .messages import HttpRequest
 from .socket_input import READ_SIZE_BYTES, SocketInput
 
@@ -32,10 +33,6 @@
 SMALL_READ_AHEAD_BYTES = 4 * 1024
 """Part of them that needs no share of the memory for bodies."""
 
-FIRST_READ_BYTES = 4 * 1024
-"""First bytes of a request that are read at once; what comes after the request
-stays there while it is served."""
-
 STOP_FIRST_REQUEST_S = 0.3
 """Time for the first request of a connection while the server drains: a client
 that has just connected is about to send it."""
@@ -73,7 +70,7 @@
         self._is_draining = is_draining
         self._send_continue = send_continue
         self._memory = memory
-        self._idle_wait: asyncio.Timeout | None = None
+        self._idle_wait: IdleWait | None = None
         self._request_began_s: float | None = None
         self._waiting_since_s = asyncio.get_running_loop().time()
         self._hold: BodyHold | None = None
@@ -130,9 +127,8 @@
 
         They may still be in a buffer, so the wait itself decides.
         """
-        wait = self._idle_wait
-        if wait is not None and not wait.expired():
-            wait.reschedule(asyncio.get_running_loop().time())
+        if self._idle_wait is not None:
+            self._idle_wait.apply_timeout()
 
     def start_next_cycle(self) -> bool:
         """Prepares for another request; ``False`` if there can't be one."""
@@ -226,29 +222,19 @@
         """
         if self.has_input:
             return True
-        chunk = await self._read_first_bytes(asyncio.get_running_loop().time())
+        chunk = await self._read_first_bytes()
         if chunk is None:
             self._lacks_first_request = self._is_first_request
             return False
         self.protocol.receive_data(chunk)
         return True
 
-    async def _read_first_bytes(self, started_s: float) -> bytes | None:
-        while not self._is_expired(started_s):
-            until_s = started_s + self._input_timeout_s()
-            self._idle_wait = asyncio.timeout_at(until_s)
-            try:
-                async with self._idle_wait:
-                    return await self._input.read(FIRST_READ_BYTES)
-            except TimeoutError:
-                continue
-            finally:
-                self._idle_wait = None
-        return await self._input.read_available()
-
-    def _is_expired(self, started_s: float) -> bool:
-        now_s = asyncio.get_running_loop().time()
-        return started_s + self._input_timeout_s() <= now_s
+    async def _read_first_bytes(self) -> bytes | None:
+        self._idle_wait = IdleWait(self._input, self._input_timeout_s)
+        try:
+            return await self._idle_wait.first_bytes()
+        finally:
+            self._idle_wait = None
 
     def _input_timeout_s(self) -> float:
         bounds = self._bounds
