--- a/packages/catkinreach-node/src/catkinreach_node/http/idle_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/idle_wait.py
@@ -34,12 +34,18 @@
         self._read_timeout_s = read_timeout_s
         self._began_s = asyncio.get_running_loop().time()
         self._timeout: asyncio.Timeout | None = None
+        self._is_ended = False
 
-    def apply_timeout(self) -> None:
-        """Ends the wait if a changed timeout has passed.
+    def end(self) -> None:
+        """Ends the wait unless bytes have arrived.
 
-        Bytes may still be in a buffer, so the wait itself decides.
+        They may still be in a buffer, so the wait itself decides.
         """
+        self._is_ended = True
+        self.apply_timeout()
+
+    def apply_timeout(self) -> None:
+        """Ends the wait if a changed timeout has passed."""
         timeout = self._timeout
         if timeout is not None and not timeout.expired():
             timeout.reschedule(asyncio.get_running_loop().time())
@@ -62,7 +68,7 @@
     def _is_over(self) -> bool:
         now_s = asyncio.get_running_loop().time()
         ends_s = self._began_s + self._read_timeout_s()
-        return ends_s <= now_s
+        return self._is_ended or ends_s <= now_s
 
     def _allow_for_standstill(self, until_s: float) -> None:
         """Gives a client the time by which this process woke too late.
--- a/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/request_reader.py
@@ -33,6 +33,10 @@
 SMALL_READ_AHEAD_BYTES = 4 * 1024
 """Part of them that needs no share of the memory for bodies."""
 
+MAX_LATE_BYTES = 64 * 1024
+"""Bytes of a request that are still read once its connection makes room for
+another; more than a socket holds unread."""
+
 STOP_FIRST_REQUEST_S = 0.3
 """Time for the first request of a connection while the server drains: a client
 that has just connected is about to send it."""
@@ -71,6 +75,9 @@
         self._send_continue = send_continue
         self._memory = memory
         self._idle_wait: IdleWait | None = None
+        self._input_wait: asyncio.Timeout | None = None
+        self._gives_way = False
+        self._late_bytes = 0
         self._request_began_s: float | None = None
         self._waiting_since_s = asyncio.get_running_loop().time()
         self._hold: BodyHold | None = None
@@ -122,11 +129,22 @@
         """Returns the current bounds."""
         return self._read_bounds()
 
-    def stop_waiting(self) -> None:
-        """Ends the wait for a request unless bytes of one have arrived.
+    @property
+    def gives_way(self) -> bool:
+        """Returns whether the connection makes room for another."""
+        return self._gives_way
 
-        They may still be in a buffer, so the wait itself decides.
-        """
+    def give_way(self) -> None:
+        """Ends the waits for the client; what has arrived is still read."""
+        self._gives_way = True
+        if self._idle_wait is not None:
+            self._idle_wait.end()
+        wait = self._input_wait
+        if wait is not None and not wait.expired():
+            wait.reschedule(asyncio.get_running_loop().time())
+
+    def apply_idle_timeout(self) -> None:
+        """Ends the wait for a request if a changed timeout has passed."""
         if self._idle_wait is not None:
             self._idle_wait.apply_timeout()
 
@@ -231,6 +249,8 @@
 
     async def _read_first_bytes(self) -> bytes | None:
         self._idle_wait = IdleWait(self._input, self._input_timeout_s)
+        if self._gives_way:
+            self._idle_wait.end()
         try:
             return await self._idle_wait.first_bytes()
         finally:
@@ -318,13 +338,30 @@
                 return event
             if self.protocol.they_are_waiting_for_100_continue:
                 await self._send_continue()
-            wait = asyncio.timeout_at(deadline_s)
-            with nullcontext() if hold is None else hold.waiting(wait):
-                chunk = await self._input.read_within(wait)
+            chunk = await self._read_more(deadline_s, hold)
             if chunk is None:
                 raise CatkinreachError(ErrorKind.TOO_SLOW)
             self.protocol.receive_data(chunk)
 
+    async def _read_more(
+        self, deadline_s: float, hold: BodyHold | None
+    ) -> bytes | None:
+        """Returns the next bytes of a request; ``None`` if they are too late.
+
+        If the connection makes room for another, they must have arrived.
+        """
+        if self._gives_way:
+            deadline_s = asyncio.get_running_loop().time()
+        wait = self._input_wait = asyncio.timeout_at(deadline_s)
+        try:
+            with nullcontext() if hold is None else hold.waiting(wait):
+                chunk = await self._input.read_within(wait)
+        finally:
+            self._input_wait = None
+        if chunk and self._gives_way:
+            self._late_bytes += len(chunk)
+        return None if self._late_bytes > MAX_LATE_BYTES else chunk
+
 
 def _new_protocol(max_head_bytes: int) -> h11.Connection:
     return h11.Connection(
--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -197,7 +197,8 @@
         """
         is_announced = any(name == 'connection' for name, _ in response.headers)
         has_input = self._requests.has_input
-        if is_announced or has_input or not self._is_stopping():
+        is_last = self._is_stopping() or self._requests.gives_way
+        if is_announced or has_input or not is_last:
             return []
         return [('connection', 'close')]
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -121,17 +121,18 @@
     def give_way(self) -> None:
         """Closes the connection for another client's.
 
-        An idle one goes on if bytes of a request have arrived.
+        What has arrived of a request is read before, and answered if that is
+        all of it.
         """
-        if self.state.waiting is Waiting.NEXT_REQUEST:
-            self.close_if_idle()
-        else:
-            self._own_end = ConnectionEnd.GAVE_WAY
-            self._responses.abort()
+        if self._responses.stalled_since_s is None and self._ended_s is None:
+            self._requests.give_way()
+            return
+        self._own_end = ConnectionEnd.GAVE_WAY
+        self._responses.abort()
 
     def close_if_idle(self) -> None:
         """Lets the connection close unless bytes of a request have arrived."""
-        self._requests.stop_waiting()
+        self._requests.apply_idle_timeout()
 
     def close(self) -> None:
         """Closes the socket; a response that isn't complete breaks off."""
@@ -163,6 +164,8 @@
         """
         self._ended_s = asyncio.get_running_loop().time()
         linger_s = STOP_LINGER_S if self._is_draining() else LINGER_S
+        if self._requests.gives_way:
+            linger_s = 0.0
         with suppress(OSError):
             if await self._end_output():
                 async with asyncio.timeout(linger_s):
--- a/packages/catkinreach-node/tests/http/test_unread_requests.py
+++ b/packages/catkinreach-node/tests/http/test_unread_requests.py
@@ -8,6 +8,9 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+import pytest
+
+from catkinreach_core.gateway import connection_crowds
 from catkinreach_node.http.server_bounds import ServerBounds
 from catkinreach_standins.fakes.http_servers import running_server
 from catkinreach_standins.platform.deployment import eventually
@@ -22,6 +25,7 @@
 STANDSTILL_S = 0.6
 ON_ITS_WAY_S = 0.05
 WITHIN_S = 5.0
+ONE_PLACE = ServerBounds(max_connections=1)
 
 
 @asynccontextmanager
@@ -63,3 +67,51 @@
             assert (await _receive(client)).startswith(b'HTTP/1.1 200 ')
 
     asyncio.run(run())
+
+
+# A connection was aborted for another client's while its request, whole or in
+# part, lay unread in the socket.
+@pytest.mark.parametrize('read_bytes', [0, 10, len(REQUEST) - 2])
+def test_unread_request_is_aborted_for_want_of_room(
+    monkeypatch: pytest.MonkeyPatch, read_bytes: int
+) -> None:
+    monkeypatch.setattr(connection_crowds, 'STALLED_AFTER_S', 0.0)
+
+    async def run() -> None:
+        async with _connected(ONE_PLACE) as (server, client):
+            if read_bytes:
+                await _send(client, REQUEST[:read_bytes])
+                await asyncio.sleep(ON_ITS_WAY_S)
+            client.send(REQUEST[read_bytes:])
+            assert server._make_room()
+            assert (await _receive(client)).startswith(b'HTTP/1.1 200 ')
+
+    asyncio.run(run())
+
+
+def test_stalled_request_that_makes_room_is_not_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(connection_crowds, 'STALLED_AFTER_S', 0.0)
+
+    async def run() -> None:
+        async with _connected(ONE_PLACE) as (server, client):
+            await _send(client, REQUEST[:-1])
+            await asyncio.sleep(ON_ITS_WAY_S)
+            assert server._make_room()
+            assert (await _receive(client)).startswith(b'HTTP/1.1 408 ')
+
+    asyncio.run(run())
+
+
+# It stayed open until its idle timeout, beyond the bound on connections.
+def test_idle_connection_that_makes_room_stays_open() -> None:
+    async def run() -> None:
+        async with _connected(ONE_PLACE) as (server, client):
+            await _send(client, REQUEST)
+            assert await _receive(client)
+            await asyncio.sleep(ON_ITS_WAY_S)
+            assert server._make_room()
+            assert await _receive(client) == b''
+
+    asyncio.run(run())
