--- a/packages/catkinreach-core/tests/gateway/test_shared_bounds.py
+++ b/packages/catkinreach-core/tests/gateway/test_shared_bounds.py
@@ -7,7 +7,7 @@
 import pytest
 
 from catkinreach_core.gateway.quota import WindowCount
-from catkinreach_core.gateway.retry_budget import RetryBudget
+from catkinreach_core.gateway.retry_budget import SLACK_USE, RetryBudget
 from catkinreach_core.gateway.shared_rate import SharedRateLimiter
 from catkinreach_core.ids import ServiceId, UpstreamId
 
@@ -55,3 +55,15 @@
                 node.spend(UPSTREAM)
                 sent.add(1, now_s)
         assert sent.total(now_s) <= per_s * 1.5 + 5
+
+
+def test_held_retries_are_spent_once_or_given_back() -> None:
+    budget = RetryBudget(ratio=0.0, slack=2 / SLACK_USE, window_s=10.0)
+    assert budget.hold(SERVICE, 1, now_s=0.0)
+    assert budget.hold(SERVICE, 1, now_s=0.0)
+    assert not budget.spend(SERVICE, 1, now_s=0.0)
+    budget.spend_held(SERVICE, now_s=1.0)
+    budget.release(SERVICE, 1)
+    assert budget.spend(SERVICE, 1, now_s=1.0)
+    assert not budget.spend(SERVICE, 1, now_s=10.5)
+    assert budget.spend(SERVICE, 1, now_s=11.5)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -11,6 +11,7 @@
 
 from ..http.connection import ClosedToRequestsError
 from .decision_log import Event
+from .held_retries import HeldRetries
 from .outcomes import RETRY_AFTER_S, refusal
 from .suspect_keys import refuse_if_quarantined
 
@@ -65,7 +66,7 @@
         self._sends = 0
         self._refused_sends = 0
         self._readmitted: set[UpstreamId] = set()
-        self._has_reserved_retry = False
+        self._retries = HeldRetries(node, admitted.service.service_id)
         self._is_retry = False
         self._may_crash_upstreams = False
         self._crash_checks: set[asyncio.Future[None]] = set()
@@ -90,6 +91,11 @@
             self._may_send_anywhere or self._may_return
         )
 
+    @property
+    def has_retried(self) -> bool:
+        """Returns whether a retry was sent."""
+        return self._retries.spent > 0
+
     @property
     def can_replace(self) -> bool:
         """Returns whether a silent upstream may be given up for another one."""
@@ -129,18 +135,17 @@
         """Undoes the count of a send that missed the intended upstream."""
         self._sends -= 1
 
-    def try_reserve_retry(self) -> bool:
-        """Returns whether a retry is allowed; it spends retry budget now.
+    def try_hold_retries(self, count: int = 1) -> bool:
+        """Returns whether so many retries are allowed; holds what there is.
 
-        The next send then spends none.
+        Sends spend what is held; the rest is given back with
+        ``release_retries``.
         """
-        if not self._has_reserved_retry and self.can_retry:
-            self._has_reserved_retry = self._node.retry_budget.spend(
-                self._admitted.service.service_id,
-                self._node.members.share_count,
-                self._node.clock(),
-            )
-        return self._has_reserved_retry
+        return self.can_retry and self._retries.try_hold(count)
+
+    def release_retries(self) -> None:
+        """Gives back the retries that no send has spent."""
+        self._retries.release()
 
     def try_acquire_send(self) -> bool:
         """Returns whether a send is allowed; a retry spends retry budget.
@@ -151,10 +156,10 @@
         refuse_if_quarantined(self._node, self._admitted.suspect_keys)
         if not self._sends:
             return True
-        is_allowed = self.can_retry and self.try_reserve_retry()
-        self._has_reserved_retry = False
-        self._is_retry = is_allowed
-        return is_allowed
+        self._is_retry = self.try_hold_retries()
+        if self._is_retry:
+            self._retries.spend()
+        return self._is_retry
 
     def set_aside(self, upstream: Upstream) -> None:
         """Excludes an upstream that is silent but may go on."""
@@ -178,7 +183,7 @@
         if runs >= self._admitted.route.max_attempts:
             return False
         self.readmit(upstream)
-        is_allowed = self.try_reserve_retry()
+        is_allowed = self.try_hold_retries()
         if not is_allowed:
             self.set_aside(upstream)
         return is_allowed
@@ -205,8 +210,9 @@
     ) -> None:
         """Records a failed connect, which counts neither as send nor retry."""
         self.uncount_send()
-        self._has_reserved_retry |= self._is_retry
-        self._is_retry = False
+        if self._is_retry:
+            self._is_retry = False
+            self._retries.take_back()
         if isinstance(error, ClosedToRequestsError):
             failure = SendFailure.CLOSED
         else:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -94,7 +94,10 @@
             return None
         if not self._has_returned:
             self._attempts.set_aside(handover.silent_upstream)
-        send = await self._try_upstreams()
+        try:
+            send = await self._try_upstreams()
+        finally:
+            self._attempts.release_retries()
         if send is not None:
             handover.give_up()
         return send
@@ -114,7 +117,10 @@
         self._attempts.record_lost(send.upstream, failure, detail)
 
     async def _serve(self) -> HttpResponse:
-        send = await self._try_upstreams()
+        try:
+            send = await self._try_upstreams()
+        finally:
+            self._attempts.release_retries()
         if send is not None:
             return self._response(send)
         if self._failure_response is not None:
@@ -193,7 +199,7 @@
         return (
             self.can_replace
             and self._choose_upstream({upstream.upstream_id}) is not None
-            and self._attempts.try_reserve_retry()
+            and self._attempts.try_hold_retries()
         )
 
     def _is_success(self, send: PlainSend) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -42,6 +42,10 @@
 the time after which another engine may get the stream."""
 
 
+RETRIES_TO_REPLACE = 2
+"""Retries to replace a silent engine: for another one, and for a return."""
+
+
 class StreamHandler:
     """Opens one stream and resumes it when its engine is lost."""
 
@@ -124,6 +128,7 @@
             engine_stream = await self._open_stream(last_id)
         finally:
             self._handover = earlier
+            self._attempts.release_retries()
         if handover is not None:
             handover.give_up()
         return engine_stream
@@ -160,6 +165,7 @@
             )
             is_open = True
         finally:
+            self._attempts.release_retries()
             if not is_open:
                 self._end_trial()
         return engine_stream
@@ -216,7 +222,7 @@
             if self._filled_up_during_prefill(plan):
                 return None
             await self._attempts.finish_crash_check()
-            if not self._attempts.try_acquire_send():
+            if not self._try_acquire_send():
                 raise self._attempts.error()
             engine_stream.source = self._prefill.handle
             opened = await self._decode_stream(
@@ -272,6 +278,20 @@
             finally:
                 reply_wait.close()
 
+    def _try_acquire_send(self) -> bool:
+        """Returns whether the stream may be sent to one more engine.
+
+        A silent engine is closed soon after the send. If the other one fails
+        then, the stream returns, which takes a retry: one is held for it. Only
+        the first retry of a stream is sent without, if the budget has no more.
+        """
+        handover = self._handover
+        if handover is not None and not handover.has_given_up:
+            can_return = self._attempts.try_hold_retries(RETRIES_TO_REPLACE)
+            if self._attempts.has_retried and not can_return:
+                return False
+        return self._attempts.try_acquire_send()
+
     def _overlap(self) -> AbstractContextManager[Callable[[], None]]:
         """Limits the time of a silent engine beside a send, if there's one."""
         if self._handover is None:
@@ -330,7 +350,7 @@
         may_replace = (
             self.can_replace
             and self._memory_wait.can_place_elsewhere(upstream.upstream_id)
-            and self._attempts.try_reserve_retry()
+            and self._attempts.try_hold_retries()
         )
         if may_replace:
             # The silent engine may have imported the KV cache.
--- a/packages/catkinreach-node/tests/gateway/test_silent_replacements.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_replacements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING
 
 import pytest
@@ -16,6 +17,7 @@
     WITHOUT_RETRY,
     DeploymentWithLatePrefill,
     DeploymentWithMoreAttempts,
+    DeploymentWithThreeEngines,
     decode_engines,
     fetch,
     plain_upstreams,
@@ -233,3 +235,24 @@
         assert (len(first.received), len(other.received)) == (2, 1)
 
     run_scenario(scenario)
+
+
+# Two engines refused the stream, the second one so late that the silent engine
+# was closed by then, and no retry was left to return to it.
+def test_late_refusal_by_a_further_engine_ends_the_stream() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        set_pause(deployment, LONG_PAUSE_S)
+        request = stream_request(deployment)
+        fetching = asyncio.ensure_future(fetch(deployment, request))
+        first, _ = await script_in_turn(
+            deployment, Behaviour.PAUSE, Behaviour.REFUSE
+        )
+        refusals: deque[Behaviour | RawReply] = deque([LATE_REFUSAL] * 9)
+        refusals.appendleft(Behaviour.REFUSE)
+        for engine in decode_engines(deployment):
+            if engine is not first:
+                engine.script = refusals
+        assert await fetching == (200, WHOLE)
+        assert not first.abandoned_ids
+
+    run_scenario(scenario, DeploymentWithThreeEngines)
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/silent_upstreams.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/silent_upstreams.py
@@ -72,6 +72,19 @@
         self.store.put('op/config', make_config(6, routes=[route]))
 
 
+class DeploymentWithThreeEngines(
+    DeploymentWithMoreAttempts, DeploymentWithoutRetries
+):
+    """Three decode engines, and a retry budget of two."""
+
+    _retries = 2
+
+    def __init__(self) -> None:
+        """Starts with one more decode engine."""
+        super().__init__()
+        self.upstreams['f'] = UpstreamStandin('f', MODEL_SERVICE, 'decode')
+
+
 class DeploymentWithLatePrefill(Deployment):
     """The prefill engine comes once decode engines are busy."""
 
@@ -176,6 +189,7 @@
     'DeploymentWithLatePrefill',
     'DeploymentWithMoreAttempts',
     'DeploymentWithOneRetry',
+    'DeploymentWithThreeEngines',
     'DeploymentWithoutOthers',
     'DeploymentWithoutRetries',
     'decode_engines',
