--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_relay_link.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_relay_link.py
@@ -138,7 +138,9 @@
         data = encode_gossip(
             StoreChanges(
                 node=node.settings.host,
-                after=after,
+                # Builds that don't know partial changes take these for old ones
+                # and read the store; else they would miss what is left out.
+                after=revision if is_partial else after,
                 revision=revision,
                 expiry_grace_s=node.view.remaining_grace_s(node.clock()),
                 changes=small,
--- /dev/null
+++ b/packages/catkinreach-node/tests/gateway/test_messages_beside_older_builds.py
@@ -0,0 +1,64 @@
+"""Messages between VMs of which some run an older build."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from catkinreach_core.gateway.catalog import Catalog
+from catkinreach_core.gateway.feed import (
+    CatalogPublished,
+    ChangeBatch,
+    DomainEvacuated,
+)
+from catkinreach_core.gateway.gossip import (
+    PeerDatagram,
+    StoreChanges,
+    decode_gossip,
+)
+from catkinreach_core.gateway.store_relay import has_next_changes
+from catkinreach_core.ids import FailureDomainId, Revision
+from catkinreach_node.gateway.store_relay_link import StoreRelayLink
+from catkinreach_node.gateway.view_updater import ViewUpdater
+from catkinreach_standins.platform.fake_fleet import FakeFleet
+
+if TYPE_CHECKING:
+    from catkinreach_core.gateway.feed import Change
+
+CATALOG = Catalog(
+    version=7, routes={}, services={}, workspaces={}, has_workspaces=False
+)
+NODES = 40
+EARLIER, LATER = Revision(10), Revision(12)
+
+
+def _sent_beside_a_configuration() -> list[StoreChanges]:
+    """Returns what a reader sends of changes among which is a configuration."""
+    sent: list[PeerDatagram | None] = []
+    fleet = FakeFleet(NODES)
+    for node in fleet.nodes.values():
+        link = StoreRelayLink(node, ViewUpdater(node))
+        node.send_datagram = lambda _, data: sent.append(decode_gossip(data))
+        link._relay.update_readers(fleet.nodes)
+        node.changed_revision = EARLIER
+        changes: list[Change] = [
+            CatalogPublished(CATALOG),
+            DomainEvacuated(FailureDomainId('zone-a')),
+        ]
+        link.record_batch(ChangeBatch(changes, LATER))
+    return [one for one in sent if isinstance(one, StoreChanges)]
+
+
+# A build that doesn't know partial changes took them for all there were, and
+# never applied the configuration that was left out.
+def test_partial_changes_hide_a_configuration_from_older_builds() -> None:
+    async def run() -> None:
+        messages = _sent_beside_a_configuration()
+        assert messages
+        for message in messages:
+            for held in range(EARLIER, LATER + 1):
+                assert not has_next_changes(
+                    Revision(held), message.after, message.revision
+                )
+
+    asyncio.run(run())
