--- a/packages/catkinreach-node/src/catkinreach_node/gateway/relay_messages.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/relay_messages.py
@@ -28,6 +28,8 @@
 
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
+MIN_CLIENT_ERROR = 400
+MIN_SERVER_ERROR = 500
 
 
 class RelayAction(Enum):
@@ -153,10 +155,10 @@
     """Returns what became of a request, as a peer tells.
 
     Without a word the request may have been passed on, unless the peer has no
-    room for it.
+    room for it, rejects it or, as an older build, knows no relays.
     """
     text = dict(reversed(headers)).get(OUTCOME_HEADER)
-    if text is None and status == STATUS_UNAVAILABLE:
+    if text is None and _is_rejection(status):
         return RelayOutcome.NO_PATH
     try:
         return RelayOutcome(text)
@@ -164,6 +166,12 @@
         return RelayOutcome.BROKEN
 
 
+def _is_rejection(status: int) -> bool:
+    """Returns whether a peer that says no more has passed nothing on."""
+    is_client_error = MIN_CLIENT_ERROR <= status < MIN_SERVER_ERROR
+    return is_client_error or status == STATUS_UNAVAILABLE
+
+
 def without_first(headers: Headers, name: str) -> Headers:
     """Returns headers without the first one of a name."""
     names = [pair[0] for pair in headers]
--- a/packages/catkinreach-node/tests/gateway/test_messages_beside_older_builds.py
+++ b/packages/catkinreach-node/tests/gateway/test_messages_beside_older_builds.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
+
 from catkinreach_core.gateway.catalog import Catalog
 from catkinreach_core.gateway.feed import (
     CatalogPublished,
@@ -18,6 +20,7 @@
 )
 from catkinreach_core.gateway.store_relay import has_next_changes
 from catkinreach_core.ids import FailureDomainId, Revision
+from catkinreach_node.gateway.relay_messages import RelayOutcome, read_outcome
 from catkinreach_node.gateway.store_relay_link import StoreRelayLink
 from catkinreach_node.gateway.view_updater import ViewUpdater
 from catkinreach_standins.platform.fake_fleet import FakeFleet
@@ -62,3 +65,12 @@
                 )
 
     asyncio.run(run())
+
+
+# The answer of an older build, which passes nothing on, counted as a send that
+# may have run.
+@pytest.mark.parametrize('status', [400, 404, 408, 413, 431])
+def test_peer_that_knows_no_relays_may_have_run_a_request(
+    status: int,
+) -> None:
+    assert read_outcome(status, []) is RelayOutcome.NO_PATH
