--- a/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/upstream.py
@@ -43,7 +43,8 @@
         started_ms: Unix time of its start in milliseconds; distinguishes the
             incarnations of one id.
         software_version: Version of its software; what two versions write
-            doesn't fit together in one stream.
+            doesn't fit together in one stream. A peer that leaves it out
+            doesn't know it, so that there's no default.
     """
 
     upstream_id: UpstreamId
@@ -55,7 +56,7 @@
     slots: Tokens
     cold_s: Seconds
     started_ms: UnixMs
-    software_version: SoftwareVersion = NO_SOFTWARE_VERSION
+    software_version: SoftwareVersion
 
 
 __all__ = ('NO_SOFTWARE_VERSION', 'Stage', 'Upstream', 'UpstreamState')
--- a/packages/catkinreach-node/tests/gateway/test_messages_beside_older_builds.py
+++ b/packages/catkinreach-node/tests/gateway/test_messages_beside_older_builds.py
@@ -5,24 +5,30 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
+from catkinreach_core.documents import DocumentError
 from catkinreach_core.gateway.catalog import Catalog
 from catkinreach_core.gateway.feed import (
     CatalogPublished,
     ChangeBatch,
     DomainEvacuated,
+    UpstreamPublished,
 )
 from catkinreach_core.gateway.gossip import (
     PeerDatagram,
     StoreChanges,
     decode_gossip,
+    encode_gossip,
 )
+from catkinreach_core.gateway.snapshot import StoreSnapshot, decode_snapshot
 from catkinreach_core.gateway.store_relay import has_next_changes
 from catkinreach_core.ids import FailureDomainId, Revision
 from catkinreach_node.gateway.relay_messages import RelayOutcome, read_outcome
 from catkinreach_node.gateway.store_relay_link import StoreRelayLink
 from catkinreach_node.gateway.view_updater import ViewUpdater
+from catkinreach_standins.fakes.gateway import make_upstream
 from catkinreach_standins.platform.fake_fleet import FakeFleet
 
 if TYPE_CHECKING:
@@ -74,3 +80,41 @@
     status: int,
 ) -> None:
     assert read_outcome(status, []) is RelayOutcome.NO_PATH
+
+
+# The version of an engine that an older build left out was taken for that of
+# engines without a version, and streams of two versions could be joined.
+def test_upstream_without_a_version_is_taken_for_one_of_no_version() -> None:
+    upstream = make_upstream('d')
+    document = msgspec.to_builtins(upstream)
+    del document['software_version']
+    changes = msgspec.msgpack.decode(
+        encode_gossip(
+            StoreChanges(
+                node='10.0.0.1',
+                after=EARLIER,
+                revision=LATER,
+                expiry_grace_s=0.0,
+                changes=[UpstreamPublished(upstream)],
+            )
+        )
+    )
+    snapshot = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(
+            StoreSnapshot(
+                revision=LATER,
+                changed_revision=LATER,
+                expiry_grace_s=0.0,
+                catalog=None,
+                upstreams=[upstream],
+                evacuated=[],
+            )
+        )
+    )
+    assert decode_gossip(msgspec.msgpack.encode(changes)) is not None
+    changes[5][0][1] = document
+    assert decode_gossip(msgspec.msgpack.encode(changes)) is None
+    decode_snapshot(msgspec.msgpack.encode(snapshot))
+    snapshot[4][0] = document
+    with pytest.raises(DocumentError):
+        decode_snapshot(msgspec.msgpack.encode(snapshot))
