--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/processes.py
@@ -24,13 +24,13 @@
 from catkinreach_node.http.messages import HttpRequest
 
 from ..bench.ports import free_ports
+from .builds import ROOT
 from .deployment import Deployment, eventually
 
 if TYPE_CHECKING:
     from asyncio.subprocess import Process
     from collections.abc import AsyncIterator
 
-ROOT = Path(__file__).resolve().parents[5]
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
 
@@ -67,6 +67,7 @@
         peer_address: Address for peer gateways.
         settings_file: File that the process reads its settings from.
         settings_text: Text that was written to it last.
+        build: Checkout that the next process is started from.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.settings_file = folder / f'boot-{number}.conf'
         self._log_file = folder / f'front-{number}.jsonl'
         self.metrics_address = Address(host=host, port=ports.metrics)
+        self.build = ROOT
         self._process: Process | None = None
         self._predecessors: list[Process] = []
         self._client = HttpClient()
@@ -143,7 +145,7 @@
         with self._log_file.open('ab') as output:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / 'deploy' / 'front.py'),
+                str(self.build / 'deploy' / 'front.py'),
                 f'--metrics_port={self.metrics_address.port}',
                 **{'stdout': output, 'stderr': output, **options},
                 env={
@@ -300,6 +302,7 @@
     *,
     grace_s: int | None = None,
     fields: dict[str, str] | None = None,
+    build: Path = ROOT,
 ) -> AsyncIterator[tuple[Deployment, list[FrontProcess]]]:
     """Runs front processes in front of the stand-ins of a deployment.
 
@@ -308,6 +311,7 @@
         folder: Folder for their settings and logs.
         grace_s: Stop grace; ``None`` for that of the settings template.
         fields: Other fields of the settings template to change.
+        build: Checkout that they are started from.
     """
     deployment = Deployment()
     await deployment.start()
@@ -317,6 +321,7 @@
         for front in fronts:
             front.set_field('bounds.grace-s', str(grace_s))
     for front in fronts:
+        front.build = build
         for name, text in (fields or {}).items():
             front.set_field(name, text)
     try:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/__main__.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/__main__.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from ...command_line import new_flag_values
+from ..builds import ROOT, check_out_build
 from .run import SoakOptions, SoakResult, run_soak
 
 
@@ -40,9 +41,19 @@
         help='whether some requests crash engines',
         flag_values=values,
     )
+    flags.DEFINE_list(
+        'builds',
+        [],
+        'earlier commits whose builds run beside this one',
+        flag_values=values,
+    )
     values(argv)
     logger.remove()
     root = Path(values.logs or tempfile.mkdtemp(prefix='soak-'))
+    builds = (
+        ROOT,
+        *(check_out_build(commit, root) for commit in values.builds),
+    )
     failed_seeds = 0
     for seed in range(values.first_seed, values.first_seed + values.seeds):
         folder = root / f'seed-{seed}'
@@ -55,6 +66,7 @@
                     front_count=values.fronts,
                     folder=folder,
                     has_crashing_requests=values.crashing,
+                    builds=builds,
                 )
             )
         )
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/fault_injector.py
@@ -16,7 +16,8 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
+    from pathlib import Path
 
     from .config_faults import ConfigPublisher
     from .history import History
@@ -66,6 +67,7 @@
         history: History,
         publisher: ConfigPublisher,
         rng: random.Random,
+        choose_build: Callable[[], Path],
     ) -> None:
         """Injects nothing yet."""
         self._deployment = deployment
@@ -73,7 +75,9 @@
         self._history = history
         self._rng = rng
         self._publisher = publisher
-        self._front_faults = FrontFaults(deployment.fronts, history)
+        self._front_faults = FrontFaults(
+            deployment.fronts, history, choose_build
+        )
         self._engine_faults = EngineFaults(deployment)
 
     async def run(self, plan: Sequence[Fault]) -> None:
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/front_faults.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/front_faults.py
@@ -8,12 +8,14 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+from ..builds import ROOT
 from ..hostile_clients import Misbehaviour, hostile_crowd
 from .history import Disruption, DisruptionKind
 from .plan import FaultKind
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
+    from pathlib import Path
 
     from ..processes import FrontProcess
     from .history import History
@@ -34,9 +36,19 @@
     """Sends signals to front processes, and starts them again."""
 
     def __init__(
-        self, fronts: Mapping[str, FrontProcess], history: History
+        self,
+        fronts: Mapping[str, FrontProcess],
+        history: History,
+        choose_build: Callable[[], Path] = lambda: ROOT,
     ) -> None:
-        """Injects nothing yet."""
+        """Injects nothing yet.
+
+        Args:
+            fronts: The processes by name.
+            history: Record of the run.
+            choose_build: Returns the checkout that a process starts from.
+        """
+        self._choose_build = choose_build
         self._fronts = fronts
         self._history = history
         self._restart_locks = {name: asyncio.Lock() for name in fronts}
@@ -122,6 +134,7 @@
 
         It doesn't wait for readiness, which other faults may delay.
         """
+        front.build = self._choose_build()
         await front.launch()
         try:
             await front.wait_listening()
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/run.py
@@ -11,6 +11,7 @@
 
 from catkinreach_node.http.client import HttpClient
 
+from ..builds import ROOT
 from ..deployment import eventually
 from .callers import Callers
 from .config_faults import ConfigPublisher
@@ -52,6 +53,7 @@
         front_count: Number of front processes.
         folder: Folder for settings and logs of the fronts.
         has_crashing_requests: Whether some requests crash engines.
+        builds: Checkouts that fronts are started from, each start draws one.
     """
 
     seed: int
@@ -59,6 +61,7 @@
     front_count: int
     folder: Path
     has_crashing_requests: bool = True
+    builds: tuple[Path, ...] = (ROOT,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +86,13 @@
     rng = random.Random(options.seed)
     history = History()
     prompts = Prompts(random.Random(f'{options.seed}/prompts'))
+    build_rng = random.Random(f'{options.seed}/builds')
+
+    def choose_build() -> Path:
+        return build_rng.choice(options.builds)
+
     async with running_soak_deployment(
-        options.front_count, options.folder, options.seed
+        options.front_count, options.folder, options.seed, choose_build
     ) as deployment:
         plan = make_plan(
             options.seed,
@@ -109,7 +117,9 @@
         count = CALLERS_PER_FRONT * options.front_count
         callers_task = asyncio.ensure_future(callers.run(count))
         lag_task = asyncio.ensure_future(record_lags(history))
-        injector = FaultInjector(deployment, prompts, history, publisher, rng)
+        injector = FaultInjector(
+            deployment, prompts, history, publisher, rng, choose_build
+        )
         await injector.run(plan)
         callers.is_stopped = True
         await callers_task
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/soak_deployment.py
@@ -11,6 +11,7 @@
 from ...bench.ports import free_ports
 from ...faultproxy.faults import LinkPlan
 from ...faultproxy.link import Link
+from ..builds import ROOT
 from ..config import MODEL_SERVICE, PLAIN_SERVICE, make_config
 from ..deployment import LOOPBACK
 from ..processes import make_fronts
@@ -21,7 +22,7 @@
 from .prompts import CRASHING_PART
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
     from pathlib import Path
 
 EVENT_GAP_S: Final = 0.05
@@ -137,10 +138,22 @@
 
 @asynccontextmanager
 async def running_soak_deployment(
-    front_count: int, folder: Path, seed: int
+    front_count: int,
+    folder: Path,
+    seed: int,
+    choose_build: Callable[[], Path] = lambda: ROOT,
 ) -> AsyncIterator[SoakDeployment]:
-    """Runs the deployment of a soak."""
+    """Runs the deployment of a soak.
+
+    Args:
+        front_count: Number of front processes.
+        folder: Folder for their settings and logs.
+        seed: Seed of the links' choices.
+        choose_build: Returns the checkout that a front starts from.
+    """
     deployment = SoakDeployment(front_count, folder, seed)
+    for front in deployment.fronts.values():
+        front.build = choose_build()
     try:
         await deployment.start()
         yield deployment
--- a/packages/catkinreach-standins/tests/platform/soak/test_soak.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_soak.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from catkinreach_standins.platform.builds import ROOT
 from catkinreach_standins.platform.soak.plan import (
     ENGINE_KINDS,
     LATER_KINDS,
@@ -23,6 +24,7 @@
 DURATION_S = 8.0
 SHORT_SEEDS = (101, 103)
 CRASHING_SEED = 301
+MIXED_SEEDS = (801,)
 REGRESSION_SEEDS: dict[int, str] = {
     64: 'no response: deadline of a request after SIGTERM past the grace;'
     ' later a refusal, see 404',
@@ -53,6 +55,21 @@
 """Faults of 12 s with two targets of each kind, before later kinds came."""
 
 
+@pytest.mark.parametrize('seed', MIXED_SEEDS)
+def test_invariants_hold_beside_earlier_builds(
+    seed: int, tmp_path: Path, earlier_builds: tuple[Path, ...]
+) -> None:
+    options = SoakOptions(
+        seed=seed,
+        duration_s=DURATION_S,
+        front_count=3,
+        folder=tmp_path,
+        has_crashing_requests=False,
+        builds=(ROOT, *earlier_builds),
+    )
+    assert asyncio.run(run_soak(options)).violations == []
+
+
 @pytest.mark.parametrize('seed', [*SHORT_SEEDS, *REGRESSION_SEEDS])
 def test_invariants_hold_under_faults(seed: int, tmp_path: Path) -> None:
     options = SoakOptions(
