--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -19,10 +19,10 @@
 from .connection_end import (
     ClientStalledError,
     ConnectionEnd,
-    UnansweredRequest,
     end_of_error,
     ignore_unanswered,
 )
+from .end_notes import EndNotes
 from .problem import problem_response
 from .request_reader import RequestReader
 from .response_sender import ResponseSender
@@ -84,10 +84,7 @@
         self._is_draining = is_draining
         self._memory = memory
         self._is_answering = False
-        self._on_unanswered = on_unanswered
         self._ended_s: float | None = None
-        # Why this side closes the connection, if it does so on its own.
-        self._own_end: ConnectionEnd | None = None
         self._requests = RequestReader(
             reader,
             read_bounds,
@@ -99,6 +96,7 @@
         self._responses = ResponseSender(
             writer, self._requests, read_bounds, is_stopping
         )
+        self._ends = EndNotes(self._requests, self._responses, on_unanswered)
 
     @property
     def state(self) -> ConnectionState:
@@ -127,7 +125,7 @@
         if self._responses.stalled_since_s is None and self._ended_s is None:
             self._requests.give_way()
             return
-        self._own_end = ConnectionEnd.GAVE_WAY
+        self._ends.note_own(ConnectionEnd.GAVE_WAY)
         self._responses.abort()
 
     def close_if_idle(self) -> None:
@@ -136,7 +134,7 @@
 
     def close(self) -> None:
         """Closes the socket; a response that isn't complete breaks off."""
-        self._own_end = self._own_end or ConnectionEnd.STOPPED
+        self._ends.note_own(ConnectionEnd.STOPPED)
         self._responses.close()
 
     async def run(self) -> None:
@@ -147,7 +145,7 @@
         while await self._serve_next_request():
             if not self._requests.start_next_cycle():
                 if self._requests.has_input:
-                    self._note_unanswered(ConnectionEnd.UNSERVED)
+                    self._ends.note(ConnectionEnd.UNSERVED)
                 break
         await self._linger()
 
@@ -175,7 +173,7 @@
         try:
             return await self._responses.end_output()
         except ClientStalledError:
-            self._note_unanswered(ConnectionEnd.CLIENT_STALLED)
+            self._ends.note(ConnectionEnd.CLIENT_STALLED)
             raise
 
     async def _serve_next_request(self) -> bool:
@@ -192,7 +190,7 @@
             return False
         if request is None:
             if self._requests.lacks_first_request:
-                self._note_unanswered(ConnectionEnd.NO_REQUEST)
+                self._ends.note(ConnectionEnd.NO_REQUEST)
             return False
         self._request_counter.begin()
         self._is_answering = True
@@ -226,33 +224,9 @@
             end = end_of_error(error)
         finally:
             if not self._responses.is_whole:
-                self._note_unanswered(end, request, began_s)
+                self._ends.note(end, request, began_s)
         return False
 
-    def _note_unanswered(
-        self,
-        end: ConnectionEnd,
-        request: HttpRequest | None = None,
-        began_s: float | None = None,
-    ) -> None:
-        """Tells of a request that gets no whole response.
-
-        Args:
-            end: Why, unless this side has closed the connection on its own.
-            request: The request, if it was read.
-            began_s: Time of the event loop at which it was read.
-        """
-        if began_s is None:
-            began_s = self._requests.waiting_since_s
-        self._on_unanswered(
-            UnansweredRequest(
-                end=self._own_end or end,
-                request=request,
-                waited_s=asyncio.get_running_loop().time() - began_s,
-                has_begun=self._responses.has_begun,
-            )
-        )
-
     async def _answer_unless_disconnected(self, request: HttpRequest) -> bool:
         """Serves a request and cancels it if the client disconnects.
 
