--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -91,6 +91,11 @@
             self._may_send_anywhere or self._may_return
         )
 
+    @property
+    def holds_retry(self) -> bool:
+        """Returns whether one more retry is certain."""
+        return self._retries.count > 0
+
     @property
     def has_retried(self) -> bool:
         """Returns whether a retry was sent."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -114,8 +114,17 @@
         return self._resuming.done()
 
     @contextmanager
-    def overlap(self) -> Iterator[Callable[[], None]]:
-        """Limits how long the silent upstream runs beside a send.
+    def overlap(
+        self, may_give_up: Callable[[], bool], withdraw: Callable[[], None]
+    ) -> Iterator[Callable[[], None]]:
+        """Limits how long two upstreams have the request.
+
+        At the end of that time the silent one's send is closed, or the other
+        one's if the request couldn't return from there.
+
+        Args:
+            may_give_up: Whether the silent one's is closed.
+            withdraw: Closes the other one's.
 
         Yields:
             What the send calls when it has a connection. Until then the silent
@@ -123,9 +132,15 @@
         """
         timers: list[asyncio.TimerHandle] = []
 
+        def end() -> None:
+            if may_give_up():
+                self.give_up()
+            else:
+                withdraw()
+
         def begin() -> None:
             loop = asyncio.get_running_loop()
-            timers.append(loop.call_later(OVERLAP_S, self.give_up))
+            timers.append(loop.call_later(OVERLAP_S, end))
 
         try:
             yield begin
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/held_retries.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/held_retries.py
@@ -20,6 +20,11 @@
         self._count = 0
         self._spent = 0
 
+    @property
+    def count(self) -> int:
+        """Returns the number of retries that are held."""
+        return self._count
+
     @property
     def spent(self) -> int:
         """Returns the number of retries that were spent."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -264,7 +264,7 @@
         self._log.write_placed(plan, resume_after, self._memory_wait.waited_s)
         self._attempts.count_send()
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
-        with self._overlap() as begin_overlap:
+        with self._overlap(engine_stream) as begin_overlap:
             reply_wait = ReplyWait(
                 self,
                 engine_stream,
@@ -283,7 +283,8 @@
 
         A silent engine is closed soon after the send. If the other one fails
         then, the stream returns, which takes a retry: one is held for it. Only
-        the first retry of a stream is sent without, if the budget has no more.
+        the first retry of a stream is sent without, if the budget has no more;
+        it must bring an event while the silent engine is kept.
         """
         handover = self._handover
         if handover is not None and not handover.has_given_up:
@@ -292,11 +293,27 @@
                 return False
         return self._attempts.try_acquire_send()
 
-    def _overlap(self) -> AbstractContextManager[Callable[[], None]]:
+    def _overlap(
+        self, engine_stream: EngineStream
+    ) -> AbstractContextManager[Callable[[], None]]:
         """Limits the time of a silent engine beside a send, if there's one."""
         if self._handover is None:
             return nullcontext(ignore_sending)
-        return self._handover.overlap()
+        return self._handover.overlap(
+            self._may_give_up_silent, engine_stream.close
+        )
+
+    def _may_give_up_silent(self) -> bool:
+        """Returns whether a silent engine's stream may be closed by now.
+
+        An engine that only paused goes on: unless it can't be connected to, its
+        stream must be able to return.
+        """
+        handover = self._handover
+        return handover is None or (
+            self._attempts.holds_retry
+            or self._node.health.is_down(handover.silent_upstream.upstream_id)
+        )
 
     async def _take_first_reply(
         self,
--- a/packages/catkinreach-node/tests/gateway/test_silent_replacements.py
+++ b/packages/catkinreach-node/tests/gateway/test_silent_replacements.py
@@ -17,6 +17,7 @@
     WITHOUT_RETRY,
     DeploymentWithLatePrefill,
     DeploymentWithMoreAttempts,
+    DeploymentWithOneRetry,
     DeploymentWithThreeEngines,
     decode_engines,
     fetch,
@@ -256,3 +257,24 @@
         assert not first.abandoned_ids
 
     run_scenario(scenario, DeploymentWithThreeEngines)
+
+
+# A sound engine was closed for one that failed later, with nothing left to
+# return to it by.
+@pytest.mark.parametrize(
+    'other_behaviour', [LATE_REFUSAL, LATE_LOSS, Behaviour.HANG]
+)
+def test_silent_engine_is_closed_without_a_retry_to_return(
+    other_behaviour: Behaviour | RawReply,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        set_pause(deployment, MEDIUM_PAUSE_S)
+        request = stream_request(deployment)
+        fetching = asyncio.ensure_future(fetch(deployment, request))
+        first, _ = await script_in_turn(
+            deployment, Behaviour.PAUSE, other_behaviour
+        )
+        assert await fetching == (200, WHOLE)
+        assert not first.abandoned_ids
+
+    run_scenario(scenario, DeploymentWithOneRetry)
