--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from catkinreach_core.errors import CatkinreachError, ErrorKind
@@ -13,6 +12,7 @@
 from .decision_log import Event
 from .held_retries import HeldRetries
 from .outcomes import RETRY_AFTER_S, refusal
+from .send_failure import SendFailure
 from .suspect_keys import refuse_if_quarantined
 
 if TYPE_CHECKING:
@@ -31,21 +31,6 @@
 silent: it had the request before, so no further upstream gets it."""
 
 
-class SendFailure(Enum):
-    """Reasons for a failed send to an upstream."""
-
-    UNREACHABLE = 'unreachable'
-    CLOSED = 'closed-to-requests'
-    BROKEN = 'broken'
-    SILENT = 'silent'
-    REFUSED = 'refused'
-    FAILED = 'failed'
-    PREFILL_UNREACHABLE = 'prefill-unreachable'
-    PREFILL_BROKEN = 'prefill-broken'
-    PREFILL_SILENT = 'prefill-silent'
-    PREFILL_REFUSED = 'prefill-refused'
-
-
 class Attempts:
     """Counts the sends of one request and limits its retries.
 
@@ -336,4 +321,4 @@
         return CatkinreachError(ErrorKind.UPSTREAM_FAILED)
 
 
-__all__ = ('Attempts', 'SendFailure')
+__all__ = ('Attempts',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/event_relay.py
@@ -8,11 +8,11 @@
 from catkinreach_core.errors import CatkinreachError
 
 from ..http.connection import ExchangeError
-from .attempts import SendFailure
 from .decision_log import Event
 from .gateway_metrics import RequestStage
 from .handover import SILENT_DETAIL, Handover
 from .outcomes import record_answer
+from .send_failure import SendFailure
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -8,7 +8,7 @@
 
 from catkinreach_core.errors import CatkinreachError
 
-from .attempts import SendFailure
+from .send_failure import SendFailure
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterator
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/plain_handler.py
@@ -10,10 +10,11 @@
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .attempts import Attempts, SendFailure
+from .attempts import Attempts
 from .outcomes import record_answer
 from .plain_send import PlainSend
 from .reply_wait import ReplyWait
+from .send_failure import SendFailure
 
 if TYPE_CHECKING:
     from collections.abc import Set as AbstractSet
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/reply_wait.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/reply_wait.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Generic, TypeVar
 
-from .attempts import SendFailure
 from .handover import SILENT_DETAIL, Handover, Send
+from .send_failure import SendFailure
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- /dev/null
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
@@ -0,0 +1,97 @@
+"""Moves a stream from a silent engine so that it can always go back.
+
+Load pattern: several sound engines fall silent for a second while others are
+slow to refuse, and the budget of a VM holds two or three retries.
+"""
+
+from __future__ import annotations
+
+from contextlib import contextmanager, nullcontext
+from typing import TYPE_CHECKING
+
+from .exchange import ignore_sending
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+    from contextlib import AbstractContextManager
+
+    from .attempts import Attempts
+    from .engine_stream import EngineStream
+    from .handover import Handover
+    from .node import Node
+
+RETRIES_TO_REPLACE = 2
+"""Retries to replace a silent engine: for another one, and for a return."""
+
+
+class SilentReplacement:
+    """Replaces the silent engine of one stream, if it has one."""
+
+    def __init__(self, node: Node, attempts: Attempts) -> None:
+        """Starts without a silent engine."""
+        self._node = node
+        self._attempts = attempts
+        self._handover: Handover[EngineStream] | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Returns whether a silent engine has the request beside a send."""
+        return self._handover is not None and not self._handover.has_given_up
+
+    @contextmanager
+    def by(self, handover: Handover[EngineStream] | None) -> Iterator[None]:
+        """Lets a handover replace the engine within the context.
+
+        Args:
+            handover: The handover; ``None`` if the engine is lost.
+        """
+        earlier, self._handover = self._handover, handover
+        try:
+            yield
+        finally:
+            self._handover = earlier
+            self._attempts.release_retries()
+
+    def try_acquire_send(self) -> bool:
+        """Returns whether the stream may be sent to one more engine.
+
+        A silent engine is closed soon after the send. If the other one fails
+        then, the stream returns, which takes a retry: one is held for it. Only
+        the first retry of a stream is sent without, if the budget has no more;
+        it must bring an event while the silent engine is kept.
+        """
+        if self.is_running:
+            can_return = self._attempts.try_hold_retries(RETRIES_TO_REPLACE)
+            if self._attempts.has_retried and not can_return:
+                return False
+        return self._attempts.try_acquire_send()
+
+    def overlap(
+        self, engine_stream: EngineStream
+    ) -> AbstractContextManager[Callable[[], None]]:
+        """Limits how long the silent engine has the request beside a send.
+
+        Args:
+            engine_stream: The send, which is closed if the stream couldn't
+                return from it.
+        """
+        if self._handover is None:
+            return nullcontext(ignore_sending)
+        return self._handover.overlap(
+            self._may_give_up_silent, engine_stream.close
+        )
+
+    def _may_give_up_silent(self) -> bool:
+        """Returns whether a silent engine's stream may be closed by now.
+
+        An engine that only paused goes on: unless it can't be connected to, its
+        stream must be able to return.
+        """
+        handover = self._handover
+        return handover is None or (
+            self._attempts.holds_retry
+            or self._node.health.is_down(handover.silent_upstream.upstream_id)
+        )
+
+
+__all__ = ('SilentReplacement',)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
 from catkinreach_core.gateway.event_numbering import EventNumbering
@@ -10,13 +9,14 @@
 
 from ..http.connection import ConnectError, ExchangeError
 from ..http.messages import HttpResponse
-from .attempts import Attempts, SendFailure
+from .attempts import Attempts
 from .decision_log import Event
 from .engine_stream import EngineStream
 from .event_relay import EventRelay
-from .exchange import ignore_sending
 from .memory_wait import MIN_REMAINING_S, MemoryWait
 from .reply_wait import ReplyWait
+from .send_failure import SendFailure
+from .silent_replacement import SilentReplacement
 from .stream_context import StreamContext
 from .stream_log import StreamLog
 from .stream_planner import StreamPlanner
@@ -25,9 +25,6 @@
 from .suspect_keys import refuse_if_quarantined
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from contextlib import AbstractContextManager
-
     from catkinreach_core.gateway.catalog import EngineTraits
     from catkinreach_core.gateway.placement import StreamPlan
     from catkinreach_core.gateway.upstream import Upstream
@@ -42,10 +39,6 @@
 the time after which another engine may get the stream."""
 
 
-RETRIES_TO_REPLACE = 2
-"""Retries to replace a silent engine: for another one, and for a return."""
-
-
 class StreamHandler:
     """Opens one stream and resumes it when its engine is lost."""
 
@@ -56,7 +49,7 @@
         self._node = node
         self._admitted = admitted
         self._attempts = Attempts(node, admitted)
-        self._handover: Handover[EngineStream] | None = None
+        self._replacement = SilentReplacement(node, self._attempts)
         self._has_begun = False
         self._traits = traits
         self._numbering = EventNumbering(admitted.metadata.resume_after)
@@ -123,12 +116,8 @@
             self._node.checks.check_silent(handover.silent_upstream)
         if self._has_begun:
             self._memory_wait.restart_timeout()
-        earlier, self._handover = self._handover, handover
-        try:
+        with self._replacement.by(handover):
             engine_stream = await self._open_stream(last_id)
-        finally:
-            self._handover = earlier
-            self._attempts.release_retries()
         if handover is not None:
             handover.give_up()
         return engine_stream
@@ -222,7 +211,7 @@
             if self._filled_up_during_prefill(plan):
                 return None
             await self._attempts.finish_crash_check()
-            if not self._try_acquire_send():
+            if not self._replacement.try_acquire_send():
                 raise self._attempts.error()
             engine_stream.source = self._prefill.handle
             opened = await self._decode_stream(
@@ -231,7 +220,7 @@
         finally:
             if opened is not engine_stream:
                 engine_stream.close()
-            if opened is None and not self._replaces_silent:
+            if opened is None and not self._replacement.is_running:
                 self._end_trial()
         return opened
 
@@ -264,7 +253,7 @@
         self._log.write_placed(plan, resume_after, self._memory_wait.waited_s)
         self._attempts.count_send()
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
-        with self._overlap(engine_stream) as begin_overlap:
+        with self._replacement.overlap(engine_stream) as begin_overlap:
             reply_wait = ReplyWait(
                 self,
                 engine_stream,
@@ -278,43 +267,6 @@
             finally:
                 reply_wait.close()
 
-    def _try_acquire_send(self) -> bool:
-        """Returns whether the stream may be sent to one more engine.
-
-        A silent engine is closed soon after the send. If the other one fails
-        then, the stream returns, which takes a retry: one is held for it. Only
-        the first retry of a stream is sent without, if the budget has no more;
-        it must bring an event while the silent engine is kept.
-        """
-        handover = self._handover
-        if handover is not None and not handover.has_given_up:
-            can_return = self._attempts.try_hold_retries(RETRIES_TO_REPLACE)
-            if self._attempts.has_retried and not can_return:
-                return False
-        return self._attempts.try_acquire_send()
-
-    def _overlap(
-        self, engine_stream: EngineStream
-    ) -> AbstractContextManager[Callable[[], None]]:
-        """Limits the time of a silent engine beside a send, if there's one."""
-        if self._handover is None:
-            return nullcontext(ignore_sending)
-        return self._handover.overlap(
-            self._may_give_up_silent, engine_stream.close
-        )
-
-    def _may_give_up_silent(self) -> bool:
-        """Returns whether a silent engine's stream may be closed by now.
-
-        An engine that only paused goes on: unless it can't be connected to, its
-        stream must be able to return.
-        """
-        handover = self._handover
-        return handover is None or (
-            self._attempts.holds_retry
-            or self._node.health.is_down(handover.silent_upstream.upstream_id)
-        )
-
     async def _take_first_reply(
         self,
         plan: StreamPlan,
@@ -337,7 +289,7 @@
             if self._replies.accept(
                 engine_stream,
                 has_begun=self._has_begun,
-                replaces_silent=self._replaces_silent,
+                replaces_silent=self._replacement.is_running,
             ):
                 if reply_wait.is_replacing:
                     self._log.write_kept(upstream)
@@ -356,11 +308,6 @@
         await self._attempts.finish_crash_check()
         return await reply_wait.other_send()
 
-    @property
-    def _replaces_silent(self) -> bool:
-        """Returns whether a silent engine has the request beside a send."""
-        return self._handover is not None and not self._handover.has_given_up
-
     def _may_replace(self, upstream: Upstream) -> bool:
         """Checks a silent engine; returns whether another one can go on."""
         self._node.checks.check_silent(upstream)
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_prefill.py
@@ -17,8 +17,8 @@
     ConnectError,
     ExchangeError,
 )
-from .attempts import SendFailure
 from .gateway_metrics import RequestStage
+from .send_failure import SendFailure
 
 if TYPE_CHECKING:
     from catkinreach_core.gateway.metadata import KvHandle
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_replies.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_replies.py
@@ -6,8 +6,8 @@
 
 from ..http.connection import ExchangeError
 from ..http.messages import HttpResponse
-from .attempts import SendFailure
 from .outcomes import record_answer
+from .send_failure import SendFailure
 
 if TYPE_CHECKING:
     from .engine_stream import EngineStream
--- a/packages/catkinreach-node/tests/gateway/test_attempts.py
+++ b/packages/catkinreach-node/tests/gateway/test_attempts.py
@@ -11,7 +11,8 @@
 
 from catkinreach_core.gateway.retry_budget import SLACK_USE, RetryBudget
 from catkinreach_core.ids import RequestId, ServiceId
-from catkinreach_node.gateway.attempts import Attempts, SendFailure
+from catkinreach_node.gateway.attempts import Attempts
+from catkinreach_node.gateway.send_failure import SendFailure
 from catkinreach_node.http.connection import ConnectError
 from catkinreach_standins.fakes.gateway import make_upstream
 from catkinreach_standins.platform.deployment import idle_node
--- a/packages/catkinreach-node/tests/gateway/test_messages_beside_older_builds.py
+++ b/packages/catkinreach-node/tests/gateway/test_messages_beside_older_builds.py
@@ -84,7 +84,7 @@
 
 # The version of an engine that an older build left out was taken for that of
 # engines without a version, and streams of two versions could be joined.
-def test_upstream_without_a_version_is_taken_for_one_of_no_version() -> None:
+def test_upstream_of_unknown_version_counts_as_one_of_none() -> None:
     upstream = make_upstream('d')
     document = msgspec.to_builtins(upstream)
     del document['software_version']
--- a/packages/catkinreach-node/tests/gateway/test_replaced_sends.py
+++ b/packages/catkinreach-node/tests/gateway/test_replaced_sends.py
@@ -26,8 +26,8 @@
 
     from catkinreach_core.gateway.upstream import Upstream
     from catkinreach_node.gateway.app import GatewayApp
-    from catkinreach_node.gateway.attempts import SendFailure
     from catkinreach_node.gateway.handover import Handover
+    from catkinreach_node.gateway.send_failure import SendFailure
     from catkinreach_node.http.messages import HttpRequest
     from catkinreach_standins.platform.deployment import Deployment
     from catkinreach_standins.platform.upstream import UpstreamStandin
