Keep a held retry through nested searches, and a replacement that replied

A search beside a replacement gave back the retry that was held for a failure of that replacement. The end of an overlap looked at the handover of whichever search ran then; it now looks at its own. A replacement whose first events (or failure) had been read could be withdrawn before its reader woke, so that both engines' streams were closed.

--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -279,6 +279,11 @@
         else:
             self.body = await reply.read_all()
 
+    def withdraw(self) -> None:
+        """Ends the stream unless its first events, or a failure, have come."""
+        if self._opening is None or not self._opening.done():
+            self.close()
+
     def close(self) -> None:
         """Ends the stream; an incomplete reply closes its connection."""
         if self._is_closed:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
@@ -15,6 +15,8 @@
     from collections.abc import Callable, Iterator
     from contextlib import AbstractContextManager
 
+    from catkinreach_core.gateway.upstream import Upstream
+
     from .attempts import Attempts
     from .engine_stream import EngineStream
     from .handover import Handover
@@ -50,7 +52,9 @@
             yield
         finally:
             self._handover = earlier
-            self._attempts.release_retries()
+            # A search within another one may not give back what that holds.
+            if earlier is None or earlier.is_done:
+                self._attempts.release_retries()
 
     def try_acquire_send(self) -> bool:
         """Returns whether the stream may be sent to one more engine.
@@ -75,22 +79,22 @@
             engine_stream: The send, which is closed if the stream couldn't
                 return from it.
         """
-        if self._handover is None:
+        handover = self._handover
+        if handover is None:
             return nullcontext(ignore_sending)
-        return self._handover.overlap(
-            self._may_give_up_silent, engine_stream.close
+        return handover.overlap(
+            lambda: self._may_give_up(handover.silent_upstream),
+            engine_stream.withdraw,
         )
 
-    def _may_give_up_silent(self) -> bool:
+    def _may_give_up(self, silent: Upstream) -> bool:
         """Returns whether a silent engine's stream may be closed by now.
 
         An engine that only paused goes on: unless it can't be connected to, its
         stream must be able to return.
         """
-        handover = self._handover
-        return handover is None or (
-            self._attempts.holds_retry
-            or self._node.health.is_down(handover.silent_upstream.upstream_id)
+        return self._attempts.holds_retry or (
+            self._node.health.is_down(silent.upstream_id)
         )
 
 
