Note ends of later requests and of unsent responses; end those that gave way

is_whole was the last response's until the next one began, so no later request of a kept connection was noted that its client left. A response counts as whole in the write buffer; an abort or reset there is noted. A connection that made room announces its close also if requests lie behind the response, and reads for 0.2 s (not 0) so that unread input doesn't reset the response away.

--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -74,6 +74,10 @@
         """Returns whether a part of that response was sent."""
         return self._has_begun
 
+    def begin(self) -> None:
+        """Begins with a request that has no response yet."""
+        self._has_begun = self._is_whole = False
+
     def abort(self) -> None:
         """Closes the socket at once; what wasn't sent is lost."""
         self._writer.transport.abort()
@@ -117,7 +121,7 @@
             ClientStalledError: if the client reads too slowly.
             BrokenBodyError: if the stream breaks off.
         """
-        self._has_begun = self._is_whole = False
+        self.begin()
         if response.stream is not None:
             await self._send_stream(response, response.stream)
         else:
@@ -192,13 +196,15 @@
     def _connection_headers(self, response: HttpResponse) -> Headers:
         """Returns the header that announces the end of the connection.
 
-        It isn't sent while another request has arrived: a client takes the
-        requests after such a response as not received.
+        It isn't sent while another request has arrived, unless the connection
+        makes room: a client takes the requests after such a response as not
+        received.
         """
         is_announced = any(name == 'connection' for name, _ in response.headers)
-        has_input = self._requests.has_input
-        is_last = self._is_stopping() or self._requests.gives_way
-        if is_announced or has_input or not is_last:
+        is_last = self._requests.gives_way or (
+            self._is_stopping() and not self._requests.has_input
+        )
+        if is_announced or not is_last:
             return []
         return [('connection', 'close')]
 
--- a/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/server_connection.py
@@ -17,7 +17,6 @@
 
 from .body_memory import BodyHold
 from .connection_end import (
-    ClientStalledError,
     ConnectionEnd,
     end_of_error,
     ignore_unanswered,
@@ -40,7 +39,8 @@
 everything."""
 
 STOP_LINGER_S = 0.2
-"""The same while the server drains, so that it stops soon."""
+"""The same while the server drains, so that it stops soon, and for a connection
+that makes room for another."""
 
 MAX_LINGER_BYTES = 32 * 1024 * 1024
 RequestHandler: TypeAlias = 'Callable[[HttpRequest], Awaitable[HttpResponse]]'
@@ -163,17 +163,19 @@
         self._ended_s = asyncio.get_running_loop().time()
         linger_s = STOP_LINGER_S if self._is_draining() else LINGER_S
         if self._requests.gives_way:
-            linger_s = 0.0
+            linger_s = STOP_LINGER_S
         with suppress(OSError):
             if await self._end_output():
                 async with asyncio.timeout(linger_s):
                     await self._requests.discard_input(MAX_LINGER_BYTES)
 
     async def _end_output(self) -> bool:
+        is_unsent = self._responses.unsent_bytes > 0
         try:
             return await self._responses.end_output()
-        except ClientStalledError:
-            self._ends.note(ConnectionEnd.CLIENT_STALLED)
+        except OSError as error:
+            if is_unsent:
+                self._ends.note(end_of_error(error))
             raise
 
     async def _serve_next_request(self) -> bool:
@@ -208,6 +210,7 @@
         A request that gets no whole response is noted.
         """
         began_s = asyncio.get_running_loop().time()
+        self._responses.begin()
         end = ConnectionEnd.STOPPED
         try:
             if await self._answer_unless_disconnected(request):
