--- a/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/quota.py
@@ -53,6 +53,17 @@
         self._amounts.append((now_s, amount))
         self._total += amount
 
+    def take_back(self, amount: float, counted_s: float) -> None:
+        """Takes back an amount that was counted at a time.
+
+        It leaves the window together with what it was counted as.
+        """
+        for index in range(len(self._amounts) - 1, -1, -1):
+            if self._amounts[index] == (counted_s, amount):
+                del self._amounts[index]
+                self._total -= amount
+                return
+
     def total(self, now_s: float) -> float:
         """Returns the sum over the window that ends now."""
         oldest_s = now_s - self._window_s
--- a/packages/catkinreach-core/src/catkinreach_core/gateway/retry_budget.py
+++ b/packages/catkinreach-core/src/catkinreach_core/gateway/retry_budget.py
@@ -83,9 +83,14 @@
         self._held[service_id] -= 1
         self._retries[service_id].add(1, now_s)
 
-    def hold_again(self, service_id: ServiceId, now_s: float) -> None:
-        """Holds a retry that was spent on a send which could not connect."""
-        self._retries[service_id].add(-1, now_s)
+    def hold_again(self, service_id: ServiceId, spent_s: float) -> None:
+        """Holds a retry that was spent on a send which could not connect.
+
+        Args:
+            service_id: Service of the retry.
+            spent_s: Monotonic time at which it was spent.
+        """
+        self._retries[service_id].take_back(1, spent_s)
         self._held[service_id] += 1
 
 
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/attempts.py
@@ -144,6 +144,7 @@
             CatkinreachError: if requests like this one crash upstreams.
         """
         refuse_if_quarantined(self._node, self._admitted.suspect_keys)
+        self._is_retry = False
         if not self._sends:
             return True
         self._is_retry = self.try_hold_retries()
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/held_retries.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/held_retries.py
@@ -18,7 +18,7 @@
         self._node = node
         self._service_id = service_id
         self._count = 0
-        self._spent = 0
+        self._spent_s: list[float] = []
 
     @property
     def count(self) -> int:
@@ -28,7 +28,7 @@
     @property
     def spent(self) -> int:
         """Returns the number of retries that were spent."""
-        return self._spent
+        return len(self._spent_s)
 
     def try_hold(self, count: int) -> bool:
         """Returns whether so many are held; holds what the budget has."""
@@ -43,15 +43,17 @@
 
     def spend(self) -> None:
         """Spends one of them."""
+        now_s = self._node.clock()
         self._count -= 1
-        self._spent += 1
-        self._node.retry_budget.spend_held(self._service_id, self._node.clock())
+        self._spent_s.append(now_s)
+        self._node.retry_budget.spend_held(self._service_id, now_s)
 
     def take_back(self) -> None:
         """Holds one again that was spent on a send which didn't connect."""
         self._count += 1
-        self._spent -= 1
-        self._node.retry_budget.hold_again(self._service_id, self._node.clock())
+        self._node.retry_budget.hold_again(
+            self._service_id, self._spent_s.pop()
+        )
 
     def release(self) -> None:
         """Gives back those that are held."""
