--- a/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/engine_stream.py
@@ -279,10 +279,12 @@
         else:
             self.body = await reply.read_all()
 
-    def withdraw(self) -> None:
+    def withdraw(self) -> bool:
         """Ends the stream unless its first events, or a failure, have come."""
-        if self._opening is None or not self._opening.done():
+        is_open = self._opening is None or not self._opening.done()
+        if is_open:
             self.close()
+        return is_open
 
     def close(self) -> None:
         """Ends the stream; an incomplete reply closes its connection."""
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
@@ -71,20 +71,18 @@
         return self._attempts.try_acquire_send()
 
     def overlap(
-        self, engine_stream: EngineStream
+        self, withdraw: Callable[[], None]
     ) -> AbstractContextManager[Callable[[], None]]:
         """Limits how long the silent engine has the request beside a send.
 
         Args:
-            engine_stream: The send, which is closed if the stream couldn't
-                return from it.
+            withdraw: Closes the send, if the stream couldn't return from it.
         """
         handover = self._handover
         if handover is None:
             return nullcontext(ignore_sending)
         return handover.overlap(
-            lambda: self._may_give_up(handover.silent_upstream),
-            engine_stream.withdraw,
+            lambda: self._may_give_up(handover.silent_upstream), withdraw
         )
 
     def _may_give_up(self, silent: Upstream) -> bool:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -253,7 +253,9 @@
         self._log.write_placed(plan, resume_after, self._memory_wait.waited_s)
         self._attempts.count_send()
         self._node.cold_rate_limiter.spend(upstream.upstream_id)
-        with self._replacement.overlap(engine_stream) as begin_overlap:
+        with self._replacement.overlap(
+            lambda: self._withdraw(engine_stream)
+        ) as begin_overlap:
             reply_wait = ReplyWait(
                 self,
                 engine_stream,
@@ -267,6 +269,12 @@
             finally:
                 reply_wait.close()
 
+    def _withdraw(self, engine_stream: EngineStream) -> None:
+        """Closes a replacement that has no reply yet."""
+        if engine_stream.withdraw():
+            # It may have imported the KV cache.
+            self._prefill.forget_handle()
+
     async def _take_first_reply(
         self,
         plan: StreamPlan,
