--- a/packages/catkinreach-node/src/catkinreach_node/http/client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/client.py
@@ -151,6 +151,15 @@
         finally:
             self._release(address, connection, may_keep=may_keep)
 
+    async def check_connect(self, address: Address) -> None:
+        """Opens a connection and closes it.
+
+        Raises:
+            ConnectError: if it can't be opened.
+        """
+        connection = await ClientConnection.open(address)
+        connection.close()
+
     async def call_json(
         self,
         address: Address,
--- a/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/attempt.py
@@ -39,7 +39,7 @@
 TOKEN_STALL_S = 1.5
 """Time without a token after which other engines are sought.
 
-The request is resumed there once they are reserved.
+The request is resumed there once they are reserved and accept connections.
 """
 
 MAX_CANCEL_ATTEMPTS = 3
--- a/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/engine_client.py
@@ -203,6 +203,17 @@
         except ExchangeError as error:
             raise _disconnected_error(error) from error
 
+    async def check_connect(self, upstream: Upstream) -> None:
+        """Checks that an engine accepts a connection.
+
+        Raises:
+            EngineError: if it doesn't.
+        """
+        try:
+            await self._client.check_connect(upstream_address(upstream))
+        except ConnectError as error:
+            raise _unreachable_error(error) from error
+
     async def cancel(self, upstream: Upstream, request_id: RequestId) -> None:
         """Cancels a request, so that the engine frees its memory."""
         await self._call(
--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -20,6 +20,7 @@
 from .completion import AnswerFormat, parse_completion
 from .model_responses import streamed_response, whole_response
 from .progress import AnswerProgress
+from .reachable import reserve_reachable
 from .takeover import Takeover
 
 if TYPE_CHECKING:
@@ -199,7 +200,11 @@
             silent: UpstreamId,
         ) -> AbstractAsyncContextManager[Reservation]:
             work = self._work_item(attempt_number, (silent,))
-            return self._scheduler.reserve(self._session, work, is_resume=True)
+            return reserve_reachable(
+                self._scheduler.reserve(self._session, work, is_resume=True),
+                self._session.settings,
+                self._engines,
+            )
 
         return Takeover(
             reserve,
--- a/packages/catkinreach-node/src/catkinreach_node/session/takeover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/takeover.py
@@ -22,8 +22,8 @@
 class Takeover:
     """Reservation for the attempt that follows that of a silent engine.
 
-    The silent engine keeps its stream until other engines are reserved, so
-    that a healthy one which goes on loses nothing.
+    The silent engine keeps its stream until other engines are reserved and
+    accept connections, so that a healthy one which goes on loses nothing.
     """
 
     def __init__(
@@ -38,7 +38,8 @@
         """Starts without a reservation.
 
         Args:
-            reserve: Reserves engines other than the given one.
+            reserve: Reserves engines other than the given one, and fails if
+                they can't be connected to.
             budget: Retries that the node may make.
             is_possible: Whether another engine than the given one could ever
                 take the request.
--- a/packages/catkinreach-node/tests/session/test_silent_decodes.py
+++ b/packages/catkinreach-node/tests/session/test_silent_decodes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from catkinreach_core.cell.retry_budget import RetryBudget
+from catkinreach_core.cell.retry_budget import RETRY_RESERVE, RetryBudget
 from catkinreach_core.errors import ErrorKind
 from catkinreach_node.session import attempt, model, takeover
 from catkinreach_standins.fakes.model_runs import (
@@ -81,6 +81,23 @@
     assert outcome.tokens == list(TOKENS)
 
 
+@pytest.mark.parametrize('script', [SILENT_AT_FIRST, SILENT_MIDWAY])
+@pytest.mark.parametrize('retries', [1.0, RETRY_RESERVE])
+def test_stream_is_lost_when_the_other_engine_is_unreachable(
+    retries: float, script: Script
+) -> None:
+    # The healthy engine's stream was closed once the other was reserved.
+    budget = RetryBudget(share=0.0, reserve=retries)
+    outcome = run_model(
+        ScriptedScheduler(OTHER), script, is_other_open=False, budget=budget
+    )
+    assert outcome.error is None
+    assert outcome.tokens == list(TOKENS)
+    assert outcome.scheduler.granted[0].kept_count == 1
+    assert budget.tokens == retries
+    assert not outcome.scheduler.live
+
+
 def test_stalled_stream_is_resumed_on_another_engine() -> None:
     outcome = run_model(ScriptedScheduler(OTHER), STALLED)
     assert outcome.error is None
--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
@@ -17,6 +17,7 @@
     attempt_id,
 )
 from catkinreach_core.placement.policy import Placement, WorkItem
+from catkinreach_core.settings.node import Address
 from catkinreach_node.http.client import HttpClient
 from catkinreach_node.http.messages import EVENT_STREAM_TYPE, HttpRequest
 from catkinreach_node.session.completion import Completion
@@ -30,6 +31,7 @@
 from catkinreach_node.session.model import ModelRun
 from catkinreach_node.telemetry.hop_recorder import HopRecorder
 
+from ..bench.ports import LOOPBACK, free_ports
 from .scripted_upstream import (
     Script,
     Step,
@@ -42,7 +44,6 @@
     from collections.abc import AsyncIterator, Sequence
 
     from catkinreach_core.settings.fleet import FleetSettings
-    from catkinreach_core.settings.node import Address
     from catkinreach_node.session.context import SessionContext
 
 TEST_LIMIT_S = 10.0
@@ -185,6 +186,7 @@
     other: Script | None = None,
     *,
     has_other: bool = True,
+    is_other_open: bool = True,
     budget: RetryBudget | None = None,
 ) -> ModelOutcome:
     """Runs a request whose prefill engine is healthy.
@@ -194,6 +196,7 @@
         first: Script of the first decode engine.
         other: Script of the other one; by default it resumes after two tokens.
         has_other: Whether the fleet has the other one.
+        is_other_open: Whether the other one accepts connections.
         budget: Retries that the node may make.
     """
 
@@ -210,7 +213,10 @@
             asyncio.timeout(TEST_LIMIT_S),
         ):
             settings = _fleet(
-                prefill, first_address, other_address, has_other=has_other
+                prefill,
+                first_address,
+                other_address if is_other_open else _closed_address(),
+                has_other=has_other,
             )
             request_run = _model_run(settings, scheduler, client, budget)
             started_s = time.monotonic()
@@ -228,6 +234,11 @@
     return asyncio.run(run())
 
 
+def _closed_address() -> Address:
+    """Returns an address that refuses connections."""
+    return Address(LOOPBACK, free_ports(1)[0])
+
+
 def _model_run(
     settings: FleetSettings,
     scheduler: ScriptedScheduler,
