--- a/packages/catkinreach-core/src/catkinreach_core/cell/retry_budget.py
+++ b/packages/catkinreach-core/src/catkinreach_core/cell/retry_budget.py
@@ -33,12 +33,16 @@
         """Adds the share of a retry that a first attempt allows."""
         self._tokens = min(self._reserve, self._tokens + self._share)
 
-    def try_spend(self) -> bool:
-        """Spends one retry; returns False if the budget is used up."""
-        if self._tokens < 1:
+    def try_spend(self, retries: int = 1) -> bool:
+        """Spends retries; returns False, and spends none, without as many."""
+        if self._tokens < retries:
             return False
-        self._tokens -= 1
+        self._tokens -= retries
         return True
 
+    def give_back(self) -> None:
+        """Adds a retry that was spent but not made."""
+        self._tokens = min(self._reserve, self._tokens + 1)
+
 
 __all__ = ('RETRY_RESERVE', 'RETRY_SHARE', 'RetryBudget')
--- a/packages/catkinreach-core/tests/cell/test_engine_state.py
+++ b/packages/catkinreach-core/tests/cell/test_engine_state.py
@@ -82,6 +82,16 @@
     assert spent <= 5 + 100
 
 
+def test_budget_spends_all_retries_asked_for_or_none() -> None:
+    budget = RetryBudget(share=0.0, reserve=2)
+    assert budget.try_spend()
+    assert not budget.try_spend(2)
+    assert budget.tokens == 1
+    budget.give_back()
+    assert budget.try_spend(2)
+    assert not budget.tokens
+
+
 def _make_holding(age_s: float = 1.0) -> EngineHolding:
     holder = HolderId(VmId('vm-1'), Incarnation('i1'))
     return EngineHolding(
--- a/packages/catkinreach-node/src/catkinreach_node/session/takeover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/takeover.py
@@ -15,6 +15,10 @@
 
     from .interfaces import Reservation
 
+RETRIES = 2
+"""Retries that a takeover spends: its own, and one to return with if the other
+engines fail."""
+
 MAX_SILENCE_S = 10.0
 """Time without a token after which an engine is given up in any case."""
 
@@ -64,7 +68,7 @@
         if reserving is None or _has_failed(reserving):
             self._start(silent)
         elif reserving.done() and reserving.result().placement.decode != silent:
-            self.is_due = self._budget.try_spend()
+            self.is_due = self._budget.try_spend(RETRIES)
         return self.is_due
 
     async def withdraw(self) -> None:
@@ -85,7 +89,7 @@
         return await self._reserving
 
     def _start(self, silent: UpstreamId) -> None:
-        if self._budget.tokens >= 1 and self._is_possible(silent):
+        if self._budget.tokens >= RETRIES and self._is_possible(silent):
             self._reserving = asyncio.ensure_future(
                 self._stack.enter_async_context(self._reserve(silent))
             )
