--- a/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/response_sender.py
@@ -11,6 +11,7 @@
 import h11
 
 from .connection_end import BrokenBodyError, ClientStalledError
+from .idle_wait import STANDSTILL_S
 from .messages import EVENT_STREAM_TYPE, STATUSES_WITHOUT_BODY, encode_headers
 from .problem import problem_response
 
@@ -228,8 +229,7 @@
             return
         self._stalled_since_s = asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout(self._read_bounds().write_timeout_s):
-                await self._writer.drain()
+            await self._drain(self._read_bounds().write_timeout_s)
             # asyncio ends the wait without an error at an abort.
             if transport.is_closing():
                 raise ConnectionResetError('connection closed while sending')
@@ -241,6 +241,26 @@
         finally:
             self._stalled_since_s = None
 
+    async def _drain(self, timeout_s: float) -> None:
+        """Waits for a client, longer if this process woke too late.
+
+        Raises:
+            TimeoutError: if the client reads too slowly.
+        """
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + timeout_s
+        while True:
+            try:
+                async with asyncio.timeout_at(until_s):
+                    return await self._writer.drain()
+            except TimeoutError:
+                now_s = loop.time()
+                late_s = now_s - until_s
+                if late_s < STANDSTILL_S:
+                    raise
+            until_s = now_s + min(late_s, timeout_s)
+            self._stalled_since_s = now_s
+
 
 async def _next_chunk(body: AsyncIterator[bytes]) -> bytes | None:
     """Returns the next chunk of a body; ``None`` at its end.
