--- a/packages/catkinreach-node/tests/gateway/test_returned_retries.py
+++ b/packages/catkinreach-node/tests/gateway/test_returned_retries.py
@@ -20,7 +20,7 @@
 
 # The retries left the window before what was given back did: for as long as the
 # connects had taken, the window counted fewer retries than there were.
-def test_retries_that_were_given_back_are_spent_beyond_the_budget() -> None:
+def test_retries_given_back_are_spent_beyond_the_budget() -> None:
     now_s = 0.0
     budget = RetryBudget(
         ratio=0.0, slack=RETRIES / SLACK_USE, window_s=WINDOW_S
--- a/packages/catkinreach-node/tests/gateway/test_withdrawn_handles.py
+++ b/packages/catkinreach-node/tests/gateway/test_withdrawn_handles.py
@@ -35,7 +35,7 @@
 
 
 # The engine may have imported the KV cache; the next one got the handle, too.
-def test_handle_of_a_withdrawn_replacement_is_sent_to_another_engine() -> None:
+def test_handle_of_a_withdrawn_replacement_is_sent_again() -> None:
     async def run() -> None:
         deployment = _Deployment()
         async with running_deployment(deployment=deployment) as (_, gateway):
--- a/packages/catkinreach-node/tests/http/test_ends_on_kept_connections.py
+++ b/packages/catkinreach-node/tests/http/test_ends_on_kept_connections.py
@@ -90,7 +90,7 @@
 
 
 # A response counted as whole once it was in the write buffer.
-def test_response_that_is_aborted_in_the_write_buffer_is_not_noted() -> None:
+def test_response_aborted_in_the_write_buffer_is_not_noted() -> None:
     async def answer(request: HttpRequest) -> HttpResponse:
         del request
         return HttpResponse(200, [], b'x' * LARGE_BYTES)
@@ -126,7 +126,7 @@
 
 # It went on beyond the bound on connections for as long as its client sent
 # the next request before the response to the last one.
-def test_connection_that_made_room_serves_pipelined_requests_for_ever() -> None:
+def test_connection_that_made_room_serves_requests_for_ever() -> None:
     served = 0
 
     async def answer(request: HttpRequest) -> HttpResponse:
