--- a/packages/catkinreach-node/src/catkinreach_node/gateway/store_reads.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/store_reads.py
@@ -172,6 +172,11 @@
             timeout=timeout_s,
             return_when=asyncio.FIRST_COMPLETED,
         )
+        for call in ended:
+            # The reader may look at the first only; asyncio reports errors that
+            # nobody has looked at.
+            if not call.cancelled():
+                call.exception()
         return ended
 
     async def cancel(self) -> None:
--- a/packages/catkinreach-node/tests/gateway/test_store_reads.py
+++ b/packages/catkinreach-node/tests/gateway/test_store_reads.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
+from contextlib import suppress
 
 import pytest
 
@@ -80,6 +82,36 @@
     assert store.open_calls == 0
 
 
+def test_calls_that_fail_together_leave_no_unhandled_error() -> None:
+    unhandled: list[str] = []
+    calls = 0
+
+    async def read() -> None:
+        fails = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _, context: unhandled.append(context['message'])
+        )
+
+        async def call() -> int:
+            nonlocal calls
+            calls += 1
+            if calls > 1:
+                fails.set()
+            await fails.wait()
+            raise HistoryLost
+
+        with suppress(HistoryLost):
+            await FakeStore().reads.first_answer(
+                call, call, answer_within_s=ANSWER_WITHIN_S
+            )
+        gc.collect()
+
+    asyncio.run(read())
+    assert calls == 2
+    assert not unhandled
+
+
 def test_long_answer_on_a_slow_link_is_read_several_times() -> None:
     # Each further call made all of them slower; the store counted as lost.
     store = FakeStore(ANSWER_WITHIN_S + 2.5 * NEXT_CALL_S)
