--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/callers.py
@@ -131,6 +131,7 @@
         is_cancelling = may_cancel and self.rng.random() < CANCEL_PROBABILITY
         timeout_s = CANCEL_AFTER_S if is_cancelling else CALL_TIMEOUT_S
         partial_response = _PartialResponse()
+        build = self.fronts[front].build
         sent_s = time.monotonic()
         end = await self._exchange(
             client, front, request, partial_response, timeout_s
@@ -142,6 +143,7 @@
         )
         if earlier is not None:
             record = replace(record, idle_s=sent_s - earlier.ended_s)
+        record = replace(record, build=build)
         self.history.calls.append(record)
         return record
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/example_calls.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/example_calls.py
@@ -8,8 +8,10 @@
 from .history import CallEnd, CallKind, CallRecord
 
 WHOLE = tuple(range(1, EVENT_COUNT + 1))
-EXPLAINED = '{"event":"refused","request":"r"}\n'
-"""Log of a front that explains a refusal of these calls."""
+EXPLAINED = (
+    '{"event":"refused","request":"r"}\n{"event":"unanswered","request":"r"}\n'
+)
+"""Log of a front that explains a refusal or a cut of these calls."""
 
 READ = CallRecord(
     request_id='r',
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/history.py
@@ -6,8 +6,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
+from ..builds import ROOT
+
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from pathlib import Path
 
 REUSABLE_SHARE: Final = 0.8
 """Share of the idle limit for which callers may leave a connection idle."""
@@ -71,6 +74,7 @@
         prefix: Parts of the prompt, as they were sent.
         idle_s: Time since the caller's last call, for which its connection, if
             it was kept, had been idle.
+        build: Checkout that the front's process was started from.
     """
 
     request_id: str
@@ -88,6 +92,7 @@
     body: bytes = b''
     prefix: str = ''
     idle_s: float = 0.0
+    build: Path = ROOT
 
 
 class DisruptionKind(Enum):
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/invariants.py
@@ -8,6 +8,7 @@
 
 from ..upstream import EVENT_COUNT
 from .availability_checks import check_leaving, check_pauses
+from .ending_checks import check_endings
 from .history import CallEnd, CallKind, DisruptionKind
 from .limit_checks import check_limits
 from .quarantine_checks import (
@@ -114,6 +115,7 @@
     found += check_leaving(records)
     found += check_pauses(records)
     found += check_limits(records)
+    found += check_endings(records)
     return found
 
 
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/timeline.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/soak/timeline.py
@@ -69,6 +69,7 @@
             {
                 'request': call.request_id,
                 'front': call.front,
+                'build': call.build.name,
                 'status': call.status,
                 'prefix': call.prefix,
                 'lasted_s': round(call.ended_s - call.sent_s, 4),
--- a/packages/catkinreach-standins/tests/platform/soak/test_callers.py
+++ b/packages/catkinreach-standins/tests/platform/soak/test_callers.py
@@ -1,4 +1,4 @@
-"""Which fronts the callers of a soak start with."""
+"""Which fronts the callers of a soak start with, and what they record."""
 
 from __future__ import annotations
 
@@ -9,10 +9,15 @@
 import pytest
 
 from catkinreach_core.settings.node import Address
+from catkinreach_node.http.client import HttpClient
 from catkinreach_standins.bench.ports import free_ports
 from catkinreach_standins.platform.processes import FrontProcess, Ports
 from catkinreach_standins.platform.soak.callers import Callers
-from catkinreach_standins.platform.soak.history import CallKind, History
+from catkinreach_standins.platform.soak.history import (
+    CallKind,
+    CallRecord,
+    History,
+)
 from catkinreach_standins.platform.soak.prompts import Prompts
 
 if TYPE_CHECKING:
@@ -50,3 +55,18 @@
     assert {(call.front, call.kind) for call in history.calls} == {
         (number, kind) for number in range(front_count) for kind in CallKind
     }
+
+
+def test_call_has_the_build_of_its_front(tmp_path: Path) -> None:
+    front = FrontProcess(0, '', tmp_path, Ports())
+    (port,) = free_ports(1)
+    front.caller_address = Address(host='127.0.0.1', port=port)
+    front.build = tmp_path / 'build-51a398b'
+    rng = random.Random(1)
+    callers = Callers([front], History(), rng, Prompts(rng), rng)
+
+    async def run() -> CallRecord:
+        call = await callers.call(HttpClient(), CallKind.READ, 0)
+        return await callers.call(HttpClient(), CallKind.READ, 0, earlier=call)
+
+    assert asyncio.run(run()).build == front.build
