--- a/packages/catkinreach-node/src/catkinreach_node/session/takeover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/takeover.py
@@ -77,9 +77,11 @@
         if reserving is None:
             return
         reserving.cancel()
-        await asyncio.wait({reserving})
-        _has_failed(reserving)
-        await self._stack.aclose()
+        try:
+            await asyncio.wait({reserving})
+        finally:
+            _has_failed(reserving)
+            await self._stack.aclose()
 
     async def hand_over(self, stack: AsyncExitStack) -> Reservation:
         """Returns the reservation, which ``stack`` releases."""
