--- a/packages/catkinreach-node/src/catkinreach_node/app.py
+++ b/packages/catkinreach-node/src/catkinreach_node/app.py
@@ -15,6 +15,7 @@
 from .operator.lifecycle import LifecycleActions
 from .operator.page_action import PageAction
 from .port_wait import open_when_free
+from .session.unanswered import UnansweredRequests
 from .wiring import wire_node
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
     from catkinreach_core.settings.node import NodeSettings
 
     from .component import NodeComponent
-    from .http.connection_end import UnansweredRequest
     from .wiring import NodeWiring
 
 DRAIN_TIMEOUT_S = 600.0
@@ -44,7 +44,7 @@
             wiring.accept.serve,
             name='callers',
             memory=self._body_memory,
-            on_unanswered=self._note_unanswered,
+            on_unanswered=UnansweredRequests(wiring.context.hops.metrics).note,
         )
         wiring.context.hops.metrics.add_gauge(
             'body_memory_bytes', lambda: self._body_memory.used_bytes
@@ -73,18 +73,6 @@
         """Returns a node built from its start-up settings."""
         return cls(wire_node(settings, Incarnation(uuid.uuid4().hex)))
 
-    def _note_unanswered(self, unanswered: UnansweredRequest) -> None:
-        """Logs and counts a request that gets no whole response."""
-        end = unanswered.end.value
-        self._context.hops.metrics.count_unanswered(end)
-        request = unanswered.request
-        logger.warning(
-            'callers: no whole response ({}) to {} after {:.3f} s.',
-            end,
-            'a request' if request is None else request.header('traceparent'),
-            unanswered.waited_s,
-        )
-
     def summary(self) -> Mapping[str, object]:
         """Returns the members of the status document for the whole node."""
         context = self._context
--- a/packages/catkinreach-node/src/catkinreach_node/http/messages.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/messages.py
@@ -75,6 +75,13 @@
     ]
 
 
+@dataclass(slots=True)
+class RequestLabel:
+    """Id under which the process logs a request; empty until it has one."""
+
+    request_id: str = ''
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request with its whole body.
@@ -87,6 +94,7 @@
         hold: Memory held for the body, if it is bounded.
         client_host: Address of the client that sent it; empty for a request
             of this process.
+        label: Id of the request in the log, set by its handler.
     """
 
     method: str
@@ -95,6 +103,7 @@
     body: bytes = b''
     hold: BodyHold | None = field(default=None, compare=False)
     client_host: str = field(default='', compare=False)
+    label: RequestLabel = field(default_factory=RequestLabel, compare=False)
 
     @property
     def path(self) -> str:
@@ -150,6 +159,7 @@
     'HttpRequest',
     'HttpResponse',
     'RawHeaders',
+    'RequestLabel',
     'encode_headers',
     'end_to_end_headers',
 )
--- a/packages/catkinreach-node/src/catkinreach_node/session/accept.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/accept.py
@@ -81,9 +81,10 @@
         route = find_route(settings, request.method, request.target)
         if route.access is RouteAccess.KEYED and not self._is_confirmed():
             raise CatkinreachError(ErrorKind.CONFIG_STALE)
+        request.label.request_id = request_id = new_request_id()
         return SessionContext(
             request=request,
-            request_id=new_request_id(),
+            request_id=request_id,
             accepted_at_s=time.monotonic(),
             settings=settings,
             route=route,
