--- a/packages/catkinreach-node/tests/session/test_silent_decodes.py
+++ b/packages/catkinreach-node/tests/session/test_silent_decodes.py
@@ -8,6 +8,7 @@
 
 from catkinreach_core.cell.retry_budget import RETRY_RESERVE, RetryBudget
 from catkinreach_core.errors import ErrorKind
+from catkinreach_core.ids import UpstreamId
 from catkinreach_node.session import attempt, model, takeover
 from catkinreach_standins.fakes.model_runs import (
     END_CHUNKS,
@@ -22,7 +23,6 @@
 )
 
 if TYPE_CHECKING:
-    from catkinreach_core.ids import UpstreamId
     from catkinreach_standins.fakes.scripted_upstream import Script
 
 STALL_S = 0.12
@@ -128,6 +128,15 @@
     assert not outcome.scheduler.live
 
 
+def test_stream_is_lost_when_the_other_engine_was_added_later() -> None:
+    # The request's settings don't have it, and all later attempts fail.
+    outcome = run_model(
+        ScriptedScheduler(UpstreamId('added-later')), SILENT_MIDWAY
+    )
+    assert outcome.error is None
+    assert outcome.tokens == list(TOKENS)
+
+
 def test_retry_for_the_return_is_given_back() -> None:
     budget = RetryBudget(share=0.0, reserve=2.0)
     outcome = run_model(ScriptedScheduler(OTHER), STALLED, budget=budget)
