--- a/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
@@ -62,9 +62,13 @@
         A silent engine is closed soon after the send. If the other one fails
         then, the stream returns, which takes a retry: one is held for it. Only
         the first retry of a stream is sent without, if the budget has no more;
-        it must bring an event while the silent engine is kept.
+        it must bring an event while the silent engine is kept. There's no
+        return to an engine that can't be connected to.
         """
-        if self.is_running:
+        handover = self._handover
+        if handover is not None and not (
+            handover.has_given_up or self._is_down(handover.silent_upstream)
+        ):
             can_return = self._attempts.try_hold_retries(RETRIES_TO_REPLACE)
             if self._attempts.has_retried and not can_return:
                 return False
@@ -91,9 +95,10 @@
         An engine that only paused goes on: unless it can't be connected to, its
         stream must be able to return.
         """
-        return self._attempts.holds_retry or (
-            self._node.health.is_down(silent.upstream_id)
-        )
+        return self._attempts.holds_retry or self._is_down(silent)
+
+    def _is_down(self, upstream: Upstream) -> bool:
+        return self._node.health.is_down(upstream.upstream_id)
 
 
 __all__ = ('SilentReplacement',)
