--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -108,6 +108,7 @@
         self._blocks = prefix_blocks(completion.prompt)
         self._digest = prompt_digest(completion.prompt)
         self._excluded: tuple[UpstreamId, ...] = ()
+        self._unknown: set[UpstreamId] = set()
         self._takeover = self._new_takeover(0)
         self._holds_return_retry = False
         self.progress = AnswerProgress()
@@ -205,11 +206,13 @@
         def reserve(
             silent: UpstreamId,
         ) -> AbstractAsyncContextManager[Reservation]:
-            work = self._work_item(attempt_number, (silent,))
+            excluded = (silent, *self._unknown)
+            work = self._work_item(attempt_number, excluded)
             return reserve_reachable(
                 self._scheduler.reserve(self._session, work, is_resume=True),
                 self._session.settings,
                 self._engines,
+                self._unknown.add,
             )
 
         return Takeover(
--- a/packages/catkinreach-node/tests/session/test_silent_decodes.py
+++ b/packages/catkinreach-node/tests/session/test_silent_decodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import pytest
@@ -23,8 +24,14 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from catkinreach_core.placement.policy import WorkItem
+    from catkinreach_node.session.context import SessionContext
+    from catkinreach_node.session.interfaces import Reservation
     from catkinreach_standins.fakes.scripted_upstream import Script
 
+ADDED = UpstreamId('added-later')
 STALL_S = 0.12
 SILENCE_S = 0.6
 MAX_SILENCE_S = 1.0
@@ -130,13 +137,39 @@
 
 def test_stream_is_lost_when_the_other_engine_was_added_later() -> None:
     # The request's settings don't have it, and all later attempts fail.
-    outcome = run_model(
-        ScriptedScheduler(UpstreamId('added-later')), SILENT_MIDWAY
-    )
+    outcome = run_model(ScriptedScheduler(ADDED), SILENT_MIDWAY)
     assert outcome.error is None
     assert outcome.tokens == list(TOKENS)
 
 
+class _SchedulerOfAddedEngine(ScriptedScheduler):
+    """Grants an engine that was added later, unless that is excluded."""
+
+    @asynccontextmanager
+    async def reserve(
+        self,
+        session: SessionContext,
+        work: WorkItem,
+        *,
+        is_resume: bool = False,
+    ) -> AsyncIterator[Reservation]:
+        """Reserves engines for an attempt."""
+        self._next_decode = OTHER if ADDED in work.excluded else ADDED
+        async with super().reserve(
+            session, work, is_resume=is_resume
+        ) as reservation:
+            yield reservation
+
+
+# Each search would end at the added engine, though another one is free.
+def test_stalled_stream_waits_beside_an_added_engine() -> None:
+    outcome = run_model(_SchedulerOfAddedEngine(ADDED), STALLED)
+    assert outcome.error is None
+    assert outcome.tokens == list(TOKENS)
+    assert outcome.took_s < MAX_SILENCE_S
+    assert not outcome.scheduler.live
+
+
 def test_retry_for_the_return_is_given_back() -> None:
     budget = RetryBudget(share=0.0, reserve=2.0)
     outcome = run_model(ScriptedScheduler(OTHER), STALLED, budget=budget)
--- a/packages/catkinreach-node/tests/session/test_unknown_engines.py
+++ b/packages/catkinreach-node/tests/session/test_unknown_engines.py
@@ -6,6 +6,7 @@
 
 from catkinreach_core.errors import ErrorKind
 from catkinreach_core.ids import UpstreamId
+from catkinreach_node.session import attempt, takeover
 from catkinreach_standins.fakes import model_runs
 from catkinreach_standins.fakes.model_runs import (
     END_CHUNKS,
@@ -20,6 +21,8 @@
 if TYPE_CHECKING:
     import pytest
 
+STALL_S = 0.12
+MAX_SILENCE_S = 1.0
 NEW = UpstreamId('added-later')
 WHOLE = engine_script(token_chunks(0, 4), END_CHUNKS)
 BROKEN = engine_script(token_chunks(0, 2))
@@ -36,11 +39,18 @@
     assert not outcome.scheduler.live
 
 
-def test_stream_resumed_on_an_added_engine_fails() -> None:
+# The engine is silent for good, but accepts connections: until the longest
+# silence it may still be a sound one.
+def test_stream_resumed_on_an_added_engine_fails(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(attempt, 'TOKEN_STALL_S', STALL_S)
+    monkeypatch.setattr(takeover, 'MAX_SILENCE_S', MAX_SILENCE_S)
     outcome = run_model(ScriptedScheduler(NEW), BROKEN)
     assert outcome.error is not None
     assert outcome.error.kind is ErrorKind.UPSTREAM_FAILED
     assert outcome.tokens == list(TOKENS[:2])
+    assert outcome.took_s >= MAX_SILENCE_S
     assert not outcome.scheduler.live
 
 
