--- a/packages/catkinreach-core/tests/gateway/test_messages_of_landings.py
+++ b/packages/catkinreach-core/tests/gateway/test_messages_of_landings.py
@@ -64,7 +64,12 @@
         folder.name: len(list(folder.glob('*.msgpack')))
         for folder in CORPUS.iterdir()
     }
-    assert counts == {BEFORE_VERSIONS: 7, '03194b3': 10, '51a398b': 10}
+    assert counts == {
+        BEFORE_VERSIONS: 7,
+        '03194b3': 10,
+        '51a398b': 10,
+        '545fb3f': 10,
+    }
 
 
 @pytest.mark.parametrize(
--- a/packages/catkinreach-standins/src/catkinreach_standins/platform/builds.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/platform/builds.py
@@ -9,7 +9,7 @@
 ROOT: Final = Path(__file__).resolve().parents[5]
 """Checkout that this build runs from."""
 
-LANDINGS: Final = ('03194b3', '51a398b')
+LANDINGS: Final = ('03194b3', '51a398b', '545fb3f')
 """Commits of the last landings, beside which this build must run."""
 
 FRONT_PATHS: Final = (
--- a/packages/catkinreach-standins/tests/platform/test_mixed_builds.py
+++ b/packages/catkinreach-standins/tests/platform/test_mixed_builds.py
@@ -6,9 +6,11 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+import pytest
+
 from catkinreach_node.http.client import HttpClient
 from catkinreach_node.http.connection import ConnectError, ExchangeError
-from catkinreach_standins.platform.builds import ROOT
+from catkinreach_standins.platform.builds import LANDINGS, ROOT
 from catkinreach_standins.platform.processes import running_fronts
 from catkinreach_standins.platform.upstream import EVENT_COUNT
 
@@ -83,11 +85,12 @@
 
 
 # An upgrade, and the way back, beside callers that go on all the while.
+@pytest.mark.parametrize('landing', LANDINGS[1:])
 def test_replaced_fronts_answer_in_full(
-    tmp_path: Path, earlier_builds: tuple[Path, ...]
+    tmp_path: Path, earlier_builds: tuple[Path, ...], landing: str
 ) -> None:
     async def run() -> None:
-        earlier = earlier_builds[-1]
+        earlier = earlier_builds[LANDINGS.index(landing)]
         async with running_fronts(FRONTS, tmp_path, build=earlier) as (
             deployment,
             fronts,
