Choose no port of the example fleet for an engine that refuses connections

Cause: the free port that stands for the closed engine was in a block that the example settings use too (19002, 19005), and the settings were refused for an address that stands twice. Blocks are drawn at random, one in 44 has them.

Change: such a port isn't taken. Trace: the SettingsError of the second failure names both engines.

--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
@@ -244,8 +244,12 @@
 
 
 def _closed_address() -> Address:
-    """Returns an address that refuses connections."""
-    return Address(LOOPBACK, free_ports(1)[0])
+    """Returns an address that refuses connections; the fleet has no such."""
+    fleet = read_example_fleet()
+    port = free_ports(1)[0]
+    while f':{port}' in fleet:
+        port = free_ports(1)[0]
+    return Address(LOOPBACK, port)
 
 
 def _model_run(
