--- a/packages/catkinreach-node/tests/session/test_silent_decodes.py
+++ b/packages/catkinreach-node/tests/session/test_silent_decodes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import pytest
@@ -24,11 +23,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
-    from catkinreach_core.placement.policy import WorkItem
-    from catkinreach_node.session.context import SessionContext
-    from catkinreach_node.session.interfaces import Reservation
     from catkinreach_standins.fakes.scripted_upstream import Script
 
 ADDED = UpstreamId('added-later')
@@ -128,7 +122,7 @@
 ) -> None:
     # The last retry was spent on the other engine; none was left to return.
     budget = ContestedBudget(share=0.0, reserve=retries)
-    scheduler = ScriptedScheduler(OTHER, is_first_reused=True)
+    scheduler = ScriptedScheduler(OTHER, instead=FIRST)
     outcome = run_model(scheduler, script, REFUSING, budget=budget)
     assert outcome.error is None
     assert outcome.tokens == list(TOKENS)
@@ -142,28 +136,9 @@
     assert outcome.tokens == list(TOKENS)
 
 
-class _SchedulerOfAddedEngine(ScriptedScheduler):
-    """Grants an engine that was added later, unless that is excluded."""
-
-    @asynccontextmanager
-    async def reserve(
-        self,
-        session: SessionContext,
-        work: WorkItem,
-        *,
-        is_resume: bool = False,
-    ) -> AsyncIterator[Reservation]:
-        """Reserves engines for an attempt."""
-        self._next_decode = OTHER if ADDED in work.excluded else ADDED
-        async with super().reserve(
-            session, work, is_resume=is_resume
-        ) as reservation:
-            yield reservation
-
-
 # Each search would end at the added engine, though another one is free.
 def test_stalled_stream_waits_beside_an_added_engine() -> None:
-    outcome = run_model(_SchedulerOfAddedEngine(ADDED), STALLED)
+    outcome = run_model(ScriptedScheduler(ADDED, instead=OTHER), STALLED)
     assert outcome.error is None
     assert outcome.tokens == list(TOKENS)
     assert outcome.took_s < MAX_SILENCE_S
--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
@@ -116,8 +116,8 @@
     Args:
         next_decode: The engine of later attempts, ``None`` to refuse them.
         wait_s: Time for which later attempts are queued.
-        is_first_reused: Whether the first engine takes attempts that exclude
-            the later one.
+        instead: The engine of later attempts that exclude ``next_decode``;
+            ``None`` to grant that all the same.
     """
 
     def __init__(
@@ -125,11 +125,11 @@
         next_decode: UpstreamId | None,
         wait_s: float = 0.0,
         *,
-        is_first_reused: bool = False,
+        instead: UpstreamId | None = None,
     ) -> None:
         """Starts without a reservation."""
         self._next_decode = next_decode
-        self._is_first_reused = is_first_reused
+        self._instead = instead
         self._wait_s = wait_s
         self.granted: list[KeptReservation] = []
         self.live: set[int] = set()
@@ -147,8 +147,8 @@
         if is_resume:
             await asyncio.sleep(self._wait_s)
             decode = self._next_decode
-            if self._is_first_reused and decode in work.excluded:
-                decode = FIRST
+            if self._instead is not None and decode in work.excluded:
+                decode = self._instead
         if decode is None:
             raise CatkinreachError(ErrorKind.QUEUE_TIMEOUT)
         reservation = KeptReservation(
