--- a/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/handover.py
@@ -214,4 +214,4 @@
             send.close()
 
 
-__all__ = ('OVERLAP_S', 'SILENT_DETAIL', 'Handover', 'Send', 'SendSource')
+__all__ = ('SILENT_DETAIL', 'Handover', 'Send', 'SendSource')
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/silent_replacement.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 from .exchange import ignore_sending
-from .handover import OVERLAP_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -57,37 +56,24 @@
             if earlier is None or earlier.is_done:
                 self._attempts.release_retries()
 
-    async def try_acquire_send(self, first_event_s: float) -> bool:
+    def try_acquire_send(self) -> bool:
         """Returns whether the stream may be sent to one more engine.
 
         A silent engine is closed soon after the send. If the other one fails
         then, the stream returns, which takes a retry: one is held for it. Only
         the first retry of a stream is sent without, if the budget has no more;
         it must bring an event while the silent engine is kept. There's no
-        return to an engine that can't be connected to, which its check tells.
-
-        Args:
-            first_event_s: Predicted time from the send to its first event.
+        return to an engine that can't be connected to.
         """
         handover = self._handover
-        if handover is not None and not handover.has_given_up:
-            await self._node.checks.finish_check(
-                handover.silent_upstream, self._attempts.remaining_s
-            )
-            if not self._may_replace(handover, first_event_s):
+        if handover is not None and not (
+            handover.has_given_up or self._is_down(handover.silent_upstream)
+        ):
+            can_return = self._attempts.try_hold_retries(RETRIES_TO_REPLACE)
+            if self._attempts.has_retried and not can_return:
                 return False
         return self._attempts.try_acquire_send()
 
-    def _may_replace(
-        self, handover: Handover[EngineStream], first_event_s: float
-    ) -> bool:
-        """Returns whether a send may take the place of a silent engine."""
-        if handover.has_given_up or self._is_down(handover.silent_upstream):
-            return True
-        if self._attempts.try_hold_retries(RETRIES_TO_REPLACE):
-            return True
-        return not self._attempts.has_retried and first_event_s < OVERLAP_S
-
     def overlap(
         self, withdraw: Callable[[], None]
     ) -> AbstractContextManager[Callable[[], None]]:
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/stream_handler.py
@@ -211,9 +211,7 @@
             if self._filled_up_during_prefill(plan):
                 return None
             await self._attempts.finish_crash_check()
-            if not await self._replacement.try_acquire_send(
-                plan.first_token_s if prefill is None else 0.0
-            ):
+            if not self._replacement.try_acquire_send():
                 raise self._attempts.error()
             engine_stream.source = self._prefill.handle
             opened = await self._decode_stream(
--- a/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
+++ b/packages/catkinreach-node/src/catkinreach_node/gateway/upstream_checks.py
@@ -40,19 +40,10 @@
         """Starts without checks."""
         self._node = node
         self._checked_at_s: dict[UpstreamId, float] = {}
-        self._checks: dict[UpstreamId, asyncio.Task[bool]] = {}
 
     def check_reachable(self, upstream: Upstream) -> None:
         """Checks in the background whether a silent upstream is reachable."""
-        upstream_id = upstream.upstream_id
-        check = self._node.spawn(self.confirm_reachable(upstream))
-        self._checks[upstream_id] = check
-
-        def forget(ended: asyncio.Task[bool]) -> None:
-            if self._checks.get(upstream_id) is ended:
-                del self._checks[upstream_id]
-
-        check.add_done_callback(forget)
+        self._node.spawn(self.confirm_reachable(upstream))
 
     def check_reported_down(self, upstream_id: UpstreamId) -> None:
         """Checks an upstream that a peer could not reach.
@@ -74,12 +65,6 @@
             self._checked_at_s[upstream_id] = now_s
             self.check_reachable(upstream)
 
-    async def finish_check(self, upstream: Upstream, timeout_s: float) -> None:
-        """Waits for the last check of an upstream, if it is running."""
-        check = self._checks.get(upstream.upstream_id)
-        if check is not None:
-            await asyncio.wait({check}, timeout=timeout_s)
-
     def apply_replaced(self, replaced: Mapping[UpstreamId, int]) -> None:
         """Applies a peer's report that upstreams were replaced.
 
