--- a/packages/catkinreach-node/src/catkinreach_node/session/model.py
+++ b/packages/catkinreach-node/src/catkinreach_node/session/model.py
@@ -167,7 +167,7 @@
                     attempt_number,
                     error,
                 )
-                self._excluded = (error.failure.upstream_id,)
+                self._exclude(error.failure.upstream_id)
                 if not self._takeover.is_due:
                     await self._takeover.withdraw()
 
@@ -187,7 +187,7 @@
             return await takeover.hand_over(stack)
         pending_reservation = self._scheduler.reserve(
             self._session,
-            self._work_item(attempt_number, self._excluded),
+            self._work_item(attempt_number, (*self._excluded, *self._unknown)),
             is_resume=attempt_number > 0,
         )
         try:
@@ -202,6 +202,12 @@
                 kind, error.detail, outcome=Outcome.UNKNOWN
             ) from error
 
+    def _exclude(self, failed: UpstreamId) -> None:
+        """Excludes an engine from the next attempt; an unknown one from all."""
+        self._excluded = (failed,)
+        if failed not in self._session.settings.upstreams:
+            self._unknown.add(failed)
+
     def _new_takeover(self, attempt_number: int) -> Takeover:
         def reserve(
             silent: UpstreamId,
--- a/packages/catkinreach-node/tests/session/test_silent_decodes.py
+++ b/packages/catkinreach-node/tests/session/test_silent_decodes.py
@@ -122,7 +122,7 @@
 ) -> None:
     # The last retry was spent on the other engine; none was left to return.
     budget = ContestedBudget(share=0.0, reserve=retries)
-    scheduler = ScriptedScheduler(OTHER, instead=FIRST)
+    scheduler = ScriptedScheduler(OTHER, instead=(FIRST,))
     outcome = run_model(scheduler, script, REFUSING, budget=budget)
     assert outcome.error is None
     assert outcome.tokens == list(TOKENS)
@@ -138,7 +138,7 @@
 
 # Each search would end at the added engine, though another one is free.
 def test_stalled_stream_waits_beside_an_added_engine() -> None:
-    outcome = run_model(ScriptedScheduler(ADDED, instead=OTHER), STALLED)
+    outcome = run_model(ScriptedScheduler(ADDED, instead=(OTHER,)), STALLED)
     assert outcome.error is None
     assert outcome.tokens == list(TOKENS)
     assert outcome.took_s < MAX_SILENCE_S
--- a/packages/catkinreach-node/tests/session/test_unknown_engines.py
+++ b/packages/catkinreach-node/tests/session/test_unknown_engines.py
@@ -24,8 +24,10 @@
 STALL_S = 0.12
 MAX_SILENCE_S = 1.0
 NEW = UpstreamId('added-later')
+NEWER = UpstreamId('added-last')
 WHOLE = engine_script(token_chunks(0, 4), END_CHUNKS)
 BROKEN = engine_script(token_chunks(0, 2))
+CLOSED = engine_script(token_chunks(0, 2), b'0\r\n\r\n')
 
 
 # The caller got 500: the request's settings don't have the engine.
@@ -54,6 +56,14 @@
     assert not outcome.scheduler.live
 
 
+# All attempts were spent on two added engines in turn.
+def test_broken_stream_is_lost_beside_two_added_engines() -> None:
+    outcome = run_model(ScriptedScheduler(NEW, instead=(NEWER, OTHER)), CLOSED)
+    assert outcome.error is None
+    assert outcome.tokens == list(TOKENS)
+    assert not outcome.scheduler.live
+
+
 def test_prefill_on_an_added_engine_fails(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
+++ b/packages/catkinreach-standins/src/catkinreach_standins/fakes/model_runs.py
@@ -116,8 +116,8 @@
     Args:
         next_decode: The engine of later attempts, ``None`` to refuse them.
         wait_s: Time for which later attempts are queued.
-        instead: The engine of later attempts that exclude ``next_decode``;
-            ``None`` to grant that all the same.
+        instead: Engines of later attempts that exclude ``next_decode``, in
+            turn; without one that isn't excluded, that is granted all the same.
     """
 
     def __init__(
@@ -125,7 +125,7 @@
         next_decode: UpstreamId | None,
         wait_s: float = 0.0,
         *,
-        instead: UpstreamId | None = None,
+        instead: tuple[UpstreamId, ...] = (),
     ) -> None:
         """Starts without a reservation."""
         self._next_decode = next_decode
@@ -147,8 +147,11 @@
         if is_resume:
             await asyncio.sleep(self._wait_s)
             decode = self._next_decode
-            if self._instead is not None and decode in work.excluded:
-                decode = self._instead
+            if decode in work.excluded:
+                left = (
+                    one for one in self._instead if one not in work.excluded
+                )
+                decode = next(left, decode)
         if decode is None:
             raise CatkinreachError(ErrorKind.QUEUE_TIMEOUT)
         reservation = KeptReservation(
