--- a/packages/catkinreach-node/src/catkinreach_node/http/bounded_streams.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/bounded_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -30,6 +31,11 @@
 BACKLOG = 1024
 """Connections that wait in the kernel."""
 
+NO_RESOURCES = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
+"""Errors of an accept after which no further one succeeds."""
+
 TURNS_TO_ATTACH = 4
 """Turns of the event loop after which asyncio has attached each connection that
 it accepted. It drops those that it hasn't when their listener closes."""
@@ -160,13 +166,17 @@
     listener = socket.socket(fileno=descriptor)
     try:
         listener.settimeout(0)
-        while len(accepted) < BACKLOG:
-            connection, _ = listener.accept()
+        for _ in range(BACKLOG):
+            try:
+                connection, _address = listener.accept()
+            except BlockingIOError:
+                break
+            except OSError as error:
+                if error.errno in NO_RESOURCES:
+                    break
+                continue  # This one has failed; others wait behind it.
             connection.settimeout(0)
             accepted.append(connection)
-    except OSError:
-        # None waits, or there are no more descriptors.
-        return accepted
     finally:
         listener.detach()
     return accepted
