--- a/packages/catkinreach-node/src/catkinreach_node/http/bounded_streams.py
+++ b/packages/catkinreach-node/src/catkinreach_node/http/bounded_streams.py
@@ -92,7 +92,8 @@
         self._tls = tls
         self._buffer = memoryview(bytearray(READ_BYTES))
         self._server: asyncio.Server | None = None
-        self._last: set[asyncio.Task[None]] = set()
+        # Connections accepted at the stop whose streams aren't handed over yet.
+        self._starting: set[asyncio.Task[None]] = set()
 
     @property
     def is_serving(self) -> bool:
@@ -137,9 +138,9 @@
         ]
         self.close()
         for connection in waiting:
-            serving = asyncio.ensure_future(self._serve(connection))
-            self._last.add(serving)
-            serving.add_done_callback(self._last.discard)
+            starting = asyncio.ensure_future(self._hand_over(connection))
+            self._starting.add(starting)
+            starting.add_done_callback(self._starting.discard)
 
     def close(self) -> None:
         """Closes the listening sockets."""
@@ -149,8 +150,8 @@
     def _make_protocol(self) -> BoundedStreamProtocol:
         return BoundedStreamProtocol(self._handle, self._buffer)
 
-    async def _serve(self, connection: socket.socket) -> None:
-        """Starts to serve a connection that was accepted at the stop."""
+    async def _hand_over(self, connection: socket.socket) -> None:
+        """Hands over the streams of a connection accepted at the stop."""
         try:
             await asyncio.get_running_loop().connect_accepted_socket(
                 self._make_protocol, connection, ssl=self._tls
